--- /dev/null
+++ b/libraries/core/include/godwit/core/error.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <godwit/core/error_kind.hpp>
+
+#include <compare>
+#include <string>
+
+namespace godwit::core {
+
+/// A failure: what happened, and what the reader can do about it.
+class error
+{
+public:
+    /// `message` says what is wrong; `remedy` says what to do about it.
+    error(error_kind kind, std::string message, std::string remedy);
+
+    [[nodiscard]] error_kind kind() const noexcept { return kind_; }
+
+    [[nodiscard]] const std::string& message() const noexcept
+    {
+        return message_;
+    }
+
+    [[nodiscard]] const std::string& remedy() const noexcept { return remedy_; }
+
+    /// "message; remedy", as one line for people.
+    [[nodiscard]] std::string to_string() const;
+
+    friend bool operator==(const error&, const error&) = default;
+
+private:
+    error_kind kind_;
+    std::string message_;
+    std::string remedy_;
+};
+
+} // namespace godwit::core
--- /dev/null
+++ b/libraries/core/include/godwit/core/result.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <godwit/core/error.hpp>
+
+#include <tl/expected.hpp>
+
+#include <utility>
+
+namespace godwit::core {
+
+/// A value, or the error that prevented it.
+template<class Value>
+using result = tl::expected<Value, error>;
+
+/// Shorthand for `return fail(kind, message, remedy)`.
+[[nodiscard]] inline tl::unexpected<error>
+fail(error_kind kind, std::string message, std::string remedy)
+{
+    return tl::unexpected<error>(
+        error(kind, std::move(message), std::move(remedy)));
+}
+
+} // namespace godwit::core
+
+/// Yields the value of a `result`, or returns its error from the enclosing
+/// function. Not for use inside coroutines.
+#define GODWIT_TRY(expression)                                                 \
+    (__extension__({                                                           \
+        auto godwit_try_result = (expression);                                 \
+        if (!godwit_try_result)                                                \
+            return tl::unexpected(std::move(godwit_try_result).error());       \
+        std::move(godwit_try_result).value();                                  \
+    }))
