--- a/cmake/GodwitOptions.cmake
+++ b/cmake/GodwitOptions.cmake
@@ -7,7 +7,9 @@
                     -Werror)
 # g++ 12 reports false positives of these two inside the standard library
 # and Boost.Asio when it inlines at -O2.
-add_compile_options(-Wno-maybe-uninitialized -Wno-restrict)
+if(CMAKE_CXX_COMPILER_ID STREQUAL "GNU")
+    add_compile_options(-Wno-maybe-uninitialized -Wno-restrict)
+endif()
 
 if(GODWIT_SANITIZER STREQUAL "address")
     add_compile_options(-fsanitize=address,undefined -fno-omit-frame-pointer
