--- /dev/null
+++ b/libraries/http/asio/asio.cpp
@@ -0,0 +1,2 @@
+// The one unit that holds Boost.Asio's own code.
+#include <boost/asio/impl/src.hpp>
--- /dev/null
+++ b/libraries/http/include/godwit/http/connection_pool.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <godwit/core/time.hpp>
+#include <godwit/http/client_stream.hpp>
+#include <godwit/http/connection_pool_limits.hpp>
+#include <godwit/http/endpoint.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <cstddef>
+#include <list>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace godwit::http {
+
+/// Idle connections for short calls. A connection comes back only after a
+/// whole exchange, so that a late answer never meets another request. Used
+/// on one executor.
+class connection_pool
+{
+public:
+    [[nodiscard]] static std::unique_ptr<connection_pool> create(
+        const boost::asio::any_io_executor& executor,
+        connection_pool_limits limits);
+
+    connection_pool(const connection_pool&) = delete;
+    connection_pool& operator=(const connection_pool&) = delete;
+
+    [[nodiscard]] const boost::asio::any_io_executor& executor() const noexcept
+    {
+        return executor_;
+    }
+
+    /// An idle connection to `server` that its end still keeps open.
+    [[nodiscard]] std::optional<client_stream> take(const endpoint& server);
+
+    /// Keeps `finished` if it can be reused; closes it otherwise. At a bound
+    /// the connection that has been idle longest is closed.
+    void give_back(const endpoint& server, client_stream finished);
+
+    /// Closes the idle connections to `server`.
+    void forget(const endpoint& server);
+
+    [[nodiscard]] std::size_t idle() const noexcept { return idle_.size(); }
+
+private:
+    struct idle_connection
+    {
+        endpoint server;
+        core::time_point since;
+        client_stream stream;
+    };
+
+    connection_pool(
+        const boost::asio::any_io_executor& executor,
+        connection_pool_limits limits);
+
+    void drop_old(core::time_point now);
+    void drop_excess(const endpoint& server);
+
+    boost::asio::any_io_executor executor_;
+    connection_pool_limits limits_;
+    std::list<idle_connection> idle_; // The longest idle first.
+};
+
+} // namespace godwit::http
--- /dev/null
+++ b/libraries/http/include/godwit/http/server.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <godwit/core/result.hpp>
+#include <godwit/http/endpoint.hpp>
+#include <godwit/http/exchange.hpp>
+#include <godwit/http/server_settings.hpp>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+namespace godwit::http {
+
+class server_state;
+
+/// Serves one exchange; it runs on a strand of its connection.
+using exchange_handler = std::function<boost::asio::awaitable<void>(exchange&)>;
+
+/// An HTTP/1.1 server. Requests that are malformed, too large, truncated or
+/// slow are answered here and never reach the handler. The methods may be
+/// called on any thread.
+class server
+{
+public:
+    /// Binds and listens. Fails with `unavailable` when the address cannot
+    /// be bound.
+    [[nodiscard]] static core::result<std::unique_ptr<server>> create(
+        boost::asio::io_context& context,
+        server_settings settings,
+        exchange_handler handler);
+
+    server(const server&) = delete;
+    server& operator=(const server&) = delete;
+
+    /// Closes everything.
+    ~server();
+
+    /// The address in use, with the port that was chosen.
+    [[nodiscard]] const endpoint& address() const noexcept;
+
+    /// Refuses new connections, closes idle ones, and lets exchanges that
+    /// run finish.
+    void stop_accepting();
+
+    /// How many handlers run.
+    [[nodiscard]] std::size_t active_exchanges() const noexcept;
+
+    /// How many connections are open.
+    [[nodiscard]] std::size_t open_connections() const noexcept;
+
+    /// Cuts every connection.
+    void close();
+
+private:
+    explicit server(std::shared_ptr<server_state> state);
+
+    std::shared_ptr<server_state> state_;
+};
+
+} // namespace godwit::http
--- /dev/null
+++ b/libraries/http/src/client_stream.cpp
@@ -0,0 +1,261 @@
+#include <godwit/http/client_stream.hpp>
+
+#include "deadline.hpp"
+#include "message_head.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <sys/socket.h>
+
+#include <array>
+#include <utility>
+
+namespace godwit::http {
+
+namespace asio = boost::asio;
+namespace beast_http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+using response_parser = beast_http::response_parser<beast_http::string_body>;
+
+constexpr std::uint32_t head_limit = 64 * 1024;
+constexpr std::size_t buffer_limit = std::size_t{128} * 1024;
+
+client_error failed(
+    const error_code& failure,
+    const deadline& guard,
+    const std::string& server,
+    const char* step,
+    bytes_handed_over handed_over)
+{
+    const std::string where = std::string(step) + " " + server;
+    if (guard.has_expired())
+        return {
+            core::error(
+                core::error_kind::timeout,
+                where + ": no progress in time",
+                "check that the server is alive and not overloaded"),
+            handed_over};
+    // Beast's own errors are about the text; end_of_stream and
+    // partial_message are about the connection's end.
+    const bool is_text =
+        failure.category() ==
+            error_code(beast_http::error::bad_version).category() &&
+        failure != beast_http::error::end_of_stream &&
+        failure != beast_http::error::partial_message;
+    if (is_text)
+        return {
+            core::error(
+                core::error_kind::protocol,
+                where + ": " + failure.message(),
+                "check that the address is the one of an HTTP/1.1 server"),
+            handed_over};
+    return {
+        core::error(
+            core::error_kind::unavailable,
+            where + ": " + failure.message(),
+            "check that the server is running and can be reached"),
+        handed_over};
+}
+
+} // namespace
+
+struct client_stream::implementation
+{
+    explicit implementation(const asio::any_io_executor& executor)
+        : socket(executor), buffer(buffer_limit)
+    {}
+
+    tcp::socket socket;
+    boost::beast::flat_buffer buffer;
+    std::optional<response_parser> parser;
+    std::string server = "no server";
+    bytes_handed_over handed_over = bytes_handed_over::none;
+    bool is_cancelled = false;
+    bool is_whole = false;
+};
+
+client_stream::client_stream(std::unique_ptr<implementation> held)
+    : held_(std::move(held))
+{}
+
+client_stream::client_stream(client_stream&&) noexcept = default;
+client_stream& client_stream::operator=(client_stream&&) noexcept = default;
+client_stream::~client_stream() = default;
+
+client_stream client_stream::create(const asio::any_io_executor& executor)
+{
+    return client_stream(std::make_unique<implementation>(executor));
+}
+
+asio::awaitable<client_result<void>>
+client_stream::connect(endpoint server, core::duration timeout)
+{
+    implementation& held = *held_;
+    held.server = server.to_string();
+    const auto executor = co_await asio::this_coro::executor;
+    const tcp::endpoint address(
+        asio::ip::make_address(server.address()), server.port());
+    error_code failure;
+    if (held.is_cancelled)
+        failure = asio::error::operation_aborted;
+    else
+        held.socket.open(address.protocol(), failure);
+    const deadline guard(executor, held.socket, timeout, expiry_action::close);
+    if (!failure)
+        co_await held.socket.async_connect(
+            address, asio::redirect_error(asio::use_awaitable, failure));
+    if (!failure)
+        held.socket.set_option(tcp::no_delay(true), failure);
+    if (!failure)
+        held.socket.non_blocking(true, failure);
+    if (failure)
+        co_return tl::unexpected(failed(
+            failure,
+            guard,
+            held.server,
+            "connecting to",
+            bytes_handed_over::none));
+    co_return client_result<void>();
+}
+
+asio::awaitable<client_result<void>>
+client_stream::send(request outgoing, core::duration timeout)
+{
+    implementation& held = *held_;
+    held.handed_over = bytes_handed_over::none;
+    held.is_whole = false;
+    held.parser.reset();
+    const auto executor = co_await asio::this_coro::executor;
+    std::string bytes = format_request_head(outgoing, held.server);
+    bytes += outgoing.body;
+    const deadline guard(executor, held.socket, timeout, expiry_action::close);
+    std::size_t done = 0;
+    error_code failure;
+    // Piece by piece, so that the count is exact when one fails.
+    while (!failure && done < bytes.size()) {
+        const auto rest = asio::buffer(bytes) + done;
+        const std::size_t count = co_await held.socket.async_write_some(
+            rest, asio::redirect_error(asio::use_awaitable, failure));
+        done += count;
+        if (count > 0)
+            held.handed_over = bytes_handed_over::some;
+    }
+    if (failure)
+        co_return tl::unexpected(failed(
+            failure, guard, held.server, "sending to", held.handed_over));
+    co_return client_result<void>();
+}
+
+asio::awaitable<client_result<response_head>>
+client_stream::read_head(core::duration timeout)
+{
+    implementation& held = *held_;
+    const auto executor = co_await asio::this_coro::executor;
+    const deadline guard(executor, held.socket, timeout, expiry_action::close);
+    error_code failure;
+    bool is_interim = true;
+    while (!failure && is_interim) {
+        held.parser.emplace();
+        held.parser->header_limit(head_limit);
+        held.parser->body_limit(boost::none);
+        co_await beast_http::async_read_header(
+            held.socket,
+            held.buffer,
+            *held.parser,
+            asio::redirect_error(asio::use_awaitable, failure));
+        const unsigned status = held.parser->get().result_int();
+        is_interim = status >= 100 && status < 200;
+    }
+    if (failure)
+        co_return tl::unexpected(failed(
+            failure,
+            guard,
+            held.server,
+            "reading the head from",
+            held.handed_over));
+    held.parser->eager(true);
+    response_head head;
+    head.status = held.parser->get().result_int();
+    for (const auto& one : held.parser->get())
+        head.fields.add(
+            std::string(one.name_string()), std::string(one.value()));
+    co_return head;
+}
+
+asio::awaitable<client_result<std::optional<std::string>>>
+client_stream::read_some(core::duration stall_timeout)
+{
+    implementation& held = *held_;
+    const auto executor = co_await asio::this_coro::executor;
+    const deadline guard(
+        executor, held.socket, stall_timeout, expiry_action::close);
+    std::string& body = held.parser->get().body();
+    error_code failure;
+    while (!failure && body.empty() && !held.parser->is_done()) {
+        co_await beast_http::async_read_some(
+            held.socket,
+            held.buffer,
+            *held.parser,
+            asio::redirect_error(asio::use_awaitable, failure));
+    }
+    if (!body.empty()) {
+        std::optional<std::string> bytes(std::exchange(body, std::string()));
+        co_return bytes;
+    }
+    if (failure)
+        co_return tl::unexpected(failed(
+            failure,
+            guard,
+            held.server,
+            "reading the body from",
+            held.handed_over));
+    held.is_whole = true;
+    co_return std::optional<std::string>();
+}
+
+void client_stream::cancel() noexcept
+{
+    held_->is_cancelled = true;
+    error_code ignored;
+    held_->socket.close(ignored);
+}
+
+bytes_handed_over client_stream::handed_over() const noexcept
+{
+    return held_->handed_over;
+}
+
+bool client_stream::is_reusable() const noexcept
+{
+    return held_->is_whole && !held_->is_cancelled && held_->parser &&
+           held_->parser->keep_alive() && held_->buffer.size() == 0;
+}
+
+bool client_stream::is_open() const noexcept
+{
+    if (!held_->socket.is_open())
+        return false;
+    // An idle connection has nothing to read: an end or stray bytes both
+    // make it useless.
+    std::array<char, 1> byte{};
+    const auto count = ::recv(
+        held_->socket.native_handle(),
+        byte.data(),
+        byte.size(),
+        MSG_PEEK | MSG_DONTWAIT);
+    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+} // namespace godwit::http
--- /dev/null
+++ b/libraries/http/src/connection.cpp
@@ -0,0 +1,467 @@
+#include "connection.hpp"
+
+#include "request_rules.hpp"
+#include "server_state.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <array>
+#include <cassert>
+#include <chrono>
+#include <exception>
+#include <utility>
+
+namespace godwit::http {
+
+namespace asio = boost::asio;
+namespace beast_http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+// After a rejection the caller may still be sending; closing at once would
+// reset the connection and lose the answer on its way.
+constexpr std::chrono::seconds discard_time{1};
+constexpr std::size_t discard_bytes = std::size_t{4} * 1024 * 1024;
+constexpr std::size_t read_size = std::size_t{8} * 1024;
+constexpr std::string_view continue_head = "HTTP/1.1 100 Continue\r\n\r\n";
+
+std::string describe_peer(const tcp::socket& socket)
+{
+    error_code failure;
+    const auto remote = socket.remote_endpoint(failure);
+    if (failure)
+        return "gone";
+    return remote.address().to_string() + ":" + std::to_string(remote.port());
+}
+
+/// Counts an exchange for as long as its handler runs.
+class active_exchange
+{
+public:
+    explicit active_exchange(server_state& server) : server_(server)
+    {
+        server_.exchange_began();
+    }
+
+    ~active_exchange() { server_.exchange_ended(); }
+
+    active_exchange(const active_exchange&) = delete;
+    active_exchange& operator=(const active_exchange&) = delete;
+
+private:
+    server_state& server_;
+};
+
+} // namespace
+
+connection::connection(tcp::socket socket, std::shared_ptr<server_state> server)
+    : socket_(std::move(socket)), executor_(socket_.get_executor()),
+      server_(std::move(server)), peer_(describe_peer(socket_)),
+      buffer_(server_->settings().limits.header_bytes + read_size),
+      caller_gone_signal_(executor_, asio::steady_timer::time_point::max()),
+      watch_ended_signal_(executor_, asio::steady_timer::time_point::max())
+{}
+
+connection::~connection()
+{
+    server_->remove(*this);
+}
+
+void connection::start(admission verdict)
+{
+    asio::co_spawn(
+        executor_,
+        [kept = shared_from_this(), verdict]() -> asio::awaitable<void> {
+            co_await kept->run(verdict);
+        },
+        asio::detached);
+}
+
+void connection::close()
+{
+    asio::post(
+        executor_, [kept = shared_from_this()] { kept->close_socket(); });
+}
+
+void connection::close_if_idle()
+{
+    asio::post(executor_, [kept = shared_from_this()] {
+        if (kept->is_idle_)
+            kept->close_socket();
+    });
+}
+
+void connection::close_socket()
+{
+    error_code ignored;
+    socket_.close(ignored);
+}
+
+asio::awaitable<void> connection::run(admission verdict)
+{
+    error_code ignored;
+    socket_.set_option(tcp::no_delay(true), ignored);
+    socket_.non_blocking(true, ignored);
+    if (verdict == admission::refused) {
+        co_await reject(rejection_reason::too_many_connections);
+        close_socket();
+        co_return;
+    }
+
+    while (keeps_alive_ && socket_.is_open()) {
+        const bool has_request = co_await wait_for_first_byte();
+        if (!has_request)
+            break;
+        std::optional<request> received = co_await read_request();
+        if (!received)
+            break;
+        co_await serve(std::move(*received));
+        if (server_->is_draining())
+            break;
+    }
+    close_socket();
+}
+
+asio::awaitable<bool> connection::wait_for_first_byte()
+{
+    if (buffer_.size() > 0)
+        co_return true;
+    if (server_->is_draining())
+        co_return false;
+    is_idle_ = true;
+    const deadline guard(
+        executor_,
+        socket_,
+        server_->settings().limits.idle_timeout,
+        expiry_action::close);
+    error_code failure;
+    const auto space = buffer_.prepare(read_size);
+    const std::size_t count = co_await socket_.async_read_some(
+        space, asio::redirect_error(asio::use_awaitable, failure));
+    buffer_.commit(count);
+    is_idle_ = false;
+    co_return !failure;
+}
+
+asio::awaitable<std::optional<request>> connection::read_request()
+{
+    request_parser parser;
+    parser.header_limit(
+        static_cast<std::uint32_t>(server_->settings().limits.header_bytes));
+    parser.body_limit(server_->settings().limits.body_bytes);
+
+    std::optional<rejection_reason> refused = co_await read_head(parser);
+    if (!refused)
+        refused = co_await read_body(parser);
+    if (refused) {
+        co_await reject(*refused);
+        co_return std::nullopt;
+    }
+
+    keeps_alive_ = parser.keep_alive();
+    takes_chunks_ = parser.get().version() >= 11;
+    omits_body_ = parser.get().method() == beast_http::verb::head;
+    request received;
+    received.method = std::string(parser.get().method_string());
+    received.target = std::string(parser.get().target());
+    for (const auto& one : parser.get())
+        received.fields.add(
+            std::string(one.name_string()), std::string(one.value()));
+    received.body = std::move(parser.get().body());
+    co_return received;
+}
+
+asio::awaitable<std::optional<rejection_reason>>
+connection::read_head(request_parser& parser)
+{
+    const deadline guard(
+        executor_,
+        socket_,
+        server_->settings().limits.header_timeout,
+        expiry_action::stop_receiving);
+    error_code failure;
+    co_await beast_http::async_read_header(
+        socket_,
+        buffer_,
+        parser,
+        asio::redirect_error(asio::use_awaitable, failure));
+    if (!failure) {
+        if (breaks_framing_rules(parser.get()))
+            co_return rejection_reason::malformed;
+        co_return std::nullopt;
+    }
+    if (guard.has_expired())
+        co_return rejection_reason::slow_header;
+    co_return classify_head_failure(failure);
+}
+
+asio::awaitable<std::optional<rejection_reason>>
+connection::read_body(request_parser& parser)
+{
+    if (parser.is_done())
+        co_return std::nullopt;
+    const deadline guard(
+        executor_,
+        socket_,
+        server_->settings().limits.body_timeout,
+        expiry_action::stop_receiving);
+    error_code failure;
+    if (expects_continue(parser.get())) {
+        const auto invitation = asio::buffer(continue_head);
+        co_await asio::async_write(
+            socket_,
+            invitation,
+            asio::redirect_error(asio::use_awaitable, failure));
+    }
+    if (!failure)
+        co_await beast_http::async_read(
+            socket_,
+            buffer_,
+            parser,
+            asio::redirect_error(asio::use_awaitable, failure));
+    if (!failure)
+        co_return std::nullopt;
+    if (guard.has_expired())
+        co_return rejection_reason::slow_body;
+    co_return classify_body_failure(failure);
+}
+
+asio::awaitable<void> connection::reject(rejection_reason reason)
+{
+    keeps_alive_ = false;
+    const rejection refused = make_rejection(reason);
+    response answer = server_->answer_to(refused);
+    const auto sent = co_await respond(std::move(answer));
+    if (sent)
+        co_await discard_rest();
+}
+
+asio::awaitable<void> connection::discard_rest()
+{
+    error_code failure;
+    socket_.shutdown(tcp::socket::shutdown_send, failure);
+    const deadline guard(
+        executor_, socket_, discard_time, expiry_action::close);
+    std::size_t discarded = 0;
+    std::array<char, read_size> bytes{};
+    while (!failure && discarded < discard_bytes) {
+        const auto space = asio::buffer(bytes);
+        discarded += co_await socket_.async_read_some(
+            space, asio::redirect_error(asio::use_awaitable, failure));
+    }
+}
+
+asio::awaitable<void> connection::serve(request received)
+{
+    const active_exchange counted(*server_);
+    phase_ = answer_phase::none;
+    is_watching_ = true;
+    watch_ended_ = false;
+    asio::co_spawn(
+        executor_,
+        [kept = shared_from_this()]() -> asio::awaitable<void> {
+            co_await kept->watch_caller();
+        },
+        asio::detached);
+
+    bool is_whole = false;
+    {
+        exchange current(*this, std::move(received));
+        is_whole = co_await run_handler(current);
+    }
+    notify_caller_gone_ = nullptr;
+    co_await stop_watching();
+    if (phase_ == answer_phase::none && !caller_gone_)
+        co_await reject(rejection_reason::handler_failed);
+    else if (!is_whole || phase_ != answer_phase::finished)
+        close_socket();
+}
+
+asio::awaitable<bool> connection::run_handler(exchange& current)
+{
+    try {
+        co_await server_->handler()(current);
+        co_return true;
+    } catch (const std::exception&) {
+        // The handler is another's code; its fault costs this exchange only
+        // and shows as 500 or as a truncated answer.
+        co_return false;
+    }
+}
+
+asio::awaitable<void> connection::watch_caller()
+{
+    while (is_watching_) {
+        error_code failure;
+        co_await socket_.async_wait(
+            tcp::socket::wait_read,
+            asio::redirect_error(asio::use_awaitable, failure));
+        if (!is_watching_)
+            break;
+        if (failure) {
+            caller_left();
+            break;
+        }
+        if (!take_early_bytes())
+            break;
+    }
+    watch_ended_ = true;
+    watch_ended_signal_.cancel();
+}
+
+// Bytes of a next request wait in the buffer, up to its bound; beyond that
+// the end of the connection is not noticed before they are read.
+bool connection::take_early_bytes()
+{
+    if (buffer_.size() >= server_->settings().limits.header_bytes)
+        return false;
+    error_code failure;
+    const auto space = buffer_.prepare(read_size);
+    const std::size_t count = socket_.read_some(space, failure);
+    buffer_.commit(count);
+    if (!failure || failure == asio::error::would_block)
+        return true;
+    caller_left();
+    return false;
+}
+
+void connection::caller_left()
+{
+    if (caller_gone_)
+        return;
+    caller_gone_ = true;
+    keeps_alive_ = false;
+    caller_gone_signal_.cancel();
+    if (const auto notify = std::exchange(notify_caller_gone_, nullptr))
+        notify();
+}
+
+asio::awaitable<void> connection::stop_watching()
+{
+    is_watching_ = false;
+    error_code ignored;
+    socket_.cancel(ignored);
+    while (!watch_ended_) {
+        error_code cancelled;
+        co_await watch_ended_signal_.async_wait(
+            asio::redirect_error(asio::use_awaitable, cancelled));
+    }
+}
+
+asio::awaitable<void> connection::wait_until_caller_gone()
+{
+    while (!caller_gone_) {
+        error_code failure;
+        co_await caller_gone_signal_.async_wait(
+            asio::redirect_error(asio::use_awaitable, failure));
+        const auto cancelled =
+            (co_await asio::this_coro::cancellation_state).cancelled();
+        if (cancelled != asio::cancellation_type::none)
+            break;
+    }
+}
+
+void connection::on_caller_gone(std::function<void()> notify)
+{
+    if (!caller_gone_) {
+        notify_caller_gone_ = std::move(notify);
+        return;
+    }
+    if (notify)
+        notify();
+}
+
+asio::awaitable<core::result<void>> connection::respond(response answer)
+{
+    assert(phase_ == answer_phase::none);
+    phase_ = answer_phase::streaming;
+    if (server_->is_draining())
+        keeps_alive_ = false;
+    body_framing framing;
+    framing.content_length = answer.body.size();
+    framing.keeps_connection = keeps_alive_;
+    std::string bytes =
+        format_response_head(answer.status, answer.fields, framing);
+    if (!omits_body_)
+        bytes += answer.body;
+    core::result<void> sent = co_await write_all(std::move(bytes));
+    if (sent)
+        phase_ = answer_phase::finished;
+    co_return sent;
+}
+
+asio::awaitable<core::result<void>>
+connection::start_stream(unsigned status, header_fields fields)
+{
+    assert(phase_ == answer_phase::none);
+    phase_ = answer_phase::streaming;
+    // HTTP/1.0 knows no chunks: the end of the connection ends the body.
+    if (server_->is_draining() || !takes_chunks_)
+        keeps_alive_ = false;
+    body_framing framing;
+    framing.is_chunked = takes_chunks_;
+    framing.keeps_connection = keeps_alive_;
+    std::string bytes = format_response_head(status, fields, framing);
+    co_return co_await write_all(std::move(bytes));
+}
+
+asio::awaitable<core::result<void>> connection::write_chunk(std::string data)
+{
+    assert(phase_ == answer_phase::streaming);
+    if (data.empty() || omits_body_)
+        co_return core::result<void>();
+    std::string bytes = takes_chunks_ ? format_chunk(data) : std::move(data);
+    co_return co_await write_all(std::move(bytes));
+}
+
+asio::awaitable<core::result<void>> connection::finish_stream()
+{
+    assert(phase_ == answer_phase::streaming);
+    core::result<void> sent;
+    if (takes_chunks_ && !omits_body_) {
+        std::string bytes(last_chunk);
+        sent = co_await write_all(std::move(bytes));
+    }
+    if (sent)
+        phase_ = answer_phase::finished;
+    co_return sent;
+}
+
+asio::awaitable<core::result<void>> connection::write_all(std::string bytes)
+{
+    const deadline guard(
+        executor_,
+        socket_,
+        server_->settings().limits.write_timeout,
+        expiry_action::close);
+    error_code failure;
+    const auto view = asio::buffer(bytes);
+    co_await asio::async_write(
+        socket_, view, asio::redirect_error(asio::use_awaitable, failure));
+    if (!failure)
+        co_return core::result<void>();
+    const bool expired = guard.has_expired();
+    close_socket();
+    caller_left();
+    if (expired)
+        co_return core::fail(
+            core::error_kind::timeout,
+            "the caller " + peer_ + " took no bytes within the write timeout",
+            "drop the exchange; the caller may connect again");
+    co_return core::fail(
+        core::error_kind::unavailable,
+        "the caller " + peer_ + " is gone: " + failure.message(),
+        "drop the exchange; the caller may connect again");
+}
+
+} // namespace godwit::http
--- /dev/null
+++ b/libraries/http/src/connection.hpp
@@ -0,0 +1,123 @@
+#pragma once
+
+#include "deadline.hpp"
+#include "message_head.hpp"
+
+#include <godwit/core/result.hpp>
+#include <godwit/http/exchange.hpp>
+#include <godwit/http/rejection.hpp>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace godwit::http {
+
+class server_state;
+
+/// Whether a new connection is served.
+enum class admission
+{
+    accepted,
+    refused, ///< It is told that the server is full, and closed.
+};
+
+/// One caller's connection: reads requests one after another and runs the
+/// handler for each. Everything but `start`, `close` and `close_if_idle`
+/// happens on its strand.
+class connection : public std::enable_shared_from_this<connection>
+{
+public:
+    connection(
+        boost::asio::ip::tcp::socket socket,
+        std::shared_ptr<server_state> server);
+    ~connection();
+
+    connection(const connection&) = delete;
+    connection& operator=(const connection&) = delete;
+
+    void start(admission verdict);
+    void close();
+    void close_if_idle();
+
+    // What an exchange asks for.
+    [[nodiscard]] const std::string& peer() const noexcept { return peer_; }
+
+    [[nodiscard]] boost::asio::any_io_executor executor() const
+    {
+        return executor_;
+    }
+
+    boost::asio::awaitable<core::result<void>> respond(response answer);
+    boost::asio::awaitable<core::result<void>>
+    start_stream(unsigned status, header_fields fields);
+    boost::asio::awaitable<core::result<void>> write_chunk(std::string data);
+    boost::asio::awaitable<core::result<void>> finish_stream();
+
+    [[nodiscard]] bool is_answered() const noexcept
+    {
+        return phase_ != answer_phase::none;
+    }
+
+    [[nodiscard]] bool is_caller_gone() const noexcept { return caller_gone_; }
+
+    boost::asio::awaitable<void> wait_until_caller_gone();
+    void on_caller_gone(std::function<void()> notify);
+
+private:
+    using request_parser =
+        boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+    enum class answer_phase
+    {
+        none,
+        streaming,
+        finished,
+    };
+
+    boost::asio::awaitable<void> run(admission verdict);
+    boost::asio::awaitable<bool> wait_for_first_byte();
+    boost::asio::awaitable<std::optional<request>> read_request();
+    boost::asio::awaitable<std::optional<rejection_reason>>
+    read_head(request_parser& parser);
+    boost::asio::awaitable<std::optional<rejection_reason>>
+    read_body(request_parser& parser);
+    boost::asio::awaitable<void> reject(rejection_reason reason);
+    boost::asio::awaitable<void> discard_rest();
+    boost::asio::awaitable<void> serve(request received);
+    boost::asio::awaitable<bool> run_handler(exchange& current);
+    boost::asio::awaitable<void> watch_caller();
+    boost::asio::awaitable<void> stop_watching();
+    boost::asio::awaitable<core::result<void>> write_all(std::string bytes);
+    [[nodiscard]] bool take_early_bytes();
+    void caller_left();
+    void close_socket();
+
+    boost::asio::ip::tcp::socket socket_;
+    boost::asio::any_io_executor executor_;
+    std::shared_ptr<server_state> server_;
+    std::string peer_;
+    boost::beast::flat_buffer buffer_;
+    bool is_idle_ = false;
+    bool keeps_alive_ = true;
+    bool takes_chunks_ = true;
+    bool omits_body_ = false;
+    answer_phase phase_ = answer_phase::none;
+    bool caller_gone_ = false;
+    bool is_watching_ = false;
+    bool watch_ended_ = true;
+    // Both never expire; cancelling them wakes whoever waits.
+    boost::asio::steady_timer caller_gone_signal_;
+    boost::asio::steady_timer watch_ended_signal_;
+    std::function<void()> notify_caller_gone_;
+};
+
+} // namespace godwit::http
--- /dev/null
+++ b/libraries/http/src/connection_pool.cpp
@@ -0,0 +1,72 @@
+#include <godwit/http/connection_pool.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace godwit::http {
+
+connection_pool::connection_pool(
+    const boost::asio::any_io_executor& executor, connection_pool_limits limits)
+    : executor_(executor), limits_(limits)
+{}
+
+std::unique_ptr<connection_pool> connection_pool::create(
+    const boost::asio::any_io_executor& executor, connection_pool_limits limits)
+{
+    return std::unique_ptr<connection_pool>(
+        new connection_pool(executor, limits));
+}
+
+std::optional<client_stream> connection_pool::take(const endpoint& server)
+{
+    drop_old(core::monotonic_now());
+    // The newest is the least likely to be closed by the server.
+    for (auto next = idle_.end(); next != idle_.begin();) {
+        --next;
+        if (next->server != server)
+            continue;
+        client_stream stream = std::move(next->stream);
+        next = idle_.erase(next);
+        if (stream.is_open())
+            return stream;
+    }
+    return std::nullopt;
+}
+
+void connection_pool::give_back(const endpoint& server, client_stream finished)
+{
+    if (!finished.is_reusable())
+        return;
+    const auto now = core::monotonic_now();
+    drop_old(now);
+    idle_.push_back(idle_connection{server, now, std::move(finished)});
+    drop_excess(server);
+}
+
+void connection_pool::forget(const endpoint& server)
+{
+    idle_.remove_if([&server](const idle_connection& candidate) {
+        return candidate.server == server;
+    });
+}
+
+void connection_pool::drop_old(core::time_point now)
+{
+    while (!idle_.empty() && now - idle_.front().since > limits_.idle_time)
+        idle_.pop_front();
+}
+
+void connection_pool::drop_excess(const endpoint& server)
+{
+    const auto belongs = [&server](const idle_connection& candidate) {
+        return candidate.server == server;
+    };
+    const auto count = std::count_if(idle_.begin(), idle_.end(), belongs);
+    if (static_cast<std::size_t>(count) > limits_.idle_per_server)
+        idle_.erase(std::find_if(idle_.begin(), idle_.end(), belongs));
+    if (idle_.size() > limits_.idle_in_all)
+        idle_.pop_front();
+}
+
+} // namespace godwit::http
--- /dev/null
+++ b/libraries/http/src/server_state.cpp
@@ -0,0 +1,171 @@
+#include "server_state.hpp"
+
+#include "connection.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <chrono>
+#include <utility>
+#include <vector>
+
+namespace godwit::http {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+// Out of descriptors: waiting lets some connections end. An error that
+// repeats at once would otherwise spin.
+constexpr std::chrono::milliseconds accept_pause{50};
+
+// Connections beyond the limit that may be told so at one time; the ones
+// after these are closed without a word.
+constexpr std::size_t refusals_at_once = 64;
+
+} // namespace
+
+server_state::server_state(
+    asio::io_context& context,
+    server_settings settings,
+    exchange_handler handler)
+    : context_(context), settings_(std::move(settings)),
+      handler_(std::move(handler)), acceptor_(asio::make_strand(context))
+{}
+
+core::result<void> server_state::listen()
+{
+    const endpoint& wanted = settings_.address;
+    const tcp::endpoint address(
+        asio::ip::make_address(wanted.address()), wanted.port());
+    boost::system::error_code failure;
+    acceptor_.open(address.protocol(), failure);
+    if (!failure)
+        acceptor_.set_option(tcp::acceptor::reuse_address(true), failure);
+    if (!failure)
+        acceptor_.bind(address, failure);
+    if (!failure)
+        acceptor_.listen(asio::socket_base::max_listen_connections, failure);
+    if (failure)
+        return core::fail(
+            core::error_kind::unavailable,
+            "cannot listen on " + wanted.to_string() + ": " + failure.message(),
+            "choose an address of this host and a port that is free");
+    settings_.address = wanted.with_port(acceptor_.local_endpoint().port());
+    return {};
+}
+
+void server_state::start()
+{
+    asio::co_spawn(
+        acceptor_.get_executor(),
+        [kept = shared_from_this()]() -> asio::awaitable<void> {
+            co_await kept->accept_loop();
+        },
+        asio::detached);
+}
+
+asio::awaitable<void> server_state::accept_loop()
+{
+    while (acceptor_.is_open()) {
+        tcp::socket socket(asio::make_strand(context_));
+        boost::system::error_code failure;
+        co_await acceptor_.async_accept(
+            socket, asio::redirect_error(asio::use_awaitable, failure));
+        if (!failure) {
+            admit(std::move(socket));
+            continue;
+        }
+        if (!acceptor_.is_open())
+            break;
+        asio::steady_timer pause(acceptor_.get_executor(), accept_pause);
+        co_await pause.async_wait(
+            asio::redirect_error(asio::use_awaitable, failure));
+    }
+}
+
+void server_state::admit(tcp::socket socket)
+{
+    const std::size_t open = open_connections_;
+    const std::size_t limit = settings_.limits.connections;
+    if (open >= limit + refusals_at_once)
+        return;
+    ++open_connections_;
+    const auto admitted =
+        std::make_shared<connection>(std::move(socket), shared_from_this());
+    {
+        const std::lock_guard lock(mutex_);
+        connections_.emplace(admitted.get(), admitted);
+    }
+    const admission verdict =
+        open >= limit ? admission::refused : admission::accepted;
+    admitted->start(verdict);
+}
+
+void server_state::remove(const connection& ended)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        connections_.erase(&ended);
+    }
+    --open_connections_;
+}
+
+// The copy keeps the connections alive outside the lock, which the end of
+// one takes.
+std::vector<std::shared_ptr<connection>> server_state::connections()
+{
+    std::vector<std::shared_ptr<connection>> open;
+    const std::lock_guard lock(mutex_);
+    open.reserve(connections_.size());
+    for (const auto& [address, weak] : connections_) {
+        if (auto one = weak.lock())
+            open.push_back(std::move(one));
+    }
+    return open;
+}
+
+void server_state::end_accepting()
+{
+    asio::post(acceptor_.get_executor(), [kept = shared_from_this()] {
+        boost::system::error_code ignored;
+        kept->acceptor_.close(ignored);
+    });
+}
+
+void server_state::stop_accepting()
+{
+    draining_ = true;
+    end_accepting();
+    for (const auto& open : connections())
+        open->close_if_idle();
+}
+
+void server_state::close()
+{
+    draining_ = true;
+    end_accepting();
+    for (const auto& open : connections())
+        open->close();
+}
+
+response server_state::answer_to(const rejection& refused) const
+{
+    response answer;
+    if (settings_.on_rejection) {
+        answer = settings_.on_rejection(refused);
+    } else {
+        answer.fields.set("Content-Type", "text/plain");
+        answer.body = refused.detail + "; " + refused.remedy + "\n";
+    }
+    answer.status = refused.status;
+    return answer;
+}
+
+} // namespace godwit::http
--- /dev/null
+++ b/libraries/http/src/server_state.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <godwit/http/exchange.hpp>
+#include <godwit/http/server.hpp>
+#include <godwit/http/server_settings.hpp>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <atomic>
+#include <cstddef>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+#include <vector>
+
+namespace godwit::http {
+
+class connection;
+
+/// What the connections of one server share. The counts and the register
+/// may be used on any thread.
+class server_state : public std::enable_shared_from_this<server_state>
+{
+public:
+    server_state(
+        boost::asio::io_context& context,
+        server_settings settings,
+        exchange_handler handler);
+
+    /// Binds the acceptor. Fails with `unavailable`.
+    [[nodiscard]] core::result<void> listen();
+
+    /// Starts to accept.
+    void start();
+
+    void stop_accepting();
+    void close();
+
+    [[nodiscard]] const server_settings& settings() const noexcept
+    {
+        return settings_;
+    }
+
+    [[nodiscard]] const exchange_handler& handler() const noexcept
+    {
+        return handler_;
+    }
+
+    [[nodiscard]] bool is_draining() const noexcept { return draining_; }
+
+    [[nodiscard]] std::size_t active_exchanges() const noexcept
+    {
+        return active_exchanges_;
+    }
+
+    [[nodiscard]] std::size_t open_connections() const noexcept
+    {
+        return open_connections_;
+    }
+
+    void exchange_began() noexcept { ++active_exchanges_; }
+
+    void exchange_ended() noexcept { --active_exchanges_; }
+
+    void remove(const connection& ended);
+
+    /// The answer to a rejection in the shape that the settings choose.
+    [[nodiscard]] response answer_to(const rejection& refused) const;
+
+private:
+    boost::asio::awaitable<void> accept_loop();
+    void admit(boost::asio::ip::tcp::socket socket);
+    void end_accepting();
+    [[nodiscard]] std::vector<std::shared_ptr<connection>> connections();
+
+    boost::asio::io_context& context_;
+    server_settings settings_;
+    exchange_handler handler_;
+    // The acceptor belongs to a strand of its own.
+    boost::asio::ip::tcp::acceptor acceptor_;
+    std::atomic<bool> draining_ = false;
+    std::atomic<std::size_t> active_exchanges_ = 0;
+    std::atomic<std::size_t> open_connections_ = 0;
+    std::mutex mutex_;
+    std::unordered_map<const connection*, std::weak_ptr<connection>>
+        connections_;
+};
+
+} // namespace godwit::http
