--- a/libraries/http/src/client_stream.cpp
+++ b/libraries/http/src/client_stream.cpp
@@ -30,6 +30,7 @@
 using response_parser = beast_http::response_parser<beast_http::string_body>;
 
 constexpr std::uint32_t head_limit = 64 * 1024;
+constexpr std::size_t read_size = std::size_t{16} * 1024;
 constexpr std::size_t buffer_limit = std::size_t{128} * 1024;
 
 client_error failed(
@@ -77,6 +78,25 @@
         : socket(executor), buffer(buffer_limit)
     {}
 
+    /// Parses what the buffer holds. Beast's own read would wait for more
+    /// than the piece that is there.
+    void parse(error_code& failure)
+    {
+        if (parser->is_done() || buffer.size() == 0)
+            return;
+        buffer.consume(parser->put(buffer.data(), failure));
+        if (failure == beast_http::error::need_more)
+            failure = error_code();
+    }
+
+    /// The end of the connection ends a body without a length, and cuts any
+    /// other.
+    void end_of_input(error_code& failure)
+    {
+        failure = error_code();
+        parser->put_eof(failure);
+    }
+
     tcp::socket socket;
     boost::beast::flat_buffer buffer;
     std::optional<response_parser> parser;
@@ -203,12 +223,21 @@
         executor, held.socket, stall_timeout, expiry_action::close);
     std::string& body = held.parser->get().body();
     error_code failure;
+    held.parse(failure);
     while (!failure && body.empty() && !held.parser->is_done()) {
-        co_await beast_http::async_read_some(
-            held.socket,
-            held.buffer,
-            *held.parser,
-            asio::redirect_error(asio::use_awaitable, failure));
+        // A chunk's line that never ends would fill the buffer.
+        if (held.buffer.size() + read_size > buffer_limit) {
+            failure = beast_http::error::buffer_overflow;
+            break;
+        }
+        const auto space = held.buffer.prepare(read_size);
+        const std::size_t count = co_await held.socket.async_read_some(
+            space, asio::redirect_error(asio::use_awaitable, failure));
+        held.buffer.commit(count);
+        if (failure == asio::error::eof)
+            held.end_of_input(failure);
+        else if (!failure)
+            held.parse(failure);
     }
     if (!body.empty()) {
         std::optional<std::string> bytes(std::exchange(body, std::string()));
