--- /dev/null
+++ b/libraries/wire/include/godwit/wire/hello.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <godwit/core/identifiers.hpp>
+#include <godwit/wire/peer_role.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace godwit::wire {
+
+/// The first message in each direction of a link.
+struct hello
+{
+    /// The sender's `protocol_version`.
+    std::uint32_t version = 0;
+    peer_role role = peer_role::tool;
+    core::host_name host;
+    core::zone_name zone;
+    core::incarnation_id incarnation;
+    /// Where the sender is reached by others, as "IP:port"; a proxy names its
+    /// callers' address, an agent its frames' address. May be empty.
+    std::string address;
+
+    friend bool operator==(const hello&, const hello&) = default;
+};
+
+} // namespace godwit::wire
--- /dev/null
+++ b/libraries/wire/include/godwit/wire/log_record.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace godwit::wire {
+
+/// One record of the catalogue's stream.
+struct log_record
+{
+    std::uint64_t offset = 0;
+    /// The hash of the catalogue after the record.
+    std::uint64_t hash = 0;
+    std::string body;
+
+    friend bool operator==(const log_record&, const log_record&) = default;
+};
+
+} // namespace godwit::wire
--- /dev/null
+++ b/libraries/wire/include/godwit/wire/message.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <godwit/wire/backend_servers.hpp>
+#include <godwit/wire/catalogue_change.hpp>
+#include <godwit/wire/catalogue_position.hpp>
+#include <godwit/wire/catalogue_snapshot.hpp>
+#include <godwit/wire/claim_answer.hpp>
+#include <godwit/wire/claim_forward.hpp>
+#include <godwit/wire/claim_forward_answer.hpp>
+#include <godwit/wire/claim_release.hpp>
+#include <godwit/wire/claim_request.hpp>
+#include <godwit/wire/digest.hpp>
+#include <godwit/wire/duty_message.hpp>
+#include <godwit/wire/heartbeat.hpp>
+#include <godwit/wire/hello.hpp>
+#include <godwit/wire/pull.hpp>
+#include <godwit/wire/records.hpp>
+#include <godwit/wire/server_sign.hpp>
+
+#include <string_view>
+#include <variant>
+
+namespace godwit::wire {
+
+/// Everything that the system's own processes say to each other.
+using message = std::variant<
+    hello,
+    heartbeat,
+    catalogue_snapshot,
+    catalogue_change,
+    catalogue_position,
+    backend_servers,
+    server_sign,
+    claim_request,
+    claim_answer,
+    claim_release,
+    claim_forward,
+    claim_forward_answer,
+    digest,
+    pull,
+    records,
+    duty_message>;
+
+/// The name of the message's type, for logs and metrics.
+[[nodiscard]] std::string_view name_of(const message& value) noexcept;
+
+} // namespace godwit::wire
--- /dev/null
+++ b/libraries/wire/include/godwit/wire/peer_role.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <cstdint>
+
+namespace godwit::wire {
+
+/// What the process at the other end of a link is.
+enum class peer_role : std::uint8_t
+{
+    agent, ///< An agent of an entry host.
+    proxy, ///< A proxy, at its own agent.
+    tool,  ///< A program of an operator or a test.
+};
+
+} // namespace godwit::wire
--- /dev/null
+++ b/libraries/wire/include/godwit/wire/protocol.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+namespace godwit::wire {
+
+/// The version that this build speaks; a peer with another is refused.
+inline constexpr std::uint32_t protocol_version = 1;
+
+/// Bytes of the little-endian length before each frame's body.
+inline constexpr std::size_t frame_header_size = 4;
+
+/// The largest frame body, in bytes, unless the caller sets another limit.
+inline constexpr std::size_t default_frame_limit = 1024 * 1024;
+
+/// The largest part of a catalogue in one `catalogue_snapshot`, in bytes.
+inline constexpr std::size_t snapshot_chunk_size = 256 * 1024;
+
+/// The most parts of one catalogue: 64 MiB of JSON in all.
+inline constexpr std::uint32_t snapshot_chunk_limit = 256;
+
+} // namespace godwit::wire
--- /dev/null
+++ b/libraries/wire/src/frame_reader.hpp
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "copy_budget.hpp"
+#include "message_reader.hpp"
+
+#include <flatbuffers/flatbuffers.h>
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace godwit::wire {
+
+/// Copies values out of one verified frame, and remembers what the verifier
+/// does not check: values of enumerations and the sum of what is copied.
+class frame_reader
+{
+public:
+    explicit frame_reader(std::size_t frame_size) : budget_(frame_size) {}
+
+    [[nodiscard]] bool failed() const noexcept { return !failure_.empty(); }
+
+    /// What is wrong with the frame, when it `failed`.
+    [[nodiscard]] const std::string& failure() const noexcept
+    {
+        return failure_;
+    }
+
+    /// A string; a missing one is empty.
+    [[nodiscard]] std::string text(const flatbuffers::String* value)
+    {
+        if (value == nullptr || !take(value->size()))
+            return {};
+        return value->str();
+    }
+
+    template<class Identifier>
+    [[nodiscard]] Identifier identifier(const flatbuffers::String* value)
+    {
+        return Identifier(text(value));
+    }
+
+    template<class Identifier>
+    [[nodiscard]] std::vector<Identifier> identifiers(
+        const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>*
+            values)
+    {
+        std::vector<Identifier> read_values;
+        if (values == nullptr)
+            return read_values;
+        for (const auto* value : *values) {
+            read_values.push_back(identifier<Identifier>(value));
+            if (failed())
+                break;
+        }
+        return read_values;
+    }
+
+    [[nodiscard]] std::string
+    bytes(const flatbuffers::Vector<std::uint8_t>* value)
+    {
+        if (value == nullptr || !take(value->size()))
+            return {};
+        return {reinterpret_cast<const char*>(value->data()), value->size()};
+    }
+
+    template<class Value, class Table>
+    [[nodiscard]] std::vector<Value>
+    list(const flatbuffers::Vector<flatbuffers::Offset<Table>>* tables)
+    {
+        std::vector<Value> values;
+        if (tables == nullptr)
+            return values;
+        for (const auto* table : *tables) {
+            if (!take(0))
+                break;
+            values.push_back(read(*table, *this));
+        }
+        return values;
+    }
+
+    /// Our enumeration for the schema's; both list the same values from 0.
+    template<class Value, class Format>
+    [[nodiscard]] Value enumerator(Format value)
+    {
+        if (value > Format::MAX)
+            failure_ = "an enumeration has a value that is not known";
+        return static_cast<Value>(value);
+    }
+
+private:
+    // An offset and a length stand before each string and vector, and an
+    // offset each to a table and its layout before each table.
+    static constexpr std::size_t element_overhead = 8;
+
+    bool take(std::size_t bytes)
+    {
+        if (failed())
+            return false;
+        if (budget_.take(bytes + element_overhead))
+            return true;
+        failure_ = "its parts overlap";
+        return false;
+    }
+
+    copy_budget budget_;
+    std::string failure_;
+};
+
+} // namespace godwit::wire
--- /dev/null
+++ b/libraries/wire/src/message.cpp
@@ -0,0 +1,31 @@
+#include <godwit/wire/message.hpp>
+
+#include <array>
+
+namespace godwit::wire {
+
+std::string_view name_of(const message& value) noexcept
+{
+    // In the order of the variant.
+    static constexpr std::array<std::string_view, std::variant_size_v<message>>
+        names{
+            "hello",
+            "heartbeat",
+            "catalogue_snapshot",
+            "catalogue_change",
+            "catalogue_position",
+            "backend_servers",
+            "server_sign",
+            "claim_request",
+            "claim_answer",
+            "claim_release",
+            "claim_forward",
+            "claim_forward_answer",
+            "digest",
+            "pull",
+            "records",
+            "duty_message"};
+    return names.at(value.index());
+}
+
+} // namespace godwit::wire
--- /dev/null
+++ b/libraries/wire/src/message_reader.cpp
@@ -0,0 +1,163 @@
+#include "message_reader.hpp"
+
+#include "frame_reader.hpp"
+
+namespace godwit::wire {
+
+hello read(const format::hello& table, frame_reader& reader)
+{
+    return hello{
+        .version = table.version(),
+        .role = reader.enumerator<peer_role>(table.role()),
+        .host = reader.identifier<core::host_name>(table.host()),
+        .zone = reader.identifier<core::zone_name>(table.zone()),
+        .incarnation =
+            reader.identifier<core::incarnation_id>(table.incarnation()),
+        .address = reader.text(table.address())};
+}
+
+heartbeat read(const format::heartbeat& /*table*/, frame_reader& /*reader*/)
+{
+    return heartbeat{};
+}
+
+catalogue_snapshot
+read(const format::catalogue_snapshot& table, frame_reader& reader)
+{
+    return catalogue_snapshot{
+        .offset = table.offset(),
+        .hash = table.hash(),
+        .chunk_index = table.chunk_index(),
+        .chunk_count = table.chunk_count(),
+        .content = reader.text(table.content())};
+}
+
+catalogue_change
+read(const format::catalogue_change& table, frame_reader& reader)
+{
+    return catalogue_change{
+        .previous_offset = table.previous_offset(),
+        .offset = table.offset(),
+        .hash = table.hash(),
+        .record = reader.text(table.record())};
+}
+
+catalogue_position
+read(const format::catalogue_position& table, frame_reader& /*reader*/)
+{
+    return catalogue_position{.offset = table.offset(), .hash = table.hash()};
+}
+
+backend_server read(const format::backend_server& table, frame_reader& reader)
+{
+    return backend_server{
+        .address = reader.identifier<core::server_address>(table.address()),
+        .zone = reader.identifier<core::zone_name>(table.zone()),
+        .service = reader.identifier<core::service_name>(table.service()),
+        .kind = reader.enumerator<server_kind>(table.kind()),
+        .state = reader.enumerator<server_state>(table.state())};
+}
+
+backend_servers read(const format::backend_servers& table, frame_reader& reader)
+{
+    return backend_servers{
+        .whole = table.whole(),
+        .servers = reader.list<backend_server>(table.servers()),
+        .removed = reader.identifiers<core::server_address>(table.removed())};
+}
+
+server_sign read(const format::server_sign& table, frame_reader& reader)
+{
+    return server_sign{
+        .address = reader.identifier<core::server_address>(table.address()),
+        .kind = reader.enumerator<sign_kind>(table.kind()),
+        .age_ms = table.age_ms()};
+}
+
+claim_request read(const format::claim_request& table, frame_reader& reader)
+{
+    return claim_request{
+        .correlation = table.correlation(),
+        .claim = reader.text(table.claim()),
+        .host = reader.identifier<core::host_name>(table.host()),
+        .incarnation =
+            reader.identifier<core::incarnation_id>(table.incarnation()),
+        .holder_address = reader.text(table.holder_address())};
+}
+
+claim_answer read(const format::claim_answer& table, frame_reader& reader)
+{
+    return claim_answer{
+        .correlation = table.correlation(),
+        .claim = reader.text(table.claim()),
+        .verdict = reader.enumerator<claim_verdict>(table.verdict()),
+        .offset = table.offset(),
+        .host = reader.identifier<core::host_name>(table.host()),
+        .incarnation =
+            reader.identifier<core::incarnation_id>(table.incarnation()),
+        .holder_address = reader.text(table.holder_address()),
+        .retry_after_ms = table.retry_after_ms()};
+}
+
+claim_release read(const format::claim_release& table, frame_reader& reader)
+{
+    return claim_release{
+        .claim = reader.text(table.claim()),
+        .incarnation =
+            reader.identifier<core::incarnation_id>(table.incarnation()),
+        .offset = table.offset()};
+}
+
+claim_forward read(const format::claim_forward& table, frame_reader& reader)
+{
+    return claim_forward{
+        .correlation = table.correlation(),
+        .requests = reader.list<claim_request>(table.requests()),
+        .releases = reader.list<claim_release>(table.releases())};
+}
+
+claim_forward_answer
+read(const format::claim_forward_answer& table, frame_reader& reader)
+{
+    return claim_forward_answer{
+        .correlation = table.correlation(),
+        .answers = reader.list<claim_answer>(table.answers())};
+}
+
+digest read(const format::digest& table, frame_reader& /*reader*/)
+{
+    return digest{
+        .offset = table.offset(),
+        .hash = table.hash(),
+        .record_floor = table.record_floor(),
+        .log_reachable = table.log_reachable()};
+}
+
+pull read(const format::pull& table, frame_reader& /*reader*/)
+{
+    return pull{.have = table.have()};
+}
+
+log_record read(const format::log_record& table, frame_reader& reader)
+{
+    return log_record{
+        .offset = table.offset(),
+        .hash = table.hash(),
+        .body = reader.text(table.body())};
+}
+
+records read(const format::records& table, frame_reader& reader)
+{
+    return records{.entries = reader.list<log_record>(table.entries())};
+}
+
+duty_message read(const format::duty_message& table, frame_reader& reader)
+{
+    return duty_message{
+        .duty = reader.text(table.duty()),
+        .kind = table.kind(),
+        .correlation = table.correlation(),
+        .body = reader.bytes(table.body())};
+}
+
+} // namespace godwit::wire
--- /dev/null
+++ b/libraries/wire/src/message_writer.cpp
@@ -0,0 +1,220 @@
+#include "message_writer.hpp"
+
+namespace godwit::wire {
+
+namespace {
+
+using builder = flatbuffers::FlatBufferBuilder;
+
+flatbuffers::Offset<flatbuffers::String>
+text(builder& out, const std::string& value)
+{
+    return out.CreateString(value);
+}
+
+template<class Tag>
+flatbuffers::Offset<flatbuffers::String>
+text(builder& out, const core::identifier<Tag>& value)
+{
+    return out.CreateString(value.value());
+}
+
+template<class Format, class Value>
+Format enumerator(Value value)
+{
+    return static_cast<Format>(value);
+}
+
+template<class Values>
+auto list(builder& out, const Values& values)
+{
+    using offset = decltype(write(out, values.front()));
+    std::vector<offset> offsets;
+    offsets.reserve(values.size());
+    for (const auto& value : values)
+        offsets.push_back(write(out, value));
+    return out.CreateVector(offsets);
+}
+
+template<class Tag>
+auto text_list(builder& out, const std::vector<core::identifier<Tag>>& values)
+{
+    std::vector<flatbuffers::Offset<flatbuffers::String>> offsets;
+    offsets.reserve(values.size());
+    for (const auto& value : values)
+        offsets.push_back(text(out, value));
+    return out.CreateVector(offsets);
+}
+
+} // namespace
+
+flatbuffers::Offset<format::hello> write(builder& out, const hello& value)
+{
+    return format::Createhello(
+        out,
+        value.version,
+        enumerator<format::role>(value.role),
+        text(out, value.host),
+        text(out, value.zone),
+        text(out, value.incarnation),
+        text(out, value.address));
+}
+
+flatbuffers::Offset<format::heartbeat>
+write(builder& out, const heartbeat& /*value*/)
+{
+    return format::Createheartbeat(out);
+}
+
+flatbuffers::Offset<format::catalogue_snapshot>
+write(builder& out, const catalogue_snapshot& value)
+{
+    return format::Createcatalogue_snapshot(
+        out,
+        value.offset,
+        value.hash,
+        value.chunk_index,
+        value.chunk_count,
+        text(out, value.content));
+}
+
+flatbuffers::Offset<format::catalogue_change>
+write(builder& out, const catalogue_change& value)
+{
+    return format::Createcatalogue_change(
+        out,
+        value.previous_offset,
+        value.offset,
+        value.hash,
+        text(out, value.record));
+}
+
+flatbuffers::Offset<format::catalogue_position>
+write(builder& out, const catalogue_position& value)
+{
+    return format::Createcatalogue_position(out, value.offset, value.hash);
+}
+
+flatbuffers::Offset<format::backend_server>
+write(builder& out, const backend_server& value)
+{
+    return format::Createbackend_server(
+        out,
+        text(out, value.address),
+        text(out, value.zone),
+        text(out, value.service),
+        enumerator<format::server_kind>(value.kind),
+        enumerator<format::server_state>(value.state));
+}
+
+flatbuffers::Offset<format::backend_servers>
+write(builder& out, const backend_servers& value)
+{
+    return format::Createbackend_servers(
+        out,
+        value.whole,
+        list(out, value.servers),
+        text_list(out, value.removed));
+}
+
+flatbuffers::Offset<format::server_sign>
+write(builder& out, const server_sign& value)
+{
+    return format::Createserver_sign(
+        out,
+        text(out, value.address),
+        enumerator<format::sign_kind>(value.kind),
+        value.age_ms);
+}
+
+flatbuffers::Offset<format::claim_request>
+write(builder& out, const claim_request& value)
+{
+    return format::Createclaim_request(
+        out,
+        value.correlation,
+        text(out, value.claim),
+        text(out, value.host),
+        text(out, value.incarnation),
+        text(out, value.holder_address));
+}
+
+flatbuffers::Offset<format::claim_answer>
+write(builder& out, const claim_answer& value)
+{
+    return format::Createclaim_answer(
+        out,
+        value.correlation,
+        text(out, value.claim),
+        enumerator<format::claim_verdict>(value.verdict),
+        value.offset,
+        text(out, value.host),
+        text(out, value.incarnation),
+        text(out, value.holder_address),
+        value.retry_after_ms);
+}
+
+flatbuffers::Offset<format::claim_release>
+write(builder& out, const claim_release& value)
+{
+    return format::Createclaim_release(
+        out,
+        text(out, value.claim),
+        text(out, value.incarnation),
+        value.offset);
+}
+
+flatbuffers::Offset<format::claim_forward>
+write(builder& out, const claim_forward& value)
+{
+    return format::Createclaim_forward(
+        out,
+        value.correlation,
+        list(out, value.requests),
+        list(out, value.releases));
+}
+
+flatbuffers::Offset<format::claim_forward_answer>
+write(builder& out, const claim_forward_answer& value)
+{
+    return format::Createclaim_forward_answer(
+        out, value.correlation, list(out, value.answers));
+}
+
+flatbuffers::Offset<format::digest> write(builder& out, const digest& value)
+{
+    return format::Createdigest(
+        out, value.offset, value.hash, value.record_floor, value.log_reachable);
+}
+
+flatbuffers::Offset<format::pull> write(builder& out, const pull& value)
+{
+    return format::Createpull(out, value.have);
+}
+
+flatbuffers::Offset<format::log_record>
+write(builder& out, const log_record& value)
+{
+    return format::Createlog_record(
+        out, value.offset, value.hash, text(out, value.body));
+}
+
+flatbuffers::Offset<format::records> write(builder& out, const records& value)
+{
+    return format::Createrecords(out, list(out, value.entries));
+}
+
+flatbuffers::Offset<format::duty_message>
+write(builder& out, const duty_message& value)
+{
+    return format::Createduty_message(
+        out,
+        text(out, value.duty),
+        value.kind,
+        value.correlation,
+        out.CreateVector(
+            reinterpret_cast<const std::uint8_t*>(value.body.data()),
+            value.body.size()));
+}
+
+} // namespace godwit::wire
--- /dev/null
+++ b/libraries/wire/src/message_writer.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "godwit_generated.hpp"
+
+#include <godwit/wire/message.hpp>
+
+namespace godwit::wire {
+
+// One overload a type: writes `value` into `out` as a table.
+flatbuffers::Offset<format::hello>
+write(flatbuffers::FlatBufferBuilder& out, const hello& value);
+flatbuffers::Offset<format::heartbeat>
+write(flatbuffers::FlatBufferBuilder& out, const heartbeat& value);
+flatbuffers::Offset<format::catalogue_snapshot>
+write(flatbuffers::FlatBufferBuilder& out, const catalogue_snapshot& value);
+flatbuffers::Offset<format::catalogue_change>
+write(flatbuffers::FlatBufferBuilder& out, const catalogue_change& value);
+flatbuffers::Offset<format::catalogue_position>
+write(flatbuffers::FlatBufferBuilder& out, const catalogue_position& value);
+flatbuffers::Offset<format::backend_server>
+write(flatbuffers::FlatBufferBuilder& out, const backend_server& value);
+flatbuffers::Offset<format::backend_servers>
+write(flatbuffers::FlatBufferBuilder& out, const backend_servers& value);
+flatbuffers::Offset<format::server_sign>
+write(flatbuffers::FlatBufferBuilder& out, const server_sign& value);
+flatbuffers::Offset<format::claim_request>
+write(flatbuffers::FlatBufferBuilder& out, const claim_request& value);
+flatbuffers::Offset<format::claim_answer>
+write(flatbuffers::FlatBufferBuilder& out, const claim_answer& value);
+flatbuffers::Offset<format::claim_release>
+write(flatbuffers::FlatBufferBuilder& out, const claim_release& value);
+flatbuffers::Offset<format::claim_forward>
+write(flatbuffers::FlatBufferBuilder& out, const claim_forward& value);
+flatbuffers::Offset<format::claim_forward_answer>
+write(flatbuffers::FlatBufferBuilder& out, const claim_forward_answer& value);
+flatbuffers::Offset<format::digest>
+write(flatbuffers::FlatBufferBuilder& out, const digest& value);
+flatbuffers::Offset<format::pull>
+write(flatbuffers::FlatBufferBuilder& out, const pull& value);
+flatbuffers::Offset<format::log_record>
+write(flatbuffers::FlatBufferBuilder& out, const log_record& value);
+flatbuffers::Offset<format::records>
+write(flatbuffers::FlatBufferBuilder& out, const records& value);
+flatbuffers::Offset<format::duty_message>
+write(flatbuffers::FlatBufferBuilder& out, const duty_message& value);
+
+} // namespace godwit::wire
--- /dev/null
+++ b/tests/wire/sample_messages.cpp
@@ -0,0 +1,56 @@
+#include "sample_messages.hpp"
+
+#include <godwit/wire/protocol.hpp>
+
+namespace godwit::wire {
+
+std::vector<message> sample_messages()
+{
+    const core::host_name host("entry-1");
+    const core::incarnation_id incarnation("entry-1/7f");
+    const claim_request request{
+        7, "claim-a", host, incarnation, "127.0.0.1:8080"};
+    const claim_release release{"claim-b", incarnation, 41};
+    const claim_answer answer{
+        7,
+        "claim-a",
+        claim_verdict::held,
+        42,
+        host,
+        incarnation,
+        "127.0.0.1:8080",
+        250};
+    const backend_server server{
+        core::server_address("127.0.0.1:9000"),
+        core::zone_name("vic"),
+        core::service_name("imenoslov"),
+        server_kind::engine,
+        server_state::leaving};
+    return {
+        hello{
+            protocol_version,
+            peer_role::proxy,
+            host,
+            core::zone_name("vic"),
+            incarnation,
+            "127.0.0.1:1"},
+        heartbeat{},
+        catalogue_snapshot{9, 0xfeedULL, 1, 3, "{\"entries\":[]}"},
+        catalogue_change{8, 9, 0xfeedULL, std::string("\0x", 2)},
+        catalogue_position{9, 0xfeedULL},
+        backend_servers{
+            true, {server, server}, {core::server_address("127.0.0.1:9001")}},
+        server_sign{
+            core::server_address("127.0.0.1:9000"), sign_kind::leaving, 15},
+        request,
+        answer,
+        release,
+        claim_forward{3, {request, request}, {release}},
+        claim_forward_answer{3, {answer}},
+        digest{9, 0xfeedULL, 2, true},
+        pull{4},
+        records{{log_record{5, 6, "record"}, log_record{6, 7, ""}}},
+        duty_message{"orders", 2, 11, std::string("\xff\0", 2)}};
+}
+
+} // namespace godwit::wire
