--- /dev/null
+++ b/libraries/wire/include/godwit/wire/link.hpp
@@ -0,0 +1,108 @@
+#pragma once
+
+#include <godwit/core/result.hpp>
+#include <godwit/wire/frame_decoder.hpp>
+#include <godwit/wire/frame_encoder.hpp>
+#include <godwit/wire/hello.hpp>
+#include <godwit/wire/link_counters.hpp>
+#include <godwit/wire/link_handlers.hpp>
+#include <godwit/wire/link_options.hpp>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace godwit::wire {
+
+/// One connection between two of our processes: hello in both directions,
+/// then messages. Every member is called on the socket's executor, which runs
+/// one handler at a time.
+class link : public std::enable_shared_from_this<link>
+{
+public:
+    using socket_type = boost::asio::ip::tcp::socket;
+
+    /// A link over the connected `socket`, which introduces itself with
+    /// `self`. Nothing happens before `start`. Fails with `invalid_input` on
+    /// options out of range.
+    [[nodiscard]] static core::result<std::shared_ptr<link>> create(
+        socket_type socket,
+        const link_options& options,
+        hello self,
+        link_handlers handlers);
+
+    /// Sends our hello and begins to read.
+    void start();
+
+    /// Queues a message. At the queue's bound, and for a message over the
+    /// frame limit, the link closes with `exhausted`. A closed link drops it.
+    void send(const message& value);
+
+    /// Closes the link; `on_close` gets `reason`. What is queued is dropped.
+    void close(const core::error& reason);
+
+    /// Closes without another call of any handler.
+    void abandon();
+
+    [[nodiscard]] bool is_open() const noexcept { return peer_ && !closed_; }
+
+    /// The peer's hello; only while or after it was open.
+    [[nodiscard]] const std::optional<hello>& peer() const noexcept
+    {
+        return peer_;
+    }
+
+    [[nodiscard]] const link_counters& counters() const noexcept
+    {
+        return counters_;
+    }
+
+    /// Bytes that wait to be sent or are being sent.
+    [[nodiscard]] std::size_t queued() const noexcept
+    {
+        return pending_.size() + in_flight_.size();
+    }
+
+private:
+    static constexpr std::size_t read_buffer_size = 16 * 1024;
+
+    link(
+        socket_type socket,
+        const link_options& options,
+        hello self,
+        link_handlers handlers,
+        frame_encoder encoder,
+        frame_decoder decoder);
+
+    void read();
+    void take(std::size_t size);
+    [[nodiscard]] bool dispatch(message value);
+    [[nodiscard]] bool open(const hello& peer);
+    void write();
+    void tick();
+    void check_times(core::time_point now);
+    void shut();
+
+    socket_type socket_;
+    boost::asio::steady_timer timer_;
+    link_options options_;
+    hello self_;
+    link_handlers handlers_;
+    frame_encoder encoder_;
+    frame_decoder decoder_;
+    std::array<char, read_buffer_size> read_buffer_{};
+    std::string pending_;
+    std::string in_flight_;
+    std::optional<hello> peer_;
+    link_counters counters_;
+    core::time_point started_{};
+    core::time_point last_sent_{};
+    core::time_point last_received_{};
+    bool closed_ = false;
+};
+
+} // namespace godwit::wire
--- /dev/null
+++ b/libraries/wire/include/godwit/wire/link_handlers.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <godwit/core/error.hpp>
+#include <godwit/wire/hello.hpp>
+#include <godwit/wire/message.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace godwit::wire {
+
+class link;
+
+/// What a link tells its owner, on the link's executor. Any may be empty.
+struct link_handlers
+{
+    /// The peer's hello came and its version is ours. Called once.
+    std::function<void(const std::shared_ptr<link>&, const hello&)> on_open;
+
+    /// A message other than hello and heartbeat, after `on_open`.
+    std::function<void(const std::shared_ptr<link>&, message)> on_message;
+
+    /// The link closed for the reason given; the last call. Also called for a
+    /// link that never opened.
+    std::function<void(const std::shared_ptr<link>&, const core::error&)>
+        on_close;
+};
+
+} // namespace godwit::wire
--- /dev/null
+++ b/libraries/wire/src/acceptor.cpp
@@ -0,0 +1,161 @@
+#include <godwit/wire/acceptor.hpp>
+
+#include <sstream>
+#include <utility>
+
+namespace godwit::wire {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+// After a failed accept (mostly: out of descriptors) the next try waits.
+constexpr auto accept_pause = std::chrono::milliseconds(100);
+
+core::error cannot_listen(
+    const tcp::endpoint& endpoint, const boost::system::error_code& code)
+{
+    std::ostringstream address;
+    address << endpoint;
+    return {
+        core::error_kind::unavailable,
+        "cannot listen on " + address.str() + ": " + code.message(),
+        "set an address of this host whose port is free, or port 0"};
+}
+
+core::result<tcp::acceptor>
+listen(const asio::any_io_executor& executor, const tcp::endpoint& endpoint)
+{
+    tcp::acceptor listener(executor);
+    boost::system::error_code code;
+    listener.open(endpoint.protocol(), code);
+    if (!code)
+        listener.set_option(tcp::acceptor::reuse_address(true), code);
+    if (!code)
+        listener.bind(endpoint, code);
+    if (!code)
+        listener.listen(asio::socket_base::max_listen_connections, code);
+    if (code)
+        return tl::unexpected(cannot_listen(endpoint, code));
+    return listener;
+}
+
+} // namespace
+
+core::result<std::shared_ptr<acceptor>> acceptor::create(
+    const boost::asio::any_io_executor& executor,
+    const boost::asio::ip::tcp::endpoint& endpoint,
+    const link_options& options,
+    hello_source self,
+    link_handlers handlers,
+    std::size_t link_limit)
+{
+    (void)GODWIT_TRY(frame_encoder::create(options.frame_limit));
+    auto listener = GODWIT_TRY(listen(executor, endpoint));
+    return std::shared_ptr<acceptor>(new acceptor(
+        std::move(listener),
+        options,
+        std::move(self),
+        std::move(handlers),
+        link_limit));
+}
+
+acceptor::acceptor(
+    tcp::acceptor listener,
+    const link_options& options,
+    hello_source self,
+    link_handlers handlers,
+    std::size_t link_limit)
+    : listener_(std::move(listener)), timer_(listener_.get_executor()),
+      endpoint_(listener_.local_endpoint()), options_(options),
+      self_(std::move(self)), handlers_(std::move(handlers)),
+      link_limit_(link_limit)
+{}
+
+void acceptor::start()
+{
+    accept();
+}
+
+void acceptor::stop()
+{
+    stopped_ = true;
+    handlers_ = {};
+    boost::system::error_code ignored;
+    listener_.close(ignored);
+    timer_.cancel();
+    for (const auto& open : std::exchange(links_, {}))
+        open->abandon();
+}
+
+void acceptor::accept()
+{
+    listener_.async_accept(
+        [self = shared_from_this()](
+            const boost::system::error_code& code, tcp::socket socket) {
+            if (self->stopped_)
+                return;
+            if (code) {
+                self->pause();
+                return;
+            }
+            self->accepted(std::move(socket));
+            self->accept();
+        });
+}
+
+void acceptor::accepted(tcp::socket socket)
+{
+    if (links_.size() >= link_limit_) {
+        ++refused_;
+        return;
+    }
+    auto made =
+        link::create(std::move(socket), options_, self_(), watch_link());
+    if (!made)
+        return;
+    links_.insert(*made);
+    (*made)->start();
+}
+
+void acceptor::pause()
+{
+    timer_.expires_after(accept_pause);
+    timer_.async_wait(
+        [self = shared_from_this()](const boost::system::error_code& code) {
+            if (!code && !self->stopped_)
+                self->accept();
+        });
+}
+
+link_handlers acceptor::watch_link()
+{
+    const auto weak = weak_from_this();
+    return {
+        .on_open =
+            [weak](const std::shared_ptr<link>& opened, const hello& peer) {
+                const auto self = weak.lock();
+                if (self && self->handlers_.on_open)
+                    self->handlers_.on_open(opened, peer);
+            },
+        .on_message =
+            [weak](const std::shared_ptr<link>& from, message value) {
+                const auto self = weak.lock();
+                if (self && self->handlers_.on_message)
+                    self->handlers_.on_message(from, std::move(value));
+            },
+        .on_close =
+            [weak](
+                const std::shared_ptr<link>& closed,
+                const core::error& reason) {
+                const auto self = weak.lock();
+                if (!self)
+                    return;
+                self->links_.erase(closed);
+                if (self->handlers_.on_close)
+                    self->handlers_.on_close(closed, reason);
+            }};
+}
+
+} // namespace godwit::wire
--- /dev/null
+++ b/libraries/wire/src/link.cpp
@@ -0,0 +1,256 @@
+#include <godwit/wire/link.hpp>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace godwit::wire {
+
+namespace {
+
+core::error broken(const boost::system::error_code& code)
+{
+    return {
+        core::error_kind::unavailable,
+        "the connection broke: " + code.message(),
+        "none is needed; the connecting side tries again"};
+}
+
+} // namespace
+
+core::result<std::shared_ptr<link>> link::create(
+    socket_type socket,
+    const link_options& options,
+    hello self,
+    link_handlers handlers)
+{
+    auto encoder = GODWIT_TRY(frame_encoder::create(options.frame_limit));
+    auto decoder = GODWIT_TRY(frame_decoder::create(options.frame_limit));
+    self.version = protocol_version;
+    return std::shared_ptr<link>(new link(
+        std::move(socket),
+        options,
+        std::move(self),
+        std::move(handlers),
+        encoder,
+        std::move(decoder)));
+}
+
+link::link(
+    socket_type socket,
+    const link_options& options,
+    hello self,
+    link_handlers handlers,
+    frame_encoder encoder,
+    frame_decoder decoder)
+    : socket_(std::move(socket)), timer_(socket_.get_executor()),
+      options_(options), self_(std::move(self)), handlers_(std::move(handlers)),
+      encoder_(encoder), decoder_(std::move(decoder))
+{}
+
+void link::start()
+{
+    // Frames are small and their answers are waited for; the write queue
+    // already joins what is sent together.
+    boost::system::error_code ignored;
+    socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    started_ = core::monotonic_now();
+    last_received_ = started_;
+    send(self_);
+    read();
+    tick();
+}
+
+void link::send(const message& value)
+{
+    if (closed_)
+        return;
+    const auto frame = encoder_.encode(value);
+    if (!frame) {
+        close(frame.error());
+        return;
+    }
+    if (queued() + frame->size() > options_.send_queue_limit) {
+        close(core::error(
+            core::error_kind::exhausted,
+            "the peer reads too slowly: " + std::to_string(queued()) +
+                " bytes wait to be sent",
+            "look for a paused or overloaded process at the other end"));
+        return;
+    }
+    pending_ += *frame;
+    last_sent_ = core::monotonic_now();
+    ++counters_.messages_sent;
+    counters_.bytes_sent += frame->size();
+    write();
+}
+
+void link::close(const core::error& reason)
+{
+    if (closed_)
+        return;
+    shut();
+    const auto handler = std::move(handlers_.on_close);
+    handlers_ = {};
+    if (handler)
+        handler(shared_from_this(), reason);
+}
+
+void link::abandon()
+{
+    if (closed_)
+        return;
+    shut();
+    handlers_ = {};
+}
+
+void link::shut()
+{
+    closed_ = true;
+    boost::system::error_code ignored;
+    timer_.cancel();
+    socket_.close(ignored);
+    pending_.clear();
+}
+
+void link::read()
+{
+    socket_.async_read_some(
+        boost::asio::buffer(read_buffer_),
+        [self = shared_from_this()](
+            const boost::system::error_code& code, std::size_t size) {
+            if (self->closed_)
+                return;
+            if (code) {
+                self->close(broken(code));
+                return;
+            }
+            self->take(size);
+        });
+}
+
+void link::take(std::size_t size)
+{
+    counters_.bytes_received += size;
+    last_received_ = core::monotonic_now();
+    decoder_.feed(std::string_view(read_buffer_.data(), size));
+    for (;;) {
+        auto decoded = decoder_.next();
+        if (!decoded) {
+            close(decoded.error());
+            return;
+        }
+        if (!*decoded)
+            break;
+        ++counters_.messages_received;
+        if (!dispatch(std::move(**decoded)))
+            return;
+    }
+    read();
+}
+
+bool link::dispatch(message value)
+{
+    if (const auto* introduction = std::get_if<hello>(&value))
+        return open(*introduction);
+    if (!peer_) {
+        close(core::error(
+            core::error_kind::protocol,
+            "the peer's first message is " + std::string(name_of(value)) +
+                ", not hello",
+            "check that the peer is a godwitworks process"));
+        return false;
+    }
+    if (!std::holds_alternative<heartbeat>(value) && handlers_.on_message) {
+        // The handler may close the link, which clears the handlers.
+        const auto handler = handlers_.on_message;
+        handler(shared_from_this(), std::move(value));
+    }
+    return !closed_;
+}
+
+bool link::open(const hello& peer)
+{
+    if (peer_) {
+        close(core::error(
+            core::error_kind::protocol,
+            "the peer said hello twice",
+            "check that the peer is a godwitworks process"));
+        return false;
+    }
+    if (peer.version != protocol_version) {
+        close(core::error(
+            core::error_kind::protocol,
+            "the peer " + peer.host.value() + " speaks version " +
+                std::to_string(peer.version) + ", this process version " +
+                std::to_string(protocol_version),
+            "run the same release on both sides"));
+        return false;
+    }
+    peer_ = peer;
+    if (handlers_.on_open) {
+        const auto handler = handlers_.on_open;
+        handler(shared_from_this(), peer);
+    }
+    return !closed_;
+}
+
+void link::write()
+{
+    if (!in_flight_.empty() || pending_.empty())
+        return;
+    std::swap(in_flight_, pending_);
+    boost::asio::async_write(
+        socket_,
+        boost::asio::buffer(in_flight_),
+        [self = shared_from_this()](
+            const boost::system::error_code& code, std::size_t /*size*/) {
+            self->in_flight_.clear();
+            if (self->closed_)
+                return;
+            if (code) {
+                self->close(broken(code));
+                return;
+            }
+            self->write();
+        });
+}
+
+void link::tick()
+{
+    timer_.expires_after(
+        std::min(options_.heartbeat_interval, options_.hello_timeout));
+    timer_.async_wait(
+        [self = shared_from_this()](const boost::system::error_code& code) {
+            if (code || self->closed_)
+                return;
+            self->check_times(core::monotonic_now());
+            if (!self->closed_)
+                self->tick();
+        });
+}
+
+void link::check_times(core::time_point now)
+{
+    if (!peer_ && now - started_ >= options_.hello_timeout) {
+        close(core::error(
+            core::error_kind::timeout,
+            "the peer did not say hello in time",
+            "check that the address is a godwitworks process"));
+        return;
+    }
+    if (now - last_received_ >= options_.idle_timeout) {
+        close(core::error(
+            core::error_kind::timeout,
+            "nothing came from the peer for too long",
+            "look for a cut link or a paused process at the other end"));
+        return;
+    }
+    if (now - last_sent_ >= options_.heartbeat_interval)
+        send(heartbeat{});
+}
+
+} // namespace godwit::wire
--- /dev/null
+++ b/tests/wire/link_test.cpp
@@ -0,0 +1,252 @@
+#include "sample_messages.hpp"
+
+#include <godwit/wire/acceptor.hpp>
+#include <godwit/wire/connector.hpp>
+#include <godwit/wire/protocol.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <optional>
+#include <vector>
+
+using namespace godwit;
+using boost::asio::ip::tcp;
+
+namespace {
+
+const tcp::endpoint any_port(boost::asio::ip::address_v4::loopback(), 0);
+constexpr auto patience = std::chrono::seconds(20);
+
+wire::hello introduce(const std::string& host)
+{
+    wire::hello self;
+    self.version = wire::protocol_version;
+    self.role = wire::peer_role::agent;
+    self.host = core::host_name(host);
+    return self;
+}
+
+// One acceptor that remembers what happened to its links.
+class link_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(link_test);
+    CPPUNIT_TEST(test_messages_in_both_directions);
+    CPPUNIT_TEST(test_connects_again);
+    CPPUNIT_TEST(test_bad_bytes_close_only_their_connection);
+    CPPUNIT_TEST(test_other_version_is_refused);
+    CPPUNIT_TEST(test_slow_reader_is_closed_at_the_bound);
+    CPPUNIT_TEST(test_silent_peer_is_closed);
+    CPPUNIT_TEST(test_link_limit);
+    CPPUNIT_TEST_SUITE_END();
+
+    boost::asio::io_context context_;
+    std::shared_ptr<wire::acceptor> acceptor_;
+    std::shared_ptr<wire::connector> connector_;
+    std::vector<wire::message> received_;
+    std::vector<core::error> closed_;
+    std::vector<std::shared_ptr<wire::link>> opened_;
+    int client_opened_ = 0;
+    std::size_t client_received_ = 0;
+
+    void listen(
+        const wire::link_options& options = {},
+        tcp::endpoint endpoint = any_port,
+        std::size_t link_limit = wire::acceptor::default_link_limit)
+    {
+        wire::link_handlers handlers;
+        handlers.on_open = [this](const auto& link, const auto&) {
+            opened_.push_back(link);
+        };
+        handlers.on_message = [this](const auto& link, auto message) {
+            link->send(message);
+            received_.push_back(std::move(message));
+        };
+        handlers.on_close = [this](const auto&, const auto& reason) {
+            closed_.push_back(reason);
+        };
+        acceptor_ = wire::acceptor::create(
+                        context_.get_executor(),
+                        endpoint,
+                        options,
+                        [] { return introduce("server"); },
+                        handlers,
+                        link_limit)
+                        .value();
+        acceptor_->start();
+    }
+
+    void connect()
+    {
+        wire::link_handlers handlers;
+        handlers.on_open = [this](const auto&, const auto& peer) {
+            CPPUNIT_ASSERT_EQUAL(core::host_name("server"), peer.host);
+            ++client_opened_;
+        };
+        handlers.on_message = [this](const auto&, const auto&) {
+            ++client_received_;
+        };
+        connector_ = wire::connector::create(
+                         context_.get_executor(),
+                         acceptor_->endpoint(),
+                         {},
+                         [] { return introduce("client"); },
+                         handlers,
+                         1)
+                         .value();
+        connector_->start();
+    }
+
+    template<class Condition>
+    void wait_until(Condition condition)
+    {
+        const auto deadline = core::monotonic_now() + patience;
+        while (!condition()) {
+            CPPUNIT_ASSERT(core::monotonic_now() < deadline);
+            context_.restart();
+            context_.run_one_for(patience);
+        }
+    }
+
+    tcp::socket raw_connection()
+    {
+        tcp::socket socket(context_);
+        socket.connect(acceptor_->endpoint());
+        return socket;
+    }
+
+    static void write(tcp::socket& socket, const std::string& bytes)
+    {
+        boost::asio::write(socket, boost::asio::buffer(bytes));
+    }
+
+    static std::string frame(const wire::message& value)
+    {
+        return wire::frame_encoder::create().value().encode(value).value();
+    }
+
+public:
+    void tearDown() override
+    {
+        if (connector_)
+            connector_->stop();
+        if (acceptor_)
+            acceptor_->stop();
+        opened_.clear();
+        context_.restart();
+        context_.poll();
+    }
+
+private:
+    void test_messages_in_both_directions()
+    {
+        listen();
+        connect();
+        wait_until([this] { return client_opened_ == 1; });
+        auto samples = wire::sample_messages();
+        // Hello and heartbeat belong to the link itself.
+        samples.erase(samples.begin(), samples.begin() + 2);
+        for (const auto& sample : samples)
+            CPPUNIT_ASSERT(connector_->send(sample));
+        wait_until([&] { return client_received_ == samples.size(); });
+        CPPUNIT_ASSERT(received_ == samples);
+        CPPUNIT_ASSERT_EQUAL(
+            connector_->current()->counters().bytes_sent,
+            opened_.front()->counters().bytes_received);
+    }
+
+    void test_connects_again()
+    {
+        listen();
+        connect();
+        wait_until([this] { return client_opened_ == 1; });
+        const auto endpoint = acceptor_->endpoint();
+        acceptor_->stop();
+        wait_until([this] { return connector_->failures() > 0; });
+        listen({}, endpoint);
+        wait_until([this] { return client_opened_ == 2; });
+    }
+
+    void test_bad_bytes_close_only_their_connection()
+    {
+        listen();
+        connect();
+        wait_until([this] { return client_opened_ == 1; });
+        const std::vector<std::string> inputs{
+            "GET / HTTP/1.1\r\n\r\n",
+            std::string(4, '\0'),
+            std::string("\x08\0\0\0garbage!", 12),
+            frame(wire::pull{1}),
+            frame(introduce("twice")) + frame(introduce("twice"))};
+        for (const std::string& input : inputs) {
+            const auto before = closed_.size();
+            auto socket = raw_connection();
+            write(socket, input);
+            wait_until([&] { return closed_.size() > before; });
+            CPPUNIT_ASSERT(closed_.back().kind() == core::error_kind::protocol);
+        }
+        CPPUNIT_ASSERT(connector_->send(wire::pull{2}));
+        wait_until([this] { return client_received_ == 1; });
+        CPPUNIT_ASSERT_EQUAL(inputs.size(), closed_.size());
+    }
+
+    void test_other_version_is_refused()
+    {
+        listen();
+        auto socket = raw_connection();
+        auto other = introduce("other");
+        other.version = wire::protocol_version + 1;
+        write(socket, frame(other));
+        wait_until([this] { return !closed_.empty(); });
+        CPPUNIT_ASSERT(closed_.back().kind() == core::error_kind::protocol);
+        CPPUNIT_ASSERT(opened_.empty());
+    }
+
+    void test_slow_reader_is_closed_at_the_bound()
+    {
+        wire::link_options options;
+        options.send_queue_limit = 64 * 1024;
+        listen(options);
+        auto socket = raw_connection();
+        auto self = introduce("slow");
+        self.version = wire::protocol_version;
+        write(socket, frame(self));
+        wait_until([this] { return !opened_.empty(); });
+        const wire::duty_message large{"x", 0, 0, std::string(16 * 1024, 'x')};
+        // The kernel's buffers take some; the bound stops the rest.
+        while (closed_.empty()) {
+            opened_.front()->send(large);
+            CPPUNIT_ASSERT(
+                opened_.front()->queued() <= options.send_queue_limit);
+            context_.restart();
+            context_.poll();
+        }
+        CPPUNIT_ASSERT(closed_.back().kind() == core::error_kind::exhausted);
+    }
+
+    void test_silent_peer_is_closed()
+    {
+        wire::link_options options;
+        options.hello_timeout = std::chrono::milliseconds(20);
+        listen(options);
+        const auto silent = raw_connection();
+        wait_until([this] { return !closed_.empty(); });
+        CPPUNIT_ASSERT(closed_.back().kind() == core::error_kind::timeout);
+    }
+
+    void test_link_limit()
+    {
+        listen({}, any_port, 1);
+        connect();
+        wait_until([this] { return client_opened_ == 1; });
+        const auto extra = raw_connection();
+        wait_until([this] { return acceptor_->refused() == 1; });
+        CPPUNIT_ASSERT(connector_->current());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(link_test);
+
+} // namespace
