--- /dev/null
+++ b/libraries/settings/include/godwit/settings/address.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <godwit/core/result.hpp>
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace godwit::settings {
+
+/// An IP number and a port, as in "127.0.0.1:8080" or "[::1]:8080".
+class address
+{
+public:
+    /// Reads "IP:port". Names of hosts are refused: a process reaches its
+    /// peers by IP numbers. Fails with `invalid_input`.
+    static core::result<address> parse(std::string_view text);
+
+    /// The IP number without brackets.
+    [[nodiscard]] const std::string& ip() const noexcept { return ip_; }
+
+    /// The port; 0 lets the operating system choose one to listen on.
+    [[nodiscard]] std::uint16_t port() const noexcept { return port_; }
+
+    /// "IP:port", with brackets around an IPv6 number.
+    [[nodiscard]] std::string to_string() const;
+
+    friend bool operator==(const address&, const address&) = default;
+    friend auto operator<=>(const address&, const address&) = default;
+
+private:
+    address(std::string ip, std::uint16_t port);
+
+    std::string ip_;
+    std::uint16_t port_;
+};
+
+} // namespace godwit::settings
--- /dev/null
+++ b/libraries/telemetry/include/godwit/telemetry/labels.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <godwit/core/identifiers.hpp>
+#include <godwit/core/outcome.hpp>
+
+#include <compare>
+#include <optional>
+
+namespace godwit::telemetry {
+
+/// What a measurement is told apart by. Nothing that grows with callers or
+/// requests may become a label, so there are only these.
+struct labels
+{
+    core::service_name service;
+    core::class_name request_class;
+    std::optional<core::outcome> outcome = std::nullopt;
+
+    friend bool operator==(const labels&, const labels&) = default;
+    friend auto operator<=>(const labels&, const labels&) = default;
+};
+
+} // namespace godwit::telemetry
--- /dev/null
+++ b/libraries/telemetry/include/godwit/telemetry/log.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <godwit/core/identifiers.hpp>
+#include <godwit/telemetry/log_field.hpp>
+#include <godwit/telemetry/log_level.hpp>
+
+#include <initializer_list>
+#include <string_view>
+
+namespace godwit::telemetry {
+
+/// Sends events of `lowest` and above to standard error, one line each:
+/// `time=... level=... component=... host=... zone=... event=... key=value`.
+/// Call once, before the first thread that logs.
+void start_log(
+    log_level lowest, const core::host_name& host, const core::zone_name& zone);
+
+/// Logs one event of `component`. Safe from every thread; nothing is
+/// written before `start_log`.
+void log_event(
+    log_level level,
+    std::string_view component,
+    std::string_view event,
+    std::initializer_list<log_field> fields = {});
+
+} // namespace godwit::telemetry
--- /dev/null
+++ b/libraries/telemetry/src/log.cpp
@@ -0,0 +1,83 @@
+#include <godwit/telemetry/log.hpp>
+
+#include <godwit/telemetry/log_line.hpp>
+
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/logmanager.h>
+#include <log4cxx/patternlayout.h>
+
+#include <atomic>
+#include <string>
+
+namespace godwit::telemetry {
+
+namespace {
+
+constexpr std::string_view root_name = "godwit";
+
+std::atomic<bool> started{false};
+
+log4cxx::LevelPtr native(log_level level)
+{
+    switch (level) {
+    case log_level::debug:
+        return log4cxx::Level::getDebug();
+    case log_level::info:
+        return log4cxx::Level::getInfo();
+    case log_level::warning:
+        return log4cxx::Level::getWarn();
+    case log_level::error:
+        return log4cxx::Level::getError();
+    }
+    return log4cxx::Level::getInfo();
+}
+
+// The layout's own directives begin with a percent sign.
+std::string literal(const std::string& text)
+{
+    std::string quoted;
+    for (const char byte : text) {
+        quoted += byte;
+        if (byte == '%')
+            quoted += byte;
+    }
+    return quoted;
+}
+
+} // namespace
+
+void start_log(
+    log_level lowest, const core::host_name& host, const core::zone_name& zone)
+{
+    const std::string pattern =
+        "time=%d{yyyy-MM-ddTHH:mm:ss.SSS} level=%p component=%c{1} host=" +
+        literal(host.value()) + " zone=" + literal(zone.value()) + " %m%n";
+    const auto layout = std::make_shared<log4cxx::PatternLayout>(pattern);
+    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
+        layout, log4cxx::ConsoleAppender::getSystemErr());
+    const auto root = log4cxx::Logger::getLogger(std::string(root_name));
+    root->setAdditivity(false);
+    root->removeAllAppenders();
+    root->addAppender(appender);
+    root->setLevel(native(lowest));
+    started.store(true, std::memory_order_release);
+}
+
+void log_event(
+    log_level level,
+    std::string_view component,
+    std::string_view event,
+    std::initializer_list<log_field> fields)
+{
+    if (!started.load(std::memory_order_acquire))
+        return;
+    const auto logger = log4cxx::Logger::getLogger(
+        std::string(root_name) + "." + std::string(component));
+    const auto native_level = native(level);
+    if (!logger->isEnabledFor(native_level))
+        return;
+    logger->forcedLog(native_level, log_line(event, fields));
+}
+
+} // namespace godwit::telemetry
