--- a/libraries/settings/include/godwit/settings/reader.hpp
+++ b/libraries/settings/include/godwit/settings/reader.hpp
@@ -95,6 +95,10 @@
     core::result<std::vector<reader>>
     get_objects(std::string_view key, std::size_t max_count);
 
+    /// Whatever JSON stands there, to be read by another library; the key is
+    /// required.
+    core::result<boost::json::value> get_value(std::string_view key);
+
     /// Whether the key is present.
     [[nodiscard]] bool has(std::string_view key) const;
 
--- a/libraries/settings/src/reader.cpp
+++ b/libraries/settings/src/reader.cpp
@@ -307,6 +307,17 @@
         });
 }
 
+core::result<boost::json::value> reader::get_value(std::string_view key)
+{
+    using value_result = core::result<boost::json::value>;
+    return get<boost::json::value>(
+        key,
+        std::nullopt,
+        [](const auto& /*path*/, const auto& value) -> value_result {
+            return value;
+        });
+}
+
 core::result<void> reader::finish() const
 {
     for (const auto& member : *object_) {
