--- a/libraries/wire/include/godwit/wire/claim_answer.hpp
+++ b/libraries/wire/include/godwit/wire/claim_answer.hpp
@@ -1,26 +1,36 @@
 #pragma once
 
-#include <godwit/core/identifiers.hpp>
+#include <godwit/core/outcome.hpp>
+#include <godwit/wire/claim_holder.hpp>
+#include <godwit/wire/claim_obstacle.hpp>
 #include <godwit/wire/claim_verdict.hpp>
 
 #include <cstdint>
-#include <string>
 
 namespace godwit::wire {
 
-/// The answer to one `claim_request`.
+/// The one answer to a `claim_request`.
 struct claim_answer
 {
-    std::uint64_t correlation = 0;
-    std::string claim;
+    std::uint64_t ask = 0;
     claim_verdict verdict = claim_verdict::unavailable;
-    /// The offset of the claim that stands, when one does.
+    /// The position of the claim that stands; for won, held, finished.
     std::uint64_t offset = 0;
-    /// The holder, when one is known.
-    core::host_name host;
-    core::incarnation_id incarnation;
-    std::string holder_address;
-    /// When to come back, in milliseconds; for `unavailable`.
+    std::uint32_t index = 0;
+    /// For won: the latest start on the host's monotonic clock, in
+    /// microseconds.
+    std::int64_t start_before_us = 0;
+    /// For held and finished.
+    claim_holder holder;
+    /// For held: the holder's process is gone; the outcome is unknown.
+    bool holder_gone = false;
+    /// For finished.
+    core::outcome outcome = core::outcome::unknown;
+    /// For finished: identifies the answer that was sent.
+    std::uint64_t answer_digest = 0;
+    /// For unavailable.
+    claim_obstacle obstacle = claim_obstacle::log_down;
+    /// For unavailable: when to come back, in milliseconds.
     std::uint32_t retry_after_ms = 0;
 
     friend bool operator==(const claim_answer&, const claim_answer&) = default;
--- /dev/null
+++ b/libraries/wire/include/godwit/wire/claim_finished.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <godwit/core/outcome.hpp>
+#include <godwit/wire/claim_holder.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace godwit::wire {
+
+/// The run under a won claim ended.
+struct claim_finished
+{
+    std::string key;
+    claim_holder holder;
+    core::outcome outcome = core::outcome::unknown;
+    std::uint64_t answer_digest = 0;
+
+    friend bool operator==(const claim_finished&, const claim_finished&) = default;
+};
+
+} // namespace godwit::wire
--- a/libraries/wire/include/godwit/wire/claim_forward.hpp
+++ b/libraries/wire/include/godwit/wire/claim_forward.hpp
@@ -1,22 +1,18 @@
 #pragma once
 
-#include <godwit/wire/claim_release.hpp>
-#include <godwit/wire/claim_request.hpp>
-
 #include <cstdint>
-#include <vector>
+#include <string>
 
 namespace godwit::wire {
 
-/// Claims of one availability zone, for the agent that batches their keys.
+/// A record of the claims stream, for the agent of the zone that batches the
+/// appends of its keys.
 struct claim_forward
 {
     std::uint64_t correlation = 0;
-    std::vector<claim_request> requests;
-    std::vector<claim_release> releases;
+    std::string record;
 
-    friend bool
-    operator==(const claim_forward&, const claim_forward&) = default;
+    friend bool operator==(const claim_forward&, const claim_forward&) = default;
 };
 
 } // namespace godwit::wire
--- a/libraries/wire/include/godwit/wire/claim_release.hpp
+++ b/libraries/wire/include/godwit/wire/claim_release.hpp
@@ -1,22 +1,18 @@
 #pragma once
 
-#include <godwit/core/identifiers.hpp>
+#include <godwit/wire/claim_holder.hpp>
 
-#include <cstdint>
 #include <string>
 
 namespace godwit::wire {
 
-/// The holder certainly did not run the request; another may claim it.
+/// The proxy does not run the request and will not; another may claim it.
 struct claim_release
 {
-    std::string claim;
-    core::incarnation_id incarnation;
-    /// The offset of the claim that is released.
-    std::uint64_t offset = 0;
+    std::string key;
+    claim_holder holder;
 
-    friend bool
-    operator==(const claim_release&, const claim_release&) = default;
+    friend bool operator==(const claim_release&, const claim_release&) = default;
 };
 
 } // namespace godwit::wire
--- a/libraries/wire/include/godwit/wire/message.hpp
+++ b/libraries/wire/include/godwit/wire/message.hpp
@@ -5,6 +5,7 @@
 #include <godwit/wire/catalogue_position.hpp>
 #include <godwit/wire/catalogue_snapshot.hpp>
 #include <godwit/wire/claim_answer.hpp>
+#include <godwit/wire/claim_finished.hpp>
 #include <godwit/wire/claim_forward.hpp>
 #include <godwit/wire/claim_forward_answer.hpp>
 #include <godwit/wire/claim_release.hpp>
@@ -34,6 +35,7 @@
     claim_request,
     claim_answer,
     claim_release,
+    claim_finished,
     claim_forward,
     claim_forward_answer,
     digest,
--- a/libraries/wire/include/godwit/wire/pull.hpp
+++ b/libraries/wire/include/godwit/wire/pull.hpp
@@ -4,10 +4,10 @@
 
 namespace godwit::wire {
 
-/// Asks a peer for everything after `have`.
+/// Asks a peer for every record from `next_offset` on.
 struct pull
 {
-    std::uint64_t have = 0;
+    std::uint64_t next_offset = 0;
 
     friend bool operator==(const pull&, const pull&) = default;
 };
--- a/libraries/wire/src/codec.cpp
+++ b/libraries/wire/src/codec.cpp
@@ -79,6 +79,8 @@
         return read_payload(frame.payload_as_claim_answer(), reader);
     case format::payload::claim_release:
         return read_payload(frame.payload_as_claim_release(), reader);
+    case format::payload::claim_finished:
+        return read_payload(frame.payload_as_claim_finished(), reader);
     case format::payload::claim_forward:
         return read_payload(frame.payload_as_claim_forward(), reader);
     case format::payload::claim_forward_answer:
@@ -113,7 +115,8 @@
             const auto table = write(out, alternative);
             format::FinishframeBuffer(
                 out,
-                format::Createframe(out, payload_type(table), table.Union()));
+                format::Createframe(
+                    out, payload_type(table), table.Union()));
         },
         value);
     return {
--- a/libraries/wire/src/frame_reader.hpp
+++ b/libraries/wire/src/frame_reader.hpp
@@ -64,6 +64,15 @@
         return {reinterpret_cast<const char*>(value->data()), value->size()};
     }
 
+    /// A nested table; a missing one is a value of its defaults.
+    template<class Value, class Table>
+    [[nodiscard]] Value table(const Table* nested)
+    {
+        if (nested == nullptr || !take(0))
+            return {};
+        return read(*nested, *this);
+    }
+
     template<class Value, class Table>
     [[nodiscard]] std::vector<Value>
     list(const flatbuffers::Vector<flatbuffers::Offset<Table>>* tables)
--- a/libraries/wire/src/godwit_generated.hpp
+++ b/libraries/wire/src/godwit_generated.hpp
@@ -41,6 +41,9 @@
 struct server_sign;
 struct server_signBuilder;
 
+struct claim_holder;
+struct claim_holderBuilder;
+
 struct claim_request;
 struct claim_requestBuilder;
 
@@ -50,6 +53,9 @@
 struct claim_release;
 struct claim_releaseBuilder;
 
+struct claim_finished;
+struct claim_finishedBuilder;
+
 struct claim_forward;
 struct claim_forwardBuilder;
 
@@ -204,41 +210,125 @@
 }
 
 enum class claim_verdict : uint8_t {
-  granted = 0,
+  won = 0,
   held = 1,
-  unavailable = 2,
-  expired = 3,
-  MIN = granted,
-  MAX = expired
+  finished = 2,
+  unavailable = 3,
+  outside_window = 4,
+  key_reused = 5,
+  MIN = won,
+  MAX = key_reused
 };
 
-inline const claim_verdict (&EnumValuesclaim_verdict())[4] {
+inline const claim_verdict (&EnumValuesclaim_verdict())[6] {
   static const claim_verdict values[] = {
-    claim_verdict::granted,
+    claim_verdict::won,
     claim_verdict::held,
+    claim_verdict::finished,
     claim_verdict::unavailable,
-    claim_verdict::expired
+    claim_verdict::outside_window,
+    claim_verdict::key_reused
   };
   return values;
 }
 
 inline const char * const *EnumNamesclaim_verdict() {
-  static const char * const names[5] = {
-    "granted",
+  static const char * const names[7] = {
+    "won",
     "held",
+    "finished",
     "unavailable",
-    "expired",
+    "outside_window",
+    "key_reused",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameclaim_verdict(claim_verdict e) {
-  if (flatbuffers::IsOutRange(e, claim_verdict::granted, claim_verdict::expired)) return "";
+  if (flatbuffers::IsOutRange(e, claim_verdict::won, claim_verdict::key_reused)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesclaim_verdict()[index];
 }
 
+enum class claim_obstacle : uint8_t {
+  log_down = 0,
+  timed_out = 1,
+  catching_up = 2,
+  history_incomplete = 3,
+  overloaded = 4,
+  releasing = 5,
+  MIN = log_down,
+  MAX = releasing
+};
+
+inline const claim_obstacle (&EnumValuesclaim_obstacle())[6] {
+  static const claim_obstacle values[] = {
+    claim_obstacle::log_down,
+    claim_obstacle::timed_out,
+    claim_obstacle::catching_up,
+    claim_obstacle::history_incomplete,
+    claim_obstacle::overloaded,
+    claim_obstacle::releasing
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesclaim_obstacle() {
+  static const char * const names[7] = {
+    "log_down",
+    "timed_out",
+    "catching_up",
+    "history_incomplete",
+    "overloaded",
+    "releasing",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameclaim_obstacle(claim_obstacle e) {
+  if (flatbuffers::IsOutRange(e, claim_obstacle::log_down, claim_obstacle::releasing)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesclaim_obstacle()[index];
+}
+
+enum class outcome : uint8_t {
+  completed = 0,
+  not_run = 1,
+  interrupted = 2,
+  unknown = 3,
+  MIN = completed,
+  MAX = unknown
+};
+
+inline const outcome (&EnumValuesoutcome())[4] {
+  static const outcome values[] = {
+    outcome::completed,
+    outcome::not_run,
+    outcome::interrupted,
+    outcome::unknown
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesoutcome() {
+  static const char * const names[5] = {
+    "completed",
+    "not_run",
+    "interrupted",
+    "unknown",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameoutcome(outcome e) {
+  if (flatbuffers::IsOutRange(e, outcome::completed, outcome::unknown)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesoutcome()[index];
+}
+
 enum class payload : uint8_t {
   NONE = 0,
   hello = 1,
@@ -251,17 +341,18 @@
   claim_request = 8,
   claim_answer = 9,
   claim_release = 10,
-  claim_forward = 11,
-  claim_forward_answer = 12,
-  digest = 13,
-  pull = 14,
-  records = 15,
-  duty_message = 16,
+  claim_finished = 11,
+  claim_forward = 12,
+  claim_forward_answer = 13,
+  digest = 14,
+  pull = 15,
+  records = 16,
+  duty_message = 17,
   MIN = NONE,
   MAX = duty_message
 };
 
-inline const payload (&EnumValuespayload())[17] {
+inline const payload (&EnumValuespayload())[18] {
   static const payload values[] = {
     payload::NONE,
     payload::hello,
@@ -274,6 +365,7 @@
     payload::claim_request,
     payload::claim_answer,
     payload::claim_release,
+    payload::claim_finished,
     payload::claim_forward,
     payload::claim_forward_answer,
     payload::digest,
@@ -285,7 +377,7 @@
 }
 
 inline const char * const *EnumNamespayload() {
-  static const char * const names[18] = {
+  static const char * const names[19] = {
     "NONE",
     "hello",
     "heartbeat",
@@ -297,6 +389,7 @@
     "claim_request",
     "claim_answer",
     "claim_release",
+    "claim_finished",
     "claim_forward",
     "claim_forward_answer",
     "digest",
@@ -358,6 +451,10 @@
   static const payload enum_value = payload::claim_release;
 };
 
+template<> struct payloadTraits<godwit::wire::format::claim_finished> {
+  static const payload enum_value = payload::claim_finished;
+};
+
 template<> struct payloadTraits<godwit::wire::format::claim_forward> {
   static const payload enum_value = payload::claim_forward;
 };
@@ -547,14 +644,14 @@
   typedef catalogue_snapshotBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_OFFSET = 4,
+    VT_NEXT_OFFSET = 4,
     VT_HASH = 6,
     VT_CHUNK_INDEX = 8,
     VT_CHUNK_COUNT = 10,
     VT_CONTENT = 12
   };
-  uint64_t offset() const {
-    return GetField<uint64_t>(VT_OFFSET, 0);
+  uint64_t next_offset() const {
+    return GetField<uint64_t>(VT_NEXT_OFFSET, 0);
   }
   uint64_t hash() const {
     return GetField<uint64_t>(VT_HASH, 0);
@@ -570,7 +667,7 @@
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_OFFSET, 8) &&
+           VerifyField<uint64_t>(verifier, VT_NEXT_OFFSET, 8) &&
            VerifyField<uint64_t>(verifier, VT_HASH, 8) &&
            VerifyField<uint32_t>(verifier, VT_CHUNK_INDEX, 4) &&
            VerifyField<uint32_t>(verifier, VT_CHUNK_COUNT, 4) &&
@@ -584,8 +681,8 @@
   typedef catalogue_snapshot Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_offset(uint64_t offset) {
-    fbb_.AddElement<uint64_t>(catalogue_snapshot::VT_OFFSET, offset, 0);
+  void add_next_offset(uint64_t next_offset) {
+    fbb_.AddElement<uint64_t>(catalogue_snapshot::VT_NEXT_OFFSET, next_offset, 0);
   }
   void add_hash(uint64_t hash) {
     fbb_.AddElement<uint64_t>(catalogue_snapshot::VT_HASH, hash, 0);
@@ -612,14 +709,14 @@
 
 inline flatbuffers::Offset<catalogue_snapshot> Createcatalogue_snapshot(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t offset = 0,
+    uint64_t next_offset = 0,
     uint64_t hash = 0,
     uint32_t chunk_index = 0,
     uint32_t chunk_count = 0,
     flatbuffers::Offset<flatbuffers::String> content = 0) {
   catalogue_snapshotBuilder builder_(_fbb);
   builder_.add_hash(hash);
-  builder_.add_offset(offset);
+  builder_.add_next_offset(next_offset);
   builder_.add_content(content);
   builder_.add_chunk_count(chunk_count);
   builder_.add_chunk_index(chunk_index);
@@ -633,7 +730,7 @@
 
 inline flatbuffers::Offset<catalogue_snapshot> Createcatalogue_snapshotDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t offset = 0,
+    uint64_t next_offset = 0,
     uint64_t hash = 0,
     uint32_t chunk_index = 0,
     uint32_t chunk_count = 0,
@@ -641,7 +738,7 @@
   auto content__ = content ? _fbb.CreateString(content) : 0;
   return godwit::wire::format::Createcatalogue_snapshot(
       _fbb,
-      offset,
+      next_offset,
       hash,
       chunk_index,
       chunk_count,
@@ -652,17 +749,17 @@
   typedef catalogue_changeBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_PREVIOUS_OFFSET = 4,
-    VT_OFFSET = 6,
+    VT_OFFSET = 4,
+    VT_TIME_MS = 6,
     VT_HASH = 8,
     VT_RECORD = 10
   };
-  uint64_t previous_offset() const {
-    return GetField<uint64_t>(VT_PREVIOUS_OFFSET, 0);
-  }
   uint64_t offset() const {
     return GetField<uint64_t>(VT_OFFSET, 0);
   }
+  uint64_t time_ms() const {
+    return GetField<uint64_t>(VT_TIME_MS, 0);
+  }
   uint64_t hash() const {
     return GetField<uint64_t>(VT_HASH, 0);
   }
@@ -671,8 +768,8 @@
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_PREVIOUS_OFFSET, 8) &&
            VerifyField<uint64_t>(verifier, VT_OFFSET, 8) &&
+           VerifyField<uint64_t>(verifier, VT_TIME_MS, 8) &&
            VerifyField<uint64_t>(verifier, VT_HASH, 8) &&
            VerifyOffset(verifier, VT_RECORD) &&
            verifier.VerifyString(record()) &&
@@ -684,12 +781,12 @@
   typedef catalogue_change Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_previous_offset(uint64_t previous_offset) {
-    fbb_.AddElement<uint64_t>(catalogue_change::VT_PREVIOUS_OFFSET, previous_offset, 0);
-  }
   void add_offset(uint64_t offset) {
     fbb_.AddElement<uint64_t>(catalogue_change::VT_OFFSET, offset, 0);
   }
+  void add_time_ms(uint64_t time_ms) {
+    fbb_.AddElement<uint64_t>(catalogue_change::VT_TIME_MS, time_ms, 0);
+  }
   void add_hash(uint64_t hash) {
     fbb_.AddElement<uint64_t>(catalogue_change::VT_HASH, hash, 0);
   }
@@ -709,14 +806,14 @@
 
 inline flatbuffers::Offset<catalogue_change> Createcatalogue_change(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t previous_offset = 0,
     uint64_t offset = 0,
+    uint64_t time_ms = 0,
     uint64_t hash = 0,
     flatbuffers::Offset<flatbuffers::String> record = 0) {
   catalogue_changeBuilder builder_(_fbb);
   builder_.add_hash(hash);
+  builder_.add_time_ms(time_ms);
   builder_.add_offset(offset);
-  builder_.add_previous_offset(previous_offset);
   builder_.add_record(record);
   return builder_.Finish();
 }
@@ -728,15 +825,15 @@
 
 inline flatbuffers::Offset<catalogue_change> Createcatalogue_changeDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t previous_offset = 0,
     uint64_t offset = 0,
+    uint64_t time_ms = 0,
     uint64_t hash = 0,
     const char *record = nullptr) {
   auto record__ = record ? _fbb.CreateString(record) : 0;
   return godwit::wire::format::Createcatalogue_change(
       _fbb,
-      previous_offset,
       offset,
+      time_ms,
       hash,
       record__);
 }
@@ -745,18 +842,18 @@
   typedef catalogue_positionBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_OFFSET = 4,
+    VT_NEXT_OFFSET = 4,
     VT_HASH = 6
   };
-  uint64_t offset() const {
-    return GetField<uint64_t>(VT_OFFSET, 0);
+  uint64_t next_offset() const {
+    return GetField<uint64_t>(VT_NEXT_OFFSET, 0);
   }
   uint64_t hash() const {
     return GetField<uint64_t>(VT_HASH, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_OFFSET, 8) &&
+           VerifyField<uint64_t>(verifier, VT_NEXT_OFFSET, 8) &&
            VerifyField<uint64_t>(verifier, VT_HASH, 8) &&
            verifier.EndTable();
   }
@@ -766,8 +863,8 @@
   typedef catalogue_position Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_offset(uint64_t offset) {
-    fbb_.AddElement<uint64_t>(catalogue_position::VT_OFFSET, offset, 0);
+  void add_next_offset(uint64_t next_offset) {
+    fbb_.AddElement<uint64_t>(catalogue_position::VT_NEXT_OFFSET, next_offset, 0);
   }
   void add_hash(uint64_t hash) {
     fbb_.AddElement<uint64_t>(catalogue_position::VT_HASH, hash, 0);
@@ -785,11 +882,11 @@
 
 inline flatbuffers::Offset<catalogue_position> Createcatalogue_position(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t offset = 0,
+    uint64_t next_offset = 0,
     uint64_t hash = 0) {
   catalogue_positionBuilder builder_(_fbb);
   builder_.add_hash(hash);
-  builder_.add_offset(offset);
+  builder_.add_next_offset(next_offset);
   return builder_.Finish();
 }
 
@@ -1073,42 +1170,121 @@
       age_ms);
 }
 
-struct claim_request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef claim_requestBuilder Builder;
+struct claim_holder FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef claim_holderBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_CORRELATION = 4,
-    VT_CLAIM = 6,
-    VT_HOST = 8,
-    VT_INCARNATION = 10,
-    VT_HOLDER_ADDRESS = 12
+    VT_HOST = 4,
+    VT_INCARNATION = 6,
+    VT_PEER_ADDRESS = 8
   };
-  uint64_t correlation() const {
-    return GetField<uint64_t>(VT_CORRELATION, 0);
-  }
-  const flatbuffers::String *claim() const {
-    return GetPointer<const flatbuffers::String *>(VT_CLAIM);
-  }
   const flatbuffers::String *host() const {
     return GetPointer<const flatbuffers::String *>(VT_HOST);
   }
   const flatbuffers::String *incarnation() const {
     return GetPointer<const flatbuffers::String *>(VT_INCARNATION);
   }
-  const flatbuffers::String *holder_address() const {
-    return GetPointer<const flatbuffers::String *>(VT_HOLDER_ADDRESS);
+  const flatbuffers::String *peer_address() const {
+    return GetPointer<const flatbuffers::String *>(VT_PEER_ADDRESS);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_CORRELATION, 8) &&
-           VerifyOffset(verifier, VT_CLAIM) &&
-           verifier.VerifyString(claim()) &&
            VerifyOffset(verifier, VT_HOST) &&
            verifier.VerifyString(host()) &&
            VerifyOffset(verifier, VT_INCARNATION) &&
            verifier.VerifyString(incarnation()) &&
-           VerifyOffset(verifier, VT_HOLDER_ADDRESS) &&
-           verifier.VerifyString(holder_address()) &&
+           VerifyOffset(verifier, VT_PEER_ADDRESS) &&
+           verifier.VerifyString(peer_address()) &&
+           verifier.EndTable();
+  }
+};
+
+struct claim_holderBuilder {
+  typedef claim_holder Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_host(flatbuffers::Offset<flatbuffers::String> host) {
+    fbb_.AddOffset(claim_holder::VT_HOST, host);
+  }
+  void add_incarnation(flatbuffers::Offset<flatbuffers::String> incarnation) {
+    fbb_.AddOffset(claim_holder::VT_INCARNATION, incarnation);
+  }
+  void add_peer_address(flatbuffers::Offset<flatbuffers::String> peer_address) {
+    fbb_.AddOffset(claim_holder::VT_PEER_ADDRESS, peer_address);
+  }
+  explicit claim_holderBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<claim_holder> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<claim_holder>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<claim_holder> Createclaim_holder(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> host = 0,
+    flatbuffers::Offset<flatbuffers::String> incarnation = 0,
+    flatbuffers::Offset<flatbuffers::String> peer_address = 0) {
+  claim_holderBuilder builder_(_fbb);
+  builder_.add_peer_address(peer_address);
+  builder_.add_incarnation(incarnation);
+  builder_.add_host(host);
+  return builder_.Finish();
+}
+
+struct claim_holder::Traits {
+  using type = claim_holder;
+  static auto constexpr Create = Createclaim_holder;
+};
+
+inline flatbuffers::Offset<claim_holder> Createclaim_holderDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *host = nullptr,
+    const char *incarnation = nullptr,
+    const char *peer_address = nullptr) {
+  auto host__ = host ? _fbb.CreateString(host) : 0;
+  auto incarnation__ = incarnation ? _fbb.CreateString(incarnation) : 0;
+  auto peer_address__ = peer_address ? _fbb.CreateString(peer_address) : 0;
+  return godwit::wire::format::Createclaim_holder(
+      _fbb,
+      host__,
+      incarnation__,
+      peer_address__);
+}
+
+struct claim_request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef claim_requestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ASK = 4,
+    VT_KEY = 6,
+    VT_FINGERPRINT = 8,
+    VT_HOLDER = 10
+  };
+  uint64_t ask() const {
+    return GetField<uint64_t>(VT_ASK, 0);
+  }
+  const flatbuffers::String *key() const {
+    return GetPointer<const flatbuffers::String *>(VT_KEY);
+  }
+  const flatbuffers::String *fingerprint() const {
+    return GetPointer<const flatbuffers::String *>(VT_FINGERPRINT);
+  }
+  const godwit::wire::format::claim_holder *holder() const {
+    return GetPointer<const godwit::wire::format::claim_holder *>(VT_HOLDER);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ASK, 8) &&
+           VerifyOffset(verifier, VT_KEY) &&
+           verifier.VerifyString(key()) &&
+           VerifyOffset(verifier, VT_FINGERPRINT) &&
+           verifier.VerifyString(fingerprint()) &&
+           VerifyOffset(verifier, VT_HOLDER) &&
+           verifier.VerifyTable(holder()) &&
            verifier.EndTable();
   }
 };
@@ -1117,20 +1293,17 @@
   typedef claim_request Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_correlation(uint64_t correlation) {
-    fbb_.AddElement<uint64_t>(claim_request::VT_CORRELATION, correlation, 0);
+  void add_ask(uint64_t ask) {
+    fbb_.AddElement<uint64_t>(claim_request::VT_ASK, ask, 0);
   }
-  void add_claim(flatbuffers::Offset<flatbuffers::String> claim) {
-    fbb_.AddOffset(claim_request::VT_CLAIM, claim);
+  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
+    fbb_.AddOffset(claim_request::VT_KEY, key);
   }
-  void add_host(flatbuffers::Offset<flatbuffers::String> host) {
-    fbb_.AddOffset(claim_request::VT_HOST, host);
-  }
-  void add_incarnation(flatbuffers::Offset<flatbuffers::String> incarnation) {
-    fbb_.AddOffset(claim_request::VT_INCARNATION, incarnation);
+  void add_fingerprint(flatbuffers::Offset<flatbuffers::String> fingerprint) {
+    fbb_.AddOffset(claim_request::VT_FINGERPRINT, fingerprint);
   }
-  void add_holder_address(flatbuffers::Offset<flatbuffers::String> holder_address) {
-    fbb_.AddOffset(claim_request::VT_HOLDER_ADDRESS, holder_address);
+  void add_holder(flatbuffers::Offset<godwit::wire::format::claim_holder> holder) {
+    fbb_.AddOffset(claim_request::VT_HOLDER, holder);
   }
   explicit claim_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -1145,17 +1318,15 @@
 
 inline flatbuffers::Offset<claim_request> Createclaim_request(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t correlation = 0,
-    flatbuffers::Offset<flatbuffers::String> claim = 0,
-    flatbuffers::Offset<flatbuffers::String> host = 0,
-    flatbuffers::Offset<flatbuffers::String> incarnation = 0,
-    flatbuffers::Offset<flatbuffers::String> holder_address = 0) {
+    uint64_t ask = 0,
+    flatbuffers::Offset<flatbuffers::String> key = 0,
+    flatbuffers::Offset<flatbuffers::String> fingerprint = 0,
+    flatbuffers::Offset<godwit::wire::format::claim_holder> holder = 0) {
   claim_requestBuilder builder_(_fbb);
-  builder_.add_correlation(correlation);
-  builder_.add_holder_address(holder_address);
-  builder_.add_incarnation(incarnation);
-  builder_.add_host(host);
-  builder_.add_claim(claim);
+  builder_.add_ask(ask);
+  builder_.add_holder(holder);
+  builder_.add_fingerprint(fingerprint);
+  builder_.add_key(key);
   return builder_.Finish();
 }
 
@@ -1166,42 +1337,38 @@
 
 inline flatbuffers::Offset<claim_request> Createclaim_requestDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t correlation = 0,
-    const char *claim = nullptr,
-    const char *host = nullptr,
-    const char *incarnation = nullptr,
-    const char *holder_address = nullptr) {
-  auto claim__ = claim ? _fbb.CreateString(claim) : 0;
-  auto host__ = host ? _fbb.CreateString(host) : 0;
-  auto incarnation__ = incarnation ? _fbb.CreateString(incarnation) : 0;
-  auto holder_address__ = holder_address ? _fbb.CreateString(holder_address) : 0;
+    uint64_t ask = 0,
+    const char *key = nullptr,
+    const char *fingerprint = nullptr,
+    flatbuffers::Offset<godwit::wire::format::claim_holder> holder = 0) {
+  auto key__ = key ? _fbb.CreateString(key) : 0;
+  auto fingerprint__ = fingerprint ? _fbb.CreateString(fingerprint) : 0;
   return godwit::wire::format::Createclaim_request(
       _fbb,
-      correlation,
-      claim__,
-      host__,
-      incarnation__,
-      holder_address__);
+      ask,
+      key__,
+      fingerprint__,
+      holder);
 }
 
 struct claim_answer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef claim_answerBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_CORRELATION = 4,
-    VT_CLAIM = 6,
-    VT_VERDICT = 8,
-    VT_OFFSET = 10,
-    VT_HOST = 12,
-    VT_INCARNATION = 14,
-    VT_HOLDER_ADDRESS = 16,
-    VT_RETRY_AFTER_MS = 18
+    VT_ASK = 4,
+    VT_VERDICT = 6,
+    VT_OFFSET = 8,
+    VT_INDEX = 10,
+    VT_START_BEFORE_US = 12,
+    VT_HOLDER = 14,
+    VT_HOLDER_GONE = 16,
+    VT_OUTCOME = 18,
+    VT_ANSWER_DIGEST = 20,
+    VT_OBSTACLE = 22,
+    VT_RETRY_AFTER_MS = 24
   };
-  uint64_t correlation() const {
-    return GetField<uint64_t>(VT_CORRELATION, 0);
-  }
-  const flatbuffers::String *claim() const {
-    return GetPointer<const flatbuffers::String *>(VT_CLAIM);
+  uint64_t ask() const {
+    return GetField<uint64_t>(VT_ASK, 0);
   }
   godwit::wire::format::claim_verdict verdict() const {
     return static_cast<godwit::wire::format::claim_verdict>(GetField<uint8_t>(VT_VERDICT, 0));
@@ -1209,31 +1376,43 @@
   uint64_t offset() const {
     return GetField<uint64_t>(VT_OFFSET, 0);
   }
-  const flatbuffers::String *host() const {
-    return GetPointer<const flatbuffers::String *>(VT_HOST);
+  uint32_t index() const {
+    return GetField<uint32_t>(VT_INDEX, 0);
   }
-  const flatbuffers::String *incarnation() const {
-    return GetPointer<const flatbuffers::String *>(VT_INCARNATION);
+  int64_t start_before_us() const {
+    return GetField<int64_t>(VT_START_BEFORE_US, 0);
+  }
+  const godwit::wire::format::claim_holder *holder() const {
+    return GetPointer<const godwit::wire::format::claim_holder *>(VT_HOLDER);
+  }
+  bool holder_gone() const {
+    return GetField<uint8_t>(VT_HOLDER_GONE, 0) != 0;
+  }
+  godwit::wire::format::outcome outcome() const {
+    return static_cast<godwit::wire::format::outcome>(GetField<uint8_t>(VT_OUTCOME, 0));
+  }
+  uint64_t answer_digest() const {
+    return GetField<uint64_t>(VT_ANSWER_DIGEST, 0);
   }
-  const flatbuffers::String *holder_address() const {
-    return GetPointer<const flatbuffers::String *>(VT_HOLDER_ADDRESS);
+  godwit::wire::format::claim_obstacle obstacle() const {
+    return static_cast<godwit::wire::format::claim_obstacle>(GetField<uint8_t>(VT_OBSTACLE, 0));
   }
   uint32_t retry_after_ms() const {
     return GetField<uint32_t>(VT_RETRY_AFTER_MS, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_CORRELATION, 8) &&
-           VerifyOffset(verifier, VT_CLAIM) &&
-           verifier.VerifyString(claim()) &&
+           VerifyField<uint64_t>(verifier, VT_ASK, 8) &&
            VerifyField<uint8_t>(verifier, VT_VERDICT, 1) &&
            VerifyField<uint64_t>(verifier, VT_OFFSET, 8) &&
-           VerifyOffset(verifier, VT_HOST) &&
-           verifier.VerifyString(host()) &&
-           VerifyOffset(verifier, VT_INCARNATION) &&
-           verifier.VerifyString(incarnation()) &&
-           VerifyOffset(verifier, VT_HOLDER_ADDRESS) &&
-           verifier.VerifyString(holder_address()) &&
+           VerifyField<uint32_t>(verifier, VT_INDEX, 4) &&
+           VerifyField<int64_t>(verifier, VT_START_BEFORE_US, 8) &&
+           VerifyOffset(verifier, VT_HOLDER) &&
+           verifier.VerifyTable(holder()) &&
+           VerifyField<uint8_t>(verifier, VT_HOLDER_GONE, 1) &&
+           VerifyField<uint8_t>(verifier, VT_OUTCOME, 1) &&
+           VerifyField<uint64_t>(verifier, VT_ANSWER_DIGEST, 8) &&
+           VerifyField<uint8_t>(verifier, VT_OBSTACLE, 1) &&
            VerifyField<uint32_t>(verifier, VT_RETRY_AFTER_MS, 4) &&
            verifier.EndTable();
   }
@@ -1243,11 +1422,8 @@
   typedef claim_answer Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_correlation(uint64_t correlation) {
-    fbb_.AddElement<uint64_t>(claim_answer::VT_CORRELATION, correlation, 0);
-  }
-  void add_claim(flatbuffers::Offset<flatbuffers::String> claim) {
-    fbb_.AddOffset(claim_answer::VT_CLAIM, claim);
+  void add_ask(uint64_t ask) {
+    fbb_.AddElement<uint64_t>(claim_answer::VT_ASK, ask, 0);
   }
   void add_verdict(godwit::wire::format::claim_verdict verdict) {
     fbb_.AddElement<uint8_t>(claim_answer::VT_VERDICT, static_cast<uint8_t>(verdict), 0);
@@ -1255,14 +1431,26 @@
   void add_offset(uint64_t offset) {
     fbb_.AddElement<uint64_t>(claim_answer::VT_OFFSET, offset, 0);
   }
-  void add_host(flatbuffers::Offset<flatbuffers::String> host) {
-    fbb_.AddOffset(claim_answer::VT_HOST, host);
+  void add_index(uint32_t index) {
+    fbb_.AddElement<uint32_t>(claim_answer::VT_INDEX, index, 0);
   }
-  void add_incarnation(flatbuffers::Offset<flatbuffers::String> incarnation) {
-    fbb_.AddOffset(claim_answer::VT_INCARNATION, incarnation);
+  void add_start_before_us(int64_t start_before_us) {
+    fbb_.AddElement<int64_t>(claim_answer::VT_START_BEFORE_US, start_before_us, 0);
+  }
+  void add_holder(flatbuffers::Offset<godwit::wire::format::claim_holder> holder) {
+    fbb_.AddOffset(claim_answer::VT_HOLDER, holder);
+  }
+  void add_holder_gone(bool holder_gone) {
+    fbb_.AddElement<uint8_t>(claim_answer::VT_HOLDER_GONE, static_cast<uint8_t>(holder_gone), 0);
+  }
+  void add_outcome(godwit::wire::format::outcome outcome) {
+    fbb_.AddElement<uint8_t>(claim_answer::VT_OUTCOME, static_cast<uint8_t>(outcome), 0);
+  }
+  void add_answer_digest(uint64_t answer_digest) {
+    fbb_.AddElement<uint64_t>(claim_answer::VT_ANSWER_DIGEST, answer_digest, 0);
   }
-  void add_holder_address(flatbuffers::Offset<flatbuffers::String> holder_address) {
-    fbb_.AddOffset(claim_answer::VT_HOLDER_ADDRESS, holder_address);
+  void add_obstacle(godwit::wire::format::claim_obstacle obstacle) {
+    fbb_.AddElement<uint8_t>(claim_answer::VT_OBSTACLE, static_cast<uint8_t>(obstacle), 0);
   }
   void add_retry_after_ms(uint32_t retry_after_ms) {
     fbb_.AddElement<uint32_t>(claim_answer::VT_RETRY_AFTER_MS, retry_after_ms, 0);
@@ -1280,22 +1468,28 @@
 
 inline flatbuffers::Offset<claim_answer> Createclaim_answer(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t correlation = 0,
-    flatbuffers::Offset<flatbuffers::String> claim = 0,
-    godwit::wire::format::claim_verdict verdict = godwit::wire::format::claim_verdict::granted,
+    uint64_t ask = 0,
+    godwit::wire::format::claim_verdict verdict = godwit::wire::format::claim_verdict::won,
     uint64_t offset = 0,
-    flatbuffers::Offset<flatbuffers::String> host = 0,
-    flatbuffers::Offset<flatbuffers::String> incarnation = 0,
-    flatbuffers::Offset<flatbuffers::String> holder_address = 0,
+    uint32_t index = 0,
+    int64_t start_before_us = 0,
+    flatbuffers::Offset<godwit::wire::format::claim_holder> holder = 0,
+    bool holder_gone = false,
+    godwit::wire::format::outcome outcome = godwit::wire::format::outcome::completed,
+    uint64_t answer_digest = 0,
+    godwit::wire::format::claim_obstacle obstacle = godwit::wire::format::claim_obstacle::log_down,
     uint32_t retry_after_ms = 0) {
   claim_answerBuilder builder_(_fbb);
+  builder_.add_answer_digest(answer_digest);
+  builder_.add_start_before_us(start_before_us);
   builder_.add_offset(offset);
-  builder_.add_correlation(correlation);
+  builder_.add_ask(ask);
   builder_.add_retry_after_ms(retry_after_ms);
-  builder_.add_holder_address(holder_address);
-  builder_.add_incarnation(incarnation);
-  builder_.add_host(host);
-  builder_.add_claim(claim);
+  builder_.add_holder(holder);
+  builder_.add_index(index);
+  builder_.add_obstacle(obstacle);
+  builder_.add_outcome(outcome);
+  builder_.add_holder_gone(holder_gone);
   builder_.add_verdict(verdict);
   return builder_.Finish();
 }
@@ -1305,56 +1499,25 @@
   static auto constexpr Create = Createclaim_answer;
 };
 
-inline flatbuffers::Offset<claim_answer> Createclaim_answerDirect(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t correlation = 0,
-    const char *claim = nullptr,
-    godwit::wire::format::claim_verdict verdict = godwit::wire::format::claim_verdict::granted,
-    uint64_t offset = 0,
-    const char *host = nullptr,
-    const char *incarnation = nullptr,
-    const char *holder_address = nullptr,
-    uint32_t retry_after_ms = 0) {
-  auto claim__ = claim ? _fbb.CreateString(claim) : 0;
-  auto host__ = host ? _fbb.CreateString(host) : 0;
-  auto incarnation__ = incarnation ? _fbb.CreateString(incarnation) : 0;
-  auto holder_address__ = holder_address ? _fbb.CreateString(holder_address) : 0;
-  return godwit::wire::format::Createclaim_answer(
-      _fbb,
-      correlation,
-      claim__,
-      verdict,
-      offset,
-      host__,
-      incarnation__,
-      holder_address__,
-      retry_after_ms);
-}
-
 struct claim_release FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef claim_releaseBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_CLAIM = 4,
-    VT_INCARNATION = 6,
-    VT_OFFSET = 8
+    VT_KEY = 4,
+    VT_HOLDER = 6
   };
-  const flatbuffers::String *claim() const {
-    return GetPointer<const flatbuffers::String *>(VT_CLAIM);
-  }
-  const flatbuffers::String *incarnation() const {
-    return GetPointer<const flatbuffers::String *>(VT_INCARNATION);
+  const flatbuffers::String *key() const {
+    return GetPointer<const flatbuffers::String *>(VT_KEY);
   }
-  uint64_t offset() const {
-    return GetField<uint64_t>(VT_OFFSET, 0);
+  const godwit::wire::format::claim_holder *holder() const {
+    return GetPointer<const godwit::wire::format::claim_holder *>(VT_HOLDER);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_CLAIM) &&
-           verifier.VerifyString(claim()) &&
-           VerifyOffset(verifier, VT_INCARNATION) &&
-           verifier.VerifyString(incarnation()) &&
-           VerifyField<uint64_t>(verifier, VT_OFFSET, 8) &&
+           VerifyOffset(verifier, VT_KEY) &&
+           verifier.VerifyString(key()) &&
+           VerifyOffset(verifier, VT_HOLDER) &&
+           verifier.VerifyTable(holder()) &&
            verifier.EndTable();
   }
 };
@@ -1363,14 +1526,11 @@
   typedef claim_release Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_claim(flatbuffers::Offset<flatbuffers::String> claim) {
-    fbb_.AddOffset(claim_release::VT_CLAIM, claim);
-  }
-  void add_incarnation(flatbuffers::Offset<flatbuffers::String> incarnation) {
-    fbb_.AddOffset(claim_release::VT_INCARNATION, incarnation);
+  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
+    fbb_.AddOffset(claim_release::VT_KEY, key);
   }
-  void add_offset(uint64_t offset) {
-    fbb_.AddElement<uint64_t>(claim_release::VT_OFFSET, offset, 0);
+  void add_holder(flatbuffers::Offset<godwit::wire::format::claim_holder> holder) {
+    fbb_.AddOffset(claim_release::VT_HOLDER, holder);
   }
   explicit claim_releaseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -1385,13 +1545,11 @@
 
 inline flatbuffers::Offset<claim_release> Createclaim_release(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> claim = 0,
-    flatbuffers::Offset<flatbuffers::String> incarnation = 0,
-    uint64_t offset = 0) {
+    flatbuffers::Offset<flatbuffers::String> key = 0,
+    flatbuffers::Offset<godwit::wire::format::claim_holder> holder = 0) {
   claim_releaseBuilder builder_(_fbb);
-  builder_.add_offset(offset);
-  builder_.add_incarnation(incarnation);
-  builder_.add_claim(claim);
+  builder_.add_holder(holder);
+  builder_.add_key(key);
   return builder_.Finish();
 }
 
@@ -1402,16 +1560,107 @@
 
 inline flatbuffers::Offset<claim_release> Createclaim_releaseDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const char *claim = nullptr,
-    const char *incarnation = nullptr,
-    uint64_t offset = 0) {
-  auto claim__ = claim ? _fbb.CreateString(claim) : 0;
-  auto incarnation__ = incarnation ? _fbb.CreateString(incarnation) : 0;
+    const char *key = nullptr,
+    flatbuffers::Offset<godwit::wire::format::claim_holder> holder = 0) {
+  auto key__ = key ? _fbb.CreateString(key) : 0;
   return godwit::wire::format::Createclaim_release(
       _fbb,
-      claim__,
-      incarnation__,
-      offset);
+      key__,
+      holder);
+}
+
+struct claim_finished FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef claim_finishedBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KEY = 4,
+    VT_HOLDER = 6,
+    VT_OUTCOME = 8,
+    VT_ANSWER_DIGEST = 10
+  };
+  const flatbuffers::String *key() const {
+    return GetPointer<const flatbuffers::String *>(VT_KEY);
+  }
+  const godwit::wire::format::claim_holder *holder() const {
+    return GetPointer<const godwit::wire::format::claim_holder *>(VT_HOLDER);
+  }
+  godwit::wire::format::outcome outcome() const {
+    return static_cast<godwit::wire::format::outcome>(GetField<uint8_t>(VT_OUTCOME, 0));
+  }
+  uint64_t answer_digest() const {
+    return GetField<uint64_t>(VT_ANSWER_DIGEST, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_KEY) &&
+           verifier.VerifyString(key()) &&
+           VerifyOffset(verifier, VT_HOLDER) &&
+           verifier.VerifyTable(holder()) &&
+           VerifyField<uint8_t>(verifier, VT_OUTCOME, 1) &&
+           VerifyField<uint64_t>(verifier, VT_ANSWER_DIGEST, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct claim_finishedBuilder {
+  typedef claim_finished Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
+    fbb_.AddOffset(claim_finished::VT_KEY, key);
+  }
+  void add_holder(flatbuffers::Offset<godwit::wire::format::claim_holder> holder) {
+    fbb_.AddOffset(claim_finished::VT_HOLDER, holder);
+  }
+  void add_outcome(godwit::wire::format::outcome outcome) {
+    fbb_.AddElement<uint8_t>(claim_finished::VT_OUTCOME, static_cast<uint8_t>(outcome), 0);
+  }
+  void add_answer_digest(uint64_t answer_digest) {
+    fbb_.AddElement<uint64_t>(claim_finished::VT_ANSWER_DIGEST, answer_digest, 0);
+  }
+  explicit claim_finishedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<claim_finished> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<claim_finished>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<claim_finished> Createclaim_finished(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> key = 0,
+    flatbuffers::Offset<godwit::wire::format::claim_holder> holder = 0,
+    godwit::wire::format::outcome outcome = godwit::wire::format::outcome::completed,
+    uint64_t answer_digest = 0) {
+  claim_finishedBuilder builder_(_fbb);
+  builder_.add_answer_digest(answer_digest);
+  builder_.add_holder(holder);
+  builder_.add_key(key);
+  builder_.add_outcome(outcome);
+  return builder_.Finish();
+}
+
+struct claim_finished::Traits {
+  using type = claim_finished;
+  static auto constexpr Create = Createclaim_finished;
+};
+
+inline flatbuffers::Offset<claim_finished> Createclaim_finishedDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *key = nullptr,
+    flatbuffers::Offset<godwit::wire::format::claim_holder> holder = 0,
+    godwit::wire::format::outcome outcome = godwit::wire::format::outcome::completed,
+    uint64_t answer_digest = 0) {
+  auto key__ = key ? _fbb.CreateString(key) : 0;
+  return godwit::wire::format::Createclaim_finished(
+      _fbb,
+      key__,
+      holder,
+      outcome,
+      answer_digest);
 }
 
 struct claim_forward FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1419,27 +1668,19 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_CORRELATION = 4,
-    VT_REQUESTS = 6,
-    VT_RELEASES = 8
+    VT_RECORD = 6
   };
   uint64_t correlation() const {
     return GetField<uint64_t>(VT_CORRELATION, 0);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::claim_request>> *requests() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::claim_request>> *>(VT_REQUESTS);
-  }
-  const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::claim_release>> *releases() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::claim_release>> *>(VT_RELEASES);
+  const flatbuffers::String *record() const {
+    return GetPointer<const flatbuffers::String *>(VT_RECORD);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CORRELATION, 8) &&
-           VerifyOffset(verifier, VT_REQUESTS) &&
-           verifier.VerifyVector(requests()) &&
-           verifier.VerifyVectorOfTables(requests()) &&
-           VerifyOffset(verifier, VT_RELEASES) &&
-           verifier.VerifyVector(releases()) &&
-           verifier.VerifyVectorOfTables(releases()) &&
+           VerifyOffset(verifier, VT_RECORD) &&
+           verifier.VerifyString(record()) &&
            verifier.EndTable();
   }
 };
@@ -1451,11 +1692,8 @@
   void add_correlation(uint64_t correlation) {
     fbb_.AddElement<uint64_t>(claim_forward::VT_CORRELATION, correlation, 0);
   }
-  void add_requests(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::claim_request>>> requests) {
-    fbb_.AddOffset(claim_forward::VT_REQUESTS, requests);
-  }
-  void add_releases(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::claim_release>>> releases) {
-    fbb_.AddOffset(claim_forward::VT_RELEASES, releases);
+  void add_record(flatbuffers::Offset<flatbuffers::String> record) {
+    fbb_.AddOffset(claim_forward::VT_RECORD, record);
   }
   explicit claim_forwardBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -1471,12 +1709,10 @@
 inline flatbuffers::Offset<claim_forward> Createclaim_forward(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t correlation = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::claim_request>>> requests = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::claim_release>>> releases = 0) {
+    flatbuffers::Offset<flatbuffers::String> record = 0) {
   claim_forwardBuilder builder_(_fbb);
   builder_.add_correlation(correlation);
-  builder_.add_releases(releases);
-  builder_.add_requests(requests);
+  builder_.add_record(record);
   return builder_.Finish();
 }
 
@@ -1488,15 +1724,12 @@
 inline flatbuffers::Offset<claim_forward> Createclaim_forwardDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t correlation = 0,
-    const std::vector<flatbuffers::Offset<godwit::wire::format::claim_request>> *requests = nullptr,
-    const std::vector<flatbuffers::Offset<godwit::wire::format::claim_release>> *releases = nullptr) {
-  auto requests__ = requests ? _fbb.CreateVector<flatbuffers::Offset<godwit::wire::format::claim_request>>(*requests) : 0;
-  auto releases__ = releases ? _fbb.CreateVector<flatbuffers::Offset<godwit::wire::format::claim_release>>(*releases) : 0;
+    const char *record = nullptr) {
+  auto record__ = record ? _fbb.CreateString(record) : 0;
   return godwit::wire::format::Createclaim_forward(
       _fbb,
       correlation,
-      requests__,
-      releases__);
+      record__);
 }
 
 struct claim_forward_answer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1504,20 +1737,18 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_CORRELATION = 4,
-    VT_ANSWERS = 6
+    VT_ACCEPTED = 6
   };
   uint64_t correlation() const {
     return GetField<uint64_t>(VT_CORRELATION, 0);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::claim_answer>> *answers() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::claim_answer>> *>(VT_ANSWERS);
+  bool accepted() const {
+    return GetField<uint8_t>(VT_ACCEPTED, 0) != 0;
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CORRELATION, 8) &&
-           VerifyOffset(verifier, VT_ANSWERS) &&
-           verifier.VerifyVector(answers()) &&
-           verifier.VerifyVectorOfTables(answers()) &&
+           VerifyField<uint8_t>(verifier, VT_ACCEPTED, 1) &&
            verifier.EndTable();
   }
 };
@@ -1529,8 +1760,8 @@
   void add_correlation(uint64_t correlation) {
     fbb_.AddElement<uint64_t>(claim_forward_answer::VT_CORRELATION, correlation, 0);
   }
-  void add_answers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::claim_answer>>> answers) {
-    fbb_.AddOffset(claim_forward_answer::VT_ANSWERS, answers);
+  void add_accepted(bool accepted) {
+    fbb_.AddElement<uint8_t>(claim_forward_answer::VT_ACCEPTED, static_cast<uint8_t>(accepted), 0);
   }
   explicit claim_forward_answerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -1546,10 +1777,10 @@
 inline flatbuffers::Offset<claim_forward_answer> Createclaim_forward_answer(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t correlation = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::claim_answer>>> answers = 0) {
+    bool accepted = false) {
   claim_forward_answerBuilder builder_(_fbb);
   builder_.add_correlation(correlation);
-  builder_.add_answers(answers);
+  builder_.add_accepted(accepted);
   return builder_.Finish();
 }
 
@@ -1558,43 +1789,32 @@
   static auto constexpr Create = Createclaim_forward_answer;
 };
 
-inline flatbuffers::Offset<claim_forward_answer> Createclaim_forward_answerDirect(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t correlation = 0,
-    const std::vector<flatbuffers::Offset<godwit::wire::format::claim_answer>> *answers = nullptr) {
-  auto answers__ = answers ? _fbb.CreateVector<flatbuffers::Offset<godwit::wire::format::claim_answer>>(*answers) : 0;
-  return godwit::wire::format::Createclaim_forward_answer(
-      _fbb,
-      correlation,
-      answers__);
-}
-
 struct digest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef digestBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_OFFSET = 4,
+    VT_NEXT_OFFSET = 4,
     VT_HASH = 6,
-    VT_RECORD_FLOOR = 8,
+    VT_FIRST_RECORD = 8,
     VT_LOG_REACHABLE = 10
   };
-  uint64_t offset() const {
-    return GetField<uint64_t>(VT_OFFSET, 0);
+  uint64_t next_offset() const {
+    return GetField<uint64_t>(VT_NEXT_OFFSET, 0);
   }
   uint64_t hash() const {
     return GetField<uint64_t>(VT_HASH, 0);
   }
-  uint64_t record_floor() const {
-    return GetField<uint64_t>(VT_RECORD_FLOOR, 0);
+  uint64_t first_record() const {
+    return GetField<uint64_t>(VT_FIRST_RECORD, 0);
   }
   bool log_reachable() const {
     return GetField<uint8_t>(VT_LOG_REACHABLE, 0) != 0;
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_OFFSET, 8) &&
+           VerifyField<uint64_t>(verifier, VT_NEXT_OFFSET, 8) &&
            VerifyField<uint64_t>(verifier, VT_HASH, 8) &&
-           VerifyField<uint64_t>(verifier, VT_RECORD_FLOOR, 8) &&
+           VerifyField<uint64_t>(verifier, VT_FIRST_RECORD, 8) &&
            VerifyField<uint8_t>(verifier, VT_LOG_REACHABLE, 1) &&
            verifier.EndTable();
   }
@@ -1604,14 +1824,14 @@
   typedef digest Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_offset(uint64_t offset) {
-    fbb_.AddElement<uint64_t>(digest::VT_OFFSET, offset, 0);
+  void add_next_offset(uint64_t next_offset) {
+    fbb_.AddElement<uint64_t>(digest::VT_NEXT_OFFSET, next_offset, 0);
   }
   void add_hash(uint64_t hash) {
     fbb_.AddElement<uint64_t>(digest::VT_HASH, hash, 0);
   }
-  void add_record_floor(uint64_t record_floor) {
-    fbb_.AddElement<uint64_t>(digest::VT_RECORD_FLOOR, record_floor, 0);
+  void add_first_record(uint64_t first_record) {
+    fbb_.AddElement<uint64_t>(digest::VT_FIRST_RECORD, first_record, 0);
   }
   void add_log_reachable(bool log_reachable) {
     fbb_.AddElement<uint8_t>(digest::VT_LOG_REACHABLE, static_cast<uint8_t>(log_reachable), 0);
@@ -1629,14 +1849,14 @@
 
 inline flatbuffers::Offset<digest> Createdigest(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t offset = 0,
+    uint64_t next_offset = 0,
     uint64_t hash = 0,
-    uint64_t record_floor = 0,
+    uint64_t first_record = 0,
     bool log_reachable = false) {
   digestBuilder builder_(_fbb);
-  builder_.add_record_floor(record_floor);
+  builder_.add_first_record(first_record);
   builder_.add_hash(hash);
-  builder_.add_offset(offset);
+  builder_.add_next_offset(next_offset);
   builder_.add_log_reachable(log_reachable);
   return builder_.Finish();
 }
@@ -1650,14 +1870,14 @@
   typedef pullBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_HAVE = 4
+    VT_NEXT_OFFSET = 4
   };
-  uint64_t have() const {
-    return GetField<uint64_t>(VT_HAVE, 0);
+  uint64_t next_offset() const {
+    return GetField<uint64_t>(VT_NEXT_OFFSET, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_HAVE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_NEXT_OFFSET, 8) &&
            verifier.EndTable();
   }
 };
@@ -1666,8 +1886,8 @@
   typedef pull Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_have(uint64_t have) {
-    fbb_.AddElement<uint64_t>(pull::VT_HAVE, have, 0);
+  void add_next_offset(uint64_t next_offset) {
+    fbb_.AddElement<uint64_t>(pull::VT_NEXT_OFFSET, next_offset, 0);
   }
   explicit pullBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -1682,9 +1902,9 @@
 
 inline flatbuffers::Offset<pull> Createpull(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t have = 0) {
+    uint64_t next_offset = 0) {
   pullBuilder builder_(_fbb);
-  builder_.add_have(have);
+  builder_.add_next_offset(next_offset);
   return builder_.Finish();
 }
 
@@ -1698,12 +1918,16 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_OFFSET = 4,
-    VT_HASH = 6,
-    VT_BODY = 8
+    VT_TIME_MS = 6,
+    VT_HASH = 8,
+    VT_BODY = 10
   };
   uint64_t offset() const {
     return GetField<uint64_t>(VT_OFFSET, 0);
   }
+  uint64_t time_ms() const {
+    return GetField<uint64_t>(VT_TIME_MS, 0);
+  }
   uint64_t hash() const {
     return GetField<uint64_t>(VT_HASH, 0);
   }
@@ -1713,6 +1937,7 @@
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_OFFSET, 8) &&
+           VerifyField<uint64_t>(verifier, VT_TIME_MS, 8) &&
            VerifyField<uint64_t>(verifier, VT_HASH, 8) &&
            VerifyOffset(verifier, VT_BODY) &&
            verifier.VerifyString(body()) &&
@@ -1727,6 +1952,9 @@
   void add_offset(uint64_t offset) {
     fbb_.AddElement<uint64_t>(log_record::VT_OFFSET, offset, 0);
   }
+  void add_time_ms(uint64_t time_ms) {
+    fbb_.AddElement<uint64_t>(log_record::VT_TIME_MS, time_ms, 0);
+  }
   void add_hash(uint64_t hash) {
     fbb_.AddElement<uint64_t>(log_record::VT_HASH, hash, 0);
   }
@@ -1747,10 +1975,12 @@
 inline flatbuffers::Offset<log_record> Createlog_record(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t offset = 0,
+    uint64_t time_ms = 0,
     uint64_t hash = 0,
     flatbuffers::Offset<flatbuffers::String> body = 0) {
   log_recordBuilder builder_(_fbb);
   builder_.add_hash(hash);
+  builder_.add_time_ms(time_ms);
   builder_.add_offset(offset);
   builder_.add_body(body);
   return builder_.Finish();
@@ -1764,12 +1994,14 @@
 inline flatbuffers::Offset<log_record> Createlog_recordDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t offset = 0,
+    uint64_t time_ms = 0,
     uint64_t hash = 0,
     const char *body = nullptr) {
   auto body__ = body ? _fbb.CreateString(body) : 0;
   return godwit::wire::format::Createlog_record(
       _fbb,
       offset,
+      time_ms,
       hash,
       body__);
 }
@@ -1971,6 +2203,9 @@
   const godwit::wire::format::claim_release *payload_as_claim_release() const {
     return payload_type() == godwit::wire::format::payload::claim_release ? static_cast<const godwit::wire::format::claim_release *>(payload()) : nullptr;
   }
+  const godwit::wire::format::claim_finished *payload_as_claim_finished() const {
+    return payload_type() == godwit::wire::format::payload::claim_finished ? static_cast<const godwit::wire::format::claim_finished *>(payload()) : nullptr;
+  }
   const godwit::wire::format::claim_forward *payload_as_claim_forward() const {
     return payload_type() == godwit::wire::format::payload::claim_forward ? static_cast<const godwit::wire::format::claim_forward *>(payload()) : nullptr;
   }
@@ -2038,6 +2273,10 @@
   return payload_as_claim_release();
 }
 
+template<> inline const godwit::wire::format::claim_finished *frame::payload_as<godwit::wire::format::claim_finished>() const {
+  return payload_as_claim_finished();
+}
+
 template<> inline const godwit::wire::format::claim_forward *frame::payload_as<godwit::wire::format::claim_forward>() const {
   return payload_as_claim_forward();
 }
@@ -2143,6 +2382,10 @@
       auto ptr = reinterpret_cast<const godwit::wire::format::claim_release *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case payload::claim_finished: {
+      auto ptr = reinterpret_cast<const godwit::wire::format::claim_finished *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     case payload::claim_forward: {
       auto ptr = reinterpret_cast<const godwit::wire::format::claim_forward *>(obj);
       return verifier.VerifyTable(ptr);
--- a/libraries/wire/src/message.cpp
+++ b/libraries/wire/src/message.cpp
@@ -19,6 +19,7 @@
             "claim_request",
             "claim_answer",
             "claim_release",
+            "claim_finished",
             "claim_forward",
             "claim_forward_answer",
             "digest",
--- a/libraries/wire/src/message_writer.hpp
+++ b/libraries/wire/src/message_writer.hpp
@@ -23,12 +23,16 @@
 write(flatbuffers::FlatBufferBuilder& out, const backend_servers& value);
 flatbuffers::Offset<format::server_sign>
 write(flatbuffers::FlatBufferBuilder& out, const server_sign& value);
+flatbuffers::Offset<format::claim_holder>
+write(flatbuffers::FlatBufferBuilder& out, const claim_holder& value);
 flatbuffers::Offset<format::claim_request>
 write(flatbuffers::FlatBufferBuilder& out, const claim_request& value);
 flatbuffers::Offset<format::claim_answer>
 write(flatbuffers::FlatBufferBuilder& out, const claim_answer& value);
 flatbuffers::Offset<format::claim_release>
 write(flatbuffers::FlatBufferBuilder& out, const claim_release& value);
+flatbuffers::Offset<format::claim_finished>
+write(flatbuffers::FlatBufferBuilder& out, const claim_finished& value);
 flatbuffers::Offset<format::claim_forward>
 write(flatbuffers::FlatBufferBuilder& out, const claim_forward& value);
 flatbuffers::Offset<format::claim_forward_answer>
--- a/tests/wire/sample_messages.cpp
+++ b/tests/wire/sample_messages.cpp
@@ -8,17 +8,18 @@
 {
     const core::host_name host("entry-1");
     const core::incarnation_id incarnation("entry-1/7f");
-    const claim_request request{
-        7, "claim-a", host, incarnation, "127.0.0.1:8080"};
-    const claim_release release{"claim-b", incarnation, 41};
+    const claim_holder holder{host, incarnation, "127.0.0.1:8080"};
     const claim_answer answer{
         7,
-        "claim-a",
-        claim_verdict::held,
+        claim_verdict::finished,
         42,
-        host,
-        incarnation,
-        "127.0.0.1:8080",
+        3,
+        -5,
+        holder,
+        true,
+        core::outcome::interrupted,
+        0xabULL,
+        claim_obstacle::releasing,
         250};
     const backend_server server{
         core::server_address("127.0.0.1:9000"),
@@ -36,20 +37,21 @@
             "127.0.0.1:1"},
         heartbeat{},
         catalogue_snapshot{9, 0xfeedULL, 1, 3, "{\"entries\":[]}"},
-        catalogue_change{8, 9, 0xfeedULL, std::string("\0x", 2)},
+        catalogue_change{8, 1700000000000, 0xfeedULL, std::string("\0x", 2)},
         catalogue_position{9, 0xfeedULL},
         backend_servers{
             true, {server, server}, {core::server_address("127.0.0.1:9001")}},
         server_sign{
             core::server_address("127.0.0.1:9000"), sign_kind::leaving, 15},
-        request,
+        claim_request{7, "key", "fingerprint", holder},
         answer,
-        release,
-        claim_forward{3, {request, request}, {release}},
-        claim_forward_answer{3, {answer}},
+        claim_release{"key", holder},
+        claim_finished{"key", holder, core::outcome::unknown, 5},
+        claim_forward{3, "[]"},
+        claim_forward_answer{3, true},
         digest{9, 0xfeedULL, 2, true},
         pull{4},
-        records{{log_record{5, 6, "record"}, log_record{6, 7, ""}}},
+        records{{log_record{5, 1, 6, "record"}, log_record{6, 2, 7, ""}}},
         duty_message{"orders", 2, 11, std::string("\xff\0", 2)}};
 }
 
