--- /dev/null
+++ b/libraries/wire/include/godwit/wire/claim_forward.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace godwit::wire {
+
+/// A record of the claims stream, for the agent of the zone that batches the
+/// appends of its keys.
+struct claim_forward
+{
+    std::uint64_t correlation = 0;
+    std::string record;
+
+    friend bool operator==(const claim_forward&, const claim_forward&) = default;
+};
+
+} // namespace godwit::wire
