--- /dev/null
+++ b/fakes/support/include/godwit/fakes/log_record.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <godwit/core/time.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace godwit::fakes {
+
+/// One record of a stream.
+struct log_record
+{
+    std::uint64_t offset = 0;
+    core::time_point appended;
+    std::string data;
+};
+
+} // namespace godwit::fakes
--- a/libraries/http/include/godwit/http/exchange.hpp
+++ b/libraries/http/include/godwit/http/exchange.hpp
@@ -53,6 +53,9 @@
     /// with a visibly truncated answer.
     boost::asio::awaitable<core::result<void>> finish_stream();
 
+    /// Breaks the connection with a reset and without a further byte.
+    void cut() noexcept;
+
     /// Whether an answer was begun.
     [[nodiscard]] bool is_answered() const noexcept;
 
--- a/libraries/http/src/connection.cpp
+++ b/libraries/http/src/connection.cpp
@@ -281,7 +281,7 @@
     }
     notify_caller_gone_ = nullptr;
     co_await stop_watching();
-    if (phase_ == answer_phase::none && !caller_gone_)
+    if (phase_ == answer_phase::none && !caller_gone_ && !is_cut_)
         co_await reject(rejection_reason::handler_failed);
     else if (!is_whole || phase_ != answer_phase::finished)
         close_socket();
@@ -371,6 +371,16 @@
     }
 }
 
+void connection::cut() noexcept
+{
+    is_cut_ = true;
+    keeps_alive_ = false;
+    // Without lingering, closing sends a reset.
+    error_code ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket_.close(ignored);
+}
+
 void connection::on_caller_gone(std::function<void()> notify)
 {
     if (!caller_gone_) {
--- a/libraries/http/src/connection.hpp
+++ b/libraries/http/src/connection.hpp
@@ -62,6 +62,8 @@
     boost::asio::awaitable<core::result<void>> write_chunk(std::string data);
     boost::asio::awaitable<core::result<void>> finish_stream();
 
+    void cut() noexcept;
+
     [[nodiscard]] bool is_answered() const noexcept
     {
         return phase_ != answer_phase::none;
@@ -112,6 +114,7 @@
     bool omits_body_ = false;
     answer_phase phase_ = answer_phase::none;
     bool caller_gone_ = false;
+    bool is_cut_ = false;
     bool is_watching_ = false;
     bool watch_ended_ = true;
     // Both never expire; cancelling them wakes whoever waits.
--- a/libraries/http/src/exchange.cpp
+++ b/libraries/http/src/exchange.cpp
@@ -43,6 +43,11 @@
     return owner_.finish_stream();
 }
 
+void exchange::cut() noexcept
+{
+    owner_.cut();
+}
+
 bool exchange::is_answered() const noexcept
 {
     return owner_.is_answered();
