--- a/tests/fakes/engine_model_test.cpp
+++ b/tests/fakes/engine_model_test.cpp
@@ -68,7 +68,7 @@
         settings.memory_tokens = memory;
         settings.batch = 4;
         settings.waiting_limit = 8;
-        settings.finished_kept = 2;
+        settings.finished_kept = 6;
         settings.cached_prefixes = 2;
         return engine_model::create(settings);
     }
@@ -286,7 +286,7 @@
     void test_finished_are_kept_up_to_a_bound()
     {
         engine_model engine = make();
-        for (const char* id : {"a", "b", "c"}) {
+        for (const char* id : {"a", "b", "c", "d", "e", "f", "g"}) {
             const auto now = run_out(engine);
             CPPUNIT_ASSERT(
                 engine.start(order_of(id, "length=2"), now) ==
@@ -295,7 +295,7 @@
         run_out(engine);
         CPPUNIT_ASSERT(!engine.find(generation_id("a")));
         CPPUNIT_ASSERT(engine.find(generation_id("b")));
-        CPPUNIT_ASSERT(engine.find(generation_id("c")));
+        CPPUNIT_ASSERT(engine.find(generation_id("g")));
     }
 
     void test_load_lags()
