membership: the host list, corrected by what is seen of the servers

request: claim_finished carries the outcome of the run; claim_refused for a key outside the window or of another request, as in libraries/claims.

--- /dev/null
+++ b/libraries/membership/include/godwit/membership/events.hpp
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <godwit/core/identifiers.hpp>
+#include <godwit/membership/listed_server.hpp>
+#include <godwit/membership/service_requirement.hpp>
+#include <godwit/membership/sign.hpp>
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace godwit::membership {
+
+/// The host list was read. It lags, and may be empty or damaged.
+struct host_list_read
+{
+    std::vector<listed_server> servers;
+
+    friend bool
+    operator==(const host_list_read&, const host_list_read&) = default;
+};
+
+/// The host list could not be read: the last view stays.
+struct host_list_failed
+{
+    friend bool
+    operator==(const host_list_failed&, const host_list_failed&) = default;
+};
+
+/// The catalogue's requirements of all services, replacing earlier ones.
+struct requirements_changed
+{
+    std::vector<service_requirement> services;
+
+    friend bool operator==(
+        const requirements_changed&, const requirements_changed&) = default;
+};
+
+/// A backend server reported its load.
+struct load_reported
+{
+    core::server_address server;
+    std::vector<std::string> models;
+    std::vector<std::string> adapters;
+    std::string version;
+    listed_state state = listed_state::live;
+
+    friend bool
+    operator==(const load_reported&, const load_reported&) = default;
+};
+
+/// What a request or a probe saw of a backend server.
+enum class sighting
+{
+    answered,     ///< A request was answered.
+    refused,      ///< A connection was refused.
+    timed_out,    ///< No connection, or no answer, in time.
+    failed,       ///< The connection broke, or the answer was not its own.
+    leaving,      ///< It answered that it is leaving.
+    probe_passed, ///< A probe was answered as live.
+    probe_failed, ///< A probe was not answered.
+};
+
+/// The name of `value` as it appears in logs.
+[[nodiscard]] std::string_view to_string(sighting value) noexcept;
+
+/// A request or a probe saw a backend server.
+struct server_seen
+{
+    core::server_address server;
+    sighting what = sighting::answered;
+
+    friend bool operator==(const server_seen&, const server_seen&) = default;
+};
+
+/// A peer agent passed a sign on.
+struct sign_received
+{
+    core::server_address server;
+    sign what = sign::leaving;
+
+    friend bool
+    operator==(const sign_received&, const sign_received&) = default;
+};
+
+/// Time passed; expected about once every 100 ms.
+struct clock_ticked
+{
+    friend bool operator==(const clock_ticked&, const clock_ticked&) = default;
+};
+
+/// Everything that membership is told.
+using event = std::variant<
+    host_list_read,
+    host_list_failed,
+    requirements_changed,
+    load_reported,
+    server_seen,
+    sign_received,
+    clock_ticked>;
+
+} // namespace godwit::membership
--- /dev/null
+++ b/libraries/membership/include/godwit/membership/pool_snapshot.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <godwit/membership/service_pool.hpp>
+
+#include <cstdint>
+#include <vector>
+
+namespace godwit::membership {
+
+/// All eligible backend servers at one moment; never changes, so that
+/// traffic threads share it.
+class pool_snapshot
+{
+public:
+    /// `version` grows with each snapshot of a process; `pools` are in order
+    /// of service.
+    pool_snapshot(std::uint64_t version, std::vector<service_pool> pools);
+
+    [[nodiscard]] std::uint64_t version() const noexcept { return version_; }
+
+    /// The pool of a service; an empty one for an unknown service.
+    [[nodiscard]] const service_pool&
+    pool_of(const core::service_name& service) const;
+
+    [[nodiscard]] const std::vector<service_pool>& pools() const noexcept
+    {
+        return pools_;
+    }
+
+    /// Whether new work may go to the server.
+    [[nodiscard]] bool is_eligible(
+        const core::service_name& service,
+        const core::server_address& server) const;
+
+    friend bool
+    operator==(const pool_snapshot&, const pool_snapshot&) = default;
+
+private:
+    std::uint64_t version_;
+    std::vector<service_pool> pools_;
+};
+
+} // namespace godwit::membership
--- /dev/null
+++ b/libraries/membership/include/godwit/membership/service_pool.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <godwit/core/identifiers.hpp>
+#include <godwit/membership/eligible_server.hpp>
+
+#include <vector>
+
+namespace godwit::membership {
+
+/// The backend servers that may get new work of one service, each list in
+/// order of address.
+struct service_pool
+{
+    core::service_name service;
+    std::vector<eligible_server> own_zone; ///< To be used first.
+    std::vector<eligible_server> other_zones;
+
+    friend bool operator==(const service_pool&, const service_pool&) = default;
+};
+
+} // namespace godwit::membership
--- /dev/null
+++ b/libraries/membership/include/godwit/membership/sign.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <string_view>
+
+namespace godwit::membership {
+
+/// What one host can tell others about a backend server.
+enum class sign
+{
+    leaving, ///< It is leaving: give it nothing new.
+    suspect, ///< It refused a connection: look for yourself.
+};
+
+/// The name of `value` as it appears in logs.
+[[nodiscard]] std::string_view to_string(sign value) noexcept;
+
+} // namespace godwit::membership
--- a/libraries/request/include/godwit/request/events.hpp
+++ b/libraries/request/include/godwit/request/events.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <godwit/core/identifiers.hpp>
+#include <godwit/core/outcome.hpp>
 #include <godwit/core/time.hpp>
 #include <godwit/request/request_kind.hpp>
 #include <godwit/request/resume_position.hpp>
@@ -55,16 +56,34 @@
     friend bool operator==(const claim_held&, const claim_held&) = default;
 };
 
-/// The request ran already; `holder` keeps the answer.
+/// The request ran already and ended with `result`; where that is
+/// `completed`, a live `holder` keeps the answer.
 struct claim_finished
 {
     core::host_name holder;
     holder_state state = holder_state::live;
+    core::outcome result = core::outcome::completed;
 
     friend bool
     operator==(const claim_finished&, const claim_finished&) = default;
 };
 
+/// Why a claim is refused for good.
+enum class claim_refusal
+{
+    outside_window, ///< The key is older than the deduplication window.
+    key_reused,     ///< The key belongs to another request.
+};
+
+/// The key can never be claimed for this request.
+struct claim_refused
+{
+    claim_refusal why = claim_refusal::outside_window;
+
+    friend bool
+    operator==(const claim_refused&, const claim_refused&) = default;
+};
+
 /// The claims stream cannot be reached; the claim is not held.
 struct claim_unavailable
 {
@@ -281,6 +300,7 @@
     claim_won,
     claim_held,
     claim_finished,
+    claim_refused,
     claim_unavailable,
     holder_answered,
     holder_failed,
--- a/libraries/request/include/godwit/request/life.hpp
+++ b/libraries/request/include/godwit/request/life.hpp
@@ -94,6 +94,7 @@
     void on(const claim_won& what);
     void on(const claim_held& what);
     void on(const claim_finished& what);
+    void on(const claim_refused& what);
     void on(const claim_unavailable& what);
     void on(const holder_answered& what);
     void on(const holder_failed& what);
@@ -136,6 +137,10 @@
     void fail(
         fail_reason reason,
         std::optional<core::duration> retry_after = std::nullopt);
+    void fail_with(
+        core::outcome result,
+        fail_reason reason,
+        std::optional<core::duration> retry_after);
     void tell_caller(
         fail_reason reason,
         core::outcome result,
@@ -152,6 +157,8 @@
     [[nodiscard]] bool can_resume() const noexcept;
     [[nodiscard]] effect whole_effect() const noexcept;
     [[nodiscard]] core::outcome outcome_now() const noexcept;
+    [[nodiscard]] bool
+    helps_to_come_back(fail_reason reason, core::outcome result) const noexcept;
     [[nodiscard]] core::duration next_backoff(std::uint32_t tries);
     void drop_connection();
     void release_connection();
--- a/libraries/request/src/fail_reason.cpp
+++ b/libraries/request/src/fail_reason.cpp
@@ -15,6 +15,12 @@
         return "claim_timeout";
     case fail_reason::claim_expired:
         return "claim_expired";
+    case fail_reason::claim_outside_window:
+        return "claim_outside_window";
+    case fail_reason::key_reused:
+        return "key_reused";
+    case fail_reason::run_failed:
+        return "run_failed";
     case fail_reason::holder_lost:
         return "holder_lost";
     case fail_reason::attempts_exhausted:
@@ -60,6 +66,15 @@
                "come back after Retry-After";
     case fail_reason::claim_expired:
         return "the request waited longer than its claim is kept";
+    case fail_reason::claim_outside_window:
+        return "the idempotency key is older than the deduplication window; "
+               "check at the service whether the request ran";
+    case fail_reason::key_reused:
+        return "the idempotency key was used for another request; use a key "
+               "of its own for each";
+    case fail_reason::run_failed:
+        return "an earlier try under the same idempotency key ran and failed; "
+               "check at the service what it did";
     case fail_reason::holder_lost:
         return "the entry host that ran the request is gone with its answer";
     case fail_reason::backend_server_lost:
@@ -92,14 +107,21 @@
 int http_status_for(fail_reason reason) noexcept
 {
     constexpr int not_found = 404;
+    constexpr int conflict = 409;
+    constexpr int unprocessable = 422;
     constexpr int bad_gateway = 502;
     constexpr int service_unavailable = 503;
     constexpr int gateway_timeout = 504;
     switch (reason) {
     case fail_reason::service_gone:
         return not_found;
+    case fail_reason::claim_outside_window:
+        return conflict;
+    case fail_reason::key_reused:
+        return unprocessable;
     case fail_reason::deadline:
         return gateway_timeout;
+    case fail_reason::run_failed:
     case fail_reason::backend_server_lost:
     case fail_reason::link_broken:
     case fail_reason::answer_crossed:
--- a/libraries/request/src/life_end.cpp
+++ b/libraries/request/src/life_end.cpp
@@ -60,7 +60,14 @@
 
 void life::fail(fail_reason reason, std::optional<core::duration> retry_after)
 {
-    const auto result = outcome_now();
+    fail_with(outcome_now(), reason, retry_after);
+}
+
+void life::fail_with(
+    core::outcome result,
+    fail_reason reason,
+    std::optional<core::duration> retry_after)
+{
     if (!caller_left_)
         tell_caller(reason, result, retry_after);
     stop_work(reason, result);
@@ -78,10 +85,7 @@
     std::string remedy(remedy_for(reason));
     remedy.append("; ").append(
         advice_for(result, request_, delivered_, reason));
-    // Nobody is invited to send again what may run twice.
-    const bool can_help = reason != fail_reason::service_gone &&
-                          (result == core::outcome::not_run || request_.key ||
-                           request_.repeat == repeatability::repeatable);
+    const bool can_help = helps_to_come_back(reason, result);
     if (can_help && !retry_after)
         retry_after = settings_.retry_after;
     if (!can_help)
@@ -94,6 +98,23 @@
         retry_after});
 }
 
+// Nobody is invited to send again what may run twice, or what can only fail
+// again.
+bool life::helps_to_come_back(
+    fail_reason reason, core::outcome result) const noexcept
+{
+    switch (reason) {
+    case fail_reason::service_gone:
+    case fail_reason::claim_outside_window:
+    case fail_reason::key_reused:
+    case fail_reason::run_failed:
+        return false;
+    default:
+        return result == core::outcome::not_run || request_.key ||
+               request_.repeat == repeatability::repeatable;
+    }
+}
+
 // The caller gets its final answer now; a run that may not be repeated goes
 // on, so that a retry under the same key finds its answer.
 void life::give_up_on_caller(fail_reason reason)
--- a/libraries/request/src/life_start.cpp
+++ b/libraries/request/src/life_start.cpp
@@ -69,8 +69,30 @@
 
 void life::on(const claim_finished& what)
 {
-    if (claim_ == claim_state::pending)
+    if (claim_ != claim_state::pending)
+        return;
+    if (what.result == core::outcome::completed) {
         attach(what.holder, what.state);
+        return;
+    }
+    claim_ = claim_state::given_up;
+    const auto result = what.result == core::outcome::interrupted
+                            ? core::outcome::interrupted
+                            : core::outcome::unknown;
+    fail_with(result, fail_reason::run_failed, std::nullopt);
+}
+
+void life::on(const claim_refused& what)
+{
+    if (claim_ != claim_state::pending)
+        return;
+    claim_ = claim_state::given_up;
+    // The key's own request is another one; this one never ran.
+    if (what.why == claim_refusal::key_reused)
+        fail_with(
+            core::outcome::not_run, fail_reason::key_reused, std::nullopt);
+    else
+        fail(fail_reason::claim_outside_window);
 }
 
 void life::attach(const core::host_name& holder, holder_state state)
