--- a/libraries/claims/include/godwit/claims/claimer.hpp
+++ b/libraries/claims/include/godwit/claims/claimer.hpp
@@ -65,7 +65,7 @@
 private:
     class state;
 
-    explicit claimer(std::unique_ptr<state> state);
+    explicit claimer(std::unique_ptr<state> decisions);
 
     std::unique_ptr<state> state_;
 };
--- a/libraries/claims/include/godwit/claims/claimer_settings.hpp
+++ b/libraries/claims/include/godwit/claims/claimer_settings.hpp
@@ -51,14 +51,16 @@
     /// Appends of this host under way at once.
     std::size_t appends_in_flight_limit = 4;
 
-    /// Claims, releases and ends waiting or under way at this host.
+    /// Entries waiting or under way at this host. Above it, asks are
+    /// answered `overloaded` and forwarded claims are declined; above twice
+    /// as many, ends of runs are dropped (their keys stay `held`).
     std::size_t pending_limit = 4096;
 
     /// After this an ask is answered `claim_unavailable`.
     core::duration ask_timeout = std::chrono::seconds(2);
 
     /// After this an append without an answer counts as lost.
-    core::duration append_timeout = std::chrono::milliseconds(500);
+    core::duration append_timeout = std::chrono::seconds(1);
 
     /// After this a forwarded claim not seen on the log is appended here.
     core::duration forward_timeout = std::chrono::milliseconds(250);
--- a/libraries/claims/include/godwit/claims/ledger_change.hpp
+++ b/libraries/claims/include/godwit/claims/ledger_change.hpp
@@ -8,6 +8,15 @@
 
 namespace godwit::claims {
 
+/// What a claim came to when it was folded.
+enum class claim_effect
+{
+    none,    ///< The entry is not a claim.
+    holds,   ///< It holds its key.
+    late,    ///< An earlier claim holds the key, or held it to its end.
+    no_room, ///< The ledger is full: it holds the key on other hosts only.
+};
+
 /// What one entry of a folded record did.
 struct ledger_change
 {
@@ -19,9 +28,7 @@
     /// The attempt, if the entry is a claim.
     std::optional<attempt_id> attempt;
 
-    /// Whether the entry is a claim that holds its key now. A claim that the
-    /// ledger had no room for holds nothing.
-    bool holds = false;
+    claim_effect effect = claim_effect::none;
 
     friend bool
     operator==(const ledger_change&, const ledger_change&) = default;
--- a/libraries/claims/src/ledger.cpp
+++ b/libraries/claims/src/ledger.cpp
@@ -97,13 +97,14 @@
 ledger_change
 ledger::apply(const claim_entry& claim, claim_position at, log_time time)
 {
-    ledger_change change{claim.key, at, claim.attempt, false};
+    ledger_change change{claim.key, at, claim.attempt, claim_effect::late};
     if (entries_.contains(claim.key))
         return change;
-    change.holds = remember(
+    const bool remembered = remember(
         claim.key,
         tenure{intern(claim.holder), claim.request, at, claim.attempt, time},
         at);
+    change.effect = remembered ? claim_effect::holds : claim_effect::no_room;
     return change;
 }
 
@@ -114,13 +115,14 @@
     if (known != entries_.end() && !known->second.finished &&
         known->second.position == release.position)
         entries_.erase(known);
-    return {release.key, at, std::nullopt, false};
+    return {release.key, at, std::nullopt, claim_effect::none};
 }
 
 ledger_change
 ledger::apply(const finished_entry& finished, claim_position at, log_time time)
 {
-    const ledger_change change{finished.key, at, std::nullopt, false};
+    const ledger_change change{
+        finished.key, at, std::nullopt, claim_effect::none};
     const auto known = entries_.find(finished.key);
     if (known == entries_.end()) {
         // The claim was trimmed before this host began to read.
