--- a/libraries/claims/include/godwit/claims/kept_lookup.hpp
+++ b/libraries/claims/include/godwit/claims/kept_lookup.hpp
@@ -24,8 +24,10 @@
     friend bool operator==(const run_kept&, const run_kept&) = default;
 };
 
-/// The claim is settled for this proxy, or about to be, but no run began;
-/// ask again in a moment.
+/// No run began here under this claim. A proxy with an open ask or a start
+/// under way for the key says so and is asked again in a moment; one without
+/// sends `release_asked`, because its agent may have lost the first release
+/// in a restart.
 struct run_not_started
 {
     friend bool
--- a/libraries/claims/src/claimer_outbox.cpp
+++ b/libraries/claims/src/claimer_outbox.cpp
@@ -107,6 +107,9 @@
         if (is_late(item))
             avoided_peers_.insert_or_assign(item.peer, now_ + avoid_peer);
     });
+    // The peer may be at fault, or this host no longer sees the log.
+    if (outbox_.any_of(is_late))
+        settle_wanted_ = true;
     outbox_.requeue_if(is_late, now_, now_);
 }
 
