--- a/libraries/claims/include/godwit/claims/claimer_event.hpp
+++ b/libraries/claims/include/godwit/claims/claimer_event.hpp
@@ -27,13 +27,20 @@
     claim_holder holder;
 };
 
-/// The local proxy does not run the request with this key and will not:
-/// whatever claim `holder` has on it, or comes to have by an append under
-/// way, is given up. An ask still open is withdrawn and gets no answer.
+/// The local proxy no longer waits for `ask` (its caller left); no answer
+/// comes. A claim that it may have made is released when it is seen.
+struct ask_withdrawn
+{
+    std::uint64_t ask = 0;
+    claim_key key;
+};
+
+/// The local proxy gives up the claim at `position`: nothing began under it
+/// (`kept_answers::find` says `run_not_started`) and nothing will.
 struct release_asked
 {
     claim_key key;
-    claim_holder holder;
+    claim_position position;
 };
 
 /// The local proxy's run under a won claim ended.
@@ -130,6 +137,7 @@
 /// What a claimer can be told.
 using claimer_event = std::variant<
     claim_asked,
+    ask_withdrawn,
     release_asked,
     run_finished,
     append_answered,
--- a/libraries/claims/include/godwit/claims/kept_lookup.hpp
+++ b/libraries/claims/include/godwit/claims/kept_lookup.hpp
@@ -26,8 +26,8 @@
 
 /// No run began here under this claim. A proxy with an open ask or a start
 /// under way for the key says so and is asked again in a moment; one without
-/// sends `release_asked`, because its agent may have lost the first release
-/// in a restart.
+/// sends `release_asked` for that claim, because its agent may have lost the
+/// claim's answer or the first release in a restart.
 struct run_not_started
 {
     friend bool
--- a/libraries/claims/src/claimer_asks.cpp
+++ b/libraries/claims/src/claimer_asks.cpp
@@ -16,10 +16,6 @@
 // Proxies that are gone, remembered for `claim_held::holder_gone`.
 constexpr std::size_t gone_limit = 256;
 
-// Claims given up before they were seen on the log.
-constexpr std::size_t disowned_limit = 4096;
-constexpr core::duration disowned_lifetime = std::chrono::minutes(5);
-
 constexpr core::duration retry_base = std::chrono::seconds(1);
 constexpr core::duration retry_releasing = std::chrono::milliseconds(200);
 
@@ -163,24 +159,23 @@
     }
 }
 
-void claimer::state::on(const release_asked& event)
+void claimer::state::on(const ask_withdrawn& event)
 {
     const auto work = works_.find(event.key);
-    if (work != works_.end() && work->second.holder == event.holder) {
-        outbox_.remove(work->second.item);
-        works_.erase(work);
-    }
-    const auto held = ledger_.holder_of(event.key);
-    if (held && held->holder == event.holder)
-        return release(event.key, held->position);
-    // An earlier run of this agent may have sent the claim. It is released
-    // if it turns up; what is dropped here stays held, which is safe.
-    std::erase_if(disowned_, [this](const auto& item) {
-        return item.second.until <= now_;
-    });
-    if (disowned_.size() < disowned_limit)
-        disowned_.insert_or_assign(
-            event.key, disowned_claim{event.holder, now_ + disowned_lifetime});
+    if (work == works_.end())
+        return;
+    std::erase(work->second.asks, event.ask);
+    if (!work->second.asks.empty())
+        return;
+    outbox_.remove(work->second.item);
+    works_.erase(work);
+}
+
+// The position names one claim, so that a release can neither meet a later
+// claim of the key nor do harm when it comes twice.
+void claimer::state::on(const release_asked& event)
+{
+    release(event.key, event.position);
 }
 
 void claimer::state::on(const run_finished& event)
--- a/libraries/claims/src/claimer_log.cpp
+++ b/libraries/claims/src/claimer_log.cpp
@@ -38,8 +38,6 @@
     for (const auto& change : changes) {
         if (change.attempt && change.attempt->claimer == settings_.claimer)
             take_own_claim(change);
-        else if (change.effect == claim_effect::holds)
-            release_disowned(change);
         settle_work(change.key);
     }
 }
@@ -74,16 +72,6 @@
     return true;
 }
 
-void claimer::state::release_disowned(const ledger_change& change)
-{
-    const auto disowned = disowned_.find(change.key);
-    if (disowned == disowned_.end() || disowned->second.until <= now_)
-        return;
-    const auto held = ledger_.holder_of(change.key);
-    if (held && held->holder == disowned->second.holder)
-        release(change.key, change.position);
-}
-
 void claimer::state::settle_work(const claim_key& key)
 {
     const auto work = works_.find(key);
--- a/libraries/claims/src/claimer_state.hpp
+++ b/libraries/claims/src/claimer_state.hpp
@@ -46,14 +46,9 @@
 private:
     using work_map = std::unordered_map<claim_key, claim_work>;
 
-    struct disowned_claim
-    {
-        claim_holder holder;
-        core::time_point until;
-    };
-
     // Events of the proxies.
     void on(const claim_asked& event);
+    void on(const ask_withdrawn& event);
     void on(const release_asked& event);
     void on(const run_finished& event);
     void on(const proxy_gone& event);
@@ -97,7 +92,6 @@
     void take_changes(const std::vector<ledger_change>& changes);
     void take_own_claim(const ledger_change& change);
     bool grant(const ledger_change& change);
-    void release_disowned(const ledger_change& change);
     void settle_work(const claim_key& key);
     void settle_items(const log_read& read, bool caught_up);
     [[nodiscard]] bool is_settled(const record_entry& entry) const;
@@ -131,7 +125,6 @@
 
     work_map works_;
     std::uint64_t last_attempt_ = 0;
-    std::unordered_map<claim_key, disowned_claim> disowned_;
     std::deque<core::incarnation_id> gone_;
 
     std::map<core::host_name, std::vector<record_entry>> forwards_;
