--- a/libraries/settings/include/godwit/settings/reader.hpp
+++ b/libraries/settings/include/godwit/settings/reader.hpp
@@ -105,6 +105,16 @@
     /// Refuses keys that no get has named.
     [[nodiscard]] core::result<void> finish() const;
 
+    /// The same, and hands `value` on if there are none.
+    template<class Value>
+    [[nodiscard]] core::result<Value> finish(Value value) const
+    {
+        const auto finished = finish();
+        if (!finished)
+            return tl::unexpected(finished.error());
+        return value;
+    }
+
     /// The path of `key` as messages write it, such as "listen.callers".
     [[nodiscard]] std::string path_of(std::string_view key) const;
 
--- a/services/proxy/caller_request_reader.cpp
+++ b/services/proxy/caller_request_reader.cpp
@@ -78,7 +78,8 @@
 }
 
 outcome_of<std::shared_ptr<const catalogue::service>> read_service(
-    const catalogue::state& from, std::string_view name,
+    const catalogue::state& from,
+    std::string_view name,
     catalogue::service_kind kind)
 {
     auto found = from.find_service(core::service_name(std::string(name)));
@@ -240,8 +241,8 @@
     return body;
 }
 
-outcome_of<std::uint32_t> read_max_tokens(
-    const completion_body& body, const catalogue::service& service)
+outcome_of<std::uint32_t>
+read_max_tokens(const completion_body& body, const catalogue::service& service)
 {
     const std::int64_t most = service.limits.maximum_tokens;
     const std::int64_t wanted = body.max_tokens.value_or(most);
@@ -255,7 +256,8 @@
 }
 
 outcome_of<core::class_name> read_class(
-    const std::optional<std::string>& named, const catalogue::state& from,
+    const std::optional<std::string>& named,
+    const catalogue::state& from,
     const caller_request& request)
 {
     if (!named) {
@@ -273,12 +275,12 @@
     return name;
 }
 
-outcome_of<void>
-check_size(const http::request& received, const catalogue::service& service)
+outcome_of<caller_request>
+check_size(const http::request& received, caller_request request)
 {
-    const std::size_t most = service.limits.maximum_body_bytes;
+    const std::size_t most = request.service->limits.maximum_body_bytes;
     if (most == 0 || received.body.size() <= most)
-        return {};
+        return request;
     return refuse(
         413,
         "body_too_large",
@@ -287,17 +289,6 @@
         "send a smaller body");
 }
 
-outcome_of<void> check_method(const http::request& received)
-{
-    if (received.method == "POST")
-        return {};
-    return refuse(
-        405,
-        "wrong_method",
-        "the path takes POST only",
-        "send the request with POST");
-}
-
 // What belongs to one hop (RFC 9110, section 7.6.1), to the caller's own
 // dealings with us, or to nobody behind us.
 bool is_passed_on(std::string_view name)
@@ -325,8 +316,7 @@
     return !http::same_field_name(name.substr(0, own.size()), own);
 }
 
-http::request
-passed_on(const http::request& received, std::string_view rest)
+http::request passed_on(const http::request& received, std::string_view rest)
 {
     http::request outgoing;
     outgoing.method = received.method;
@@ -342,7 +332,8 @@
 } // namespace
 
 caller_request_reader::caller_request_reader(
-    const catalogue::state& catalogue, const request::token_keyring& keys,
+    const catalogue::state& catalogue,
+    const request::token_keyring& keys,
     std::int64_t unix_now)
     : catalogue_(catalogue), keys_(keys), unix_now_(unix_now)
 {}
@@ -358,27 +349,29 @@
             "unknown_path",
             "there is nothing at this path",
             "use /v1/completions or /v1/services/{service}/");
-    GODWIT_TRY(check_method(received));
+    if (received.method != "POST")
+        return refuse(
+            405,
+            "wrong_method",
+            "the path takes POST only",
+            "send the request with POST");
 
     caller_request request;
-    request.organisation =
-        GODWIT_TRY(read_organisation(received, catalogue_));
+    request.organisation = GODWIT_TRY(read_organisation(received, catalogue_));
     request.key = GODWIT_TRY(read_key(received));
     request.repeat = GODWIT_TRY(read_repeatability(received));
-    if (is_completion)
-        GODWIT_TRY(read_completion(received, request));
-    else
-        GODWIT_TRY(read_call(received, request));
-    GODWIT_TRY(check_size(received, *request.service));
+    request = is_completion
+                  ? GODWIT_TRY(read_completion(received, std::move(request)))
+                  : GODWIT_TRY(read_call(received, std::move(request)));
+    request = GODWIT_TRY(check_size(received, std::move(request)));
     request.deadline = GODWIT_TRY(read_deadline(received, *request.service));
     return request;
 }
 
-tl::expected<void, problem> caller_request_reader::read_completion(
-    const http::request& received, caller_request& request) const
+tl::expected<caller_request, problem> caller_request_reader::read_completion(
+    const http::request& received, caller_request request) const
 {
-    const auto last_event =
-        GODWIT_TRY(single_field(received, "Last-Event-ID"));
+    const auto last_event = GODWIT_TRY(single_field(received, "Last-Event-ID"));
     // A client that reconnects may send its request again or leave the body
     // out: the token says everything.
     completion_body body;
@@ -407,11 +400,11 @@
     request.mode = body.stream ? request::answer_mode::streamed
                                : request::answer_mode::whole;
     request.prompt = std::move(body.prompt);
-    return {};
+    return request;
 }
 
-tl::expected<void, problem> caller_request_reader::read_call(
-    const http::request& received, caller_request& request) const
+tl::expected<caller_request, problem> caller_request_reader::read_call(
+    const http::request& received, caller_request request) const
 {
     const auto rest =
         std::string_view(received.target).substr(services_path.size());
@@ -425,9 +418,9 @@
     const auto behind =
         end == std::string_view::npos ? std::string_view() : rest.substr(end);
     const bool needs_slash = !behind.starts_with('/');
-    request.passed_on = passed_on(
-        received, (needs_slash ? "/" : "") + std::string(behind));
-    return {};
+    request.passed_on =
+        passed_on(received, (needs_slash ? "/" : "") + std::string(behind));
+    return request;
 }
 
 } // namespace godwit::proxy
--- a/services/proxy/caller_request_reader.hpp
+++ b/services/proxy/caller_request_reader.hpp
@@ -21,7 +21,8 @@
     /// Reads against `catalogue`; `unix_now` is in seconds and judges resume
     /// tokens. The arguments must outlive the object.
     caller_request_reader(
-        const catalogue::state& catalogue, const request::token_keyring& keys,
+        const catalogue::state& catalogue,
+        const request::token_keyring& keys,
         std::int64_t unix_now);
 
     /// The request behind `received`, or why it is refused.
@@ -29,10 +30,10 @@
     read(const http::request& received) const;
 
 private:
-    tl::expected<void, problem> read_completion(
-        const http::request& received, caller_request& request) const;
-    tl::expected<void, problem>
-    read_call(const http::request& received, caller_request& request) const;
+    tl::expected<caller_request, problem> read_completion(
+        const http::request& received, caller_request request) const;
+    tl::expected<caller_request, problem>
+    read_call(const http::request& received, caller_request request) const;
 
     const catalogue::state& catalogue_;
     const request::token_keyring& keys_;
--- a/services/proxy/proxy_settings.cpp
+++ b/services/proxy/proxy_settings.cpp
@@ -18,7 +18,9 @@
 constexpr std::size_t most_resume_keys = 8;
 
 core::result<std::size_t> read_count(
-    reader& from, std::string_view key, settings::range<std::int64_t> allowed,
+    reader& from,
+    std::string_view key,
+    settings::range<std::int64_t> allowed,
     std::size_t absent)
 {
     return static_cast<std::size_t>(GODWIT_TRY(
@@ -26,8 +28,10 @@
 }
 
 core::result<core::duration> read_span(
-    reader& from, std::string_view key,
-    settings::range<std::chrono::milliseconds> allowed, core::duration absent)
+    reader& from,
+    std::string_view key,
+    settings::range<std::chrono::milliseconds> allowed,
+    core::duration absent)
 {
     return from.get_milliseconds(
         key,
@@ -62,10 +66,9 @@
         read_span(from, "header_ms", {10ms, 10min}, limits.header_timeout));
     limits.body_timeout = GODWIT_TRY(
         read_span(from, "body_ms", {10ms, 10min}, limits.body_timeout));
-    limits.idle_timeout = GODWIT_TRY(
-        read_span(from, "idle_ms", {10ms, 1h}, limits.idle_timeout));
-    GODWIT_TRY(from.finish());
-    return limits;
+    limits.idle_timeout =
+        GODWIT_TRY(read_span(from, "idle_ms", {10ms, 1h}, limits.idle_timeout));
+    return from.finish(std::move(limits));
 }
 
 core::result<caller_settings> read_callers(reader& file)
@@ -78,8 +81,7 @@
         from, "buffer_bytes", {1024, 16 * 1024 * 1024}, callers.buffer_bytes));
     callers.slow_limit = GODWIT_TRY(
         read_span(from, "slow_ms", {10ms, 10min}, callers.slow_limit));
-    GODWIT_TRY(from.finish());
-    return callers;
+    return from.finish(std::move(callers));
 }
 
 core::result<backend_settings> read_backend(reader& file)
@@ -94,30 +96,29 @@
         read_span(from, "load_timeout_ms", {10ms, 1min}, backend.load_timeout));
     backend.answer_bytes = GODWIT_TRY(read_count(
         from, "answer_bytes", {1024, 256 * 1024 * 1024}, backend.answer_bytes));
-    GODWIT_TRY(from.finish());
-    return backend;
+    return from.finish(std::move(backend));
 }
 
 core::result<request::life_settings> read_life(reader& file)
 {
     auto from = GODWIT_TRY(file.get_object("request"));
     request::life_settings life;
-    life.claim_wait = GODWIT_TRY(
-        read_span(from, "claim_ms", {10ms, 1min}, life.claim_wait));
-    life.holder_wait = GODWIT_TRY(
-        read_span(from, "holder_ms", {10ms, 1h}, life.holder_wait));
+    life.claim_wait =
+        GODWIT_TRY(read_span(from, "claim_ms", {10ms, 1min}, life.claim_wait));
+    life.holder_wait =
+        GODWIT_TRY(read_span(from, "holder_ms", {10ms, 1h}, life.holder_wait));
     life.connect_wait = GODWIT_TRY(
         read_span(from, "connect_ms", {10ms, 1min}, life.connect_wait));
-    life.head_wait = GODWIT_TRY(
-        read_span(from, "head_ms", {10ms, 1h}, life.head_wait));
-    life.stall_wait = GODWIT_TRY(
-        read_span(from, "stall_ms", {10ms, 10min}, life.stall_wait));
+    life.head_wait =
+        GODWIT_TRY(read_span(from, "head_ms", {10ms, 1h}, life.head_wait));
+    life.stall_wait =
+        GODWIT_TRY(read_span(from, "stall_ms", {10ms, 10min}, life.stall_wait));
     life.preempted_wait = GODWIT_TRY(
         read_span(from, "preempted_ms", {10ms, 1h}, life.preempted_wait));
     life.end_wait =
         GODWIT_TRY(read_span(from, "end_ms", {10ms, 1min}, life.end_wait));
-    life.orphan_wait = GODWIT_TRY(
-        read_span(from, "orphan_ms", {10ms, 1h}, life.orphan_wait));
+    life.orphan_wait =
+        GODWIT_TRY(read_span(from, "orphan_ms", {10ms, 1h}, life.orphan_wait));
     life.backoff_base = GODWIT_TRY(
         read_span(from, "backoff_ms", {1ms, 1min}, life.backoff_base));
     life.backoff_limit = GODWIT_TRY(
@@ -128,8 +129,7 @@
         GODWIT_TRY(read_count(from, "attempts", {1, 10}, life.attempt_limit)));
     life.resume_limit = static_cast<std::uint32_t>(GODWIT_TRY(
         read_count(from, "resume_tries", {1, 100}, life.resume_limit)));
-    GODWIT_TRY(from.finish());
-    return life;
+    return from.finish(std::move(life));
 }
 
 core::result<dispatch::scheduler_settings>
@@ -142,8 +142,7 @@
         read_count(from, "candidates", {1, 64}, dispatch.candidates)));
     dispatch.length_quantile = GODWIT_TRY(from.get_number(
         "length_quantile", {0.01, 0.99}, dispatch.length_quantile));
-    GODWIT_TRY(from.finish());
-    return dispatch;
+    return from.finish(std::move(dispatch));
 }
 
 core::result<drain_settings> read_drain(reader& file)
@@ -154,15 +153,15 @@
         read_span(from, "readiness_ms", {0ms, 10min}, drain.readiness));
     drain.limit =
         GODWIT_TRY(read_span(from, "limit_ms", {1ms, 24h}, drain.limit));
-    GODWIT_TRY(from.finish());
-    return drain;
+    return from.finish(std::move(drain));
 }
 
 core::result<std::vector<request::token_key>> read_resume_keys(reader& file)
 {
     constexpr std::size_t longest_id = 16;
     std::vector<request::token_key> keys;
-    auto objects = GODWIT_TRY(file.get_objects("resume_keys", most_resume_keys));
+    auto objects =
+        GODWIT_TRY(file.get_objects("resume_keys", most_resume_keys));
     if (objects.empty())
         return core::fail(
             core::error_kind::invalid_input,
@@ -170,11 +169,9 @@
             "write at least one, the same on every entry host");
     for (auto& object : objects) {
         request::token_key key;
-        key.id = GODWIT_TRY(
-            object.get_string("id", std::nullopt, longest_id));
+        key.id = GODWIT_TRY(object.get_string("id", std::nullopt, longest_id));
         key.secret = GODWIT_TRY(object.get_string("secret"));
-        GODWIT_TRY(object.finish());
-        keys.push_back(std::move(key));
+        keys.push_back(GODWIT_TRY(object.finish(std::move(key))));
     }
     return keys;
 }
@@ -188,8 +185,7 @@
         GODWIT_TRY(from.get_string("zone", std::nullopt, longest_name)));
     server.service = core::service_name(
         GODWIT_TRY(from.get_string("service", std::nullopt, longest_name)));
-    GODWIT_TRY(from.finish());
-    return server;
+    return from.finish(std::move(server));
 }
 
 core::result<catalogue::change_set> read_static_catalogue(reader& from)
@@ -208,18 +204,26 @@
 {
     auto from = GODWIT_TRY(file.get_object("static"));
     static_settings fixed;
-    auto servers =
-        GODWIT_TRY(from.get_objects("servers", most_static_servers));
+    auto servers = GODWIT_TRY(from.get_objects("servers", most_static_servers));
     for (auto& server : servers)
         fixed.servers.push_back(GODWIT_TRY(read_static_server(server)));
     if (from.has("catalogue"))
         fixed.catalogue = GODWIT_TRY(read_static_catalogue(from));
-    GODWIT_TRY(from.finish());
-    return fixed;
+    return from.finish(std::move(fixed));
 }
 
 } // namespace
 
+proxy_settings::proxy_settings(
+    core::host_name own_host,
+    core::zone_name own_zone,
+    settings::address callers_at,
+    settings::address operators_at)
+    : host(std::move(own_host)), zone(std::move(own_zone)),
+      callers_address(std::move(callers_at)),
+      operators_address(std::move(operators_at))
+{}
+
 core::result<proxy_settings> proxy_settings::read(reader file)
 {
     const core::host_name host(
@@ -229,23 +233,17 @@
     auto listen = GODWIT_TRY(file.get_object("listen"));
     auto callers_address = GODWIT_TRY(listen.get_address("callers"));
     auto operators_address = GODWIT_TRY(listen.get_address("operators"));
-    GODWIT_TRY(listen.finish());
+    operators_address = GODWIT_TRY(listen.finish(std::move(operators_address)));
 
-    proxy_settings read{
-        .host = host,
-        .zone = zone,
-        .callers_address = std::move(callers_address),
-        .operators_address = std::move(operators_address)};
+    proxy_settings read(
+        host, zone, std::move(callers_address), std::move(operators_address));
     read.agent = GODWIT_TRY(file.get_optional_address("agent"));
     read.log_level = GODWIT_TRY(read_log_level(file));
     read.traffic_threads = GODWIT_TRY(
         read_count(file, "traffic_threads", {1, 64}, read.traffic_threads));
-    read.http_limits =
-        GODWIT_TRY(read_http_limits(file));
-    read.callers =
-        GODWIT_TRY(read_callers(file));
-    read.backend =
-        GODWIT_TRY(read_backend(file));
+    read.http_limits = GODWIT_TRY(read_http_limits(file));
+    read.callers = GODWIT_TRY(read_callers(file));
+    read.backend = GODWIT_TRY(read_backend(file));
     read.life = GODWIT_TRY(read_life(file));
     read.dispatch = GODWIT_TRY(read_dispatch(file, zone));
     read.drain = GODWIT_TRY(read_drain(file));
@@ -255,8 +253,7 @@
     read.explain_records = GODWIT_TRY(read_count(
         file, "explain_records", {1, 1000000}, read.explain_records));
     read.fixed = GODWIT_TRY(read_static(file));
-    GODWIT_TRY(file.finish());
-    return read;
+    return file.finish(std::move(read));
 }
 
 } // namespace godwit::proxy
--- a/services/proxy/proxy_settings.hpp
+++ b/services/proxy/proxy_settings.hpp
@@ -25,6 +25,13 @@
 /// in docs/SETTINGS.md.
 struct proxy_settings
 {
+    /// Everything else has a default.
+    proxy_settings(
+        core::host_name own_host,
+        core::zone_name own_zone,
+        settings::address callers_at,
+        settings::address operators_at);
+
     core::host_name host;
     core::zone_name zone;
     settings::address callers_address;
--- /dev/null
+++ b/services/proxy/request_metrics.cpp
@@ -0,0 +1,89 @@
+#include "request_metrics.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace godwit::proxy {
+
+namespace {
+
+double seconds(core::duration span)
+{
+    return std::chrono::duration<double>(span).count();
+}
+
+} // namespace
+
+request_metrics::request_metrics(
+    telemetry::metrics& into,
+    core::service_name service,
+    core::class_name request_class,
+    core::time_point accepted_at)
+    : into_(into), labels_{std::move(service), std::move(request_class)},
+      gaps_(into.seconds_histogram(
+          "godwit_token_gap_seconds",
+          "Time between two arrivals of tokens of one generation.",
+          labels_)),
+      accepted_at_(accepted_at)
+{}
+
+void request_metrics::tokens_arrived(core::time_point now)
+{
+    const auto waited = now - last_token_at_.value_or(accepted_at_);
+    longest_wait_ = std::max(longest_wait_, waited);
+    if (last_token_at_)
+        gaps_.Observe(seconds(waited));
+    else
+        into_
+            .seconds_histogram(
+                "godwit_first_token_seconds",
+                "Time from a generation's arrival to its first token.",
+                labels_)
+            .Observe(seconds(waited));
+    last_token_at_ = now;
+}
+
+void request_metrics::preempted()
+{
+    into_
+        .counter(
+            "godwit_preemptions_total",
+            "Generations that an engine pushed off.",
+            labels_)
+        .Increment();
+}
+
+void request_metrics::crossed()
+{
+    into_
+        .counter(
+            "godwit_crossed_answers_total",
+            "Answers dropped because they carried another request's id.",
+            labels_)
+        .Increment();
+}
+
+void request_metrics::finished(core::outcome outcome, core::time_point now)
+{
+    const auto waited = now - last_token_at_.value_or(accepted_at_);
+    longest_wait_ = std::max(longest_wait_, waited);
+    into_
+        .seconds_histogram(
+            "godwit_stall_seconds",
+            "The longest time in one request with nothing arriving.",
+            labels_)
+        .Observe(seconds(longest_wait_));
+    into_
+        .seconds_histogram(
+            "godwit_request_seconds",
+            "Time from a request's arrival to its end.",
+            labels_)
+        .Observe(seconds(now - accepted_at_));
+    auto by_outcome = labels_;
+    by_outcome.outcome = outcome;
+    into_.counter("godwit_requests_total", "Requests that ended.", by_outcome)
+        .Increment();
+}
+
+} // namespace godwit::proxy
--- /dev/null
+++ b/services/proxy/request_metrics.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <godwit/core/identifiers.hpp>
+#include <godwit/core/outcome.hpp>
+#include <godwit/core/time.hpp>
+#include <godwit/telemetry/metrics.hpp>
+
+#include <optional>
+
+namespace godwit::proxy {
+
+/// Measures one request for the three measures: stall time, preemptions and
+/// gaps between tokens. Used on the request's strand.
+class request_metrics
+{
+public:
+    request_metrics(
+        telemetry::metrics& into,
+        core::service_name service,
+        core::class_name request_class,
+        core::time_point accepted_at);
+
+    /// Tokens were handed to the caller, or collected for it.
+    void tokens_arrived(core::time_point now);
+
+    /// An engine pushed the generation off.
+    void preempted();
+
+    /// An answer that belonged to another request was dropped.
+    void crossed();
+
+    /// The request ended.
+    void finished(core::outcome outcome, core::time_point now);
+
+private:
+    telemetry::metrics& into_;
+    telemetry::labels labels_;
+    prometheus::Histogram& gaps_;
+    core::time_point accepted_at_;
+    std::optional<core::time_point> last_token_at_;
+    core::duration longest_wait_{};
+};
+
+} // namespace godwit::proxy
--- a/services/proxy/static_server.hpp
+++ b/services/proxy/static_server.hpp
@@ -11,7 +11,8 @@
     core::zone_name zone;
     core::service_name service;
 
-    friend bool operator==(const static_server&, const static_server&) = default;
+    friend bool
+    operator==(const static_server&, const static_server&) = default;
 };
 
 } // namespace godwit::proxy
