--- /dev/null
+++ b/libraries/platform/include/godwit/platform/host_list.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <godwit/platform/host_entry.hpp>
+
+#include <vector>
+
+namespace godwit::platform {
+
+/// The whole host list, sorted by address.
+using host_list = std::vector<host_entry>;
+
+} // namespace godwit::platform
--- /dev/null
+++ b/libraries/platform/include/godwit/platform/log_client_counters.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstdint>
+
+namespace godwit::platform {
+
+/// What one host asked of the log.
+struct log_client_counters
+{
+    std::uint64_t appends = 0;         ///< Sent.
+    std::uint64_t appends_unknown = 0; ///< Whose effect is unknown.
+    std::uint64_t appends_refused = 0; ///< Not done, over budget included.
+    std::uint64_t reads = 0;
+    std::uint64_t reads_failed = 0;
+
+    friend bool operator==(
+        const log_client_counters&, const log_client_counters&) = default;
+};
+
+} // namespace godwit::platform
--- a/libraries/wire/include/godwit/wire/backend_server.hpp
+++ b/libraries/wire/include/godwit/wire/backend_server.hpp
@@ -15,7 +15,8 @@
     server_kind kind = server_kind::plain;
     server_state state = server_state::live;
 
-    friend bool operator==(const backend_server&, const backend_server&) = default;
+    friend bool
+    operator==(const backend_server&, const backend_server&) = default;
 };
 
 } // namespace godwit::wire
--- a/libraries/wire/include/godwit/wire/backend_servers.hpp
+++ b/libraries/wire/include/godwit/wire/backend_servers.hpp
@@ -15,7 +15,8 @@
     std::vector<backend_server> servers;
     std::vector<core::server_address> removed;
 
-    friend bool operator==(const backend_servers&, const backend_servers&) = default;
+    friend bool
+    operator==(const backend_servers&, const backend_servers&) = default;
 };
 
 } // namespace godwit::wire
--- a/libraries/wire/include/godwit/wire/catalogue_change.hpp
+++ b/libraries/wire/include/godwit/wire/catalogue_change.hpp
@@ -18,7 +18,8 @@
     /// The record as it stands on the log.
     std::string record;
 
-    friend bool operator==(const catalogue_change&, const catalogue_change&) = default;
+    friend bool
+    operator==(const catalogue_change&, const catalogue_change&) = default;
 };
 
 } // namespace godwit::wire
--- a/libraries/wire/include/godwit/wire/catalogue_position.hpp
+++ b/libraries/wire/include/godwit/wire/catalogue_position.hpp
@@ -12,7 +12,8 @@
     std::uint64_t next_offset = 0;
     std::uint64_t hash = 0;
 
-    friend bool operator==(const catalogue_position&, const catalogue_position&) = default;
+    friend bool
+    operator==(const catalogue_position&, const catalogue_position&) = default;
 };
 
 } // namespace godwit::wire
--- a/libraries/wire/include/godwit/wire/catalogue_snapshot.hpp
+++ b/libraries/wire/include/godwit/wire/catalogue_snapshot.hpp
@@ -17,7 +17,8 @@
     std::uint32_t chunk_count = 1;
     std::string content;
 
-    friend bool operator==(const catalogue_snapshot&, const catalogue_snapshot&) = default;
+    friend bool
+    operator==(const catalogue_snapshot&, const catalogue_snapshot&) = default;
 };
 
 } // namespace godwit::wire
--- a/libraries/wire/include/godwit/wire/claim_finished.hpp
+++ b/libraries/wire/include/godwit/wire/claim_finished.hpp
@@ -16,7 +16,8 @@
     core::outcome outcome = core::outcome::unknown;
     std::uint64_t answer_digest = 0;
 
-    friend bool operator==(const claim_finished&, const claim_finished&) = default;
+    friend bool
+    operator==(const claim_finished&, const claim_finished&) = default;
 };
 
 } // namespace godwit::wire
--- a/libraries/wire/include/godwit/wire/claim_forward.hpp
+++ b/libraries/wire/include/godwit/wire/claim_forward.hpp
@@ -12,7 +12,8 @@
     std::uint64_t correlation = 0;
     std::string record;
 
-    friend bool operator==(const claim_forward&, const claim_forward&) = default;
+    friend bool
+    operator==(const claim_forward&, const claim_forward&) = default;
 };
 
 } // namespace godwit::wire
--- a/libraries/wire/include/godwit/wire/claim_forward_answer.hpp
+++ b/libraries/wire/include/godwit/wire/claim_forward_answer.hpp
@@ -10,7 +10,8 @@
     std::uint64_t correlation = 0;
     bool accepted = false;
 
-    friend bool operator==(const claim_forward_answer&, const claim_forward_answer&) = default;
+    friend bool operator==(
+        const claim_forward_answer&, const claim_forward_answer&) = default;
 };
 
 } // namespace godwit::wire
--- a/libraries/wire/include/godwit/wire/claim_release.hpp
+++ b/libraries/wire/include/godwit/wire/claim_release.hpp
@@ -12,7 +12,8 @@
     std::string key;
     claim_holder holder;
 
-    friend bool operator==(const claim_release&, const claim_release&) = default;
+    friend bool
+    operator==(const claim_release&, const claim_release&) = default;
 };
 
 } // namespace godwit::wire
--- a/libraries/wire/include/godwit/wire/claim_request.hpp
+++ b/libraries/wire/include/godwit/wire/claim_request.hpp
@@ -18,7 +18,8 @@
     std::string fingerprint;
     claim_holder holder;
 
-    friend bool operator==(const claim_request&, const claim_request&) = default;
+    friend bool
+    operator==(const claim_request&, const claim_request&) = default;
 };
 
 } // namespace godwit::wire
--- a/libraries/wire/include/godwit/wire/peer_role.hpp
+++ b/libraries/wire/include/godwit/wire/peer_role.hpp
@@ -9,7 +9,7 @@
 {
     agent, ///< An agent of an entry host.
     proxy, ///< A proxy, at its own agent.
-    tool, ///< A program of an operator or a test.
+    tool,  ///< A program of an operator or a test.
 };
 
 } // namespace godwit::wire
--- a/libraries/wire/include/godwit/wire/server_kind.hpp
+++ b/libraries/wire/include/godwit/wire/server_kind.hpp
@@ -8,7 +8,7 @@
 enum class server_kind : std::uint8_t
 {
     engine, ///< A model engine: batches, streams, resumes.
-    plain, ///< A plain service: one answer a call.
+    plain,  ///< A plain service: one answer a call.
 };
 
 } // namespace godwit::wire
--- a/libraries/wire/src/codec.cpp
+++ b/libraries/wire/src/codec.cpp
@@ -115,8 +115,7 @@
             const auto table = write(out, alternative);
             format::FinishframeBuffer(
                 out,
-                format::Createframe(
-                    out, payload_type(table), table.Union()));
+                format::Createframe(out, payload_type(table), table.Union()));
         },
         value);
     return {
--- a/libraries/wire/src/message_reader.cpp
+++ b/libraries/wire/src/message_reader.cpp
@@ -6,7 +6,14 @@
 
 hello read(const format::hello& table, frame_reader& reader)
 {
-    return hello{.version = table.version(), .role = reader.enumerator<peer_role>(table.role()), .host = reader.identifier<core::host_name>(table.host()), .zone = reader.identifier<core::zone_name>(table.zone()), .incarnation = reader.identifier<core::incarnation_id>(table.incarnation()), .address = reader.text(table.address())};
+    return hello{
+        .version = table.version(),
+        .role = reader.enumerator<peer_role>(table.role()),
+        .host = reader.identifier<core::host_name>(table.host()),
+        .zone = reader.identifier<core::zone_name>(table.zone()),
+        .incarnation =
+            reader.identifier<core::incarnation_id>(table.incarnation()),
+        .address = reader.text(table.address())};
 }
 
 heartbeat read(const format::heartbeat& /*table*/, frame_reader& /*reader*/)
@@ -14,74 +21,131 @@
     return heartbeat{};
 }
 
-catalogue_snapshot read(const format::catalogue_snapshot& table, frame_reader& reader)
+catalogue_snapshot
+read(const format::catalogue_snapshot& table, frame_reader& reader)
 {
-    return catalogue_snapshot{.next_offset = table.next_offset(), .hash = table.hash(), .chunk_index = table.chunk_index(), .chunk_count = table.chunk_count(), .content = reader.text(table.content())};
+    return catalogue_snapshot{
+        .next_offset = table.next_offset(),
+        .hash = table.hash(),
+        .chunk_index = table.chunk_index(),
+        .chunk_count = table.chunk_count(),
+        .content = reader.text(table.content())};
 }
 
-catalogue_change read(const format::catalogue_change& table, frame_reader& reader)
+catalogue_change
+read(const format::catalogue_change& table, frame_reader& reader)
 {
-    return catalogue_change{.offset = table.offset(), .time_ms = table.time_ms(), .hash = table.hash(), .record = reader.text(table.record())};
+    return catalogue_change{
+        .offset = table.offset(),
+        .time_ms = table.time_ms(),
+        .hash = table.hash(),
+        .record = reader.text(table.record())};
 }
 
-catalogue_position read(const format::catalogue_position& table, frame_reader& /*reader*/)
+catalogue_position
+read(const format::catalogue_position& table, frame_reader& /*reader*/)
 {
-    return catalogue_position{.next_offset = table.next_offset(), .hash = table.hash()};
+    return catalogue_position{
+        .next_offset = table.next_offset(), .hash = table.hash()};
 }
 
 backend_server read(const format::backend_server& table, frame_reader& reader)
 {
-    return backend_server{.address = reader.identifier<core::server_address>(table.address()), .zone = reader.identifier<core::zone_name>(table.zone()), .service = reader.identifier<core::service_name>(table.service()), .kind = reader.enumerator<server_kind>(table.kind()), .state = reader.enumerator<server_state>(table.state())};
+    return backend_server{
+        .address = reader.identifier<core::server_address>(table.address()),
+        .zone = reader.identifier<core::zone_name>(table.zone()),
+        .service = reader.identifier<core::service_name>(table.service()),
+        .kind = reader.enumerator<server_kind>(table.kind()),
+        .state = reader.enumerator<server_state>(table.state())};
 }
 
 backend_servers read(const format::backend_servers& table, frame_reader& reader)
 {
-    return backend_servers{.whole = table.whole(), .servers = reader.list<backend_server>(table.servers()), .removed = reader.identifiers<core::server_address>(table.removed())};
+    return backend_servers{
+        .whole = table.whole(),
+        .servers = reader.list<backend_server>(table.servers()),
+        .removed = reader.identifiers<core::server_address>(table.removed())};
 }
 
 server_sign read(const format::server_sign& table, frame_reader& reader)
 {
-    return server_sign{.address = reader.identifier<core::server_address>(table.address()), .kind = reader.enumerator<sign_kind>(table.kind()), .age_ms = table.age_ms()};
+    return server_sign{
+        .address = reader.identifier<core::server_address>(table.address()),
+        .kind = reader.enumerator<sign_kind>(table.kind()),
+        .age_ms = table.age_ms()};
 }
 
 claim_holder read(const format::claim_holder& table, frame_reader& reader)
 {
-    return claim_holder{.host = reader.identifier<core::host_name>(table.host()), .incarnation = reader.identifier<core::incarnation_id>(table.incarnation()), .peer_address = reader.text(table.peer_address())};
+    return claim_holder{
+        .host = reader.identifier<core::host_name>(table.host()),
+        .incarnation =
+            reader.identifier<core::incarnation_id>(table.incarnation()),
+        .peer_address = reader.text(table.peer_address())};
 }
 
 claim_request read(const format::claim_request& table, frame_reader& reader)
 {
-    return claim_request{.ask = table.ask(), .key = reader.text(table.key()), .fingerprint = reader.text(table.fingerprint()), .holder = reader.table<claim_holder>(table.holder())};
+    return claim_request{
+        .ask = table.ask(),
+        .key = reader.text(table.key()),
+        .fingerprint = reader.text(table.fingerprint()),
+        .holder = reader.table<claim_holder>(table.holder())};
 }
 
 claim_answer read(const format::claim_answer& table, frame_reader& reader)
 {
-    return claim_answer{.ask = table.ask(), .verdict = reader.enumerator<claim_verdict>(table.verdict()), .offset = table.offset(), .index = table.index(), .start_before_us = table.start_before_us(), .holder = reader.table<claim_holder>(table.holder()), .holder_gone = table.holder_gone(), .outcome = reader.enumerator<core::outcome>(table.outcome()), .answer_digest = table.answer_digest(), .obstacle = reader.enumerator<claim_obstacle>(table.obstacle()), .retry_after_ms = table.retry_after_ms()};
+    return claim_answer{
+        .ask = table.ask(),
+        .verdict = reader.enumerator<claim_verdict>(table.verdict()),
+        .offset = table.offset(),
+        .index = table.index(),
+        .start_before_us = table.start_before_us(),
+        .holder = reader.table<claim_holder>(table.holder()),
+        .holder_gone = table.holder_gone(),
+        .outcome = reader.enumerator<core::outcome>(table.outcome()),
+        .answer_digest = table.answer_digest(),
+        .obstacle = reader.enumerator<claim_obstacle>(table.obstacle()),
+        .retry_after_ms = table.retry_after_ms()};
 }
 
 claim_release read(const format::claim_release& table, frame_reader& reader)
 {
-    return claim_release{.key = reader.text(table.key()), .holder = reader.table<claim_holder>(table.holder())};
+    return claim_release{
+        .key = reader.text(table.key()),
+        .holder = reader.table<claim_holder>(table.holder())};
 }
 
 claim_finished read(const format::claim_finished& table, frame_reader& reader)
 {
-    return claim_finished{.key = reader.text(table.key()), .holder = reader.table<claim_holder>(table.holder()), .outcome = reader.enumerator<core::outcome>(table.outcome()), .answer_digest = table.answer_digest()};
+    return claim_finished{
+        .key = reader.text(table.key()),
+        .holder = reader.table<claim_holder>(table.holder()),
+        .outcome = reader.enumerator<core::outcome>(table.outcome()),
+        .answer_digest = table.answer_digest()};
 }
 
 claim_forward read(const format::claim_forward& table, frame_reader& reader)
 {
-    return claim_forward{.correlation = table.correlation(), .record = reader.text(table.record())};
+    return claim_forward{
+        .correlation = table.correlation(),
+        .record = reader.text(table.record())};
 }
 
-claim_forward_answer read(const format::claim_forward_answer& table, frame_reader& /*reader*/)
+claim_forward_answer
+read(const format::claim_forward_answer& table, frame_reader& /*reader*/)
 {
-    return claim_forward_answer{.correlation = table.correlation(), .accepted = table.accepted()};
+    return claim_forward_answer{
+        .correlation = table.correlation(), .accepted = table.accepted()};
 }
 
 digest read(const format::digest& table, frame_reader& /*reader*/)
 {
-    return digest{.next_offset = table.next_offset(), .hash = table.hash(), .first_record = table.first_record(), .log_reachable = table.log_reachable()};
+    return digest{
+        .next_offset = table.next_offset(),
+        .hash = table.hash(),
+        .first_record = table.first_record(),
+        .log_reachable = table.log_reachable()};
 }
 
 pull read(const format::pull& table, frame_reader& /*reader*/)
@@ -91,7 +155,11 @@
 
 log_record read(const format::log_record& table, frame_reader& reader)
 {
-    return log_record{.offset = table.offset(), .time_ms = table.time_ms(), .hash = table.hash(), .body = reader.text(table.body())};
+    return log_record{
+        .offset = table.offset(),
+        .time_ms = table.time_ms(),
+        .hash = table.hash(),
+        .body = reader.text(table.body())};
 }
 
 records read(const format::records& table, frame_reader& reader)
@@ -101,7 +169,11 @@
 
 duty_message read(const format::duty_message& table, frame_reader& reader)
 {
-    return duty_message{.duty = reader.text(table.duty()), .kind = table.kind(), .correlation = table.correlation(), .body = reader.bytes(table.body())};
+    return duty_message{
+        .duty = reader.text(table.duty()),
+        .kind = table.kind(),
+        .correlation = table.correlation(),
+        .body = reader.bytes(table.body())};
 }
 
 } // namespace godwit::wire
--- a/libraries/wire/src/message_reader.hpp
+++ b/libraries/wire/src/message_reader.hpp
@@ -11,11 +11,15 @@
 // One overload a table of a verified frame.
 hello read(const format::hello& table, frame_reader& reader);
 heartbeat read(const format::heartbeat& table, frame_reader& reader);
-catalogue_snapshot read(const format::catalogue_snapshot& table, frame_reader& reader);
-catalogue_change read(const format::catalogue_change& table, frame_reader& reader);
-catalogue_position read(const format::catalogue_position& table, frame_reader& reader);
+catalogue_snapshot
+read(const format::catalogue_snapshot& table, frame_reader& reader);
+catalogue_change
+read(const format::catalogue_change& table, frame_reader& reader);
+catalogue_position
+read(const format::catalogue_position& table, frame_reader& reader);
 backend_server read(const format::backend_server& table, frame_reader& reader);
-backend_servers read(const format::backend_servers& table, frame_reader& reader);
+backend_servers
+read(const format::backend_servers& table, frame_reader& reader);
 server_sign read(const format::server_sign& table, frame_reader& reader);
 claim_holder read(const format::claim_holder& table, frame_reader& reader);
 claim_request read(const format::claim_request& table, frame_reader& reader);
@@ -23,7 +27,8 @@
 claim_release read(const format::claim_release& table, frame_reader& reader);
 claim_finished read(const format::claim_finished& table, frame_reader& reader);
 claim_forward read(const format::claim_forward& table, frame_reader& reader);
-claim_forward_answer read(const format::claim_forward_answer& table, frame_reader& reader);
+claim_forward_answer
+read(const format::claim_forward_answer& table, frame_reader& reader);
 digest read(const format::digest& table, frame_reader& reader);
 pull read(const format::pull& table, frame_reader& reader);
 log_record read(const format::log_record& table, frame_reader& reader);
--- a/libraries/wire/src/message_writer.cpp
+++ b/libraries/wire/src/message_writer.cpp
@@ -37,8 +37,7 @@
 }
 
 template<class Tag>
-auto text_list(
-    builder& out, const std::vector<core::identifier<Tag>>& values)
+auto text_list(builder& out, const std::vector<core::identifier<Tag>>& values)
 {
     std::vector<flatbuffers::Offset<flatbuffers::String>> offsets;
     offsets.reserve(values.size());
@@ -51,82 +50,158 @@
 
 flatbuffers::Offset<format::hello> write(builder& out, const hello& value)
 {
-    return format::Createhello(out, value.version, enumerator<format::role>(value.role), text(out, value.host), text(out, value.zone), text(out, value.incarnation), text(out, value.address));
+    return format::Createhello(
+        out,
+        value.version,
+        enumerator<format::role>(value.role),
+        text(out, value.host),
+        text(out, value.zone),
+        text(out, value.incarnation),
+        text(out, value.address));
 }
 
-flatbuffers::Offset<format::heartbeat> write(builder& out, const heartbeat& /*value*/)
+flatbuffers::Offset<format::heartbeat>
+write(builder& out, const heartbeat& /*value*/)
 {
     return format::Createheartbeat(out);
 }
 
-flatbuffers::Offset<format::catalogue_snapshot> write(builder& out, const catalogue_snapshot& value)
+flatbuffers::Offset<format::catalogue_snapshot>
+write(builder& out, const catalogue_snapshot& value)
 {
-    return format::Createcatalogue_snapshot(out, value.next_offset, value.hash, value.chunk_index, value.chunk_count, text(out, value.content));
+    return format::Createcatalogue_snapshot(
+        out,
+        value.next_offset,
+        value.hash,
+        value.chunk_index,
+        value.chunk_count,
+        text(out, value.content));
 }
 
-flatbuffers::Offset<format::catalogue_change> write(builder& out, const catalogue_change& value)
+flatbuffers::Offset<format::catalogue_change>
+write(builder& out, const catalogue_change& value)
 {
-    return format::Createcatalogue_change(out, value.offset, value.time_ms, value.hash, text(out, value.record));
+    return format::Createcatalogue_change(
+        out, value.offset, value.time_ms, value.hash, text(out, value.record));
 }
 
-flatbuffers::Offset<format::catalogue_position> write(builder& out, const catalogue_position& value)
+flatbuffers::Offset<format::catalogue_position>
+write(builder& out, const catalogue_position& value)
 {
     return format::Createcatalogue_position(out, value.next_offset, value.hash);
 }
 
-flatbuffers::Offset<format::backend_server> write(builder& out, const backend_server& value)
+flatbuffers::Offset<format::backend_server>
+write(builder& out, const backend_server& value)
 {
-    return format::Createbackend_server(out, text(out, value.address), text(out, value.zone), text(out, value.service), enumerator<format::server_kind>(value.kind), enumerator<format::server_state>(value.state));
+    return format::Createbackend_server(
+        out,
+        text(out, value.address),
+        text(out, value.zone),
+        text(out, value.service),
+        enumerator<format::server_kind>(value.kind),
+        enumerator<format::server_state>(value.state));
 }
 
-flatbuffers::Offset<format::backend_servers> write(builder& out, const backend_servers& value)
+flatbuffers::Offset<format::backend_servers>
+write(builder& out, const backend_servers& value)
 {
-    return format::Createbackend_servers(out, value.whole, list(out, value.servers), text_list(out, value.removed));
+    return format::Createbackend_servers(
+        out,
+        value.whole,
+        list(out, value.servers),
+        text_list(out, value.removed));
 }
 
-flatbuffers::Offset<format::server_sign> write(builder& out, const server_sign& value)
+flatbuffers::Offset<format::server_sign>
+write(builder& out, const server_sign& value)
 {
-    return format::Createserver_sign(out, text(out, value.address), enumerator<format::sign_kind>(value.kind), value.age_ms);
+    return format::Createserver_sign(
+        out,
+        text(out, value.address),
+        enumerator<format::sign_kind>(value.kind),
+        value.age_ms);
 }
 
-flatbuffers::Offset<format::claim_holder> write(builder& out, const claim_holder& value)
+flatbuffers::Offset<format::claim_holder>
+write(builder& out, const claim_holder& value)
 {
-    return format::Createclaim_holder(out, text(out, value.host), text(out, value.incarnation), text(out, value.peer_address));
+    return format::Createclaim_holder(
+        out,
+        text(out, value.host),
+        text(out, value.incarnation),
+        text(out, value.peer_address));
 }
 
-flatbuffers::Offset<format::claim_request> write(builder& out, const claim_request& value)
+flatbuffers::Offset<format::claim_request>
+write(builder& out, const claim_request& value)
 {
-    return format::Createclaim_request(out, value.ask, text(out, value.key), text(out, value.fingerprint), write(out, value.holder));
+    return format::Createclaim_request(
+        out,
+        value.ask,
+        text(out, value.key),
+        text(out, value.fingerprint),
+        write(out, value.holder));
 }
 
-flatbuffers::Offset<format::claim_answer> write(builder& out, const claim_answer& value)
+flatbuffers::Offset<format::claim_answer>
+write(builder& out, const claim_answer& value)
 {
-    return format::Createclaim_answer(out, value.ask, enumerator<format::claim_verdict>(value.verdict), value.offset, value.index, value.start_before_us, write(out, value.holder), value.holder_gone, enumerator<format::outcome>(value.outcome), value.answer_digest, enumerator<format::claim_obstacle>(value.obstacle), value.retry_after_ms);
+    return format::Createclaim_answer(
+        out,
+        value.ask,
+        enumerator<format::claim_verdict>(value.verdict),
+        value.offset,
+        value.index,
+        value.start_before_us,
+        write(out, value.holder),
+        value.holder_gone,
+        enumerator<format::outcome>(value.outcome),
+        value.answer_digest,
+        enumerator<format::claim_obstacle>(value.obstacle),
+        value.retry_after_ms);
 }
 
-flatbuffers::Offset<format::claim_release> write(builder& out, const claim_release& value)
+flatbuffers::Offset<format::claim_release>
+write(builder& out, const claim_release& value)
 {
-    return format::Createclaim_release(out, text(out, value.key), write(out, value.holder));
+    return format::Createclaim_release(
+        out, text(out, value.key), write(out, value.holder));
 }
 
-flatbuffers::Offset<format::claim_finished> write(builder& out, const claim_finished& value)
+flatbuffers::Offset<format::claim_finished>
+write(builder& out, const claim_finished& value)
 {
-    return format::Createclaim_finished(out, text(out, value.key), write(out, value.holder), enumerator<format::outcome>(value.outcome), value.answer_digest);
+    return format::Createclaim_finished(
+        out,
+        text(out, value.key),
+        write(out, value.holder),
+        enumerator<format::outcome>(value.outcome),
+        value.answer_digest);
 }
 
-flatbuffers::Offset<format::claim_forward> write(builder& out, const claim_forward& value)
+flatbuffers::Offset<format::claim_forward>
+write(builder& out, const claim_forward& value)
 {
-    return format::Createclaim_forward(out, value.correlation, text(out, value.record));
+    return format::Createclaim_forward(
+        out, value.correlation, text(out, value.record));
 }
 
-flatbuffers::Offset<format::claim_forward_answer> write(builder& out, const claim_forward_answer& value)
+flatbuffers::Offset<format::claim_forward_answer>
+write(builder& out, const claim_forward_answer& value)
 {
-    return format::Createclaim_forward_answer(out, value.correlation, value.accepted);
+    return format::Createclaim_forward_answer(
+        out, value.correlation, value.accepted);
 }
 
 flatbuffers::Offset<format::digest> write(builder& out, const digest& value)
 {
-    return format::Createdigest(out, value.next_offset, value.hash, value.first_record, value.log_reachable);
+    return format::Createdigest(
+        out,
+        value.next_offset,
+        value.hash,
+        value.first_record,
+        value.log_reachable);
 }
 
 flatbuffers::Offset<format::pull> write(builder& out, const pull& value)
@@ -134,9 +209,11 @@
     return format::Createpull(out, value.next_offset);
 }
 
-flatbuffers::Offset<format::log_record> write(builder& out, const log_record& value)
+flatbuffers::Offset<format::log_record>
+write(builder& out, const log_record& value)
 {
-    return format::Createlog_record(out, value.offset, value.time_ms, value.hash, text(out, value.body));
+    return format::Createlog_record(
+        out, value.offset, value.time_ms, value.hash, text(out, value.body));
 }
 
 flatbuffers::Offset<format::records> write(builder& out, const records& value)
@@ -144,9 +221,17 @@
     return format::Createrecords(out, list(out, value.entries));
 }
 
-flatbuffers::Offset<format::duty_message> write(builder& out, const duty_message& value)
+flatbuffers::Offset<format::duty_message>
+write(builder& out, const duty_message& value)
 {
-    return format::Createduty_message(out, text(out, value.duty), value.kind, value.correlation, out.CreateVector(reinterpret_cast<const std::uint8_t*>(value.body.data()), value.body.size()));
+    return format::Createduty_message(
+        out,
+        text(out, value.duty),
+        value.kind,
+        value.correlation,
+        out.CreateVector(
+            reinterpret_cast<const std::uint8_t*>(value.body.data()),
+            value.body.size()));
 }
 
 } // namespace godwit::wire
