--- a/libraries/wire/include/godwit/wire/catalogue_snapshot.hpp
+++ b/libraries/wire/include/godwit/wire/catalogue_snapshot.hpp
@@ -5,8 +5,9 @@
 
 namespace godwit::wire {
 
-/// One part of the folded catalogue before `next_offset`. The parts of a
-/// snapshot are sent in order; `content` joined is the catalogue's checkpoint.
+/// One record of a checkpoint of the catalogue before `next_offset`, as
+/// `catalogue::write_checkpoint` makes them. The records of one snapshot are
+/// sent in order, with nothing of another snapshot between them.
 struct catalogue_snapshot
 {
     /// Every record of the log below this offset is folded.
@@ -16,6 +17,10 @@
     std::uint32_t chunk_index = 0;
     std::uint32_t chunk_count = 1;
     std::string content;
+    /// The state offset of the newest checkpoint on the log; 0 is none.
+    std::uint64_t checkpoint_offset = 0;
+    /// The log's own time of that checkpoint; 0 if not known.
+    std::uint64_t checkpoint_time_ms = 0;
 
     friend bool
     operator==(const catalogue_snapshot&, const catalogue_snapshot&) = default;
--- a/libraries/wire/include/godwit/wire/digest.hpp
+++ b/libraries/wire/include/godwit/wire/digest.hpp
@@ -10,10 +10,11 @@
     /// Every record below it is folded; 0 is no catalogue.
     std::uint64_t next_offset = 0;
     std::uint64_t hash = 0;
-    /// It can give the records from here on; below, a snapshot.
-    std::uint64_t first_record = 0;
-    /// Whether it reads the log itself.
-    bool log_reachable = false;
+    /// Whether the log ever confirmed, directly or through peers, that this
+    /// is the newest catalogue.
+    bool confirmed = false;
+    /// How long ago it last did, in milliseconds.
+    std::uint32_t age_ms = 0;
 
     friend bool operator==(const digest&, const digest&) = default;
 };
--- a/libraries/wire/include/godwit/wire/log_record.hpp
+++ b/libraries/wire/include/godwit/wire/log_record.hpp
@@ -11,8 +11,6 @@
     std::uint64_t offset = 0;
     /// The log's own time of the append, in milliseconds.
     std::uint64_t time_ms = 0;
-    /// The hash of the catalogue after the record.
-    std::uint64_t hash = 0;
     std::string body;
 
     friend bool operator==(const log_record&, const log_record&) = default;
--- a/libraries/wire/include/godwit/wire/protocol.hpp
+++ b/libraries/wire/include/godwit/wire/protocol.hpp
@@ -14,10 +14,10 @@
 /// The largest frame body, in bytes, unless the caller sets another limit.
 inline constexpr std::size_t default_frame_limit = 1024 * 1024;
 
-/// The largest part of a catalogue in one `catalogue_snapshot`, in bytes.
-inline constexpr std::size_t snapshot_chunk_size = 256 * 1024;
+/// The largest part of a snapshot, in bytes: one record of the log.
+inline constexpr std::size_t snapshot_chunk_size = 64 * 1024;
 
-/// The most parts of one catalogue: 64 MiB of JSON in all.
-inline constexpr std::uint32_t snapshot_chunk_limit = 256;
+/// The most parts of one snapshot: 64 MiB in all.
+inline constexpr std::uint32_t snapshot_chunk_limit = 1024;
 
 } // namespace godwit::wire
--- a/libraries/wire/src/godwit_generated.hpp
+++ b/libraries/wire/src/godwit_generated.hpp
@@ -648,7 +648,9 @@
     VT_HASH = 6,
     VT_CHUNK_INDEX = 8,
     VT_CHUNK_COUNT = 10,
-    VT_CONTENT = 12
+    VT_CONTENT = 12,
+    VT_CHECKPOINT_OFFSET = 14,
+    VT_CHECKPOINT_TIME_MS = 16
   };
   uint64_t next_offset() const {
     return GetField<uint64_t>(VT_NEXT_OFFSET, 0);
@@ -665,6 +667,12 @@
   const flatbuffers::String *content() const {
     return GetPointer<const flatbuffers::String *>(VT_CONTENT);
   }
+  uint64_t checkpoint_offset() const {
+    return GetField<uint64_t>(VT_CHECKPOINT_OFFSET, 0);
+  }
+  uint64_t checkpoint_time_ms() const {
+    return GetField<uint64_t>(VT_CHECKPOINT_TIME_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NEXT_OFFSET, 8) &&
@@ -673,6 +681,8 @@
            VerifyField<uint32_t>(verifier, VT_CHUNK_COUNT, 4) &&
            VerifyOffset(verifier, VT_CONTENT) &&
            verifier.VerifyString(content()) &&
+           VerifyField<uint64_t>(verifier, VT_CHECKPOINT_OFFSET, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CHECKPOINT_TIME_MS, 8) &&
            verifier.EndTable();
   }
 };
@@ -696,6 +706,12 @@
   void add_content(flatbuffers::Offset<flatbuffers::String> content) {
     fbb_.AddOffset(catalogue_snapshot::VT_CONTENT, content);
   }
+  void add_checkpoint_offset(uint64_t checkpoint_offset) {
+    fbb_.AddElement<uint64_t>(catalogue_snapshot::VT_CHECKPOINT_OFFSET, checkpoint_offset, 0);
+  }
+  void add_checkpoint_time_ms(uint64_t checkpoint_time_ms) {
+    fbb_.AddElement<uint64_t>(catalogue_snapshot::VT_CHECKPOINT_TIME_MS, checkpoint_time_ms, 0);
+  }
   explicit catalogue_snapshotBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -713,8 +729,12 @@
     uint64_t hash = 0,
     uint32_t chunk_index = 0,
     uint32_t chunk_count = 0,
-    flatbuffers::Offset<flatbuffers::String> content = 0) {
+    flatbuffers::Offset<flatbuffers::String> content = 0,
+    uint64_t checkpoint_offset = 0,
+    uint64_t checkpoint_time_ms = 0) {
   catalogue_snapshotBuilder builder_(_fbb);
+  builder_.add_checkpoint_time_ms(checkpoint_time_ms);
+  builder_.add_checkpoint_offset(checkpoint_offset);
   builder_.add_hash(hash);
   builder_.add_next_offset(next_offset);
   builder_.add_content(content);
@@ -734,7 +754,9 @@
     uint64_t hash = 0,
     uint32_t chunk_index = 0,
     uint32_t chunk_count = 0,
-    const char *content = nullptr) {
+    const char *content = nullptr,
+    uint64_t checkpoint_offset = 0,
+    uint64_t checkpoint_time_ms = 0) {
   auto content__ = content ? _fbb.CreateString(content) : 0;
   return godwit::wire::format::Createcatalogue_snapshot(
       _fbb,
@@ -742,7 +764,9 @@
       hash,
       chunk_index,
       chunk_count,
-      content__);
+      content__,
+      checkpoint_offset,
+      checkpoint_time_ms);
 }
 
 struct catalogue_change FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1795,8 +1819,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_NEXT_OFFSET = 4,
     VT_HASH = 6,
-    VT_FIRST_RECORD = 8,
-    VT_LOG_REACHABLE = 10
+    VT_CONFIRMED = 8,
+    VT_AGE_MS = 10
   };
   uint64_t next_offset() const {
     return GetField<uint64_t>(VT_NEXT_OFFSET, 0);
@@ -1804,18 +1828,18 @@
   uint64_t hash() const {
     return GetField<uint64_t>(VT_HASH, 0);
   }
-  uint64_t first_record() const {
-    return GetField<uint64_t>(VT_FIRST_RECORD, 0);
+  bool confirmed() const {
+    return GetField<uint8_t>(VT_CONFIRMED, 0) != 0;
   }
-  bool log_reachable() const {
-    return GetField<uint8_t>(VT_LOG_REACHABLE, 0) != 0;
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NEXT_OFFSET, 8) &&
            VerifyField<uint64_t>(verifier, VT_HASH, 8) &&
-           VerifyField<uint64_t>(verifier, VT_FIRST_RECORD, 8) &&
-           VerifyField<uint8_t>(verifier, VT_LOG_REACHABLE, 1) &&
+           VerifyField<uint8_t>(verifier, VT_CONFIRMED, 1) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
            verifier.EndTable();
   }
 };
@@ -1830,11 +1854,11 @@
   void add_hash(uint64_t hash) {
     fbb_.AddElement<uint64_t>(digest::VT_HASH, hash, 0);
   }
-  void add_first_record(uint64_t first_record) {
-    fbb_.AddElement<uint64_t>(digest::VT_FIRST_RECORD, first_record, 0);
+  void add_confirmed(bool confirmed) {
+    fbb_.AddElement<uint8_t>(digest::VT_CONFIRMED, static_cast<uint8_t>(confirmed), 0);
   }
-  void add_log_reachable(bool log_reachable) {
-    fbb_.AddElement<uint8_t>(digest::VT_LOG_REACHABLE, static_cast<uint8_t>(log_reachable), 0);
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(digest::VT_AGE_MS, age_ms, 0);
   }
   explicit digestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -1851,13 +1875,13 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t next_offset = 0,
     uint64_t hash = 0,
-    uint64_t first_record = 0,
-    bool log_reachable = false) {
+    bool confirmed = false,
+    uint32_t age_ms = 0) {
   digestBuilder builder_(_fbb);
-  builder_.add_first_record(first_record);
   builder_.add_hash(hash);
   builder_.add_next_offset(next_offset);
-  builder_.add_log_reachable(log_reachable);
+  builder_.add_age_ms(age_ms);
+  builder_.add_confirmed(confirmed);
   return builder_.Finish();
 }
 
@@ -1919,8 +1943,7 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_OFFSET = 4,
     VT_TIME_MS = 6,
-    VT_HASH = 8,
-    VT_BODY = 10
+    VT_BODY = 8
   };
   uint64_t offset() const {
     return GetField<uint64_t>(VT_OFFSET, 0);
@@ -1928,9 +1951,6 @@
   uint64_t time_ms() const {
     return GetField<uint64_t>(VT_TIME_MS, 0);
   }
-  uint64_t hash() const {
-    return GetField<uint64_t>(VT_HASH, 0);
-  }
   const flatbuffers::String *body() const {
     return GetPointer<const flatbuffers::String *>(VT_BODY);
   }
@@ -1938,7 +1958,6 @@
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_OFFSET, 8) &&
            VerifyField<uint64_t>(verifier, VT_TIME_MS, 8) &&
-           VerifyField<uint64_t>(verifier, VT_HASH, 8) &&
            VerifyOffset(verifier, VT_BODY) &&
            verifier.VerifyString(body()) &&
            verifier.EndTable();
@@ -1955,9 +1974,6 @@
   void add_time_ms(uint64_t time_ms) {
     fbb_.AddElement<uint64_t>(log_record::VT_TIME_MS, time_ms, 0);
   }
-  void add_hash(uint64_t hash) {
-    fbb_.AddElement<uint64_t>(log_record::VT_HASH, hash, 0);
-  }
   void add_body(flatbuffers::Offset<flatbuffers::String> body) {
     fbb_.AddOffset(log_record::VT_BODY, body);
   }
@@ -1976,10 +1992,8 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t offset = 0,
     uint64_t time_ms = 0,
-    uint64_t hash = 0,
     flatbuffers::Offset<flatbuffers::String> body = 0) {
   log_recordBuilder builder_(_fbb);
-  builder_.add_hash(hash);
   builder_.add_time_ms(time_ms);
   builder_.add_offset(offset);
   builder_.add_body(body);
@@ -1995,14 +2009,12 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t offset = 0,
     uint64_t time_ms = 0,
-    uint64_t hash = 0,
     const char *body = nullptr) {
   auto body__ = body ? _fbb.CreateString(body) : 0;
   return godwit::wire::format::Createlog_record(
       _fbb,
       offset,
       time_ms,
-      hash,
       body__);
 }
 
@@ -2010,16 +2022,21 @@
   typedef recordsBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_ENTRIES = 4
+    VT_ENTRIES = 4,
+    VT_END_HASH = 6
   };
   const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::log_record>> *entries() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::log_record>> *>(VT_ENTRIES);
   }
+  uint64_t end_hash() const {
+    return GetField<uint64_t>(VT_END_HASH, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ENTRIES) &&
            verifier.VerifyVector(entries()) &&
            verifier.VerifyVectorOfTables(entries()) &&
+           VerifyField<uint64_t>(verifier, VT_END_HASH, 8) &&
            verifier.EndTable();
   }
 };
@@ -2031,6 +2048,9 @@
   void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::log_record>>> entries) {
     fbb_.AddOffset(records::VT_ENTRIES, entries);
   }
+  void add_end_hash(uint64_t end_hash) {
+    fbb_.AddElement<uint64_t>(records::VT_END_HASH, end_hash, 0);
+  }
   explicit recordsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2044,8 +2064,10 @@
 
 inline flatbuffers::Offset<records> Createrecords(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::log_record>>> entries = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::log_record>>> entries = 0,
+    uint64_t end_hash = 0) {
   recordsBuilder builder_(_fbb);
+  builder_.add_end_hash(end_hash);
   builder_.add_entries(entries);
   return builder_.Finish();
 }
@@ -2057,11 +2079,13 @@
 
 inline flatbuffers::Offset<records> CreaterecordsDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<flatbuffers::Offset<godwit::wire::format::log_record>> *entries = nullptr) {
+    const std::vector<flatbuffers::Offset<godwit::wire::format::log_record>> *entries = nullptr,
+    uint64_t end_hash = 0) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<godwit::wire::format::log_record>>(*entries) : 0;
   return godwit::wire::format::Createrecords(
       _fbb,
-      entries__);
+      entries__,
+      end_hash);
 }
 
 struct duty_message FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/libraries/wire/src/message_reader.cpp
+++ b/libraries/wire/src/message_reader.cpp
@@ -29,7 +29,9 @@
         .hash = table.hash(),
         .chunk_index = table.chunk_index(),
         .chunk_count = table.chunk_count(),
-        .content = reader.text(table.content())};
+        .content = reader.text(table.content()),
+        .checkpoint_offset = table.checkpoint_offset(),
+        .checkpoint_time_ms = table.checkpoint_time_ms()};
 }
 
 catalogue_change
@@ -144,8 +146,8 @@
     return digest{
         .next_offset = table.next_offset(),
         .hash = table.hash(),
-        .first_record = table.first_record(),
-        .log_reachable = table.log_reachable()};
+        .confirmed = table.confirmed(),
+        .age_ms = table.age_ms()};
 }
 
 pull read(const format::pull& table, frame_reader& /*reader*/)
@@ -158,13 +160,14 @@
     return log_record{
         .offset = table.offset(),
         .time_ms = table.time_ms(),
-        .hash = table.hash(),
         .body = reader.text(table.body())};
 }
 
 records read(const format::records& table, frame_reader& reader)
 {
-    return records{.entries = reader.list<log_record>(table.entries())};
+    return records{
+        .entries = reader.list<log_record>(table.entries()),
+        .end_hash = table.end_hash()};
 }
 
 duty_message read(const format::duty_message& table, frame_reader& reader)
--- a/libraries/wire/src/message_writer.cpp
+++ b/libraries/wire/src/message_writer.cpp
@@ -75,7 +75,9 @@
         value.hash,
         value.chunk_index,
         value.chunk_count,
-        text(out, value.content));
+        text(out, value.content),
+        value.checkpoint_offset,
+        value.checkpoint_time_ms);
 }
 
 flatbuffers::Offset<format::catalogue_change>
@@ -197,11 +199,7 @@
 flatbuffers::Offset<format::digest> write(builder& out, const digest& value)
 {
     return format::Createdigest(
-        out,
-        value.next_offset,
-        value.hash,
-        value.first_record,
-        value.log_reachable);
+        out, value.next_offset, value.hash, value.confirmed, value.age_ms);
 }
 
 flatbuffers::Offset<format::pull> write(builder& out, const pull& value)
@@ -213,12 +211,12 @@
 write(builder& out, const log_record& value)
 {
     return format::Createlog_record(
-        out, value.offset, value.time_ms, value.hash, text(out, value.body));
+        out, value.offset, value.time_ms, text(out, value.body));
 }
 
 flatbuffers::Offset<format::records> write(builder& out, const records& value)
 {
-    return format::Createrecords(out, list(out, value.entries));
+    return format::Createrecords(out, list(out, value.entries), value.end_hash);
 }
 
 flatbuffers::Offset<format::duty_message>
--- a/tests/wire/sample_messages.cpp
+++ b/tests/wire/sample_messages.cpp
@@ -36,7 +36,7 @@
             incarnation,
             "127.0.0.1:1"},
         heartbeat{},
-        catalogue_snapshot{9, 0xfeedULL, 1, 3, "{\"entries\":[]}"},
+        catalogue_snapshot{9, 0xfeedULL, 1, 3, "part", 4, 1700000000000},
         catalogue_change{8, 1700000000000, 0xfeedULL, std::string("\0x", 2)},
         catalogue_position{9, 0xfeedULL},
         backend_servers{
@@ -49,9 +49,9 @@
         claim_finished{"key", holder, core::outcome::unknown, 5},
         claim_forward{3, "[]"},
         claim_forward_answer{3, true},
-        digest{9, 0xfeedULL, 2, true},
+        digest{9, 0xfeedULL, true, 250},
         pull{4},
-        records{{log_record{5, 1, 6, "record"}, log_record{6, 2, 7, ""}}},
+        records{{log_record{5, 1, "record"}, log_record{6, 2, ""}}, 0xfeedULL},
         duty_message{"orders", 2, 11, std::string("\xff\0", 2)}};
 }
 
