--- a/libraries/request/include/godwit/request/events.hpp
+++ b/libraries/request/include/godwit/request/events.hpp
@@ -107,6 +107,13 @@
     operator==(const holder_failed&, const holder_failed&) = default;
 };
 
+/// The holder gave its claim up without a run: the key can be claimed again.
+struct holder_released
+{
+    friend bool
+    operator==(const holder_released&, const holder_released&) = default;
+};
+
 /// Dispatch grants a backend server for the request numbered `ask`.
 struct granted
 {
@@ -304,6 +311,7 @@
     claim_unavailable,
     holder_answered,
     holder_failed,
+    holder_released,
     granted,
     dispatch_refused,
     connected,
--- a/libraries/request/include/godwit/request/life.hpp
+++ b/libraries/request/include/godwit/request/life.hpp
@@ -98,6 +98,7 @@
     void on(const claim_unavailable& what);
     void on(const holder_answered& what);
     void on(const holder_failed& what);
+    void on(const holder_released& what);
     void on(const granted& what);
     void on(const dispatch_refused& what);
     void on(const connected& what);
@@ -192,6 +193,7 @@
     claim_state claim_ = claim_state::not_needed;
     std::optional<core::time_point> start_before_;
     bool attached_ = false;
+    std::uint32_t attachments_ = 0;
 
     std::uint32_t ask_ = 0;
     bool in_dispatch_ = false;
--- a/libraries/request/src/life_answer.cpp
+++ b/libraries/request/src/life_answer.cpp
@@ -166,8 +166,10 @@
 {
     if (!current(what.connection) || !head_seen_)
         return;
-    if (is_generation() && step_ != step::last_token) {
-        // An end marker without a finish reason is a cut.
+    // An end marker without a finish reason is a cut, but for a generation
+    // that was asked again and has nothing more: its last token came before.
+    const bool nothing_more = resuming_ && received_ > 0;
+    if (is_generation() && step_ != step::last_token && !nothing_more) {
         on_lost_link(observation::broke, fail_reason::link_broken);
         return;
     }
--- a/libraries/request/src/life_start.cpp
+++ b/libraries/request/src/life_start.cpp
@@ -105,6 +105,7 @@
     }
     step_ = step::claimed;
     attached_ = true;
+    ++attachments_;
     arm(timer::claim, settings_.holder_wait);
     emit(attach_to_holder{holder});
     record(decision::attached_to_holder, "another run holds the claim");
@@ -135,6 +136,19 @@
         fail(fail_reason::holder_lost);
 }
 
+void life::on(const holder_released&)
+{
+    if (!attached_ || step_ != step::claimed)
+        return;
+    attached_ = false;
+    if (attachments_ >= settings_.attempt_limit) {
+        fail(fail_reason::holder_lost);
+        return;
+    }
+    step_ = step::accepted;
+    ask_for_claim();
+}
+
 void life::ask_for_server()
 {
     step_ = step::queued;
