--- a/utilities/godwit-bench/report.cpp
+++ b/utilities/godwit-bench/report.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
+#include <cstdlib>
+#include <sstream>
 
 namespace godwit::bench {
 
@@ -106,6 +108,28 @@
     return text;
 }
 
+/// Applies changes such as "overcommit=1.2:quantile=0.4".
+bool change(scheduler_variation& variation, const std::string& changes)
+{
+    std::istringstream in(changes);
+    for (std::string part; std::getline(in, part, ':');) {
+        const std::size_t equals = part.find('=');
+        if (equals == std::string::npos)
+            return false;
+        const std::string key = part.substr(0, equals);
+        const double value = std::strtod(part.c_str() + equals + 1, nullptr);
+        if (key == "overcommit")
+            variation.overcommit = value;
+        else if (key == "quantile")
+            variation.length_quantile = value;
+        else if (key == "candidates")
+            variation.candidates = static_cast<std::uint32_t>(value);
+        else
+            return false;
+    }
+    return true;
+}
+
 } // namespace
 
 const std::vector<scheduler_variation>& all_variations()
@@ -117,15 +141,6 @@
         {.name = "two_candidates", .candidates = 2},
         {.name = "all_candidates", .candidates = 64},
         {.name = "no_expected_rest", .length_quantile = 0.001},
-        {.name = "quantile_40", .length_quantile = 0.4},
-        {.name = "quantile_50", .length_quantile = 0.5},
-        {.name = "quantile_70", .length_quantile = 0.7},
-        {.name = "quantile_80", .length_quantile = 0.8},
-        {.name = "overcommit_08", .overcommit = 0.8},
-        {.name = "overcommit_09", .overcommit = 0.9},
-        {.name = "overcommit_11", .overcommit = 1.1},
-        {.name = "overcommit_12", .overcommit = 1.2},
-        {.name = "overcommit_14", .overcommit = 1.4},
         {.name = "no_memory_admission", .overcommit = 1e9},
         {.name = "no_advance", .advance_reports = false},
         {.name = "no_classes", .classes = false},
@@ -146,9 +161,16 @@
 
 std::optional<scheduler_variation> find_variation(std::string_view name)
 {
+    const std::size_t colon = name.find(':');
     for (const scheduler_variation& variation : all_variations()) {
-        if (variation.name == name)
-            return variation;
+        if (variation.name != name.substr(0, colon))
+            continue;
+        scheduler_variation result = variation;
+        result.name = name;
+        if (colon != std::string_view::npos &&
+            !change(result, std::string(name.substr(colon + 1))))
+            return std::nullopt;
+        return result;
     }
     return std::nullopt;
 }
--- a/utilities/godwit-bench/report.hpp
+++ b/utilities/godwit-bench/report.hpp
@@ -31,6 +31,8 @@
 /// The scheduler as it is, and with one mechanism taken out or changed.
 [[nodiscard]] const std::vector<scheduler_variation>& all_variations();
 
+/// The variation of that name, which may go on with changed settings such as
+/// "godwit:overcommit=1.2:quantile=0.4"; none if there is none.
 [[nodiscard]] std::optional<scheduler_variation>
 find_variation(std::string_view name);
 
--- a/utilities/godwit-bench/scheduler_variation.hpp
+++ b/utilities/godwit-bench/scheduler_variation.hpp
@@ -20,7 +20,7 @@
 {
     std::string name = "godwit";
     std::uint32_t candidates = 3;
-    double length_quantile = 0.6;
+    double length_quantile = 0.4;
     double overcommit = 1.0;
     bool advance_reports = true;
     bool classes = true;
