--- a/utilities/godwit-bench/main.cpp
+++ b/utilities/godwit-bench/main.cpp
@@ -37,6 +37,7 @@
     std::vector<double> lags = {0.5, 3.0};
     unsigned seeds = 10;
     unsigned threads = most_threads;
+    std::size_t hosts = 6;
     std::string json;
     std::string markdown;
 };
@@ -45,7 +46,7 @@
 {
     out << "usage: godwit-bench [--workloads A,B] [--policies A,B]\n"
            "    [--loads X,Y] [--lags SECONDS,...] [--seeds N]\n"
-           "    [--threads N] [--json FILE] [--markdown FILE]\n"
+           "    [--threads N] [--hosts N] [--json FILE] [--markdown FILE]\n"
            "policies: round_robin least_requests two_choices godwit\n"
            "    and the variations:";
     for (const auto& variation : bench::all_variations())
@@ -79,6 +80,7 @@
         {"lags", required_argument, nullptr, 'g'},
         {"seeds", required_argument, nullptr, 's'},
         {"threads", required_argument, nullptr, 't'},
+        {"hosts", required_argument, nullptr, 'h'},
         {"json", required_argument, nullptr, 'j'},
         {"markdown", required_argument, nullptr, 'm'},
         {nullptr, 0, nullptr, 0}};
@@ -104,6 +106,9 @@
             result.threads = std::clamp(
                 static_cast<unsigned>(std::stoul(optarg)), 1U, most_threads);
             break;
+        case 'h':
+            result.hosts = std::stoul(optarg);
+            break;
         case 'j':
             result.json = optarg;
             break;
@@ -178,19 +183,20 @@
     return runs;
 }
 
-void run_all(std::vector<bench::run_result>& runs, unsigned threads)
+void run_all(std::vector<bench::run_result>& runs, const arguments& wanted)
 {
     std::atomic<std::size_t> next = 0;
     const auto work = [&] {
         for (std::size_t index = next++; index < runs.size(); index = next++) {
-            const bench::workload workload =
+            bench::workload workload =
                 runs[index].key.workload == "krajevnik" ? bench::krajevnik()
                                                         : bench::predavka();
+            workload.entry_hosts = wanted.hosts;
             runs[index].measured = run_one(workload, runs[index].key);
         }
     };
     std::vector<std::jthread> workers;
-    for (unsigned thread = 0; thread < threads; ++thread)
+    for (unsigned thread = 0; thread < wanted.threads; ++thread)
         workers.emplace_back(work);
 }
 
@@ -215,7 +221,7 @@
         }
     }
     std::vector<bench::run_result> runs = all_runs(wanted);
-    run_all(runs, wanted.threads);
+    run_all(runs, wanted);
     const std::string table = bench::to_markdown(runs);
     std::cout << table;
     if (!wanted.markdown.empty())
