--- a/libraries/catalogue/include/godwit/catalogue/alarm.hpp
+++ b/libraries/catalogue/include/godwit/catalogue/catalogue_alarm.hpp
@@ -8,7 +8,7 @@
 namespace godwit::catalogue {
 
 /// A condition that needs an operator.
-struct alarm
+struct catalogue_alarm
 {
     alarm_kind kind = alarm_kind::two_contents;
     /// Where in the log it was seen.
@@ -16,7 +16,8 @@
     /// What is wrong and what to do, for people.
     std::string message;
 
-    friend bool operator==(const alarm&, const alarm&) = default;
+    friend bool
+    operator==(const catalogue_alarm&, const catalogue_alarm&) = default;
 };
 
 } // namespace godwit::catalogue
--- a/libraries/catalogue/include/godwit/catalogue/follower.hpp
+++ b/libraries/catalogue/include/godwit/catalogue/follower.hpp
@@ -116,7 +116,7 @@
     std::uint64_t published_offset_ = 0;
     std::optional<core::time_point> confirmed_at_;
     record_window window_;
-    std::vector<alarm> alarms_;
+    std::vector<catalogue_alarm> alarms_;
     std::set<std::string> diverging_; // Holders of another content.
 
     bool log_available_ = false;
--- a/libraries/catalogue/include/godwit/catalogue/follower_status.hpp
+++ b/libraries/catalogue/include/godwit/catalogue/follower_status.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <godwit/catalogue/alarm.hpp>
+#include <godwit/catalogue/catalogue_alarm.hpp>
 #include <godwit/catalogue/catalogue_source.hpp>
 #include <godwit/catalogue/checkpoint_info.hpp>
 #include <godwit/core/identifiers.hpp>
@@ -26,7 +26,7 @@
     std::uint64_t log_first = 0; ///< The oldest record the log has.
     std::optional<checkpoint_info> newest_checkpoint;
     std::vector<core::host_name> neighbours;
-    std::vector<alarm> alarms;
+    std::vector<catalogue_alarm> alarms;
 
     friend bool
     operator==(const follower_status&, const follower_status&) = default;
--- a/libraries/catalogue/include/godwit/catalogue/raise_alarm.hpp
+++ b/libraries/catalogue/include/godwit/catalogue/raise_alarm.hpp
@@ -1,13 +1,13 @@
 #pragma once
 
-#include <godwit/catalogue/alarm.hpp>
+#include <godwit/catalogue/catalogue_alarm.hpp>
 
 namespace godwit::catalogue {
 
 /// Tell the operators; raised once until cleared.
 struct raise_alarm
 {
-    alarm raised;
+    catalogue_alarm raised;
 
     friend bool operator==(const raise_alarm&, const raise_alarm&) = default;
 };
--- a/libraries/catalogue/src/follower.cpp
+++ b/libraries/catalogue/src/follower.cpp
@@ -542,7 +542,7 @@
 bool follower::has_alarm(alarm_kind kind) const
 {
     return std::any_of(
-        alarms_.begin(), alarms_.end(), [kind](const alarm& each) {
+        alarms_.begin(), alarms_.end(), [kind](const catalogue_alarm& each) {
             return each.kind == kind;
         });
 }
@@ -563,7 +563,7 @@
         std::remove_if(
             alarms_.begin(),
             alarms_.end(),
-            [kind](const alarm& each) { return each.kind == kind; }),
+            [kind](const catalogue_alarm& each) { return each.kind == kind; }),
         alarms_.end());
     actions_.emplace_back(clear_alarm{kind});
 }
