--- a/libraries/catalogue/include/godwit/catalogue/follower_settings.hpp
+++ b/libraries/catalogue/include/godwit/catalogue/follower_settings.hpp
@@ -37,7 +37,9 @@
     /// Missing chunks of an own checkpoint are appended again after this.
     core::duration checkpoint_retry = std::chrono::seconds(30);
 
-    std::uint32_t read_limit = 500;
+    /// Records a read; even the largest ones must fit into one answer of
+    /// the log's client (8 MiB).
+    std::uint32_t read_limit = 64;
 
     friend bool
     operator==(const follower_settings&, const follower_settings&) = default;
