--- a/libraries/core/include/godwit/core/result.hpp
+++ b/libraries/core/include/godwit/core/result.hpp
@@ -4,6 +4,7 @@
 
 #include <tl/expected.hpp>
 
+#include <type_traits>
 #include <utility>
 
 namespace godwit::core {
@@ -20,6 +21,15 @@
         error(kind, std::move(message), std::move(remedy)));
 }
 
+/// The value of a result that has one; nothing of a `result<void>`.
+template<class Value>
+Value take_value(result<Value>&& held)
+{
+    // tl::expected<void, E> has no value().
+    if constexpr (!std::is_void_v<Value>)
+        return std::move(held).value();
+}
+
 } // namespace godwit::core
 
 /// Yields the value of a `result`, or returns its error from the enclosing
@@ -29,5 +39,5 @@
         auto godwit_try_result = (expression);                                 \
         if (!godwit_try_result)                                                \
             return tl::unexpected(std::move(godwit_try_result).error());       \
-        std::move(godwit_try_result).value();                                  \
+        ::godwit::core::take_value(std::move(godwit_try_result));              \
     }))
