--- /dev/null
+++ b/services/agent/src/agent_settings.cpp
@@ -0,0 +1,167 @@
+#include "agent_settings.hpp"
+
+#include <utility>
+
+namespace godwit::agent {
+
+namespace {
+
+using namespace std::chrono_literals;
+using settings::reader;
+
+constexpr std::size_t longest_name = 128;
+constexpr std::size_t most_peers = 64;
+
+core::result<core::duration> read_span(
+    reader& from,
+    std::string_view key,
+    settings::range<std::chrono::milliseconds> allowed,
+    core::duration absent)
+{
+    return from.get_milliseconds(
+        key,
+        allowed,
+        std::chrono::duration_cast<std::chrono::milliseconds>(absent));
+}
+
+core::result<std::size_t> read_count(
+    reader& from,
+    std::string_view key,
+    settings::range<std::int64_t> allowed,
+    std::size_t absent)
+{
+    return static_cast<std::size_t>(GODWIT_TRY(
+        from.get_integer(key, allowed, static_cast<std::int64_t>(absent))));
+}
+
+core::result<telemetry::log_level> read_log_level(reader& from)
+{
+    const auto name = GODWIT_TRY(from.get_choice(
+        "log_level", {"debug", "info", "warning", "error"}, "info"));
+    if (name == "debug")
+        return telemetry::log_level::debug;
+    if (name == "warning")
+        return telemetry::log_level::warning;
+    if (name == "error")
+        return telemetry::log_level::error;
+    return telemetry::log_level::info;
+}
+
+core::result<log_settings> read_log(reader& file)
+{
+    auto from = GODWIT_TRY(file.get_object("log"));
+    log_settings log;
+    auto& client = log.client;
+    log.wait = GODWIT_TRY(read_span(from, "wait_ms", {0ms, 1min}, log.wait));
+    client.read_timeout = GODWIT_TRY(
+        read_span(from, "read_ms", {10ms, 1min}, client.read_timeout));
+    client.append_timeout = GODWIT_TRY(
+        read_span(from, "append_ms", {10ms, 1min}, client.append_timeout));
+    client.page_bytes = GODWIT_TRY(read_count(
+        from,
+        "page_bytes",
+        {512 * 1024, 256 * 1024 * 1024},
+        client.page_bytes));
+    client.budget.log_rate = GODWIT_TRY(
+        from.get_number("rate", {1, 100000}, client.budget.log_rate));
+    client.budget.operators_share = GODWIT_TRY(from.get_number(
+        "operators_share", {0, 0.95}, client.budget.operators_share));
+    client.budget.burst =
+        GODWIT_TRY(from.get_number("burst", {1, 1000}, client.budget.burst));
+    GODWIT_TRY(from.finish());
+    return log;
+}
+
+core::result<platform::host_list_options> read_host_list(reader& file)
+{
+    auto from = GODWIT_TRY(file.get_object("host_list"));
+    platform::host_list_options list;
+    list.interval =
+        GODWIT_TRY(read_span(from, "interval_ms", {10ms, 1min}, list.interval));
+    list.timeout =
+        GODWIT_TRY(read_span(from, "timeout_ms", {10ms, 1min}, list.timeout));
+    list.longest_wait = GODWIT_TRY(
+        read_span(from, "longest_wait_ms", {10ms, 1min}, list.longest_wait));
+    GODWIT_TRY(from.finish());
+    return list;
+}
+
+core::result<catalogue::follower_settings> read_catalogue(reader& file)
+{
+    auto from = GODWIT_TRY(file.get_object("catalogue"));
+    catalogue::follower_settings follower;
+    follower.neighbour_count = GODWIT_TRY(
+        read_count(from, "neighbours", {1, 32}, follower.neighbour_count));
+    follower.digest_interval = GODWIT_TRY(
+        read_span(from, "digest_ms", {50ms, 1min}, follower.digest_interval));
+    follower.digest_spacing = GODWIT_TRY(read_span(
+        from, "digest_spacing_ms", {0ms, 1min}, follower.digest_spacing));
+    follower.log_grace = GODWIT_TRY(
+        read_span(from, "log_grace_ms", {0ms, 1min}, follower.log_grace));
+    follower.log_retry = GODWIT_TRY(
+        read_span(from, "log_retry_ms", {10ms, 1min}, follower.log_retry));
+    follower.pull_timeout = GODWIT_TRY(
+        read_span(from, "pull_ms", {10ms, 1min}, follower.pull_timeout));
+    follower.checkpoint_interval = GODWIT_TRY(read_span(
+        from, "checkpoint_ms", {100ms, 168h}, follower.checkpoint_interval));
+    follower.checkpoint_rank_step = GODWIT_TRY(read_span(
+        from, "checkpoint_rank_ms", {0ms, 1h}, follower.checkpoint_rank_step));
+    follower.checkpoint_retry = GODWIT_TRY(read_span(
+        from, "checkpoint_retry_ms", {100ms, 1h}, follower.checkpoint_retry));
+    follower.read_limit = static_cast<std::uint32_t>(GODWIT_TRY(
+        read_count(from, "read_limit", {1, 10000}, follower.read_limit)));
+    GODWIT_TRY(from.finish());
+    return follower;
+}
+
+core::result<wire::link_options> read_links(reader& file)
+{
+    auto from = GODWIT_TRY(file.get_object("links"));
+    wire::link_options links;
+    links.heartbeat_interval = GODWIT_TRY(
+        read_span(from, "heartbeat_ms", {50ms, 1min}, std::chrono::seconds(2)));
+    links.idle_timeout = GODWIT_TRY(
+        read_span(from, "idle_ms", {100ms, 10min}, std::chrono::seconds(8)));
+    links.send_queue_limit = GODWIT_TRY(read_count(
+        from,
+        "queue_bytes",
+        {1024 * 1024, 64 * 1024 * 1024},
+        links.send_queue_limit));
+    GODWIT_TRY(from.finish());
+    return links;
+}
+
+} // namespace
+
+core::result<agent_settings> agent_settings::read(reader file)
+{
+    const auto host =
+        GODWIT_TRY(file.get_string("host", std::nullopt, longest_name));
+    const auto zone =
+        GODWIT_TRY(file.get_string("zone", std::nullopt, longest_name));
+    auto listen = GODWIT_TRY(file.get_object("listen"));
+    agent_settings read{
+        .host = core::host_name(host),
+        .zone = core::zone_name(zone),
+        .frames_address = GODWIT_TRY(listen.get_address("frames")),
+        .operators_address = GODWIT_TRY(listen.get_address("operators")),
+        .platform = GODWIT_TRY(file.get_address("platform")),
+        .peers = GODWIT_TRY(file.get_addresses("peers", most_peers)),
+        .log_level = GODWIT_TRY(read_log_level(file)),
+        .log = GODWIT_TRY(read_log(file)),
+        .host_list = GODWIT_TRY(read_host_list(file)),
+        .catalogue = GODWIT_TRY(read_catalogue(file)),
+        .links = GODWIT_TRY(read_links(file))};
+    GODWIT_TRY(listen.finish());
+    read.catalogue.self = read.host;
+    // A read that hangs for longer than its own bound is given up by the
+    // follower too.
+    read.catalogue.read_timeout =
+        2 * (read.log.wait + read.log.client.read_timeout);
+    read.pause_limit = GODWIT_TRY(
+        read_span(file, "pause_ms", {200ms, 1min}, read.pause_limit));
+    GODWIT_TRY(file.finish());
+    return read;
+}
+
+} // namespace godwit::agent
--- /dev/null
+++ b/services/agent/src/catalogue_duty_handlers.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <godwit/catalogue/alarm.hpp>
+
+#include <functional>
+
+namespace godwit::agent {
+
+/// What the catalogue duty tells the agent.
+struct catalogue_duty_handlers
+{
+    /// Another catalogue is in force at this agent.
+    std::function<void()> on_published;
+
+    /// The agent has a catalogue. Called once.
+    std::function<void()> on_ready;
+};
+
+} // namespace godwit::agent
