--- a/services/proxy/control_plane.cpp
+++ b/services/proxy/control_plane.cpp
@@ -28,6 +28,7 @@
 constexpr std::chrono::milliseconds beat_interval{20};
 constexpr std::chrono::milliseconds membership_interval{100};
 constexpr std::chrono::seconds explore_interval{1};
+constexpr std::chrono::seconds longest_ready_wait{2};
 constexpr std::string_view component = "control";
 
 membership::pool_settings pool_settings(const proxy_settings& from)
@@ -156,6 +157,21 @@
     }
     explore(now);
     poller_.tick(now);
+    tell_if_ready(now);
+}
+
+// Engines are eligible once they have said what they hold. Before they had
+// the time to, requests would be refused without need.
+void control_plane::tell_if_ready(core::time_point now)
+{
+    if (!ready_at_)
+        return;
+    const bool servers_known = !listed_.empty() && poller_.has_heard_of_all();
+    if (!servers_known && now < *ready_at_)
+        return;
+    ready_at_.reset();
+    if (to_.on_ready)
+        to_.on_ready();
 }
 
 void control_plane::refresh_polls()
@@ -393,8 +409,8 @@
         component,
         "catalogue_in_force",
         {{"offset", catalogue_->next_offset()}, {"hash", catalogue_->hash()}});
-    if (is_first && to_.on_ready)
-        to_.on_ready();
+    if (is_first)
+        ready_at_ = core::monotonic_now() + longest_ready_wait;
 }
 
 void control_plane::tell_of_gone_services(const catalogue::state& next)
--- a/services/proxy/control_plane.hpp
+++ b/services/proxy/control_plane.hpp
@@ -26,6 +26,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <vector>
@@ -45,7 +46,8 @@
         snapshot_cell& snapshots;
         token_ledger& ledger;
         session_registry& registry;
-        /// The first catalogue is in force. Called on the control thread.
+        /// The first catalogue is in force and the backend servers were
+        /// asked for the first time. Called once on the control thread.
         std::function<void()> on_ready;
         /// A sign that the other entry hosts should have.
         std::function<void(const membership::pass_sign&)> on_sign;
@@ -117,6 +119,7 @@
     void on(const membership::host_list_doubted& what);
 
     void refresh_polls();
+    void tell_if_ready(core::time_point now);
     void explore(core::time_point now);
     void on_load(
         const core::server_address& server,
@@ -134,6 +137,9 @@
     boost::asio::steady_timer timer_;
     core::time_point membership_due_{};
     core::time_point explore_due_{};
+    /// When it is ready even if servers did not answer; none before the
+    /// first catalogue and after it is ready.
+    std::optional<core::time_point> ready_at_;
     core::random random_;
     std::vector<membership::listed_server> listed_;
     std::set<core::server_address> eligible_;
--- a/services/proxy/load_poller.cpp
+++ b/services/proxy/load_poller.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace godwit::proxy {
@@ -71,6 +72,13 @@
     }
 }
 
+bool load_poller::has_heard_of_all() const
+{
+    return std::all_of(beats_.begin(), beats_.end(), [](const auto& each) {
+        return each.second.is_heard;
+    });
+}
+
 void load_poller::tick(core::time_point now)
 {
     for (auto& [server, next] : beats_) {
@@ -97,6 +105,9 @@
             if (poller == nullptr)
                 return;
             poller->asked_.erase(server);
+            const auto found = poller->beats_.find(server);
+            if (found != poller->beats_.end())
+                found->second.is_heard = true;
             poller->on_answer_(server, answer);
         });
     };
--- a/services/proxy/load_poller.hpp
+++ b/services/proxy/load_poller.hpp
@@ -46,6 +46,9 @@
     /// Asks the server now, whether it is one of those or not.
     void ask(const core::server_address& server);
 
+    /// Whether every one of the servers was asked and answered or failed.
+    [[nodiscard]] bool has_heard_of_all() const;
+
     /// Asks those that are due.
     void tick(core::time_point now);
 
@@ -53,6 +56,7 @@
     struct beat
     {
         core::time_point due;
+        bool is_heard = false;
     };
 
     boost::asio::any_io_executor control_;
