--- a/services/proxy/control_plane.cpp
+++ b/services/proxy/control_plane.cpp
@@ -249,9 +249,18 @@
 {
     asio::post(control_, [this, next = std::move(next)]() mutable {
         put_into_force(std::move(next));
+        if (to_.on_catalogue)
+            to_.on_catalogue();
     });
 }
 
+wire::catalogue_position control_plane::position() const
+{
+    if (!catalogue_ || catalogue_is_static_)
+        return {};
+    return {catalogue_->next_offset(), catalogue_->hash()};
+}
+
 void control_plane::take_servers(std::vector<membership::listed_server> servers)
 {
     asio::post(control_, [this, servers = std::move(servers)]() mutable {
--- a/services/proxy/control_plane.hpp
+++ b/services/proxy/control_plane.hpp
@@ -18,6 +18,7 @@
 #include <godwit/membership/listed_server.hpp>
 #include <godwit/membership/pool.hpp>
 #include <godwit/request/actions.hpp>
+#include <godwit/wire/catalogue_position.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -51,6 +52,8 @@
         std::function<void()> on_ready;
         /// A sign that the other entry hosts should have.
         std::function<void(const membership::pass_sign&)> on_sign;
+        /// Another catalogue is in force, or one was offered in vain.
+        std::function<void()> on_catalogue;
     };
 
     /// `control` is run by one thread, `traffic` by the others. Fails with
@@ -84,6 +87,10 @@
     /// Puts a catalogue into force, if it is newer than the one that is.
     void take_catalogue(catalogue::state_pointer next);
 
+    /// What the agent is told to be in force: nothing while the catalogue is
+    /// the one of the settings. On the control thread only.
+    [[nodiscard]] wire::catalogue_position position() const;
+
     /// The host list as a whole, beside the servers of the settings.
     void take_servers(std::vector<membership::listed_server> servers);
 
--- a/services/proxy/proxy_process.cpp
+++ b/services/proxy/proxy_process.cpp
@@ -5,6 +5,7 @@
 #include <godwit/core/hash.hpp>
 #include <godwit/http/endpoint.hpp>
 #include <godwit/telemetry/log.hpp>
+#include <godwit/wire/protocol.hpp>
 
 #include <boost/asio/executor_work_guard.hpp>
 
@@ -51,11 +52,9 @@
         GODWIT_TRY(explain_log::create(settings.explain_records));
     std::unique_ptr<proxy_process> made(new proxy_process(
         std::move(settings), std::move(keys), std::move(explanations)));
-    auto begun = made->make_parts();
-    if (begun)
-        begun = made->listen();
-    if (!begun)
-        return tl::unexpected(begun.error());
+    GODWIT_TRY(made->make_parts());
+    GODWIT_TRY(made->listen());
+    GODWIT_TRY(made->make_agent_link());
     return made;
 }
 
@@ -80,7 +79,14 @@
             state_.has_catalogue = true;
             std::cout << "ready" << std::endl;
         },
-        nullptr};
+        [this](const membership::pass_sign& sign) {
+            if (agent_)
+                agent_->pass(sign);
+        },
+        [this] {
+            if (agent_)
+                agent_->report_position();
+        }};
     control_ = GODWIT_TRY(control_plane::create(
         control_context_,
         traffic_context_,
@@ -134,6 +140,26 @@
     return {};
 }
 
+core::result<void> proxy_process::make_agent_link()
+{
+    if (!settings_.agent)
+        return {};
+    wire::hello self;
+    self.version = wire::protocol_version;
+    self.role = wire::peer_role::proxy;
+    self.host = settings_.host;
+    self.zone = settings_.zone;
+    self.incarnation = incarnation_;
+    self.address = callers_->address().to_string();
+    agent_ = GODWIT_TRY(agent_link::create(
+        control_context_,
+        *settings_.agent,
+        std::move(self),
+        *control_,
+        core::stable_hash(incarnation_.value(), 1)));
+    return {};
+}
+
 core::result<void> proxy_process::take_static_catalogue()
 {
     if (!settings_.fixed.catalogue)
@@ -163,6 +189,8 @@
         std::cerr << "godwit-proxy: " << taken.error().to_string() << '\n';
         return settings::exit_code::settings;
     }
+    if (agent_)
+        agent_->start();
     run_threads();
     return cut_requests_ == 0 ? settings::exit_code::done
                               : settings::exit_code::refused;
--- a/services/proxy/proxy_process.hpp
+++ b/services/proxy/proxy_process.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "agent_link.hpp"
 #include "callers_service.hpp"
 #include "control_plane.hpp"
 #include "drain.hpp"
@@ -50,6 +51,7 @@
 
     core::result<void> make_parts();
     core::result<void> listen();
+    core::result<void> make_agent_link();
     core::result<void> take_static_catalogue();
     void run_threads();
 
@@ -67,6 +69,7 @@
     boost::asio::io_context traffic_context_;
     session_registry registry_;
     std::unique_ptr<control_plane> control_;
+    std::unique_ptr<agent_link> agent_; ///< Null without an agent.
     std::optional<session_services> services_;
     std::optional<callers_service> callers_service_;
     std::optional<operators_service> operators_service_;
