catalogue: a clock that is ahead no longer makes a host write checkpoints without end

The age of a checkpoint was judged by the host's clock against the log's time, also where the host had seen it come; with a clock a year ahead each tick found it due (test_wrong_clocks_do_not_flood_the_log failed first).

--- a/libraries/catalogue/include/godwit/catalogue/follower.hpp
+++ b/libraries/catalogue/include/godwit/catalogue/follower.hpp
@@ -120,6 +120,7 @@
     std::set<std::string> diverging_; // Holders of another content.
 
     bool log_available_ = false;
+    bool was_caught_up_ = false; // Before the answer at hand.
     bool reading_ = false;
     core::time_point read_since_;
     core::time_point next_read_at_;
@@ -138,6 +139,7 @@
     checkpoint_assembler assembler_;
     std::optional<checkpoint_info> newest_checkpoint_;
     core::time_point checkpoint_seen_at_;
+    bool checkpoint_came_live_ = false; // While this host was caught up.
     std::optional<core::time_point> chunk_seen_at_;
     std::vector<completed_checkpoint> completed_;
     std::optional<own_checkpoint> own_checkpoint_;
--- a/libraries/catalogue/src/follower.cpp
+++ b/libraries/catalogue/src/follower.cpp
@@ -55,6 +55,7 @@
 
 void follower::on(const log_records& event)
 {
+    was_caught_up_ = is_caught_up();
     reading_ = false;
     log_available_ = true;
     log_first_ = event.first;
@@ -191,6 +192,7 @@
     if (newer && event.newest_checkpoint.time_ms != 0) {
         newest_checkpoint_ = event.newest_checkpoint;
         checkpoint_seen_at_ = now_;
+        checkpoint_came_live_ = false;
     }
     adopt(event.content, catalogue_source::peer);
 }
@@ -290,6 +292,7 @@
         return;
     newest_checkpoint_ = checkpoint_info{offset, found.time_ms};
     checkpoint_seen_at_ = now_;
+    checkpoint_came_live_ = was_caught_up_;
     checkpoint_due_since_.reset();
     completed_.push_back({offset, found.last_record});
     if (completed_.size() > maximum_completed)
@@ -484,9 +487,10 @@
         return settings_.checkpoint_interval;
     const core::duration watched = now_ - checkpoint_seen_at_;
     // A host that was just started did not see the checkpoint come; the
-    // log's own time tells its age, as far as the clocks agree.
+    // log's own time tells its age, as far as the clocks agree. Where it
+    // saw it come, a clock that is wrong must not make it write for ever.
     const std::uint64_t written = newest_checkpoint_->time_ms;
-    if (written == 0 || wall_time_ms_ <= written)
+    if (checkpoint_came_live_ || written == 0 || wall_time_ms_ <= written)
         return watched;
     const core::duration dated =
         std::chrono::milliseconds(wall_time_ms_ - written);
--- a/tests/catalogue/cluster.hpp
+++ b/tests/catalogue/cluster.hpp
@@ -41,6 +41,8 @@
     /// Whether the zone reaches the log, and whether two zones are joined.
     std::set<std::string> zones_without_log;
     std::set<std::string> isolated_zones;
+    /// How far the hosts' clocks are ahead of the log's.
+    std::uint64_t clock_error_ms = 0;
     /// Appends of hosts after these are lost.
     std::size_t appends_left = SIZE_MAX;
 
@@ -194,7 +196,7 @@
         at_time(now_ + tick_time, [this, index, generation] {
             if (hosts_[index].generation != generation || hosts_[index].paused)
                 return;
-            deliver(index, tick{time_ms()});
+            deliver(index, tick{time_ms() + clock_error_ms});
             schedule_tick(index);
         });
     }
--- a/tests/catalogue/follower_test.cpp
+++ b/tests/catalogue/follower_test.cpp
@@ -36,6 +36,9 @@
     CPPUNIT_TEST(test_log_survives_idle_weeks_and_restarts);
     CPPUNIT_TEST(test_one_host_writes_a_checkpoint);
     CPPUNIT_TEST(test_overdue_checkpoint_is_written_by_one);
+    CPPUNIT_TEST(test_wrong_clocks_do_not_flood_the_log);
+    CPPUNIT_TEST(test_checkpoint_with_a_gap_behind_it_is_not_used);
+    CPPUNIT_TEST(test_older_snapshot_is_not_taken);
     CPPUNIT_TEST(test_old_tombstones_go_everywhere);
     CPPUNIT_TEST(test_two_contents_at_one_offset);
     CPPUNIT_TEST(test_log_that_went_back);
@@ -361,13 +364,14 @@
 
     void test_log_survives_idle_weeks_and_restarts()
     {
-        // Retention 60 s, no change in ten times that, a host replaced
-        // every few seconds: the entries still last.
+        // Retention 60 s and no change in ten times that. Each host is
+        // replaced before it is as old as a checkpoint may become, so only
+        // the log's own time tells a checkpoint's age.
         cluster_.log.retention_ms = 60'000;
         start();
         publish_one();
-        for (std::size_t n = 0; n < 120; ++n) {
-            cluster_.run_for(5s);
+        for (std::size_t n = 0; n < 300; ++n) {
+            cluster_.run_for(2s);
             cluster_.replace(n % cluster_.size());
         }
         settle(4s);
@@ -409,6 +413,46 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count_chunks(0));
     }
 
+    void test_wrong_clocks_do_not_flood_the_log()
+    {
+        cluster_.clock_error_ms = 365UL * 24 * 3600 * 1000;
+        start();
+        publish_one();
+        // One too early, then one an interval.
+        cluster_.run_for(50s);
+        CPPUNIT_ASSERT(count_chunks(0) <= 4);
+    }
+
+    void test_checkpoint_with_a_gap_behind_it_is_not_used()
+    {
+        start(1);
+        publish_every(10ms, 5);
+        settle(1s);
+        const auto content = cluster_.at(0).agent->content();
+        publish_every(10ms, 2);
+        for (const auto& data : write_checkpoint(*content))
+            cluster_.publish(data);
+        // One of the two changes between its state and its record is gone.
+        start_from_log_alone(content->next_offset() + 1);
+        cluster_.run_for(10s);
+        CPPUNIT_ASSERT(!cluster_.status(0).ready);
+        CPPUNIT_ASSERT(has_alarm(0, alarm_kind::trimmed_without_checkpoint));
+    }
+
+    void test_older_snapshot_is_not_taken()
+    {
+        start(1);
+        publish_every(10ms, 5);
+        settle(1s);
+        const auto older = cluster_.at(0).agent->content();
+        publish_one();
+        settle(1s);
+        const auto newer = cluster_.at(0).agent->content();
+        learn(peer_snapshot{
+            godwit::core::host_name("host-2"), older, checkpoint_info{}});
+        CPPUNIT_ASSERT(cluster_.at(0).agent->content() == newer);
+    }
+
     void test_old_tombstones_go_everywhere()
     {
         cluster_.log.retention_ms = 60'000;
