--- a/services/proxy/control_plane.hpp
+++ b/services/proxy/control_plane.hpp
@@ -18,6 +18,7 @@
 #include <godwit/membership/listed_server.hpp>
 #include <godwit/membership/pool.hpp>
 #include <godwit/request/actions.hpp>
+#include <godwit/wire/catalogue_position.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -26,6 +27,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <vector>
@@ -45,10 +47,13 @@
         snapshot_cell& snapshots;
         token_ledger& ledger;
         session_registry& registry;
-        /// The first catalogue is in force. Called on the control thread.
+        /// The first catalogue is in force and the backend servers were
+        /// asked for the first time. Called once on the control thread.
         std::function<void()> on_ready;
         /// A sign that the other entry hosts should have.
         std::function<void(const membership::pass_sign&)> on_sign;
+        /// Another catalogue is in force, or one was offered in vain.
+        std::function<void()> on_catalogue;
     };
 
     /// `control` is run by one thread, `traffic` by the others. Fails with
@@ -82,6 +87,10 @@
     /// Puts a catalogue into force, if it is newer than the one that is.
     void take_catalogue(catalogue::state_pointer next);
 
+    /// What the agent is told to be in force: nothing while the catalogue is
+    /// the one of the settings. On the control thread only.
+    [[nodiscard]] wire::catalogue_position position() const;
+
     /// The host list as a whole, beside the servers of the settings.
     void take_servers(std::vector<membership::listed_server> servers);
 
@@ -117,6 +126,7 @@
     void on(const membership::host_list_doubted& what);
 
     void refresh_polls();
+    void tell_if_ready(core::time_point now);
     void explore(core::time_point now);
     void on_load(
         const core::server_address& server,
@@ -134,6 +144,9 @@
     boost::asio::steady_timer timer_;
     core::time_point membership_due_{};
     core::time_point explore_due_{};
+    /// When it is ready even if servers did not answer; none before the
+    /// first catalogue and after it is ready.
+    std::optional<core::time_point> ready_at_;
     core::random random_;
     std::vector<membership::listed_server> listed_;
     std::set<core::server_address> eligible_;
