--- a/tests/catalogue/follower_test.cpp
+++ b/tests/catalogue/follower_test.cpp
@@ -24,7 +24,9 @@
     CPPUNIT_TEST(test_two_operators_on_one_entry);
     CPPUNIT_TEST(test_paused_beyond_retention);
     CPPUNIT_TEST(test_paused_beyond_retention_without_peers);
+    CPPUNIT_TEST(test_short_pause);
     CPPUNIT_TEST(test_zone_cut_from_log_but_not_from_peers);
+    CPPUNIT_TEST(test_tells_a_peer_that_is_behind);
     CPPUNIT_TEST(test_zone_cut_from_all);
     CPPUNIT_TEST(test_all_replaced_during_an_outage);
     CPPUNIT_TEST(test_agent_restarts_behind_its_proxy);
@@ -194,6 +196,31 @@
         CPPUNIT_ASSERT(cluster_.at(2).alarms.empty());
     }
 
+    void test_short_pause()
+    {
+        start(1);
+        cluster_.pause(0);
+        cluster_.run_for(5s);
+        publish_one();
+        cluster_.resume(0);
+        // It does not wait for the answer that the pause lost.
+        settle(1s);
+    }
+
+    void test_tells_a_peer_that_is_behind()
+    {
+        start(1);
+        publish_every(10ms, 5);
+        settle(1s);
+        const godwit::core::host_name peer("host-2");
+        const auto actions = cluster_.at(0).agent->handle(
+            peer_digest{peer, 1, cluster_.log.state_at(1).hash(), {}}, late_);
+        const auto* told = std::get_if<send_digest>(&actions.front());
+        CPPUNIT_ASSERT(told != nullptr);
+        CPPUNIT_ASSERT(told->peers == std::vector{peer});
+        CPPUNIT_ASSERT_EQUAL(cluster_.log.next(), told->next_offset);
+    }
+
     void test_zone_cut_from_log_but_not_from_peers()
     {
         start();
--- /dev/null
+++ b/tests/godwitctl/operators_stub.cpp
@@ -0,0 +1,57 @@
+#include "operators_stub.hpp"
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace godwit::ctl::test {
+
+operators_stub::operators_stub()
+{
+    http::server_settings settings{
+        http::endpoint::parse("127.0.0.1:0").value(), {}, {}};
+    server_ = http::server::create(
+                  context_,
+                  settings,
+                  [this](http::exchange& current) { return answer(current); })
+                  .value();
+    thread_ = std::thread([this] {
+        const auto guard = boost::asio::make_work_guard(context_);
+        context_.run();
+    });
+}
+
+operators_stub::~operators_stub()
+{
+    context_.stop();
+    thread_.join();
+}
+
+std::string operators_stub::url() const
+{
+    return "http://" + server_->address().to_string();
+}
+
+boost::asio::awaitable<void> operators_stub::answer(http::exchange& current)
+{
+    constexpr unsigned not_found = 404;
+    http::response response;
+    if (current.received().target == "/state") {
+        response.body = boost::json::serialize(boost::json::object{
+            {"host", "host-1"},
+            {"zone", "moste"},
+            {"program", "godwit-agent"},
+            {"catalogue",
+             boost::json::object{
+                 {"in_force", in_force++},
+                 {"age_ms", 12},
+                 {"source", "log"},
+                 {"alarms", boost::json::array()}}}});
+    } else if (current.received().target == "/explain/r-1") {
+        response.body = R"([{"decision": "start"}])";
+    } else {
+        response.status = not_found;
+    }
+    co_await current.respond(std::move(response));
+}
+
+} // namespace godwit::ctl::test
