--- a/libraries/request/include/godwit/request/fail_reason.hpp
+++ b/libraries/request/include/godwit/request/fail_reason.hpp
@@ -17,6 +17,7 @@
     run_failed,           ///< An earlier try ran and failed.
     holder_lost,          ///< The entry host that holds the claim is gone.
     attempts_exhausted,   ///< Every allowed attempt failed.
+    declined,             ///< The backend server did not start it.
     retry_budget,         ///< The service's retry budget is spent.
     backend_server_lost,  ///< The backend server or the generation is gone.
     link_broken,          ///< The connection broke after bytes were sent.
--- a/libraries/request/src/fail_reason.cpp
+++ b/libraries/request/src/fail_reason.cpp
@@ -25,6 +25,8 @@
         return "holder_lost";
     case fail_reason::attempts_exhausted:
         return "attempts_exhausted";
+    case fail_reason::declined:
+        return "declined";
     case fail_reason::retry_budget:
         return "retry_budget";
     case fail_reason::backend_server_lost:
@@ -57,6 +59,7 @@
     case fail_reason::queue_refused:
     case fail_reason::no_backend_server:
     case fail_reason::attempts_exhausted:
+    case fail_reason::declined:
     case fail_reason::retry_budget:
         return "the service is crowded or short of backend servers; come "
                "back after Retry-After";
--- a/libraries/request/src/life_answer.cpp
+++ b/libraries/request/src/life_answer.cpp
@@ -75,7 +75,7 @@
         what.started == start_state::leaving ? observation::leaving
                                              : observation::answered);
     release_connection();
-    retry_elsewhere(fail_reason::no_backend_server);
+    retry_elsewhere(fail_reason::declined);
 }
 
 void life::on_failed_head(const answer_head& what)
