--- a/tests/faults/checker.cpp
+++ b/tests/faults/checker.cpp
@@ -98,10 +98,14 @@
         found.emplace_back("a caller has no final answer in time");
     for (std::size_t at = 0; at < seen.tries.size(); ++at) {
         const auto& one = seen.tries[at];
+        constexpr auto delivery = std::chrono::milliseconds(2);
+        const bool too_late =
+            one.deadline && one.ended > *one.deadline + delivery;
+        if (too_late && !seen.paused)
+            found.push_back(one.id + ": answered after its deadline");
         const auto& refused = seen.refused_at.at(at);
         if (!refused)
             continue;
-        constexpr auto delivery = std::chrono::milliseconds(2);
         if (one.end == ending::failed && one.ended - *refused > delivery)
             found.push_back(one.id + ": giving up was held back");
         if (one.end == ending::failed && !one.has_retry_after &&
--- a/tests/faults/history.hpp
+++ b/tests/faults/history.hpp
@@ -39,6 +39,7 @@
     std::size_t host = 0;
     core::time_point begun{};
     core::time_point ended{};
+    std::optional<core::time_point> deadline;
     ending end = ending::open;
     core::outcome result = core::outcome::unknown;
     request::fail_reason reason = request::fail_reason::backend_error;
@@ -78,6 +79,7 @@
     bool settled = false; ///< Everybody had a final answer in bounded time.
     bool repeatable = true;
     bool fault_injected = false;
+    bool paused = false; ///< A process stood still and can be late.
 };
 
 } // namespace godwit::faults
--- a/tests/faults/world.cpp
+++ b/tests/faults/world.cpp
@@ -158,6 +158,7 @@
     begun.host = host;
     begun.begun = clock.now();
     auto made = request_of(who);
+    begun.deadline = made.deadline;
     if (continues) {
         const auto& earlier = seen.tries.at(*continues);
         begun.continues = earlier.continues.value_or(earlier.id);
@@ -308,6 +309,7 @@
         kill_host();
         return;
     case fault::process_pauses:
+        seen.paused = true;
         if (host)
             host->pause(seconds(1 + 7 * (cell_.seed % 3)));
         return;
