--- a/libraries/dispatch/include/godwit/dispatch/server_load.hpp
+++ b/libraries/dispatch/include/godwit/dispatch/server_load.hpp
@@ -9,13 +9,17 @@
 namespace godwit::dispatch {
 
 /// A backend server's load: its last report, advanced by what this host did
-/// since the report's own time. Memory is bounded: changes are summed in
-/// slots of 20 ms, and after `max_slots` the oldest are merged.
+/// since the report's own time, and by as much for each other entry host.
+/// Memory is bounded: changes are summed in slots of 20 ms, and after
+/// `max_slots` the oldest are merged.
 class server_load
 {
 public:
     static constexpr std::size_t max_slots = 512;
 
+    /// So many entry hosts send to the server, this one included.
+    void share_between(std::uint32_t entry_hosts) noexcept;
+
     /// Takes a report; one older than the last is ignored.
     void report(const load_reported& value);
 
@@ -50,6 +54,7 @@
     };
 
     load_reported last_;
+    std::uint32_t entry_hosts_ = 1;
     bool has_report_ = false;
     std::deque<slot> slots_;
     std::int64_t running_since_ = 0;
--- a/libraries/dispatch/src/scheduler_implementation.cpp
+++ b/libraries/dispatch/src/scheduler_implementation.cpp
@@ -98,7 +98,6 @@
 
 void scheduler::implementation::take(const servers_changed& input)
 {
-    entry_hosts_ = std::max<std::uint32_t>(input.entry_hosts, 1);
     for (auto& [address, server] : servers_)
         server->eligible = false;
     for (const backend_server& description : input.servers) {
@@ -108,6 +107,7 @@
         server->description = description;
         server->address_hash = core::stable_hash(description.address.value());
         server->eligible = true;
+        server->load.share_between(input.entry_hosts);
         static_cast<void>(service_of(description.service));
     }
     std::erase_if(servers_, [](const auto& entry) {
--- a/libraries/dispatch/src/scheduler_implementation.hpp
+++ b/libraries/dispatch/src/scheduler_implementation.hpp
@@ -83,7 +83,6 @@
     core::time_point now_{};
     std::vector<action> actions_;
     policy policy_;
-    std::uint32_t entry_hosts_ = 1;
     organisation_table organisations_;
     std::map<core::service_name, service_queue> services_;
     std::unordered_map<core::server_address, std::unique_ptr<server_account>>
--- a/libraries/dispatch/src/server_load.cpp
+++ b/libraries/dispatch/src/server_load.cpp
@@ -45,19 +45,27 @@
     slots_.front().tokens += oldest.tokens;
 }
 
+void server_load::share_between(std::uint32_t entry_hosts) noexcept
+{
+    entry_hosts_ = std::max<std::uint32_t>(entry_hosts, 1);
+}
+
+// What other hosts did since the report is not known here. They serve the
+// same callers by the same rules, so the best guess is that each did what
+// this one did; without it all of them fill the same gap.
 double server_load::running() const noexcept
 {
     const auto reported = static_cast<std::int64_t>(last_.running) +
                           static_cast<std::int64_t>(last_.waiting);
     return static_cast<double>(
-        std::max<std::int64_t>(reported + running_since_, 0));
+        std::max<std::int64_t>(reported + running_since_ * entry_hosts_, 0));
 }
 
 double server_load::memory_tokens() const noexcept
 {
     const auto reported = static_cast<std::int64_t>(last_.memory_tokens_used);
     return static_cast<double>(
-        std::max<std::int64_t>(reported + tokens_since_, 0));
+        std::max<std::int64_t>(reported + tokens_since_ * entry_hosts_, 0));
 }
 
 std::uint32_t server_load::waiting() const noexcept
