dispatch: a class may always use its host's share of its memory floor

Cause: the estimate of other hosts' sends is rough, and short work waited behind it although the floor kept memory free for it.

--- a/libraries/dispatch/src/admission.cpp
+++ b/libraries/dispatch/src/admission.cpp
@@ -32,6 +32,23 @@
     return reserved;
 }
 
+// A class may always use this host's share of its floor, whatever the reports
+// say: the other classes leave it free.
+bool within_floor(
+    const service_queue& service,
+    const server_account& server,
+    const tracked_request& request,
+    double capacity)
+{
+    const class_queue* const queue = request.owner->queue;
+    const auto used = server.class_tokens.find(queue);
+    const double taken = used == server.class_tokens.end() ? 0.0 : used->second;
+    const double need = static_cast<double>(request.arrival.prompt_tokens) +
+                        request.expected_rest();
+    return taken + need <=
+           queue->limits().memory_floor * capacity / service.entry_hosts;
+}
+
 bool excluded(const tracked_request& request, const server_account& server)
 {
     const auto& names = request.arrival.excluded;
@@ -56,6 +73,8 @@
     const double capacity = server.memory_capacity();
     if (capacity <= 0.0 || request.arrival.kind == request_kind::call)
         return true;
+    if (within_floor(service, server, request, capacity))
+        return true;
     // What the engine pushed off goes on before anything fresh starts.
     const bool fresh = request.times_preempted == 0;
     if (fresh && (server.own_pushed_off > 0 || server.load.waiting() > 0))
--- a/libraries/dispatch/src/scheduler_implementation.cpp
+++ b/libraries/dispatch/src/scheduler_implementation.cpp
@@ -114,6 +114,7 @@
         return !entry.second->eligible && entry.second->own_running == 0;
     });
     for (auto& [name, service] : services_) {
+        service.entry_hosts = std::max<std::uint32_t>(input.entry_hosts, 1);
         list_servers(service);
         mark_changed(service);
         if (service.servers.empty())
--- a/libraries/dispatch/src/service_queue.hpp
+++ b/libraries/dispatch/src/service_queue.hpp
@@ -21,6 +21,8 @@
     /// Eligible servers, those of the own availability zone first.
     std::vector<server_account*> servers;
     std::size_t own_zone_servers = 0;
+    /// Entry hosts that send to them, this one included.
+    std::uint32_t entry_hosts = 1;
     /// Queued requests that an engine pushed off before, by arrival.
     std::map<std::uint64_t, tracked_request*> pushed_off;
     /// All queued requests.
