--- a/fakes/engine/engine_shell.cpp
+++ b/fakes/engine/engine_shell.cpp
@@ -158,7 +158,7 @@
 {
     json::object body;
     body["started"] = false;
-    body["reason"] = std::move(reason);
+    body["reason"] = reason;
     std::string text = json::serialize(body);
     co_await answer_json(current, status, std::move(text));
 }
