--- a/tests/load/runner_test.cpp
+++ b/tests/load/runner_test.cpp
@@ -103,6 +103,7 @@
     CPPUNIT_TEST(test_doubled_token_after_reconnect);
     CPPUNIT_TEST(test_error_event);
     CPPUNIT_TEST(test_refusal);
+    CPPUNIT_TEST(test_names_the_class);
     CPPUNIT_TEST(test_calls);
     CPPUNIT_TEST(test_crossed_call);
     CPPUNIT_TEST(test_silence_ends_with_patience);
@@ -240,6 +241,26 @@
         CPPUNIT_ASSERT_EQUAL(std::string("429/queue_full"), record.reason);
     }
 
+    void test_names_the_class()
+    {
+        const scripted_entry entry([](exchange& current) {
+            const bool is_named =
+                current.received().body.find("\"class\":\"report\"") !=
+                std::string::npos;
+            std::string text = token_events(0, is_named ? 4 : 0) + done;
+            return stream(current, std::move(text), true);
+        });
+        run_settings settings = settings_for(entry);
+        settings.short_class = "interactive";
+        CPPUNIT_ASSERT(
+            run_plan(settings, {stream_request()}).front().fault ==
+            answer_fault::cut);
+        settings.long_class = "report";
+        CPPUNIT_ASSERT(
+            run_plan(settings, {stream_request()}).front().fault ==
+            answer_fault::none);
+    }
+
     static planned_request booking()
     {
         planned_request planned;
--- a/utilities/godwit-load/include/godwit/load/run_settings.hpp
+++ b/utilities/godwit-load/include/godwit/load/run_settings.hpp
@@ -24,6 +24,8 @@
     std::vector<std::string> tokens;     ///< Bearer tokens.
     std::string model;
     std::string service;
+    std::string long_class;  ///< Of long streams; empty leaves it out.
+    std::string short_class; ///< Of short completions; the same.
     reconnection on_break = reconnection::never;
     /// How long after the last arrival answers may still come.
     core::duration patience = std::chrono::seconds(60);
--- a/utilities/godwit-load/program/load_options.cpp
+++ b/utilities/godwit-load/program/load_options.cpp
@@ -68,6 +68,8 @@
         {"token", "T[,T...]", "", "bearer tokens of organisations"},
         {"model", "NAME", "model", "the service of generations"},
         {"service", "NAME", "service", "the plain service"},
+        {"long-class", "NAME", "", "the class of long streams"},
+        {"short-class", "NAME", "", "the class of short completions"},
         {"rate", "R", "10", "requests a second, arriving at random"},
         {"seconds", "N", "10", "how long requests arrive"},
         {"patience", "N", "60", "seconds to wait for answers after that"},
@@ -94,6 +96,8 @@
             "give what meta/run --keep prints");
     options.run.model = from.text("model");
     options.run.service = from.text("service");
+    options.run.long_class = from.text("long-class");
+    options.run.short_class = from.text("short-class");
     options.run.patience = GODWIT_TRY(read_seconds(from, "patience"));
     options.run.in_flight = GODWIT_TRY(from.number("in-flight"));
     options.run.on_break = GODWIT_TRY(from.flag("reconnect"))
--- a/utilities/godwit-load/src/caller_session.cpp
+++ b/utilities/godwit-load/src/caller_session.cpp
@@ -104,6 +104,11 @@
     body["prompt"] = planned_.text;
     body["max_tokens"] = planned_.max_tokens;
     body["stream"] = planned_.kind == request_class::long_stream;
+    const std::string& named = planned_.kind == request_class::long_stream
+                                   ? settings_.long_class
+                                   : settings_.short_class;
+    if (!named.empty())
+        body["class"] = named;
     outgoing.target = "/v1/completions";
     outgoing.body = json::serialize(body);
     return outgoing;
