--- a/services/agent/src/agent.cpp
+++ b/services/agent/src/agent.cpp
@@ -256,6 +256,7 @@
                     {{"peer", peer.host}, {"peer_zone", peer.zone}});
                 if (!host_list_known_)
                     members_heard();
+                catalogue_->peer_opened(peer.host);
             },
         .on_message =
             [this](const wire::hello& peer, wire::message value) {
@@ -309,7 +310,7 @@
     if (stopped_)
         return;
     look_for_pause();
-    catalogue_->handle(catalogue::tick{wall_time_ms()});
+    catalogue_->tick(wall_time_ms());
     peers_->tick(core::monotonic_now());
     timer_.expires_after(tick_interval);
     timer_.async_wait([this](const boost::system::error_code& code) {
--- a/services/agent/src/catalogue_duty.cpp
+++ b/services/agent/src/catalogue_duty.cpp
@@ -18,6 +18,9 @@
 constexpr const char* component = "catalogue";
 constexpr const char* stream_name = "catalogue";
 
+// While there is no catalogue yet.
+constexpr auto ask_interval = std::chrono::seconds(1);
+
 using telemetry::log_event;
 using telemetry::log_level;
 
@@ -131,6 +134,34 @@
         value);
 }
 
+void catalogue_duty::peer_opened(const core::host_name& peer)
+{
+    ask(peer);
+}
+
+void catalogue_duty::tick(std::uint64_t wall_time_ms)
+{
+    handle(catalogue::tick{wall_time_ms});
+    const core::time_point now = core::monotonic_now();
+    if (stopped_ || follower_.ready() || now - asked_at_ < ask_interval)
+        return;
+    asked_at_ = now;
+    for (const wire::hello& peer : peers_.peers())
+        ask(peer.host);
+}
+
+// A digest that is behind is answered by one that is not. A new host that
+// the host list does not show yet hears of the catalogue in no other way,
+// because the others do not count it among their neighbours.
+void catalogue_duty::ask(const core::host_name& peer)
+{
+    const auto& content = *follower_.content();
+    peers_.send(
+        peer,
+        wire::digest{
+            .next_offset = content.next_offset(), .hash = content.hash()});
+}
+
 void catalogue_duty::peer_closed(const core::host_name& peer)
 {
     assemblies_.erase(peer);
--- a/services/agent/src/catalogue_duty.hpp
+++ b/services/agent/src/catalogue_duty.hpp
@@ -38,9 +38,13 @@
     /// Takes one event and carries out what comes of it.
     void handle(const catalogue::follower_event& event);
 
+    /// Wanted about every 100 ms; the time is the host's, since 1970.
+    void tick(std::uint64_t wall_time_ms);
+
     /// Takes a peer's message; false if it is not of this duty.
     bool received(const core::host_name& peer, const wire::message& value);
 
+    void peer_opened(const core::host_name& peer);
     void peer_closed(const core::host_name& peer);
 
     [[nodiscard]] const catalogue::follower& follower() const noexcept
@@ -73,6 +77,7 @@
     void perform(const catalogue::append_records& action);
     void perform(const catalogue::become_ready& action);
 
+    void ask(const core::host_name& peer);
     void read(std::uint64_t from, std::uint32_t limit);
     void log_answered(
         std::uint64_t from,
@@ -97,6 +102,7 @@
     // Of the event at hand, for the history of changes.
     std::vector<catalogue::record> offered_;
     std::uint64_t offered_before_ = 0;
+    core::time_point asked_at_{};
     bool stopped_ = false;
 };
 
