--- a/services/proxy/control_plane.cpp
+++ b/services/proxy/control_plane.cpp
@@ -9,6 +9,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <set>
 #include <string>
@@ -216,10 +217,32 @@
          arrival = std::move(arrival),
          listener = std::move(listener)]() mutable {
             waiting_.emplace(arrival.id, std::move(listener));
+            allow_last_servers(arrival);
             run(std::move(arrival));
         });
 }
 
+// A retry prefers the servers that did not fail it. Where every one did, as
+// with a service of one server, another try there is better than none.
+void control_plane::allow_last_servers(dispatch::request_arrived& arrival) const
+{
+    if (arrival.excluded.empty())
+        return;
+    const auto snapshot = pool_.snapshot();
+    const auto& pool = snapshot->pool_of(arrival.service);
+    const auto is_other = [&arrival](const auto& server) {
+        return std::find(
+                   arrival.excluded.begin(),
+                   arrival.excluded.end(),
+                   server.address) == arrival.excluded.end();
+    };
+    const bool has_other =
+        std::any_of(pool.own_zone.begin(), pool.own_zone.end(), is_other) ||
+        std::any_of(pool.other_zones.begin(), pool.other_zones.end(), is_other);
+    if (!has_other)
+        arrival.excluded.clear();
+}
+
 void control_plane::leave(core::request_id id)
 {
     asio::post(control_, [this, id = std::move(id)] {
--- a/services/proxy/control_plane.hpp
+++ b/services/proxy/control_plane.hpp
@@ -125,6 +125,7 @@
     void on(const membership::state_changed& what);
     void on(const membership::host_list_doubted& what);
 
+    void allow_last_servers(dispatch::request_arrived& arrival) const;
     void refresh_polls();
     void tell_if_ready(core::time_point now);
     void explore(core::time_point now);
--- a/services/proxy/proxy_settings.cpp
+++ b/services/proxy/proxy_settings.cpp
@@ -243,6 +243,7 @@
         read_count(file, "traffic_threads", {1, 64}, read.traffic_threads));
     read.http_limits = GODWIT_TRY(read_http_limits(file));
     read.callers = GODWIT_TRY(read_callers(file));
+    read.http_limits.write_timeout = read.callers.slow_limit;
     read.backend = GODWIT_TRY(read_backend(file));
     read.life = GODWIT_TRY(read_life(file));
     read.dispatch = GODWIT_TRY(read_dispatch(file, zone));
--- a/services/proxy/request_session.cpp
+++ b/services/proxy/request_session.cpp
@@ -105,6 +105,7 @@
     const auto self = shared_from_this();
     handle(first_event());
     const auto ending = co_await writer_.run(with);
+    caller_left_ = ending != answer_ending::whole;
     switch (ending) {
     case answer_ending::whole:
         handle(request::delivered_to_caller{});
@@ -196,8 +197,6 @@
 void request_session::log_end()
 {
     const auto lasted = core::monotonic_now() - accepted_at_;
-    const auto reason =
-        failed_because_ ? request::to_string(*failed_because_) : "none";
     telemetry::log_event(
         telemetry::log_level::info,
         "proxy",
@@ -207,7 +206,7 @@
          {"service", request_.service->name},
          {"class", request_.request_class},
          {"outcome", core::to_string(*life_.result())},
-         {"reason", reason},
+         {"reason", failed_because_.empty() ? "none" : failed_because_},
          {"server", server_},
          {"tokens", life_.delivered()},
          {"draining", life_.draining()},
@@ -296,10 +295,8 @@
                           life_.current_step() == request::step::last_token;
     if (is_whole)
         return dispatch::end_reason::stop;
-    if (failed_because_ == request::fail_reason::caller_gone ||
-        failed_because_ == request::fail_reason::caller_slow)
-        return dispatch::end_reason::cancelled;
-    return dispatch::end_reason::lost;
+    return caller_left_ ? dispatch::end_reason::cancelled
+                        : dispatch::end_reason::lost;
 }
 
 void request_session::on(const request::note_preemption& what)
@@ -349,6 +346,8 @@
 void request_session::on(const request::record_decision& what)
 {
     auto record = what.record;
+    if (record.what == request::decision::failed)
+        failed_because_ = record.why;
     record.catalogue_offset = services_.snapshots.get()->catalogue_offset;
     services_.explanations.add(std::move(record));
 }
--- a/services/proxy/request_session.hpp
+++ b/services/proxy/request_session.hpp
@@ -158,7 +158,9 @@
     std::deque<request::event> pending_;
     bool handling_ = false;
     bool ended_ = false;
-    std::optional<request::fail_reason> failed_because_;
+    /// Why the request failed, as decisions and logs name it.
+    std::string failed_because_;
+    bool caller_left_ = false;
     std::string server_;
 
     /// What dispatch knows of the ask that it granted.
--- a/services/proxy/request_session_caller.cpp
+++ b/services/proxy/request_session_caller.cpp
@@ -119,7 +119,7 @@
 
 void request_session::on(const request::fail_request& what)
 {
-    failed_because_ = what.reason;
+    failed_because_ = request::to_string(what.reason);
     problem failure;
     failure.status = static_cast<unsigned>(what.status);
     failure.outcome = what.result;
--- a/tests/proxy/caller.cpp
+++ b/tests/proxy/caller.cpp
@@ -65,7 +65,8 @@
         const auto piece = run(stream_.read_some(longest_wait));
         if (!piece)
             return std::nullopt;
-        for (auto& event : parser_.push(*piece).value())
+        auto completed = parser_.push(*piece);
+        for (auto& event : completed.value())
             events_.push_back(std::move(event));
     }
     auto event = std::move(events_.front());
--- a/tests/proxy/child_program.cpp
+++ b/tests/proxy/child_program.cpp
@@ -138,7 +138,9 @@
 
 void child_program::signal(int number) const
 {
-    ::kill(process_, number);
+    // Minus one would mean every process.
+    if (process_ > 0)
+        ::kill(process_, number);
 }
 
 int child_program::wait()
--- a/tests/proxy/fleet.cpp
+++ b/tests/proxy/fleet.cpp
@@ -56,8 +56,11 @@
         {"maximum_deadline_ms", 120000},
         {"maximum_body_bytes", 10000}};
     if (more.contains("model"))
-        limits["maximum_tokens"] = 10000;
-    json::object value{{"class", "interactive"}, {"limits", std::move(limits)}};
+        limits["maximum_tokens"] = 100000;
+    json::object value{
+        {"class", "interactive"},
+        {"retry_budget_percent", 100},
+        {"limits", std::move(limits)}};
     for (auto& [key, member] : more)
         value[key] = std::move(member);
     return entry("service/" + name, std::move(value));
@@ -210,7 +213,7 @@
     outgoing.body = json::serialize(json::object{
         {"model", "imenoslov"},
         {"prompt", prompt_of(tokens)},
-        {"max_tokens", 5000},
+        {"max_tokens", 60000},
         {"stream", stream}});
     return outgoing;
 }
@@ -225,10 +228,11 @@
     return outgoing;
 }
 
-std::string expected_text(int tokens, int first)
+std::string expected_text(int tokens, int shown)
 {
     std::string text;
-    for (int position = first; position < tokens; ++position)
+    const int end = shown > 0 ? shown : tokens;
+    for (int position = 0; position < end; ++position)
         text += fakes::token_text(
             prompt_of(tokens), static_cast<std::uint64_t>(position));
     return text;
--- a/tests/proxy/fleet.hpp
+++ b/tests/proxy/fleet.hpp
@@ -96,7 +96,8 @@
 /// A call of a plain service.
 http::request call(const std::string& service, const std::string& body);
 
-/// The text of `tokens` tokens as the stand-in engine makes it.
-std::string expected_text(int tokens, int first = 0);
+/// The text of an answer of `tokens` tokens as the stand-in engine makes it,
+/// or only its first `shown` tokens.
+std::string expected_text(int tokens, int shown = 0);
 
 } // namespace godwit::proxy::test
--- a/tests/proxy/session_test.cpp
+++ b/tests/proxy/session_test.cpp
@@ -78,10 +78,12 @@
 
     static void record(
         const std::string& name,
-        const proxy_program& proxy,
+        proxy_program& proxy,
         const godwit::http::request& outgoing)
     {
         const auto answer = ask(proxy.callers(), outgoing);
+        // The caller has its answer a moment before the proxy's books do.
+        proxy.program().wait_for_log({"event=request_ended", id_of(answer)});
         compare(
             name,
             normalised(
@@ -93,21 +95,21 @@
     void test_streamed_generation()
     {
         const auto engine = backend::engine();
-        const proxy_program proxy({engine->entry()});
+        proxy_program proxy({engine->entry()});
         record("streamed-generation", proxy, completion(4, true));
     }
 
     void test_whole_completion()
     {
         const auto engine = backend::engine();
-        const proxy_program proxy({engine->entry()});
+        proxy_program proxy({engine->entry()});
         record("whole-completion", proxy, completion(4, false));
     }
 
     void test_service_call()
     {
         const auto service = backend::plain("register");
-        const proxy_program proxy({service->entry()});
+        proxy_program proxy({service->entry()});
         auto outgoing = call("register", "{\"name\":\"Smarje\"}");
         outgoing.fields.set("Idempotency-Key", "key-1");
         record("service-call", proxy, outgoing);
