--- a/libraries/request/src/describe_event.cpp
+++ b/libraries/request/src/describe_event.cpp
@@ -42,22 +42,21 @@
     const bool generation = what.kind == request_kind::generation;
     const bool streamed = what.mode == answer_mode::streamed;
     const bool repeatable = what.repeat == repeatability::repeatable;
-    auto line = pairs("accepted")
-                    .add("organisation", what.organisation)
-                    .add("service", what.service)
-                    .add("class", what.request_class)
-                    .add("kind", generation ? "generation" : "service_call")
-                    .add("answer", streamed ? "streamed" : "whole")
-                    .add("repeatable", repeatable ? "yes" : "no")
-                    .add("key", what.key)
-                    .add("deadline", what.deadline);
+    pairs line("accepted");
+    line.add("organisation", what.organisation)
+        .add("service", what.service)
+        .add("class", what.request_class)
+        .add("kind", generation ? "generation" : "service_call")
+        .add("answer", streamed ? "streamed" : "whole")
+        .add("repeatable", repeatable ? "yes" : "no")
+        .add("key", what.key)
+        .add("deadline", what.deadline);
     if (what.resume) {
-        std::move(line)
-            .add("resume_server", what.resume->server)
+        line.add("resume_server", what.resume->server)
             .add("resume_generation", what.resume->generation)
             .add("resume_offset", what.resume->offset);
     }
-    return std::move(line).take();
+    return line.take();
 }
 
 std::string text(const claim_won& what)
--- a/libraries/request/src/pairs.hpp
+++ b/libraries/request/src/pairs.hpp
@@ -17,46 +17,44 @@
 public:
     explicit pairs(std::string_view name) : line_(name) {}
 
-    pairs&& add(std::string_view key, std::string_view value) &&
+    pairs& add(std::string_view key, std::string_view value)
     {
         line_.append(" ").append(key).append("=").append(value);
-        return std::move(*this);
+        return *this;
     }
 
     template<std::integral Number>
-    pairs&& add(std::string_view key, Number value) &&
+    pairs& add(std::string_view key, Number value)
     {
-        return std::move(*this).add(
-            key, std::string_view(std::to_string(value)));
+        return add(key, std::string_view(std::to_string(value)));
     }
 
     template<class Tag>
-    pairs&& add(std::string_view key, const core::identifier<Tag>& value) &&
+    pairs& add(std::string_view key, const core::identifier<Tag>& value)
     {
-        return std::move(*this).add(key, std::string_view(value.value()));
+        return add(key, std::string_view(value.value()));
     }
 
-    pairs&& add(std::string_view key, core::time_point value) &&
+    pairs& add(std::string_view key, core::time_point value)
     {
-        return std::move(*this).add(key, value.time_since_epoch());
+        return add(key, value.time_since_epoch());
     }
 
-    pairs&& add(std::string_view key, core::duration value) &&
+    pairs& add(std::string_view key, core::duration value)
     {
-        return std::move(*this).add(
-            key, std::string_view(std::to_string(value.count()) + "us"));
+        return add(key, std::string_view(std::to_string(value.count()) + "us"));
     }
 
     /// Nothing is added where there is no value.
     template<class Value>
-    pairs&& add(std::string_view key, const std::optional<Value>& value) &&
+    pairs& add(std::string_view key, const std::optional<Value>& value)
     {
         if (!value)
-            return std::move(*this);
-        return std::move(*this).add(key, *value);
+            return *this;
+        return add(key, *value);
     }
 
-    std::string take() && { return std::move(line_); }
+    std::string take() { return std::move(line_); }
 
 private:
     std::string line_;
