dispatch: a class may bound how long its requests are queued

Callers seldom state a deadline, so a queue in overload grew to their whole patience. With a bound the wait that will be longer is refused at once with Retry-After.

--- a/libraries/dispatch/include/godwit/dispatch/class_policy.hpp
+++ b/libraries/dispatch/include/godwit/dispatch/class_policy.hpp
@@ -1,6 +1,9 @@
 #pragma once
 
 #include <godwit/core/identifiers.hpp>
+#include <godwit/core/time.hpp>
+
+#include <optional>
 
 namespace godwit::dispatch {
 
@@ -15,6 +18,9 @@
     double memory_floor = 0.0;
     /// Share of starts guaranteed while it has queued requests, 0 to 1.
     double start_floor = 0.0;
+    /// How long a request may be queued, whatever its deadline; a wait that
+    /// will be longer is refused at once. None is no limit.
+    std::optional<core::duration> longest_wait;
     /// Engine priority of a fresh start, 0 to 8; 9 is kept for protected
     /// generations.
     int priority = 4;
--- a/libraries/dispatch/src/scheduler_queueing.cpp
+++ b/libraries/dispatch/src/scheduler_queueing.cpp
@@ -67,15 +67,18 @@
     ++request.service->queued;
     if (request.times_preempted > 0)
         request.service->pushed_off.emplace(request.sequence, &request);
-    if (request.arrival.deadline != core::time_point::max()) {
+    request.start_by = request.arrival.deadline;
+    if (const auto longest = queue.limits().longest_wait)
+        request.start_by = std::min(request.start_by, now_ + *longest);
+    if (request.start_by != core::time_point::max()) {
         deadlines_.emplace(
-            std::pair(request.arrival.deadline, request.sequence), &request);
+            std::pair(request.start_by, request.sequence), &request);
     }
 }
 
 void scheduler::implementation::dequeue(tracked_request& request, bool started)
 {
-    deadlines_.erase({request.arrival.deadline, request.sequence});
+    deadlines_.erase({request.start_by, request.sequence});
     request.service->pushed_off.erase(request.sequence);
     --request.service->queued;
     request.owner->queue->remove(request, now_, started);
@@ -92,7 +95,7 @@
     }
     const auto wait = queue.expected_wait(*request.owner);
     const core::duration allowed =
-        std::max(request.arrival.deadline - now_, core::duration::zero());
+        std::max(request.start_by - now_, core::duration::zero());
     if (!wait || *wait <= allowed)
         return false;
     dequeue(request, false);
--- a/libraries/dispatch/src/tracked_request.hpp
+++ b/libraries/dispatch/src/tracked_request.hpp
@@ -16,6 +16,8 @@
 {
     request_arrived arrival;
     core::time_point arrived_at;
+    /// When it is refused if it still waits.
+    core::time_point start_by = core::time_point::max();
     /// The order of arrival at this host.
     std::uint64_t sequence = 0;
     service_queue* service = nullptr;
--- a/utilities/godwit-bench/main.cpp
+++ b/utilities/godwit-bench/main.cpp
@@ -188,9 +188,9 @@
     std::atomic<std::size_t> next = 0;
     const auto work = [&] {
         for (std::size_t index = next++; index < runs.size(); index = next++) {
-            bench::workload workload =
-                runs[index].key.workload == "krajevnik" ? bench::krajevnik()
-                                                        : bench::predavka();
+            bench::workload workload = runs[index].key.workload == "krajevnik"
+                                           ? bench::krajevnik()
+                                           : bench::predavka();
             workload.entry_hosts = wanted.hosts;
             runs[index].measured = run_one(workload, runs[index].key);
         }
--- a/utilities/godwit-bench/report.cpp
+++ b/utilities/godwit-bench/report.cpp
@@ -122,6 +122,8 @@
             variation.overcommit = value;
         else if (key == "quantile")
             variation.length_quantile = value;
+        else if (key == "longest_wait_s")
+            variation.longest_wait_s = value;
         else if (key == "candidates")
             variation.candidates = static_cast<std::uint32_t>(value);
         else
--- a/utilities/godwit-bench/scheduler_variation.hpp
+++ b/utilities/godwit-bench/scheduler_variation.hpp
@@ -22,6 +22,8 @@
     std::uint32_t candidates = 3;
     double length_quantile = 0.4;
     double overcommit = 1.0;
+    /// Of a long request in the queue; 0 is the workload's own.
+    double longest_wait_s = 0.0;
     bool advance_reports = true;
     bool classes = true;
     bool organisations = true;
--- a/utilities/godwit-bench/simulation.cpp
+++ b/utilities/godwit-bench/simulation.cpp
@@ -267,6 +267,9 @@
     dispatch::policy_changed event;
     for (const workload_class& kind : workload_.classes) {
         dispatch::class_policy limits = kind.limits;
+        if (kind.is_long && variation.longest_wait_s > 0.0)
+            limits.longest_wait = std::chrono::duration_cast<core::duration>(
+                std::chrono::duration<double>(variation.longest_wait_s));
         if (!variation.floors) {
             limits.memory_floor = 0.0;
             limits.start_floor = 0.0;
--- a/utilities/godwit-bench/workload.cpp
+++ b/utilities/godwit-bench/workload.cpp
@@ -190,6 +190,7 @@
               .weight = 3.0,
               .memory_floor = 0.0,
               .start_floor = 0.2,
+              .longest_wait = std::nullopt,
               .priority = 4}},
         {.name = "check",
          .share = 0.65,
@@ -199,14 +200,17 @@
          .limits =
              {.name = core::class_name("check"),
               .weight = 1.0,
-              .memory_floor = 0.03,
+              .memory_floor = 0.06,
               .start_floor = 0.2,
+              .longest_wait = std::nullopt,
               .priority = 5}},
         {.name = "lookup",
          .kind = dispatch::request_kind::call,
          .share = 8.0,
          .patience = 5s,
-         .limits = {.name = core::class_name("lookup")}}};
+         .limits = {
+             .name = core::class_name("lookup"),
+             .longest_wait = std::nullopt}}};
     return result;
 }
 
@@ -236,6 +240,7 @@
               .weight = 3.0,
               .memory_floor = 0.0,
               .start_floor = 0.1,
+              .longest_wait = std::nullopt,
               .priority = 4}},
         {.name = "tag",
          .share = 0.85,
@@ -245,14 +250,17 @@
          .limits =
              {.name = core::class_name("tag"),
               .weight = 1.0,
-              .memory_floor = 0.03,
+              .memory_floor = 0.06,
               .start_floor = 0.2,
+              .longest_wait = std::nullopt,
               .priority = 5}},
         {.name = "confirmation",
          .kind = dispatch::request_kind::call,
          .share = 10.0,
          .patience = 5s,
-         .limits = {.name = core::class_name("confirmation")}}};
+         .limits = {
+             .name = core::class_name("confirmation"),
+             .longest_wait = std::nullopt}}};
     return result;
 }
 
