--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -1,5 +1,7 @@
 #include "server_harness.hpp"
 
+#include <godwit/core/random.hpp>
+
 #include <boost/asio/awaitable.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -65,6 +67,8 @@
     CPPUNIT_TEST(test_refuses_slow_body);
     CPPUNIT_TEST(test_closes_idle_connection);
     CPPUNIT_TEST(test_refuses_connections_beyond_limit);
+    CPPUNIT_TEST(test_head_has_no_body);
+    CPPUNIT_TEST(test_survives_mutated_requests);
     CPPUNIT_TEST(test_streams);
     CPPUNIT_TEST(test_unfinished_stream_is_visibly_cut);
     CPPUNIT_TEST(test_failed_handler_is_500);
@@ -285,6 +289,49 @@
         CPPUNIT_ASSERT(contains(first.read_all(), "GET:"));
     }
 
+    void test_head_has_no_body()
+    {
+        const std::string answer = answer_to(
+            "HEAD / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+        CPPUNIT_ASSERT(contains(answer, "Content-Length: 5\r\n"));
+        CPPUNIT_ASSERT(answer.ends_with("\r\n\r\n"));
+    }
+
+    /// Whatever comes, the caller gets an answer, and the server serves the
+    /// next one.
+    void test_survives_mutated_requests()
+    {
+        const std::string request =
+            "POST /v1/completions HTTP/1.1\r\nHost: a\r\nAccept: */*\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n5;a=b\r\nhello\r\n"
+            "0\r\nTrailer: x\r\n\r\n";
+        constexpr int rounds = 500;
+        godwit::core::random draw(3);
+        server_limits limits;
+        limits.body_bytes = 4096;
+        echo handler;
+        server_harness harness(limits, handler);
+        for (int round = 0; round < rounds; ++round) {
+            std::string bytes = request;
+            for (auto left = draw.below(4) + 1; left > 0; --left) {
+                const auto at = draw.below(bytes.size());
+                if (draw.below(3) == 0)
+                    bytes.erase(at, draw.below(10));
+                else
+                    bytes[at] = static_cast<char>(draw.below(256));
+            }
+            const raw_caller caller(harness.target().address());
+            caller.send_until_refused(bytes);
+            caller.finish_sending();
+            const std::string answer = caller.read_all();
+            CPPUNIT_ASSERT_MESSAGE(
+                bytes + "\ngave " + answer, answer.starts_with("HTTP/1.1 "));
+        }
+        const raw_caller last(harness.target().address());
+        last.send(std::string(whole_get));
+        CPPUNIT_ASSERT(contains(last.read_all(), "200 OK"));
+    }
+
     static boost::asio::awaitable<void> stream_three(exchange& current)
     {
         header_fields fields{{"Content-Type", "text/event-stream"}};
--- a/tests/load/runner_test.cpp
+++ b/tests/load/runner_test.cpp
@@ -107,6 +107,7 @@
     CPPUNIT_TEST(test_calls);
     CPPUNIT_TEST(test_crossed_call);
     CPPUNIT_TEST(test_silence_ends_with_patience);
+    CPPUNIT_TEST(test_passes_dead_entry_hosts);
     CPPUNIT_TEST(test_bound_in_flight);
     CPPUNIT_TEST(test_sums_counters);
     CPPUNIT_TEST(test_report);
@@ -317,6 +318,30 @@
         }
     }
 
+    void test_passes_dead_entry_hosts()
+    {
+        const auto right = [](exchange& current) {
+            if (current.received().target == "/v1/completions")
+                return stream(current, token_events(0, 4) + done, true);
+            return answer(
+                current,
+                200,
+                "{\"key\":\"k\",\"echo\":\"{\\\"book\\\":\\\"1\\\"}\"}");
+        };
+        const scripted_entry alive(right);
+        run_settings settings = settings_for(alive);
+        {
+            // A port that was free a moment ago.
+            const scripted_entry dead(right);
+            settings.callers.insert(settings.callers.begin(), dead.address());
+        }
+        for (const request_record& record :
+             run_plan(settings, {stream_request(), booking()})) {
+            CPPUNIT_ASSERT(record.outcome == request_outcome::completed);
+            CPPUNIT_ASSERT(record.fault == answer_fault::none);
+        }
+    }
+
     void test_bound_in_flight()
     {
         const scripted_entry entry(&say_nothing);
--- a/utilities/godwit-load/include/godwit/load/caller_session.hpp
+++ b/utilities/godwit-load/include/godwit/load/caller_session.hpp
@@ -37,7 +37,7 @@
     };
 
     boost::asio::awaitable<void> run_stream();
-    boost::asio::awaitable<stream_end> read_stream_once(std::size_t entry);
+    boost::asio::awaitable<stream_end> read_stream_once();
     boost::asio::awaitable<stream_end>
     read_events(http::client_stream& connection);
     boost::asio::awaitable<void>
@@ -51,12 +51,15 @@
     void take_failure(const http::client_error& failure);
     void complete();
     void find_fault(answer_fault fault, std::string detail);
+    [[nodiscard]] bool passes_dead_entry(const http::client_error& failure);
     [[nodiscard]] http::request make_request() const;
     [[nodiscard]] core::duration left() const;
 
     const run_settings& settings_;
     const planned_request& planned_;
     core::time_point end_;
+    std::size_t entry_;
+    std::size_t dead_entries_ = 0;
     answer_checker checker_;
     arrival_clock clock_;
     request_record record_;
--- a/utilities/godwit-load/src/caller_session.cpp
+++ b/utilities/godwit-load/src/caller_session.cpp
@@ -58,7 +58,7 @@
     const run_settings& settings,
     const planned_request& planned,
     core::time_point end)
-    : settings_(settings), planned_(planned), end_(end),
+    : settings_(settings), planned_(planned), end_(end), entry_(planned.entry),
       checker_(planned.text, planned.max_tokens), clock_(core::monotonic_now())
 {
     record_.kind = planned.kind;
@@ -116,10 +116,9 @@
 
 asio::awaitable<void> caller_session::run_stream()
 {
-    std::size_t entry = planned_.entry;
     core::duration pause = first_reconnect_pause;
     while (true) {
-        const stream_end ended = co_await read_stream_once(entry);
+        const stream_end ended = co_await read_stream_once();
         // Without an event there is nothing to continue from; sending the
         // request anew would be another request.
         if (ended == stream_end::over ||
@@ -134,17 +133,34 @@
             asio::redirect_error(asio::use_awaitable, ignored));
         pause *= 2;
         ++record_.reconnects;
-        entry = (entry + 1) % settings_.callers.size();
+        entry_ = (entry_ + 1) % settings_.callers.size();
     }
 }
 
-asio::awaitable<caller_session::stream_end>
-caller_session::read_stream_once(std::size_t entry)
+// A balancer sends a caller past an entry host that refuses connections;
+// as long as no byte was handed over, nothing was asked twice.
+bool caller_session::passes_dead_entry(const http::client_error& failure)
+{
+    if (failure.handed_over == http::bytes_handed_over::some ||
+        dead_entries_ + 1 >= settings_.callers.size())
+        return false;
+    ++dead_entries_;
+    entry_ = (entry_ + 1) % settings_.callers.size();
+    return true;
+}
+
+asio::awaitable<caller_session::stream_end> caller_session::read_stream_once()
 {
     const auto executor = co_await asio::this_coro::executor;
     http::client_stream connection = http::client_stream::create(executor);
+    dead_entries_ = 0;
     http::client_result<void> step =
-        co_await connection.connect(settings_.callers.at(entry), left());
+        co_await connection.connect(settings_.callers.at(entry_), left());
+    while (!step && passes_dead_entry(step.error())) {
+        connection = http::client_stream::create(executor);
+        step =
+            co_await connection.connect(settings_.callers.at(entry_), left());
+    }
     if (step) {
         http::request outgoing = make_request();
         step = co_await connection.send(std::move(outgoing), left());
@@ -239,12 +255,16 @@
 
 asio::awaitable<void> caller_session::run_whole()
 {
-    http::request outgoing = make_request();
     http::fetch_limits limits;
     limits.deadline = left();
-    http::endpoint entry = settings_.callers.at(planned_.entry);
-    const http::client_result<http::response> answer =
-        co_await http::fetch(std::move(entry), std::move(outgoing), limits);
+    http::request outgoing = make_request();
+    http::client_result<http::response> answer =
+        co_await http::fetch(settings_.callers.at(entry_), outgoing, limits);
+    while (!answer && passes_dead_entry(answer.error())) {
+        limits.deadline = left();
+        answer = co_await http::fetch(
+            settings_.callers.at(entry_), outgoing, limits);
+    }
     if (!answer) {
         take_failure(answer.error());
         co_return;
