agent: the claims duty; wire: claims as the claimer has them now

A proxy whose link broke counts as gone only after a grace period, because a caller who is told that the holder is gone gives up on the answer.

--- a/libraries/core/include/godwit/core/result.hpp
+++ b/libraries/core/include/godwit/core/result.hpp
@@ -22,8 +22,9 @@
 }
 
 /// The value of a result that has one; nothing of a `result<void>`.
-template<class Value>
-Value take_value(result<Value>&& held)
+/// Works for the expected values of services with failures of their own, too.
+template<class Value, class Failure>
+Value take_value(tl::expected<Value, Failure>&& held)
 {
     // tl::expected<void, E> has no value().
     if constexpr (!std::is_void_v<Value>)
--- a/libraries/platform/include/godwit/platform/log_client.hpp
+++ b/libraries/platform/include/godwit/platform/log_client.hpp
@@ -4,6 +4,7 @@
 #include <godwit/http/connection_pool.hpp>
 #include <godwit/http/endpoint.hpp>
 #include <godwit/platform/append_budget.hpp>
+#include <godwit/platform/append_pacing.hpp>
 #include <godwit/platform/append_result.hpp>
 #include <godwit/platform/log_client_counters.hpp>
 #include <godwit/platform/log_client_options.hpp>
@@ -35,9 +36,14 @@
         http::endpoint server,
         const log_client_options& options);
 
-    /// Appends one record to `stream`. Over this host's budget it fails with
-    /// `rate_limited` without asking the log.
-    void append(std::string stream, std::string data, append_callback done);
+    /// Appends one record to `stream`. Over this host's share it fails with
+    /// `rate_limited` without asking the log, unless the caller keeps to a
+    /// budget of its own.
+    void append(
+        std::string stream,
+        std::string data,
+        append_pacing pacing,
+        append_callback done);
 
     /// Reads a stream. Fails with `unavailable` or `timeout` in outages,
     /// `exhausted` when the answer is over the bound (ask for fewer records),
--- a/libraries/platform/src/log_client.cpp
+++ b/libraries/platform/src/log_client.cpp
@@ -82,10 +82,13 @@
 {}
 
 void log_client::append(
-    std::string stream, std::string data, append_callback done)
+    std::string stream,
+    std::string data,
+    append_pacing pacing,
+    append_callback done)
 {
     const auto now = core::monotonic_now();
-    if (!budget_.take(now)) {
+    if (pacing == append_pacing::host_share && !budget_.take(now)) {
         ++counters_.appends_refused;
         asio::post(
             pool_->executor(),
--- a/libraries/wire/include/godwit/wire/claim_finished.hpp
+++ b/libraries/wire/include/godwit/wire/claim_finished.hpp
@@ -8,10 +8,13 @@
 
 namespace godwit::wire {
 
-/// The run under a won claim ended.
+/// The run under the won claim at this position ended.
 struct claim_finished
 {
     std::string key;
+    std::uint64_t offset = 0;
+    std::uint32_t index = 0;
+    std::string fingerprint;
     claim_holder holder;
     core::outcome outcome = core::outcome::unknown;
     std::uint64_t answer_digest = 0;
--- a/libraries/wire/include/godwit/wire/claim_obstacle.hpp
+++ b/libraries/wire/include/godwit/wire/claim_obstacle.hpp
@@ -13,6 +13,7 @@
     history_incomplete, ///< Records in the window were trimmed.
     overloaded,         ///< A queue or the ledger is at its bound.
     releasing,          ///< An earlier claim of the host is being released.
+    invalid_holder,     ///< The asker's description of itself is not valid.
 };
 
 } // namespace godwit::wire
--- a/libraries/wire/include/godwit/wire/claim_release.hpp
+++ b/libraries/wire/include/godwit/wire/claim_release.hpp
@@ -1,16 +1,17 @@
 #pragma once
 
-#include <godwit/wire/claim_holder.hpp>
-
+#include <cstdint>
 #include <string>
 
 namespace godwit::wire {
 
-/// The proxy does not run the request and will not; another may claim it.
+/// The proxy gives up the claim at this position: nothing began under it and
+/// nothing will.
 struct claim_release
 {
     std::string key;
-    claim_holder holder;
+    std::uint64_t offset = 0;
+    std::uint32_t index = 0;
 
     friend bool
     operator==(const claim_release&, const claim_release&) = default;
--- /dev/null
+++ b/libraries/wire/include/godwit/wire/claim_withdrawal.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace godwit::wire {
+
+/// The proxy no longer waits for an ask; no answer comes.
+struct claim_withdrawal
+{
+    std::uint64_t ask = 0;
+    std::string key;
+
+    friend bool
+    operator==(const claim_withdrawal&, const claim_withdrawal&) = default;
+};
+
+} // namespace godwit::wire
--- a/libraries/wire/include/godwit/wire/message.hpp
+++ b/libraries/wire/include/godwit/wire/message.hpp
@@ -10,6 +10,7 @@
 #include <godwit/wire/claim_forward_answer.hpp>
 #include <godwit/wire/claim_release.hpp>
 #include <godwit/wire/claim_request.hpp>
+#include <godwit/wire/claim_withdrawal.hpp>
 #include <godwit/wire/digest.hpp>
 #include <godwit/wire/duty_message.hpp>
 #include <godwit/wire/heartbeat.hpp>
@@ -41,7 +42,8 @@
     digest,
     pull,
     records,
-    duty_message>;
+    duty_message,
+    claim_withdrawal>;
 
 /// The name of the message's type, for logs and metrics.
 [[nodiscard]] std::string_view name_of(const message& value) noexcept;
--- a/libraries/wire/src/codec.cpp
+++ b/libraries/wire/src/codec.cpp
@@ -93,6 +93,8 @@
         return read_payload(frame.payload_as_records(), reader);
     case format::payload::duty_message:
         return read_payload(frame.payload_as_duty_message(), reader);
+    case format::payload::claim_withdrawal:
+        return read_payload(frame.payload_as_claim_withdrawal(), reader);
     case format::payload::NONE:
         break;
     }
--- a/libraries/wire/src/godwit_generated.hpp
+++ b/libraries/wire/src/godwit_generated.hpp
@@ -50,6 +50,9 @@
 struct claim_answer;
 struct claim_answerBuilder;
 
+struct claim_withdrawal;
+struct claim_withdrawalBuilder;
+
 struct claim_release;
 struct claim_releaseBuilder;
 
@@ -258,37 +261,40 @@
   history_incomplete = 3,
   overloaded = 4,
   releasing = 5,
+  invalid_holder = 6,
   MIN = log_down,
-  MAX = releasing
+  MAX = invalid_holder
 };
 
-inline const claim_obstacle (&EnumValuesclaim_obstacle())[6] {
+inline const claim_obstacle (&EnumValuesclaim_obstacle())[7] {
   static const claim_obstacle values[] = {
     claim_obstacle::log_down,
     claim_obstacle::timed_out,
     claim_obstacle::catching_up,
     claim_obstacle::history_incomplete,
     claim_obstacle::overloaded,
-    claim_obstacle::releasing
+    claim_obstacle::releasing,
+    claim_obstacle::invalid_holder
   };
   return values;
 }
 
 inline const char * const *EnumNamesclaim_obstacle() {
-  static const char * const names[7] = {
+  static const char * const names[8] = {
     "log_down",
     "timed_out",
     "catching_up",
     "history_incomplete",
     "overloaded",
     "releasing",
+    "invalid_holder",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameclaim_obstacle(claim_obstacle e) {
-  if (flatbuffers::IsOutRange(e, claim_obstacle::log_down, claim_obstacle::releasing)) return "";
+  if (flatbuffers::IsOutRange(e, claim_obstacle::log_down, claim_obstacle::invalid_holder)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesclaim_obstacle()[index];
 }
@@ -348,11 +354,12 @@
   pull = 15,
   records = 16,
   duty_message = 17,
+  claim_withdrawal = 18,
   MIN = NONE,
-  MAX = duty_message
+  MAX = claim_withdrawal
 };
 
-inline const payload (&EnumValuespayload())[18] {
+inline const payload (&EnumValuespayload())[19] {
   static const payload values[] = {
     payload::NONE,
     payload::hello,
@@ -371,13 +378,14 @@
     payload::digest,
     payload::pull,
     payload::records,
-    payload::duty_message
+    payload::duty_message,
+    payload::claim_withdrawal
   };
   return values;
 }
 
 inline const char * const *EnumNamespayload() {
-  static const char * const names[19] = {
+  static const char * const names[20] = {
     "NONE",
     "hello",
     "heartbeat",
@@ -396,13 +404,14 @@
     "pull",
     "records",
     "duty_message",
+    "claim_withdrawal",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamepayload(payload e) {
-  if (flatbuffers::IsOutRange(e, payload::NONE, payload::duty_message)) return "";
+  if (flatbuffers::IsOutRange(e, payload::NONE, payload::claim_withdrawal)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamespayload()[index];
 }
@@ -479,6 +488,10 @@
   static const payload enum_value = payload::duty_message;
 };
 
+template<> struct payloadTraits<godwit::wire::format::claim_withdrawal> {
+  static const payload enum_value = payload::claim_withdrawal;
+};
+
 bool Verifypayload(flatbuffers::Verifier &verifier, const void *obj, payload type);
 bool VerifypayloadVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<payload> *types);
 
@@ -1523,25 +1536,98 @@
   static auto constexpr Create = Createclaim_answer;
 };
 
+struct claim_withdrawal FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef claim_withdrawalBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ASK = 4,
+    VT_KEY = 6
+  };
+  uint64_t ask() const {
+    return GetField<uint64_t>(VT_ASK, 0);
+  }
+  const flatbuffers::String *key() const {
+    return GetPointer<const flatbuffers::String *>(VT_KEY);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ASK, 8) &&
+           VerifyOffset(verifier, VT_KEY) &&
+           verifier.VerifyString(key()) &&
+           verifier.EndTable();
+  }
+};
+
+struct claim_withdrawalBuilder {
+  typedef claim_withdrawal Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_ask(uint64_t ask) {
+    fbb_.AddElement<uint64_t>(claim_withdrawal::VT_ASK, ask, 0);
+  }
+  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
+    fbb_.AddOffset(claim_withdrawal::VT_KEY, key);
+  }
+  explicit claim_withdrawalBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<claim_withdrawal> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<claim_withdrawal>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<claim_withdrawal> Createclaim_withdrawal(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t ask = 0,
+    flatbuffers::Offset<flatbuffers::String> key = 0) {
+  claim_withdrawalBuilder builder_(_fbb);
+  builder_.add_ask(ask);
+  builder_.add_key(key);
+  return builder_.Finish();
+}
+
+struct claim_withdrawal::Traits {
+  using type = claim_withdrawal;
+  static auto constexpr Create = Createclaim_withdrawal;
+};
+
+inline flatbuffers::Offset<claim_withdrawal> Createclaim_withdrawalDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t ask = 0,
+    const char *key = nullptr) {
+  auto key__ = key ? _fbb.CreateString(key) : 0;
+  return godwit::wire::format::Createclaim_withdrawal(
+      _fbb,
+      ask,
+      key__);
+}
+
 struct claim_release FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef claim_releaseBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_KEY = 4,
-    VT_HOLDER = 6
+    VT_OFFSET = 6,
+    VT_INDEX = 8
   };
   const flatbuffers::String *key() const {
     return GetPointer<const flatbuffers::String *>(VT_KEY);
   }
-  const godwit::wire::format::claim_holder *holder() const {
-    return GetPointer<const godwit::wire::format::claim_holder *>(VT_HOLDER);
+  uint64_t offset() const {
+    return GetField<uint64_t>(VT_OFFSET, 0);
+  }
+  uint32_t index() const {
+    return GetField<uint32_t>(VT_INDEX, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_KEY) &&
            verifier.VerifyString(key()) &&
-           VerifyOffset(verifier, VT_HOLDER) &&
-           verifier.VerifyTable(holder()) &&
+           VerifyField<uint64_t>(verifier, VT_OFFSET, 8) &&
+           VerifyField<uint32_t>(verifier, VT_INDEX, 4) &&
            verifier.EndTable();
   }
 };
@@ -1553,8 +1639,11 @@
   void add_key(flatbuffers::Offset<flatbuffers::String> key) {
     fbb_.AddOffset(claim_release::VT_KEY, key);
   }
-  void add_holder(flatbuffers::Offset<godwit::wire::format::claim_holder> holder) {
-    fbb_.AddOffset(claim_release::VT_HOLDER, holder);
+  void add_offset(uint64_t offset) {
+    fbb_.AddElement<uint64_t>(claim_release::VT_OFFSET, offset, 0);
+  }
+  void add_index(uint32_t index) {
+    fbb_.AddElement<uint32_t>(claim_release::VT_INDEX, index, 0);
   }
   explicit claim_releaseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -1570,9 +1659,11 @@
 inline flatbuffers::Offset<claim_release> Createclaim_release(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> key = 0,
-    flatbuffers::Offset<godwit::wire::format::claim_holder> holder = 0) {
+    uint64_t offset = 0,
+    uint32_t index = 0) {
   claim_releaseBuilder builder_(_fbb);
-  builder_.add_holder(holder);
+  builder_.add_offset(offset);
+  builder_.add_index(index);
   builder_.add_key(key);
   return builder_.Finish();
 }
@@ -1585,12 +1676,14 @@
 inline flatbuffers::Offset<claim_release> Createclaim_releaseDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *key = nullptr,
-    flatbuffers::Offset<godwit::wire::format::claim_holder> holder = 0) {
+    uint64_t offset = 0,
+    uint32_t index = 0) {
   auto key__ = key ? _fbb.CreateString(key) : 0;
   return godwit::wire::format::Createclaim_release(
       _fbb,
       key__,
-      holder);
+      offset,
+      index);
 }
 
 struct claim_finished FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1598,13 +1691,25 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_KEY = 4,
-    VT_HOLDER = 6,
-    VT_OUTCOME = 8,
-    VT_ANSWER_DIGEST = 10
+    VT_OFFSET = 6,
+    VT_INDEX = 8,
+    VT_FINGERPRINT = 10,
+    VT_HOLDER = 12,
+    VT_OUTCOME = 14,
+    VT_ANSWER_DIGEST = 16
   };
   const flatbuffers::String *key() const {
     return GetPointer<const flatbuffers::String *>(VT_KEY);
   }
+  uint64_t offset() const {
+    return GetField<uint64_t>(VT_OFFSET, 0);
+  }
+  uint32_t index() const {
+    return GetField<uint32_t>(VT_INDEX, 0);
+  }
+  const flatbuffers::String *fingerprint() const {
+    return GetPointer<const flatbuffers::String *>(VT_FINGERPRINT);
+  }
   const godwit::wire::format::claim_holder *holder() const {
     return GetPointer<const godwit::wire::format::claim_holder *>(VT_HOLDER);
   }
@@ -1618,6 +1723,10 @@
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_KEY) &&
            verifier.VerifyString(key()) &&
+           VerifyField<uint64_t>(verifier, VT_OFFSET, 8) &&
+           VerifyField<uint32_t>(verifier, VT_INDEX, 4) &&
+           VerifyOffset(verifier, VT_FINGERPRINT) &&
+           verifier.VerifyString(fingerprint()) &&
            VerifyOffset(verifier, VT_HOLDER) &&
            verifier.VerifyTable(holder()) &&
            VerifyField<uint8_t>(verifier, VT_OUTCOME, 1) &&
@@ -1633,6 +1742,15 @@
   void add_key(flatbuffers::Offset<flatbuffers::String> key) {
     fbb_.AddOffset(claim_finished::VT_KEY, key);
   }
+  void add_offset(uint64_t offset) {
+    fbb_.AddElement<uint64_t>(claim_finished::VT_OFFSET, offset, 0);
+  }
+  void add_index(uint32_t index) {
+    fbb_.AddElement<uint32_t>(claim_finished::VT_INDEX, index, 0);
+  }
+  void add_fingerprint(flatbuffers::Offset<flatbuffers::String> fingerprint) {
+    fbb_.AddOffset(claim_finished::VT_FINGERPRINT, fingerprint);
+  }
   void add_holder(flatbuffers::Offset<godwit::wire::format::claim_holder> holder) {
     fbb_.AddOffset(claim_finished::VT_HOLDER, holder);
   }
@@ -1656,12 +1774,18 @@
 inline flatbuffers::Offset<claim_finished> Createclaim_finished(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> key = 0,
+    uint64_t offset = 0,
+    uint32_t index = 0,
+    flatbuffers::Offset<flatbuffers::String> fingerprint = 0,
     flatbuffers::Offset<godwit::wire::format::claim_holder> holder = 0,
     godwit::wire::format::outcome outcome = godwit::wire::format::outcome::completed,
     uint64_t answer_digest = 0) {
   claim_finishedBuilder builder_(_fbb);
   builder_.add_answer_digest(answer_digest);
+  builder_.add_offset(offset);
   builder_.add_holder(holder);
+  builder_.add_fingerprint(fingerprint);
+  builder_.add_index(index);
   builder_.add_key(key);
   builder_.add_outcome(outcome);
   return builder_.Finish();
@@ -1675,13 +1799,20 @@
 inline flatbuffers::Offset<claim_finished> Createclaim_finishedDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *key = nullptr,
+    uint64_t offset = 0,
+    uint32_t index = 0,
+    const char *fingerprint = nullptr,
     flatbuffers::Offset<godwit::wire::format::claim_holder> holder = 0,
     godwit::wire::format::outcome outcome = godwit::wire::format::outcome::completed,
     uint64_t answer_digest = 0) {
   auto key__ = key ? _fbb.CreateString(key) : 0;
+  auto fingerprint__ = fingerprint ? _fbb.CreateString(fingerprint) : 0;
   return godwit::wire::format::Createclaim_finished(
       _fbb,
       key__,
+      offset,
+      index,
+      fingerprint__,
       holder,
       outcome,
       answer_digest);
@@ -2248,6 +2379,9 @@
   const godwit::wire::format::duty_message *payload_as_duty_message() const {
     return payload_type() == godwit::wire::format::payload::duty_message ? static_cast<const godwit::wire::format::duty_message *>(payload()) : nullptr;
   }
+  const godwit::wire::format::claim_withdrawal *payload_as_claim_withdrawal() const {
+    return payload_type() == godwit::wire::format::payload::claim_withdrawal ? static_cast<const godwit::wire::format::claim_withdrawal *>(payload()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_PAYLOAD_TYPE, 1) &&
@@ -2325,6 +2459,10 @@
   return payload_as_duty_message();
 }
 
+template<> inline const godwit::wire::format::claim_withdrawal *frame::payload_as<godwit::wire::format::claim_withdrawal>() const {
+  return payload_as_claim_withdrawal();
+}
+
 struct frameBuilder {
   typedef frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2434,6 +2572,10 @@
       auto ptr = reinterpret_cast<const godwit::wire::format::duty_message *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case payload::claim_withdrawal: {
+      auto ptr = reinterpret_cast<const godwit::wire::format::claim_withdrawal *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/libraries/wire/src/message.cpp
+++ b/libraries/wire/src/message.cpp
@@ -25,7 +25,8 @@
             "digest",
             "pull",
             "records",
-            "duty_message"};
+            "duty_message",
+            "claim_withdrawal"};
     return names.at(value.index());
 }
 
--- a/libraries/wire/src/message_reader.cpp
+++ b/libraries/wire/src/message_reader.cpp
@@ -115,13 +115,17 @@
 {
     return claim_release{
         .key = reader.text(table.key()),
-        .holder = reader.table<claim_holder>(table.holder())};
+        .offset = table.offset(),
+        .index = table.index()};
 }
 
 claim_finished read(const format::claim_finished& table, frame_reader& reader)
 {
     return claim_finished{
         .key = reader.text(table.key()),
+        .offset = table.offset(),
+        .index = table.index(),
+        .fingerprint = reader.text(table.fingerprint()),
         .holder = reader.table<claim_holder>(table.holder()),
         .outcome = reader.enumerator<core::outcome>(table.outcome()),
         .answer_digest = table.answer_digest()};
@@ -179,4 +183,11 @@
         .body = reader.bytes(table.body())};
 }
 
+claim_withdrawal
+read(const format::claim_withdrawal& table, frame_reader& reader)
+{
+    return claim_withdrawal{
+        .ask = table.ask(), .key = reader.text(table.key())};
+}
+
 } // namespace godwit::wire
--- a/libraries/wire/src/message_reader.hpp
+++ b/libraries/wire/src/message_reader.hpp
@@ -34,5 +34,7 @@
 log_record read(const format::log_record& table, frame_reader& reader);
 records read(const format::records& table, frame_reader& reader);
 duty_message read(const format::duty_message& table, frame_reader& reader);
+claim_withdrawal
+read(const format::claim_withdrawal& table, frame_reader& reader);
 
 } // namespace godwit::wire
--- a/libraries/wire/src/message_writer.cpp
+++ b/libraries/wire/src/message_writer.cpp
@@ -168,7 +168,7 @@
 write(builder& out, const claim_release& value)
 {
     return format::Createclaim_release(
-        out, text(out, value.key), write(out, value.holder));
+        out, text(out, value.key), value.offset, value.index);
 }
 
 flatbuffers::Offset<format::claim_finished>
@@ -177,6 +177,9 @@
     return format::Createclaim_finished(
         out,
         text(out, value.key),
+        value.offset,
+        value.index,
+        text(out, value.fingerprint),
         write(out, value.holder),
         enumerator<format::outcome>(value.outcome),
         value.answer_digest);
@@ -232,4 +235,10 @@
             value.body.size()));
 }
 
+flatbuffers::Offset<format::claim_withdrawal>
+write(builder& out, const claim_withdrawal& value)
+{
+    return format::Createclaim_withdrawal(out, value.ask, text(out, value.key));
+}
+
 } // namespace godwit::wire
--- a/libraries/wire/src/message_writer.hpp
+++ b/libraries/wire/src/message_writer.hpp
@@ -47,5 +47,7 @@
 write(flatbuffers::FlatBufferBuilder& out, const records& value);
 flatbuffers::Offset<format::duty_message>
 write(flatbuffers::FlatBufferBuilder& out, const duty_message& value);
+flatbuffers::Offset<format::claim_withdrawal>
+write(flatbuffers::FlatBufferBuilder& out, const claim_withdrawal& value);
 
 } // namespace godwit::wire
--- a/services/agent/src/agent.cpp
+++ b/services/agent/src/agent.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/ip/address.hpp>
 
 #include <algorithm>
+#include <set>
 #include <sstream>
 #include <utility>
 
@@ -93,23 +94,7 @@
         GODWIT_TRY(http::endpoint::parse(settings_.platform.to_string()));
     GODWIT_TRY(prepare_log(platform));
     GODWIT_TRY(prepare_links());
-    catalogue_ = GODWIT_TRY(catalogue_duty::create(
-        context_.get_executor(),
-        settings_.catalogue,
-        settings_.log,
-        *log_,
-        *peers_,
-        proxies_,
-        {.on_published =
-             [this] {
-                 if (on_published_)
-                     on_published_();
-             },
-         .on_ready =
-             [this] {
-                 if (on_ready_)
-                     on_ready_();
-             }}));
+    GODWIT_TRY(prepare_duties());
     return prepare_operators();
 }
 
@@ -144,6 +129,36 @@
     return {};
 }
 
+core::result<void> agent::prepare_duties()
+{
+    catalogue_ = GODWIT_TRY(catalogue_duty::create(
+        context_.get_executor(),
+        settings_.catalogue,
+        settings_.log,
+        *log_,
+        *peers_,
+        proxies_,
+        {.on_published =
+             [this] {
+                 if (on_published_)
+                     on_published_();
+             },
+         .on_ready =
+             [this] {
+                 if (on_ready_)
+                     on_ready_();
+             }}));
+    auto settings = settings_.claims;
+    settings.claimer.claimer = seed_;
+    claims_ = GODWIT_TRY(claims_duty::create(
+        context_.get_executor(),
+        settings,
+        *log_,
+        *peers_,
+        [this](const core::host_name& host) { return find_peer(host); }));
+    return {};
+}
+
 core::result<void> agent::prepare_operators()
 {
     auto address = GODWIT_TRY(
@@ -172,6 +187,7 @@
          {"operators", operators_address().to_string()}});
     acceptor_->start();
     hosts_->start();
+    claims_->start();
     connect_neighbours();
     tick();
 }
@@ -183,6 +199,8 @@
     timer_.cancel();
     if (catalogue_)
         catalogue_->stop();
+    if (claims_)
+        claims_->stop();
     if (hosts_)
         hosts_->stop();
     if (log_)
@@ -225,7 +243,7 @@
                 if (peer.role == wire::peer_role::agent)
                     peers_->opened(link);
                 else if (peer.role == wire::peer_role::proxy)
-                    proxies_.opened(link);
+                    proxy_opened(link);
             },
         .on_message =
             [this](const link_pointer& link, wire::message value) {
@@ -238,11 +256,32 @@
         .on_close =
             [this](const link_pointer& link, const core::error& reason) {
                 link_closed(*link, reason);
-                proxies_.closed(link);
-                peers_->closed(link, reason);
+                if (!link->peer())
+                    return;
+                if (link->peer()->role == wire::peer_role::agent)
+                    peers_->closed(link, reason);
+                else if (link->peer()->role == wire::peer_role::proxy)
+                    proxy_closed(link);
             }};
 }
 
+void agent::proxy_opened(const std::shared_ptr<wire::link>& link)
+{
+    log_event(
+        log_level::info,
+        component,
+        "proxy_connected",
+        {{"incarnation", link->peer()->incarnation}});
+    claims_->proxy_opened(link);
+    proxies_.opened(link);
+}
+
+void agent::proxy_closed(const std::shared_ptr<wire::link>& link)
+{
+    proxies_.closed(link);
+    claims_->proxy_closed(link);
+}
+
 peer_handlers agent::handlers_of_peers()
 {
     return {
@@ -302,6 +341,8 @@
         {{"pause_ms",
           std::chrono::duration_cast<std::chrono::milliseconds>(*length)
               .count()}});
+    // The claims first: theirs may have passed to somebody else.
+    claims_->handle(claims::resumed_after_pause{*length});
     catalogue_->handle(catalogue::resumed{});
 }
 
@@ -362,6 +403,38 @@
     log_->set_hosts(members.size());
     catalogue_->handle(catalogue::members_changed{std::move(members)});
     connect_neighbours();
+    tell_claims_of_members();
+}
+
+void agent::tell_claims_of_members()
+{
+    claims::entry_hosts_changed hosts;
+    std::set<core::zone_name> zones{settings_.zone};
+    hosts.zone_hosts.push_back(settings_.host);
+    for (const platform::host_entry& host : entry_hosts_) {
+        if (host.name == settings_.host)
+            continue;
+        ++hosts.all_hosts;
+        zones.insert(host.zone);
+        // A host that leaves takes on nothing new.
+        if (host.zone == settings_.zone &&
+            host.state == platform::host_state::live)
+            hosts.zone_hosts.push_back(host.name);
+    }
+    hosts.zones = zones.size();
+    claims_->handle(hosts);
+}
+
+std::optional<peer_address> agent::find_peer(const core::host_name& host) const
+{
+    const auto found =
+        std::ranges::find(entry_hosts_, host, &platform::host_entry::name);
+    if (found == entry_hosts_.end())
+        return std::nullopt;
+    const auto address = address_of(*found);
+    if (!address)
+        return std::nullopt;
+    return *address;
 }
 
 void agent::connect_neighbours()
@@ -398,7 +471,8 @@
         spread(*sign, peer.host);
         return;
     }
-    (void)catalogue_->received(peer.host, value);
+    if (!catalogue_->received(peer.host, value))
+        (void)claims_->received(peer.host, value);
 }
 
 void agent::proxy_message(
@@ -409,6 +483,8 @@
     else if (
         const auto* position = std::get_if<wire::catalogue_position>(&value))
         proxies_.received(link, *position);
+    else
+        (void)claims_->received(link, value);
 }
 
 void agent::spread(wire::server_sign sign, const core::host_name& source)
@@ -440,6 +516,13 @@
     gauges_.appends_refused.Set(static_cast<double>(counters.appends_refused));
     gauges_.appends_unknown.Set(static_cast<double>(counters.appends_unknown));
     gauges_.reads_failed.Set(static_cast<double>(counters.reads_failed));
+    const auto& counts = claims_->claimer().counts();
+    gauges_.claims_ready.Set(claims_->claimer().ready() ? 1 : 0);
+    gauges_.claims_remembered.Set(
+        static_cast<double>(claims_->claimer().claims().size()));
+    gauges_.claims_asked.Set(static_cast<double>(counts.asked));
+    gauges_.claims_won.Set(static_cast<double>(counts.won));
+    gauges_.claims_unavailable.Set(static_cast<double>(counts.unavailable));
     return metrics_->serialise();
 }
 
@@ -457,6 +540,7 @@
             follower().status(core::monotonic_now()), proxies_.in_force()));
     dump.add("feed", describe(proxies_));
     dump.add("peers", describe(*peers_));
+    dump.add("claims", describe(claims_->claimer()));
     dump.add("log", describe(log_->counters()));
     return dump.to_string();
 }
--- a/services/agent/src/agent.hpp
+++ b/services/agent/src/agent.hpp
@@ -3,6 +3,7 @@
 #include "agent_gauges.hpp"
 #include "agent_settings.hpp"
 #include "catalogue_duty.hpp"
+#include "claims_duty.hpp"
 #include "operators_interface.hpp"
 #include "pause_watch.hpp"
 #include "peer_links.hpp"
@@ -20,6 +21,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace godwit::agent {
 
@@ -54,6 +56,11 @@
         return catalogue_->follower();
     }
 
+    [[nodiscard]] const claims::claimer& claimer() const noexcept
+    {
+        return claims_->claimer();
+    }
+
     [[nodiscard]] const proxy_feed& proxies() const noexcept
     {
         return proxies_;
@@ -77,6 +84,7 @@
     [[nodiscard]] core::result<void>
     prepare_log(const http::endpoint& platform);
     [[nodiscard]] core::result<void> prepare_links();
+    [[nodiscard]] core::result<void> prepare_duties();
     [[nodiscard]] core::result<void> prepare_operators();
     [[nodiscard]] wire::hello introduce() const;
     [[nodiscard]] wire::link_handlers accepted_handlers();
@@ -87,7 +95,12 @@
     void host_list_heard(const core::result<platform::host_list>& list);
     void members_heard();
     void connect_neighbours();
+    void tell_claims_of_members();
+    [[nodiscard]] std::optional<peer_address>
+    find_peer(const core::host_name& host) const;
     void peer_message(const wire::hello& peer, wire::message value);
+    void proxy_opened(const std::shared_ptr<wire::link>& link);
+    void proxy_closed(const std::shared_ptr<wire::link>& link);
     void proxy_message(
         const std::shared_ptr<wire::link>& link, const wire::message& value);
     void spread(wire::server_sign sign, const core::host_name& source);
@@ -109,6 +122,7 @@
     proxy_feed proxies_;
     sign_relay signs_;
     std::shared_ptr<catalogue_duty> catalogue_;
+    std::shared_ptr<claims_duty> claims_;
     std::unique_ptr<operators_interface> operators_;
     platform::host_list entry_hosts_;
     bool host_list_known_ = false;
--- a/services/agent/src/agent_gauges.cpp
+++ b/services/agent/src/agent_gauges.cpp
@@ -33,6 +33,18 @@
             "Appends whose effect was unknown"),
         .reads_failed = metrics.gauge(
             "godwit_agent_log_reads_failed", "Reads that the log failed"),
+        .claims_ready = metrics.gauge(
+            "godwit_agent_claims_ready",
+            "1 while the claims stream is read to its end"),
+        .claims_remembered = metrics.gauge(
+            "godwit_agent_claims_remembered", "Keys in the ledger"),
+        .claims_asked = metrics.gauge(
+            "godwit_agent_claims_asked", "Questions of this host's proxies"),
+        .claims_won = metrics.gauge(
+            "godwit_agent_claims_won", "Questions answered with won"),
+        .claims_unavailable = metrics.gauge(
+            "godwit_agent_claims_unavailable",
+            "Questions that could not be settled"),
         .pauses = metrics.counter(
             "godwit_agent_pauses_total", "Times that the process stood still"),
         .bad_links = metrics.counter(
--- a/services/agent/src/agent_gauges.hpp
+++ b/services/agent/src/agent_gauges.hpp
@@ -19,6 +19,11 @@
     prometheus::Gauge& appends_refused;
     prometheus::Gauge& appends_unknown;
     prometheus::Gauge& reads_failed;
+    prometheus::Gauge& claims_ready;
+    prometheus::Gauge& claims_remembered;
+    prometheus::Gauge& claims_asked;
+    prometheus::Gauge& claims_won;
+    prometheus::Gauge& claims_unavailable;
     prometheus::Counter& pauses;
     prometheus::Counter& bad_links;
 
--- a/services/agent/src/agent_settings.cpp
+++ b/services/agent/src/agent_settings.cpp
@@ -114,6 +114,44 @@
     return follower;
 }
 
+core::result<claims_settings> read_claims(reader& file)
+{
+    auto from = GODWIT_TRY(file.get_object("claims"));
+    claims_settings read;
+    auto& claimer = read.claimer;
+    claimer.ledger.retention =
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            GODWIT_TRY(read_span(
+                from, "retention_ms", {1s, 720h}, claimer.ledger.retention)));
+    claimer.ledger.margin =
+        std::chrono::duration_cast<std::chrono::milliseconds>(GODWIT_TRY(
+            read_span(from, "margin_ms", {0ms, 720h}, claimer.ledger.margin)));
+    claimer.ledger.entry_limit = GODWIT_TRY(read_count(
+        from, "entry_limit", {1, 10000000}, claimer.ledger.entry_limit));
+    claimer.gather =
+        GODWIT_TRY(read_span(from, "gather_ms", {0ms, 1s}, claimer.gather));
+    claimer.key_ranges = static_cast<std::uint32_t>(GODWIT_TRY(
+        read_count(from, "key_ranges", {1, 64}, claimer.key_ranges)));
+    claimer.log_share = GODWIT_TRY(
+        from.get_number("log_share", {0.01, 0.95}, claimer.log_share));
+    claimer.pending_limit = GODWIT_TRY(
+        read_count(from, "pending_limit", {1, 1000000}, claimer.pending_limit));
+    claimer.ask_timeout = GODWIT_TRY(
+        read_span(from, "ask_ms", {10ms, 1min}, claimer.ask_timeout));
+    claimer.append_timeout = GODWIT_TRY(
+        read_span(from, "append_ms", {10ms, 1min}, claimer.append_timeout));
+    claimer.forward_timeout = GODWIT_TRY(
+        read_span(from, "forward_ms", {10ms, 1min}, claimer.forward_timeout));
+    claimer.start_limit = GODWIT_TRY(
+        read_span(from, "start_ms", {10ms, 1h}, claimer.start_limit));
+    claimer.log_retry = GODWIT_TRY(
+        read_span(from, "log_retry_ms", {10ms, 1min}, claimer.log_retry));
+    read.proxy_grace = GODWIT_TRY(
+        read_span(from, "proxy_grace_ms", {0ms, 1h}, read.proxy_grace));
+    GODWIT_TRY(from.finish());
+    return read;
+}
+
 core::result<wire::link_options> read_links(reader& file)
 {
     auto from = GODWIT_TRY(file.get_object("links"));
@@ -131,6 +169,25 @@
     return links;
 }
 
+// Claims pace their own appends, by zone; what is neither theirs nor kept for
+// operators is divided among the hosts.
+core::result<void> divide_log_rate(agent_settings& read)
+{
+    auto& budget = read.log.client.budget;
+    auto& claimer = read.claims.claimer;
+    constexpr double all = 1;
+    if (budget.operators_share + claimer.log_share >= all) {
+        return core::fail(
+            core::error_kind::invalid_input,
+            "log.operators_share and claims.log_share leave nothing for "
+            "checkpoints and orders",
+            "make their sum less than 1");
+    }
+    claimer.log_rate = budget.log_rate;
+    budget.operators_share += claimer.log_share;
+    return {};
+}
+
 } // namespace
 
 core::result<agent_settings> agent_settings::read(reader file)
@@ -151,9 +208,14 @@
         .log = GODWIT_TRY(read_log(file)),
         .host_list = GODWIT_TRY(read_host_list(file)),
         .catalogue = GODWIT_TRY(read_catalogue(file)),
+        .claims = GODWIT_TRY(read_claims(file)),
         .links = GODWIT_TRY(read_links(file))};
     GODWIT_TRY(listen.finish());
+    GODWIT_TRY(divide_log_rate(read));
     read.catalogue.self = read.host;
+    read.claims.claimer.host = read.host;
+    read.claims.claimer.zone = read.zone;
+    read.claims.claimer.read_wait = read.log.wait;
     // A read that hangs for longer than its own bound is given up by the
     // follower too.
     read.catalogue.read_timeout =
--- a/services/agent/src/agent_settings.hpp
+++ b/services/agent/src/agent_settings.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "claims_settings.hpp"
 #include "log_settings.hpp"
 
 #include <godwit/catalogue/follower_settings.hpp>
@@ -33,6 +34,7 @@
     log_settings log;
     platform::host_list_options host_list;
     catalogue::follower_settings catalogue;
+    claims_settings claims;
     wire::link_options links;
 
     /// Standing still for longer than this counts as a pause.
--- a/services/agent/src/state_report.cpp
+++ b/services/agent/src/state_report.cpp
@@ -97,6 +97,27 @@
     return section;
 }
 
+json::object describe(const claims::claimer& claimer)
+{
+    const claims::claimer_counts& counts = claimer.counts();
+    return {
+        {"ready", claimer.ready()},
+        {"remembered", claimer.claims().size()},
+        {"next_offset", claimer.claims().next()},
+        {"bad_records", claimer.claims().bad_records()},
+        {"early_trims", claimer.claims().early_trims()},
+        {"pending", claimer.pending_asks()},
+        {"asked", counts.asked},
+        {"won", counts.won},
+        {"held", counts.held},
+        {"unavailable", counts.unavailable},
+        {"appends", counts.appends},
+        {"appends_lost", counts.appends_lost},
+        {"entries_appended", counts.entries_appended},
+        {"entries_forwarded", counts.entries_forwarded},
+        {"releases", counts.releases}};
+}
+
 json::object describe(const platform::log_client_counters& counters)
 {
     return {
--- a/services/agent/src/state_report.hpp
+++ b/services/agent/src/state_report.hpp
@@ -4,6 +4,7 @@
 #include "proxy_feed.hpp"
 
 #include <godwit/catalogue/follower_status.hpp>
+#include <godwit/claims/claimer.hpp>
 #include <godwit/platform/log_client_counters.hpp>
 
 #include <boost/json/object.hpp>
@@ -22,6 +23,8 @@
 
 [[nodiscard]] boost::json::object describe(const peer_links& peers);
 
+[[nodiscard]] boost::json::object describe(const claims::claimer& claimer);
+
 [[nodiscard]] boost::json::object
 describe(const platform::log_client_counters& counters);
 
--- a/tests/wire/sample_messages.cpp
+++ b/tests/wire/sample_messages.cpp
@@ -45,14 +45,16 @@
             core::server_address("127.0.0.1:9000"), sign_kind::leaving, 15},
         claim_request{7, "key", "fingerprint", holder},
         answer,
-        claim_release{"key", holder},
-        claim_finished{"key", holder, core::outcome::unknown, 5},
+        claim_release{"key", 42, 3},
+        claim_finished{
+            "key", 42, 3, "fingerprint", holder, core::outcome::not_run, 5},
         claim_forward{3, "[]"},
         claim_forward_answer{3, true},
         digest{9, 0xfeedULL, true, 250},
         pull{4},
         records{{log_record{5, 1, "record"}, log_record{6, 2, ""}}, 0xfeedULL},
-        duty_message{"orders", 2, 11, std::string("\xff\0", 2)}};
+        duty_message{"orders", 2, 11, std::string("\xff\0", 2)},
+        claim_withdrawal{7, "key"}};
 }
 
 } // namespace godwit::wire
