--- a/libraries/catalogue/include/godwit/catalogue/follower.hpp
+++ b/libraries/catalogue/include/godwit/catalogue/follower.hpp
@@ -116,10 +116,11 @@
     std::uint64_t published_offset_ = 0;
     std::optional<core::time_point> confirmed_at_;
     record_window window_;
-    std::vector<alarm> alarms_;
+    std::vector<catalogue_alarm> alarms_;
     std::set<std::string> diverging_; // Holders of another content.
 
     bool log_available_ = false;
+    bool was_caught_up_ = false; // Before the answer at hand.
     bool reading_ = false;
     core::time_point read_since_;
     core::time_point next_read_at_;
@@ -138,6 +139,7 @@
     checkpoint_assembler assembler_;
     std::optional<checkpoint_info> newest_checkpoint_;
     core::time_point checkpoint_seen_at_;
+    bool checkpoint_came_live_ = false; // While this host was caught up.
     std::optional<core::time_point> chunk_seen_at_;
     std::vector<completed_checkpoint> completed_;
     std::optional<own_checkpoint> own_checkpoint_;
--- a/libraries/request/src/life_answer.cpp
+++ b/libraries/request/src/life_answer.cpp
@@ -75,7 +75,7 @@
         what.started == start_state::leaving ? observation::leaving
                                              : observation::answered);
     release_connection();
-    retry_elsewhere(fail_reason::no_backend_server);
+    retry_elsewhere(fail_reason::declined);
 }
 
 void life::on_failed_head(const answer_head& what)
@@ -166,8 +166,10 @@
 {
     if (!current(what.connection) || !head_seen_)
         return;
-    if (is_generation() && step_ != step::last_token) {
-        // An end marker without a finish reason is a cut.
+    // An end marker without a finish reason is a cut, but for a generation
+    // that was asked again and has nothing more: its last token came before.
+    const bool nothing_more = resuming_ && received_ > 0;
+    if (is_generation() && step_ != step::last_token && !nothing_more) {
         on_lost_link(observation::broke, fail_reason::link_broken);
         return;
     }
