proxy: claims through the agent, kept answers, and what proxies tell each other

request: a resume token says where the proxy that started the generation is told that another goes on with it; without that its orphan timer would cancel the generation under the caller that came back elsewhere.

--- a/libraries/request/include/godwit/request/resume_token.hpp
+++ b/libraries/request/include/godwit/request/resume_token.hpp
@@ -4,6 +4,7 @@
 #include <godwit/request/resume_position.hpp>
 
 #include <cstdint>
+#include <string>
 
 namespace godwit::request {
 
@@ -16,6 +17,9 @@
     resume_position position;
     /// Seconds since the Unix epoch; hosts' clocks are compared.
     std::int64_t expires_at = 0;
+    /// Where the proxy that started the generation hears that another one
+    /// goes on with it, as "IP:port"; empty where nobody listens.
+    std::string started_by = {};
 
     friend bool operator==(const resume_token&, const resume_token&) = default;
 };
--- a/libraries/request/src/token_fields.cpp
+++ b/libraries/request/src/token_fields.cpp
@@ -76,7 +76,8 @@
          {&token.organisation.value(),
           &token.service.value(),
           &token.position.server.value(),
-          &token.position.generation.value()}) {
+          &token.position.generation.value(),
+          &token.started_by}) {
         if (text->size() > field_limit)
             return std::nullopt;
         put_text(bytes, *text);
@@ -95,6 +96,7 @@
     token.service = core::service_name(reader.text());
     token.position.server = core::server_address(reader.text());
     token.position.generation = core::generation_id(reader.text());
+    token.started_by = reader.text();
     token.position.offset = reader.number(number_size);
     token.expires_at = static_cast<std::int64_t>(reader.number(number_size));
     if (!reader.ended_well())
--- a/libraries/settings/include/godwit/settings/address.hpp
+++ b/libraries/settings/include/godwit/settings/address.hpp
@@ -23,6 +23,9 @@
     /// The port; 0 lets the operating system choose one to listen on.
     [[nodiscard]] std::uint16_t port() const noexcept { return port_; }
 
+    /// The same IP number with another port.
+    [[nodiscard]] address with_port(std::uint16_t port) const;
+
     /// "IP:port", with brackets around an IPv6 number.
     [[nodiscard]] std::string to_string() const;
 
--- a/libraries/settings/src/address.cpp
+++ b/libraries/settings/src/address.cpp
@@ -51,6 +51,11 @@
     return address(std::move(ip), port);
 }
 
+address address::with_port(std::uint16_t port) const
+{
+    return {ip_, port};
+}
+
 std::string address::to_string() const
 {
     const std::string port = ":" + std::to_string(port_);
--- a/services/proxy/caller_request.hpp
+++ b/services/proxy/caller_request.hpp
@@ -2,6 +2,7 @@
 
 #include <godwit/catalogue/organisation.hpp>
 #include <godwit/catalogue/service.hpp>
+#include <godwit/claims/request_fingerprint.hpp>
 #include <godwit/core/identifiers.hpp>
 #include <godwit/core/time.hpp>
 #include <godwit/http/request.hpp>
@@ -25,10 +26,15 @@
     request::answer_mode mode = request::answer_mode::whole;
     request::repeatability repeat = request::repeatability::repeatable;
     std::optional<core::idempotency_key> key;
+    /// Tells another request under the same key from a retry of this one.
+    claims::request_fingerprint fingerprint =
+        claims::request_fingerprint::of("", "", "");
     /// From arrival; none where neither caller nor catalogue sets one.
     std::optional<core::duration> deadline;
     /// Set when the caller goes on with a stream.
     std::optional<request::resume_position> resume;
+    /// Then: the proxy that started the generation; may be empty.
+    std::string started_by;
     /// For a generation.
     std::string prompt;
     std::uint32_t max_tokens = 0;
--- a/services/proxy/caller_request_reader.cpp
+++ b/services/proxy/caller_request_reader.cpp
@@ -365,6 +365,8 @@
     caller_request request;
     request.organisation = GODWIT_TRY(read_organisation(received, catalogue_));
     request.key = GODWIT_TRY(read_key(received));
+    request.fingerprint = claims::request_fingerprint::of(
+        received.method, received.target, received.body);
     request.repeat = GODWIT_TRY(read_repeatability(received));
     request = is_completion
                   ? GODWIT_TRY(read_completion(received, std::move(request)))
@@ -394,6 +396,7 @@
         body.model = token->service.value();
         body.stream = true;
         request.resume = token->position;
+        request.started_by = token->started_by;
     }
     if (!body.model)
         return wrong_member("model", "there");
--- a/services/proxy/control_plane.cpp
+++ b/services/proxy/control_plane.cpp
@@ -155,6 +155,8 @@
     if (now >= membership_due_) {
         membership_due_ = now + membership_interval;
         run(membership::clock_ticked{});
+        if (to_.on_time)
+            to_.on_time(now);
     }
     explore(now);
     poller_.tick(now);
--- a/services/proxy/control_plane.hpp
+++ b/services/proxy/control_plane.hpp
@@ -54,6 +54,8 @@
         std::function<void(const membership::pass_sign&)> on_sign;
         /// Another catalogue is in force, or one was offered in vain.
         std::function<void()> on_catalogue;
+        /// Time passed; about ten times a second.
+        std::function<void(core::time_point)> on_time;
     };
 
     /// `control` is run by one thread, `traffic` by the others. Fails with
--- a/services/proxy/fail_detail.cpp
+++ b/services/proxy/fail_detail.cpp
@@ -32,6 +32,8 @@
         return "the backend server was lost";
     case fail_reason::link_broken:
         return "the connection to the backend server broke";
+    case fail_reason::declined:
+        return "no backend server that was tried started the request";
     case fail_reason::answer_crossed:
         return "the backend server's answer belonged to another request";
     case fail_reason::token_gap:
--- a/services/proxy/proxy_process.cpp
+++ b/services/proxy/proxy_process.cpp
@@ -50,26 +50,34 @@
         GODWIT_TRY(request::token_keyring::create(settings.resume_keys));
     auto explanations =
         GODWIT_TRY(explain_log::create(settings.explain_records));
+    auto answers = GODWIT_TRY(answer_store::create({}));
     std::unique_ptr<proxy_process> made(new proxy_process(
-        std::move(settings), std::move(keys), std::move(explanations)));
-    GODWIT_TRY(made->make_parts());
-    GODWIT_TRY(made->listen());
+        std::move(settings),
+        std::move(keys),
+        std::move(explanations),
+        std::move(answers)));
+    GODWIT_TRY(made->make_control());
+    GODWIT_TRY(made->listen_to_peers());
     GODWIT_TRY(made->make_agent_link());
+    made->make_services();
+    GODWIT_TRY(made->listen());
     return made;
 }
 
 proxy_process::proxy_process(
     proxy_settings settings,
     request::token_keyring keys,
-    std::unique_ptr<explain_log> explanations)
+    std::unique_ptr<explain_log> explanations,
+    std::unique_ptr<answer_store> answers)
     : settings_(std::move(settings)), incarnation_(new_incarnation()),
       keys_(std::move(keys)), explanations_(std::move(explanations)),
-      metrics_(telemetry::metrics::create()), control_context_(1),
+      answers_(std::move(answers)), metrics_(telemetry::metrics::create()),
+      control_context_(1),
       traffic_context_(static_cast<int>(settings_.traffic_threads)),
       registry_(settings_.callers.in_flight)
 {}
 
-core::result<void> proxy_process::make_parts()
+core::result<void> proxy_process::make_control()
 {
     control_plane::outputs outputs{
         snapshots_,
@@ -86,6 +94,9 @@
         [this] {
             if (agent_)
                 agent_->report_position();
+        },
+        [this](core::time_point now) {
+            answers_->expire(now);
         }};
     control_ = GODWIT_TRY(control_plane::create(
         control_context_,
@@ -93,6 +104,28 @@
         settings_,
         core::stable_hash(incarnation_.value()),
         std::move(outputs)));
+    return {};
+}
+
+core::result<void> proxy_process::listen_to_peers()
+{
+    http::server_settings peers{
+        GODWIT_TRY(endpoint_of(settings_.peers_address)), {}, {}};
+    peers_ = GODWIT_TRY(http::server::create(
+        traffic_context_, std::move(peers), [this](http::exchange& with) {
+            return peers_service_->serve(with);
+        }));
+    return {};
+}
+
+void proxy_process::make_services()
+{
+    claims_.emplace(
+        control_context_,
+        agent_.get(),
+        *answers_,
+        wire::claim_holder{
+            settings_.host, incarnation_, peers_->address().to_string()});
     services_.emplace(session_services{
         settings_,
         keys_,
@@ -101,11 +134,13 @@
         registry_,
         budgets_,
         ledger_,
+        *answers_,
+        *claims_,
         *explanations_,
         *metrics_});
     callers_service_.emplace(*services_, state_, incarnation_);
     operators_service_.emplace(*services_, state_, incarnation_);
-    return {};
+    peers_service_.emplace(*services_);
 }
 
 core::result<void> proxy_process::listen()
@@ -150,7 +185,7 @@
     self.host = settings_.host;
     self.zone = settings_.zone;
     self.incarnation = incarnation_;
-    self.address = callers_->address().to_string();
+    self.address = peers_->address().to_string();
     agent_ = GODWIT_TRY(agent_link::create(
         control_context_,
         *settings_.agent,
@@ -181,7 +216,8 @@
          {"operators", operators_->address().to_string()}});
     std::cout << "callers=http://" << callers_->address().to_string() << '\n'
               << "operators=http://" << operators_->address().to_string()
-              << std::endl;
+              << '\n'
+              << "peers=http://" << peers_->address().to_string() << std::endl;
     drain_->start();
     control_->start();
     const auto taken = take_static_catalogue();
--- a/services/proxy/proxy_process.hpp
+++ b/services/proxy/proxy_process.hpp
@@ -1,11 +1,14 @@
 #pragma once
 
 #include "agent_link.hpp"
+#include "answer_store.hpp"
 #include "callers_service.hpp"
+#include "claim_client.hpp"
 #include "control_plane.hpp"
 #include "drain.hpp"
 #include "explain_log.hpp"
 #include "operators_service.hpp"
+#include "peers_service.hpp"
 #include "process_state.hpp"
 #include "proxy_settings.hpp"
 #include "retry_budgets.hpp"
@@ -47,11 +50,14 @@
     proxy_process(
         proxy_settings settings,
         request::token_keyring keys,
-        std::unique_ptr<explain_log> explanations);
+        std::unique_ptr<explain_log> explanations,
+        std::unique_ptr<answer_store> answers);
 
-    core::result<void> make_parts();
-    core::result<void> listen();
+    core::result<void> make_control();
+    core::result<void> listen_to_peers();
     core::result<void> make_agent_link();
+    void make_services();
+    core::result<void> listen();
     core::result<void> take_static_catalogue();
     void run_threads();
 
@@ -59,6 +65,7 @@
     core::incarnation_id incarnation_;
     request::token_keyring keys_;
     std::unique_ptr<explain_log> explanations_;
+    std::unique_ptr<answer_store> answers_;
     std::unique_ptr<telemetry::metrics> metrics_;
     process_state state_;
     snapshot_cell snapshots_;
@@ -70,11 +77,14 @@
     session_registry registry_;
     std::unique_ptr<control_plane> control_;
     std::unique_ptr<agent_link> agent_; ///< Null without an agent.
+    std::optional<claim_client> claims_;
     std::optional<session_services> services_;
     std::optional<callers_service> callers_service_;
     std::optional<operators_service> operators_service_;
+    std::optional<peers_service> peers_service_;
     std::unique_ptr<http::server> callers_;
     std::unique_ptr<http::server> operators_;
+    std::unique_ptr<http::server> peers_;
     std::optional<drain> drain_;
     std::size_t cut_requests_ = 0;
 };
--- a/services/proxy/proxy_settings.cpp
+++ b/services/proxy/proxy_settings.cpp
@@ -218,10 +218,12 @@
     core::host_name own_host,
     core::zone_name own_zone,
     settings::address callers_at,
-    settings::address operators_at)
+    settings::address operators_at,
+    settings::address peers_at)
     : host(std::move(own_host)), zone(std::move(own_zone)),
       callers_address(std::move(callers_at)),
-      operators_address(std::move(operators_at))
+      operators_address(std::move(operators_at)),
+      peers_address(std::move(peers_at))
 {}
 
 core::result<proxy_settings> proxy_settings::read(reader file)
@@ -233,10 +235,16 @@
     auto listen = GODWIT_TRY(file.get_object("listen"));
     auto callers_address = GODWIT_TRY(listen.get_address("callers"));
     auto operators_address = GODWIT_TRY(listen.get_address("operators"));
-    operators_address = GODWIT_TRY(listen.finish(std::move(operators_address)));
+    auto peers_address =
+        GODWIT_TRY(listen.get_address("peers", callers_address.with_port(0)));
+    GODWIT_TRY(listen.finish());
 
     proxy_settings read(
-        host, zone, std::move(callers_address), std::move(operators_address));
+        host,
+        zone,
+        std::move(callers_address),
+        std::move(operators_address),
+        std::move(peers_address));
     read.agent = GODWIT_TRY(file.get_optional_address("agent"));
     read.log_level = GODWIT_TRY(read_log_level(file));
     read.traffic_threads = GODWIT_TRY(
--- a/services/proxy/proxy_settings.hpp
+++ b/services/proxy/proxy_settings.hpp
@@ -30,12 +30,15 @@
         core::host_name own_host,
         core::zone_name own_zone,
         settings::address callers_at,
-        settings::address operators_at);
+        settings::address operators_at,
+        settings::address peers_at);
 
     core::host_name host;
     core::zone_name zone;
     settings::address callers_address;
     settings::address operators_address;
+    /// Where the proxies of other entry hosts ask this one.
+    settings::address peers_address;
     /// None: the catalogue and servers come from `static` alone.
     std::optional<settings::address> agent;
     telemetry::log_level log_level = telemetry::log_level::info;
--- a/services/proxy/request_session.cpp
+++ b/services/proxy/request_session.cpp
@@ -352,31 +352,4 @@
     services_.explanations.add(std::move(record));
 }
 
-// FIXME: The claims path is not wired yet: no agent can be asked, so what may
-//        not be repeated is not run unless its service deduplicates.
-void request_session::on(const request::ask_claim&)
-{
-    handle(request::claim_unavailable{});
-}
-
-void request_session::on(const request::release_claim&) {}
-
-void request_session::on(const request::settle_claim&) {}
-
-void request_session::on(const request::attach_to_holder&)
-{
-    handle(request::holder_failed{});
-}
-
-// The id of a generation begins with the id of the request that started it.
-void request_session::on(const request::announce_resumed& what)
-{
-    const auto& generation = what.generation.value();
-    const core::request_id first(generation.substr(0, generation.rfind('-')));
-    if (const auto session = services_.registry.find(first))
-        session->post(request::resumed_elsewhere{what.generation});
-    // FIXME: Other entry hosts are not told; their orphan timers would
-    //        cancel the generation.
-}
-
 } // namespace godwit::proxy
--- a/services/proxy/request_session.hpp
+++ b/services/proxy/request_session.hpp
@@ -3,6 +3,7 @@
 #include "answer_writer.hpp"
 #include "backend_link.hpp"
 #include "caller_request.hpp"
+#include "claimed_run.hpp"
 #include "completion_text.hpp"
 #include "dispatch_answer.hpp"
 #include "engine_event.hpp"
@@ -10,6 +11,8 @@
 #include "request_metrics.hpp"
 #include "session_services.hpp"
 
+#include <godwit/claims/claim_key.hpp>
+#include <godwit/claims/kept_answer.hpp>
 #include <godwit/core/identifiers.hpp>
 #include <godwit/core/result.hpp>
 #include <godwit/dispatch/end_reason.hpp>
@@ -18,6 +21,7 @@
 #include <godwit/request/events.hpp>
 #include <godwit/request/life.hpp>
 #include <godwit/request/timer.hpp>
+#include <godwit/wire/claim_answer.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -30,10 +34,15 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace godwit::proxy {
 
+/// The request that started a generation: the generation's id begins with
+/// the request's.
+[[nodiscard]] core::request_id request_of(std::string_view generation);
+
 /// Carries out one request: turns what happens on its sockets into events of
 /// its life, and the life's actions into bytes. Runs on the strand of the
 /// caller's connection and may outlive that connection.
@@ -108,6 +117,11 @@
     void on(const request::note_preemption& what);
     void on(const request::record_decision& what);
 
+    // The claim.
+    void on_claim_answer(const wire::claim_answer& answer);
+    boost::asio::awaitable<void> fetch_attached();
+    [[nodiscard]] claims::kept_answer answer_to_keep() const;
+
     // Dispatch.
     [[nodiscard]] core::request_id dispatch_id(std::uint32_t ask) const;
     void on_dispatch_answer(std::uint32_t ask, const dispatch_answer& answer);
@@ -138,6 +152,7 @@
 
     // The caller.
     void begin_stream();
+    void deliver_attached();
     void count_tokens(std::uint64_t count);
     [[nodiscard]] std::uint32_t estimated_prompt_tokens() const noexcept;
     [[nodiscard]] std::string resume_token_after(
@@ -182,6 +197,11 @@
     std::string finish_reason_;
     http::response answer_;
 
+    /// The claim of a request that may not be repeated, and whose run its
+    /// answer comes from where that is another one.
+    std::optional<claims::claim_key> claim_;
+    std::optional<claimed_run> attached_;
+
     std::array<std::optional<boost::asio::steady_timer>, request::timer_count>
         timers_;
 };
--- a/services/proxy/request_session_caller.cpp
+++ b/services/proxy/request_session_caller.cpp
@@ -47,6 +47,8 @@
     token.service = request_.service->name;
     token.position = {core::server_address(server_), generation, offset + 1};
     token.expires_at = unix_seconds() + validity.count();
+    token.started_by = request_.resume ? request_.started_by
+                                       : services_.claims.self().peer_address;
     // Sealing fails for names of 64 KiB, which no catalogue holds; without
     // an id the caller cannot come back, and everything else goes on.
     return services_.keys.seal(token).value_or("");
@@ -96,6 +98,10 @@
 
 void request_session::on(const request::deliver_answer&)
 {
+    if (attached_) {
+        deliver_attached();
+        return;
+    }
     http::response answer = answer_;
     if (request_.kind == request::request_kind::generation) {
         answer.status = ok;
@@ -110,6 +116,25 @@
     writer_.respond(std::move(answer));
 }
 
+// The run's answer was collected whole; a caller that wants a stream gets it
+// as one.
+void request_session::deliver_attached()
+{
+    const bool as_stream = request_.kind == request::request_kind::generation &&
+                           request_.mode == request::answer_mode::streamed &&
+                           answer_.status == ok;
+    if (!as_stream) {
+        answer_.fields.set("Godwit-Request-Id", id_.value());
+        writer_.respond(answer_);
+        return;
+    }
+    begin_stream();
+    writer_.write(
+        http::format_event({"", "", answer_.body}) +
+        http::format_event({"", "", "[DONE]"}));
+    writer_.finish_stream();
+}
+
 void request_session::on(const request::finish_stream&)
 {
     begin_stream();
--- a/services/proxy/session_services.hpp
+++ b/services/proxy/session_services.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "answer_store.hpp"
+#include "claim_client.hpp"
 #include "control_plane.hpp"
 #include "explain_log.hpp"
 #include "proxy_settings.hpp"
@@ -24,6 +26,8 @@
     session_registry& registry;
     retry_budgets& budgets;
     token_ledger& ledger;
+    answer_store& answers;
+    claim_client& claims;
     explain_log& explanations;
     telemetry::metrics& metrics;
 };
--- a/tests/proxy/drain_test.cpp
+++ b/tests/proxy/drain_test.cpp
@@ -133,22 +133,36 @@
         CPPUNIT_ASSERT_EQUAL(1.0, proxy.metric("godwit_requests_total{"));
     }
 
-    void test_resume_saves_orphan()
+    // The caller's connection breaks and its host lives on: whoever the caller
+    // comes back to, the first host must not cancel the generation.
+    static void check_orphan_is_saved(
+        const backend& engine,
+        const proxy_program& first,
+        const proxy_program& second)
     {
-        const auto engine = backend::engine({"--tokens-per-second", "200"});
-        proxy_program proxy(
-            {engine->entry()},
-            "entry-1",
-            {{"request", json::object{{"orphan_ms", 300}}}});
         part read;
         {
-            caller from(proxy.callers());
+            caller from(first.callers());
             CPPUNIT_ASSERT_EQUAL(200U, from.open(completion(200, true)).status);
             read = read_some(from, 2);
         }
-        caller again(proxy.callers());
+        caller again(second.callers());
         CPPUNIT_ASSERT_EQUAL(200U, again.open(resumed(read.last_id)).status);
         CPPUNIT_ASSERT_EQUAL(expected_text(200), read.text + read_rest(again));
+        CPPUNIT_ASSERT(
+            get(engine.url(), "/load").find("\"running\":0") !=
+            std::string::npos);
+    }
+
+    void test_resume_saves_orphan()
+    {
+        const auto engine = backend::engine({"--tokens-per-second", "200"});
+        const json::object short_orphans{
+            {"request", json::object{{"orphan_ms", 300}}}};
+        const proxy_program first({engine->entry()}, "entry-1", short_orphans);
+        const proxy_program second({engine->entry()}, "entry-2", short_orphans);
+        check_orphan_is_saved(*engine, first, first);
+        check_orphan_is_saved(*engine, first, second);
     }
 
     void test_slow_reader_is_cut()
