http: a bad request on a connection that was served before is answered

Cause: the phase of the answer was reset only when a handler began, so that the refusal of a later request on the same connection hit an assertion. The test of mutated requests fails with assertions on; it passed in a release build, whose assertions were off until now.

--- a/libraries/http/src/connection.cpp
+++ b/libraries/http/src/connection.cpp
@@ -155,6 +155,9 @@
 
 asio::awaitable<std::optional<request>> connection::read_request()
 {
+    // A request that is refused here is answered before serve() begins, also
+    // when the connection has served others.
+    phase_ = answer_phase::none;
     request_parser parser;
     parser.header_limit(
         static_cast<std::uint32_t>(server_->settings().limits.header_bytes));
@@ -264,7 +267,6 @@
 asio::awaitable<void> connection::serve(request received)
 {
     const active_exchange counted(*server_);
-    phase_ = answer_phase::none;
     is_watching_ = true;
     watch_ended_ = false;
     asio::co_spawn(
