membership: a restarted server comes back; refusals are told once

A gone server that the host list shows again was never probed, so it never came back. Each refused connection to a server that may not be ejected was told to the peers; now only the first is.

--- a/libraries/membership/include/godwit/membership/pool.hpp
+++ b/libraries/membership/include/godwit/membership/pool.hpp
@@ -87,6 +87,7 @@
         server_state to,
         std::string_view why);
 
+    [[nodiscard]] bool needs_probe(const member& known) const;
     [[nodiscard]] bool may_eject(const member& candidate) const;
     [[nodiscard]] bool meets_requirement(const member& known) const;
     [[nodiscard]] core::duration next_ejection_time(std::uint32_t earlier);
--- a/libraries/membership/src/pool.cpp
+++ b/libraries/membership/src/pool.cpp
@@ -136,18 +136,30 @@
             one = members_.erase(one);
             continue;
         }
-        const bool needs_probe =
-            (known.state == server_state::ejected &&
-             now_ >= known.ejected_until) ||
-            known.state == server_state::suspect ||
-            (known.state == server_state::leaving && known.listed_live &&
-             now_ - known.leaving_since >= settings_.leaving_hold);
-        if (needs_probe && now_ >= known.probe_due)
+        if (needs_probe(known) && now_ >= known.probe_due)
             probe(server, known);
         ++one;
     }
 }
 
+bool pool::needs_probe(const member& known) const
+{
+    switch (known.state) {
+    case server_state::live:
+        return false;
+    case server_state::suspect:
+        return true;
+    case server_state::ejected:
+        return now_ >= known.ejected_until;
+    case server_state::leaving:
+    case server_state::gone:
+        // Listed again after the hold: a new host may have the address.
+        return known.listed_live &&
+               now_ - known.leaving_since >= settings_.leaving_hold;
+    }
+    return false;
+}
+
 void pool::probe(const core::server_address& server, member& known)
 {
     known.probe_due = now_ + settings_.probe_interval;
--- a/libraries/membership/src/pool_health.cpp
+++ b/libraries/membership/src/pool_health.cpp
@@ -56,7 +56,7 @@
     if (known.state == server_state::gone)
         return;
     ++known.failures;
-    if (what == sighting::refused && known.state != server_state::ejected)
+    if (what == sighting::refused && known.state == server_state::live)
         emit(pass_sign{server, sign::suspect});
     if (known.state == server_state::ejected) {
         // Only what happens after the ejection's end prolongs it: failures
--- a/tests/membership/pool_test.cpp
+++ b/tests/membership/pool_test.cpp
@@ -43,6 +43,8 @@
     CPPUNIT_TEST(test_damaged_list_keeps_the_pool);
     CPPUNIT_TEST(test_every_sign_of_leaving_ends_eligibility);
     CPPUNIT_TEST(test_late_list_revives_nothing);
+    CPPUNIT_TEST(test_restarted_server_comes_back);
+    CPPUNIT_TEST(test_refusals_are_told_once);
     CPPUNIT_TEST(test_half_of_the_pool_stays);
     CPPUNIT_TEST(test_ejection_grows_and_ends_by_a_probe);
     CPPUNIT_TEST(test_version_must_match);
@@ -142,6 +144,29 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(6), eligible());
     }
 
+    void test_restarted_server_comes_back()
+    {
+        see(0, sighting::leaving);
+        see(0, sighting::refused);
+        CPPUNIT_ASSERT(pool_->state_of(numbered(0)) == server_state::gone);
+        now_ += seconds(61);
+        feed(list_of(0, 6));
+        CPPUNIT_ASSERT_EQUAL(1, count<probe_server>(feed(clock_ticked{})));
+        see(0, sighting::probe_passed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(6), eligible());
+    }
+
+    void test_refusals_are_told_once()
+    {
+        int told = 0;
+        for (int number = 0; number < 6; ++number) {
+            for (int times = 0; times < 5; ++times)
+                told += count<pass_sign>(
+                    feed(server_seen{numbered(number), sighting::refused}));
+        }
+        CPPUNIT_ASSERT_EQUAL(6, told);
+    }
+
     void test_half_of_the_pool_stays()
     {
         for (int number = 0; number < 6; ++number) {
