--- a/tests/faults/world.cpp
+++ b/tests/faults/world.cpp
@@ -14,6 +14,7 @@
 constexpr std::uint64_t token_count = 5;
 constexpr int try_limit = 4;
 constexpr auto hop = milliseconds(1);
+constexpr auto patience = seconds(4);
 constexpr auto bound = seconds(200);
 // Longer than the longest pause of a process; and than a late answer.
 constexpr auto after_a_pause = seconds(16);
@@ -131,7 +132,7 @@
     if (is_keyed(cell_.work))
         made.key = core::idempotency_key(callers_.at(who).key);
     if (cell_.seed % 4 == 3)
-        made.deadline = clock.now() + seconds(5);
+        made.deadline = clock.now() + seconds(3);
     return made;
 }
 
@@ -169,6 +170,10 @@
     seen.refused_at.emplace_back();
     caller_of_.push_back(who);
     next_.emplace_back();
+    // By the seed, callers lose patience: they come to the other host while
+    // the first one may be paused in the middle of the run.
+    if (cell_.seed % 2 == 1)
+        clock.after(patience, [this, number] { leave(number); });
     if (number == 0)
         reached(moment::accepted);
     if (hosts.at(host))
@@ -179,6 +184,18 @@
         });
 }
 
+// The caller closes its connection and tries again elsewhere.
+void world::leave(std::size_t number)
+{
+    const auto& one = seen.tries.at(number);
+    if (one.end != ending::open)
+        return;
+    end_try(
+        number, [](caller_try& left) { left.end = ending::left_by_caller; });
+    if (const auto host = hosts.at(one.host))
+        host->post(hop, [host, number] { host->caller_left(number); });
+}
+
 void world::give_tokens(
     std::size_t number,
     std::vector<token> content,
@@ -337,9 +354,7 @@
         start_other_callers();
         return;
     case fault::caller_gone:
-        end_try(0, [](caller_try& one) { one.end = ending::left_by_caller; });
-        if (host)
-            host->post(hop, [host] { host->caller_left(0); });
+        leave(0);
         return;
     }
 }
--- a/tests/faults/world.hpp
+++ b/tests/faults/world.hpp
@@ -73,6 +73,7 @@
         std::size_t who,
         std::size_t host,
         std::optional<std::size_t> continues = std::nullopt);
+    void leave(std::size_t number);
     void react(std::size_t number);
     void inject(fault what);
     void kill_host();
