--- a/services/agent/src/incarnation.cpp
+++ b/services/agent/src/incarnation.cpp
@@ -14,7 +14,7 @@
     const std::uint64_t seed =
         (std::uint64_t{device()} << word_bits) | device();
     std::ostringstream text;
-    text << host.value() << '/' << std::hex << std::setfill('0')
+    text << host.value() << '.' << std::hex << std::setfill('0')
          << std::setw(digits) << seed;
     return {core::incarnation_id(text.str()), seed};
 }
--- a/tests/agent/test_proxy.cpp
+++ b/tests/agent/test_proxy.cpp
@@ -22,6 +22,9 @@
     handlers.on_message = [this](const auto&, const auto& value) {
         take(value);
     };
+    handlers.on_close = [this](const auto&, const auto&) {
+        ++closed;
+    };
     connector_ = wire::connector::create(
                      context.get_executor(),
                      agent,
@@ -59,6 +62,8 @@
         servers = *view;
     else if (const auto* sign = std::get_if<wire::server_sign>(&value))
         signs.push_back(*sign);
+    else if (const auto* answer = std::get_if<wire::claim_answer>(&value))
+        answers.push_back(*answer);
 }
 
 void test_proxy::apply(const wire::catalogue_snapshot& part)
--- a/tests/agent/test_proxy.hpp
+++ b/tests/agent/test_proxy.hpp
@@ -2,6 +2,7 @@
 
 #include <godwit/catalogue/state.hpp>
 #include <godwit/wire/backend_servers.hpp>
+#include <godwit/wire/claim_answer.hpp>
 #include <godwit/wire/connector.hpp>
 #include <godwit/wire/server_sign.hpp>
 
@@ -43,6 +44,9 @@
     std::size_t reverts = 0;
     wire::backend_servers servers;
     std::vector<wire::server_sign> signs;
+    std::vector<wire::claim_answer> answers;
+    /// How often its link was closed.
+    std::size_t closed = 0;
 
 private:
     void take(const wire::message& value);
