--- a/tests/claims/fake_log.hpp
+++ b/tests/claims/fake_log.hpp
@@ -1,13 +1,14 @@
 #pragma once
 
-#include <godwit/claims/log_record.hpp>
 #include <godwit/core/time.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
 
 /// The platform's log, in memory and in virtual time.
+template<class Record>
 class fake_log
 {
 public:
@@ -19,7 +20,7 @@
         const auto age = now.time_since_epoch();
         records_.push_back(
             {records_.size(),
-             std::chrono::duration_cast<godwit::claims::log_time>(age),
+             std::chrono::duration_cast<std::chrono::milliseconds>(age),
              std::move(data)});
         return records_.back().offset;
     }
@@ -37,10 +38,10 @@
 
     std::uint64_t next() const { return records_.size(); }
 
-    std::vector<godwit::claims::log_record>
+    std::vector<Record>
     read(std::uint64_t from, std::uint32_t limit, godwit::core::time_point now)
     {
-        std::vector<godwit::claims::log_record> found;
+        std::vector<Record> found;
         for (auto at = std::max(from, first(now));
              at < records_.size() && found.size() < limit;
              ++at)
@@ -50,6 +51,6 @@
 
 private:
     godwit::core::duration retention_;
-    std::vector<godwit::claims::log_record> records_;
+    std::vector<Record> records_;
     std::uint64_t first_ = 0;
 };
--- a/tests/claims/fleet.cpp
+++ b/tests/claims/fleet.cpp
@@ -80,10 +80,12 @@
 void fleet::run_for(core::duration length)
 {
     const auto end = now_ + length;
+    std::size_t events = 0;
     while (!queue_.empty() && queue_.begin()->first <= end) {
         auto next = queue_.extract(queue_.begin());
         now_ = next.key();
         next.mapped()();
+        CPPUNIT_ASSERT_MESSAGE("events without end", ++events < 2'000'000);
     }
     now_ = end;
 }
--- a/tests/claims/fleet.hpp
+++ b/tests/claims/fleet.hpp
@@ -105,7 +105,7 @@
 
     std::uint64_t appends() const { return appends_; }
 
-    fake_log& log() { return log_; }
+    fake_log<godwit::claims::log_record>& log() { return log_; }
 
     /// Fails the test unless every promise held so far.
     void check_promises();
@@ -161,7 +161,7 @@
     godwit::core::random random_;
     godwit::core::time_point now_;
     std::multimap<godwit::core::time_point, action> queue_;
-    fake_log log_;
+    fake_log<godwit::claims::log_record> log_;
     std::vector<entry_host> hosts_;
     std::vector<poll> polls_;
     std::vector<caller_try> tries_;
