--- a/services/proxy/caller_request_reader.cpp
+++ b/services/proxy/caller_request_reader.cpp
@@ -255,16 +255,22 @@
     return static_cast<std::uint32_t>(wanted);
 }
 
+// Who asks decides how its generations share the engines; a call is of the
+// class of what it calls.
+core::class_name default_class(const caller_request& request)
+{
+    return request.kind == request::request_kind::generation
+               ? request.organisation->default_class
+               : request.service->default_class;
+}
+
 outcome_of<core::class_name> read_class(
     const std::optional<std::string>& named,
     const catalogue::state& from,
     const caller_request& request)
 {
-    if (!named) {
-        if (!request.service->default_class.empty())
-            return request.service->default_class;
-        return request.organisation->default_class;
-    }
+    if (!named)
+        return default_class(request);
     core::class_name name(*named);
     if (!from.find_class(name))
         return refuse(
@@ -359,6 +365,8 @@
     caller_request request;
     request.organisation = GODWIT_TRY(read_organisation(received, catalogue_));
     request.key = GODWIT_TRY(read_key(received));
+    request.fingerprint = claims::request_fingerprint::of(
+        received.method, received.target, received.body);
     request.repeat = GODWIT_TRY(read_repeatability(received));
     request = is_completion
                   ? GODWIT_TRY(read_completion(received, std::move(request)))
@@ -388,6 +396,7 @@
         body.model = token->service.value();
         body.stream = true;
         request.resume = token->position;
+        request.started_by = token->started_by;
     }
     if (!body.model)
         return wrong_member("model", "there");
--- a/services/proxy/proxy_process.cpp
+++ b/services/proxy/proxy_process.cpp
@@ -5,6 +5,7 @@
 #include <godwit/core/hash.hpp>
 #include <godwit/http/endpoint.hpp>
 #include <godwit/telemetry/log.hpp>
+#include <godwit/wire/protocol.hpp>
 
 #include <boost/asio/executor_work_guard.hpp>
 
@@ -49,28 +50,34 @@
         GODWIT_TRY(request::token_keyring::create(settings.resume_keys));
     auto explanations =
         GODWIT_TRY(explain_log::create(settings.explain_records));
+    auto answers = GODWIT_TRY(answer_store::create({}));
     std::unique_ptr<proxy_process> made(new proxy_process(
-        std::move(settings), std::move(keys), std::move(explanations)));
-    auto begun = made->make_parts();
-    if (begun)
-        begun = made->listen();
-    if (!begun)
-        return tl::unexpected(begun.error());
+        std::move(settings),
+        std::move(keys),
+        std::move(explanations),
+        std::move(answers)));
+    GODWIT_TRY(made->make_control());
+    GODWIT_TRY(made->listen_to_peers());
+    GODWIT_TRY(made->make_agent_link());
+    made->make_services();
+    GODWIT_TRY(made->listen());
     return made;
 }
 
 proxy_process::proxy_process(
     proxy_settings settings,
     request::token_keyring keys,
-    std::unique_ptr<explain_log> explanations)
+    std::unique_ptr<explain_log> explanations,
+    std::unique_ptr<answer_store> answers)
     : settings_(std::move(settings)), incarnation_(new_incarnation()),
       keys_(std::move(keys)), explanations_(std::move(explanations)),
-      metrics_(telemetry::metrics::create()), control_context_(1),
+      answers_(std::move(answers)), metrics_(telemetry::metrics::create()),
+      control_context_(1),
       traffic_context_(static_cast<int>(settings_.traffic_threads)),
       registry_(settings_.callers.in_flight)
 {}
 
-core::result<void> proxy_process::make_parts()
+core::result<void> proxy_process::make_control()
 {
     control_plane::outputs outputs{
         snapshots_,
@@ -80,13 +87,45 @@
             state_.has_catalogue = true;
             std::cout << "ready" << std::endl;
         },
-        nullptr};
+        [this](const membership::pass_sign& sign) {
+            if (agent_)
+                agent_->pass(sign);
+        },
+        [this] {
+            if (agent_)
+                agent_->report_position();
+        },
+        [this](core::time_point now) {
+            answers_->expire(now);
+        }};
     control_ = GODWIT_TRY(control_plane::create(
         control_context_,
         traffic_context_,
         settings_,
         core::stable_hash(incarnation_.value()),
         std::move(outputs)));
+    return {};
+}
+
+core::result<void> proxy_process::listen_to_peers()
+{
+    http::server_settings peers{
+        GODWIT_TRY(endpoint_of(settings_.peers_address)), {}, {}};
+    peers_ = GODWIT_TRY(http::server::create(
+        traffic_context_, std::move(peers), [this](http::exchange& with) {
+            return peers_service_->serve(with);
+        }));
+    return {};
+}
+
+void proxy_process::make_services()
+{
+    claims_.emplace(
+        control_context_,
+        agent_.get(),
+        *answers_,
+        wire::claim_holder{
+            settings_.host, incarnation_, peers_->address().to_string()});
     services_.emplace(session_services{
         settings_,
         keys_,
@@ -95,11 +134,13 @@
         registry_,
         budgets_,
         ledger_,
+        *answers_,
+        *claims_,
         *explanations_,
         *metrics_});
     callers_service_.emplace(*services_, state_, incarnation_);
     operators_service_.emplace(*services_, state_, incarnation_);
-    return {};
+    peers_service_.emplace(*services_);
 }
 
 core::result<void> proxy_process::listen()
@@ -134,6 +175,26 @@
     return {};
 }
 
+core::result<void> proxy_process::make_agent_link()
+{
+    if (!settings_.agent)
+        return {};
+    wire::hello self;
+    self.version = wire::protocol_version;
+    self.role = wire::peer_role::proxy;
+    self.host = settings_.host;
+    self.zone = settings_.zone;
+    self.incarnation = incarnation_;
+    self.address = peers_->address().to_string();
+    agent_ = GODWIT_TRY(agent_link::create(
+        control_context_,
+        *settings_.agent,
+        std::move(self),
+        *control_,
+        core::stable_hash(incarnation_.value(), 1)));
+    return {};
+}
+
 core::result<void> proxy_process::take_static_catalogue()
 {
     if (!settings_.fixed.catalogue)
@@ -155,7 +216,8 @@
          {"operators", operators_->address().to_string()}});
     std::cout << "callers=http://" << callers_->address().to_string() << '\n'
               << "operators=http://" << operators_->address().to_string()
-              << std::endl;
+              << '\n'
+              << "peers=http://" << peers_->address().to_string() << std::endl;
     drain_->start();
     control_->start();
     const auto taken = take_static_catalogue();
@@ -163,6 +225,8 @@
         std::cerr << "godwit-proxy: " << taken.error().to_string() << '\n';
         return settings::exit_code::settings;
     }
+    if (agent_)
+        agent_->start();
     run_threads();
     return cut_requests_ == 0 ? settings::exit_code::done
                               : settings::exit_code::refused;
--- a/utilities/godwit-bench/scheduler_variation.hpp
+++ b/utilities/godwit-bench/scheduler_variation.hpp
@@ -20,8 +20,10 @@
 {
     std::string name = "godwit";
     std::uint32_t candidates = 3;
-    double length_quantile = 0.6;
+    double length_quantile = 0.4;
     double overcommit = 1.0;
+    /// Of a long request in the queue; 0 is the workload's own.
+    double longest_wait_s = 0.0;
     bool advance_reports = true;
     bool classes = true;
     bool organisations = true;
