--- a/libraries/dispatch/include/godwit/dispatch/length_estimator.hpp
+++ b/libraries/dispatch/include/godwit/dispatch/length_estimator.hpp
@@ -43,6 +43,12 @@
         std::uint32_t so_far,
         double quantile) const;
 
+    /// Groups that it keeps.
+    [[nodiscard]] std::size_t group_count() const noexcept
+    {
+        return groups_.size();
+    }
+
 private:
     using group_key = std::pair<core::service_name, core::class_name>;
 
--- a/libraries/dispatch/include/godwit/dispatch/server_load.hpp
+++ b/libraries/dispatch/include/godwit/dispatch/server_load.hpp
@@ -45,6 +45,12 @@
     /// The last report's own time.
     [[nodiscard]] core::time_point measured_at() const noexcept;
 
+    /// Slots of changes that it keeps.
+    [[nodiscard]] std::size_t slot_count() const noexcept
+    {
+        return slots_.size();
+    }
+
 private:
     struct slot
     {
--- a/libraries/dispatch/src/class_queue.cpp
+++ b/libraries/dispatch/src/class_queue.cpp
@@ -149,15 +149,16 @@
     // Organisations take turns, so a request waits for its own flow's
     // length times the flows, but never for more than the whole queue.
     const std::size_t flows = active_.size() + (flow.suspended ? 1U : 0U);
-    const std::size_t ahead = std::min(size_, flow.waiting.size() * flows) - 1;
-    if (ahead == 0)
+    const std::size_t starts = std::min(size_, flow.waiting.size() * flows);
+    // Alone it may start at once; behind others its own start counts too.
+    if (starts <= 1)
         return core::duration::zero();
     const auto rate = drain_.rate();
     if (!rate)
         return std::nullopt;
     constexpr double slowest = 1e-3;
     const std::chrono::duration<double> wait(
-        static_cast<double>(ahead) / std::max(*rate, slowest));
+        static_cast<double>(starts) / std::max(*rate, slowest));
     return std::chrono::ceil<core::duration>(wait);
 }
 
--- a/libraries/dispatch/src/scheduler_queueing.cpp
+++ b/libraries/dispatch/src/scheduler_queueing.cpp
@@ -99,7 +99,8 @@
     if (!wait || *wait <= allowed)
         return false;
     dequeue(request, false);
-    refuse(request, refusal_reason::deadline, *wait - allowed);
+    // Half of the allowed wait is left as a margin for the estimate.
+    refuse(request, refusal_reason::deadline, *wait - allowed / 2);
     return true;
 }
 
--- a/libraries/dispatch/src/scheduler_running.cpp
+++ b/libraries/dispatch/src/scheduler_running.cpp
@@ -252,13 +252,15 @@
     tracked_request* const request = find_started(input.id);
     if (request == nullptr)
         return;
+    // The engine counts, so a late or doubled event is told from a new one.
+    const std::uint32_t times = request->arrival.times_preempted + input.count;
+    if (times <= request->times_preempted)
+        return;
+    request->times_preempted = times;
     if (!request->pushed_off) {
         request->pushed_off = true;
         ++request->server->own_pushed_off;
     }
-    request->times_preempted = std::max(
-        request->times_preempted + 1,
-        request->arrival.times_preempted + input.count);
     actions_.emplace_back(raise_priority{
         .id = request->arrival.id,
         .server = request->server->description.address,
--- a/utilities/godwit-bench/measurements.cpp
+++ b/utilities/godwit-bench/measurements.cpp
@@ -8,12 +8,13 @@
 
 using namespace std::chrono_literals;
 
-const std::array<measure, 22> all_measures = {{
+const std::array<measure, 23> all_measures = {{
     {"stall_p50_s", &measurements::stall_p50_s},
     {"stall_p99_s", &measurements::stall_p99_s},
     {"stall_max_s", &measurements::stall_max_s},
     {"stall_p99_refused_s", &measurements::stall_p99_refused_s},
     {"preemptions_per_1000", &measurements::preemptions_per_1000},
+    {"most_preemptions", &measurements::most_preemptions},
     {"gap_p95_ms", &measurements::gap_p95_ms},
     {"gap_p99_ms", &measurements::gap_p99_ms},
     {"long_token_share", &measurements::long_token_share},
@@ -131,6 +132,8 @@
         if (request.organisation != 0)
             small_waits.push_back(stalls_refused.back());
         preemptions += request.preemptions;
+        result.most_preemptions =
+            std::max<double>(result.most_preemptions, request.preemptions);
         good += is_good(request) ? 1.0 : 0.0;
     }
     const double generations = longs.all + shorts.all;
--- a/utilities/godwit-bench/measurements.hpp
+++ b/utilities/godwit-bench/measurements.hpp
@@ -20,6 +20,8 @@
     /// caller's whole patience, so that refusing cannot improve it.
     double stall_p99_refused_s = 0.0;
     double preemptions_per_1000 = 0.0;
+    /// Of one generation.
+    double most_preemptions = 0.0;
     double gap_p95_ms = 0.0;
     double gap_p99_ms = 0.0;
     double long_token_share = 0.0;
@@ -47,7 +49,7 @@
 };
 
 /// All measures, in the order of reports.
-extern const std::array<measure, 22> all_measures;
+extern const std::array<measure, 23> all_measures;
 
 /// Sums up a finished run.
 [[nodiscard]] measurements measure_run(
--- a/utilities/godwit-bench/report.cpp
+++ b/utilities/godwit-bench/report.cpp
@@ -151,6 +151,8 @@
         {.name = "no_prefixes", .prefixes = false},
         {.name = "no_preemption_events", .preemption_events = false},
         {.name = "no_engine_priorities", .engine_priorities = false},
+        {.name = "engine_takes_raises", .raises = true},
+        {.name = "no_longest_waits", .longest_waits = false},
         {.name = "no_zones", .zones = false},
         {.name = "no_deadlines", .deadlines = false},
         {.name = "home_hosts_05", .grants = granting::home_hosts, .hop = 500us},
--- a/utilities/godwit-bench/scheduler_variation.hpp
+++ b/utilities/godwit-bench/scheduler_variation.hpp
@@ -21,7 +21,8 @@
     std::string name = "godwit";
     std::uint32_t candidates = 3;
     double length_quantile = 0.4;
-    double overcommit = 1.0;
+    /// 0 is the workload's own.
+    double overcommit = 0.0;
     /// Of a long request in the queue; 0 is the workload's own.
     double longest_wait_s = 0.0;
     bool advance_reports = true;
@@ -31,6 +32,10 @@
     bool prefixes = true;
     bool preemption_events = true;
     bool engine_priorities = true;
+    /// Whether engines take orders to raise a priority; no such order is in
+    /// the protocol.
+    bool raises = false;
+    bool longest_waits = true;
     bool zones = true;
     bool deadlines = true;
     granting grants = granting::independent_hosts;
--- a/utilities/godwit-bench/simulation.cpp
+++ b/utilities/godwit-bench/simulation.cpp
@@ -267,6 +267,8 @@
     dispatch::policy_changed event;
     for (const workload_class& kind : workload_.classes) {
         dispatch::class_policy limits = kind.limits;
+        if (!variation.longest_waits)
+            limits.longest_wait = std::nullopt;
         if (kind.is_long && variation.longest_wait_s > 0.0)
             limits.longest_wait = std::chrono::duration_cast<core::duration>(
                 std::chrono::duration<double>(variation.longest_wait_s));
@@ -279,10 +281,10 @@
     // As many as the engines would queue for the baselines.
     const std::size_t bound =
         workload_.engine.waiting_limit * engines_.size() / hosts_.size();
+    const double overcommit = variation.overcommit > 0.0 ? variation.overcommit
+                                                         : workload_.overcommit;
     event.value.services = {
-        {.name = model_service,
-         .queue_bound = bound,
-         .overcommit = variation.overcommit},
+        {.name = model_service, .queue_bound = bound, .overcommit = overcommit},
         {.name = plain_service_name}};
     tell(host, event);
 }
@@ -425,8 +427,7 @@
     std::size_t, const dispatch::raise_priority& action)
 {
     simulated_request& request = requests_[number_of(action.id)];
-    if (request.stage == request_stage::sent &&
-        settings_.variation.engine_priorities)
+    if (request.stage == request_stage::sent && settings_.variation.raises)
         engines_[request.server].model.raise_priority(request, action.priority);
 }
 
--- a/utilities/godwit-bench/workload.cpp
+++ b/utilities/godwit-bench/workload.cpp
@@ -170,6 +170,7 @@
     result.name = "krajevnik";
     result.engines = {5, 5, 4};
     result.engine.memory_tokens = 40000;
+    result.overcommit = 1.15;
     result.between_zones = 500us;
     result.classes = {
         {.name = "history",
@@ -190,7 +191,7 @@
               .weight = 3.0,
               .memory_floor = 0.0,
               .start_floor = 0.2,
-              .longest_wait = std::nullopt,
+              .longest_wait = 5s,
               .priority = 4}},
         {.name = "check",
          .share = 0.65,
@@ -220,6 +221,7 @@
     result.name = "predavka";
     result.engines = {3, 3, 3};
     result.engine.memory_tokens = 64000;
+    result.overcommit = 0.85;
     result.between_zones = 1500us;
     result.classes = {
         {.name = "report",
@@ -240,7 +242,7 @@
               .weight = 3.0,
               .memory_floor = 0.0,
               .start_floor = 0.1,
-              .longest_wait = std::nullopt,
+              .longest_wait = 60s,
               .priority = 4}},
         {.name = "tag",
          .share = 0.85,
--- a/utilities/godwit-bench/workload.hpp
+++ b/utilities/godwit-bench/workload.hpp
@@ -63,6 +63,8 @@
     /// Share of arrivals of the one large organisation.
     double largest_share = 0.5;
     double service_work_ms = 20.0;
+    /// The operator's setting for the model service.
+    double overcommit = 1.0;
     core::duration length = std::chrono::seconds(480);
     core::duration warm_up = std::chrono::seconds(120);
     core::duration drain = std::chrono::seconds(240);
