--- /dev/null
+++ b/libraries/wire/include/godwit/wire/claim_forward_answer.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <cstdint>
+
+namespace godwit::wire {
+
+/// Whether the agent took a `claim_forward`; it says nothing of the log.
+struct claim_forward_answer
+{
+    std::uint64_t correlation = 0;
+    bool accepted = false;
+
+    friend bool operator==(
+        const claim_forward_answer&, const claim_forward_answer&) = default;
+};
+
+} // namespace godwit::wire
--- /dev/null
+++ b/libraries/wire/include/godwit/wire/claim_release.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace godwit::wire {
+
+/// The proxy gives up the claim at this position: nothing began under it and
+/// nothing will.
+struct claim_release
+{
+    std::string key;
+    std::uint64_t offset = 0;
+    std::uint32_t index = 0;
+
+    friend bool
+    operator==(const claim_release&, const claim_release&) = default;
+};
+
+} // namespace godwit::wire
--- /dev/null
+++ b/tests/wire/sample_messages.cpp
@@ -0,0 +1,60 @@
+#include "sample_messages.hpp"
+
+#include <godwit/wire/protocol.hpp>
+
+namespace godwit::wire {
+
+std::vector<message> sample_messages()
+{
+    const core::host_name host("entry-1");
+    const core::incarnation_id incarnation("entry-1/7f");
+    const claim_holder holder{host, incarnation, "127.0.0.1:8080"};
+    const claim_answer answer{
+        7,
+        claim_verdict::finished,
+        42,
+        3,
+        -5,
+        holder,
+        true,
+        core::outcome::interrupted,
+        0xabULL,
+        claim_obstacle::releasing,
+        250};
+    const backend_server server{
+        core::server_address("127.0.0.1:9000"),
+        core::zone_name("vic"),
+        core::service_name("imenoslov"),
+        server_kind::engine,
+        server_state::leaving};
+    return {
+        hello{
+            protocol_version,
+            peer_role::proxy,
+            host,
+            core::zone_name("vic"),
+            incarnation,
+            "127.0.0.1:1"},
+        heartbeat{},
+        catalogue_snapshot{9, 0xfeedULL, 1, 3, "part", 4, 1700000000000},
+        catalogue_change{8, 1700000000000, 0xfeedULL, std::string("\0x", 2)},
+        catalogue_position{9, 0xfeedULL},
+        backend_servers{
+            true, {server, server}, {core::server_address("127.0.0.1:9001")}},
+        server_sign{
+            core::server_address("127.0.0.1:9000"), sign_kind::leaving, 15},
+        claim_request{7, "key", "fingerprint", holder},
+        answer,
+        claim_release{"key", 42, 3},
+        claim_finished{
+            "key", 42, 3, "fingerprint", holder, core::outcome::not_run, 5},
+        claim_forward{3, "[]"},
+        claim_forward_answer{3, true},
+        digest{9, 0xfeedULL, true, 250},
+        pull{4},
+        records{{log_record{5, 1, "record"}, log_record{6, 2, ""}}, 0xfeedULL},
+        duty_message{"orders", 2, 11, std::string("\xff\0", 2)},
+        claim_withdrawal{7, "key"}};
+}
+
+} // namespace godwit::wire
