--- a/libraries/catalogue/src/entry_codec.cpp
+++ b/libraries/catalogue/src/entry_codec.cpp
@@ -145,7 +145,7 @@
         GODWIT_TRY(reader.number("concurrency", 1, maximum_concurrency)));
     limits.tokens_per_second = narrow(GODWIT_TRY(
         reader.number("tokens_per_second", 1, maximum_tokens_per_second)));
-    return reader.finish(std::move(limits));
+    return reader.finish(limits);
 }
 
 core::result<organisation>
@@ -200,7 +200,7 @@
                   : GODWIT_TRY(reader.number_or("maximum_tokens", 0, 0, 0)));
     limits.maximum_body_bytes = narrow(
         GODWIT_TRY(reader.number("maximum_body_bytes", 1, maximum_body_bytes)));
-    return reader.finish(std::move(limits));
+    return reader.finish(limits);
 }
 
 core::result<engine_target>
--- a/tests/godwitctl/operators_stub.cpp
+++ b/tests/godwitctl/operators_stub.cpp
@@ -9,11 +9,14 @@
 {
     http::server_settings settings{
         http::endpoint::parse("127.0.0.1:0").value(), {}, {}};
-    server_ = http::server::create(
-                  context_,
-                  settings,
-                  [this](http::exchange& current) { return answer(current); })
-                  .value();
+    server_ =
+        http::server::create(
+            context_,
+            settings,
+            [this](http::exchange& current) -> boost::asio::awaitable<void> {
+                co_await current.respond(answer(current.received().target));
+            })
+            .value();
     thread_ = std::thread([this] {
         const auto guard = boost::asio::make_work_guard(context_);
         context_.run();
@@ -31,11 +34,11 @@
     return "http://" + server_->address().to_string();
 }
 
-boost::asio::awaitable<void> operators_stub::answer(http::exchange& current)
+http::response operators_stub::answer(const std::string& target)
 {
     constexpr unsigned not_found = 404;
     http::response response;
-    if (current.received().target == "/state") {
+    if (target == "/state") {
         response.body = boost::json::serialize(boost::json::object{
             {"host", "host-1"},
             {"zone", "moste"},
@@ -46,12 +49,12 @@
                  {"age_ms", 12},
                  {"source", "log"},
                  {"alarms", boost::json::array()}}}});
-    } else if (current.received().target == "/explain/r-1") {
+    } else if (target == "/explain/r-1") {
         response.body = R"([{"decision": "start"}])";
     } else {
         response.status = not_found;
     }
-    co_await current.respond(std::move(response));
+    return response;
 }
 
 } // namespace godwit::ctl::test
--- a/tests/godwitctl/operators_stub.hpp
+++ b/tests/godwitctl/operators_stub.hpp
@@ -28,7 +28,7 @@
     std::atomic<std::uint64_t> in_force{0};
 
 private:
-    boost::asio::awaitable<void> answer(http::exchange& current);
+    [[nodiscard]] http::response answer(const std::string& target);
 
     boost::asio::io_context context_;
     std::unique_ptr<http::server> server_;
