--- a/fakes/support/include/godwit/fakes/option_reader.hpp
+++ b/fakes/support/include/godwit/fakes/option_reader.hpp
@@ -9,11 +9,11 @@
 
 namespace godwit::fakes {
 
-/// One long option of a program; every one takes a value.
+/// One long option of a program.
 struct option_description
 {
     std::string name;
-    std::string value;   ///< What stands for the value in the help text.
+    std::string value;   ///< Its value in the help text; empty for a switch.
     std::string initial; ///< The value when the option is not given.
     std::string help;
 };
@@ -46,7 +46,8 @@
     [[nodiscard]] core::result<std::uint64_t>
     number(const std::string& name) const;
 
-    /// Fails with `invalid_input` when the value is neither yes nor no.
+    /// Fails with `invalid_input` when the value is neither yes nor no. A
+    /// switch is yes when it is given.
     [[nodiscard]] core::result<bool> flag(const std::string& name) const;
 
     /// Fails with `invalid_input` when the value is no address.
--- a/fakes/support/src/option_reader.cpp
+++ b/fakes/support/src/option_reader.cpp
@@ -25,7 +25,7 @@
     for (std::size_t at = 0; at < options_.size(); ++at)
         known.push_back(
             {options_[at].name.c_str(),
-             required_argument,
+             options_[at].value.empty() ? no_argument : required_argument,
              nullptr,
              first_value + static_cast<int>(at)});
     known.push_back({"help", no_argument, nullptr, first_value + help});
@@ -42,7 +42,8 @@
             return request::version;
         if (found < first_value)
             return request::wrong_usage;
-        values_.at(static_cast<std::size_t>(found - first_value)) = optarg;
+        values_.at(static_cast<std::size_t>(found - first_value)) =
+            optarg == nullptr ? "yes" : optarg;
     }
     return optind < argument_count ? request::wrong_usage : request::run;
 }
@@ -53,7 +54,7 @@
     std::string out = "usage: " + program + " [option...]\n" + purpose + "\n";
     for (const option_description& one : options_) {
         out += "  --" + one.name + " " + one.value + "\n      " + one.help;
-        if (!one.initial.empty())
+        if (!one.initial.empty() && !one.value.empty())
             out += " (default " + one.initial + ")";
         out += "\n";
     }
--- a/tests/load/runner_test.cpp
+++ b/tests/load/runner_test.cpp
@@ -377,10 +377,12 @@
         bad.detail = "a booking";
         run_summary summary = run_summary::of({good, bad});
         summary.preemptions = 5;
+        summary.parameters.mix = "predavka";
         CPPUNIT_ASSERT(summary.has_fault());
         const std::string json = to_json(summary);
         for (const char* part :
-             {"\"faults\":{\"twice\":1}",
+             {"\"mix\":\"predavka\"",
+              "\"faults\":{\"twice\":1}",
               "\"preemptions\":5",
               "\"fault_details\":[\"twice: a booking\"]",
               "\"requests\":2,\"tokens\":6"})
@@ -415,7 +417,8 @@
         CPPUNIT_ASSERT_EQUAL(2, exit_code_for("--rate 0", "{}"));
         CPPUNIT_ASSERT_EQUAL(2, exit_code_for("--unknown 0", "{}"));
         CPPUNIT_ASSERT_EQUAL(0, exit_code_for("--help", "{}"));
-        CPPUNIT_ASSERT_EQUAL(0, exit_code_for("--seconds 0", "{}"));
+        CPPUNIT_ASSERT_EQUAL(0, exit_code_for("--reconnect --seconds 0", ""));
+        CPPUNIT_ASSERT_EQUAL(2, exit_code_for("--reconnect yes", ""));
     }
 };
 
--- a/utilities/godwit-load/include/godwit/load/run_summary.hpp
+++ b/utilities/godwit-load/include/godwit/load/run_summary.hpp
@@ -4,6 +4,7 @@
 #include <godwit/load/class_summary.hpp>
 #include <godwit/load/request_class.hpp>
 #include <godwit/load/request_record.hpp>
+#include <godwit/load/run_parameters.hpp>
 
 #include <array>
 #include <cstdint>
@@ -17,6 +18,7 @@
 /// The measures of a run.
 struct run_summary
 {
+    run_parameters parameters;
     std::array<class_summary, all_classes.size()> classes;
     class_summary all;
     std::map<std::string, std::uint64_t> reasons; ///< Of other outcomes.
--- a/utilities/godwit-load/program/load_options.cpp
+++ b/utilities/godwit-load/program/load_options.cpp
@@ -76,7 +76,7 @@
         {"in-flight", "N", "4096", "requests at one time; more are not sent"},
         {"seed", "N", "1", "of arrivals, classes and prompts"},
         {"mix", "krajevnik|predavka", "krajevnik", "the mix of classes"},
-        {"reconnect", "yes|no", "no", "continue broken streams elsewhere"},
+        {"reconnect", "", "no", "continue broken streams elsewhere"},
         {"engines", "URL[,URL...]", "", "read their preemptions"},
         {"operators", "URL[,URL...]", "", "read the proxies' preemptions"},
         {"services", "URL[,URL...]", "", "read the stand-ins' effects"},
@@ -103,7 +103,8 @@
     options.run.on_break = GODWIT_TRY(from.flag("reconnect"))
                                ? reconnection::with_last_event
                                : reconnection::never;
-    options.plan.mix = GODWIT_TRY(request_mix::named(from.text("mix")));
+    options.mix = from.text("mix");
+    options.plan.mix = GODWIT_TRY(request_mix::named(options.mix));
     options.plan.requests_per_second = GODWIT_TRY(read_rate(from, "rate"));
     options.plan.span = GODWIT_TRY(read_seconds(from, "seconds"));
     options.plan.seed = GODWIT_TRY(from.number("seed"));
--- a/utilities/godwit-load/program/load_options.hpp
+++ b/utilities/godwit-load/program/load_options.hpp
@@ -14,6 +14,7 @@
 /// What the command line asks for.
 struct load_options
 {
+    std::string mix;
     plan_settings plan;
     run_settings run;
     std::vector<http::endpoint> engines;   ///< Read for preemptions.
--- a/utilities/godwit-load/program/main.cpp
+++ b/utilities/godwit-load/program/main.cpp
@@ -31,6 +31,20 @@
     return count;
 }
 
+godwit::load::run_parameters parameters_of(const load_options& options)
+{
+    godwit::load::run_parameters parameters;
+    parameters.mix = options.mix;
+    parameters.requests_per_second = options.plan.requests_per_second;
+    parameters.seconds =
+        std::chrono::duration<double>(options.plan.span).count();
+    parameters.seed = options.plan.seed;
+    parameters.entries = options.plan.entries;
+    parameters.reconnects =
+        options.run.on_break == godwit::load::reconnection::with_last_event;
+    return parameters;
+}
+
 godwit::core::result<godwit::load::run_summary>
 measure(const load_options& options)
 {
@@ -43,6 +57,7 @@
         godwit::load::check_effects(plan, effects, records);
     }
     auto summary = godwit::load::run_summary::of(records);
+    summary.parameters = parameters_of(options);
     const auto after = GODWIT_TRY(read_preemptions(options));
     if (before && after)
         summary.preemptions = *after - *before;
--- a/utilities/godwit-load/src/report.cpp
+++ b/utilities/godwit-load/src/report.cpp
@@ -64,6 +64,18 @@
     out << "\n";
 }
 
+json::object to_object(const run_parameters& parameters)
+{
+    json::object out;
+    out["mix"] = parameters.mix;
+    out["requests_per_second"] = parameters.requests_per_second;
+    out["seconds"] = parameters.seconds;
+    out["seed"] = parameters.seed;
+    out["entry_hosts"] = parameters.entries;
+    out["reconnects"] = parameters.reconnects;
+    return out;
+}
+
 } // namespace
 
 std::string to_json(const run_summary& summary)
@@ -82,6 +94,7 @@
     for (const std::string& detail : summary.details)
         details.emplace_back(detail);
     json::object out;
+    out["run"] = to_object(summary.parameters);
     out["all"] = to_object(summary.all);
     out["classes"] = std::move(classes);
     out["reasons"] = std::move(reasons);
@@ -97,6 +110,10 @@
 std::string to_table(const run_summary& summary)
 {
     std::ostringstream out;
+    out << "mix " << summary.parameters.mix << ", "
+        << summary.parameters.requests_per_second << " requests/s for "
+        << summary.parameters.seconds << " s, seed " << summary.parameters.seed
+        << ", " << summary.parameters.entries << " entry hosts\n";
     out << "milliseconds                       stall (longest silence)"
            "     first text        gaps between texts\n"
         << "class        requests    done      p50      p95      p99"
