--- a/services/proxy/agent_link.cpp
+++ b/services/proxy/agent_link.cpp
@@ -25,6 +25,7 @@
     const settings::address& agent,
     wire::hello self,
     control_plane& to,
+    process_state& state,
     std::uint64_t seed)
 {
     boost::system::error_code failure;
@@ -34,7 +35,8 @@
             core::error_kind::invalid_input,
             "agent: '" + agent.to_string() + "' is no address",
             "write the address on which the agent takes frames");
-    std::unique_ptr<agent_link> made(new agent_link(std::move(self), to));
+    std::unique_ptr<agent_link> made(
+        new agent_link(std::move(self), to, state));
     agent_link* const link = made.get();
     wire::link_handlers handlers;
     handlers.on_open = [link](const auto&, const auto&) {
@@ -56,8 +58,9 @@
     return made;
 }
 
-agent_link::agent_link(wire::hello self, control_plane& to)
-    : self_(std::move(self)), control_(to)
+agent_link::agent_link(
+    wire::hello self, control_plane& to, process_state& state)
+    : self_(std::move(self)), control_(to), state_(state)
 {}
 
 void agent_link::start()
@@ -70,11 +73,6 @@
     connector_->stop();
 }
 
-bool agent_link::is_open() const
-{
-    return connector_->current() != nullptr;
-}
-
 bool agent_link::send(const wire::message& value)
 {
     return connector_->send(value);
@@ -83,6 +81,7 @@
 void agent_link::on_open()
 {
     log_event(log_level::info, component, "opened");
+    state_.has_agent = true;
     catalogue_.forget_parts();
     report_position();
 }
@@ -91,6 +90,7 @@
 {
     log_event(
         log_level::warning, component, "closed", {{"why", why.to_string()}});
+    state_.has_agent = false;
     if (on_gone_)
         on_gone_();
 }
--- a/services/proxy/agent_link.hpp
+++ b/services/proxy/agent_link.hpp
@@ -2,6 +2,7 @@
 
 #include "catalogue_receiver.hpp"
 #include "control_plane.hpp"
+#include "process_state.hpp"
 #include "server_list.hpp"
 
 #include <godwit/core/identifiers.hpp>
@@ -35,6 +36,7 @@
         const settings::address& agent,
         wire::hello self,
         control_plane& to,
+        process_state& state,
         std::uint64_t seed);
 
     /// Begins to connect.
@@ -59,10 +61,8 @@
     /// Tells the agent what is in force.
     void report_position();
 
-    [[nodiscard]] bool is_open() const;
-
 private:
-    agent_link(wire::hello self, control_plane& to);
+    agent_link(wire::hello self, control_plane& to, process_state& state);
 
     void on_open();
     void on_close(const core::error& why);
@@ -72,6 +72,7 @@
 
     wire::hello self_;
     control_plane& control_;
+    process_state& state_;
     std::shared_ptr<wire::connector> connector_;
     catalogue_receiver catalogue_;
     server_list servers_;
--- a/services/proxy/caller_request_reader.cpp
+++ b/services/proxy/caller_request_reader.cpp
@@ -1,6 +1,7 @@
 #include "caller_request_reader.hpp"
 
 #include "bearer_token.hpp"
+#include "passed_fields.hpp"
 
 #include <godwit/request/resume_token.hpp>
 
@@ -60,7 +61,10 @@
 {
     constexpr std::string_view scheme = "Bearer ";
     const auto field = GODWIT_TRY(single_field(received, "Authorization"));
-    if (!field || !field->starts_with(scheme))
+    // The scheme's case does not matter (RFC 9110, section 11.1).
+    const bool has_scheme =
+        field && http::same_field_name(field->substr(0, scheme.size()), scheme);
+    if (!has_scheme)
         return refuse(
             401,
             "unauthenticated",
@@ -295,46 +299,6 @@
         "send a smaller body");
 }
 
-// What belongs to one hop (RFC 9110, section 7.6.1), to the caller's own
-// dealings with us, or to nobody behind us.
-bool is_passed_on(std::string_view name)
-{
-    for (const std::string_view dropped :
-         {"Connection",
-          "Keep-Alive",
-          "Proxy-Authenticate",
-          "Proxy-Authorization",
-          "Proxy-Connection",
-          "TE",
-          "Trailer",
-          "Transfer-Encoding",
-          "Upgrade",
-          "Content-Length",
-          "Expect",
-          "Host",
-          "Authorization",
-          "Idempotency-Key",
-          "Last-Event-ID"}) {
-        if (http::same_field_name(name, dropped))
-            return false;
-    }
-    constexpr std::string_view own = "godwit-";
-    return !http::same_field_name(name.substr(0, own.size()), own);
-}
-
-http::request passed_on(const http::request& received, std::string_view rest)
-{
-    http::request outgoing;
-    outgoing.method = received.method;
-    outgoing.target = std::string(rest);
-    outgoing.body = received.body;
-    for (const auto& field : received.fields) {
-        if (is_passed_on(field.name))
-            outgoing.fields.add(field.name, field.value);
-    }
-    return outgoing;
-}
-
 } // namespace
 
 caller_request_reader::caller_request_reader(
@@ -427,8 +391,10 @@
     const auto behind =
         end == std::string_view::npos ? std::string_view() : rest.substr(end);
     const bool needs_slash = !behind.starts_with('/');
-    request.passed_on =
-        passed_on(received, (needs_slash ? "/" : "") + std::string(behind));
+    request.passed_on.method = received.method;
+    request.passed_on.target = (needs_slash ? "/" : "") + std::string(behind);
+    request.passed_on.fields = passed_on(received.fields);
+    request.passed_on.body = received.body;
     return request;
 }
 
--- a/services/proxy/control_plane.cpp
+++ b/services/proxy/control_plane.cpp
@@ -121,7 +121,8 @@
 void control_plane::start()
 {
     asio::post(control_, [this] { wait_for_beat(); });
-    take_servers({});
+    if (!settings_.fixed.servers.empty())
+        take_servers({});
 }
 
 void control_plane::stop()
--- a/services/proxy/operators_service.cpp
+++ b/services/proxy/operators_service.cpp
@@ -117,6 +117,7 @@
         incarnation_);
     dump.add("ready", state_.is_ready());
     dump.add("draining", state_.draining.load());
+    dump.add("agent_connected", state_.has_agent.load());
     for (auto& [section, content] : *control)
         dump.add(section, std::move(content));
     dump.add(
--- a/services/proxy/problem.cpp
+++ b/services/proxy/problem.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/json/serialize.hpp>
 
+#include <algorithm>
 #include <chrono>
 
 namespace godwit::proxy {
@@ -26,8 +27,10 @@
     answer.status = failure.status;
     answer.fields.add("Content-Type", problem_content_type);
     if (failure.retry_after) {
-        const auto seconds =
-            std::chrono::ceil<std::chrono::seconds>(*failure.retry_after);
+        // Zero would invite the caller to come back at once.
+        const auto seconds = std::max(
+            std::chrono::ceil<std::chrono::seconds>(*failure.retry_after),
+            std::chrono::seconds(1));
         answer.fields.add("Retry-After", std::to_string(seconds.count()));
     }
     answer.body = boost::json::serialize(to_json(failure));
--- a/services/proxy/process_state.hpp
+++ b/services/proxy/process_state.hpp
@@ -9,6 +9,7 @@
 {
     std::atomic<bool> has_catalogue{false};
     std::atomic<bool> draining{false};
+    std::atomic<bool> has_agent{false};
 
     /// Whether the balancer may send requests here.
     [[nodiscard]] bool is_ready() const noexcept
--- a/services/proxy/proxy_process.cpp
+++ b/services/proxy/proxy_process.cpp
@@ -191,6 +191,7 @@
         *settings_.agent,
         std::move(self),
         *control_,
+        state_,
         core::stable_hash(incarnation_.value(), 1)));
     return {};
 }
--- a/services/proxy/request_session_backend.cpp
+++ b/services/proxy/request_session_backend.cpp
@@ -2,6 +2,9 @@
 
 #include "request_session.hpp"
 
+#include "passed_fields.hpp"
+#include "start_refusal.hpp"
+
 #include <godwit/http/event_stream_parser.hpp>
 #include <godwit/http/fetch.hpp>
 #include <godwit/telemetry/log.hpp>
@@ -9,7 +12,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/json/object.hpp>
-#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
 #include <chrono>
@@ -32,55 +34,11 @@
 constexpr core::duration longest_wait = std::chrono::hours(2);
 constexpr core::duration longest_cancel = std::chrono::seconds(2);
 
-bool may_say_not_started(unsigned status)
-{
-    constexpr unsigned conflict = 409;
-    constexpr unsigned too_many = 429;
-    constexpr unsigned unavailable = 503;
-    return status == conflict || status == too_many || status == unavailable;
-}
-
-request::start_state start_state_of(unsigned status, const std::string& body)
-{
-    if (!may_say_not_started(status))
-        return request::start_state::not_said;
-    json::error_code failure;
-    const auto parsed = json::parse(body, failure);
-    if (failure || !parsed.is_object())
-        return request::start_state::not_said;
-    const auto* started = parsed.get_object().if_contains("started");
-    if (started == nullptr || !started->is_bool() || started->get_bool())
-        return request::start_state::not_said;
-    const auto* reason = parsed.get_object().if_contains("reason");
-    if (reason != nullptr && reason->is_string() &&
-        reason->get_string() == "leaving")
-        return request::start_state::leaving;
-    return request::start_state::not_started;
-}
-
 std::string echoed(const http::response_head& head, std::string_view name)
 {
     return std::string(head.fields.find(name).value_or(""));
 }
 
-// What the answer of a plain service keeps on its way to the caller.
-http::header_fields passed_back(const http::header_fields& fields)
-{
-    http::header_fields kept = fields;
-    for (const std::string_view dropped :
-         {"Connection",
-          "Keep-Alive",
-          "Proxy-Authenticate",
-          "TE",
-          "Trailer",
-          "Transfer-Encoding",
-          "Upgrade",
-          "Content-Length",
-          "Godwit-Request-Id"})
-        kept.remove(dropped);
-    return kept;
-}
-
 } // namespace
 
 bool request_session::is_current(const link_pointer& link) const noexcept
@@ -271,7 +229,7 @@
         const auto body = co_await read_body(link, failure_body_bytes);
         if (!body)
             co_return;
-        event.started = start_state_of(head.status, *body);
+        event.started = read_start_refusal(head.status, *body);
         handle(event);
         co_return;
     }
@@ -306,7 +264,7 @@
     answer_.fields = passed_back(head.fields);
     answer_.body = *std::move(body);
     if (failed) {
-        event.started = start_state_of(head.status, answer_.body);
+        event.started = read_start_refusal(head.status, answer_.body);
         handle(event);
     }
     if (!is_current(link))
