--- a/services/proxy/claim_client.cpp
+++ b/services/proxy/claim_client.cpp
@@ -81,7 +81,8 @@
         const auto begun = answers_.begin(
             ask.key, ask.request, {answer.offset, answer.index}, ask.run);
         if (!begun) {
-            send_or_keep(wire::claim_release{ask.key.to_string(), self_});
+            send_or_keep(wire::claim_release{
+                ask.key.to_string(), answer.offset, answer.index});
             answer = unavailable();
         }
     }
@@ -96,22 +97,28 @@
         ask.on_answer(unavailable());
 }
 
-void claim_client::release(const claims::claim_key& key)
+void claim_client::release(
+    const claims::claim_key& key, claims::claim_position position)
 {
-    asio::post(control_, [this, key] {
+    asio::post(control_, [this, key, position] {
         answers_.abandon(key);
-        send_or_keep(wire::claim_release{key.to_string(), self_});
+        send_or_keep(wire::claim_release{
+            key.to_string(), position.offset, position.index});
     });
 }
 
 void claim_client::finished(
-    const claims::claim_key& key,
-    core::outcome outcome,
-    std::uint64_t answer_digest)
+    const claimed_run& run, core::outcome outcome, std::uint64_t answer_digest)
 {
-    asio::post(control_, [this, key, outcome, answer_digest] {
+    asio::post(control_, [this, run, outcome, answer_digest] {
         send_or_keep(wire::claim_finished{
-            key.to_string(), self_, outcome, answer_digest});
+            run.key.to_string(),
+            run.position.offset,
+            run.position.index,
+            run.request.to_string(),
+            run.holder,
+            outcome,
+            answer_digest});
     });
 }
 
@@ -128,7 +135,8 @@
         // Runs begin on this thread, so nothing can begin in between.
         const auto known = answers_.find(key, request, position);
         if (!is_asked && std::holds_alternative<claims::run_not_started>(known))
-            send_or_keep(wire::claim_release{key.to_string(), self_});
+            send_or_keep(wire::claim_release{
+                key.to_string(), position.offset, position.index});
     });
 }
 
--- a/services/proxy/claim_client.hpp
+++ b/services/proxy/claim_client.hpp
@@ -2,6 +2,7 @@
 
 #include "agent_link.hpp"
 #include "answer_store.hpp"
+#include "claimed_run.hpp"
 
 #include <godwit/claims/claim_key.hpp>
 #include <godwit/claims/request_fingerprint.hpp>
@@ -45,12 +46,13 @@
         const core::request_id& run,
         listener on_answer);
 
-    /// The request did not and will not run here.
-    void release(const claims::claim_key& key);
+    /// The request did not and will not run under the claim at `position`.
+    void
+    release(const claims::claim_key& key, claims::claim_position position);
 
-    /// The run under a won claim ended.
+    /// The run under the claim that `run` names ended.
     void finished(
-        const claims::claim_key& key,
+        const claimed_run& run,
         core::outcome outcome,
         std::uint64_t answer_digest);
 
--- a/services/proxy/request_session.hpp
+++ b/services/proxy/request_session.hpp
@@ -200,6 +200,7 @@
     /// The claim of a request that may not be repeated, and whose run its
     /// answer comes from where that is another one.
     std::optional<claims::claim_key> claim_;
+    std::optional<claimed_run> won_;
     std::optional<claimed_run> attached_;
 
     std::array<std::optional<boost::asio::steady_timer>, request::timer_count>
--- a/services/proxy/request_session_claim.cpp
+++ b/services/proxy/request_session_claim.cpp
@@ -65,6 +65,11 @@
             answer.holder};
     switch (answer.verdict) {
     case wire::claim_verdict::won:
+        won_ = claimed_run{
+            *claim_,
+            request_.fingerprint,
+            {answer.offset, answer.index},
+            services_.claims.self()};
         handle(request::claim_won{
             core::time_point(core::duration(answer.start_before_us))});
         return;
@@ -90,8 +95,8 @@
 
 void request_session::on(const request::release_claim&)
 {
-    if (claim_)
-        services_.claims.release(*claim_);
+    if (won_)
+        services_.claims.release(won_->key, won_->position);
 }
 
 claims::kept_answer request_session::answer_to_keep() const
@@ -115,17 +120,17 @@
 
 void request_session::on(const request::settle_claim& what)
 {
-    if (!claim_)
+    if (!won_)
         return;
     if (what.result != core::outcome::completed) {
-        services_.answers.finish_without_answer(*claim_);
-        services_.claims.finished(*claim_, what.result, 0);
+        services_.answers.finish_without_answer(won_->key);
+        services_.claims.finished(*won_, what.result, 0);
         return;
     }
     auto answer = answer_to_keep();
     const auto digest = answer.digest();
-    services_.answers.finish(*claim_, std::move(answer), core::monotonic_now());
-    services_.claims.finished(*claim_, what.result, digest);
+    services_.answers.finish(won_->key, std::move(answer), core::monotonic_now());
+    services_.claims.finished(*won_, what.result, digest);
 }
 
 void request_session::on(const request::attach_to_holder&)
--- a/tests/faults/entry_host.cpp
+++ b/tests/faults/entry_host.cpp
@@ -379,7 +379,7 @@
     const auto found = runs_.find(one->request.key->value());
     if (found == runs_.end() || found->second.number != one->number)
         return;
-    tell_claimer(claims::release_asked{claim_key_of(*one), holder()});
+    tell_claimer(claims::release_asked{claim_key_of(*one), one->position});
     end_run(found->first, run_end::released);
 }
 
--- a/utilities/godwitctl/catalogue_log.cpp
+++ b/utilities/godwitctl/catalogue_log.cpp
@@ -40,7 +40,10 @@
 {
     std::optional<platform::append_result> answer;
     client_->append(
-        catalogue_stream, data, [&answer](platform::append_result result) {
+        catalogue_stream,
+        data,
+        platform::append_pacing::host_share,
+        [&answer](platform::append_result result) {
             answer = std::move(result);
         });
     return wait_for(*context_, answer);
