--- a/tests/request/life_test.cpp
+++ b/tests/request/life_test.cpp
@@ -34,6 +34,10 @@
     CPPUNIT_TEST(test_refused_before_the_claim_is_unknown);
     CPPUNIT_TEST(test_claim_won_too_late_is_given_back);
     CPPUNIT_TEST(test_run_under_claim_goes_on_without_caller);
+    CPPUNIT_TEST(test_orphan_is_cancelled_after_the_wait);
+    CPPUNIT_TEST(test_orphan_that_moved_is_left_alone);
+    CPPUNIT_TEST(test_drain_limit_leaves_a_stream_to_other_hosts);
+    CPPUNIT_TEST(test_slow_caller_is_cut);
     CPPUNIT_TEST(test_late_grant_is_given_back);
     CPPUNIT_TEST(test_stall_resumes_on_the_same_server);
     CPPUNIT_TEST_SUITE_END();
@@ -194,6 +198,59 @@
         CPPUNIT_ASSERT(driver.subject().finished());
     }
 
+    static void begin_stream(life_driver& driver)
+    {
+        driver.feed(accepted{});
+        driver.start();
+        driver.head();
+        driver.tokens(0, 2);
+    }
+
+    void test_orphan_is_cancelled_after_the_wait()
+    {
+        life_driver driver;
+        begin_stream(driver);
+        driver.feed(caller_gone{});
+        driver.tokens(2, 1);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), driver.subject().delivered());
+        CPPUNIT_ASSERT_EQUAL(0, driver.count<cancel_generation>());
+        driver.fire(timer::orphan, seconds(10));
+        CPPUNIT_ASSERT_EQUAL(1, driver.count<cancel_generation>());
+        CPPUNIT_ASSERT(driver.subject().finished());
+    }
+
+    void test_orphan_that_moved_is_left_alone()
+    {
+        life_driver driver;
+        begin_stream(driver);
+        driver.feed(caller_gone{});
+        driver.feed(resumed_elsewhere{driver.last<send_request>().generation});
+        CPPUNIT_ASSERT(driver.subject().finished());
+        CPPUNIT_ASSERT_EQUAL(0, driver.count<cancel_generation>());
+    }
+
+    void test_drain_limit_leaves_a_stream_to_other_hosts()
+    {
+        life_driver driver;
+        begin_stream(driver);
+        driver.feed(drain_began{});
+        CPPUNIT_ASSERT(!driver.subject().finished());
+        driver.feed(drain_limit{});
+        CPPUNIT_ASSERT(
+            driver.last<fail_request>().result == outcome::interrupted);
+        CPPUNIT_ASSERT_EQUAL(0, driver.count<cancel_generation>());
+    }
+
+    void test_slow_caller_is_cut()
+    {
+        life_driver driver;
+        begin_stream(driver);
+        driver.feed(caller_slow{});
+        CPPUNIT_ASSERT(
+            driver.last<fail_request>().reason == fail_reason::caller_slow);
+        CPPUNIT_ASSERT_EQUAL(1, driver.count<cancel_generation>());
+    }
+
     void test_late_grant_is_given_back()
     {
         life_driver driver;
