--- a/tests/orders/engine_fleet.cpp
+++ b/tests/orders/engine_fleet.cpp
@@ -37,7 +37,7 @@
     settings.incarnation =
         core::incarnation_id("i" + std::to_string(++incarnations_));
     self.decisions.emplace(
-        std::move(reconciler::create(settings, now_).value()));
+        std::move(reconciler::create(settings, now_ - self.behind).value()));
     tell(agent, hop, pools_changed{{pool_}});
     tell(agent, hop, live_engines());
     std::vector<std::size_t> everybody;
@@ -115,7 +115,8 @@
         const auto& self = agents_[index];
         for (const auto& held : self.decisions->held()) {
             // One that stands still holds nothing once it runs again.
-            if (now_ < self.paused_until || held.valid_until <= now_)
+            if (now_ < self.paused_until ||
+                held.valid_until <= now_ - self.behind)
                 continue;
             CPPUNIT_ASSERT_MESSAGE("two holders", !found);
             found = index;
@@ -156,11 +157,13 @@
 void engine_fleet::handle(std::size_t agent, const reconciler_event& event)
 {
     auto& self = agents_[agent];
-    for (const auto& wanted : self.decisions->handle(event, now_))
+    for (const auto& wanted : self.decisions->handle(event, now_ - self.behind))
         std::visit([&](const auto& value) { act(agent, value); }, wanted);
-    const auto due = self.decisions->next_wakeup();
-    if (due == core::time_point::max() ||
-        (self.tick_at > now_ && self.tick_at <= due))
+    auto due = self.decisions->next_wakeup();
+    if (due == core::time_point::max())
+        return;
+    due += self.behind;
+    if ((self.tick_at > now_ && self.tick_at <= due))
         return;
     self.tick_at = due;
     const auto epoch = self.epoch;
@@ -230,10 +233,11 @@
 void engine_fleet::act(std::size_t agent, const send_order& order)
 {
     const auto epoch = agents_[agent].epoch;
-    const auto checked_at = now_;
+    const auto checked_at = now_ - agents_[agent].behind;
     after(core::duration(50), [=, this] {
         on_agent(agent, epoch, [=, this] {
-            const auto clock = freeze_after_check ? checked_at : now_;
+            const auto clock =
+                freeze_after_check ? checked_at : now_ - agents_[agent].behind;
             if (clock >= order.send_before)
                 return handle(
                     agent, order_not_sent{order.engine, order.request});
@@ -333,6 +337,8 @@
 {
     auto& self = agents_[agent];
     self.paused_until = std::max(self.paused_until, now_ + length);
+    if (clocks_stop)
+        self.behind += length;
     tell(agent, core::duration(0), resumed_after_pause{length});
 }
 
--- a/tests/orders/engine_fleet.hpp
+++ b/tests/orders/engine_fleet.hpp
@@ -66,6 +66,7 @@
     // Faults.
     void pause(std::size_t agent, godwit::core::duration length);
     void restart(std::size_t agent);
+    bool clocks_stop = false; ///< A pause stops the host's clock too.
     void see_hosts(std::size_t agent, const std::vector<std::size_t>& seen);
     bool outage = false;
     int lose_orders = 0;  ///< Orders that do not arrive.
@@ -96,6 +97,7 @@
         std::optional<godwit::orders::reconciler> decisions;
         std::size_t epoch = 0;
         godwit::core::time_point paused_until;
+        godwit::core::duration behind{0}; ///< Of its clock.
         godwit::core::time_point tick_at;
     };
 
--- a/tests/orders/reconciler_faults_test.cpp
+++ b/tests/orders/reconciler_faults_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(test_reaches_the_targets_and_stays);
     CPPUNIT_TEST(test_last_serving_engine_stays_until_routed_elsewhere);
     CPPUNIT_TEST(test_holder_paused_beyond_its_lease);
+    CPPUNIT_TEST(test_pause_while_the_clock_stood_still);
     CPPUNIT_TEST(test_order_frozen_after_the_check);
     CPPUNIT_TEST(test_two_agents_think_that_they_own_the_pool);
     CPPUNIT_TEST(test_lost_orders_and_answers);
@@ -103,6 +104,28 @@
         }
     }
 
+    /// A machine that is suspended does not see on its clock that its lease
+    /// lapsed; the shell tells of the pause.
+    void test_pause_while_the_clock_stood_still()
+    {
+        engine_fleet fleet(options(false));
+        const auto first = settle(fleet);
+        fleet.clocks_stop = true;
+        fleet.pause(first, seconds(60));
+        for (std::size_t agent = 0; agent < 6; ++agent)
+            if (agent != first)
+                fleet.see_hosts(agent, {(first + 1) % 6, (first + 2) % 6});
+        fleet.run_for(seconds(50));
+        fleet.want("2", "2");
+        // The first holder wakes to a change that it would act on.
+        for (int step = 0; step < 300; ++step) {
+            fleet.run_for(milliseconds(100));
+            fleet.holder();
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.figures().stale_sent);
+        CPPUNIT_ASSERT(fleet.time_to_reach(seconds(60)));
+    }
+
     /// An order that left the last check behind when its sender stood still
     /// arrives late, whatever the sender does.
     order_figures late_order(bool checks)
