agent: the orders duty

Reads engines and sends them orders as the reconciler decides; looks for a pause at each of its own events, because any of them may be the first.

--- a/libraries/orders/include/godwit/orders/lease_record.hpp
+++ b/libraries/orders/include/godwit/orders/lease_record.hpp
@@ -19,8 +19,7 @@
 /// The most pools in one record.
 inline constexpr std::size_t lease_pools_limit = 256;
 
-/// The longest lease. An agent that begins to read the stream waits this
-/// long before it asks for one, so that it knows every lease in force.
+/// The longest lease; a record with a longer one is bad.
 inline constexpr std::chrono::milliseconds lease_length_limit =
     std::chrono::seconds(20);
 
--- a/libraries/orders/include/godwit/orders/reconciler_settings.hpp
+++ b/libraries/orders/include/godwit/orders/reconciler_settings.hpp
@@ -2,6 +2,7 @@
 
 #include <godwit/core/identifiers.hpp>
 #include <godwit/core/time.hpp>
+#include <godwit/orders/lease_record.hpp>
 
 #include <cstdint>
 
@@ -22,6 +23,10 @@
     /// an order's way to the engine.
     core::duration lease_margin = std::chrono::seconds(3);
 
+    /// How long an agent that begins to read the stream watches it before it
+    /// asks for a lease: at least the longest lease of any agent.
+    core::duration first_wait = lease_length_limit;
+
     /// Loads a second that the weight store takes in all.
     double weight_store_rate = 1.0;
 
--- a/libraries/orders/src/lease_keeper.cpp
+++ b/libraries/orders/src/lease_keeper.cpp
@@ -94,7 +94,7 @@
 void lease_keeper::start_over(std::uint64_t next, core::time_point now)
 {
     next_ = next;
-    complete_at_ = now + lease_length_limit;
+    complete_at_ = now + settings_.first_wait;
 }
 
 std::vector<lease_grant>
--- a/libraries/orders/src/reconciler.cpp
+++ b/libraries/orders/src/reconciler.cpp
@@ -19,11 +19,13 @@
             "set host in the agent's settings");
     if (settings.lease_length > lease_length_limit ||
         settings.lease_margin <= zero ||
-        settings.lease_margin >= settings.lease_length)
+        settings.lease_margin >= settings.lease_length ||
+        settings.first_wait < settings.lease_length)
         return core::fail(
             core::error_kind::invalid_input,
-            "the lease's length or margin is out of range",
-            "keep 0 < lease_margin < lease_length <= 20 s");
+            "the lease's length, margin or first wait is out of range",
+            "keep 0 < lease_margin < lease_length <= 20 s and first_wait at "
+            "least lease_length");
     if (settings.weight_store_rate <= 0 || settings.weight_store_share <= 0 ||
         settings.weight_store_share > 1 ||
         settings.disrupted_percent > all_percent)
--- a/services/agent/src/agent.cpp
+++ b/services/agent/src/agent.cpp
@@ -140,6 +140,7 @@
         proxies_,
         {.on_published =
              [this] {
+                 orders_->take_catalogue(*follower().content());
                  if (on_published_)
                      on_published_();
              },
@@ -156,6 +157,10 @@
         *log_,
         *peers_,
         [this](const core::host_name& host) { return find_peer(host); }));
+    auto orders = settings_.orders;
+    orders.reconciler.incarnation = incarnation_;
+    orders_ =
+        GODWIT_TRY(orders_duty::create(context_.get_executor(), orders, *log_));
     return {};
 }
 
@@ -201,6 +206,8 @@
         catalogue_->stop();
     if (claims_)
         claims_->stop();
+    if (orders_)
+        orders_->stop();
     if (hosts_)
         hosts_->stop();
     if (log_)
@@ -330,6 +337,8 @@
 // meanwhile, because a lease may have passed to another host.
 void agent::look_for_pause()
 {
+    // Engine orders watch for pauses by themselves, at each of their events.
+    orders_->tick();
     const auto length = pause_watch_.observe(core::monotonic_now());
     if (!length)
         return;
@@ -372,6 +381,7 @@
         return;
     }
     proxies_.update_servers(*list);
+    orders_->take_hosts(*list);
     platform::host_list entries;
     std::ranges::copy_if(
         *list, std::back_inserter(entries), [](const auto& host) {
--- a/services/agent/src/agent.hpp
+++ b/services/agent/src/agent.hpp
@@ -5,6 +5,7 @@
 #include "catalogue_duty.hpp"
 #include "claims_duty.hpp"
 #include "operators_interface.hpp"
+#include "orders_duty.hpp"
 #include "pause_watch.hpp"
 #include "peer_links.hpp"
 #include "proxy_feed.hpp"
@@ -123,6 +124,7 @@
     sign_relay signs_;
     std::shared_ptr<catalogue_duty> catalogue_;
     std::shared_ptr<claims_duty> claims_;
+    std::shared_ptr<orders_duty> orders_;
     std::unique_ptr<operators_interface> operators_;
     platform::host_list entry_hosts_;
     bool host_list_known_ = false;
--- a/services/agent/src/agent_settings.cpp
+++ b/services/agent/src/agent_settings.cpp
@@ -152,6 +152,37 @@
     return read;
 }
 
+core::result<orders_settings> read_orders(reader& file)
+{
+    auto from = GODWIT_TRY(file.get_object("orders"));
+    orders_settings read;
+    auto& orders = read.reconciler;
+    orders.lease_length = GODWIT_TRY(
+        read_span(from, "lease_ms", {500ms, 20s}, orders.lease_length));
+    orders.lease_margin = GODWIT_TRY(
+        read_span(from, "lease_margin_ms", {1ms, 20s}, orders.lease_margin));
+    orders.first_wait = GODWIT_TRY(
+        read_span(from, "first_wait_ms", {500ms, 1min}, orders.first_wait));
+    orders.weight_store_rate = GODWIT_TRY(from.get_number(
+        "weight_store_rate", {0.001, 10000}, orders.weight_store_rate));
+    orders.weight_store_share = GODWIT_TRY(from.get_number(
+        "weight_store_share", {0.01, 1}, orders.weight_store_share));
+    orders.disrupted_percent = static_cast<std::uint32_t>(GODWIT_TRY(read_count(
+        from, "disrupted_percent", {0, 100}, orders.disrupted_percent)));
+    orders.verify_interval = GODWIT_TRY(
+        read_span(from, "verify_ms", {50ms, 10min}, orders.verify_interval));
+    orders.pending_interval = GODWIT_TRY(
+        read_span(from, "pending_ms", {50ms, 10min}, orders.pending_interval));
+    orders.repeat_after = GODWIT_TRY(
+        read_span(from, "repeat_ms", {100ms, 24h}, orders.repeat_after));
+    orders.answer_timeout = GODWIT_TRY(
+        read_span(from, "answer_ms", {10ms, 1min}, orders.answer_timeout));
+    orders.log_retry = GODWIT_TRY(
+        read_span(from, "log_retry_ms", {10ms, 1min}, orders.log_retry));
+    GODWIT_TRY(from.finish());
+    return read;
+}
+
 core::result<wire::link_options> read_links(reader& file)
 {
     auto from = GODWIT_TRY(file.get_object("links"));
@@ -209,6 +240,7 @@
         .host_list = GODWIT_TRY(read_host_list(file)),
         .catalogue = GODWIT_TRY(read_catalogue(file)),
         .claims = GODWIT_TRY(read_claims(file)),
+        .orders = GODWIT_TRY(read_orders(file)),
         .links = GODWIT_TRY(read_links(file))};
     GODWIT_TRY(listen.finish());
     GODWIT_TRY(divide_log_rate(read));
@@ -222,6 +254,9 @@
         2 * (read.log.wait + read.log.client.read_timeout);
     read.pause_limit = GODWIT_TRY(
         read_span(file, "pause_ms", {200ms, 1min}, read.pause_limit));
+    read.orders.reconciler.host = read.host;
+    read.orders.reconciler.read_wait = read.log.wait;
+    read.orders.pause_limit = read.pause_limit;
     GODWIT_TRY(file.finish());
     return read;
 }
--- a/services/agent/src/agent_settings.hpp
+++ b/services/agent/src/agent_settings.hpp
@@ -2,6 +2,7 @@
 
 #include "claims_settings.hpp"
 #include "log_settings.hpp"
+#include "orders_settings.hpp"
 
 #include <godwit/catalogue/follower_settings.hpp>
 #include <godwit/core/identifiers.hpp>
@@ -35,6 +36,7 @@
     platform::host_list_options host_list;
     catalogue::follower_settings catalogue;
     claims_settings claims;
+    orders_settings orders;
     wire::link_options links;
 
     /// Standing still for longer than this counts as a pause.
