membership: a new process learns from its peers who is leaving

The matrix did not date the first sign by the leaving answer, only by the host list. The checker also holds that no pool is emptied.

--- a/libraries/membership/include/godwit/membership/events.hpp
+++ b/libraries/membership/include/godwit/membership/events.hpp
@@ -83,6 +83,13 @@
     operator==(const sign_received&, const sign_received&) = default;
 };
 
+/// A peer agent connected, and may know nothing yet.
+struct peer_connected
+{
+    friend bool
+    operator==(const peer_connected&, const peer_connected&) = default;
+};
+
 /// Time passed; expected about once every 100 ms.
 struct clock_ticked
 {
@@ -97,6 +104,7 @@
     load_reported,
     server_seen,
     sign_received,
+    peer_connected,
     clock_ticked>;
 
 } // namespace godwit::membership
--- a/libraries/membership/include/godwit/membership/pool.hpp
+++ b/libraries/membership/include/godwit/membership/pool.hpp
@@ -64,6 +64,7 @@
     void on(const load_reported& what);
     void on(const server_seen& what);
     void on(const sign_received& what);
+    void on(const peer_connected& what);
     void on(const clock_ticked& what);
 
     void take_listed(const listed_server& listed);
--- a/libraries/membership/src/pool.cpp
+++ b/libraries/membership/src/pool.cpp
@@ -110,9 +110,15 @@
 
 void pool::on(const sign_received& what)
 {
-    const auto found = members_.find(what.server);
-    if (found == members_.end())
-        return;
+    auto found = members_.find(what.server);
+    if (found == members_.end()) {
+        // A peer's sign can come before the first host list does.
+        const bool fits = members_.size() < settings_.server_limit;
+        if (what.what != sign::leaving || !fits)
+            return;
+        found = members_.emplace(what.server, member()).first;
+        found->second.listed_at = now_;
+    }
     auto& known = found->second;
     if (what.what == sign::leaving) {
         begin_leaving(what.server, known, "a peer said so");
@@ -124,6 +130,16 @@
         probe(what.server, known);
 }
 
+// The host list may be late, so a new process must learn from its peers who
+// is leaving.
+void pool::on(const peer_connected&)
+{
+    for (const auto& [server, known] : members_) {
+        if (known.state == server_state::leaving)
+            emit(pass_sign{server, sign::leaving});
+    }
+}
+
 void pool::on(const clock_ticked&)
 {
     for (auto one = members_.begin(); one != members_.end();) {
--- a/tests/faults/backend.cpp
+++ b/tests/faults/backend.cpp
@@ -61,6 +61,9 @@
     const bool refuses = clock_->now() < refusing_until_;
     if (!refuses && !leaving_)
         return false;
+    auto& first_sign = seen_->leaving_since.at(index_);
+    if (leaving_ && !first_sign)
+        first_sign = clock_->now();
     to->answer_open = false;
     send(
         to,
--- a/tests/faults/checker.cpp
+++ b/tests/faults/checker.cpp
@@ -124,6 +124,14 @@
     }
 }
 
+// Neither the host list nor failures empty a pool: at most one of the three
+// backend servers leaves.
+void check_pool(const history& seen, broken& found)
+{
+    if (seen.empty_pools > 0)
+        found.emplace_back("a pool was emptied");
+}
+
 // A graceful stop cuts nothing before its limit.
 void check_drain(const history& seen, broken& found)
 {
@@ -155,6 +163,7 @@
     check_at_most_once(seen, found);
     check_final_answers(seen, found);
     check_leaving(seen, found);
+    check_pool(seen, found);
     check_drain(seen, found);
     check_reuse(seen, found);
     return found;
--- a/tests/faults/entry_host.cpp
+++ b/tests/faults/entry_host.cpp
@@ -467,6 +467,10 @@
     post(queue_time, [this, one, what] {
         const auto snapshot = pool_.snapshot();
         const auto& servers = snapshot->pool_of(one->request.service);
+        // A process that began while the list was empty knows of no server.
+        if (knows_servers_ && servers.own_zone.empty() &&
+            servers.other_zones.empty())
+            ++world_->seen.empty_pools;
         std::vector<core::server_address> usable;
         for (const auto* list : {&servers.own_zone, &servers.other_zones}) {
             for (const auto& server : *list) {
@@ -697,7 +701,9 @@
 
 void entry_host::read_list()
 {
-    see(membership::host_list_read{world_->host_list()});
+    const auto list = world_->host_list();
+    knows_servers_ = knows_servers_ || !list.empty();
+    see(membership::host_list_read{list});
     post(list_interval, [this] { read_list(); });
 }
 
--- a/tests/faults/entry_host.hpp
+++ b/tests/faults/entry_host.hpp
@@ -144,6 +144,7 @@
     std::size_t next_server_ = 0;
     bool refuse_next_ = false;
     bool draining_ = false;
+    bool knows_servers_ = false;
 };
 
 } // namespace godwit::faults
--- a/tests/faults/history.hpp
+++ b/tests/faults/history.hpp
@@ -75,6 +75,7 @@
     std::optional<core::time_point> drain_began;
     core::duration drain_wait{};
     std::size_t unclean_reuse = 0; ///< Connections kept with an answer open.
+    std::size_t empty_pools = 0;   ///< Requests that found no server at all.
     std::uint64_t answer_length = 0;
     bool settled = false; ///< Everybody had a final answer in bounded time.
     bool repeatable = true;
--- a/tests/faults/world.cpp
+++ b/tests/faults/world.cpp
@@ -389,6 +389,8 @@
             return;
         hosts[0] = std::make_shared<entry_host>(*this, 0, ++incarnations_);
         hosts[0]->start();
+        hosts[1]->receive(
+            [other = hosts[1]] { other->see(membership::peer_connected{}); });
     });
 }
 
--- a/tests/membership/pool_test.cpp
+++ b/tests/membership/pool_test.cpp
@@ -45,6 +45,7 @@
     CPPUNIT_TEST(test_late_list_revives_nothing);
     CPPUNIT_TEST(test_restarted_server_comes_back);
     CPPUNIT_TEST(test_refusals_are_told_once);
+    CPPUNIT_TEST(test_new_peer_is_told_who_leaves);
     CPPUNIT_TEST(test_half_of_the_pool_stays);
     CPPUNIT_TEST(test_ejection_grows_and_ends_by_a_probe);
     CPPUNIT_TEST(test_version_must_match);
@@ -167,6 +168,16 @@
         CPPUNIT_ASSERT_EQUAL(6, told);
     }
 
+    void test_new_peer_is_told_who_leaves()
+    {
+        see(0, sighting::leaving);
+        CPPUNIT_ASSERT_EQUAL(1, count<pass_sign>(feed(peer_connected{})));
+        // At the peer, the sign can come before the first list.
+        feed(sign_received{numbered(6), sign::leaving});
+        feed(list_of(0, 7));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(5), eligible());
+    }
+
     void test_half_of_the_pool_stays()
     {
         for (int number = 0; number < 6; ++number) {
