catalogue: a checkpoint of another content neither counts nor keeps others from writing

A host took any complete checkpoint for the newest, and one alarm kept every host from writing the next, so that the log could end up with a wrong checkpoint only. Now the own hash decides, and a host writes while more neighbours agree with it than not.

--- a/libraries/catalogue/include/godwit/catalogue/checkpoint_assembler.hpp
+++ b/libraries/catalogue/include/godwit/catalogue/checkpoint_assembler.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace godwit::catalogue {
@@ -36,8 +37,7 @@
         std::uint64_t state_offset = 0;
         std::uint64_t hash = 0;
         std::uint32_t count = 0;
-        std::uint64_t last_record = 0;
-        std::map<std::uint32_t, boost::json::array> chunks;
+        std::map<std::uint32_t, std::string> records;
     };
 
     partial& find_or_add(
--- a/libraries/catalogue/include/godwit/catalogue/checkpoint_codec.hpp
+++ b/libraries/catalogue/include/godwit/catalogue/checkpoint_codec.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <godwit/catalogue/checkpoint.hpp>
 #include <godwit/catalogue/state.hpp>
 #include <godwit/core/result.hpp>
 
@@ -13,6 +14,10 @@
 /// several writers complete each other.
 [[nodiscard]] std::vector<std::string> write_checkpoint(const state& content);
 
+/// The state that `source` holds; `protocol` if it is not the one whose
+/// hash it gives.
+[[nodiscard]] core::result<state_pointer> restore(const checkpoint& source);
+
 /// The state that a complete set of such records holds, in any order and
 /// with duplicates; `protocol` if one is missing or damaged.
 [[nodiscard]] core::result<state_pointer>
--- a/libraries/catalogue/include/godwit/catalogue/follower.hpp
+++ b/libraries/catalogue/include/godwit/catalogue/follower.hpp
@@ -77,9 +77,12 @@
 
     void fold_from_log(const log_records& event);
     void search_checkpoint(const log_records& event);
-    void restore(const checkpoint& found);
+    void take_checkpoint(const checkpoint& found, state_pointer content);
     void note_checkpoint(const checkpoint& found);
     void fold_one(const record& next);
+    [[nodiscard]] std::optional<std::uint64_t>
+    own_hash_at(std::uint64_t next_offset) const;
+    [[nodiscard]] bool peers_agree() const;
     void compare(
         const std::string& holder,
         std::uint64_t next_offset,
@@ -117,7 +120,10 @@
     std::optional<core::time_point> confirmed_at_;
     record_window window_;
     std::vector<catalogue_alarm> alarms_;
-    std::set<std::string> diverging_; // Holders of another content.
+    /// Who was last seen with the same content, and who with another; both
+    /// bounded.
+    std::set<std::string> agreeing_;
+    std::set<std::string> diverging_;
 
     bool log_available_ = false;
     bool was_caught_up_ = false; // Before the answer at hand.
--- a/libraries/catalogue/src/checkpoint_assembler.cpp
+++ b/libraries/catalogue/src/checkpoint_assembler.cpp
@@ -1,5 +1,4 @@
 #include "checkpoint_chunk.hpp"
-#include "checkpoint_item.hpp"
 
 #include <godwit/catalogue/checkpoint_assembler.hpp>
 
@@ -14,24 +13,6 @@
 // Looked for before parsing, because every record of the log passes here.
 constexpr std::string_view record_prefix = R"({"record":"checkpoint")";
 
-state_pointer rebuild(
-    const std::map<std::uint32_t, boost::json::array>& chunks,
-    std::uint64_t state_offset,
-    std::uint64_t hash)
-{
-    state_builder builder;
-    for (const auto& [index, items] : chunks) {
-        for (const boost::json::value& item : items) {
-            if (!decode_item(item, builder))
-                return nullptr;
-        }
-    }
-    builder.advance_to(state_offset);
-    if (builder.current().hash() != hash)
-        return nullptr;
-    return builder.build();
-}
-
 } // namespace
 
 bool checkpoint_assembler::is_chunk(const record& taken)
@@ -50,17 +31,15 @@
         return std::nullopt;
     partial& found =
         find_or_add(chunk->state_offset, chunk->hash, chunk->count);
-    found.chunks.insert_or_assign(chunk->index, std::move(chunk->items));
-    found.last_record = taken.offset;
-    if (found.chunks.size() < found.count)
+    found.records.insert_or_assign(chunk->index, taken.data);
+    if (found.records.size() < found.count)
         return std::nullopt;
-    const partial complete = std::move(found);
+    checkpoint complete{
+        found.state_offset, found.hash, taken.offset, taken.time_ms, {}};
+    for (auto& [index, data] : found.records)
+        complete.records.push_back(std::move(data));
     partials_.pop_back(); // find_or_add put it last.
-    auto content =
-        rebuild(complete.chunks, complete.state_offset, complete.hash);
-    if (!content)
-        return std::nullopt;
-    return checkpoint{std::move(content), taken.offset, taken.time_ms};
+    return complete;
 }
 
 std::set<std::uint32_t>
@@ -70,7 +49,7 @@
     for (const partial& each : partials_) {
         if (each.state_offset != state_offset || each.hash != hash)
             continue;
-        for (const auto& [index, items] : each.chunks)
+        for (const auto& [index, data] : each.records)
             indexes.insert(index);
     }
     return indexes;
--- a/libraries/catalogue/src/checkpoint_codec.cpp
+++ b/libraries/catalogue/src/checkpoint_codec.cpp
@@ -50,6 +50,25 @@
     return records;
 }
 
+core::result<state_pointer> restore(const checkpoint& source)
+{
+    state_builder builder;
+    for (const std::string& data : source.records) {
+        const auto chunk = GODWIT_TRY(parse_chunk(data));
+        for (const json::value& item : chunk.items) {
+            if (auto decoded = decode_item(item, builder); !decoded)
+                return tl::unexpected(std::move(decoded).error());
+        }
+    }
+    builder.advance_to(source.state_offset);
+    if (builder.current().hash() == source.hash)
+        return builder.build();
+    return core::fail(
+        core::error_kind::protocol,
+        "the checkpoint's content does not have the hash that it gives",
+        "use another checkpoint, and compare the releases of the hosts");
+}
+
 core::result<state_pointer>
 read_checkpoint(const std::vector<std::string>& records)
 {
@@ -57,8 +76,8 @@
     for (const std::string& data : records) {
         // A peer's checkpoint is not part of the log, so any offset will do.
         constexpr std::uint64_t outside_log = UINT64_MAX;
-        if (auto found = assembler.offer({outside_log, 0, data}))
-            return found->content;
+        if (const auto found = assembler.offer({outside_log, 0, data}))
+            return restore(*found);
     }
     return core::fail(
         core::error_kind::protocol,
--- a/libraries/catalogue/src/follower.cpp
+++ b/libraries/catalogue/src/follower.cpp
@@ -6,13 +6,14 @@
 #include <godwit/catalogue/tombstone_drop.hpp>
 
 #include <algorithm>
+#include <cassert>
 #include <utility>
 
 namespace godwit::catalogue {
 
 namespace {
 
-constexpr std::size_t maximum_diverging = 64;
+constexpr std::size_t maximum_holders = 64;
 const std::string checkpoint_holder = "a checkpoint in the log";
 
 } // namespace
@@ -159,7 +160,7 @@
         trial->next_offset() == event.records.back().offset + 1;
     if (!complete || trial->hash() != event.end_hash) {
         candidate_.reset();
-        if (complete && diverging_.size() < maximum_diverging) {
+        if (complete && diverging_.size() < maximum_holders) {
             diverging_.insert(event.peer.value());
             raise(
                 alarm_kind::two_contents,
@@ -208,6 +209,8 @@
     members_ = event.members;
     neighbours_ =
         choose_neighbours(settings_.self, members_, settings_.neighbour_count);
+    // Hosts that are gone have no say; the others speak again in a second.
+    agreeing_.clear();
 }
 
 void follower::on(const tick& event)
@@ -257,8 +260,10 @@
         auto found = assembler_.offer(each);
         // Records between the checkpoint's state and the oldest kept one
         // would be missing.
-        if (found && found->content->next_offset() >= event.first) {
-            restore(*found);
+        if (!found || found->state_offset < event.first)
+            continue;
+        if (auto content = restore(*found)) {
+            take_checkpoint(*found, std::move(*content));
             return;
         }
     }
@@ -274,18 +279,24 @@
             "the whole catalogue again");
 }
 
-void follower::restore(const checkpoint& found)
+void follower::take_checkpoint(const checkpoint& found, state_pointer content)
 {
     window_.clear();
+    adopt(std::move(content), catalogue_source::checkpoint);
     note_checkpoint(found);
-    adopt(found.content, catalogue_source::checkpoint);
 }
 
 void follower::note_checkpoint(const checkpoint& found)
 {
     constexpr std::size_t maximum_completed = 8;
-    const std::uint64_t offset = found.content->next_offset();
-    compare(checkpoint_holder, offset, found.content->hash());
+    const std::uint64_t offset = found.state_offset;
+    compare(checkpoint_holder, offset, found.hash);
+    const auto own = own_hash_at(offset);
+    // Where the own hash tells, the content need not be rebuilt, which
+    // takes tens of milliseconds. Another content is no checkpoint to
+    // rely on.
+    if (own ? *own != found.hash : !restore(found))
+        return;
     if (own_checkpoint_ && own_checkpoint_->content->next_offset() <= offset)
         own_checkpoint_.reset();
     if (newest_checkpoint_ && newest_checkpoint_->state_offset >= offset)
@@ -317,21 +328,30 @@
         actions_.emplace_back(report_verdict{std::move(result.decision)});
 }
 
+std::optional<std::uint64_t>
+follower::own_hash_at(std::uint64_t next_offset) const
+{
+    if (next_offset == content_->next_offset())
+        return content_->hash();
+    return window_.hash_at(next_offset);
+}
+
 void follower::compare(
     const std::string& holder, std::uint64_t next_offset, std::uint64_t hash)
 {
-    const auto own = next_offset == content_->next_offset()
-                         ? std::optional(content_->hash())
-                         : window_.hash_at(next_offset);
+    const auto own = own_hash_at(next_offset);
     if (!own || next_offset == 0)
         return;
     if (*own == hash) {
+        if (agreeing_.size() < maximum_holders)
+            agreeing_.insert(holder);
         diverging_.erase(holder);
         if (diverging_.empty())
             clear(alarm_kind::two_contents);
         return;
     }
-    if (diverging_.size() < maximum_diverging)
+    agreeing_.erase(holder);
+    if (diverging_.size() < maximum_holders)
         diverging_.insert(holder);
     raise(
         alarm_kind::two_contents,
@@ -341,6 +361,17 @@
             "; compare the state dumps and restart the host that is wrong");
 }
 
+bool follower::peers_agree() const
+{
+    // A wrong host sees all others disagree and writes nothing; the others
+    // must go on, or the log would end up without a checkpoint.
+    const std::size_t against =
+        diverging_.size() - diverging_.count(checkpoint_holder);
+    const std::size_t with =
+        agreeing_.size() - agreeing_.count(checkpoint_holder);
+    return against == 0 || with > against;
+}
+
 void follower::adopt(state_pointer content, catalogue_source source)
 {
     content_ = std::move(content);
@@ -425,8 +456,7 @@
 
 void follower::keep_checkpoint_young()
 {
-    const bool may_write =
-        ready_ && is_caught_up() && !has_alarm(alarm_kind::two_contents);
+    const bool may_write = ready_ && is_caught_up() && peers_agree();
     if (!may_write)
         return;
     if (own_checkpoint_) {
@@ -456,8 +486,14 @@
 
 void follower::append_checkpoint()
 {
+    auto records = write_checkpoint(*content_);
+    // The others take a checkpoint by its hash, so its writer makes sure.
+    const auto written = read_checkpoint(records);
+    assert(written && (*written)->hash() == content_->hash());
+    if (!written)
+        return;
     own_checkpoint_ = own_checkpoint{content_, now_};
-    actions_.emplace_back(append_records{write_checkpoint(*content_)});
+    actions_.emplace_back(append_records{std::move(records)});
 }
 
 void follower::complete_own_checkpoint()
@@ -511,7 +547,7 @@
         [&any, below](const std::string&, const tombstone& each) {
             any |= each.version <= below;
         });
-    if (!any || has_alarm(alarm_kind::two_contents)) {
+    if (!any || !peers_agree()) {
         drop_rounds_ = 0;
         return;
     }
--- a/tests/catalogue/follower_test.cpp
+++ b/tests/catalogue/follower_test.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(test_zone_cut_from_all);
     CPPUNIT_TEST(test_all_replaced_during_an_outage);
     CPPUNIT_TEST(test_agent_restarts_behind_its_proxy);
+    CPPUNIT_TEST(test_not_ready_while_it_replays_the_log);
     CPPUNIT_TEST(test_corrupt_records);
     CPPUNIT_TEST(test_checkpoint_raced_by_changes);
     CPPUNIT_TEST(test_damaged_checkpoint_is_not_used);
@@ -43,6 +44,7 @@
     CPPUNIT_TEST(test_older_snapshot_is_not_taken);
     CPPUNIT_TEST(test_old_tombstones_go_everywhere);
     CPPUNIT_TEST(test_two_contents_at_one_offset);
+    CPPUNIT_TEST(test_wrong_checkpoint_does_not_stand_for_a_right_one);
     CPPUNIT_TEST(test_log_that_went_back);
     CPPUNIT_TEST(test_digests_do_not_grow_with_hosts);
     CPPUNIT_TEST_SUITE_END();
@@ -286,6 +288,20 @@
         settle(4s);
     }
 
+    void test_not_ready_while_it_replays_the_log()
+    {
+        start(1);
+        publish_every(5ms, 300);
+        settle(1s);
+        cluster_.replace(0);
+        while (!cluster_.status(0).ready) {
+            CPPUNIT_ASSERT_EQUAL(
+                std::uint64_t{0}, cluster_.at(0).served_offset);
+            cluster_.run_for(1ms);
+        }
+        CPPUNIT_ASSERT(cluster_.all_current());
+    }
+
     void test_corrupt_records()
     {
         start();
@@ -524,6 +540,33 @@
         CPPUNIT_ASSERT(agent.status(late_).alarms.empty());
     }
 
+    void test_wrong_checkpoint_does_not_stand_for_a_right_one()
+    {
+        cluster_.log.retention_ms = 60'000;
+        start();
+        publish_one();
+        settle(1s);
+        // A host with another content at this offset writes a checkpoint.
+        state_pointer other = state::empty();
+        while (other->next_offset() < cluster_.log.next())
+            fold_data(other, "noise");
+        for (const auto& data : write_checkpoint(*other))
+            cluster_.publish(data);
+        cluster_.run_for(1s);
+        CPPUNIT_ASSERT(has_alarm(0, alarm_kind::two_contents));
+        CPPUNIT_ASSERT_EQUAL(
+            std::uint64_t{0},
+            cluster_.status(0).newest_checkpoint->state_offset);
+        // The others still write theirs, which ends the alarm.
+        cluster_.run_for(100s);
+        CPPUNIT_ASSERT(cluster_.status(0).alarms.empty());
+        for (std::size_t index = 0; index < cluster_.size(); ++index)
+            cluster_.stop(index);
+        cluster_.replace(0);
+        settle(4s);
+        CPPUNIT_ASSERT(cluster_.serves(0, organisation_key("org-1")));
+    }
+
     void test_log_that_went_back()
     {
         start(1);
