--- a/services/agent/src/agent_settings.cpp
+++ b/services/agent/src/agent_settings.cpp
@@ -114,6 +114,75 @@
     return follower;
 }
 
+core::result<claims_settings> read_claims(reader& file)
+{
+    auto from = GODWIT_TRY(file.get_object("claims"));
+    claims_settings read;
+    auto& claimer = read.claimer;
+    claimer.ledger.retention =
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            GODWIT_TRY(read_span(
+                from, "retention_ms", {1s, 720h}, claimer.ledger.retention)));
+    claimer.ledger.margin =
+        std::chrono::duration_cast<std::chrono::milliseconds>(GODWIT_TRY(
+            read_span(from, "margin_ms", {0ms, 720h}, claimer.ledger.margin)));
+    claimer.ledger.entry_limit = GODWIT_TRY(read_count(
+        from, "entry_limit", {1, 10000000}, claimer.ledger.entry_limit));
+    claimer.gather =
+        GODWIT_TRY(read_span(from, "gather_ms", {0ms, 1s}, claimer.gather));
+    claimer.key_ranges = static_cast<std::uint32_t>(GODWIT_TRY(
+        read_count(from, "key_ranges", {1, 64}, claimer.key_ranges)));
+    claimer.log_share = GODWIT_TRY(
+        from.get_number("log_share", {0.01, 0.95}, claimer.log_share));
+    claimer.pending_limit = GODWIT_TRY(
+        read_count(from, "pending_limit", {1, 1000000}, claimer.pending_limit));
+    claimer.ask_timeout = GODWIT_TRY(
+        read_span(from, "ask_ms", {10ms, 1min}, claimer.ask_timeout));
+    claimer.append_timeout = GODWIT_TRY(
+        read_span(from, "append_ms", {10ms, 1min}, claimer.append_timeout));
+    claimer.forward_timeout = GODWIT_TRY(
+        read_span(from, "forward_ms", {10ms, 1min}, claimer.forward_timeout));
+    claimer.start_limit = GODWIT_TRY(
+        read_span(from, "start_ms", {10ms, 1h}, claimer.start_limit));
+    claimer.log_retry = GODWIT_TRY(
+        read_span(from, "log_retry_ms", {10ms, 1min}, claimer.log_retry));
+    read.proxy_grace = GODWIT_TRY(
+        read_span(from, "proxy_grace_ms", {0ms, 1h}, read.proxy_grace));
+    GODWIT_TRY(from.finish());
+    return read;
+}
+
+core::result<orders_settings> read_orders(reader& file)
+{
+    auto from = GODWIT_TRY(file.get_object("orders"));
+    orders_settings read;
+    auto& orders = read.reconciler;
+    orders.lease_length = GODWIT_TRY(
+        read_span(from, "lease_ms", {500ms, 20s}, orders.lease_length));
+    orders.lease_margin = GODWIT_TRY(
+        read_span(from, "lease_margin_ms", {1ms, 20s}, orders.lease_margin));
+    orders.first_wait = GODWIT_TRY(
+        read_span(from, "first_wait_ms", {500ms, 1min}, orders.first_wait));
+    orders.weight_store_rate = GODWIT_TRY(from.get_number(
+        "weight_store_rate", {0.001, 10000}, orders.weight_store_rate));
+    orders.weight_store_share = GODWIT_TRY(from.get_number(
+        "weight_store_share", {0.01, 1}, orders.weight_store_share));
+    orders.disrupted_percent = static_cast<std::uint32_t>(GODWIT_TRY(read_count(
+        from, "disrupted_percent", {0, 100}, orders.disrupted_percent)));
+    orders.verify_interval = GODWIT_TRY(
+        read_span(from, "verify_ms", {50ms, 10min}, orders.verify_interval));
+    orders.pending_interval = GODWIT_TRY(
+        read_span(from, "pending_ms", {50ms, 10min}, orders.pending_interval));
+    orders.repeat_after = GODWIT_TRY(
+        read_span(from, "repeat_ms", {100ms, 24h}, orders.repeat_after));
+    orders.answer_timeout = GODWIT_TRY(
+        read_span(from, "answer_ms", {10ms, 1min}, orders.answer_timeout));
+    orders.log_retry = GODWIT_TRY(
+        read_span(from, "log_retry_ms", {10ms, 1min}, orders.log_retry));
+    GODWIT_TRY(from.finish());
+    return read;
+}
+
 core::result<wire::link_options> read_links(reader& file)
 {
     auto from = GODWIT_TRY(file.get_object("links"));
@@ -131,6 +200,25 @@
     return links;
 }
 
+// Claims pace their own appends, by zone; what is neither theirs nor kept for
+// operators is divided among the hosts.
+core::result<void> divide_log_rate(agent_settings& read)
+{
+    auto& budget = read.log.client.budget;
+    auto& claimer = read.claims.claimer;
+    constexpr double all = 1;
+    if (budget.operators_share + claimer.log_share >= all) {
+        return core::fail(
+            core::error_kind::invalid_input,
+            "log.operators_share and claims.log_share leave nothing for "
+            "checkpoints and orders",
+            "make their sum less than 1");
+    }
+    claimer.log_rate = budget.log_rate;
+    budget.operators_share += claimer.log_share;
+    return {};
+}
+
 } // namespace
 
 core::result<agent_settings> agent_settings::read(reader file)
@@ -151,15 +239,24 @@
         .log = GODWIT_TRY(read_log(file)),
         .host_list = GODWIT_TRY(read_host_list(file)),
         .catalogue = GODWIT_TRY(read_catalogue(file)),
+        .claims = GODWIT_TRY(read_claims(file)),
+        .orders = GODWIT_TRY(read_orders(file)),
         .links = GODWIT_TRY(read_links(file))};
     GODWIT_TRY(listen.finish());
+    GODWIT_TRY(divide_log_rate(read));
     read.catalogue.self = read.host;
+    read.claims.claimer.host = read.host;
+    read.claims.claimer.zone = read.zone;
+    read.claims.claimer.read_wait = read.log.wait;
     // A read that hangs for longer than its own bound is given up by the
     // follower too.
     read.catalogue.read_timeout =
         2 * (read.log.wait + read.log.client.read_timeout);
     read.pause_limit = GODWIT_TRY(
         read_span(file, "pause_ms", {200ms, 1min}, read.pause_limit));
+    read.orders.reconciler.host = read.host;
+    read.orders.reconciler.read_wait = read.log.wait;
+    read.orders.pause_limit = read.pause_limit;
     GODWIT_TRY(file.finish());
     return read;
 }
--- a/services/proxy/control_plane.cpp
+++ b/services/proxy/control_plane.cpp
@@ -121,7 +121,8 @@
 void control_plane::start()
 {
     asio::post(control_, [this] { wait_for_beat(); });
-    take_servers({});
+    if (!settings_.fixed.servers.empty())
+        take_servers({});
 }
 
 void control_plane::stop()
@@ -155,6 +156,8 @@
     if (now >= membership_due_) {
         membership_due_ = now + membership_interval;
         run(membership::clock_ticked{});
+        if (to_.on_time)
+            to_.on_time(now);
     }
     explore(now);
     poller_.tick(now);
--- a/tests/load/runner_test.cpp
+++ b/tests/load/runner_test.cpp
@@ -107,6 +107,7 @@
     CPPUNIT_TEST(test_calls);
     CPPUNIT_TEST(test_crossed_call);
     CPPUNIT_TEST(test_silence_ends_with_patience);
+    CPPUNIT_TEST(test_passes_dead_entry_hosts);
     CPPUNIT_TEST(test_bound_in_flight);
     CPPUNIT_TEST(test_sums_counters);
     CPPUNIT_TEST(test_report);
@@ -317,6 +318,30 @@
         }
     }
 
+    void test_passes_dead_entry_hosts()
+    {
+        const auto right = [](exchange& current) {
+            if (current.received().target == "/v1/completions")
+                return stream(current, token_events(0, 4) + done, true);
+            return answer(
+                current,
+                200,
+                "{\"key\":\"k\",\"echo\":\"{\\\"book\\\":\\\"1\\\"}\"}");
+        };
+        const scripted_entry alive(right);
+        run_settings settings = settings_for(alive);
+        {
+            // A port that was free a moment ago.
+            const scripted_entry dead(right);
+            settings.callers.insert(settings.callers.begin(), dead.address());
+        }
+        for (const request_record& record :
+             run_plan(settings, {stream_request(), booking()})) {
+            CPPUNIT_ASSERT(record.outcome == request_outcome::completed);
+            CPPUNIT_ASSERT(record.fault == answer_fault::none);
+        }
+    }
+
     void test_bound_in_flight()
     {
         const scripted_entry entry(&say_nothing);
@@ -352,10 +377,12 @@
         bad.detail = "a booking";
         run_summary summary = run_summary::of({good, bad});
         summary.preemptions = 5;
+        summary.parameters.mix = "predavka";
         CPPUNIT_ASSERT(summary.has_fault());
         const std::string json = to_json(summary);
         for (const char* part :
-             {"\"faults\":{\"twice\":1}",
+             {"\"mix\":\"predavka\"",
+              "\"faults\":{\"twice\":1}",
               "\"preemptions\":5",
               "\"fault_details\":[\"twice: a booking\"]",
               "\"requests\":2,\"tokens\":6"})
@@ -390,7 +417,8 @@
         CPPUNIT_ASSERT_EQUAL(2, exit_code_for("--rate 0", "{}"));
         CPPUNIT_ASSERT_EQUAL(2, exit_code_for("--unknown 0", "{}"));
         CPPUNIT_ASSERT_EQUAL(0, exit_code_for("--help", "{}"));
-        CPPUNIT_ASSERT_EQUAL(0, exit_code_for("--seconds 0", "{}"));
+        CPPUNIT_ASSERT_EQUAL(0, exit_code_for("--reconnect --seconds 0", ""));
+        CPPUNIT_ASSERT_EQUAL(2, exit_code_for("--reconnect yes", ""));
     }
 };
 
