http: a drain serves what callers had already sent

Closing the listener reset connections that the operating system had accepted, and closing idle connections dropped requests that had arrived unread: the new test got a reset instead of an answer. Requests count as active from their first byte, so that a drain that waits for none does not cut one being read.

--- a/libraries/http/include/godwit/http/server.hpp
+++ b/libraries/http/include/godwit/http/server.hpp
@@ -41,11 +41,12 @@
     /// The address in use, with the port that was chosen.
     [[nodiscard]] const endpoint& address() const noexcept;
 
-    /// Refuses new connections, closes idle ones, and lets exchanges that
-    /// run finish.
+    /// Refuses new connections and closes idle ones. Requests that were sent
+    /// before are served to their end; a connection that brought none yet
+    /// has a second to do so.
     void stop_accepting();
 
-    /// How many handlers run.
+    /// How many requests are being read or handled.
     [[nodiscard]] std::size_t active_exchanges() const noexcept;
 
     /// How many connections are open.
--- a/libraries/http/src/connection.cpp
+++ b/libraries/http/src/connection.cpp
@@ -13,6 +13,7 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cassert>
 #include <chrono>
@@ -31,6 +32,9 @@
 // After a rejection the caller may still be sending; closing at once would
 // reset the connection and lose the answer on its way.
 constexpr std::chrono::seconds discard_time{1};
+// How long a connection without a request may bring its first one while the
+// server drains.
+constexpr std::chrono::seconds drain_grace{1};
 constexpr std::size_t discard_bytes = std::size_t{4} * 1024 * 1024;
 constexpr std::size_t read_size = std::size_t{8} * 1024;
 constexpr std::string_view continue_head = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -96,11 +100,32 @@
 void connection::close_if_idle()
 {
     asio::post(executor_, [kept = shared_from_this()] {
-        if (kept->is_idle_)
+        if (!kept->is_idle_ || kept->has_unread_bytes())
+            return;
+        if (kept->has_served_)
             kept->close_socket();
+        else
+            kept->close_unless_used_soon();
     });
 }
 
+// A caller that has just connected is about to send.
+void connection::close_unless_used_soon()
+{
+    const auto timer =
+        std::make_shared<asio::steady_timer>(executor_, drain_grace);
+    timer->async_wait([kept = shared_from_this(), timer](const auto&) {
+        if (kept->is_idle_ && !kept->has_unread_bytes())
+            kept->close_socket();
+    });
+}
+
+bool connection::has_unread_bytes() const
+{
+    error_code failure;
+    return socket_.available(failure) > 0;
+}
+
 void connection::close_socket()
 {
     error_code ignored;
@@ -122,12 +147,12 @@
         const bool has_request = co_await wait_for_first_byte();
         if (!has_request)
             break;
+        const active_exchange counted(*server_);
         std::optional<request> received = co_await read_request();
         if (!received)
             break;
         co_await serve(std::move(*received));
-        if (server_->is_draining())
-            break;
+        has_served_ = true;
     }
     close_socket();
 }
@@ -136,20 +161,27 @@
 {
     if (buffer_.size() > 0)
         co_return true;
-    if (server_->is_draining())
-        co_return false;
+    core::duration patience = server_->settings().limits.idle_timeout;
+    if (server_->is_draining()) {
+        // What was sent is served all the same.
+        if (has_served_ && !has_unread_bytes())
+            co_return false;
+        patience = std::min<core::duration>(patience, drain_grace);
+    }
     is_idle_ = true;
-    const deadline guard(
-        executor_,
-        socket_,
-        server_->settings().limits.idle_timeout,
-        expiry_action::close);
+    const deadline guard(executor_, socket_, patience, expiry_action::close);
     error_code failure;
+    // Waiting leaves the bytes where `has_unread_bytes` sees them.
+    co_await socket_.async_wait(
+        tcp::socket::wait_read,
+        asio::redirect_error(asio::use_awaitable, failure));
+    is_idle_ = false;
+    if (failure)
+        co_return false;
     const auto space = buffer_.prepare(read_size);
     const std::size_t count = co_await socket_.async_read_some(
         space, asio::redirect_error(asio::use_awaitable, failure));
     buffer_.commit(count);
-    is_idle_ = false;
     co_return !failure;
 }
 
@@ -266,7 +298,6 @@
 
 asio::awaitable<void> connection::serve(request received)
 {
-    const active_exchange counted(*server_);
     is_watching_ = true;
     watch_ended_ = false;
     asio::co_spawn(
--- a/libraries/http/src/connection.hpp
+++ b/libraries/http/src/connection.hpp
@@ -100,6 +100,8 @@
     boost::asio::awaitable<void> stop_watching();
     boost::asio::awaitable<core::result<void>> write_all(std::string bytes);
     [[nodiscard]] bool take_early_bytes();
+    [[nodiscard]] bool has_unread_bytes() const;
+    void close_unless_used_soon();
     void caller_left();
     void close_socket();
 
@@ -109,6 +111,7 @@
     std::string peer_;
     boost::beast::flat_buffer buffer_;
     bool is_idle_ = false;
+    bool has_served_ = false;
     bool keeps_alive_ = true;
     bool takes_chunks_ = true;
     bool omits_body_ = false;
--- a/libraries/http/src/server_state.cpp
+++ b/libraries/http/src/server_state.cpp
@@ -117,6 +117,20 @@
     --open_connections_;
 }
 
+// Closing the acceptor would reset the connections that the operating system
+// took already, whose callers may have sent their requests.
+void server_state::accept_waiting()
+{
+    boost::system::error_code failure;
+    acceptor_.non_blocking(true, failure);
+    while (!failure) {
+        tcp::socket socket(asio::make_strand(context_));
+        acceptor_.accept(socket, failure);
+        if (!failure)
+            admit(std::move(socket));
+    }
+}
+
 // The copy keeps the connections alive outside the lock, which the end of
 // one takes.
 std::vector<std::shared_ptr<connection>> server_state::connections()
@@ -131,18 +145,19 @@
     return open;
 }
 
-void server_state::end_accepting()
+void server_state::close_acceptor()
 {
-    asio::post(acceptor_.get_executor(), [kept = shared_from_this()] {
-        boost::system::error_code ignored;
-        kept->acceptor_.close(ignored);
-    });
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
 }
 
 void server_state::stop_accepting()
 {
     draining_ = true;
-    end_accepting();
+    asio::post(acceptor_.get_executor(), [kept = shared_from_this()] {
+        kept->accept_waiting();
+        kept->close_acceptor();
+    });
     for (const auto& open : connections())
         open->close_if_idle();
 }
@@ -150,7 +165,9 @@
 void server_state::close()
 {
     draining_ = true;
-    end_accepting();
+    asio::post(acceptor_.get_executor(), [kept = shared_from_this()] {
+        kept->close_acceptor();
+    });
     for (const auto& open : connections())
         open->close();
 }
--- a/libraries/http/src/server_state.hpp
+++ b/libraries/http/src/server_state.hpp
@@ -70,7 +70,8 @@
 private:
     boost::asio::awaitable<void> accept_loop();
     void admit(boost::asio::ip::tcp::socket socket);
-    void end_accepting();
+    void close_acceptor();
+    void accept_waiting();
     [[nodiscard]] std::vector<std::shared_ptr<connection>> connections();
 
     boost::asio::io_context& context_;
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -76,6 +76,7 @@
     CPPUNIT_TEST(test_notices_that_caller_reset);
     CPPUNIT_TEST(test_slow_reader_is_cut);
     CPPUNIT_TEST(test_drains);
+    CPPUNIT_TEST(test_drain_serves_what_was_sent);
     CPPUNIT_TEST(test_header_values_cannot_break_lines);
     CPPUNIT_TEST_SUITE_END();
 
@@ -498,6 +499,45 @@
             raw_caller(harness.target().address()), std::runtime_error);
     }
 
+    void test_drain_serves_what_was_sent()
+    {
+        const auto release = std::make_shared<std::promise<void>>();
+        const auto began = std::make_shared<std::promise<void>>();
+        server_harness harness(
+            {},
+            [release,
+             began](exchange& current) -> boost::asio::awaitable<void> {
+                if (current.received().target == "/held") {
+                    began->set_value();
+                    release->get_future().wait();
+                }
+                response answer;
+                answer.body = "done";
+                const auto sent = co_await current.respond(std::move(answer));
+                (void)sent;
+            });
+        const raw_caller kept(harness.target().address());
+        kept.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+        (void)kept.read_until("done");
+        const raw_caller busy(harness.target().address());
+        busy.send("GET /held HTTP/1.1\r\nHost: a\r\n\r\n");
+        began->get_future().get();
+        // The server's thread is held, so it has not seen any of these: a
+        // request on a connection that it knows, one on a connection that
+        // it has not accepted, and a connection whose request comes later.
+        kept.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+        const raw_caller fresh(harness.target().address());
+        fresh.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+        const raw_caller later(harness.target().address());
+        harness.target().stop_accepting();
+        release->set_value();
+        CPPUNIT_ASSERT(contains(kept.read_all(), "done"));
+        CPPUNIT_ASSERT(contains(fresh.read_all(), "done"));
+        later.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+        CPPUNIT_ASSERT(contains(later.read_all(), "done"));
+        CPPUNIT_ASSERT(contains(busy.read_all(), "done"));
+    }
+
     void test_header_values_cannot_break_lines()
     {
         server_harness harness(
