--- a/services/agent/src/agent.cpp
+++ b/services/agent/src/agent.cpp
@@ -1,6 +1,7 @@
 #include "agent.hpp"
 
 #include "incarnation.hpp"
+#include "order_pools.hpp"
 #include "state_report.hpp"
 
 #include <godwit/catalogue/neighbours.hpp>
@@ -138,11 +139,7 @@
         *log_,
         *peers_,
         proxies_,
-        {.on_published =
-             [this] {
-                 if (on_published_)
-                     on_published_();
-             },
+        {.on_published = [this] { catalogue_published(); },
          .on_ready =
              [this] {
                  if (on_ready_)
@@ -156,6 +153,10 @@
         *log_,
         *peers_,
         [this](const core::host_name& host) { return find_peer(host); }));
+    auto orders = settings_.orders;
+    orders.incarnation = incarnation_;
+    orders_ =
+        GODWIT_TRY(orders_duty::create(context_.get_executor(), orders, *log_));
     return {};
 }
 
@@ -188,6 +189,7 @@
     acceptor_->start();
     hosts_->start();
     claims_->start();
+    orders_->start();
     connect_neighbours();
     tick();
 }
@@ -201,6 +203,8 @@
         catalogue_->stop();
     if (claims_)
         claims_->stop();
+    if (orders_)
+        orders_->stop();
     if (hosts_)
         hosts_->stop();
     if (log_)
@@ -341,7 +345,8 @@
         {{"pause_ms",
           std::chrono::duration_cast<std::chrono::milliseconds>(*length)
               .count()}});
-    // The claims first: theirs may have passed to somebody else.
+    // The orders first: their leases may have passed to somebody else.
+    orders_->handle(orders::resumed_after_pause{*length});
     claims_->handle(claims::resumed_after_pause{*length});
     catalogue_->handle(catalogue::resumed{});
 }
@@ -372,6 +377,11 @@
         return;
     }
     proxies_.update_servers(*list);
+    auto engines = engines_of(*list);
+    if (engines != engines_) {
+        engines_ = engines;
+        orders_->handle(orders::engines_changed{std::move(engines)});
+    }
     platform::host_list entries;
     std::ranges::copy_if(
         *list, std::back_inserter(entries), [](const auto& host) {
@@ -403,10 +413,10 @@
     log_->set_hosts(members.size());
     catalogue_->handle(catalogue::members_changed{std::move(members)});
     connect_neighbours();
-    tell_claims_of_members();
+    tell_duties_of_members();
 }
 
-void agent::tell_claims_of_members()
+void agent::tell_duties_of_members()
 {
     claims::entry_hosts_changed hosts;
     std::set<core::zone_name> zones{settings_.zone};
@@ -423,6 +433,20 @@
     }
     hosts.zones = zones.size();
     claims_->handle(hosts);
+    orders::entry_hosts_changed live{{settings_.host}};
+    for (const platform::host_entry& host : entry_hosts_) {
+        if (host.name != settings_.host &&
+            host.state == platform::host_state::live)
+            live.hosts.push_back(host.name);
+    }
+    orders_->handle(live);
+}
+
+void agent::catalogue_published()
+{
+    orders_->handle(orders::pools_changed{pools_of(*follower().content())});
+    if (on_published_)
+        on_published_();
 }
 
 std::optional<peer_address> agent::find_peer(const core::host_name& host) const
@@ -541,6 +565,7 @@
     dump.add("feed", describe(proxies_));
     dump.add("peers", describe(*peers_));
     dump.add("claims", describe(claims_->claimer()));
+    dump.add("orders", describe(orders_->reconciler()));
     dump.add("log", describe(log_->counters()));
     return dump.to_string();
 }
--- a/services/agent/src/agent.hpp
+++ b/services/agent/src/agent.hpp
@@ -5,6 +5,7 @@
 #include "catalogue_duty.hpp"
 #include "claims_duty.hpp"
 #include "operators_interface.hpp"
+#include "orders_duty.hpp"
 #include "pause_watch.hpp"
 #include "peer_links.hpp"
 #include "proxy_feed.hpp"
@@ -22,6 +23,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <vector>
 
 namespace godwit::agent {
 
@@ -61,6 +63,11 @@
         return claims_->claimer();
     }
 
+    [[nodiscard]] const orders::reconciler& reconciler() const noexcept
+    {
+        return orders_->reconciler();
+    }
+
     [[nodiscard]] const proxy_feed& proxies() const noexcept
     {
         return proxies_;
@@ -95,7 +102,8 @@
     void host_list_heard(const core::result<platform::host_list>& list);
     void members_heard();
     void connect_neighbours();
-    void tell_claims_of_members();
+    void tell_duties_of_members();
+    void catalogue_published();
     [[nodiscard]] std::optional<peer_address>
     find_peer(const core::host_name& host) const;
     void peer_message(const wire::hello& peer, wire::message value);
@@ -123,8 +131,10 @@
     sign_relay signs_;
     std::shared_ptr<catalogue_duty> catalogue_;
     std::shared_ptr<claims_duty> claims_;
+    std::shared_ptr<orders_duty> orders_;
     std::unique_ptr<operators_interface> operators_;
     platform::host_list entry_hosts_;
+    std::vector<orders::live_engine> engines_;
     bool host_list_known_ = false;
     std::function<void()> on_ready_;
     std::function<void()> on_published_;
--- a/services/agent/src/agent_settings.cpp
+++ b/services/agent/src/agent_settings.cpp
@@ -152,6 +152,34 @@
     return read;
 }
 
+core::result<orders::reconciler_settings> read_orders(reader& file)
+{
+    auto from = GODWIT_TRY(file.get_object("orders"));
+    orders::reconciler_settings read;
+    read.lease_length =
+        GODWIT_TRY(read_span(from, "lease_ms", {100ms, 1h}, read.lease_length));
+    read.lease_margin =
+        GODWIT_TRY(read_span(from, "margin_ms", {1ms, 1h}, read.lease_margin));
+    read.weight_store_rate = GODWIT_TRY(from.get_number(
+        "weight_store_rate", {0.001, 10000}, read.weight_store_rate));
+    read.weight_store_share = GODWIT_TRY(from.get_number(
+        "weight_store_share", {0.01, 1}, read.weight_store_share));
+    read.disrupted_percent = static_cast<std::uint32_t>(GODWIT_TRY(read_count(
+        from, "disrupted_percent", {1, 100}, read.disrupted_percent)));
+    read.verify_interval = GODWIT_TRY(
+        read_span(from, "verify_ms", {10ms, 1h}, read.verify_interval));
+    read.pending_interval = GODWIT_TRY(
+        read_span(from, "pending_ms", {10ms, 1h}, read.pending_interval));
+    read.repeat_after =
+        GODWIT_TRY(read_span(from, "repeat_ms", {10ms, 1h}, read.repeat_after));
+    read.answer_timeout = GODWIT_TRY(
+        read_span(from, "answer_ms", {10ms, 1min}, read.answer_timeout));
+    read.log_retry = GODWIT_TRY(
+        read_span(from, "log_retry_ms", {10ms, 1min}, read.log_retry));
+    GODWIT_TRY(from.finish());
+    return read;
+}
+
 core::result<wire::link_options> read_links(reader& file)
 {
     auto from = GODWIT_TRY(file.get_object("links"));
@@ -209,10 +237,13 @@
         .host_list = GODWIT_TRY(read_host_list(file)),
         .catalogue = GODWIT_TRY(read_catalogue(file)),
         .claims = GODWIT_TRY(read_claims(file)),
+        .orders = GODWIT_TRY(read_orders(file)),
         .links = GODWIT_TRY(read_links(file))};
     GODWIT_TRY(listen.finish());
     GODWIT_TRY(divide_log_rate(read));
     read.catalogue.self = read.host;
+    read.orders.host = read.host;
+    read.orders.read_wait = read.log.wait;
     read.claims.claimer.host = read.host;
     read.claims.claimer.zone = read.zone;
     read.claims.claimer.read_wait = read.log.wait;
--- a/services/agent/src/agent_settings.hpp
+++ b/services/agent/src/agent_settings.hpp
@@ -7,6 +7,7 @@
 #include <godwit/core/identifiers.hpp>
 #include <godwit/core/result.hpp>
 #include <godwit/core/time.hpp>
+#include <godwit/orders/reconciler_settings.hpp>
 #include <godwit/platform/host_list_options.hpp>
 #include <godwit/settings/address.hpp>
 #include <godwit/settings/reader.hpp>
@@ -35,6 +36,7 @@
     platform::host_list_options host_list;
     catalogue::follower_settings catalogue;
     claims_settings claims;
+    orders::reconciler_settings orders;
     wire::link_options links;
 
     /// Standing still for longer than this counts as a pause.
--- a/services/agent/src/state_report.cpp
+++ b/services/agent/src/state_report.cpp
@@ -118,6 +118,26 @@
         {"releases", counts.releases}};
 }
 
+json::object describe(const orders::reconciler& reconciler)
+{
+    json::array held;
+    for (const orders::held_pool& pool : reconciler.held())
+        held.push_back(json::object{
+            {"service", pool.service.value()},
+            {"fencing", pool.fencing},
+            {"reached", pool.reached}});
+    const orders::reconciler_counts& counts = reconciler.counts();
+    return {
+        {"held", held},
+        {"orders_sent", counts.orders_sent},
+        {"orders_refused", counts.orders_refused},
+        {"orders_lost", counts.orders_lost},
+        {"loads_sent", counts.loads_sent},
+        {"leases_taken", counts.leases_taken},
+        {"leases_dropped", counts.leases_dropped},
+        {"appends", counts.appends}};
+}
+
 json::object describe(const platform::log_client_counters& counters)
 {
     return {
--- a/services/agent/src/state_report.hpp
+++ b/services/agent/src/state_report.hpp
@@ -5,6 +5,7 @@
 
 #include <godwit/catalogue/follower_status.hpp>
 #include <godwit/claims/claimer.hpp>
+#include <godwit/orders/reconciler.hpp>
 #include <godwit/platform/log_client_counters.hpp>
 
 #include <boost/json/object.hpp>
@@ -25,6 +26,9 @@
 
 [[nodiscard]] boost::json::object describe(const claims::claimer& claimer);
 
+[[nodiscard]] boost::json::object
+describe(const orders::reconciler& reconciler);
+
 [[nodiscard]] boost::json::object
 describe(const platform::log_client_counters& counters);
 
