--- a/libraries/dispatch/include/godwit/dispatch/scheduler_settings.hpp
+++ b/libraries/dispatch/include/godwit/dispatch/scheduler_settings.hpp
@@ -14,10 +14,10 @@
     /// Seed of the choice of candidates.
     std::uint64_t seed = 1;
     /// Random candidates for a placement, 1 to 64.
-    std::uint32_t candidates = 3;
+    std::uint32_t candidates = 2;
     /// Quantile of the expected rest of a generation that admission reserves,
     /// above 0 and below 1.
-    double length_quantile = 0.6;
+    double length_quantile = 0.4;
 
     friend bool
     operator==(const scheduler_settings&, const scheduler_settings&) = default;
--- a/libraries/dispatch/src/class_queue.hpp
+++ b/libraries/dispatch/src/class_queue.hpp
@@ -8,7 +8,6 @@
 #include <godwit/core/time.hpp>
 #include <godwit/dispatch/class_policy.hpp>
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -91,7 +90,11 @@
         std::uint64_t number = 0;
         dispatch::flow* flow = nullptr;
 
-        friend auto operator<=>(const position&, const position&) = default;
+        friend bool operator<(const position& left, const position& right)
+        {
+            return left.served != right.served ? left.served < right.served
+                                               : left.number < right.number;
+        }
     };
 
     [[nodiscard]] static position position_of(flow& flow) noexcept
--- a/utilities/godwit-bench/main.cpp
+++ b/utilities/godwit-bench/main.cpp
@@ -107,7 +107,7 @@
                 static_cast<unsigned>(std::stoul(optarg)), 1U, most_threads);
             break;
         case 'h':
-            result.hosts = std::stoul(optarg);
+            result.hosts = std::max(std::stoul(optarg), 1UL);
             break;
         case 'j':
             result.json = optarg;
--- a/utilities/godwit-bench/report.cpp
+++ b/utilities/godwit-bench/report.cpp
@@ -140,7 +140,7 @@
     static const std::vector<scheduler_variation> variations = {
         {.name = "godwit"},
         {.name = "one_candidate", .candidates = 1},
-        {.name = "two_candidates", .candidates = 2},
+        {.name = "three_candidates", .candidates = 3},
         {.name = "all_candidates", .candidates = 64},
         {.name = "no_expected_rest", .length_quantile = 0.001},
         {.name = "no_memory_admission", .overcommit = 1e9},
--- a/utilities/godwit-bench/scheduler_variation.hpp
+++ b/utilities/godwit-bench/scheduler_variation.hpp
@@ -19,7 +19,7 @@
 struct scheduler_variation
 {
     std::string name = "godwit";
-    std::uint32_t candidates = 3;
+    std::uint32_t candidates = 2;
     double length_quantile = 0.4;
     /// 0 is the workload's own.
     double overcommit = 0.0;
--- a/utilities/godwit-bench/simulation.cpp
+++ b/utilities/godwit-bench/simulation.cpp
@@ -85,7 +85,9 @@
     for (std::size_t host = 0; host < hosts_.size(); ++host) {
         tell_policy(host);
         // Ticks of different hosts do not fall together.
-        const auto offset = tick_every * host / hosts_.size();
+        const core::duration offset =
+            tick_every * static_cast<std::int64_t>(host) /
+            static_cast<std::int64_t>(workload_.entry_hosts);
         schedule(core::time_point(offset), event_kind::host_tick, host);
     }
     tell_servers();
