--- a/tests/dispatch/fairness_test.cpp
+++ b/tests/dispatch/fairness_test.cpp
@@ -68,6 +68,7 @@
     CPPUNIT_TEST(test_classes_share_by_weight);
     CPPUNIT_TEST(test_start_floor_holds);
     CPPUNIT_TEST(test_memory_floor_is_kept_free);
+    CPPUNIT_TEST(test_floor_is_open_whatever_the_reports_say);
     CPPUNIT_TEST(test_no_class_starves);
     CPPUNIT_TEST(test_same_events_give_same_actions);
     CPPUNIT_TEST_SUITE_END();
@@ -169,6 +170,28 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{10}, fixture.started.size());
     }
 
+    void test_floor_is_open_whatever_the_reports_say()
+    {
+        scheduler_fixture fixture;
+        dispatch::policy_changed policy;
+        policy.value.classes = {named("l"), named("s")};
+        policy.value.classes[1].memory_floor = 0.25;
+        fixture.tell(policy);
+        fixture.engines(1, 1000);
+        dispatch::load_reported full;
+        full.server = scheduler_fixture::address(0);
+        full.running = 20;
+        full.waiting = 3;
+        full.memory_tokens_used = 1000;
+        full.memory_tokens_capacity = 1000;
+        fixture.tell(full);
+        // Two of 110 tokens fit the floor of 250; the long class has none.
+        arrive_many(fixture, "l", 3, "l");
+        CPPUNIT_ASSERT(fixture.started.empty());
+        arrive_many(fixture, "s", 3, "s");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.started.size());
+    }
+
     void test_no_class_starves()
     {
         scheduler_fixture fixture;
