--- a/utilities/godwit-bench/baseline.cpp
+++ b/utilities/godwit-bench/baseline.cpp
@@ -30,6 +30,10 @@
         }
         servers_ = std::move(kept);
     }
+    if (const auto* change = std::get_if<dispatch::policy_changed>(&event)) {
+        for (const auto& limits : change->value.classes)
+            priorities_[limits.name] = limits.priority;
+    }
     if (const auto* report = std::get_if<dispatch::load_reported>(&event)) {
         const auto found = servers_.find(report->server);
         if (found != servers_.end())
@@ -44,6 +48,14 @@
     return {};
 }
 
+int baseline::priority_of(const dispatch::request_arrived& request) const
+{
+    const auto found = priorities_.find(request.class_of_service);
+    const bool by_class = choice_ == baseline_choice::least_requests_priorities;
+    return by_class && found != priorities_.end() ? found->second
+                                                  : only_priority;
+}
+
 void baseline::end(const core::request_id& id)
 {
     const auto started = started_.find(id);
@@ -107,7 +119,7 @@
     return {dispatch::start_request{
         .id = request.id,
         .server = chosen.description.address,
-        .priority = only_priority}};
+        .priority = priority_of(request)}};
 }
 
 } // namespace godwit::bench
--- a/utilities/godwit-bench/baseline.hpp
+++ b/utilities/godwit-bench/baseline.hpp
@@ -21,11 +21,13 @@
     round_robin,    ///< In turn.
     least_requests, ///< The fewest of this host's own requests.
     two_choices,    ///< The better of two random ones by the last report.
+    /// As `least_requests`, with the classes' priorities at the engine.
+    least_requests_priorities,
 };
 
-/// An entry host without a queue: it sends each request at once, and all at
-/// the same priority, so that engines serve them first in, first out. A
-/// request that two engines refuse is refused.
+/// An entry host without a queue: it sends each request at once, and but for
+/// the last choice all at the same priority, so that engines serve them first
+/// in, first out. A request that two engines refuse is refused.
 class baseline
 {
 public:
@@ -49,7 +51,11 @@
     arrive(const dispatch::request_arrived& request);
     void end(const core::request_id& id);
 
+    [[nodiscard]] int
+    priority_of(const dispatch::request_arrived& request) const;
+
     baseline_choice choice_;
+    std::map<core::class_name, int> priorities_;
     core::random random_;
     std::size_t turn_ = 0;
     std::map<core::server_address, server> servers_;
--- a/utilities/godwit-bench/main.cpp
+++ b/utilities/godwit-bench/main.cpp
@@ -38,6 +38,9 @@
     unsigned seeds = 10;
     unsigned threads = most_threads;
     std::size_t hosts = 6;
+    unsigned first_seed = 1;
+    /// Requests that an engine queues; 0 is the workload's own.
+    std::size_t waiting_limit = 0;
     std::string json;
     std::string markdown;
 };
@@ -46,8 +49,10 @@
 {
     out << "usage: godwit-bench [--workloads A,B] [--policies A,B]\n"
            "    [--loads X,Y] [--lags SECONDS,...] [--seeds N]\n"
-           "    [--threads N] [--hosts N] [--json FILE] [--markdown FILE]\n"
-           "policies: round_robin least_requests two_choices godwit\n"
+           "    [--threads N] [--hosts N] [--first-seed N]\n"
+           "    [--waiting-limit N] [--json FILE] [--markdown FILE]\n"
+           "policies: round_robin least_requests two_choices\n"
+           "    least_requests_priorities godwit\n"
            "    and the variations:";
     for (const auto& variation : bench::all_variations())
         out << ' ' << variation.name;
@@ -80,6 +85,8 @@
         {"lags", required_argument, nullptr, 'g'},
         {"seeds", required_argument, nullptr, 's'},
         {"threads", required_argument, nullptr, 't'},
+        {"first-seed", required_argument, nullptr, 'f'},
+        {"waiting-limit", required_argument, nullptr, 'q'},
         {"hosts", required_argument, nullptr, 'h'},
         {"json", required_argument, nullptr, 'j'},
         {"markdown", required_argument, nullptr, 'm'},
@@ -109,6 +116,12 @@
         case 'h':
             result.hosts = std::max(std::stoul(optarg), 1UL);
             break;
+        case 'f':
+            result.first_seed = static_cast<unsigned>(std::stoul(optarg));
+            break;
+        case 'q':
+            result.waiting_limit = std::stoul(optarg);
+            break;
         case 'j':
             result.json = optarg;
             break;
@@ -143,6 +156,8 @@
         return run_baseline(bench::baseline_choice::round_robin);
     if (key.policy == "least_requests")
         return run_baseline(bench::baseline_choice::least_requests);
+    if (key.policy == "least_requests_priorities")
+        return run_baseline(bench::baseline_choice::least_requests_priorities);
     if (key.policy == "two_choices")
         return run_baseline(bench::baseline_choice::two_choices);
     settings.variation = bench::find_variation(key.policy).value();
@@ -171,14 +186,14 @@
         for (const double lag : wanted.lags)
             for (const double load : wanted.loads)
                 for (const std::string& policy : wanted.policies)
-                    for (unsigned seed = 1; seed <= wanted.seeds; ++seed)
+                    for (unsigned seed = 0; seed < wanted.seeds; ++seed)
                         runs.push_back(
                             {.key =
                                  {.workload = workload,
                                   .policy = policy,
                                   .load = load,
                                   .lag_s = lag,
-                                  .seed = seed},
+                                  .seed = wanted.first_seed + seed},
                              .measured = {}});
     return runs;
 }
@@ -192,6 +207,8 @@
                                            ? bench::krajevnik()
                                            : bench::predavka();
             workload.entry_hosts = wanted.hosts;
+            if (wanted.waiting_limit > 0)
+                workload.engine.waiting_limit = wanted.waiting_limit;
             runs[index].measured = run_one(workload, runs[index].key);
         }
     };
@@ -211,9 +228,9 @@
         return usage_error;
     }
     for (const std::string& policy : wanted.policies) {
-        const bool is_baseline = policy == "round_robin" ||
-                                 policy == "least_requests" ||
-                                 policy == "two_choices";
+        const bool is_baseline =
+            policy == "round_robin" || policy == "least_requests" ||
+            policy == "two_choices" || policy == "least_requests_priorities";
         if (!is_baseline && !bench::find_variation(policy)) {
             std::cerr << "unknown policy " << policy << '\n';
             print_usage(std::cerr);
