--- a/libraries/telemetry/include/godwit/telemetry/labels.hpp
+++ b/libraries/telemetry/include/godwit/telemetry/labels.hpp
@@ -3,7 +3,6 @@
 #include <godwit/core/identifiers.hpp>
 #include <godwit/core/outcome.hpp>
 
-#include <compare>
 #include <optional>
 
 namespace godwit::telemetry {
@@ -17,7 +16,6 @@
     std::optional<core::outcome> outcome = std::nullopt;
 
     friend bool operator==(const labels&, const labels&) = default;
-    friend auto operator<=>(const labels&, const labels&) = default;
 };
 
 } // namespace godwit::telemetry
--- a/libraries/telemetry/include/godwit/telemetry/metrics.hpp
+++ b/libraries/telemetry/include/godwit/telemetry/metrics.hpp
@@ -50,13 +50,18 @@
     static constexpr std::size_t default_max_label_sets = 256;
 
 private:
+    struct by_name
+    {
+        bool operator()(const labels& left, const labels& right) const;
+    };
+
     explicit metrics(std::size_t max_label_sets);
 
     [[nodiscard]] prometheus::Labels admitted(const labels& by);
 
     std::size_t max_label_sets_;
     std::mutex mutex_;
-    std::set<labels> label_sets_;
+    std::set<labels, by_name> label_sets_;
     prometheus::Registry registry_;
 };
 
--- a/libraries/telemetry/src/metrics.cpp
+++ b/libraries/telemetry/src/metrics.cpp
@@ -3,6 +3,8 @@
 #include <prometheus/family.h>
 #include <prometheus/text_serializer.h>
 
+#include <tuple>
+
 namespace godwit::telemetry {
 
 namespace {
@@ -36,6 +38,12 @@
 
 } // namespace
 
+bool metrics::by_name::operator()(const labels& left, const labels& right) const
+{
+    return std::tie(left.service, left.request_class) <
+           std::tie(right.service, right.request_class);
+}
+
 metrics::metrics(std::size_t max_label_sets) : max_label_sets_(max_label_sets)
 {}
 
--- a/services/proxy/backend_settings.hpp
+++ b/services/proxy/backend_settings.hpp
@@ -15,6 +15,9 @@
     std::size_t subset = 24;
     /// Between two `GET /load` of one server.
     core::duration load_poll = std::chrono::milliseconds(250);
+    /// Questions for load a second, all servers together: with many servers
+    /// each is asked less often.
+    std::size_t polls_per_second = 40;
     /// How long an answer to it is waited for.
     core::duration load_timeout = std::chrono::milliseconds(1000);
     /// The largest whole answer of a plain service, in bytes.
--- a/services/proxy/claim_client.cpp
+++ b/services/proxy/claim_client.cpp
@@ -24,6 +24,12 @@
     return answer;
 }
 
+wire::claim_release
+release_of(const claims::claim_key& key, claims::claim_position position)
+{
+    return {key.to_string(), position.offset, position.index};
+}
+
 } // namespace
 
 claim_client::claim_client(
@@ -81,7 +87,7 @@
         const auto begun = answers_.begin(
             ask.key, ask.request, {answer.offset, answer.index}, ask.run);
         if (!begun) {
-            send_or_keep(wire::claim_release{ask.key.to_string(), self_});
+            send_or_keep(release_of(ask.key, {answer.offset, answer.index}));
             answer = unavailable();
         }
     }
@@ -96,22 +102,28 @@
         ask.on_answer(unavailable());
 }
 
-void claim_client::release(const claims::claim_key& key)
+void claim_client::release(const claimed_run& claim)
 {
-    asio::post(control_, [this, key] {
-        answers_.abandon(key);
-        send_or_keep(wire::claim_release{key.to_string(), self_});
+    asio::post(control_, [this, claim] {
+        answers_.abandon(claim.key);
+        send_or_keep(release_of(claim.key, claim.position));
     });
 }
 
 void claim_client::finished(
-    const claims::claim_key& key,
+    const claimed_run& claim,
     core::outcome outcome,
     std::uint64_t answer_digest)
 {
-    asio::post(control_, [this, key, outcome, answer_digest] {
+    asio::post(control_, [this, claim, outcome, answer_digest] {
         send_or_keep(wire::claim_finished{
-            key.to_string(), self_, outcome, answer_digest});
+            claim.key.to_string(),
+            claim.position.offset,
+            claim.position.index,
+            claim.request.to_string(),
+            claim.holder,
+            outcome,
+            answer_digest});
     });
 }
 
@@ -128,7 +140,7 @@
         // Runs begin on this thread, so nothing can begin in between.
         const auto known = answers_.find(key, request, position);
         if (!is_asked && std::holds_alternative<claims::run_not_started>(known))
-            send_or_keep(wire::claim_release{key.to_string(), self_});
+            send_or_keep(release_of(key, position));
     });
 }
 
--- a/services/proxy/claim_client.hpp
+++ b/services/proxy/claim_client.hpp
@@ -2,6 +2,7 @@
 
 #include "agent_link.hpp"
 #include "answer_store.hpp"
+#include "claimed_run.hpp"
 
 #include <godwit/claims/claim_key.hpp>
 #include <godwit/claims/request_fingerprint.hpp>
@@ -46,11 +47,11 @@
         listener on_answer);
 
     /// The request did not and will not run here.
-    void release(const claims::claim_key& key);
+    void release(const claimed_run& claim);
 
     /// The run under a won claim ended.
     void finished(
-        const claims::claim_key& key,
+        const claimed_run& claim,
         core::outcome outcome,
         std::uint64_t answer_digest);
 
--- a/services/proxy/control_plane.cpp
+++ b/services/proxy/control_plane.cpp
@@ -109,8 +109,7 @@
       poller_(
           traffic,
           control.get_executor(),
-          settings.backend.load_poll,
-          settings.backend.load_timeout,
+          settings.backend,
           seed,
           [this](const auto& server, const auto& answer) {
               on_load(server, answer);
--- a/services/proxy/load_poller.cpp
+++ b/services/proxy/load_poller.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/strand.hpp>
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 namespace godwit::proxy {
@@ -44,12 +45,11 @@
 load_poller::load_poller(
     asio::io_context& traffic,
     asio::any_io_executor control,
-    core::duration interval,
-    core::duration timeout,
+    const backend_settings& settings,
     std::uint64_t seed,
     listener on_answer)
-    : control_(std::move(control)), interval_(interval), timeout_(timeout),
-      random_(seed), on_answer_(std::move(on_answer)),
+    : control_(std::move(control)), settings_(settings), random_(seed),
+      on_answer_(std::move(on_answer)),
       connections_(http::connection_pool::create(
           asio::make_strand(traffic), http::connection_pool_limits{})),
       self_(std::make_shared<load_poller*>(this))
@@ -79,15 +79,26 @@
     });
 }
 
+// What the questions cost in all is bounded, whatever the number of servers.
+core::duration load_poller::interval() const
+{
+    const auto in_all =
+        core::duration(std::chrono::seconds(1)) *
+        static_cast<core::duration::rep>(beats_.size()) /
+        static_cast<core::duration::rep>(settings_.polls_per_second);
+    return std::max(settings_.load_poll, in_all);
+}
+
 void load_poller::tick(core::time_point now)
 {
+    const auto span = interval();
     for (auto& [server, next] : beats_) {
         if (next.due > now)
             continue;
         // Between half and one and a half of the interval, so that the
         // entry hosts do not fall into step.
-        const auto spread = static_cast<std::uint64_t>(interval_.count());
-        next.due = now + interval_ / 2 +
+        const auto spread = static_cast<std::uint64_t>(span.count());
+        next.due = now + span / 2 +
                    core::duration(
                        static_cast<core::duration::rep>(random_.below(spread)));
         ask(server);
@@ -120,7 +131,7 @@
         connections_->executor(),
         [connections = connections_,
          address = *address,
-         timeout = timeout_,
+         timeout = settings_.load_timeout,
          tell = std::move(tell)]() -> asio::awaitable<void> {
             tell(co_await fetch_load(*connections, address, timeout));
         },
--- a/services/proxy/load_poller.hpp
+++ b/services/proxy/load_poller.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "backend_settings.hpp"
 #include "load_report.hpp"
 
 #include <godwit/core/identifiers.hpp>
@@ -31,8 +32,7 @@
     load_poller(
         boost::asio::io_context& traffic,
         boost::asio::any_io_executor control,
-        core::duration interval,
-        core::duration timeout,
+        const backend_settings& settings,
         std::uint64_t seed,
         listener on_answer);
 
@@ -59,9 +59,10 @@
         bool is_heard = false;
     };
 
+    [[nodiscard]] core::duration interval() const;
+
     boost::asio::any_io_executor control_;
-    core::duration interval_;
-    core::duration timeout_;
+    backend_settings settings_;
     core::random random_;
     listener on_answer_;
     std::map<core::server_address, beat> beats_;
--- a/services/proxy/poll_subset.cpp
+++ b/services/proxy/poll_subset.cpp
@@ -4,8 +4,8 @@
 
 #include <algorithm>
 #include <cstdint>
-#include <functional>
 #include <map>
+#include <tuple>
 
 namespace godwit::proxy {
 
@@ -16,13 +16,14 @@
     bool is_own_zone = false;
     std::uint64_t weight = 0;
     core::server_address address;
-
-    friend bool
-    operator==(const ranked_server&, const ranked_server&) = default;
-    friend auto
-    operator<=>(const ranked_server&, const ranked_server&) = default;
 };
 
+bool goes_before(const ranked_server& left, const ranked_server& right)
+{
+    return std::tie(left.is_own_zone, left.weight, left.address) >
+           std::tie(right.is_own_zone, right.weight, right.address);
+}
+
 } // namespace
 
 std::set<core::server_address> poll_subset(
@@ -42,7 +43,7 @@
     }
     std::set<core::server_address> chosen;
     for (auto& [service, servers] : by_service) {
-        std::sort(servers.begin(), servers.end(), std::greater<>());
+        std::sort(servers.begin(), servers.end(), goes_before);
         if (servers.size() > limit)
             servers.resize(limit);
         for (const auto& server : servers)
--- a/services/proxy/proxy_settings.cpp
+++ b/services/proxy/proxy_settings.cpp
@@ -57,9 +57,9 @@
     auto from = GODWIT_TRY(file.get_object("http"));
     http::server_limits limits;
     limits.header_bytes = GODWIT_TRY(read_count(
-        from, "header_bytes", {1024, 1024 * 1024}, limits.header_bytes));
+        from, "header_bytes", {1024, 1024L * 1024}, limits.header_bytes));
     limits.body_bytes = GODWIT_TRY(read_count(
-        from, "body_bytes", {1024, 64 * 1024 * 1024}, limits.body_bytes));
+        from, "body_bytes", {1024, 64L * 1024 * 1024}, limits.body_bytes));
     limits.connections = GODWIT_TRY(
         read_count(from, "connections", {1, 65536}, limits.connections));
     limits.header_timeout = GODWIT_TRY(
@@ -68,7 +68,7 @@
         read_span(from, "body_ms", {10ms, 10min}, limits.body_timeout));
     limits.idle_timeout =
         GODWIT_TRY(read_span(from, "idle_ms", {10ms, 1h}, limits.idle_timeout));
-    return from.finish(std::move(limits));
+    return from.finish(limits);
 }
 
 core::result<caller_settings> read_callers(reader& file)
@@ -78,10 +78,10 @@
     callers.in_flight = GODWIT_TRY(
         read_count(from, "in_flight", {1, 1000000}, callers.in_flight));
     callers.buffer_bytes = GODWIT_TRY(read_count(
-        from, "buffer_bytes", {1024, 16 * 1024 * 1024}, callers.buffer_bytes));
+        from, "buffer_bytes", {1024, 16L * 1024 * 1024}, callers.buffer_bytes));
     callers.slow_limit = GODWIT_TRY(
         read_span(from, "slow_ms", {10ms, 10min}, callers.slow_limit));
-    return from.finish(std::move(callers));
+    return from.finish(callers);
 }
 
 core::result<backend_settings> read_backend(reader& file)
@@ -92,11 +92,16 @@
         GODWIT_TRY(read_count(from, "subset", {1, 1024}, backend.subset));
     backend.load_poll = GODWIT_TRY(
         read_span(from, "load_poll_ms", {10ms, 1min}, backend.load_poll));
+    backend.polls_per_second = GODWIT_TRY(read_count(
+        from, "polls_per_second", {1, 100000}, backend.polls_per_second));
     backend.load_timeout = GODWIT_TRY(
         read_span(from, "load_timeout_ms", {10ms, 1min}, backend.load_timeout));
     backend.answer_bytes = GODWIT_TRY(read_count(
-        from, "answer_bytes", {1024, 256 * 1024 * 1024}, backend.answer_bytes));
-    return from.finish(std::move(backend));
+        from,
+        "answer_bytes",
+        {1024, 256L * 1024 * 1024},
+        backend.answer_bytes));
+    return from.finish(backend);
 }
 
 core::result<request::life_settings> read_life(reader& file)
@@ -129,7 +134,7 @@
         GODWIT_TRY(read_count(from, "attempts", {1, 10}, life.attempt_limit)));
     life.resume_limit = static_cast<std::uint32_t>(GODWIT_TRY(
         read_count(from, "resume_tries", {1, 100}, life.resume_limit)));
-    return from.finish(std::move(life));
+    return from.finish(life);
 }
 
 core::result<dispatch::scheduler_settings>
@@ -153,7 +158,7 @@
         read_span(from, "readiness_ms", {0ms, 10min}, drain.readiness));
     drain.limit =
         GODWIT_TRY(read_span(from, "limit_ms", {1ms, 24h}, drain.limit));
-    return from.finish(std::move(drain));
+    return from.finish(drain);
 }
 
 core::result<std::vector<request::token_key>> read_resume_keys(reader& file)
--- a/services/proxy/request_session.cpp
+++ b/services/proxy/request_session.cpp
@@ -47,7 +47,6 @@
 {
     switch (reason) {
     case dispatch::refusal_reason::queue_full:
-        return request::refusal::crowded;
     case dispatch::refusal_reason::deadline:
         return request::refusal::crowded;
     case dispatch::refusal_reason::no_backend_server:
--- a/services/proxy/request_session.hpp
+++ b/services/proxy/request_session.hpp
@@ -199,7 +199,8 @@
 
     /// The claim of a request that may not be repeated, and whose run its
     /// answer comes from where that is another one.
-    std::optional<claims::claim_key> claim_;
+    std::optional<claims::claim_key> claim_key_;
+    std::optional<claimed_run> claim_;
     std::optional<claimed_run> attached_;
 
     std::array<std::optional<boost::asio::steady_timer>, request::timer_count>
--- a/services/proxy/request_session_claim.cpp
+++ b/services/proxy/request_session_claim.cpp
@@ -41,7 +41,7 @@
         handle(request::claim_unavailable{});
         return;
     }
-    claim_ = *key;
+    claim_key_ = *key;
     services_.claims.ask(
         *key,
         request_.fingerprint,
@@ -56,13 +56,19 @@
 void request_session::on_claim_answer(const wire::claim_answer& answer)
 {
     const auto& host = answer.holder.host;
-    if (answer.verdict == wire::claim_verdict::held ||
-        answer.verdict == wire::claim_verdict::finished)
-        attached_ = claimed_run{
-            *claim_,
-            request_.fingerprint,
-            {answer.offset, answer.index},
-            answer.holder};
+    claimed_run run{
+        *claim_key_,
+        request_.fingerprint,
+        {answer.offset, answer.index},
+        answer.holder};
+    if (answer.verdict == wire::claim_verdict::won) {
+        run.holder = services_.claims.self();
+        claim_ = std::move(run);
+    } else if (
+        answer.verdict == wire::claim_verdict::held ||
+        answer.verdict == wire::claim_verdict::finished) {
+        attached_ = std::move(run);
+    }
     switch (answer.verdict) {
     case wire::claim_verdict::won:
         handle(request::claim_won{
@@ -90,8 +96,10 @@
 
 void request_session::on(const request::release_claim&)
 {
+    // A claim that is not settled yet is given back when it is won after all.
     if (claim_)
         services_.claims.release(*claim_);
+    claim_.reset();
 }
 
 claims::kept_answer request_session::answer_to_keep() const
@@ -118,13 +126,14 @@
     if (!claim_)
         return;
     if (what.result != core::outcome::completed) {
-        services_.answers.finish_without_answer(*claim_);
+        services_.answers.finish_without_answer(claim_->key);
         services_.claims.finished(*claim_, what.result, 0);
         return;
     }
     auto answer = answer_to_keep();
     const auto digest = answer.digest();
-    services_.answers.finish(*claim_, std::move(answer), core::monotonic_now());
+    services_.answers.finish(
+        claim_->key, std::move(answer), core::monotonic_now());
     services_.claims.finished(*claim_, what.result, digest);
 }
 
--- a/services/proxy/retry_budgets.cpp
+++ b/services/proxy/retry_budgets.cpp
@@ -5,9 +5,7 @@
 
 namespace godwit::proxy {
 
-shared_budget::shared_budget(request::retry_budget held)
-    : budget(std::move(held))
-{}
+shared_budget::shared_budget(request::retry_budget held) : budget(held) {}
 
 std::shared_ptr<shared_budget> retry_budgets::find_or_add(
     const catalogue::service& service, core::time_point now)
--- a/tests/settings/reader_test.cpp
+++ b/tests/settings/reader_test.cpp
@@ -103,6 +103,7 @@
     static int code_of(std::vector<std::string> words)
     {
         std::vector<char*> arguments;
+        arguments.reserve(words.size() + 1);
         for (auto& word : words)
             arguments.push_back(word.data());
         arguments.push_back(nullptr);
