godwit-load: keys of one run differ from another's

Cause: two runs with one seed on one fleet named their bookings alike. Entry hosts remember keys for longer than a run: a booking of the second run got the first's kept answer, or, where the plan gave it to the other organisation, ran rightly a second time and was reported as run twice.

--- a/utilities/godwit-load/program/load_options.cpp
+++ b/utilities/godwit-load/program/load_options.cpp
@@ -1,6 +1,7 @@
 #include "load_options.hpp"
 
 #include <charconv>
+#include <chrono>
 #include <cmath>
 #include <utility>
 
@@ -59,6 +60,16 @@
     return std::chrono::seconds(seconds);
 }
 
+std::string run_name(const fakes::option_reader& from)
+{
+    std::string name = from.text("run");
+    if (!name.empty())
+        return name;
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::to_string(
+        std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
 } // namespace
 
 fakes::option_reader load_options::describe()
@@ -75,6 +86,7 @@
         {"patience", "N", "60", "seconds to wait for answers after that"},
         {"in-flight", "N", "4096", "requests at one time; more are not sent"},
         {"seed", "N", "1", "of arrivals, classes and prompts"},
+        {"run", "NAME", "", "part of every key; from the clock if left out"},
         {"mix", "krajevnik|predavka", "krajevnik", "the mix of classes"},
         {"reconnect", "", "no", "continue broken streams elsewhere"},
         {"engines", "URL[,URL...]", "", "read their preemptions"},
@@ -108,6 +120,7 @@
     options.plan.requests_per_second = GODWIT_TRY(read_rate(from, "rate"));
     options.plan.span = GODWIT_TRY(read_seconds(from, "seconds"));
     options.plan.seed = GODWIT_TRY(from.number("seed"));
+    options.plan.run = run_name(from);
     options.plan.entries = options.run.callers.size();
     options.plan.tokens = options.run.tokens.size();
     options.engines = GODWIT_TRY(read_urls(from, "engines"));
--- a/utilities/godwit-load/src/plan.cpp
+++ b/utilities/godwit-load/src/plan.cpp
@@ -77,7 +77,7 @@
         break;
     case request_class::booking:
         planned.text = "{\"book\":\"" + unique + "\"}";
-        planned.key = "booking-" + unique;
+        planned.key = "booking-" + settings.run + "-" + unique;
         break;
     }
 }
