--- a/libraries/catalogue/include/godwit/catalogue/catalogue_alarm.hpp
+++ b/libraries/catalogue/include/godwit/catalogue/catalogue_alarm.hpp
@@ -20,8 +20,4 @@
     operator==(const catalogue_alarm&, const catalogue_alarm&) = default;
 };
 
-/// The old name, which clashes with POSIX alarm(2) under using-directives.
-/// FIXME: remove when nothing uses it any more.
-using alarm = catalogue_alarm;
-
 } // namespace godwit::catalogue
