--- a/tests/agent/fleet.cpp
+++ b/tests/agent/fleet.cpp
@@ -75,7 +75,9 @@
 fleet::~fleet()
 {
     agents_.clear();
+    engine_servers_.clear();
     platform_.reset();
+    // What the stand-ins still serve ends before they do.
     context_.restart();
     context_.poll();
 }
@@ -91,6 +93,30 @@
     platform_address_ = platform_->address();
 }
 
+http::endpoint
+fleet::add_engine(const std::string& service, bool checks_fencing)
+{
+    fakes::engine_settings settings;
+    settings.service = service;
+    settings.checks_fencing = checks_fencing;
+    engine_shells_.push_back(std::make_unique<fakes::engine_shell>(
+        context_.get_executor(), settings));
+    engine_servers_.push_back(
+        http::server::create(
+            context_,
+            {http::endpoint::parse("127.0.0.1:0").value(), {}, {}},
+            [shell = engine_shells_.back().get()](http::exchange& current) {
+                return shell->handle(current);
+            })
+            .value());
+    const http::endpoint address = engine_servers_.back()->address();
+    list_host(
+        address.to_string(),
+        R"({"kind":"engine","name":"engine","zone":"vic","service":")" +
+            service + R"(","state":"live"})");
+    return address;
+}
+
 void fleet::stop_platform()
 {
     platform_.reset();
@@ -185,11 +211,16 @@
 }
 
 std::uint64_t fleet::publish()
+{
+    return publish(new_record(published_++));
+}
+
+std::uint64_t fleet::publish(const std::string& record)
 {
     http::request request;
     request.method = "POST";
     request.target = "/v1/streams/catalogue/records";
-    request.body = new_record(published_++);
+    request.body = record;
     const auto answer = exchange(platform_address_, std::move(request));
     CPPUNIT_ASSERT_EQUAL(200U, answer.status);
     constexpr std::string_view head = "{\"offset\":";
@@ -218,10 +249,15 @@
 }
 
 http::response fleet::get(std::size_t index, const std::string& path)
+{
+    return get(at(index).operators_address(), path);
+}
+
+http::response fleet::get(const http::endpoint& server, const std::string& path)
 {
     http::request request;
     request.target = path;
-    return exchange(at(index).operators_address(), std::move(request));
+    return exchange(server, std::move(request));
 }
 
 void fleet::wait_until(const std::function<bool()>& condition)
--- a/tests/agent/fleet.hpp
+++ b/tests/agent/fleet.hpp
@@ -3,6 +3,7 @@
 #include "test_proxy.hpp"
 
 #include "agent.hpp"
+#include "engine_shell.hpp"
 #include "platform_shell.hpp"
 
 #include <godwit/core/time.hpp>
@@ -47,6 +48,10 @@
     /// leads to it.
     std::uint64_t publish();
 
+    /// Appends this record to the catalogue's stream; the offset that leads
+    /// to it.
+    std::uint64_t publish(const std::string& record);
+
     /// Sets switches of the stand-in, as JSON.
     void set_faults(const std::string& json);
 
@@ -57,6 +62,12 @@
     /// Enters a host into the host list.
     void list_host(const std::string& address, const std::string& json);
 
+    /// GET of a path anywhere.
+    http::response get(const http::endpoint& server, const std::string& path);
+
+    /// Starts an engine of this service and enters it into the host list.
+    http::endpoint add_engine(const std::string& service, bool checks_fencing);
+
     /// Runs until `condition` holds; fails the test after a long time.
     void wait_until(const std::function<bool()>& condition);
 
@@ -85,6 +96,8 @@
     std::unique_ptr<fakes::platform_shell> shell_;
     std::unique_ptr<http::server> platform_;
     http::endpoint platform_address_;
+    std::vector<std::unique_ptr<fakes::engine_shell>> engine_shells_;
+    std::vector<std::unique_ptr<http::server>> engine_servers_;
     std::vector<agent_settings> settings_;
     std::vector<std::unique_ptr<agent>> agents_;
     std::uint64_t published_ = 0;
