--- /dev/null
+++ b/meta/capacity_sweeps/__init__.py
@@ -0,0 +1,1 @@
+"""The sweeps behind docs/CAPACITY.md; `meta/capacity` runs them."""
