--- a/meta/capacity_sweeps/agent_sweeps.py
+++ b/meta/capacity_sweeps/agent_sweeps.py
@@ -14,6 +14,7 @@
 SETTLE_SECONDS = 3
 AGENTS = 6
 CHANGE_SECONDS = 10
+CHECKPOINT_SECONDS = 120
 
 
 def measure_organisations(programs):
@@ -80,26 +81,60 @@
                     "hosts listed", unit).add(size, value)
 
 
+def start_agents(fleet, count, organisations):
+    """Agents that have the catalogue and one checkpoint of it."""
+    offset = fleet.publish_catalogue(organisations)
+    for index in range(count):
+        fleet.start_agent(index)
+    for agent in fleet.agents:
+        fleet.wait_in_force(agent, offset)
+        _wait_checkpoint(agent)
+    time.sleep(SETTLE_SECONDS)
+
+
+def _wait_checkpoint(agent):
+    """Until the first checkpoint, of a megabyte, was written and read."""
+    deadline = time.monotonic() + CHECKPOINT_SECONDS
+    while time.monotonic() < deadline:
+        state = fleets.read_state(agent.address("agent"))
+        if state["catalogue"]["newest_checkpoint"]:
+            return
+        time.sleep(0.2)
+    raise SystemExit(f"no checkpoint within {CHECKPOINT_SECONDS} s; read "
+                     f"{agent.address('agent')}/state")
+
+
 def measure_changes(programs):
-    """Six agents with 3,100 organisations against changes a second, and the
-    time from the append to in force on each."""
+    """Five agents and an agent with its proxy, 3,100 organisations, against
+    changes a second; the time from the append to in force on each."""
     sweep = Sweep("changes")
     with fleets.bench_fleet(programs) as fleet:
-        offset = fleet.publish_catalogue(3100)
-        for index in range(AGENTS):
-            fleet.start_agent(index)
-        for agent in fleet.agents:
-            fleet.wait_in_force(agent, offset)
-        time.sleep(SETTLE_SECONDS)
-        for rate in (0, 1, 4, 13):
+        fleet.start_engines(1)
+        fleet.publish_catalogue(0)
+        fleet.start_entry_host(AGENTS)
+        start_agents(fleet, AGENTS - 1, 3100)
+        for rate in (0, 1, 2, 4, 8, 13):
             for _ in range(RUNS):
                 _change_window(sweep, rate, fleet)
     sweep.save()
 
 
-def _change_window(sweep, rate, fleet):
+def measure_agents(programs):
+    """Agents of a fleet, 100 organisations and one change a second, against
+    their number."""
+    sweep = Sweep("agents")
+    for size in (2, 6, 12, 24, 48):
+        with fleets.bench_fleet(programs) as fleet:
+            start_agents(fleet, size, 100)
+            for _ in range(RUNS):
+                _change_window(sweep, 1, fleet, size)
+    sweep.save()
+
+
+def _change_window(sweep, rate, fleet, size=None):
     traffic = [ByteWindow(agent.pid) for agent in fleet.agents]
     windows = [ProcessorWindow(agent.pid) for agent in fleet.agents]
+    proxies = [ProcessorWindow(proxy.pid) for proxy in fleet.proxies]
     begin = time.monotonic()
     changes = []
     for number in range(rate * CHANGE_SECONDS):
@@ -112,21 +147,24 @@
     took = time.monotonic() - begin
     bytes_moved = [window.bytes() for window in traffic]
     values = [
-        ("agent_change_percent", "% of a core", statistics.fmean(percents)),
-        ("agent_change_mb", "MB", statistics.fmean(
+        ("percent", "agent", "% of a core", statistics.fmean(percents)),
+        ("mb", "agent", "MB", statistics.fmean(
             resident_mb(agent.pid) for agent in fleet.agents)),
-        ("agent_change_sent", "B/s", statistics.fmean(
+        ("sent", "agent", "B/s", statistics.fmean(
             sent for sent, _ in bytes_moved) / took),
-        ("agent_change_received", "B/s", statistics.fmean(
+        ("received", "agent", "B/s", statistics.fmean(
             received for _, received in bytes_moved) / took)]
+    values += [("proxy_percent", "proxy", "% of a core", window.percent())
+               for window in proxies]
     delays = _delays(fleet, changes)
     if delays:
-        values.append(("agent_in_force_ms", "ms", 1000 * max(delays)))
-    for name, unit, value in values:
-        title = ("agent: append to in force on all 6, longest"
-                 if name == "agent_in_force_ms"
-                 else "agent: changes, 3,100 organisations, 6 agents")
-        sweep.slope(name, title, "changes/s", unit).add(rate, value)
+        values.append(("in_force_ms", "append to in force on all, longest",
+                       "ms", 1000 * max(delays)))
+    kind, x_unit = (("change", "changes/s") if size is None
+                    else ("fleet", "agents"))
+    for name, title, unit, value in values:
+        sweep.slope(f"{kind}_{name}", f"{title}: {x_unit}", x_unit,
+                    unit).add(rate if size is None else size, value)
 
 
 def _delays(fleet, changes):
--- /dev/null
+++ b/meta/capacity_sweeps/limits.py
@@ -0,0 +1,123 @@
+"""The table of limits: predicted, mechanism, what breaks first."""
+from .predictions import LOAD_POLLS_A_SECOND, BACKEND_SUBSET
+from .text import markdown, shown, with_unit
+
+HEADINGS = ("limit", "predicted at the size", "the mechanism that carries it",
+            "breaks first", "reaches")
+
+
+def table(predictions):
+    return markdown(HEADINGS, [row(predictions) for row in ROWS])
+
+
+def _sum(predictions, servers, field):
+    values = [getattr(cost, field)
+              for _, cost in predictions.control(servers)]
+    return sum(value or 0.0 for value in values)
+
+
+def _verdict(predictions, value, bound):
+    """No is certain as soon as a part alone is above the bound."""
+    if value > bound:
+        return "**no**"
+    return "yes" if predictions.has_whole_budget else "not all measured"
+
+
+def processor(p):
+    value = _sum(p, p.servers_polled, "percent")
+    subset = _sum(p, BACKEND_SUBSET, "percent")
+    return ("2.1% of a core for control", f"{shown(value)}%; "
+            f"{shown(subset)}% if 24 servers in all were polled",
+            "no all-to-all, no work for idle organisations; constant digests",
+            "load polls (the bound of 24 is for each of 30 services), then "
+            "the folding of every claim on every node",
+            _verdict(p, value, p.size.core_percent))
+
+
+def memory(p):
+    value = _sum(p, p.servers_polled, "megabytes")
+    return ("128 MB for control", f"{shown(value)} MB, agent and idle proxy; "
+            f"streams take "
+            f"{with_unit(p.part('proxy_stream_mb', p.size.streams_a_node), 'MB')}"
+            " beside it",
+            "one shared catalogue a process, bounded rings and tables",
+            f"the ledger of claims: at its bound of 200,000 it is in the sum; "
+            f"an hour of 10% of all requests is "
+            f"{p.claims_remembered / 1e6:.1f} million keys, "
+            f"{with_unit(p.claims_megabytes(p.claims_remembered), 'MB')}, and "
+            "beyond the bound claims are refused",
+            _verdict(p, value, p.size.memory_mb)
+            + ", by refusing claims beyond the bound")
+
+
+def traffic(p):
+    value = _sum(p, p.servers_polled, "bytes_a_second")
+    return ("2 KB/s for control", f"{shown(value)} B/s: load polls "
+            f"{with_unit(p.poll_bytes(p.servers_polled), 'B/s')}, claims "
+            f"{with_unit(p.claims_bytes(), 'B/s')}, host list "
+            f"{with_unit(p.host_list_bytes(), 'B/s')}, the rest "
+            f"{with_unit(p.resting_bytes(), 'B/s')}",
+            "digests of constant size to 4 neighbours carry only the rest",
+            f"load polls: one server polled {LOAD_POLLS_A_SECOND} times a "
+            f"second takes {with_unit(p.poll_bytes(1), 'B/s')}, so 24 take "
+            f"{with_unit(p.poll_bytes(BACKEND_SUBSET), 'B/s')}",
+            _verdict(p, value, p.size.bytes_a_second))
+
+
+def appends(p):
+    at_sweep_end = p.slopes.get("appends_zone")
+    found = "not measured" if at_sweep_end is None else (
+        "rises to the share of claims (150 a second) and stays there; "
+        "waits grow instead, see the appends rows")
+    return ("several hundred appends a second (300 taken here)",
+            f"claims: {found}. Changes {shown(p.size.mean_changes_a_second)} "
+            "a second, checkpoints and leases a few",
+            "claims gathered by one writer a zone and key range, half of the "
+            "log's rate kept for others",
+            "the wait for a claim, as batches grow; above 64 KiB a record "
+            "or 1,024 entries a batch is cut",
+            "the rate yes (virtual time, 6 hosts); at 410 hosts not measured")
+
+
+def in_force(p):
+    return ("4 s in force everywhere",
+            f"{with_unit(p.at('fleet_in_force_ms', p.size.nodes), 'ms')} at "
+            "410 agents (line through 2 to 48, longest of all agents), "
+            f"{with_unit(p.at('change_in_force_ms', p.size.burst_changes_a_second), 'ms')}"
+            " in the burst on 6",
+            "every agent's long poll at the log; peers by digest within 1.3 s "
+            "where the log does not answer",
+            "the platform: 410 long polls answered for each change; a zone "
+            "cut off learns by hops of a digest each",
+            "yes on one machine, without network delay; zone cuts not "
+            "measured here")
+
+
+def first_token(p):
+    return ("0.44 s to the first token, 95 in 100",
+            f"the proxy adds "
+            f"{with_unit(p.at('proxy_first_ms', p.size.requests_a_node), 'ms')}"
+            " when nothing is queued",
+            "direct connection, one dispatch decision, no hop to another "
+            "entry host",
+            "queueing for engines, which depends on them and is not in this "
+            "page; see the dispatch bench", "the proxy's part yes")
+
+
+def token_gap(p):
+    return ("64 ms between tokens, 95 in 100",
+            f"the proxy adds "
+            f"{with_unit(p.at('proxy_gap_ms', p.size.requests_a_node), 'ms')}"
+            f"; its processor {with_unit(p.traffic_percent(), '% of a core')}",
+            "each token forwarded as it comes, two traffic threads",
+            "processor time a token: two cores' worth of traffic threads "
+            f"hold {_tokens_of_two_cores(p)} tokens a second",
+            "the proxy's part yes")
+
+
+def _tokens_of_two_cores(p):
+    each = p.part("proxy_token_percent", 1)
+    return "not measured" if each is None else f"{200 / each:,.0f}"
+
+
+ROWS = (processor, memory, traffic, appends, in_force, first_token, token_gap)
--- /dev/null
+++ b/meta/capacity_sweeps/predictions.py
@@ -0,0 +1,163 @@
+"""What the slopes come to at the size to work towards."""
+import dataclasses
+
+from .size import Size
+from .sweep import saved_facts, saved_slopes
+
+# Settings of today on which the figures depend.
+BACKEND_SUBSET = 24
+LOAD_POLLS_A_SECOND = 4
+CLAIM_SHARE = 0.1         # of requests; godwit-load's mix krajevnik
+CLAIM_RETENTION_SECONDS = 3600
+CLAIM_LEDGER_LIMIT = 200_000
+CHECKPOINT_SECONDS = 6 * 3600
+MICROSECONDS_IN_PERCENT = 1e4
+BUDGET_SLOPES = (
+    "agent_organisation_percent", "agent_host_percent", "change_percent",
+    "claims_fold_us", "claims_memory_bytes", "claims_record_bytes",
+    "checkpoint_bytes", "proxy_organisation_percent", "proxy_server_percent")
+
+
+@dataclasses.dataclass(frozen=True)
+class Cost:
+    """What one duty costs a node; None where it was not measured."""
+
+    percent: float | None = None
+    megabytes: float | None = None
+    bytes_a_second: float | None = None
+
+
+class Predictions:
+    """Figures at `size`, each None when a slope it needs is not on file."""
+
+    def __init__(self, size=Size()):
+        self.size = size
+        self.slopes = {name: found[0].line()
+                       for name, found in saved_slopes().items()}
+        self.facts = saved_facts()
+
+    @property
+    def has_whole_budget(self):
+        """Whether every slope behind a node's control budget is on file."""
+        return all(name in self.slopes for name in BUDGET_SLOPES)
+
+    def at(self, name, x):
+        line = self.slopes.get(name)
+        return None if line is None else line.at(x)
+
+    def part(self, name, x):
+        """The slope's part alone, without the intercept."""
+        line = self.slopes.get(name)
+        return None if line is None else line.slope * x
+
+    def base(self, name):
+        line = self.slopes.get(name)
+        return None if line is None else line.intercept
+
+    @property
+    def servers_polled(self):
+        """The bound of polled servers is for each service, and there are
+        fewer replicas of a model than it allows: every one is polled."""
+        return self.size.models * min(BACKEND_SUBSET,
+                                      self.size.replicas_a_model)
+
+    @property
+    def claims_a_second(self):
+        return CLAIM_SHARE * self.size.requests
+
+    @property
+    def claim_bytes(self):
+        """Of a claim on the log; the end of a run takes about as much."""
+        return self.part("claims_record_bytes", 1)
+
+    def poll_bytes(self, servers):
+        sent = self.part("proxy_server_sent", servers)
+        received = self.part("proxy_server_received", servers)
+        return None if sent is None else sent + received
+
+    def host_list_bytes(self):
+        return self.part("agent_host_received", self.size.hosts_listed)
+
+    def changes(self, rate):
+        """Bytes of following changes, all routes."""
+        return total(self.part("change_sent", rate),
+                     self.part("change_received", rate))
+
+    def resting_bytes(self):
+        """Long polls, digests and their answers, nothing changing."""
+        return total(self.base("change_sent"), self.base("change_received"))
+
+    def peer_bytes(self):
+        line = self.slopes.get("fleet_sent")
+        return None if line is None else line.at(self.size.nodes)
+
+    def checkpoint_bytes(self):
+        written = self.at("checkpoint_bytes", self.size.organisations)
+        return None if written is None else written / CHECKPOINT_SECONDS
+
+    def claims_bytes(self):
+        """Every agent reads the whole claims stream: claim and end."""
+        each = self.claim_bytes
+        return None if each is None else 2 * each * self.claims_a_second
+
+    def claims_percent(self):
+        each = self.part("claims_fold_us", 1)
+        if each is None:
+            return None
+        return 2 * each * self.claims_a_second / MICROSECONDS_IN_PERCENT
+
+    def claims_megabytes(self, remembered):
+        each = self.part("claims_memory_bytes", remembered)
+        return None if each is None else each / 1e6
+
+    @property
+    def claims_remembered(self):
+        return self.claims_a_second * CLAIM_RETENTION_SECONDS
+
+    def traffic_percent(self):
+        """Requests and tokens of one proxy at the peak. Each request of the
+        sweep carried four tokens, which are not counted twice."""
+        token = self.part("proxy_token_percent", 1)
+        request = self.part("proxy_request_percent", 1)
+        if token is None or request is None:
+            return None
+        return (request * self.size.requests_a_node
+                + token * (self.size.tokens_a_node
+                           - 4 * self.size.requests_a_node))
+
+    def control(self, servers):
+        """(duty, cost) rows of one node's control budget."""
+        size = self.size
+        return [
+            ("agent: standing still with the catalogue",
+             Cost(self.at("agent_organisation_percent", size.organisations),
+                  self.at("agent_organisation_mb", size.organisations),
+                  self.resting_bytes())),
+            ("agent: host list, 1,100 entries every second",
+             Cost(self.part("agent_host_percent", size.hosts_listed),
+                  self.part("agent_host_mb", size.hosts_listed),
+                  self.host_list_bytes())),
+            ("agent: changes, mean of a day",
+             Cost(self.part("change_percent", size.mean_changes_a_second),
+                  None, self.changes(size.mean_changes_a_second))),
+            ("agent: checkpoints, four a day",
+             Cost(None, None, self.checkpoint_bytes())),
+            ("agent: claims, every record read (10% of requests)",
+             Cost(self.claims_percent(),
+                  self.claims_megabytes(CLAIM_LEDGER_LIMIT),
+                  self.claims_bytes())),
+            ("proxy: standing still with the catalogue",
+             Cost(self.at("proxy_organisation_percent", size.organisations),
+                  self.at("proxy_organisation_mb", size.organisations),
+                  0.0)),
+            (f"proxy: load of {servers:.0f} servers, 4 polls a second",
+             Cost(self.part("proxy_server_percent", servers),
+                  self.part("proxy_server_mb", servers),
+                  self.poll_bytes(servers))),
+        ]
+
+
+def total(*values):
+    """Sum of what is known; None when nothing is."""
+    known = [value for value in values if value is not None]
+    return sum(known) if known else None
--- /dev/null
+++ b/meta/capacity_sweeps/tables.py
@@ -0,0 +1,73 @@
+"""The tables of docs/CAPACITY.md, as Markdown."""
+from . import limits, roles, ways
+from .predictions import Cost, Predictions
+from .sweep import saved_slopes
+from .text import markdown, shown
+
+HEADINGS = ("percent", "megabytes", "bytes_a_second")
+
+
+def demands_table(predictions):
+    return markdown(("what", "at the size", "from"),
+                    predictions.size.demands())
+
+
+def slopes_table(_):
+    rows = []
+    for slope, command, _content in saved_slopes().values():
+        line = slope.line()
+        sizes = sorted(slope.by_size())
+        rows.append((
+            slope.title, f"{shown(sizes[0])} to {shown(sizes[-1])}",
+            slope.x_unit, f"{shown(line.intercept)} {slope.y_unit}",
+            f"{shown(line.slope)} ± {shown(line.slope_error)}",
+            shown(line.residual), shown(line.spread),
+            f"{line.sizes} / {line.runs}", f"`{command}`"))
+    return markdown(("quantity", "sizes", "against", "at zero",
+                     "slope ± its standard error", "residual",
+                     "spread of runs", "sizes / runs", "command"), rows)
+
+
+def runs_table(_):
+    """When and on how busy a machine each sweep ran."""
+    seen = {}
+    for _, command, content in saved_slopes().values():
+        seen[command] = (f"`{command}`", content["date"],
+                         content["cores"], content["load_average_before"],
+                         content["load_average_after"])
+    return markdown(("command", "ended", "cores", "load before",
+                     "load after"), seen.values())
+
+
+def control_table(predictions, servers):
+    rows = []
+    sums = {heading: 0.0 for heading in HEADINGS}
+    for duty, cost in predictions.control(servers):
+        for heading in HEADINGS:
+            sums[heading] += getattr(cost, heading) or 0.0
+        rows.append((duty, *_cells(cost)))
+    size = predictions.size
+    rows.append(("**sum**", *_cells(Cost(**sums))))
+    rows.append(("**limit**", *_cells(Cost(
+        size.core_percent, size.memory_mb, size.bytes_a_second))))
+    return markdown(("duty", "% of a core", "MB", "B/s"), rows)
+
+
+def _cells(cost):
+    return tuple("–" if getattr(cost, heading) is None
+                 else shown(getattr(cost, heading)) for heading in HEADINGS)
+
+
+def all_tables():
+    """Each block's name and text."""
+    predictions = Predictions()
+    return {
+        "demands": demands_table(predictions),
+        "slopes": slopes_table(predictions),
+        "runs": runs_table(predictions),
+        "control-today": control_table(predictions,
+                                       predictions.servers_polled),
+        "roles": roles.table(predictions),
+        "limits": limits.table(predictions),
+        "ways": ways.table(predictions),
+    }
