--- a/meta/capacity_sweeps/predictions.py
+++ b/meta/capacity_sweeps/predictions.py
@@ -12,10 +12,10 @@
 CLAIM_RETENTION_SECONDS = 3600
 CLAIM_LEDGER_LIMIT = 200_000
 CHECKPOINT_SECONDS = 6 * 3600
-MICROSECONDS_IN_PERCENT = 1e4
+MICROSECONDS_IN_PERCENT = 1e4   # of one core, a second
 BUDGET_SLOPES = (
     "agent_organisation_percent", "agent_host_percent", "change_percent",
-    "claims_fold_us", "claims_memory_bytes", "claims_record_bytes",
+    "agent_claims_percent", "claims_memory_bytes",
     "checkpoint_bytes", "proxy_organisation_percent", "proxy_server_percent")
 
 
@@ -66,11 +66,6 @@
     def claims_a_second(self):
         return CLAIM_SHARE * self.size.requests
 
-    @property
-    def claim_bytes(self):
-        """Of a claim on the log; the end of a run takes about as much."""
-        return self.part("claims_record_bytes", 1)
-
     def poll_bytes(self, servers):
         sent = self.part("proxy_server_sent", servers)
         received = self.part("proxy_server_received", servers)
@@ -103,15 +98,14 @@
         return None if written is None else written / CHECKPOINT_SECONDS
 
     def claims_bytes(self):
-        """Every agent reads the whole claims stream: claim and end."""
-        each = self.claim_bytes
-        return None if each is None else 2 * each * self.claims_a_second
+        """Every agent reads the whole stream: each claim, and the end of
+        its run, an entry of about the same size."""
+        claims = self.part("agent_claims_received", self.claims_a_second)
+        return None if claims is None else 2 * claims
 
     def claims_percent(self):
-        each = self.part("claims_fold_us", 1)
-        if each is None:
-            return None
-        return 2 * each * self.claims_a_second / MICROSECONDS_IN_PERCENT
+        claims = self.part("agent_claims_percent", self.claims_a_second)
+        return None if claims is None else 2 * claims
 
     def claims_megabytes(self, remembered):
         each = self.part("claims_memory_bytes", remembered)
