--- a/meta/capacity_sweeps/tables.py
+++ b/meta/capacity_sweeps/tables.py
@@ -4,6 +4,7 @@
 from .sweep import saved_slopes
 from .text import markdown, shown
 
+APPENDS_COMMAND = "meta/capacity appends"
 HEADINGS = ("percent", "megabytes", "bytes_a_second")
 
 
@@ -15,6 +16,8 @@
 def slopes_table(_):
     rows = []
     for slope, command, _content in saved_slopes().values():
+        if command == APPENDS_COMMAND:
+            continue
         line = slope.line()
         sizes = sorted(slope.by_size())
         rows.append((
@@ -28,6 +31,21 @@
                      "spread of runs", "sizes / runs", "command"), rows)
 
 
+def appends_table(_):
+    """These level off at the share of the log, so no line is drawn."""
+    found = saved_slopes()
+    if "appends_zone" not in found:
+        return "not measured"
+    columns = [{point.size: point.y for point in found[name][0].points}
+               for name in ("appends_zone", "claim_p99_zone",
+                            "appends_host", "claim_p99_host")]
+    rows = [(shown(rate), *(shown(column[rate]) for column in columns))
+            for rate in sorted(columns[0])]
+    return markdown(("claims a second", "appends/s, one writer a zone",
+                     "99 in 100 wait, ms", "appends/s, every host writes",
+                     "99 in 100 wait, ms"), rows)
+
+
 def runs_table(_):
     """When and on how busy a machine each sweep ran."""
     seen = {}
@@ -64,6 +82,7 @@
     return {
         "demands": demands_table(predictions),
         "slopes": slopes_table(predictions),
+        "appends": appends_table(predictions),
         "runs": runs_table(predictions),
         "control-today": control_table(predictions,
                                        predictions.servers_polled),
