--- a/services/proxy/claim_client.hpp
+++ b/services/proxy/claim_client.hpp
@@ -46,13 +46,12 @@
         const core::request_id& run,
         listener on_answer);
 
-    /// The request did not and will not run under the claim at `position`.
-    void
-    release(const claims::claim_key& key, claims::claim_position position);
+    /// The request did not and will not run here.
+    void release(const claimed_run& claim);
 
-    /// The run under the claim that `run` names ended.
+    /// The run under a won claim ended.
     void finished(
-        const claimed_run& run,
+        const claimed_run& claim,
         core::outcome outcome,
         std::uint64_t answer_digest);
 
