--- a/meta/capacity_sweeps/agent_sweeps.py
+++ b/meta/capacity_sweeps/agent_sweeps.py
@@ -83,9 +83,8 @@
                     "hosts listed", unit).add(size, value)
 
 
-def start_agents(fleet, count, organisations):
-    """Agents that have the catalogue and one checkpoint of it."""
-    offset = fleet.publish_catalogue(organisations)
+def start_agents(fleet, count, offset):
+    """Agents that have the catalogue up to `offset` and one checkpoint."""
     for index in range(count):
         fleet.start_agent(index)
     for agent in fleet.agents:
@@ -112,9 +111,9 @@
     sweep = Sweep("changes")
     with fleets.bench_fleet(programs) as fleet:
         fleet.start_engines(1)
-        fleet.publish_catalogue(0)
+        offset = fleet.publish_catalogue(3100)
         fleet.start_entry_host(AGENTS)
-        start_agents(fleet, AGENTS - 1, 3100)
+        start_agents(fleet, AGENTS - 1, offset)
         for rate in (0, 1, 2, 4, 8, 13):
             for _ in range(RUNS):
                 _change_window(sweep, rate, fleet)
@@ -127,7 +126,7 @@
     sweep = Sweep("agents")
     for size in (2, 6, 12, 24, 48):
         with fleets.bench_fleet(programs) as fleet:
-            start_agents(fleet, size, 100)
+            start_agents(fleet, size, fleet.publish_catalogue(100))
             for _ in range(RUNS):
                 _change_window(sweep, 1, fleet, size)
     sweep.save()
--- a/meta/capacity_sweeps/bench_fleet.py
+++ b/meta/capacity_sweeps/bench_fleet.py
@@ -82,13 +82,14 @@
         return moment, answer["offset"] + 1
 
     def publish_catalogue(self, organisations):
-        """The sample catalogue, and so many organisations."""
+        """The sample catalogue and so many organisations; the next offset."""
         sample = base.sample_catalogue()
         changes = [{"expected_version": 0, **change}
                    for change in sample["changes"]]
         self.append({"record": "change_set", "change_id": "sample",
                      "operator": "ana", "changes": changes})
-        self.append(self._change_set([self._organisation("bench", TOKEN)]))
+        _, offset = self.append(
+            self._change_set([self._organisation("bench", TOKEN)]))
         last = 0
         while last < organisations:
             upto = min(organisations, last + CHANGES_IN_RECORD)
--- a/meta/capacity_sweeps/claims_sweep.py
+++ b/meta/capacity_sweeps/claims_sweep.py
@@ -39,7 +39,7 @@
     """Two agents that read so many claims a second of others."""
     sweep = Sweep("claims")
     with fleets.bench_fleet(programs) as fleet:
-        agent_sweeps.start_agents(fleet, 2, 10)
+        agent_sweeps.start_agents(fleet, 2, fleet.publish_catalogue(10))
         writer = ClaimWriter(fleet.platform.address("platform"))
         for rate in (0, 40, 80, 160, 320):
             for _ in range(RUNS):
--- a/meta/capacity_sweeps/limits.py
+++ b/meta/capacity_sweeps/limits.py
@@ -1,5 +1,4 @@
 """The table of limits: predicted, mechanism, what breaks first."""
-from .predictions import LOAD_POLLS_A_SECOND, BACKEND_SUBSET
 from .text import markdown, shown, with_unit
 
 HEADINGS = ("limit", "predicted at the size", "the mechanism that carries it",
@@ -10,9 +9,8 @@
     return markdown(HEADINGS, [row(predictions) for row in ROWS])
 
 
-def _sum(predictions, servers, field):
-    values = [getattr(cost, field)
-              for _, cost in predictions.control(servers)]
+def _sum(predictions, field):
+    values = [getattr(cost, field) for _, cost in predictions.control()]
     return sum(value or 0.0 for value in values)
 
 
@@ -24,18 +22,19 @@
 
 
 def processor(p):
-    value = _sum(p, p.servers_polled, "percent")
-    subset = _sum(p, BACKEND_SUBSET, "percent")
+    value = _sum(p, "percent")
+    without = value - (p.claims_percent() or 0.0)
     return ("2.1% of a core for control", f"{shown(value)}%; "
-            f"{shown(subset)}% if 24 servers in all were polled",
-            "no all-to-all, no work for idle organisations; constant digests",
-            "load polls (the bound of 24 is for each of 30 services), then "
-            "the folding of every claim on every node",
+            f"{shown(without)}% without the claims of others",
+            "no all-to-all, no work for idle organisations; constant digests, "
+            "load polls bounded in all",
+            "reading and folding every claim on every node "
+            f"({with_unit(p.claims_percent(), '%')})",
             _verdict(p, value, p.size.core_percent))
 
 
 def memory(p):
-    value = _sum(p, p.servers_polled, "megabytes")
+    value = _sum(p, "megabytes")
     return ("128 MB for control", f"{shown(value)} MB, agent and idle proxy; "
             f"streams take "
             f"{with_unit(p.part('proxy_stream_mb', p.size.streams_a_node), 'MB')}"
@@ -51,16 +50,16 @@
 
 
 def traffic(p):
-    value = _sum(p, p.servers_polled, "bytes_a_second")
+    value = _sum(p, "bytes_a_second")
     return ("2 KB/s for control", f"{shown(value)} B/s: load polls "
-            f"{with_unit(p.poll_bytes(p.servers_polled), 'B/s')}, claims "
+            f"{with_unit(p.poll_bytes(p.polls_as_servers), 'B/s')}, claims "
             f"{with_unit(p.claims_bytes(), 'B/s')}, host list "
             f"{with_unit(p.host_list_bytes(), 'B/s')}, the rest "
             f"{with_unit(p.resting_bytes(), 'B/s')}",
             "digests of constant size to 4 neighbours carry only the rest",
-            f"load polls: one server polled {LOAD_POLLS_A_SECOND} times a "
-            f"second takes {with_unit(p.poll_bytes(1), 'B/s')}, so 24 take "
-            f"{with_unit(p.poll_bytes(BACKEND_SUBSET), 'B/s')}",
+            "each of the three alone: claims, then the host list, then load "
+            f"polls (one server polled 4 times a second takes "
+            f"{with_unit(p.poll_bytes(1), 'B/s')})",
             _verdict(p, value, p.size.bytes_a_second))
 
 
--- a/meta/capacity_sweeps/predictions.py
+++ b/meta/capacity_sweeps/predictions.py
@@ -7,7 +7,8 @@
 
 # Settings of today on which the figures depend.
 BACKEND_SUBSET = 24
-LOAD_POLLS_A_SECOND = 4
+LOAD_POLLS_A_SECOND = 4          # of one server
+LOAD_POLLS_LIMIT = 40            # of one proxy, `backend.polls_per_second`
 CLAIM_SHARE = 0.1         # of requests; godwit-load's mix krajevnik
 CLAIM_RETENTION_SECONDS = 3600
 CLAIM_LEDGER_LIMIT = 200_000
@@ -71,6 +72,22 @@
         received = self.part("proxy_server_received", servers)
         return None if sent is None else sent + received
 
+    @property
+    def polls_a_second(self):
+        """Of one proxy, all servers together."""
+        return min(LOAD_POLLS_A_SECOND * self.servers_polled,
+                   LOAD_POLLS_LIMIT)
+
+    @property
+    def polls_as_servers(self):
+        """So many servers polled at the full beat cost as much."""
+        return self.polls_a_second / LOAD_POLLS_A_SECOND
+
+    @property
+    def load_age_seconds(self):
+        """Between two reports of one server."""
+        return self.servers_polled / self.polls_a_second
+
     def host_list_bytes(self):
         return self.part("agent_host_received", self.size.hosts_listed)
 
@@ -126,9 +143,10 @@
                 + token * (self.size.tokens_a_node
                            - 4 * self.size.requests_a_node))
 
-    def control(self, servers):
+    def control(self):
         """(duty, cost) rows of one node's control budget."""
         size = self.size
+        beat = self.polls_as_servers
         return [
             ("agent: standing still with the catalogue",
              Cost(self.at("agent_organisation_percent", size.organisations),
@@ -151,10 +169,11 @@
              Cost(self.at("proxy_organisation_percent", size.organisations),
                   self.at("proxy_organisation_mb", size.organisations),
                   0.0)),
-            (f"proxy: load of {servers:.0f} servers, 4 polls a second",
-             Cost(self.part("proxy_server_percent", servers),
-                  self.part("proxy_server_mb", servers),
-                  self.poll_bytes(servers))),
+            (f"proxy: load of {self.servers_polled:.0f} servers, "
+             f"{self.polls_a_second:.0f} polls a second in all",
+             Cost(self.part("proxy_server_percent", beat),
+                  self.part("proxy_server_mb", self.servers_polled),
+                  self.poll_bytes(beat))),
         ]
 
 
--- a/meta/capacity_sweeps/proxy_sweeps.py
+++ b/meta/capacity_sweeps/proxy_sweeps.py
@@ -164,7 +164,9 @@
                            "servers polled", "B/s")
     for servers in (4, 8, 16, 32, 64):
         with fleets.bench_fleet(programs) as fleet:
-            fleet.proxy_settings = {"backend": {"subset": 64}}
+            # Without the bound of polls, so that the line is that of one.
+            fleet.proxy_settings = {"backend": {
+                "subset": 64, "polls_per_second": 100000}}
             fleet.start_engines(servers)
             proxy = start_entry_host(fleet)
             ports = {int(engine.address("engine").rsplit(":", 1)[1])
--- a/meta/capacity_sweeps/roles.py
+++ b/meta/capacity_sweeps/roles.py
@@ -51,17 +51,20 @@
 
 def proxy_polling(p):
     servers = p.servers_polled
-    asked = p.size.nodes * servers * 4 / p.size.replicas
+    asked = p.size.nodes * p.polls_a_second / p.size.replicas
     return (
         "proxy: load of servers",
-        f"{servers:.0f} reports: the bound of 24 is for a service, and each "
-        f"of 30 models has {p.size.replicas_a_model:.0f}",
-        f"{servers * 4:,.0f} `GET /load` a second; each engine answers "
-        f"{asked:,.0f} a second",
-        with_unit(p.part("proxy_server_percent", servers), "% of a core"),
+        f"{servers:.0f} reports: the subset of 24 is for a service, and each "
+        f"of 30 models has {p.size.replicas_a_model:.0f} replicas",
+        f"{p.polls_a_second:.0f} `GET /load` a second, so a server's load is "
+        f"up to {p.load_age_seconds:.0f} s old; each engine answers "
+        f"{asked:.0f} a second; "
+        f"{with_unit(p.poll_bytes(p.polls_as_servers), 'B/s')}",
+        with_unit(p.part("proxy_server_percent", p.polls_as_servers),
+                  "% of a core"),
         with_unit(p.part("proxy_server_mb", servers), "MB"),
-        "subset by rendezvous, jittered polls: **does not reach**",
-        "from slopes, 4 to 64 servers: far outside of the sweep")
+        "subset by rendezvous, jittered polls, a bound of polls: **does not "
+        "reach**", "from slopes, 4 to 64 servers")
 
 
 def proxy_membership(p):
@@ -78,9 +81,9 @@
     report = p.at("membership_report_us", p.size.replicas)
     if tick is None or report is None:
         return NOT_MEASURED
-    percent = (10 * tick + 4 * p.servers_polled * report) \
+    percent = (10 * tick + p.polls_a_second * report) \
         / MICROSECONDS_IN_PERCENT
-    return f"{shown(percent)} % of a core at 4 polls of every server"
+    return f"{shown(percent)} % of a core"
 
 
 def log_follower(p):
@@ -137,7 +140,9 @@
         f"{p.claims_remembered:,.0f} keys; the ledger takes "
         f"{CLAIM_LEDGER_LIMIT:,}",
         f"every agent reads every record: "
-        f"{with_unit(p.claims_bytes(), 'B/s')}",
+        f"{with_unit(p.claims_bytes(), 'B/s')}; a zone's writer takes in and "
+        f"appends {2 * p.claims_a_second / p.size.zones:.0f} entries a "
+        "second besides",
         with_unit(p.claims_percent(), "% of a core to fold"),
         f"{with_unit(p.claims_megabytes(p.claims_remembered), 'MB')}, at its "
         f"bound {with_unit(p.claims_megabytes(CLAIM_LEDGER_LIMIT), 'MB')}",
--- a/meta/capacity_sweeps/tables.py
+++ b/meta/capacity_sweeps/tables.py
@@ -57,10 +57,10 @@
                      "load after"), seen.values())
 
 
-def control_table(predictions, servers):
+def control_table(predictions):
     rows = []
     sums = {heading: 0.0 for heading in HEADINGS}
-    for duty, cost in predictions.control(servers):
+    for duty, cost in predictions.control():
         for heading in HEADINGS:
             sums[heading] += getattr(cost, heading) or 0.0
         rows.append((duty, *_cells(cost)))
@@ -84,8 +84,7 @@
         "slopes": slopes_table(predictions),
         "appends": appends_table(predictions),
         "runs": runs_table(predictions),
-        "control-today": control_table(predictions,
-                                       predictions.servers_polled),
+        "control-today": control_table(predictions),
         "roles": roles.table(predictions),
         "limits": limits.table(predictions),
         "ways": ways.table(predictions),
--- a/meta/capacity_sweeps/ways.py
+++ b/meta/capacity_sweeps/ways.py
@@ -28,8 +28,11 @@
     share = CLAIM_FOLLOWERS / size.nodes
     small = 2 * SMALL_CLAIM_BYTES * p.claims_a_second
     return [
-        ("today: every replica polled 4 times a second",
+        ("without a bound: every replica polled 4 times a second",
          p.poll_bytes(p.servers_polled), "slope x 690"),
+        (f"today: at most {p.polls_a_second:.0f} polls a second in all",
+         p.poll_bytes(p.polls_as_servers),
+         f"bytes of a poll x {p.polls_a_second:.0f}"),
         ("24 servers in all, 4 times a second",
          p.poll_bytes(BACKEND_SUBSET), "slope x 24"),
         (f"24 servers in all, every {RELAY_SECONDS} s",
