--- a/libraries/catalogue/include/godwit/catalogue/entry_key.hpp
+++ b/libraries/catalogue/include/godwit/catalogue/entry_key.hpp
@@ -3,9 +3,9 @@
 #include <godwit/catalogue/entry_kind.hpp>
 #include <godwit/core/result.hpp>
 
-#include <compare>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace godwit::catalogue {
 
@@ -21,7 +21,12 @@
     [[nodiscard]] std::string to_string() const;
 
     friend bool operator==(const entry_key&, const entry_key&) = default;
-    friend auto operator<=>(const entry_key&, const entry_key&) = default;
+
+    friend bool operator<(const entry_key& left, const entry_key& right)
+    {
+        return std::tie(left.kind, left.name) <
+               std::tie(right.kind, right.name);
+    }
 };
 
 } // namespace godwit::catalogue
--- a/tests/catalogue/neighbours_test.cpp
+++ b/tests/catalogue/neighbours_test.cpp
@@ -25,7 +25,7 @@
     return members;
 }
 
-using graph = std::map<host_name, std::set<host_name>>;
+using graph = std::map<std::string, std::set<std::string>>;
 
 // Both ends of a link learn from each other, since a host that is ahead
 // answers.
@@ -35,8 +35,8 @@
     for (const member& each : members) {
         for (const auto& peer :
              choose_neighbours(each.host, members, neighbour_count)) {
-            links[each.host].insert(peer);
-            links[peer].insert(each.host);
+            links[each.host.value()].insert(peer.value());
+            links[peer.value()].insert(each.host.value());
         }
     }
     return links;
@@ -45,7 +45,7 @@
 // The rounds until news of the first host is everywhere; 0 if it never is.
 std::size_t rounds_to_reach_all(const graph& links, std::size_t count)
 {
-    std::set<host_name> reached{links.begin()->first};
+    std::set<std::string> reached{links.begin()->first};
     for (std::size_t round = 1; round < count; ++round) {
         auto next = reached;
         for (const auto& host : reached)
@@ -82,14 +82,14 @@
     void test_each_has_one_in_another_zone()
     {
         const auto members = make_members(24);
-        std::map<host_name, zone_name> zones;
+        std::map<std::string, zone_name> zones;
         for (const member& each : members)
-            zones[each.host] = each.zone;
+            zones[each.host.value()] = each.zone;
         for (const member& each : members) {
             bool foreign = false;
             for (const auto& peer :
                  choose_neighbours(each.host, members, neighbour_count))
-                foreign |= zones[peer] != each.zone;
+                foreign |= zones[peer.value()] != each.zone;
             CPPUNIT_ASSERT(foreign);
         }
     }
