catalogue: the log is read on when a peer's answer came first

A log answer that brought nothing because a peer had brought it before counted as stuck, and the next read waited for the retry time. What counts now is whether the log has more than the catalogue, rather than more than was asked for.

--- a/libraries/catalogue/src/follower.cpp
+++ b/libraries/catalogue/src/follower.cpp
@@ -83,7 +83,7 @@
         confirmed_at_ = now_;
     // An answer that brings nothing while there is more is not asked for
     // again at once.
-    const bool stuck = reached() == before && event.next > event.from;
+    const bool stuck = reached() == before && event.next > before;
     wait_for_log(stuck ? settings_.log_retry : core::duration::zero());
 }
 
