--- a/services/agent/src/agent.hpp
+++ b/services/agent/src/agent.hpp
@@ -23,7 +23,6 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <vector>
 
 namespace godwit::agent {
 
@@ -63,11 +62,6 @@
         return claims_->claimer();
     }
 
-    [[nodiscard]] const orders::reconciler& reconciler() const noexcept
-    {
-        return orders_->reconciler();
-    }
-
     [[nodiscard]] const proxy_feed& proxies() const noexcept
     {
         return proxies_;
@@ -102,8 +96,7 @@
     void host_list_heard(const core::result<platform::host_list>& list);
     void members_heard();
     void connect_neighbours();
-    void tell_duties_of_members();
-    void catalogue_published();
+    void tell_claims_of_members();
     [[nodiscard]] std::optional<peer_address>
     find_peer(const core::host_name& host) const;
     void peer_message(const wire::hello& peer, wire::message value);
@@ -134,7 +127,6 @@
     std::shared_ptr<orders_duty> orders_;
     std::unique_ptr<operators_interface> operators_;
     platform::host_list entry_hosts_;
-    std::vector<orders::live_engine> engines_;
     bool host_list_known_ = false;
     std::function<void()> on_ready_;
     std::function<void()> on_published_;
--- a/services/agent/src/agent_settings.cpp
+++ b/services/agent/src/agent_settings.cpp
@@ -152,30 +152,33 @@
     return read;
 }
 
-core::result<orders::reconciler_settings> read_orders(reader& file)
+core::result<orders_settings> read_orders(reader& file)
 {
     auto from = GODWIT_TRY(file.get_object("orders"));
-    orders::reconciler_settings read;
-    read.lease_length =
-        GODWIT_TRY(read_span(from, "lease_ms", {100ms, 1h}, read.lease_length));
-    read.lease_margin =
-        GODWIT_TRY(read_span(from, "margin_ms", {1ms, 1h}, read.lease_margin));
-    read.weight_store_rate = GODWIT_TRY(from.get_number(
-        "weight_store_rate", {0.001, 10000}, read.weight_store_rate));
-    read.weight_store_share = GODWIT_TRY(from.get_number(
-        "weight_store_share", {0.01, 1}, read.weight_store_share));
-    read.disrupted_percent = static_cast<std::uint32_t>(GODWIT_TRY(read_count(
-        from, "disrupted_percent", {1, 100}, read.disrupted_percent)));
-    read.verify_interval = GODWIT_TRY(
-        read_span(from, "verify_ms", {10ms, 1h}, read.verify_interval));
-    read.pending_interval = GODWIT_TRY(
-        read_span(from, "pending_ms", {10ms, 1h}, read.pending_interval));
-    read.repeat_after =
-        GODWIT_TRY(read_span(from, "repeat_ms", {10ms, 1h}, read.repeat_after));
-    read.answer_timeout = GODWIT_TRY(
-        read_span(from, "answer_ms", {10ms, 1min}, read.answer_timeout));
-    read.log_retry = GODWIT_TRY(
-        read_span(from, "log_retry_ms", {10ms, 1min}, read.log_retry));
+    orders_settings read;
+    auto& orders = read.reconciler;
+    orders.lease_length = GODWIT_TRY(
+        read_span(from, "lease_ms", {500ms, 20s}, orders.lease_length));
+    orders.lease_margin = GODWIT_TRY(
+        read_span(from, "lease_margin_ms", {1ms, 20s}, orders.lease_margin));
+    orders.first_wait = GODWIT_TRY(
+        read_span(from, "first_wait_ms", {500ms, 1min}, orders.first_wait));
+    orders.weight_store_rate = GODWIT_TRY(from.get_number(
+        "weight_store_rate", {0.001, 10000}, orders.weight_store_rate));
+    orders.weight_store_share = GODWIT_TRY(from.get_number(
+        "weight_store_share", {0.01, 1}, orders.weight_store_share));
+    orders.disrupted_percent = static_cast<std::uint32_t>(GODWIT_TRY(read_count(
+        from, "disrupted_percent", {0, 100}, orders.disrupted_percent)));
+    orders.verify_interval = GODWIT_TRY(
+        read_span(from, "verify_ms", {50ms, 10min}, orders.verify_interval));
+    orders.pending_interval = GODWIT_TRY(
+        read_span(from, "pending_ms", {50ms, 10min}, orders.pending_interval));
+    orders.repeat_after = GODWIT_TRY(
+        read_span(from, "repeat_ms", {100ms, 24h}, orders.repeat_after));
+    orders.answer_timeout = GODWIT_TRY(
+        read_span(from, "answer_ms", {10ms, 1min}, orders.answer_timeout));
+    orders.log_retry = GODWIT_TRY(
+        read_span(from, "log_retry_ms", {10ms, 1min}, orders.log_retry));
     GODWIT_TRY(from.finish());
     return read;
 }
@@ -242,8 +245,6 @@
     GODWIT_TRY(listen.finish());
     GODWIT_TRY(divide_log_rate(read));
     read.catalogue.self = read.host;
-    read.orders.host = read.host;
-    read.orders.read_wait = read.log.wait;
     read.claims.claimer.host = read.host;
     read.claims.claimer.zone = read.zone;
     read.claims.claimer.read_wait = read.log.wait;
@@ -253,6 +254,9 @@
         2 * (read.log.wait + read.log.client.read_timeout);
     read.pause_limit = GODWIT_TRY(
         read_span(file, "pause_ms", {200ms, 1min}, read.pause_limit));
+    read.orders.reconciler.host = read.host;
+    read.orders.reconciler.read_wait = read.log.wait;
+    read.orders.pause_limit = read.pause_limit;
     GODWIT_TRY(file.finish());
     return read;
 }
--- a/services/agent/src/agent_settings.hpp
+++ b/services/agent/src/agent_settings.hpp
@@ -2,12 +2,12 @@
 
 #include "claims_settings.hpp"
 #include "log_settings.hpp"
+#include "orders_settings.hpp"
 
 #include <godwit/catalogue/follower_settings.hpp>
 #include <godwit/core/identifiers.hpp>
 #include <godwit/core/result.hpp>
 #include <godwit/core/time.hpp>
-#include <godwit/orders/reconciler_settings.hpp>
 #include <godwit/platform/host_list_options.hpp>
 #include <godwit/settings/address.hpp>
 #include <godwit/settings/reader.hpp>
@@ -36,7 +36,7 @@
     platform::host_list_options host_list;
     catalogue::follower_settings catalogue;
     claims_settings claims;
-    orders::reconciler_settings orders;
+    orders_settings orders;
     wire::link_options links;
 
     /// Standing still for longer than this counts as a pause.
--- a/utilities/godwit-bench/report.cpp
+++ b/utilities/godwit-bench/report.cpp
@@ -140,7 +140,7 @@
     static const std::vector<scheduler_variation> variations = {
         {.name = "godwit"},
         {.name = "one_candidate", .candidates = 1},
-        {.name = "two_candidates", .candidates = 2},
+        {.name = "three_candidates", .candidates = 3},
         {.name = "all_candidates", .candidates = 64},
         {.name = "no_expected_rest", .length_quantile = 0.001},
         {.name = "no_memory_admission", .overcommit = 1e9},
@@ -151,6 +151,8 @@
         {.name = "no_prefixes", .prefixes = false},
         {.name = "no_preemption_events", .preemption_events = false},
         {.name = "no_engine_priorities", .engine_priorities = false},
+        {.name = "engine_takes_raises", .raises = true},
+        {.name = "no_longest_waits", .longest_waits = false},
         {.name = "no_zones", .zones = false},
         {.name = "no_deadlines", .deadlines = false},
         {.name = "home_hosts_05", .grants = granting::home_hosts, .hop = 500us},
