--- a/libraries/orders/include/godwit/orders/lease_table.hpp
+++ b/libraries/orders/include/godwit/orders/lease_table.hpp
@@ -15,7 +15,8 @@
 {
     lease_holder holder;
 
-    /// The fencing number: the offset of the record that began the tenure.
+    /// The fencing number: one more than the offset of the record that began
+    /// the tenure, as engines know 0 before the first order.
     std::uint64_t number = 0;
 
     /// When it lapses, by the log's clock.
--- a/libraries/orders/src/lease_keeper.cpp
+++ b/libraries/orders/src/lease_keeper.cpp
@@ -147,9 +147,12 @@
     if (append != append_)
         return;
     append_ = 0;
-    // One that was answered is worth waiting for on the log.
-    append_retry_ =
-        now + (failed ? settings_.log_retry : settings_.answer_timeout);
+    append_retry_ = now;
+    if (failed)
+        append_retry_ += settings_.log_retry;
+    // One that was answered and not read yet is worth waiting for.
+    else if (asked_at_.contains(last_attempt_))
+        append_retry_ += settings_.answer_timeout;
 }
 
 void lease_keeper::read_failed(std::uint64_t read, core::time_point now)
--- a/libraries/orders/src/lease_table.cpp
+++ b/libraries/orders/src/lease_table.cpp
@@ -43,7 +43,7 @@
     const lease_record& wanted,
     const log_record& at)
 {
-    const lease fresh{wanted.holder, at.offset, newest_ + wanted.length};
+    const lease fresh{wanted.holder, at.offset + 1, newest_ + wanted.length};
     const auto [known, is_new] = leases_.try_emplace(name, fresh);
     if (is_new)
         return;
--- a/services/agent/src/orders_duty.cpp
+++ b/services/agent/src/orders_duty.cpp
@@ -134,9 +134,17 @@
     const auto actions = reconciler_.handle(event, core::monotonic_now());
     for (const orders::reconciler_action& action : actions)
         std::visit([this](const auto& each) { perform(each); }, action);
+    report_leases();
     sleep();
 }
 
+void orders_duty::report_leases()
+{
+    const auto held = reconciler_.held().size();
+    if (std::exchange(held_, held) != held)
+        log_event(log_level::info, component, "leases", {{"held", held}});
+}
+
 void orders_duty::sleep()
 {
     const auto wakeup = reconciler_.next_wakeup();
--- a/services/agent/src/orders_duty.hpp
+++ b/services/agent/src/orders_duty.hpp
@@ -16,6 +16,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <cstddef>
 #include <memory>
 #include <vector>
 
@@ -60,6 +61,7 @@
     void handle(const orders::reconciler_event& event);
     void look_for_pause();
     void carry_out(const orders::reconciler_event& event);
+    void report_leases();
     void sleep();
 
     void perform(const orders::append_record& action);
@@ -86,6 +88,7 @@
     std::vector<orders::pool> pools_;
     std::vector<orders::live_engine> engines_;
     std::vector<core::host_name> entry_hosts_;
+    std::size_t held_ = 0;
     bool stopped_ = false;
 };
 
--- a/tests/orders/engine_fleet.cpp
+++ b/tests/orders/engine_fleet.cpp
@@ -187,7 +187,7 @@
         truth_.fold(log_.read(offset, 1, now_).front());
         tell(
             agent,
-            hop,
+            answer_delay,
             lost ? reconciler_event(append_failed{append.append})
                  : reconciler_event(append_answered{append.append}));
     });
--- a/tests/orders/engine_fleet.hpp
+++ b/tests/orders/engine_fleet.hpp
@@ -72,6 +72,8 @@
     int lose_orders = 0;  ///< Orders that do not arrive.
     int lose_answers = 0; ///< Orders that take effect unanswered.
     int lose_appends = 0; ///< Appends that take effect unanswered.
+    /// How long the log takes to answer an append that can be read already.
+    godwit::core::duration answer_delay = std::chrono::milliseconds(1);
     /// Orders are held in the shell after its check of the lease, until the
     /// pause ends: what no check can catch.
     bool freeze_after_check = false;
--- a/tests/orders/reconciler_faults_test.cpp
+++ b/tests/orders/reconciler_faults_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(test_two_agents_think_that_they_own_the_pool);
     CPPUNIT_TEST(test_lost_orders_and_answers);
     CPPUNIT_TEST(test_lost_append_answers);
+    CPPUNIT_TEST(test_lease_is_kept_while_answers_are_late);
     CPPUNIT_TEST(test_log_outage_stops_orders_only);
     CPPUNIT_TEST(test_weight_store_rate);
     CPPUNIT_TEST(test_holder_restarted);
@@ -135,7 +136,9 @@
         const auto first = settle(fleet);
         fleet.freeze_after_check = true;
         fleet.want("2", "2");
-        for (int step = 0; step < 10'000 && fleet.sent.empty(); ++step) {
+        const auto arrived = fleet.sent.size();
+        for (int step = 0; step < 10'000 && fleet.sent.size() == arrived;
+             ++step) {
             const auto before = fleet.agent(first).counts().orders_sent;
             fleet.run_for(core::duration(25));
             if (fleet.agent(first).counts().orders_sent != before)
@@ -200,6 +203,19 @@
         CPPUNIT_ASSERT(fleet.time_to_reach(seconds(120)));
     }
 
+    void test_lease_is_kept_while_answers_are_late()
+    {
+        auto chosen = options();
+        chosen.reconciler.lease_length = seconds(3);
+        chosen.reconciler.lease_margin = seconds(1);
+        engine_fleet fleet(chosen);
+        fleet.answer_delay = milliseconds(300);
+        const auto holder = settle(fleet);
+        fleet.run_for(seconds(60));
+        CPPUNIT_ASSERT_EQUAL(
+            std::uint64_t{0}, fleet.agent(holder).counts().leases_dropped);
+    }
+
     void test_log_outage_stops_orders_only()
     {
         engine_fleet fleet(options());
