--- a/libraries/membership/include/godwit/membership/pool.hpp
+++ b/libraries/membership/include/godwit/membership/pool.hpp
@@ -64,6 +64,7 @@
     void on(const load_reported& what);
     void on(const server_seen& what);
     void on(const sign_received& what);
+    void on(const peer_connected& what);
     void on(const clock_ticked& what);
 
     void take_listed(const listed_server& listed);
@@ -87,6 +88,7 @@
         server_state to,
         std::string_view why);
 
+    [[nodiscard]] bool needs_probe(const member& known) const;
     [[nodiscard]] bool may_eject(const member& candidate) const;
     [[nodiscard]] bool meets_requirement(const member& known) const;
     [[nodiscard]] core::duration next_ejection_time(std::uint32_t earlier);
--- a/libraries/membership/src/pool.cpp
+++ b/libraries/membership/src/pool.cpp
@@ -110,9 +110,15 @@
 
 void pool::on(const sign_received& what)
 {
-    const auto found = members_.find(what.server);
-    if (found == members_.end())
-        return;
+    auto found = members_.find(what.server);
+    if (found == members_.end()) {
+        // A peer's sign can come before the first host list does.
+        const bool fits = members_.size() < settings_.server_limit;
+        if (what.what != sign::leaving || !fits)
+            return;
+        found = members_.emplace(what.server, member()).first;
+        found->second.listed_at = now_;
+    }
     auto& known = found->second;
     if (what.what == sign::leaving) {
         begin_leaving(what.server, known, "a peer said so");
@@ -124,6 +130,16 @@
         probe(what.server, known);
 }
 
+// The host list may be late, so a new process must learn from its peers who
+// is leaving.
+void pool::on(const peer_connected&)
+{
+    for (const auto& [server, known] : members_) {
+        if (known.state == server_state::leaving)
+            emit(pass_sign{server, sign::leaving});
+    }
+}
+
 void pool::on(const clock_ticked&)
 {
     for (auto one = members_.begin(); one != members_.end();) {
@@ -136,18 +152,30 @@
             one = members_.erase(one);
             continue;
         }
-        const bool needs_probe =
-            (known.state == server_state::ejected &&
-             now_ >= known.ejected_until) ||
-            known.state == server_state::suspect ||
-            (known.state == server_state::leaving && known.listed_live &&
-             now_ - known.leaving_since >= settings_.leaving_hold);
-        if (needs_probe && now_ >= known.probe_due)
+        if (needs_probe(known) && now_ >= known.probe_due)
             probe(server, known);
         ++one;
     }
 }
 
+bool pool::needs_probe(const member& known) const
+{
+    switch (known.state) {
+    case server_state::live:
+        return false;
+    case server_state::suspect:
+        return true;
+    case server_state::ejected:
+        return now_ >= known.ejected_until;
+    case server_state::leaving:
+    case server_state::gone:
+        // Listed again after the hold: a new host may have the address.
+        return known.listed_live &&
+               now_ - known.leaving_since >= settings_.leaving_hold;
+    }
+    return false;
+}
+
 void pool::probe(const core::server_address& server, member& known)
 {
     known.probe_due = now_ + settings_.probe_interval;
--- a/services/proxy/control_plane.cpp
+++ b/services/proxy/control_plane.cpp
@@ -109,8 +109,7 @@
       poller_(
           traffic,
           control.get_executor(),
-          settings.backend.load_poll,
-          settings.backend.load_timeout,
+          settings.backend,
           seed,
           [this](const auto& server, const auto& answer) {
               on_load(server, answer);
@@ -121,7 +120,8 @@
 void control_plane::start()
 {
     asio::post(control_, [this] { wait_for_beat(); });
-    take_servers({});
+    if (!settings_.fixed.servers.empty())
+        take_servers({});
 }
 
 void control_plane::stop()
