--- a/libraries/dispatch/include/godwit/dispatch/server_load.hpp
+++ b/libraries/dispatch/include/godwit/dispatch/server_load.hpp
@@ -39,12 +39,6 @@
     /// Tokens that fit its memory, as reported; 0 where unknown.
     [[nodiscard]] std::uint64_t memory_capacity() const noexcept;
 
-    /// Whether any report came.
-    [[nodiscard]] bool has_report() const noexcept { return has_report_; }
-
-    /// The last report's own time.
-    [[nodiscard]] core::time_point measured_at() const noexcept;
-
     /// Slots of changes that it keeps.
     [[nodiscard]] std::size_t slot_count() const noexcept
     {
--- a/libraries/dispatch/src/server_load.cpp
+++ b/libraries/dispatch/src/server_load.cpp
@@ -78,9 +78,4 @@
     return last_.memory_tokens_capacity;
 }
 
-core::time_point server_load::measured_at() const noexcept
-{
-    return last_.measured_at;
-}
-
 } // namespace godwit::dispatch
