--- a/utilities/godwit-bench/report.cpp
+++ b/utilities/godwit-bench/report.cpp
@@ -145,6 +145,7 @@
         {.name = "no_expected_rest", .length_quantile = 0.001},
         {.name = "no_memory_admission", .overcommit = 1e9},
         {.name = "no_advance", .advance_reports = false},
+        {.name = "no_entry_hosts", .knows_entry_hosts = false},
         {.name = "no_classes", .classes = false},
         {.name = "no_organisations", .organisations = false},
         {.name = "no_floors", .floors = false},
--- a/utilities/godwit-bench/scheduler_variation.hpp
+++ b/utilities/godwit-bench/scheduler_variation.hpp
@@ -26,6 +26,8 @@
     /// Of a long request in the queue; 0 is the workload's own.
     double longest_wait_s = 0.0;
     bool advance_reports = true;
+    /// Whether hosts know how many others send to the same servers.
+    bool knows_entry_hosts = true;
     bool classes = true;
     bool organisations = true;
     bool floors = true;
--- a/utilities/godwit-bench/simulation.cpp
+++ b/utilities/godwit-bench/simulation.cpp
@@ -304,7 +304,7 @@
                 continue;
             event.servers.push_back(describe(index));
         }
-        if (home_hosts())
+        if (home_hosts() || !settings_.variation.knows_entry_hosts)
             event.entry_hosts = 1;
         for (std::size_t index = 0; index < services_.size(); ++index)
             event.servers.push_back(describe(engines_.size() + index));
