--- a/libraries/request/include/godwit/request/life_settings.hpp
+++ b/libraries/request/include/godwit/request/life_settings.hpp
@@ -17,6 +17,9 @@
     core::duration head_wait = std::chrono::seconds(10);
     /// The same for the answer to a resume, which an engine gives at once.
     core::duration resume_wait = std::chrono::seconds(1);
+    /// How long the first token may take after the head: a crowded engine
+    /// lets a generation wait before it starts it.
+    core::duration first_token_wait = std::chrono::seconds(30);
     /// How long nothing may arrive in mid-stream.
     core::duration stall_wait = std::chrono::seconds(3);
     /// The same after the engine said that it pushed the generation off.
--- a/libraries/request/src/life.cpp
+++ b/libraries/request/src/life.cpp
@@ -19,6 +19,7 @@
         settings.connect_wait,
         settings.head_wait,
         settings.resume_wait,
+        settings.first_token_wait,
         settings.stall_wait,
         settings.preempted_wait,
         settings.end_wait,
--- a/libraries/request/src/life_answer.cpp
+++ b/libraries/request/src/life_answer.cpp
@@ -63,8 +63,14 @@
     report(observation::answered);
     if (request_.resume && !std::exchange(announced_, true))
         emit(announce_resumed{generation_});
-    arm(timer::stall,
-        is_generation() ? settings_.stall_wait : settings_.head_wait);
+    if (!is_generation())
+        arm(timer::stall, settings_.head_wait);
+    else if (received_ == 0 && !resuming_)
+        // A new run elsewhere would wait behind others just the same, and
+        // leave this one's place to the engine in vain.
+        arm(timer::stall, settings_.first_token_wait);
+    else
+        arm(timer::stall, settings_.stall_wait);
 }
 
 // The backend server's own word that nothing ran.
--- a/services/proxy/proxy_settings.cpp
+++ b/services/proxy/proxy_settings.cpp
@@ -116,6 +116,10 @@
         read_span(from, "connect_ms", {10ms, 1min}, life.connect_wait));
     life.head_wait =
         GODWIT_TRY(read_span(from, "head_ms", {10ms, 1h}, life.head_wait));
+    life.resume_wait = GODWIT_TRY(
+        read_span(from, "resume_ms", {10ms, 1min}, life.resume_wait));
+    life.first_token_wait = GODWIT_TRY(
+        read_span(from, "first_token_ms", {10ms, 1h}, life.first_token_wait));
     life.stall_wait =
         GODWIT_TRY(read_span(from, "stall_ms", {10ms, 10min}, life.stall_wait));
     life.preempted_wait = GODWIT_TRY(
--- a/tests/proxy/fault_test.cpp
+++ b/tests/proxy/fault_test.cpp
@@ -26,6 +26,7 @@
          {"connect_ms", 500},
          {"head_ms", 500},
          {"stall_ms", 300},
+         {"first_token_ms", 300},
          {"backoff_ms", 1},
          {"backoff_limit_ms", 10},
          {"resume_tries", 2}}}};
@@ -85,6 +86,7 @@
     CPPUNIT_TEST(test_leaving_engine_gets_nothing_new);
     CPPUNIT_TEST(test_deadline);
     CPPUNIT_TEST(test_no_backend_server);
+    CPPUNIT_TEST(test_wait_in_engine_is_no_stall);
     CPPUNIT_TEST(test_preemption_is_counted);
     CPPUNIT_TEST_SUITE_END();
 
@@ -328,6 +330,31 @@
         CPPUNIT_ASSERT(answer.fields.find("Retry-After"));
     }
 
+    // Behind another generation of a full engine, for longer than a stall.
+    void test_wait_in_engine_is_no_stall()
+    {
+        const auto engine = backend::engine(
+            {"--tokens-per-second",
+             "100",
+             "--batch",
+             "1",
+             "--memory-tokens",
+             "1000000"});
+        auto settings = short_waits;
+        settings["request"].as_object()["first_token_ms"] = 20000;
+        proxy_program proxy({engine->entry()}, "entry-1", settings);
+        caller first(proxy.callers());
+        CPPUNIT_ASSERT_EQUAL(200U, first.open(completion(90, true)).status);
+        caller second(proxy.callers());
+        const auto head = second.open(completion(5, true));
+        CPPUNIT_ASSERT_EQUAL(expected_text(5), read_stream(second).text);
+        CPPUNIT_ASSERT_EQUAL(expected_text(90), read_stream(first).text);
+        const std::string id(head.fields.find("Godwit-Request-Id").value());
+        const auto story = proxy.story_of(id);
+        CPPUNIT_ASSERT_MESSAGE(
+            story, story.find("connection_abandoned") == std::string::npos);
+    }
+
     void test_preemption_is_counted()
     {
         const auto engine = backend::engine({"--tokens-per-second", "200"});
