--- a/meta/capacity_sweeps/limits.py
+++ b/meta/capacity_sweeps/limits.py
@@ -83,18 +83,20 @@
 
 
 def in_force(p):
+    burst, cut = (with_unit(p.agents.worst_ms(case), "ms") for case in
+                  ("burst_770_in_60_s", "one_zone_on_peers_one_by_one"))
     return ("4 s in force everywhere",
             f"{with_unit(p.at('fleet_in_force_ms', p.size.nodes), 'ms')} at "
-            "410 agents (line through 2 to 48, longest of all agents), "
-            f"{with_unit(p.at('change_in_force_ms', p.size.burst_changes_a_second), 'ms')}"
-            " in the burst on 6",
+            "410 agents (line through 2 to 48, longest of all agents); "
+            f"measured on 6 agents: {burst} at most in a burst of 770 in 60 "
+            f"s, {cut} at most in a zone that has only its peers "
+            "(`meta/measure-agents`)",
             "every agent's long poll at the log; peers by digest a second "
             "apart where the log does not answer",
             "the platform: 410 long polls answered for each change; a zone "
             "cut off learns by hops of a digest each, as far as a link is "
             "left at all",
-            "yes on one machine, without network delay; zone cuts not "
-            "measured here")
+            "yes on one machine, without network delay")
 
 
 def first_token(p):
--- a/meta/capacity_sweeps/predictions.py
+++ b/meta/capacity_sweeps/predictions.py
@@ -2,8 +2,9 @@
 import dataclasses
 import statistics
 
+from .agent_figures import AgentFigures
 from .size import Size
-from .sweep import saved_facts, saved_slopes
+from .sweep import saved_slopes
 
 # Settings of today on which the figures depend.
 BACKEND_SUBSET = 24
@@ -36,7 +37,7 @@
         self.size = size
         self.slopes = {name: found[0].line()
                        for name, found in saved_slopes().items()}
-        self.facts = saved_facts()
+        self.agents = AgentFigures()
 
     @property
     def has_whole_budget(self):
@@ -110,10 +111,11 @@
         return statistics.fmean(groups[max(groups)])
 
     def resting_bytes(self):
-        """Digests, heartbeats and long polls: what an agent sends in a fleet
-        of the largest size measured, and as much from its peers."""
-        sent = self.largest("fleet_sent")
-        return None if sent is None else 2 * sent
+        """Digests and heartbeats both ways in the largest fleet measured,
+        and the requests of long polls."""
+        peers = self.agents.of_largest_fleet("sent_bytes_a_second_mean")
+        return None if peers is None else total(
+            2 * peers, self.base("agent_host_sent"))
 
     def checkpoint_bytes(self):
         written = self.at("checkpoint_bytes", self.size.organisations)
--- a/meta/capacity_sweeps/roles.py
+++ b/meta/capacity_sweeps/roles.py
@@ -119,14 +119,18 @@
 
 
 def peer_exchange(p):
+    sent, most = (p.agents.of_largest_fleet(f"sent_bytes_a_second_{which}")
+                  for which in ("mean", "most"))
     return (
         "agent: peer exchange", "4 neighbours chosen, a window of records",
         f"a digest a second to each neighbour, whatever the number of nodes: "
-        f"{with_unit(p.largest('fleet_sent'), 'B/s')} sent at 48 agents, "
-        "level from 12 on, and as much received",
-        f"{with_unit(p.largest('fleet_percent'), '% of a core')} at 48 "
-        "agents, whole agent",
-        f"{with_unit(p.largest('fleet_mb'), 'MB')} at 48 agents, whole agent",
+        f"{with_unit(sent, 'B/s')} sent at 48 agents (at most "
+        f"{with_unit(most, 'B/s')}, by one that many chose), level from 6 "
+        "on, and as much received (`meta/measure-agents`)",
+        f"{with_unit(p.agents.of_largest_fleet('core_percent_mean'), '%')} "
+        "of a core at 48 agents, whole agent",
+        f"{with_unit(p.agents.of_largest_fleet('resident_mb_mean'), 'MB')} "
+        "at 48 agents, whole agent",
         "fixed number of neighbours, digest of constant size",
         "measured at 48 agents; that it stays level at 410 is the design, "
         "not measured")
--- a/meta/capacity_sweeps/sweep.py
+++ b/meta/capacity_sweeps/sweep.py
@@ -55,7 +55,6 @@
     def __init__(self, name):
         self.name = name
         self.slopes = {}
-        self.facts = {}
         self.load_before = os.getloadavg()[0]
 
     def slope(self, name, title, x_unit, y_unit):
@@ -75,7 +74,6 @@
             "cores": os.cpu_count(),
             "load_average_before": round(self.load_before, 1),
             "load_average_after": round(os.getloadavg()[0], 1),
-            "facts": self.facts,
             "slopes": [
                 {"name": slope.name, "title": slope.title,
                  "x_unit": slope.x_unit, "y_unit": slope.y_unit,
@@ -98,11 +96,3 @@
                           entry["y_unit"], points)
             found[slope.name] = (slope, content["command"], content)
     return found
-
-
-def saved_facts():
-    """Single figures on file, by name."""
-    found = {}
-    for path in sorted(FOLDER.glob("capacity-*.json")):
-        found.update(json.loads(path.read_text())["facts"])
-    return found
--- a/meta/capacity_sweeps/ways.py
+++ b/meta/capacity_sweeps/ways.py
@@ -84,7 +84,7 @@
         Way(f"the same with {SMALL_CLAIM_BYTES} bytes an entry, in binary",
             small_claims * claims_share, "counted by hand", is_chosen=True),
         Way("today: digests and heartbeats every second", p.resting_bytes(),
-            "measured at 48 agents"),
+            "measured at 48 agents, and the long polls' requests"),
         Way(f"every {DIGEST_SECONDS} s while nothing changes",
             _times(p.resting_bytes(), 1 / DIGEST_SECONDS),
             f"/ {DIGEST_SECONDS}; the log's long poll brings changes at once",
