--- a/utilities/godwit-bench/simulation.cpp
+++ b/utilities/godwit-bench/simulation.cpp
@@ -62,7 +62,7 @@
     requests_ = workload_.generate(settings_.load, settings_.seed);
     const std::size_t zones =
         std::max<std::size_t>(workload_.engines.size(), 1);
-    for (std::size_t zone = 0; zone < zones; ++zone) {
+    for (std::size_t zone = 0; zone < workload_.engines.size(); ++zone) {
         for (std::size_t count = 0; count < workload_.engines[zone]; ++count) {
             engines_.push_back(
                 {.model = engine_model(workload_.engine),
