--- a/meta/capacity_sweeps/limits.py
+++ b/meta/capacity_sweeps/limits.py
@@ -57,7 +57,9 @@
             f"{with_unit(p.poll_bytes(p.polls_as_servers), 'B/s')}, claims "
             f"{with_unit(p.claims_bytes(), 'B/s')}, host list "
             f"{with_unit(p.host_list_bytes(), 'B/s')}, the rest "
-            f"{with_unit(p.resting_bytes(), 'B/s')}",
+            f"{with_unit(p.resting_bytes(), 'B/s')}; in a burst of changes "
+            f"{with_unit(p.changes(p.size.burst_changes_a_second), 'B/s')} "
+            "more",
             "digests of constant size to 4 neighbours carry only the rest",
             "each of the three alone: claims, then the host list, then load "
             f"polls (one server polled 4 times a second takes "
@@ -83,13 +85,14 @@
 
 
 def in_force(p):
-    burst, cut = (with_unit(p.agents.worst_ms(case), "ms") for case in
-                  ("burst_770_in_60_s", "one_zone_on_peers_one_by_one"))
+    single, burst, cut = (with_unit(p.agents.worst_ms(case), "ms")
+                          for case in ("one_by_one", "burst_770_in_60_s",
+                                       "one_zone_on_peers_one_by_one"))
     return ("4 s in force everywhere",
             f"{with_unit(p.at('fleet_in_force_ms', p.size.nodes), 'ms')} at "
             "410 agents (line through 2 to 48, longest of all agents); "
-            f"measured on 6 agents: {burst} at most in a burst of 770 in 60 "
-            f"s, {cut} at most in a zone that has only its peers "
+            f"measured on 6 agents: {single} at most one by one, {burst} at "
+            f"most in a burst of 770 in 60 s, {cut} at most in a zone that has only its peers "
             "(`meta/measure-agents`)",
             "every agent's long poll at the log; peers by digest a second "
             "apart where the log does not answer",
