--- a/libraries/claims/include/godwit/claims/claim_holder.hpp
+++ b/libraries/claims/include/godwit/claims/claim_holder.hpp
@@ -27,6 +27,9 @@
     [[nodiscard]] bool valid() const noexcept;
 
     friend bool operator==(const claim_holder&, const claim_holder&) = default;
+    // clang-tidy 14 takes the comparison with 0 inside a defaulted <=> for a
+    // null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(const claim_holder&, const claim_holder&) = default;
 };
 
--- a/libraries/claims/include/godwit/claims/claim_position.hpp
+++ b/libraries/claims/include/godwit/claims/claim_position.hpp
@@ -15,6 +15,9 @@
     friend bool
     operator==(const claim_position&, const claim_position&) = default;
     friend auto
+    // clang-tidy 14 takes the comparison with 0 inside a defaulted <=> for a
+    // null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     operator<=>(const claim_position&, const claim_position&) = default;
 };
 
--- a/libraries/core/include/godwit/core/identifier.hpp
+++ b/libraries/core/include/godwit/core/identifier.hpp
@@ -24,6 +24,9 @@
     [[nodiscard]] bool empty() const noexcept { return value_.empty(); }
 
     friend bool operator==(const identifier&, const identifier&) = default;
+    // clang-tidy 14 takes the comparison with 0 inside a defaulted <=> for a
+    // null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(const identifier&, const identifier&) = default;
 
     friend std::ostream& operator<<(std::ostream& out, const identifier& id)
