--- a/tests/proxy/bad_input_test.cpp
+++ b/tests/proxy/bad_input_test.cpp
@@ -14,6 +14,8 @@
 #include <string>
 #include <vector>
 
+#include <unistd.h>
+
 namespace {
 
 using namespace godwit::proxy::test;
@@ -257,7 +259,9 @@
     {
         const std::string path = write_settings(settings);
         child_program program("godwit-proxy", {"--check", "--config", path});
-        CPPUNIT_ASSERT_EQUAL(code, program.wait());
+        const int ended = program.wait();
+        ::unlink(path.c_str());
+        CPPUNIT_ASSERT_EQUAL(code, ended);
         return program.log();
     }
 
