--- a/meta/capacity_sweeps/tables.py
+++ b/meta/capacity_sweeps/tables.py
@@ -19,14 +19,15 @@
         if command == APPENDS_COMMAND:
             continue
         line = slope.line()
-        sizes = sorted(slope.by_size())
+        measured = sorted(point.x for point in slope.points)
         rows.append((
-            slope.title, f"{shown(sizes[0])} to {shown(sizes[-1])}",
+            f"`{slope.name}`", slope.title,
+            f"{shown(measured[0])} to {shown(measured[-1])}",
             slope.x_unit, f"{shown(line.intercept)} {slope.y_unit}",
             f"{shown(line.slope)} ± {shown(line.slope_error)}",
             shown(line.residual), shown(line.spread),
             f"{line.sizes} / {line.runs}", f"`{command}`"))
-    return markdown(("quantity", "sizes", "against", "at zero",
+    return markdown(("slope", "quantity", "sizes", "against", "at zero",
                      "slope ± its standard error", "residual",
                      "spread of runs", "sizes / runs", "command"), rows)
 
