--- a/meta/capacity_sweeps/bench_fleet.py
+++ b/meta/capacity_sweeps/bench_fleet.py
@@ -77,7 +77,8 @@
     def append(self, record):
         """The wall-clock time before the append, and the next offset."""
         moment = time.time()
-        url = self.platform.address("platform") + "/v1/streams/catalogue/records"
+        url = (self.platform.address("platform")
+               + "/v1/streams/catalogue/records")
         answer = json.loads(base.call("POST", url, record))
         return moment, answer["offset"] + 1
 
--- a/meta/capacity_sweeps/limits.py
+++ b/meta/capacity_sweeps/limits.py
@@ -23,11 +23,11 @@
 
 def processor(p):
     value = _sum(p, "percent")
+    burst = p.changes_percent(p.size.burst_changes_a_second)
     without = value - (p.claims_percent() or 0.0)
     return ("2.1% of a core for control", f"{shown(value)}%; "
             f"{shown(without)}% without the claims of others; "
-            f"{with_unit(p.changes_percent(p.size.burst_changes_a_second), '%')}"
-            " more in a burst of changes",
+            f"{with_unit(burst, '%')} more in a burst of changes",
             "no all-to-all, no work for idle organisations; constant digests, "
             "load polls bounded in all",
             "reading and folding every claim on every node "
@@ -38,10 +38,10 @@
 
 def memory(p):
     value = _sum(p, "megabytes")
+    streams = p.part("proxy_stream_mb", p.size.streams_a_node)
     return ("128 MB for control", f"{shown(value)} MB, agent and idle proxy; "
             f"streams take "
-            f"{with_unit(p.part('proxy_stream_mb', p.size.streams_a_node), 'MB')}"
-            " beside it",
+            f"{with_unit(streams, 'MB')} beside it",
             "one shared catalogue a process, bounded rings and tables",
             "the ledger of claims: the sum has it at its bound of 200,000 "
             "keys, beyond which claims are refused; an hour of 10% of all "
@@ -92,7 +92,8 @@
             f"{with_unit(p.at('fleet_in_force_ms', p.size.nodes), 'ms')} at "
             "410 agents (line through 2 to 48, longest of all agents); "
             f"measured on 6 agents: {single} at most one by one, {burst} at "
-            f"most in a burst of 770 in 60 s, {cut} at most in a zone that has only its peers "
+            f"most in a burst of 770 in 60 s, {cut} at most in a zone that "
+            "has only its peers "
             "(`meta/measure-agents`)",
             "every agent's long poll at the log; peers by digest a second "
             "apart where the log does not answer",
--- a/meta/capacity_sweeps/roles.py
+++ b/meta/capacity_sweeps/roles.py
@@ -169,12 +169,13 @@
 
 
 def proxy_feed(p):
+    burst = p.part("change_proxy_percent", p.size.burst_changes_a_second)
     return (
         "agent: feed to the proxy", "one proxy, the position it has in force",
         "snapshot at its start, then each change and server; loopback, so "
         "not on the network",
         f"proxy's side of the burst: "
-        f"{with_unit(p.part('change_proxy_percent', p.size.burst_changes_a_second), '% of a core')}",
+        f"{with_unit(burst, '% of a core')}",
         "bounded queue of the link; not measured apart",
         "change by change over the host's own link",
         "CPU from slopes; bytes not measured")
--- a/meta/capacity_sweeps/size.py
+++ b/meta/capacity_sweeps/size.py
@@ -61,6 +61,10 @@
     def replicas_a_model(self):
         return self.replicas / self.models
 
+    @property
+    def hosts_changed_a_day(self):
+        return self.hosts_failed_a_day + self.hosts_replaced_a_day
+
     @property
     def mean_changes_a_second(self):
         return self.changes_a_day / 86400
@@ -103,6 +107,6 @@
              f"{self.burst_changes_a_second:.1f}",
              "770 in one minute: the worst case that we plan for"),
             ("hosts that come or go, an hour",
-             f"{(self.hosts_failed_a_day + self.hosts_replaced_a_day) / 24:.1f}",
+             f"{self.hosts_changed_a_day / 24:.1f}",
              "(8 + 62) / 24"),
         ]
