agent: idle duties wait, an accessor for the orders; wire: generated code in a .h

meta/measure-agents found idle agents at 10 to 67 percent of a core: the end of time overflowed the timer.

--- a/libraries/wire/include/godwit/wire/link.hpp
+++ b/libraries/wire/include/godwit/wire/link.hpp
@@ -68,7 +68,7 @@
     }
 
 private:
-    static constexpr std::size_t read_buffer_size = 16 * 1024;
+    static constexpr std::size_t read_buffer_size = std::size_t{16} * 1024;
 
     link(
         socket_type socket,
--- a/libraries/wire/include/godwit/wire/protocol.hpp
+++ b/libraries/wire/include/godwit/wire/protocol.hpp
@@ -12,10 +12,10 @@
 inline constexpr std::size_t frame_header_size = 4;
 
 /// The largest frame body, in bytes, unless the caller sets another limit.
-inline constexpr std::size_t default_frame_limit = 1024 * 1024;
+inline constexpr std::size_t default_frame_limit = std::size_t{1024} * 1024;
 
 /// The largest part of a snapshot, in bytes: one record of the log.
-inline constexpr std::size_t snapshot_chunk_size = 64 * 1024;
+inline constexpr std::size_t snapshot_chunk_size = std::size_t{64} * 1024;
 
 /// The most parts of one snapshot: 64 MiB in all.
 inline constexpr std::uint32_t snapshot_chunk_limit = 1024;
--- a/libraries/wire/src/frame_decoder.cpp
+++ b/libraries/wire/src/frame_decoder.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 // Consumed bytes are only moved out of the way once they are worth a copy.
-constexpr std::size_t compaction_threshold = 64 * 1024;
+constexpr std::size_t compaction_threshold = std::size_t{64} * 1024;
 
 } // namespace
 
--- a/libraries/wire/src/message_writer.hpp
+++ b/libraries/wire/src/message_writer.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "godwit_generated.hpp"
+#include "godwit_generated.h"
 
 #include <godwit/wire/message.hpp>
 
--- a/services/agent/src/agent.hpp
+++ b/services/agent/src/agent.hpp
@@ -62,6 +62,11 @@
         return claims_->claimer();
     }
 
+    [[nodiscard]] const orders::reconciler& reconciler() const noexcept
+    {
+        return orders_->reconciler();
+    }
+
     [[nodiscard]] const proxy_feed& proxies() const noexcept
     {
         return proxies_;
--- a/services/agent/src/claims_duty.cpp
+++ b/services/agent/src/claims_duty.cpp
@@ -2,6 +2,8 @@
 
 #include "claim_messages.hpp"
 
+#include "timer_wait.hpp"
+
 #include <godwit/telemetry/log.hpp>
 
 #include <boost/asio/post.hpp>
@@ -114,9 +116,8 @@
 {
     if (stopped_)
         return;
-    // The decisions' clock is the steady clock in microseconds.
-    const auto wait = claimer_.next_wakeup() - core::monotonic_now();
-    timer_.expires_after(std::max(wait, core::duration(0)));
+    timer_.expires_after(
+        timer_wait(claimer_.next_wakeup(), core::monotonic_now()));
     timer_.async_wait(
         [weak = weak_from_this()](const boost::system::error_code& code) {
             const auto self = weak.lock();
--- a/tests/agent/parts_test.cpp
+++ b/tests/agent/parts_test.cpp
@@ -2,6 +2,7 @@
 #include "server_view.hpp"
 #include "sign_relay.hpp"
 #include "snapshot_assembly.hpp"
+#include "timer_wait.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -20,8 +21,18 @@
     CPPUNIT_TEST(test_signs_are_bounded);
     CPPUNIT_TEST(test_view_gives_what_changed);
     CPPUNIT_TEST(test_snapshot_parts_in_order_only);
+    CPPUNIT_TEST(test_nothing_wanted_does_not_spin);
     CPPUNIT_TEST_SUITE_END();
 
+    void test_nothing_wanted_does_not_spin()
+    {
+        const core::time_point now = core::monotonic_now();
+        const auto wait = agent::timer_wait(core::time_point::max(), now);
+        CPPUNIT_ASSERT(wait == core::duration(1h));
+        CPPUNIT_ASSERT(agent::timer_wait(now - 1s, now) == core::duration(0));
+        CPPUNIT_ASSERT(agent::timer_wait(now + 1s, now) == core::duration(1s));
+    }
+
     void test_pause_is_noticed_once()
     {
         agent::pause_watch watch(1s, start);
