tests: agents in tests wait two seconds, not twenty, before their first lease

test_no_lease_no_order was listed as red: it waited for appends that the orders duty makes only after first_wait_ms, 20 s by default, which each orders test sat through (67 s for the agent's tests). Ruled out: a lost wake-up after refused appends, which the same test shows to be retried.

--- a/services/agent/src/agent.hpp
+++ b/services/agent/src/agent.hpp
@@ -51,11 +51,6 @@
     [[nodiscard]] const boost::asio::ip::tcp::endpoint&
     frames_address() const noexcept;
 
-    [[nodiscard]] const orders::reconciler& reconciler() const noexcept
-    {
-        return orders_->reconciler();
-    }
-
     /// The catalogue, for tests and the state dump.
     [[nodiscard]] const catalogue::follower& follower() const noexcept
     {
--- a/tests/agent/fleet.cpp
+++ b/tests/agent/fleet.cpp
@@ -141,7 +141,9 @@
         R"(","listen":{"frames":"127.0.0.1:0","operators":"127.0.0.1:0"},)" +
         R"("platform":")" + (platform.empty() ? platform_address() : platform) +
         R"(","peers":[)" + peers + R"(],"host_list":{"interval_ms":50},)" +
-        R"("log":{"wait_ms":2000},"catalogue":{"log_retry_ms":50}})";
+        R"("log":{"wait_ms":2000},"catalogue":{"log_retry_ms":50},)"
+        R"("orders":{"lease_ms":2000,"lease_margin_ms":200,)"
+        R"("first_wait_ms":2000,"pending_ms":50,"log_retry_ms":50}})";
     return agent_settings::read(settings::reader::parse(text).value()).value();
 }
 
