--- a/fakes/engine/main.cpp
+++ b/fakes/engine/main.cpp
@@ -1,22 +1,21 @@
 #include "engine_shell.hpp"
 
-#include <godwit/fakes/option_reader.hpp>
 #include <godwit/fakes/program.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include <iostream>
+#include <vector>
 
 namespace {
 
 using godwit::fakes::engine_settings;
+using godwit::fakes::option_description;
 using godwit::fakes::option_reader;
 
-option_reader describe_options()
+std::vector<option_description> describe_options()
 {
-    return option_reader({
-        {"listen", "IP:PORT", "127.0.0.1:0", "address; port 0 chooses one"},
+    return {
         {"service", "NAME", "model", "the model that is loaded at first"},
         {"zone", "NAME", "", "availability zone, for the log"},
         {"tokens-per-second", "N", "50", "of a generation that runs alone"},
@@ -25,7 +24,7 @@
         {"load-lag-ms", "N", "200", "age of the reported load"},
         {"checks-fencing", "yes|no", "yes", "refuse old fencing numbers"},
         {"seed", "N", "1", "of the lost cache events"},
-    });
+    };
 }
 
 godwit::core::result<engine_settings> read_settings(const option_reader& from)
@@ -35,8 +34,7 @@
     settings.tokens_per_second = GODWIT_TRY(from.number("tokens-per-second"));
     settings.batch = GODWIT_TRY(from.number("batch"));
     settings.memory_tokens = GODWIT_TRY(from.number("memory-tokens"));
-    settings.load_lag =
-        std::chrono::milliseconds(GODWIT_TRY(from.number("load-lag-ms")));
+    settings.load_lag = GODWIT_TRY(from.milliseconds("load-lag-ms"));
     settings.checks_fencing = GODWIT_TRY(from.flag("checks-fencing"));
     settings.seed = GODWIT_TRY(from.number("seed"));
     if (settings.tokens_per_second == 0 || settings.batch == 0)
@@ -62,26 +60,15 @@
 
 int main(int argument_count, char** arguments)
 {
-    option_reader options = describe_options();
-    switch (options.read(argument_count, arguments)) {
-    case option_reader::request::help:
-        std::cout << options.usage(
-            "godwit-fake-engine", "A stand-in for a model engine.");
-        return 0;
-    case option_reader::request::version:
-        std::cout << "godwit-fake-engine " << GODWIT_VERSION << "\n";
-        return 0;
-    case option_reader::request::wrong_usage:
-        return 2;
-    case option_reader::request::run:
-        break;
-    }
-    const auto listen = options.address("listen");
-    const auto settings = read_settings(options);
-    if (!listen || !settings) {
-        std::cerr << (!listen ? listen.error() : settings.error()).to_string()
-                  << "\n";
-        return 2;
-    }
-    return run(*settings, *listen);
+    return godwit::fakes::run_program(
+        {"godwit-fake-engine",
+         "A stand-in for a model engine.",
+         GODWIT_VERSION},
+        describe_options(),
+        argument_count,
+        arguments,
+        [](const option_reader& options,
+           const godwit::http::endpoint& listen) -> godwit::core::result<int> {
+            return run(GODWIT_TRY(read_settings(options)), listen);
+        });
 }
--- a/fakes/service/main.cpp
+++ b/fakes/service/main.cpp
@@ -1,23 +1,23 @@
 #include "service_shell.hpp"
 
-#include <godwit/fakes/option_reader.hpp>
 #include <godwit/fakes/program.hpp>
 
-#include <iostream>
+#include <string>
+#include <vector>
 
 namespace {
 
 using godwit::fakes::deduplication;
+using godwit::fakes::option_description;
 using godwit::fakes::option_reader;
 
-option_reader describe_options()
+std::vector<option_description> describe_options()
 {
-    return option_reader({
-        {"listen", "IP:PORT", "127.0.0.1:0", "address; port 0 chooses one"},
+    return {
         {"service", "NAME", "service", "the service's name"},
         {"zone", "NAME", "", "availability zone, for the log"},
         {"deduplicates", "yes|no", "no", "run a known key only once"},
-    });
+    };
 }
 
 int run(
@@ -37,29 +37,19 @@
 
 int main(int argument_count, char** arguments)
 {
-    option_reader options = describe_options();
-    switch (options.read(argument_count, arguments)) {
-    case option_reader::request::help:
-        std::cout << options.usage(
-            "godwit-fake-service", "A stand-in for a plain service.");
-        return 0;
-    case option_reader::request::version:
-        std::cout << "godwit-fake-service " << GODWIT_VERSION << "\n";
-        return 0;
-    case option_reader::request::wrong_usage:
-        return 2;
-    case option_reader::request::run:
-        break;
-    }
-    const auto listen = options.address("listen");
-    const auto deduplicates = options.flag("deduplicates");
-    if (!listen || !deduplicates) {
-        std::cerr
-            << (!listen ? listen.error() : deduplicates.error()).to_string()
-            << "\n";
-        return 2;
-    }
-    const auto rule =
-        *deduplicates ? deduplication::by_key : deduplication::none;
-    return run(options.text("service"), rule, *listen);
+    return godwit::fakes::run_program(
+        {"godwit-fake-service",
+         "A stand-in for a plain service.",
+         GODWIT_VERSION},
+        describe_options(),
+        argument_count,
+        arguments,
+        [](const option_reader& options,
+           const godwit::http::endpoint& listen) -> godwit::core::result<int> {
+            const bool deduplicates = GODWIT_TRY(options.flag("deduplicates"));
+            return run(
+                options.text("service"),
+                deduplicates ? deduplication::by_key : deduplication::none,
+                listen);
+        });
 }
--- a/fakes/support/include/godwit/fakes/option_reader.hpp
+++ b/fakes/support/include/godwit/fakes/option_reader.hpp
@@ -3,6 +3,7 @@
 #include <godwit/core/result.hpp>
 #include <godwit/http/endpoint.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -46,6 +47,10 @@
     [[nodiscard]] core::result<std::uint64_t>
     number(const std::string& name) const;
 
+    /// The same for a span of time that is given in milliseconds.
+    [[nodiscard]] core::result<std::chrono::milliseconds>
+    milliseconds(const std::string& name) const;
+
     /// Fails with `invalid_input` when the value is neither yes nor no. A
     /// switch is yes when it is given.
     [[nodiscard]] core::result<bool> flag(const std::string& name) const;
--- a/fakes/support/src/option_reader.cpp
+++ b/fakes/support/src/option_reader.cpp
@@ -85,6 +85,12 @@
     return number;
 }
 
+core::result<std::chrono::milliseconds>
+option_reader::milliseconds(const std::string& name) const
+{
+    return std::chrono::milliseconds(GODWIT_TRY(number(name)));
+}
+
 core::result<bool> option_reader::flag(const std::string& name) const
 {
     const std::string& value = text(name);
