fakes: the platform's record times count from 1970

The stand-in gave time_ms by the monotonic clock, so an agent that compares it with its own wall clock took the newest checkpoint for very old and wrote one too early. The shell now passes the wall clock to the log; the log's model still takes its clock as an argument. The new test failed before the change.

Tests that use the stand-in, after it: fakes, agent and orders_duty pass (debug).

--- a/fakes/platform/platform_shell.cpp
+++ b/fakes/platform/platform_shell.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <chrono>
 #include <utility>
 
 namespace godwit::fakes {
@@ -22,6 +23,14 @@
 constexpr std::uint64_t records_at_once = 1000;
 constexpr std::uint64_t longest_wait_ms = 30'000;
 
+// The log's records carry milliseconds since 1970, so its clock counts from
+// there; the monotonic clock would count from the machine's start.
+core::time_point log_now()
+{
+    return core::time_point(std::chrono::duration_cast<core::duration>(
+        std::chrono::system_clock::now().time_since_epoch()));
+}
+
 std::uint64_t number_in(
     const std::string& target, std::string_view name, std::uint64_t initial)
 {
@@ -143,8 +152,7 @@
         co_return;
     }
     std::string data = current.received().body;
-    const auto offset =
-        log_.append(stream, std::move(data), core::monotonic_now());
+    const auto offset = log_.append(stream, std::move(data), log_now());
     if (!offset) {
         const bool too_large =
             offset.error().kind() == core::error_kind::invalid_input;
@@ -179,11 +187,11 @@
         if (!cancelled)
             appended_.notify();
     });
-    log_slice slice = log_.read(stream, from, limit, core::monotonic_now());
+    log_slice slice = log_.read(stream, from, limit, log_now());
     while (slice.records.empty() && core::monotonic_now() < end &&
            !current.is_caller_gone() && !faults_.is_on("outage")) {
         co_await appended_.wait_beyond(appended_.count());
-        slice = log_.read(stream, from, limit, core::monotonic_now());
+        slice = log_.read(stream, from, limit, log_now());
     }
     std::string text = to_text(slice);
     co_await answer_json(current, 200, std::move(text));
--- a/fakes/support/include/godwit/fakes/log_record.hpp
+++ b/fakes/support/include/godwit/fakes/log_record.hpp
@@ -11,7 +11,7 @@
 struct log_record
 {
     std::uint64_t offset = 0;
-    core::time_point appended;
+    core::time_point appended; ///< Since 1970.
     std::string data;
 };
 
--- a/fakes/support/include/godwit/fakes/platform_log.hpp
+++ b/fakes/support/include/godwit/fakes/platform_log.hpp
@@ -13,7 +13,8 @@
 namespace godwit::fakes {
 
 /// The platform's append-only streams without their sockets: offsets that
-/// only grow, a limited time of keeping, and a limited rate.
+/// only grow, a limited time of keeping, and a limited rate. Its clock, which
+/// callers pass, counts from 1970.
 class platform_log
 {
 public:
--- a/tests/fakes/programs_test.cpp
+++ b/tests/fakes/programs_test.cpp
@@ -2,8 +2,11 @@
 
 #include <godwit/fakes/generation_text.hpp>
 
+#include <boost/json.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <chrono>
+#include <cstdint>
 #include <string>
 
 namespace {
@@ -26,6 +29,7 @@
     CPPUNIT_TEST(test_service_counts_effects);
     CPPUNIT_TEST(test_service_deduplicates);
     CPPUNIT_TEST(test_platform_log);
+    CPPUNIT_TEST(test_platform_records_since_1970);
     CPPUNIT_TEST(test_platform_loses_answers);
     CPPUNIT_TEST(test_platform_long_poll);
     CPPUNIT_TEST(test_platform_hosts);
@@ -206,6 +210,27 @@
             contains(body_of(platform, records), "\"first\":1,\"next\":1"));
     }
 
+    static std::int64_t milliseconds_since_1970()
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(
+                   std::chrono::system_clock::now().time_since_epoch())
+            .count();
+    }
+
+    void test_platform_records_since_1970()
+    {
+        const fake_process platform("godwit-fake-platform");
+        const std::string records = "/v1/streams/catalogue/records";
+        const auto before = milliseconds_since_1970();
+        CPPUNIT_ASSERT(platform.ask("POST", records, "x"));
+        const auto after = milliseconds_since_1970();
+        const auto slice = boost::json::parse(body_of(platform, records));
+        const auto time =
+            slice.at("records").at(0).at("time_ms").to_number<std::int64_t>();
+        CPPUNIT_ASSERT(before <= time);
+        CPPUNIT_ASSERT(time <= after);
+    }
+
     void test_platform_loses_answers()
     {
         const fake_process platform("godwit-fake-platform");
