agent: the duties read their streams by one piece of code

claims_duty and orders_duty turned a page of the log into their library's event, and a failed read into the other, by the same lines. follow_log does it for both; the event types are its template arguments, since each library has its own. agent and orders_duty pass (debug).

--- a/services/agent/src/claims_duty.cpp
+++ b/services/agent/src/claims_duty.cpp
@@ -1,6 +1,7 @@
 #include "claims_duty.hpp"
 
 #include "claim_messages.hpp"
+#include "follow_log.hpp"
 
 #include <godwit/telemetry/log.hpp>
 
@@ -22,23 +23,6 @@
 using telemetry::log_event;
 using telemetry::log_level;
 
-claims::records_read
-to_claims(const claims::read_log& asked, platform::log_page page)
-{
-    claims::records_read event{
-        .read = asked.read,
-        .first = page.first,
-        .next = page.next,
-        .records = {}};
-    event.records.reserve(page.records.size());
-    for (platform::log_record& record : page.records)
-        event.records.push_back(
-            {record.offset,
-             claims::log_time(record.time_ms),
-             std::move(record.data)});
-    return event;
-}
-
 claims::claimer_event
 to_claims(std::uint64_t append, const platform::append_result& result)
 {
@@ -152,17 +136,12 @@
 
 void claims_duty::perform(const claims::read_log& action)
 {
-    client_.read(
-        {.stream = stream_name,
-         .from = action.from,
-         .limit = action.limit,
-         .wait = action.wait},
-        [self = shared_from_this(),
-         action](core::result<platform::log_page> page) {
-            if (page)
-                self->handle(to_claims(action, std::move(*page)));
-            else
-                self->handle(claims::read_failed{action.read});
+    follow_log<claims::records_read, claims::read_failed>(
+        client_,
+        stream_name,
+        action,
+        [self = shared_from_this()](const auto& event) {
+            self->handle(event);
         });
 }
 
--- a/services/agent/src/orders_duty.cpp
+++ b/services/agent/src/orders_duty.cpp
@@ -2,6 +2,7 @@
 
 #include "engine_messages.hpp"
 #include "engine_pools.hpp"
+#include "follow_log.hpp"
 
 #include <godwit/http/fetch.hpp>
 #include <godwit/telemetry/log.hpp>
@@ -27,19 +28,6 @@
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_conflict = 409;
 
-orders::records_read
-to_orders(const orders::read_log& asked, platform::log_page page)
-{
-    orders::records_read event{asked.read, page.first, page.next, {}};
-    event.records.reserve(page.records.size());
-    for (platform::log_record& record : page.records)
-        event.records.push_back(
-            {record.offset,
-             orders::log_time(record.time_ms),
-             std::move(record.data)});
-    return event;
-}
-
 } // namespace
 
 core::result<std::shared_ptr<orders_duty>> orders_duty::create(
@@ -179,17 +167,12 @@
 
 void orders_duty::perform(const orders::read_log& action)
 {
-    client_.read(
-        {.stream = stream_name,
-         .from = action.from,
-         .limit = action.limit,
-         .wait = action.wait},
-        [self = shared_from_this(),
-         action](core::result<platform::log_page> page) {
-            if (page)
-                self->handle(to_orders(action, std::move(*page)));
-            else
-                self->handle(orders::read_failed{action.read});
+    follow_log<orders::records_read, orders::read_failed>(
+        client_,
+        stream_name,
+        action,
+        [self = shared_from_this()](const auto& event) {
+            self->handle(event);
         });
 }
 
