--- a/tests/claims/record_test.cpp
+++ b/tests/claims/record_test.cpp
@@ -17,7 +17,7 @@
 
 const auto request = request_fingerprint::of("POST", "/sign", "body");
 const claim_holder holder{
-    core::host_name("vic-1"), core::incarnation_id("a1"), "127.0.0.1:9"};
+    core::host_name("entry-1"), core::incarnation_id("a1"), "127.0.0.1:9"};
 
 claim_entry claim(int number)
 {
--- a/tests/fakes/programs_test.cpp
+++ b/tests/fakes/programs_test.cpp
@@ -264,14 +264,14 @@
             "godwit-fake-platform", {"--host-list-lag-ms", "0"});
         const std::string host = "/v1/hosts/127.0.0.1%3A80";
         const std::string engine =
-            "{\"kind\":\"engine\",\"zone\":\"vic\",\"state\":\"live\"}";
+            "{\"kind\":\"engine\",\"zone\":\"zone-a\",\"state\":\"live\"}";
         CPPUNIT_ASSERT_EQUAL(
             200U, platform.ask("PUT", host, engine).value().status);
         CPPUNIT_ASSERT_EQUAL(
             400U, platform.ask("PUT", host, "x").value().status);
         const std::string hosts = body_of(platform, "/v1/hosts");
         CPPUNIT_ASSERT(contains(hosts, "\"address\":\"127.0.0.1:80\""));
-        CPPUNIT_ASSERT(contains(hosts, "\"zone\":\"vic\""));
+        CPPUNIT_ASSERT(contains(hosts, "\"zone\":\"zone-a\""));
         CPPUNIT_ASSERT_EQUAL(200U, platform.ask("DELETE", host).value().status);
         CPPUNIT_ASSERT_EQUAL(
             std::string("{\"hosts\":[]}"), body_of(platform, "/v1/hosts"));
--- a/tests/godwitctl/operators_stub.cpp
+++ b/tests/godwitctl/operators_stub.cpp
@@ -41,7 +41,7 @@
     if (target == "/state") {
         response.body = boost::json::serialize(boost::json::object{
             {"host", "host-1"},
-            {"zone", "moste"},
+            {"zone", "zone-b"},
             {"program", "godwit-agent"},
             {"catalogue",
              boost::json::object{
--- a/tests/orders/engine_fleet.cpp
+++ b/tests/orders/engine_fleet.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-const core::service_name service("imenoslov");
+const core::service_name service("gazetteer");
 constexpr core::duration hop = milliseconds(1);
 constexpr core::duration append_time = milliseconds(10);
 
--- a/tests/orders_duty/orders_duty_test.cpp
+++ b/tests/orders_duty/orders_duty_test.cpp
@@ -86,7 +86,7 @@
         json::object target{
             {"model", "lm"}, {"version", version}, {"replicas", engine_count}};
         changes.push_back(json::object{
-            {"entry", "service/imenoslov"},
+            {"entry", "service/gazetteer"},
             {"expected_version", version_},
             {"value",
              json::object{
@@ -174,7 +174,7 @@
 
     void list(const std::string& address, json::object host)
     {
-        host["zone"] = "vic";
+        host["zone"] = "zone-a";
         host["state"] = "live";
         const auto answer =
             ask(platform_url_,
@@ -195,7 +195,7 @@
         const auto address = without_scheme(engine_urls_.back());
         list(
             address,
-            {{"kind", "engine"}, {"name", address}, {"service", "imenoslov"}});
+            {{"kind", "engine"}, {"name", address}, {"service", "gazetteer"}});
     }
 
     void add_agent(std::size_t index)
@@ -203,7 +203,7 @@
         const auto name = "host-" + std::to_string(index);
         json::object settings{
             {"host", name},
-            {"zone", "vic"},
+            {"zone", "zone-a"},
             {"platform", without_scheme(platform_url_)},
             {"listen",
              json::object{
--- a/tests/platform/answers_test.cpp
+++ b/tests/platform/answers_test.cpp
@@ -102,9 +102,9 @@
             200,
             R"({"hosts":[
                     {"address":"127.0.0.1:2","kind":"engine","name":"e",
-                     "zone":"vic","service":"imenoslov","state":"leaving"},
+                     "zone":"zone-a","service":"gazetteer","state":"leaving"},
                     {"address":"127.0.0.1:1","kind":"entry","name":"h",
-                     "zone":"vic","service":"","state":"live",
+                     "zone":"zone-a","service":"","state":"live",
                      "peer":"127.0.0.1:9"}]})"));
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, hosts->size());
         CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:9"), hosts->front().peer);
--- a/tests/proxy/bad_input_test.cpp
+++ b/tests/proxy/bad_input_test.cpp
@@ -48,9 +48,9 @@
 
 std::vector<bad_input> table()
 {
-    const std::string good = R"({"model":"imenoslov","prompt":"p"})";
+    const std::string good = R"({"model":"gazetteer","prompt":"p"})";
     const auto with = [](const std::string& member) {
-        return R"({"model":"imenoslov","prompt":"p",)" + member + "}";
+        return R"({"model":"gazetteer","prompt":"p",)" + member + "}";
     };
     return {
         {"no token", complete("", good), 401, "unauthenticated"},
@@ -64,7 +64,7 @@
          "malformed_json"},
         {"a list", complete(authorised, "[1]"), 400, "malformed_json"},
         {"no prompt",
-         complete(authorised, R"({"model":"imenoslov"})"),
+         complete(authorised, R"({"model":"gazetteer"})"),
          400,
          "bad_body"},
         {"no model",
@@ -72,7 +72,7 @@
          400,
          "bad_body"},
         {"prompt of a wrong type",
-         complete(authorised, R"({"model":"imenoslov","prompt":3})"),
+         complete(authorised, R"({"model":"gazetteer","prompt":3})"),
          400,
          "bad_body"},
         {"stream of a wrong type",
@@ -104,7 +104,7 @@
          400,
          "wrong_kind"},
         {"an engine pool that is called",
-         post("/v1/services/imenoslov/x", authorised, ""),
+         post("/v1/services/gazetteer/x", authorised, ""),
          400,
          "wrong_kind"},
         {"unknown plain service",
@@ -195,7 +195,7 @@
     [[nodiscard]] proxy_program make_proxy() const
     {
         return proxy_program(
-            {{server_.address(), "imenoslov"}, {server_.address(), "register"}},
+            {{server_.address(), "gazetteer"}, {server_.address(), "register"}},
             "entry-1",
             {{"http",
               json::object{
--- a/tests/proxy/fault_test.cpp
+++ b/tests/proxy/fault_test.cpp
@@ -102,7 +102,7 @@
         const scripted_server broken([](int, const std::string&) {});
         const auto engine = backend::engine({"--tokens-per-second", "1000"});
         const proxy_program proxy(
-            {{broken.address(), "imenoslov"}, engine->entry()},
+            {{broken.address(), "gazetteer"}, engine->entry()},
             "entry-1",
             short_waits);
         for (int run = 0; run < 4; ++run)
@@ -194,7 +194,7 @@
                             "data: [DONE]\n\n");
             });
         const proxy_program proxy(
-            {{crossed.address(), "imenoslov"}}, "entry-1", short_waits);
+            {{crossed.address(), "gazetteer"}}, "entry-1", short_waits);
         const auto answer = ask(proxy.callers(), completion(5, true));
         CPPUNIT_ASSERT(answer.status != 200);
         CPPUNIT_ASSERT(answer.body.find("t0") == std::string::npos);
@@ -212,7 +212,7 @@
                         token_event(id, 3, true) + "data: [DONE]\n\n");
         });
         const proxy_program proxy(
-            {{gappy.address(), "imenoslov"}}, "entry-1", short_waits);
+            {{gappy.address(), "gazetteer"}}, "entry-1", short_waits);
         caller from(proxy.callers());
         CPPUNIT_ASSERT_EQUAL(200U, from.open(completion(4, true)).status);
         const auto result = read_stream(from);
--- a/tests/proxy/fleet.cpp
+++ b/tests/proxy/fleet.cpp
@@ -77,7 +77,7 @@
              organisation("survey", survey_hash),
              organisation("clerks", clerks_hash),
              service(
-                 "imenoslov",
+                 "gazetteer",
                  {{"kind", "engine_pool"},
                   {"model", "lm"},
                   {"model_version", "1"}}),
@@ -97,7 +97,7 @@
     std::vector<std::string> arguments{"--service", "lm", "--load-lag-ms", "0"};
     arguments.insert(arguments.end(), options.begin(), options.end());
     return std::unique_ptr<backend>(new backend(
-        "godwit-fake-engine", std::move(arguments), "engine", "imenoslov"));
+        "godwit-fake-engine", std::move(arguments), "engine", "gazetteer"));
 }
 
 std::unique_ptr<backend>
@@ -133,11 +133,11 @@
     for (const auto& server : servers)
         listed_servers.push_back(json::object{
             {"address", server.address},
-            {"zone", "vic"},
+            {"zone", "zone-a"},
             {"service", server.service}});
     return {
         {"host", host},
-        {"zone", "vic"},
+        {"zone", "zone-a"},
         {"listen",
          json::object{
              {"callers", "127.0.0.1:0"}, {"operators", "127.0.0.1:0"}}},
@@ -211,7 +211,7 @@
     outgoing.target = "/v1/completions";
     outgoing.fields = {{"Authorization", "Bearer " + token}};
     outgoing.body = json::serialize(json::object{
-        {"model", "imenoslov"},
+        {"model", "gazetteer"},
         {"prompt", prompt_of(tokens)},
         {"max_tokens", 60000},
         {"stream", stream}});
--- a/tests/proxy/fleet.hpp
+++ b/tests/proxy/fleet.hpp
@@ -16,10 +16,10 @@
 struct listed
 {
     std::string address; ///< "IP:PORT".
-    std::string service; ///< "imenoslov", "register" or "ledger".
+    std::string service; ///< "gazetteer", "register" or "ledger".
 };
 
-/// A stand-in engine of the service "imenoslov", or a stand-in plain service,
+/// A stand-in engine of the service "gazetteer", or a stand-in plain service,
 /// in a process of its own.
 class backend
 {
@@ -51,7 +51,7 @@
 
 /// A proxy in a process of its own, with a catalogue and backend servers from
 /// its settings: the organisations "survey" and "clerks" with the bearer
-/// tokens "survey-token" and "clerks-token", the engine pool "imenoslov" and
+/// tokens "survey-token" and "clerks-token", the engine pool "gazetteer" and
 /// the plain services "register" and "ledger", which deduplicates.
 class proxy_program
 {
--- a/tests/proxy/scripted_agent.cpp
+++ b/tests/proxy/scripted_agent.cpp
@@ -26,7 +26,7 @@
     self.version = wire::protocol_version;
     self.role = wire::peer_role::agent;
     self.host = core::host_name("entry-1");
-    self.zone = core::zone_name("vic");
+    self.zone = core::zone_name("zone-a");
     self.incarnation = core::incarnation_id("agent-1");
     return self;
 }
--- a/tests/request/token_keyring_test.cpp
+++ b/tests/request/token_keyring_test.cpp
@@ -27,7 +27,7 @@
 {
     return {
         surveyors,
-        godwit::core::service_name("imenoslov"),
+        godwit::core::service_name("gazetteer"),
         {godwit::core::server_address("10.0.0.1:80"),
          godwit::core::generation_id("r-1"),
          7},
--- a/tests/wire/sample_messages.cpp
+++ b/tests/wire/sample_messages.cpp
@@ -23,8 +23,8 @@
         250};
     const backend_server server{
         core::server_address("127.0.0.1:9000"),
-        core::zone_name("vic"),
-        core::service_name("imenoslov"),
+        core::zone_name("zone-a"),
+        core::service_name("gazetteer"),
         server_kind::engine,
         server_state::leaving};
     return {
@@ -32,7 +32,7 @@
             protocol_version,
             peer_role::proxy,
             host,
-            core::zone_name("vic"),
+            core::zone_name("zone-a"),
             incarnation,
             "127.0.0.1:1"},
         heartbeat{},
