wire, agent, proxy: the proxy knows how many entry hosts there are

The proxy told dispatch of one entry host, whatever the fleet, and granted each organisation its whole limit on every entry host.

The agent now counts the live entry hosts of the host list and sends the number with the backend servers (`entry_hosts`, 0 is not known). It counts itself while it is not listed, and keeps the last count while the list is out or has no live entry host. The proxy keeps the last number at 0, starts with 1, and on a change gives dispatch the policy and the servers anew. Its state dump shows the number. The rounding of a limit no longer overflows for a large count.

After it wire, agent, proxy, catalogue and sessions passed by ctest.

--- a/libraries/wire/include/godwit/wire/backend_servers.hpp
+++ b/libraries/wire/include/godwit/wire/backend_servers.hpp
@@ -3,6 +3,7 @@
 #include <godwit/core/identifiers.hpp>
 #include <godwit/wire/backend_server.hpp>
 
+#include <cstdint>
 #include <vector>
 
 namespace godwit::wire {
@@ -14,6 +15,9 @@
     bool whole = false;
     std::vector<backend_server> servers;
     std::vector<core::server_address> removed;
+    /// Entry hosts that send to these servers, where that changed or the view
+    /// is whole; 0 if it is not known or as before.
+    std::uint32_t entry_hosts = 0;
 
     friend bool
     operator==(const backend_servers&, const backend_servers&) = default;
--- a/libraries/wire/src/godwit_generated.hpp
+++ b/libraries/wire/src/godwit_generated.hpp
@@ -1047,7 +1047,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_WHOLE = 4,
     VT_SERVERS = 6,
-    VT_REMOVED = 8
+    VT_REMOVED = 8,
+    VT_ENTRY_HOSTS = 10
   };
   bool whole() const {
     return GetField<uint8_t>(VT_WHOLE, 0) != 0;
@@ -1058,6 +1059,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *removed() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_REMOVED);
   }
+  uint32_t entry_hosts() const {
+    return GetField<uint32_t>(VT_ENTRY_HOSTS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_WHOLE, 1) &&
@@ -1067,6 +1071,7 @@
            VerifyOffset(verifier, VT_REMOVED) &&
            verifier.VerifyVector(removed()) &&
            verifier.VerifyVectorOfStrings(removed()) &&
+           VerifyField<uint32_t>(verifier, VT_ENTRY_HOSTS, 4) &&
            verifier.EndTable();
   }
 };
@@ -1084,6 +1089,9 @@
   void add_removed(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> removed) {
     fbb_.AddOffset(backend_servers::VT_REMOVED, removed);
   }
+  void add_entry_hosts(uint32_t entry_hosts) {
+    fbb_.AddElement<uint32_t>(backend_servers::VT_ENTRY_HOSTS, entry_hosts, 0);
+  }
   explicit backend_serversBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1099,8 +1107,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     bool whole = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::backend_server>>> servers = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> removed = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> removed = 0,
+    uint32_t entry_hosts = 0) {
   backend_serversBuilder builder_(_fbb);
+  builder_.add_entry_hosts(entry_hosts);
   builder_.add_removed(removed);
   builder_.add_servers(servers);
   builder_.add_whole(whole);
@@ -1116,14 +1126,16 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     bool whole = false,
     const std::vector<flatbuffers::Offset<godwit::wire::format::backend_server>> *servers = nullptr,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *removed = nullptr) {
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *removed = nullptr,
+    uint32_t entry_hosts = 0) {
   auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<godwit::wire::format::backend_server>>(*servers) : 0;
   auto removed__ = removed ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*removed) : 0;
   return godwit::wire::format::Createbackend_servers(
       _fbb,
       whole,
       servers__,
-      removed__);
+      removed__,
+      entry_hosts);
 }
 
 struct server_sign FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/libraries/wire/src/message_reader.cpp
+++ b/libraries/wire/src/message_reader.cpp
@@ -66,7 +66,8 @@
     return backend_servers{
         .whole = table.whole(),
         .servers = reader.list<backend_server>(table.servers()),
-        .removed = reader.identifiers<core::server_address>(table.removed())};
+        .removed = reader.identifiers<core::server_address>(table.removed()),
+        .entry_hosts = table.entry_hosts()};
 }
 
 server_sign read(const format::server_sign& table, frame_reader& reader)
--- a/libraries/wire/src/message_writer.cpp
+++ b/libraries/wire/src/message_writer.cpp
@@ -112,7 +112,8 @@
         out,
         value.whole,
         list(out, value.servers),
-        text_list(out, value.removed));
+        text_list(out, value.removed),
+        value.entry_hosts);
 }
 
 flatbuffers::Offset<format::server_sign>
--- a/services/agent/src/agent.cpp
+++ b/services/agent/src/agent.cpp
@@ -76,7 +76,7 @@
       metrics_(telemetry::metrics::create()),
       gauges_(agent_gauges::create(*metrics_)),
       pause_watch_(settings_.pause_limit, core::monotonic_now()),
-      timer_(context)
+      timer_(context), proxies_(settings_.host)
 {
     auto [id, seed] = incarnation::draw(settings_.host);
     incarnation_ = std::move(id);
--- a/services/agent/src/proxy_feed.cpp
+++ b/services/agent/src/proxy_feed.cpp
@@ -97,7 +97,7 @@
 void proxy_feed::update_servers(const platform::host_list& list)
 {
     const wire::backend_servers changes = servers_.update(list);
-    if (changes.whole || !changes.servers.empty() || !changes.removed.empty())
+    if (changes != wire::backend_servers())
         broadcast(changes);
 }
 
--- a/services/agent/src/proxy_feed.hpp
+++ b/services/agent/src/proxy_feed.hpp
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <utility>
 
 namespace godwit::agent {
 
@@ -24,6 +25,11 @@
 public:
     using link_pointer = std::shared_ptr<wire::link>;
 
+    /// The feed of the agent on `own_host`.
+    explicit proxy_feed(core::host_name own_host)
+        : servers_(std::move(own_host))
+    {}
+
     void opened(const link_pointer& link);
     void closed(const link_pointer& link);
 
--- a/services/proxy/agent_link.cpp
+++ b/services/proxy/agent_link.cpp
@@ -139,6 +139,7 @@
     } else if (
         const auto* servers = std::get_if<wire::backend_servers>(&value)) {
         servers_.apply(*servers);
+        control_.take_entry_hosts(servers->entry_hosts);
         control_.take_servers(servers_.all());
     } else if (const auto* sign = std::get_if<wire::server_sign>(&value)) {
         if (sign->kind != wire::sign_kind::recovered)
--- a/services/proxy/catalogue_policy.cpp
+++ b/services/proxy/catalogue_policy.cpp
@@ -30,8 +30,7 @@
     policy.name = from.name;
     if (from.limits.concurrency > 0) {
         // Rounded up: a limit of 1 must let one request through somewhere.
-        policy.concurrency =
-            (from.limits.concurrency + entry_hosts - 1) / entry_hosts;
+        policy.concurrency = (from.limits.concurrency - 1) / entry_hosts + 1;
     }
     if (from.limits.tokens_per_second > 0)
         policy.tokens_per_second =
--- a/services/proxy/control_plane.cpp
+++ b/services/proxy/control_plane.cpp
@@ -296,6 +296,22 @@
     });
 }
 
+void control_plane::take_entry_hosts(std::uint32_t count)
+{
+    asio::post(control_, [this, count] {
+        if (count == 0 || count == entry_hosts_)
+            return;
+        log_event(
+            log_level::info,
+            component,
+            "entry_hosts_changed",
+            {{"from", entry_hosts_}, {"to", count}});
+        entry_hosts_ = count;
+        tell_of_policy();
+        tell_of_servers();
+    });
+}
+
 void control_plane::take_sign(membership::sign_received sign)
 {
     asio::post(control_, [this, sign = std::move(sign)] { run(sign); });
@@ -334,12 +350,18 @@
     // Engines take a priority with the request only.
 }
 
-void control_plane::on(const membership::publish_snapshot& what)
+void control_plane::on(const membership::publish_snapshot&)
 {
+    tell_of_servers();
+}
+
+void control_plane::tell_of_servers()
+{
+    const auto snapshot = pool_.snapshot();
     dispatch::servers_changed change;
     change.entry_hosts = entry_hosts_;
     eligible_.clear();
-    for (const auto& pool : what.snapshot->pools()) {
+    for (const auto& pool : snapshot->pools()) {
         for (const auto* servers : {&pool.own_zone, &pool.other_zones}) {
             for (const auto& server : *servers) {
                 change.servers.push_back(
@@ -352,6 +374,13 @@
     run(std::move(change));
 }
 
+void control_plane::tell_of_policy()
+{
+    if (catalogue_)
+        run(dispatch::policy_changed{
+            dispatch_policy(*catalogue_, entry_hosts_)});
+}
+
 void control_plane::on(const membership::pass_sign& what)
 {
     if (to_.on_sign)
@@ -436,7 +465,7 @@
         tell_of_gone_services(*next);
     catalogue_ = std::move(next);
     to_.snapshots.set({catalogue_, catalogue_->next_offset()});
-    run(dispatch::policy_changed{dispatch_policy(*catalogue_, entry_hosts_)});
+    tell_of_policy();
     run(membership::requirements_changed{service_requirements(*catalogue_)});
     log_event(
         log_level::info,
@@ -474,6 +503,7 @@
             {"services", catalogue_->services().size()}};
     else
         state["catalogue"] = nullptr;
+    state["entry_hosts"] = entry_hosts_;
     state["waiting"] = waiting_.size();
     state["dispatch"] = scheduler_dump(scheduler_.state(), pool_);
     return state;
--- a/services/proxy/control_plane.hpp
+++ b/services/proxy/control_plane.hpp
@@ -96,6 +96,10 @@
     /// The host list as a whole, beside the servers of the settings.
     void take_servers(std::vector<membership::listed_server> servers);
 
+    /// How many entry hosts send to these servers. 0, not known, changes
+    /// nothing.
+    void take_entry_hosts(std::uint32_t count);
+
     /// A sign from another entry host.
     void take_sign(membership::sign_received sign);
 
@@ -129,6 +133,8 @@
 
     void allow_last_servers(dispatch::request_arrived& arrival) const;
     void refresh_polls();
+    void tell_of_servers();
+    void tell_of_policy();
     void tell_if_ready(core::time_point now);
     void explore(core::time_point now);
     void on_load(
@@ -158,6 +164,7 @@
     catalogue::state_pointer catalogue_;
     /// The catalogue of the settings gives way to any other.
     bool catalogue_is_static_ = false;
+    /// The last number that was known; 1, this one, before.
     std::uint32_t entry_hosts_ = 1;
 };
 
--- a/tests/agent/feed_test.cpp
+++ b/tests/agent/feed_test.cpp
@@ -104,6 +104,10 @@
         const wire::backend_server server = proxy->servers.servers.front();
         CPPUNIT_ASSERT_EQUAL(core::server_address(address), server.address);
         CPPUNIT_ASSERT(server.kind == wire::server_kind::engine);
+        CPPUNIT_ASSERT_EQUAL(
+            1U, agents.at(0).proxies().servers().entry_hosts());
+        agents.add_agent("moste");
+        agents.wait_until([&] { return proxy->servers.entry_hosts == 2; });
         agents.list_host(
             address,
             R"({"kind":"engine","name":"e","zone":"vic",)"
--- a/tests/agent/parts_test.cpp
+++ b/tests/agent/parts_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(test_sign_passes_once_in_a_while);
     CPPUNIT_TEST(test_signs_are_bounded);
     CPPUNIT_TEST(test_view_gives_what_changed);
+    CPPUNIT_TEST(test_view_counts_entry_hosts);
     CPPUNIT_TEST(test_snapshot_parts_in_order_only);
     CPPUNIT_TEST_SUITE_END();
 
@@ -75,7 +76,7 @@
     void test_view_gives_what_changed()
     {
         using state = platform::host_state;
-        agent::server_view view;
+        agent::server_view view(core::host_name("own"));
         CPPUNIT_ASSERT(!view.known());
         const auto first =
             view.update({server("a", state::live), server("b", state::live)});
@@ -94,6 +95,43 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, view.whole().servers.size());
     }
 
+    static platform::host_entry
+    entry(const std::string& name, platform::host_state state)
+    {
+        platform::host_entry host;
+        host.name = core::host_name(name);
+        host.kind = platform::host_kind::entry;
+        host.state = state;
+        return host;
+    }
+
+    void test_view_counts_entry_hosts()
+    {
+        using state = platform::host_state;
+        agent::server_view view(core::host_name("own"));
+        const auto engine = server("a", state::live);
+        CPPUNIT_ASSERT_EQUAL(0U, view.update({engine}).entry_hosts);
+        CPPUNIT_ASSERT_EQUAL(0U, view.whole().entry_hosts);
+        // It counts itself before it is listed, and once when it is.
+        const auto other = entry("other", state::live);
+        CPPUNIT_ASSERT_EQUAL(2U, view.update({engine, other}).entry_hosts);
+        const auto own = entry("own", state::live);
+        CPPUNIT_ASSERT(
+            view.update({engine, other, own}) == wire::backend_servers());
+        const auto third = entry("third", state::live);
+        CPPUNIT_ASSERT_EQUAL(
+            3U, view.update({engine, other, own, third}).entry_hosts);
+        CPPUNIT_ASSERT_EQUAL(3U, view.whole().entry_hosts);
+        // Empty, or without a live one: the last known count stays.
+        CPPUNIT_ASSERT_EQUAL(0U, view.update({}).entry_hosts);
+        CPPUNIT_ASSERT_EQUAL(
+            0U, view.update({entry("own", state::leaving)}).entry_hosts);
+        CPPUNIT_ASSERT_EQUAL(3U, view.entry_hosts());
+        const auto leaving = entry("other", state::leaving);
+        CPPUNIT_ASSERT_EQUAL(
+            1U, view.update({engine, leaving, own}).entry_hosts);
+    }
+
     void test_snapshot_parts_in_order_only()
     {
         agent::snapshot_assembly assembly;
--- a/tests/proxy/scripted_agent.cpp
+++ b/tests/proxy/scripted_agent.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 
 #include <chrono>
 #include <stdexcept>
@@ -108,6 +109,16 @@
     return answer;
 }
 
+void scripted_agent::tell(wire::message value)
+{
+    asio::post(context_, [this, value = std::move(value)] {
+        // A send may close a link, which changes the set.
+        const auto links = acceptor_->links();
+        for (const auto& link : links)
+            link->send(value);
+    });
+}
+
 void scripted_agent::set_log_down(bool down)
 {
     const std::scoped_lock lock(mutex_);
--- a/tests/proxy/scripted_agent.hpp
+++ b/tests/proxy/scripted_agent.hpp
@@ -34,6 +34,9 @@
     /// From now on no claim can be had.
     void set_log_down(bool down);
 
+    /// Sends to every proxy that is connected.
+    void tell(wire::message value);
+
     /// Waits until that many proxies are connected.
     void wait_for_links(std::size_t count);
 
--- a/tests/wire/sample_messages.cpp
+++ b/tests/wire/sample_messages.cpp
@@ -40,7 +40,10 @@
         catalogue_change{8, 1700000000000, 0xfeedULL, std::string("\0x", 2)},
         catalogue_position{9, 0xfeedULL},
         backend_servers{
-            true, {server, server}, {core::server_address("127.0.0.1:9001")}},
+            true,
+            {server, server},
+            {core::server_address("127.0.0.1:9001")},
+            410},
         server_sign{
             core::server_address("127.0.0.1:9000"), sign_kind::leaving, 15},
         claim_request{7, "key", "fingerprint", holder},
