--- a/services/agent/src/agent_settings.cpp
+++ b/services/agent/src/agent_settings.cpp
@@ -60,7 +60,7 @@
     client.page_bytes = GODWIT_TRY(read_count(
         from,
         "page_bytes",
-        {512 * 1024, 256 * 1024 * 1024},
+        {512L * 1024, 256L * 1024 * 1024},
         client.page_bytes));
     client.budget.log_rate = GODWIT_TRY(
         from.get_number("rate", {1, 100000}, client.budget.log_rate));
@@ -194,7 +194,7 @@
     links.send_queue_limit = GODWIT_TRY(read_count(
         from,
         "queue_bytes",
-        {1024 * 1024, 64 * 1024 * 1024},
+        {1024L * 1024, 64L * 1024 * 1024},
         links.send_queue_limit));
     GODWIT_TRY(from.finish());
     return links;
--- a/tests/wire/link_test.cpp
+++ b/tests/wire/link_test.cpp
@@ -207,14 +207,15 @@
     void test_slow_reader_is_closed_at_the_bound()
     {
         wire::link_options options;
-        options.send_queue_limit = 64 * 1024;
+        options.send_queue_limit = std::size_t{64} * 1024;
         listen(options);
         auto socket = raw_connection();
         auto self = introduce("slow");
         self.version = wire::protocol_version;
         write(socket, frame(self));
         wait_until([this] { return !opened_.empty(); });
-        const wire::duty_message large{"x", 0, 0, std::string(16 * 1024, 'x')};
+        const wire::duty_message large{
+            "x", 0, 0, std::string(std::size_t{16} * 1024, 'x')};
         // The kernel's buffers take some; the bound stops the rest.
         while (closed_.empty()) {
             opened_.front()->send(large);
