--- a/services/agent/src/claims_duty.cpp
+++ b/services/agent/src/claims_duty.cpp
@@ -2,7 +2,6 @@
 
 #include "claim_messages.hpp"
 #include "follow_log.hpp"
-
 #include "timer_wait.hpp"
 
 #include <godwit/telemetry/log.hpp>
