catalogue: the longest wait of a class and the overcommit of a service

Dispatch had both, and an operator could set neither. A plain service that names the latter is refused. Each is left out of the JSON form while it has its default, so the hash of an existing catalogue stays.

--- a/libraries/catalogue/include/godwit/catalogue/request_class.hpp
+++ b/libraries/catalogue/include/godwit/catalogue/request_class.hpp
@@ -3,6 +3,7 @@
 #include <godwit/catalogue/length_hint.hpp>
 #include <godwit/core/identifiers.hpp>
 
+#include <chrono>
 #include <cstdint>
 
 namespace godwit::catalogue {
@@ -20,6 +21,8 @@
     std::uint32_t starts_floor_per_mille = 0;
     std::uint32_t priority = 0; ///< 0 to 9, higher first.
     length_hint hint = length_hint::unknown;
+    /// How long a request may be queued, whatever its deadline; 0: no bound.
+    std::chrono::milliseconds longest_wait{0};
 
     friend bool
     operator==(const request_class&, const request_class&) = default;
--- a/libraries/catalogue/include/godwit/catalogue/service.hpp
+++ b/libraries/catalogue/include/godwit/catalogue/service.hpp
@@ -31,6 +31,11 @@
     std::uint32_t retry_budget_percent = 0;
     /// The state that engine orders work towards.
     std::vector<engine_target> engine_targets;
+    /// Expected engine memory that may be promised, in thousandths of what
+    /// the engines have; 1000 for a plain service.
+    std::uint32_t memory_overcommit_per_mille = default_memory_overcommit;
+
+    static constexpr std::uint32_t default_memory_overcommit = 1000;
 
     friend bool operator==(const service&, const service&) = default;
 };
--- a/libraries/catalogue/src/entry_codec.cpp
+++ b/libraries/catalogue/src/entry_codec.cpp
@@ -26,6 +26,9 @@
 constexpr std::uint64_t maximum_weight = 1000;
 constexpr std::uint64_t whole_per_mille = 1000;
 constexpr std::uint64_t maximum_priority = 9;
+constexpr std::uint64_t maximum_longest_wait_ms = maximum_deadline_ms;
+constexpr std::uint64_t minimum_memory_overcommit = 500;
+constexpr std::uint64_t maximum_memory_overcommit = 2000;
 constexpr std::uint64_t whole_percent = 100;
 constexpr std::uint64_t maximum_version =
     std::numeric_limits<std::int64_t>::max();
@@ -71,7 +74,7 @@
             {"version", target.version},
             {"replicas", target.replicas}});
     }
-    return {
+    json::object object{
         {"name", value.name.value()},
         {"owner", value.owner.value()},
         {"class", value.default_class.value()},
@@ -84,11 +87,17 @@
         {"checks_fencing", value.checks_fencing},
         {"retry_budget_percent", value.retry_budget_percent},
         {"engine_targets", std::move(targets)}};
+    // Left out while it has its default, so that releases that do not know it
+    // come to the same hash.
+    if (value.memory_overcommit_per_mille != service::default_memory_overcommit)
+        object["memory_overcommit_per_mille"] =
+            value.memory_overcommit_per_mille;
+    return object;
 }
 
 json::object encode(const request_class& value)
 {
-    return {
+    json::object object{
         {"name", value.name.value()},
         {"owner", value.owner.value()},
         {"weight", value.weight},
@@ -96,6 +105,10 @@
         {"starts_floor_per_mille", value.starts_floor_per_mille},
         {"priority", value.priority},
         {"length_hint", to_string(value.hint)}};
+    // Left out for the hash, as above.
+    if (value.longest_wait.count() != 0)
+        object["longest_wait_ms"] = value.longest_wait.count();
+    return object;
 }
 
 core::result<std::uint64_t>
@@ -252,6 +265,23 @@
         "remove them, or make the kind engine_pool");
 }
 
+core::result<std::uint32_t>
+read_memory_overcommit(object_reader& reader, service_kind kind)
+{
+    constexpr auto key = "memory_overcommit_per_mille";
+    if (kind == service_kind::plain && reader.member(key) != nullptr) {
+        return reader.refuse(
+            key,
+            "a plain service has no engine memory",
+            "remove it, or make the kind engine_pool");
+    }
+    return narrow(GODWIT_TRY(reader.number_or(
+        key,
+        minimum_memory_overcommit,
+        maximum_memory_overcommit,
+        service::default_memory_overcommit)));
+}
+
 core::result<service>
 decode_service(object_reader& reader, version_field version)
 {
@@ -271,6 +301,8 @@
     value.retry_budget_percent = narrow(GODWIT_TRY(
         reader.number_or("retry_budget_percent", 0, whole_percent, 10)));
     value.engine_targets = GODWIT_TRY(read_engine_targets(reader));
+    value.memory_overcommit_per_mille =
+        GODWIT_TRY(read_memory_overcommit(reader, value.kind));
     if (auto checked = check_model(reader, value); !checked)
         return tl::unexpected(std::move(checked).error());
     return reader.finish(std::move(value));
@@ -311,6 +343,8 @@
     value.priority = narrow(
         GODWIT_TRY(reader.number_or("priority", 0, maximum_priority, 0)));
     value.hint = GODWIT_TRY(read_length_hint(reader));
+    value.longest_wait = std::chrono::milliseconds(GODWIT_TRY(
+        reader.number_or("longest_wait_ms", 0, maximum_longest_wait_ms, 0)));
     return reader.finish(std::move(value));
 }
 
--- a/services/proxy/catalogue_policy.cpp
+++ b/services/proxy/catalogue_policy.cpp
@@ -18,6 +18,8 @@
     policy.weight = from.weight;
     policy.memory_floor = from.memory_floor_per_mille / per_mille;
     policy.start_floor = from.starts_floor_per_mille / per_mille;
+    if (from.longest_wait.count() > 0)
+        policy.longest_wait = from.longest_wait;
     policy.priority =
         static_cast<int>(std::min(from.priority, highest_fresh_priority));
     return policy;
@@ -44,6 +46,7 @@
     policy.name = from.name;
     if (from.limits.queue_bound > 0)
         policy.queue_bound = from.limits.queue_bound;
+    policy.overcommit = from.memory_overcommit_per_mille / per_mille;
     return policy;
 }
 
--- a/tests/catalogue/codec_test.cpp
+++ b/tests/catalogue/codec_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/json/parse.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <chrono>
 #include <fstream>
 #include <sstream>
 
@@ -29,6 +30,9 @@
     CPPUNIT_TEST(test_example_is_accepted);
     CPPUNIT_TEST(test_record_reads_back);
     CPPUNIT_TEST(test_entries_read_back);
+    CPPUNIT_TEST(test_dispatch_knobs_read_back);
+    CPPUNIT_TEST(test_dispatch_knobs_at_default_are_left_out);
+    CPPUNIT_TEST(test_dispatch_knobs_are_checked);
     CPPUNIT_TEST(test_errors_name_path_and_remedy);
     CPPUNIT_TEST(test_damaged_text_never_crashes);
     CPPUNIT_TEST(test_checkpoint_reads_back);
@@ -95,6 +99,93 @@
         CPPUNIT_ASSERT(!refused.error().remedy().empty());
     }
 
+    /// The example with `replacement` in place of the first `original`.
+    static std::string
+    example_with(const std::string& original, const std::string& replacement)
+    {
+        std::string text = example();
+        const auto at = text.find(original);
+        CPPUNIT_ASSERT(at != std::string::npos);
+        return text.replace(at, original.size(), replacement);
+    }
+
+    void test_dispatch_knobs_read_back()
+    {
+        fold_data(
+            state_,
+            example_with(
+                "\"weight\": 4", "\"longest_wait_ms\": 5000, \"weight\": 4"));
+        const auto interactive =
+            state_->find_class(godwit::core::class_name("interactive"));
+        CPPUNIT_ASSERT(
+            interactive->longest_wait == std::chrono::milliseconds(5000));
+        const entry same(*interactive);
+        CPPUNIT_ASSERT(
+            parse_entry(entry_kind::request_class, to_json(same)).value() ==
+            same);
+        for (const std::uint32_t limit : {500U, 1150U, 2000U}) {
+            state_ = state::empty();
+            fold_data(
+                state_,
+                example_with(
+                    "\"kind\": \"engine_pool\"",
+                    "\"memory_overcommit_per_mille\": " +
+                        std::to_string(limit) + ", \"kind\": \"engine_pool\""));
+            const auto pool = state_->find_service(
+                godwit::core::service_name("gazetteer-lm"));
+            CPPUNIT_ASSERT_EQUAL(limit, pool->memory_overcommit_per_mille);
+            const entry again(*pool);
+            CPPUNIT_ASSERT(
+                parse_entry(entry_kind::service, to_json(again)).value() ==
+                again);
+        }
+    }
+
+    void test_dispatch_knobs_at_default_are_left_out()
+    {
+        fold_data(state_, example());
+        auto written = state::empty();
+        fold_data(
+            written,
+            example_with(
+                "\"weight\": 4", "\"longest_wait_ms\": 0, \"weight\": 4"));
+        CPPUNIT_ASSERT_EQUAL(state_->hash(), written->hash());
+        written = state::empty();
+        fold_data(
+            written,
+            example_with(
+                "\"kind\": \"engine_pool\"",
+                "\"memory_overcommit_per_mille\": 1000, "
+                "\"kind\": \"engine_pool\""));
+        CPPUNIT_ASSERT_EQUAL(state_->hash(), written->hash());
+        for (const entry& each : state_->entries()) {
+            const auto object = to_json(each);
+            CPPUNIT_ASSERT(!object.contains("longest_wait_ms"));
+            CPPUNIT_ASSERT(!object.contains("memory_overcommit_per_mille"));
+        }
+    }
+
+    void test_dispatch_knobs_are_checked()
+    {
+        assert_refused(
+            "\"weight\": 4",
+            "\"longest_wait_ms\": 86400001, \"weight\": 4",
+            "changes[0].value.longest_wait_ms: 86400001 is out of range");
+        for (const char* limit : {"499", "2001"}) {
+            assert_refused(
+                "\"kind\": \"engine_pool\"",
+                "\"memory_overcommit_per_mille\": " + std::string(limit) +
+                    ", \"kind\": \"engine_pool\"",
+                "changes[3].value.memory_overcommit_per_mille: " +
+                    std::string(limit) + " is out of range");
+        }
+        assert_refused(
+            "\"kind\": \"plain\"",
+            "\"kind\": \"plain\", \"memory_overcommit_per_mille\": 1000",
+            "changes[4].value.memory_overcommit_per_mille: a plain service "
+            "has no engine memory");
+    }
+
     void test_errors_name_path_and_remedy()
     {
         assert_refused(
