--- /dev/null
+++ b/libraries/settings/include/godwit/settings/read_values.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <godwit/core/result.hpp>
+#include <godwit/core/time.hpp>
+#include <godwit/settings/range.hpp>
+#include <godwit/settings/reader.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace godwit::settings {
+
+/// A span given in whole milliseconds, `absent` where the key is missing.
+/// Fails with `invalid_input` naming the key's path.
+[[nodiscard]] core::result<core::duration> read_span(
+    reader& from,
+    std::string_view key,
+    range<std::chrono::milliseconds> allowed,
+    core::duration absent);
+
+/// A count, `absent` where the key is missing. Fails with `invalid_input`
+/// naming the key's path.
+[[nodiscard]] core::result<std::size_t> read_count(
+    reader& from,
+    std::string_view key,
+    range<std::int64_t> allowed,
+    std::size_t absent);
+
+} // namespace godwit::settings
--- /dev/null
+++ b/libraries/telemetry/include/godwit/telemetry/read_log_level.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <godwit/core/result.hpp>
+#include <godwit/settings/reader.hpp>
+#include <godwit/telemetry/log_level.hpp>
+
+namespace godwit::telemetry {
+
+/// The key `log_level` of a program's settings, `info` where it is missing.
+/// Fails with `invalid_input` naming the levels.
+[[nodiscard]] core::result<log_level> read_log_level(settings::reader& from);
+
+} // namespace godwit::telemetry
--- a/services/proxy/proxy_settings.cpp
+++ b/services/proxy/proxy_settings.cpp
@@ -1,6 +1,8 @@
 #include "proxy_settings.hpp"
 
 #include <godwit/catalogue/codec.hpp>
+#include <godwit/settings/read_values.hpp>
+#include <godwit/telemetry/read_log_level.hpp>
 
 #include <boost/json/serialize.hpp>
 
@@ -11,47 +13,15 @@
 namespace {
 
 using namespace std::chrono_literals;
+using settings::read_count;
+using settings::read_span;
 using settings::reader;
+using telemetry::read_log_level;
 
 constexpr std::size_t longest_name = 128;
 constexpr std::size_t most_static_servers = 4096;
 constexpr std::size_t most_resume_keys = 8;
 
-core::result<std::size_t> read_count(
-    reader& from,
-    std::string_view key,
-    settings::range<std::int64_t> allowed,
-    std::size_t absent)
-{
-    return static_cast<std::size_t>(GODWIT_TRY(
-        from.get_integer(key, allowed, static_cast<std::int64_t>(absent))));
-}
-
-core::result<core::duration> read_span(
-    reader& from,
-    std::string_view key,
-    settings::range<std::chrono::milliseconds> allowed,
-    core::duration absent)
-{
-    return from.get_milliseconds(
-        key,
-        allowed,
-        std::chrono::duration_cast<std::chrono::milliseconds>(absent));
-}
-
-core::result<telemetry::log_level> read_log_level(reader& from)
-{
-    const auto name = GODWIT_TRY(from.get_choice(
-        "log_level", {"debug", "info", "warning", "error"}, "info"));
-    if (name == "debug")
-        return telemetry::log_level::debug;
-    if (name == "warning")
-        return telemetry::log_level::warning;
-    if (name == "error")
-        return telemetry::log_level::error;
-    return telemetry::log_level::info;
-}
-
 core::result<http::server_limits> read_http_limits(reader& file)
 {
     auto from = GODWIT_TRY(file.get_object("http"));
