--- a/tests/claims/claimer_faults_test.cpp
+++ b/tests/claims/claimer_faults_test.cpp
@@ -332,6 +332,7 @@
             hosts.run_for(seconds(3));
             CPPUNIT_ASSERT(!healed || is<claim_won>(hosts.answer(last)));
             CPPUNIT_ASSERT(!is<claim_unavailable>(hosts.answer(last)));
+            CPPUNIT_ASSERT(hosts.answer(retry).answer);
             CPPUNIT_ASSERT_EQUAL(std::size_t{1}, hosts.runs(1).size());
             hosts.check_promises();
         }
