--- a/services/proxy/caller_request_reader.cpp
+++ b/services/proxy/caller_request_reader.cpp
@@ -1,8 +1,8 @@
 #include "caller_request_reader.hpp"
 
-#include "bearer_token.hpp"
 #include "passed_fields.hpp"
 
+#include <godwit/catalogue/token_hash.hpp>
 #include <godwit/request/resume_token.hpp>
 
 #include <boost/json/object.hpp>
@@ -70,7 +70,7 @@
             "unauthenticated",
             "the request names no organisation",
             "send \"Authorization: Bearer TOKEN\"");
-    const auto hash = bearer_token_hash(field->substr(scheme.size()));
+    const auto hash = catalogue::token_hash(field->substr(scheme.size()));
     auto found = hash ? from.find_organisation_by_token(*hash) : nullptr;
     if (!found)
         return refuse(
