--- a/libraries/http/include/godwit/http/server.hpp
+++ b/libraries/http/include/godwit/http/server.hpp
@@ -41,6 +41,14 @@
     /// The address in use, with the port that was chosen.
     [[nodiscard]] const endpoint& address() const noexcept;
 
+    /// Applies `limits` to what is read from now on. The buffers of open
+    /// connections keep their size.
+    void set_limits(const server_limits& limits);
+
+    /// Ends each connection with its next answer, and goes on to accept new
+    /// ones: callers move away before `stop_accepting`.
+    void announce_close();
+
     /// Refuses new connections and closes idle ones. Requests that were sent
     /// before are served to their end; a connection that brought none yet
     /// has a second to do so.
--- a/libraries/http/src/connection.cpp
+++ b/libraries/http/src/connection.cpp
@@ -71,7 +71,7 @@
 connection::connection(tcp::socket socket, std::shared_ptr<server_state> server)
     : socket_(std::move(socket)), executor_(socket_.get_executor()),
       server_(std::move(server)), peer_(describe_peer(socket_)),
-      buffer_(server_->settings().limits.header_bytes + read_size),
+      buffer_(server_->limits().header_bytes + read_size),
       caller_gone_signal_(executor_, asio::steady_timer::time_point::max()),
       watch_ended_signal_(executor_, asio::steady_timer::time_point::max())
 {}
@@ -161,7 +161,7 @@
 {
     if (buffer_.size() > 0)
         co_return true;
-    core::duration patience = server_->settings().limits.idle_timeout;
+    core::duration patience = server_->limits().idle_timeout;
     if (server_->is_draining()) {
         // What was sent is served all the same.
         if (has_served_ && !has_unread_bytes())
@@ -192,8 +192,8 @@
     phase_ = answer_phase::none;
     request_parser parser;
     parser.header_limit(
-        static_cast<std::uint32_t>(server_->settings().limits.header_bytes));
-    parser.body_limit(server_->settings().limits.body_bytes);
+        static_cast<std::uint32_t>(server_->limits().header_bytes));
+    parser.body_limit(server_->limits().body_bytes);
 
     std::optional<rejection_reason> refused = co_await read_head(parser);
     if (!refused)
@@ -222,7 +222,7 @@
     const deadline guard(
         executor_,
         socket_,
-        server_->settings().limits.header_timeout,
+        server_->limits().header_timeout,
         expiry_action::stop_receiving);
     error_code failure;
     co_await beast_http::async_read_header(
@@ -248,7 +248,7 @@
     const deadline guard(
         executor_,
         socket_,
-        server_->settings().limits.body_timeout,
+        server_->limits().body_timeout,
         expiry_action::stop_receiving);
     error_code failure;
     if (expects_continue(parser.get())) {
@@ -356,7 +356,7 @@
 // the end of the connection is not noticed before they are read.
 bool connection::take_early_bytes()
 {
-    if (buffer_.size() >= server_->settings().limits.header_bytes)
+    if (buffer_.size() >= server_->limits().header_bytes)
         return false;
     error_code failure;
     const auto space = buffer_.prepare(read_size);
@@ -428,7 +428,7 @@
 {
     assert(phase_ == answer_phase::none);
     phase_ = answer_phase::streaming;
-    if (server_->is_draining())
+    if (server_->closes_connections())
         keeps_alive_ = false;
     body_framing framing;
     framing.content_length = answer.body.size();
@@ -449,7 +449,7 @@
     assert(phase_ == answer_phase::none);
     phase_ = answer_phase::streaming;
     // HTTP/1.0 knows no chunks: the end of the connection ends the body.
-    if (server_->is_draining() || !takes_chunks_)
+    if (server_->closes_connections() || !takes_chunks_)
         keeps_alive_ = false;
     body_framing framing;
     framing.is_chunked = takes_chunks_;
@@ -485,7 +485,7 @@
     const deadline guard(
         executor_,
         socket_,
-        server_->settings().limits.write_timeout,
+        server_->limits().write_timeout,
         expiry_action::close);
     error_code failure;
     const auto view = asio::buffer(bytes);
--- a/libraries/http/src/server.cpp
+++ b/libraries/http/src/server.cpp
@@ -31,6 +31,16 @@
     return state_->settings().address;
 }
 
+void server::set_limits(const server_limits& limits)
+{
+    state_->set_limits(limits);
+}
+
+void server::announce_close()
+{
+    state_->announce_close();
+}
+
 void server::stop_accepting()
 {
     state_->stop_accepting();
--- a/libraries/http/src/server_state.cpp
+++ b/libraries/http/src/server_state.cpp
@@ -93,7 +93,7 @@
 void server_state::admit(tcp::socket socket)
 {
     const std::size_t open = open_connections_;
-    const std::size_t limit = settings_.limits.connections;
+    const std::size_t limit = limits().connections;
     if (open >= limit + refusals_at_once)
         return;
     ++open_connections_;
@@ -151,6 +151,18 @@
     acceptor_.close(ignored);
 }
 
+void server_state::set_limits(const server_limits& limits)
+{
+    const std::lock_guard lock(mutex_);
+    settings_.limits = limits;
+}
+
+server_limits server_state::limits() const
+{
+    const std::lock_guard lock(mutex_);
+    return settings_.limits;
+}
+
 void server_state::stop_accepting()
 {
     draining_ = true;
--- a/libraries/http/src/server_state.hpp
+++ b/libraries/http/src/server_state.hpp
@@ -36,6 +36,12 @@
     void stop_accepting();
     void close();
 
+    void set_limits(const server_limits& limits);
+    void announce_close() noexcept { closes_connections_ = true; }
+
+    /// The limits in force, which may change between two reads.
+    [[nodiscard]] server_limits limits() const;
+
     [[nodiscard]] const server_settings& settings() const noexcept
     {
         return settings_;
@@ -48,6 +54,12 @@
 
     [[nodiscard]] bool is_draining() const noexcept { return draining_; }
 
+    /// Whether an answer should be the last one of its connection.
+    [[nodiscard]] bool closes_connections() const noexcept
+    {
+        return draining_ || closes_connections_;
+    }
+
     [[nodiscard]] std::size_t active_exchanges() const noexcept
     {
         return active_exchanges_;
@@ -80,9 +92,10 @@
     // The acceptor belongs to a strand of its own.
     boost::asio::ip::tcp::acceptor acceptor_;
     std::atomic<bool> draining_ = false;
+    std::atomic<bool> closes_connections_ = false;
     std::atomic<std::size_t> active_exchanges_ = 0;
     std::atomic<std::size_t> open_connections_ = 0;
-    std::mutex mutex_;
+    mutable std::mutex mutex_; // Guards the limits and the register.
     std::unordered_map<const connection*, std::weak_ptr<connection>>
         connections_;
 };
--- /dev/null
+++ b/libraries/placement/include/godwit/placement/placer.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <godwit/core/random.hpp>
+#include <godwit/core/time.hpp>
+#include <godwit/placement/backend_server.hpp>
+#include <godwit/placement/load_ledger.hpp>
+#include <godwit/placement/server_directory.hpp>
+#include <godwit/placement/server_health.hpp>
+#include <godwit/placement/work_size.hpp>
+#include <godwit/routing/service.hpp>
+
+#include <tl/expected.hpp>
+
+#include <cstdint>
+#include <vector>
+
+namespace godwit::placement {
+
+/// What a placement is wanted for.
+enum class placement_purpose
+{
+    start,     ///< A request that starts, or is sent again.
+    migration, ///< A running generation that goes on elsewhere.
+};
+
+/// A request that wants a backend server.
+struct placement_request
+{
+    const routing::service* service = nullptr;
+    work_size work;
+    placement_purpose purpose = placement_purpose::start;
+    core::zone_name near; ///< The zone that is cheapest to reach.
+    std::vector<server_id> excluded;
+};
+
+/// Why a request has no server.
+enum class placement_obstacle
+{
+    no_server, ///< None is listed, or every one is excluded.
+    no_room,   ///< There are servers, but all of them are full.
+};
+
+/// Chooses backend servers by their load, health and distance.
+class placer
+{
+public:
+    placer(
+        const server_directory& directory,
+        const load_ledger& ledger,
+        const server_health& health,
+        std::uint64_t seed);
+
+    /// The best server for the request. Servers that are avoided are taken
+    /// only when no other one is left.
+    [[nodiscard]] tl::expected<backend_server, placement_obstacle>
+    choose(const placement_request& wanted, core::time_point now);
+
+private:
+    [[nodiscard]] bool has_room(
+        const placement_request& wanted,
+        const backend_server& server,
+        const work_size& load) const;
+    [[nodiscard]] double cost(
+        const placement_request& wanted,
+        const backend_server& server,
+        const work_size& load) const;
+
+    const server_directory& directory_;
+    const load_ledger& ledger_;
+    const server_health& health_;
+    core::random random_;
+};
+
+} // namespace godwit::placement
--- /dev/null
+++ b/libraries/placement/include/godwit/placement/server_health.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <godwit/core/time.hpp>
+#include <godwit/placement/backend_server.hpp>
+
+#include <chrono>
+#include <map>
+
+namespace godwit::placement {
+
+/// How the exchanges with each backend server went, as its requests saw it.
+class server_health
+{
+public:
+    /// A server that could not be reached is avoided this long at first, and
+    /// twice as long after each further failure.
+    static constexpr core::duration first_pause =
+        std::chrono::milliseconds(500);
+    static constexpr core::duration longest_pause = std::chrono::seconds(4);
+    /// The weight of the newest answer in the share of failed ones.
+    static constexpr double newest_weight = 0.2;
+
+    /// The server answered and did its work.
+    void succeeded(const server_id& server);
+
+    /// The server answered that it failed.
+    void failed(const server_id& server);
+
+    /// No connection, no answer, or a broken one.
+    void unreachable(const server_id& server, core::time_point now);
+
+    /// The server had no room; it is passed over for a moment.
+    void full(const server_id& server, core::time_point now);
+
+    /// Whether requests should go elsewhere if they can.
+    [[nodiscard]] bool
+    is_avoided(const server_id& server, core::time_point now) const;
+
+    /// The share of failed answers lately, 0 to 1.
+    [[nodiscard]] double failed_share(const server_id& server) const;
+
+    /// Forgets the server.
+    void forget(const server_id& server);
+
+private:
+    /// How long a server that had no room is passed over: about the time in
+    /// which one of its requests ends.
+    static constexpr core::duration full_pause = std::chrono::milliseconds(150);
+
+    struct record
+    {
+        unsigned unreachable_in_a_row = 0;
+        double failed_share = 0;
+        core::time_point avoided_until{};
+    };
+
+    std::map<server_id, record> records_;
+};
+
+} // namespace godwit::placement
--- /dev/null
+++ b/libraries/placement/src/placer.cpp
@@ -0,0 +1,115 @@
+#include <godwit/placement/placer.hpp>
+
+#include <algorithm>
+#include <limits>
+#include <optional>
+
+namespace godwit::placement {
+
+namespace {
+
+// The share of a server's memory that starts may plan to fill. What stays
+// free takes generations that come from a server that leaves.
+constexpr double start_memory_share = 0.85;
+// Migrations may fill what a server has; beyond it somebody is preempted.
+constexpr double migration_memory_share = 0.98;
+// Unread prompt tokens that weigh as much as a whole memory: about a second
+// of reading beside running generations.
+constexpr double unread_tokens_weight = 7000.0;
+// Another zone adds a hop to each event, and its traffic is paid for.
+constexpr double other_zone_cost = 0.12;
+// A copy of memory takes twice as long to another zone.
+constexpr double other_zone_migration_cost = 0.5;
+// A server that fails every request costs as much as two full ones.
+constexpr double failure_cost = 2.0;
+// Spreads the choices of hosts that know the same.
+constexpr double jitter = 0.05;
+
+} // namespace
+
+placer::placer(
+    const server_directory& directory,
+    const load_ledger& ledger,
+    const server_health& health,
+    std::uint64_t seed)
+    : directory_(directory), ledger_(ledger), health_(health), random_(seed)
+{}
+
+bool placer::has_room(
+    const placement_request& wanted,
+    const backend_server& server,
+    const work_size& load) const
+{
+    if (!wanted.service->engine)
+        return true;
+    const routing::engine_profile& engine = *wanted.service->engine;
+    const double share = wanted.purpose == placement_purpose::migration
+                             ? migration_memory_share
+                             : start_memory_share;
+    const auto room = static_cast<std::uint64_t>(
+        share * static_cast<double>(engine.memory_tokens));
+    // A request that is larger than the share may have a server alone.
+    if (load.requests == 0)
+        return true;
+    return load.requests < server.slots &&
+           load.tokens + wanted.work.tokens <= room;
+}
+
+double placer::cost(
+    const placement_request& wanted,
+    const backend_server& server,
+    const work_size& load) const
+{
+    double sum = failure_cost * health_.failed_share(server.id);
+    const bool migrates = wanted.purpose == placement_purpose::migration;
+    if (server.zone != wanted.near)
+        sum += migrates ? other_zone_migration_cost : other_zone_cost;
+    if (!wanted.service->engine)
+        return sum + static_cast<double>(load.requests) /
+                         std::max<std::uint32_t>(server.slots, 1);
+    const routing::engine_profile& engine = *wanted.service->engine;
+    sum +=
+        static_cast<double>(load.tokens) /
+        static_cast<double>(std::max<std::uint64_t>(engine.memory_tokens, 1));
+    sum += static_cast<double>(load.unread_tokens) / unread_tokens_weight;
+    return sum;
+}
+
+tl::expected<backend_server, placement_obstacle>
+placer::choose(const placement_request& wanted, core::time_point now)
+{
+    const backend_server* best = nullptr;
+    double best_cost = std::numeric_limits<double>::max();
+    bool best_is_avoided = true;
+    bool any = false;
+    for (const backend_server* candidate :
+         directory_.usable(wanted.service->name)) {
+        const bool is_excluded = std::find(
+                                     wanted.excluded.begin(),
+                                     wanted.excluded.end(),
+                                     candidate->id) != wanted.excluded.end();
+        if (is_excluded)
+            continue;
+        any = true;
+        const work_size load = ledger_.at(candidate->id, now);
+        if (!has_room(wanted, *candidate, load))
+            continue;
+        const bool is_avoided = health_.is_avoided(candidate->id, now);
+        const double own_cost =
+            cost(wanted, *candidate, load) + jitter * random_.unit();
+        const bool is_better = best_is_avoided != is_avoided
+                                   ? best_is_avoided
+                                   : own_cost < best_cost;
+        if (best != nullptr && !is_better)
+            continue;
+        best = candidate;
+        best_cost = own_cost;
+        best_is_avoided = is_avoided;
+    }
+    if (best != nullptr)
+        return *best;
+    return tl::unexpected(
+        any ? placement_obstacle::no_room : placement_obstacle::no_server);
+}
+
+} // namespace godwit::placement
--- /dev/null
+++ b/libraries/placement/src/server_directory.cpp
@@ -0,0 +1,120 @@
+#include <godwit/placement/server_directory.hpp>
+
+namespace godwit::placement {
+
+directory_change server_directory::leave(entry& leaving, core::time_point now)
+{
+    leaving.lapsed_at.reset();
+    leaving.server.state = server_state::leaving;
+    if (leaving.left_at)
+        return directory_change::none;
+    leaving.left_at = now;
+    return directory_change::left;
+}
+
+// Two living servers cannot share an address.
+void server_directory::replace_at(
+    const backend_server& server, core::time_point now)
+{
+    for (auto& [id, other] : servers_) {
+        if (id != server.id && other.server.address == server.address)
+            leave(other, now);
+    }
+}
+
+directory_change
+server_directory::listed(const backend_server& server, core::time_point now)
+{
+    const auto found = servers_.find(server.id);
+    if (found == servers_.end()) {
+        replace_at(server, now);
+        entry& added =
+            servers_.emplace(server.id, entry{server, {}, {}}).first->second;
+        if (server.state == server_state::ready)
+            return directory_change::appeared;
+        added.left_at = now;
+        return directory_change::none;
+    }
+    entry& known = found->second;
+    if (server.state == server_state::leaving) {
+        known.server = server;
+        return leave(known, now);
+    }
+    const bool was_usable = !known.left_at;
+    known = entry{server, {}, {}};
+    return was_usable ? directory_change::none : directory_change::appeared;
+}
+
+directory_change server_directory::delisted(
+    const server_id& id, source_state source, core::time_point now)
+{
+    const auto found = servers_.find(id);
+    if (found == servers_.end())
+        return directory_change::none;
+    entry& known = found->second;
+    if (known.left_at)
+        return directory_change::none;
+    if (source == source_state::steady)
+        return leave(known, now);
+    if (!known.lapsed_at)
+        known.lapsed_at = now;
+    return directory_change::none;
+}
+
+std::vector<server_id> server_directory::expire(core::time_point now)
+{
+    std::vector<server_id> gone;
+    for (auto at = servers_.begin(); at != servers_.end();) {
+        entry& known = at->second;
+        if (known.lapsed_at && now - *known.lapsed_at >= lapse_grace) {
+            leave(known, now);
+            gone.push_back(at->first);
+        }
+        if (known.left_at && now - *known.left_at >= memory)
+            at = servers_.erase(at);
+        else
+            ++at;
+    }
+    return gone;
+}
+
+const backend_server* server_directory::find(const server_id& id) const
+{
+    const auto found = servers_.find(id);
+    return found == servers_.end() ? nullptr : &found->second.server;
+}
+
+bool server_directory::is_usable(const server_id& id) const
+{
+    const auto found = servers_.find(id);
+    return found != servers_.end() && !found->second.left_at;
+}
+
+std::optional<core::time_point>
+server_directory::left_at(const server_id& id) const
+{
+    const auto found = servers_.find(id);
+    return found == servers_.end() ? std::nullopt : found->second.left_at;
+}
+
+std::vector<const backend_server*>
+server_directory::usable(const core::service_name& service) const
+{
+    std::vector<const backend_server*> found;
+    for (const auto& [id, known] : servers_) {
+        if (!known.left_at && known.server.service == service)
+            found.push_back(&known.server);
+    }
+    return found;
+}
+
+std::vector<server_id> server_directory::ids() const
+{
+    std::vector<server_id> all;
+    all.reserve(servers_.size());
+    for (const auto& [id, known] : servers_)
+        all.push_back(id);
+    return all;
+}
+
+} // namespace godwit::placement
--- /dev/null
+++ b/libraries/routing/include/godwit/routing/repeat_rule.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace godwit::routing {
+
+/// How often a backend server may run one request of a caller.
+enum class repeat_rule
+{
+    idempotent,   ///< More than once without harm.
+    at_most_once, ///< A second run would be a second effect.
+};
+
+} // namespace godwit::routing
--- /dev/null
+++ b/services/entry/include/godwit/entry/answer_terms.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <string>
+
+namespace godwit::entry {
+
+/// What a backend server says of its answer beside the answer itself.
+struct answer_terms
+{
+    std::string attempt_id; ///< Of the request it answers; empty if absent.
+    bool is_signed = false; ///< The server vouches for the answer.
+    /// The server did not run the request and never will.
+    bool is_not_run = false;
+    bool is_closing = false; ///< The connection takes no further request.
+
+    friend bool operator==(const answer_terms&, const answer_terms&) = default;
+};
+
+} // namespace godwit::entry
--- /dev/null
+++ b/services/entry/include/godwit/entry/call_log.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <godwit/core/error.hpp>
+#include <godwit/entry/accepted_call.hpp>
+#include <godwit/entry/refusal.hpp>
+#include <godwit/placement/backend_server.hpp>
+
+#include <cstdint>
+#include <string_view>
+
+namespace godwit::entry {
+
+/// A request got this host's own answer.
+void log_refused(
+    std::string_view attempt_id,
+    std::string_view route,
+    refusal_reason reason,
+    std::uint64_t table_version,
+    core::duration waited);
+
+/// A send to a backend server failed, or was turned away.
+void log_send_failed(
+    const accepted_call& call,
+    const placement::backend_server& server,
+    std::string_view fault,
+    std::string_view cause);
+
+/// A stream's answer was cut midway.
+void log_cut(
+    const accepted_call& call,
+    const placement::backend_server& server,
+    std::string_view cause,
+    std::uint64_t last_event);
+
+/// A running generation went on at another server, or could not.
+void log_migration(
+    const accepted_call& call,
+    const placement::backend_server& source,
+    std::string_view destination,
+    std::string_view verdict,
+    core::duration took);
+
+} // namespace godwit::entry
--- /dev/null
+++ b/services/entry/include/godwit/entry/dialect.hpp
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <godwit/entry/answer_terms.hpp>
+#include <godwit/entry/call_terms.hpp>
+#include <godwit/entry/forward_terms.hpp>
+#include <godwit/entry/migration.hpp>
+#include <godwit/http/header_fields.hpp>
+#include <godwit/http/request.hpp>
+#include <godwit/http/response.hpp>
+#include <godwit/http/response_head.hpp>
+
+#include <concepts>
+
+namespace godwit::entry {
+
+/// The words of callers and backend servers on the wire: what an adapter
+/// translates into this program's terms and back.
+template<class Codec>
+concept wire_codec = requires(
+    const http::header_fields& fields,
+    const forward_terms& forward,
+    const copy_order& order,
+    const http::response& answer,
+    const std::string& handle)
+{
+    // What a caller's request says of itself.
+    {
+        Codec::read_call(fields)
+        } -> std::same_as<call_terms>;
+    // The fields of a request as a backend server gets them.
+    {
+        Codec::forwarded_fields(fields, forward)
+        } -> std::same_as<http::header_fields>;
+    // What a backend server's answer says of itself.
+    {
+        Codec::read_answer(fields)
+        } -> std::same_as<answer_terms>;
+    // The fields of an answer as the caller gets them.
+    {
+        Codec::returned_fields(fields)
+        } -> std::same_as<http::header_fields>;
+    {
+        Codec::write_copy_order(order)
+        } -> std::same_as<http::request>;
+    {
+        Codec::read_copy_answer(answer)
+        } -> std::same_as<copy_answer>;
+    // Frees a copy that nobody goes on from.
+    {
+        Codec::write_copy_release(handle)
+        } -> std::same_as<http::request>;
+};
+
+/// The functions of one codec, so that the program is compiled once.
+struct dialect
+{
+    call_terms (*read_call)(const http::header_fields&);
+    http::header_fields (*forwarded_fields)(
+        const http::header_fields&, const forward_terms&);
+    answer_terms (*read_answer)(const http::header_fields&);
+    http::header_fields (*returned_fields)(const http::header_fields&);
+    http::request (*write_copy_order)(const copy_order&);
+    copy_answer (*read_copy_answer)(const http::response&);
+    http::request (*write_copy_release)(const std::string&);
+
+    template<wire_codec Codec>
+    [[nodiscard]] static constexpr dialect of() noexcept
+    {
+        return dialect{
+            &Codec::read_call,
+            &Codec::forwarded_fields,
+            &Codec::read_answer,
+            &Codec::returned_fields,
+            &Codec::write_copy_order,
+            &Codec::read_copy_answer,
+            &Codec::write_copy_release};
+    }
+};
+
+} // namespace godwit::entry
--- /dev/null
+++ b/services/entry/include/godwit/entry/entry_context.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <godwit/entry/dialect.hpp>
+#include <godwit/entry/entry_settings.hpp>
+#include <godwit/entry/retry_budgets.hpp>
+#include <godwit/entry/stream_register.hpp>
+#include <godwit/entry/waiting_line.hpp>
+#include <godwit/http/connection_pool.hpp>
+#include <godwit/placement/load_ledger.hpp>
+#include <godwit/placement/placer.hpp>
+#include <godwit/placement/server_directory.hpp>
+#include <godwit/placement/server_health.hpp>
+#include <godwit/routing/route_table.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <memory>
+
+namespace godwit::entry {
+
+/// What the requests of one entry host share. Used on one executor, so that
+/// nothing here needs a lock.
+class entry_context
+{
+public:
+    entry_context(
+        const boost::asio::any_io_executor& executor,
+        entry_settings settings,
+        const dialect& words);
+
+    entry_context(const entry_context&) = delete;
+    entry_context& operator=(const entry_context&) = delete;
+
+    const boost::asio::any_io_executor executor;
+    const entry_settings settings;
+    const dialect words;
+    /// Null until the first version is known.
+    std::shared_ptr<const routing::route_table> routes;
+    placement::server_directory directory;
+    placement::load_ledger ledger;
+    placement::server_health health;
+    placement::placer chooser;
+    retry_budgets budgets;
+    waiting_line line;
+    stream_register streams;
+    std::unique_ptr<http::connection_pool> connections;
+    bool is_stopping = false;
+};
+
+} // namespace godwit::entry
--- /dev/null
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <godwit/core/result.hpp>
+#include <godwit/entry/call_service.hpp>
+#include <godwit/entry/dialect.hpp>
+#include <godwit/entry/entry_context.hpp>
+#include <godwit/entry/entry_settings.hpp>
+#include <godwit/http/server.hpp>
+#include <godwit/placement/server_directory.hpp>
+#include <godwit/routing/route_table.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <string_view>
+
+namespace godwit::entry {
+
+/// The process of one entry host: its listeners, its beliefs, its end.
+/// Everything runs on the one thread of `io`: the share of a core that such
+/// a host has leaves nothing for a second one to do.
+class entry_process
+{
+public:
+    /// Binds every listener. Fails with `unavailable` when one cannot be
+    /// bound.
+    [[nodiscard]] static core::result<std::unique_ptr<entry_process>> create(
+        boost::asio::io_context& io,
+        entry_settings settings,
+        const dialect& words);
+
+    entry_process(const entry_process&) = delete;
+    entry_process& operator=(const entry_process&) = delete;
+
+    /// Begins to wait for signals and to keep time.
+    void start();
+
+    /// Puts a version in force, unless a newer one already is: a process
+    /// never goes back. `source` names who brought it, for the log.
+    void take_routes(
+        std::shared_ptr<const routing::route_table> routes,
+        std::string_view source);
+
+    void server_listed(
+        const placement::backend_server& server, std::string_view source);
+    void server_delisted(
+        const placement::server_id& server,
+        placement::source_state state,
+        std::string_view source);
+
+    /// The first whole list of servers was read.
+    void servers_are_known();
+
+    /// Whether the balancer may send connections here.
+    [[nodiscard]] bool is_ready() const noexcept;
+
+    [[nodiscard]] entry_context& context() noexcept { return context_; }
+
+private:
+    entry_process(
+        boost::asio::io_context& io,
+        entry_settings settings,
+        const dialect& words);
+
+    [[nodiscard]] core::result<void> listen();
+    boost::asio::awaitable<void> answer_readiness(http::exchange& asked);
+    boost::asio::awaitable<void> answer_operator(http::exchange& asked);
+    [[nodiscard]] std::string state_text() const;
+    void wait_for_signal();
+    void on_signal(int number);
+    void begin_stop();
+    void watch_stop();
+    void tick();
+    void left(const placement::server_id& server, std::string_view source);
+
+    boost::asio::io_context& io_;
+    entry_context context_;
+    call_service calls_;
+    std::unique_ptr<http::server> callers_;
+    std::unique_ptr<http::server> readiness_;
+    std::unique_ptr<http::server> operators_;
+    boost::asio::signal_set signals_;
+    boost::asio::steady_timer tick_timer_;
+    boost::asio::steady_timer stop_timer_;
+    core::time_point stop_began_{};
+    bool has_servers_ = false;
+    bool was_ready_ = false;
+};
+
+} // namespace godwit::entry
--- /dev/null
+++ b/services/entry/include/godwit/entry/entry_settings.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <godwit/core/identifiers.hpp>
+#include <godwit/core/result.hpp>
+#include <godwit/core/time.hpp>
+#include <godwit/http/endpoint.hpp>
+#include <godwit/settings/reader.hpp>
+#include <godwit/telemetry/log_level.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <vector>
+
+namespace godwit::entry {
+
+/// The settings of an entry host's process.
+struct entry_settings
+{
+    core::host_name host;
+    core::zone_name zone;
+    telemetry::log_level log_level = telemetry::log_level::info;
+    http::endpoint callers;    ///< Where callers connect.
+    http::endpoint readiness;  ///< Where the balancer asks.
+    http::endpoint operators;  ///< Metrics and the state dump.
+    http::endpoint neighbours; ///< Where other entry hosts connect.
+    /// Addresses at which some other entry hosts may be found.
+    std::vector<http::endpoint> seeds;
+    std::size_t caller_connections = 3000;
+    /// From the order to stop until the process has to be gone.
+    core::duration stop_grace = std::chrono::seconds(8);
+    /// The share of a service's requests that may be sent once more.
+    double retry_share = 0.2;
+    /// Repeats beyond that share, of all hosts together in one window.
+    double retry_allowance = 50;
+    core::duration retry_window = std::chrono::seconds(10);
+
+    /// Reads the object of these settings and refuses unknown keys. Fails
+    /// with `invalid_input`.
+    [[nodiscard]] static core::result<entry_settings>
+    read(settings::reader source);
+};
+
+} // namespace godwit::entry
--- /dev/null
+++ b/services/entry/include/godwit/entry/forward_terms.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <godwit/core/identifiers.hpp>
+#include <godwit/core/time.hpp>
+#include <godwit/entry/migration.hpp>
+#include <godwit/placement/backend_server.hpp>
+
+#include <optional>
+
+namespace godwit::entry {
+
+/// What an entry host tells a backend server beside the request itself.
+struct forward_terms
+{
+    placement::server_id server; ///< No other one may run the request.
+    core::duration time_left{};  ///< Until the caller leaves.
+    std::optional<core::organisation_name> organisation;
+    std::optional<int> priority; ///< Of a generation; 0 is the most urgent.
+    std::optional<continuation> resumes;
+
+    friend bool
+    operator==(const forward_terms&, const forward_terms&) = default;
+};
+
+} // namespace godwit::entry
--- /dev/null
+++ b/services/entry/include/godwit/entry/migration.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <godwit/http/endpoint.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace godwit::entry {
+
+/// Whether a copy of a generation's memory is the last one.
+enum class copy_phase
+{
+    running, ///< The generation goes on meanwhile.
+    last,    ///< The generation stops first, to go on from the copy.
+};
+
+/// An order to copy the memory of a running generation.
+struct copy_order
+{
+    std::string attempt_id; ///< Of the request that the generation serves.
+    http::endpoint destination;
+    copy_phase phase = copy_phase::running;
+
+    friend bool operator==(const copy_order&, const copy_order&) = default;
+};
+
+/// How a copy ended.
+enum class copy_verdict
+{
+    done,
+    not_running, ///< There is no such generation at the source.
+    busy,        ///< Another copy of it is on its way.
+    refused,     ///< No room at the destination, or no way there.
+    failed,      ///< The source said something else.
+};
+
+/// The source's answer to an order.
+struct copy_answer
+{
+    copy_verdict verdict = copy_verdict::failed;
+    /// Names the copy at the source. Also set when a last copy was refused:
+    /// the source then keeps the stopped generation under it.
+    std::optional<std::string> handle;
+
+    friend bool operator==(const copy_answer&, const copy_answer&) = default;
+};
+
+/// Where a stopped generation goes on.
+struct continuation
+{
+    http::endpoint source;        ///< The server that ran it before.
+    std::string handle;           ///< The source's name for the copy.
+    std::uint64_t last_event = 0; ///< The last event that the caller has.
+
+    friend bool operator==(const continuation&, const continuation&) = default;
+};
+
+} // namespace godwit::entry
--- /dev/null
+++ b/services/entry/include/godwit/entry/migrator.hpp
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <godwit/entry/accepted_call.hpp>
+#include <godwit/entry/entry_context.hpp>
+#include <godwit/entry/migration.hpp>
+#include <godwit/entry/reservation.hpp>
+#include <godwit/entry/upstream.hpp>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace godwit::entry {
+
+/// A generation that stopped at its source, to go on from a copy.
+struct migrated_run
+{
+    placement::backend_server destination;
+    std::string handle;
+};
+
+/// Takes one running generation away from a server that leaves: a copy of
+/// its memory while it goes on, then a short last one, after which it has
+/// stopped. Used on one executor.
+class migrator : public std::enable_shared_from_this<migrator>
+{
+public:
+    migrator(
+        entry_context& context,
+        std::shared_ptr<const accepted_call> call,
+        std::shared_ptr<upstream> source,
+        placement::work_size work);
+
+    /// Begins.
+    void start();
+
+    /// The caller left or the generation ended by itself: frees what was
+    /// copied and ends.
+    void stop();
+
+    /// Waits until the run has stopped for its last copy, or the migration
+    /// failed; nothing then.
+    boost::asio::awaitable<std::optional<migrated_run>>
+    outcome(core::time_point end);
+
+    /// Whether a last copy was ordered: an end of the stream without its
+    /// last event is then the source's stopping.
+    [[nodiscard]] bool is_stopping_run() const noexcept
+    {
+        return is_stopping_run_;
+    }
+
+private:
+    /// The most that a last copy may wait for others on the link, as the one
+    /// before it showed: longer, and callers notice the pause.
+    static constexpr core::duration short_copy = std::chrono::milliseconds(70);
+    static constexpr core::duration copy_limit = std::chrono::seconds(3);
+
+    boost::asio::awaitable<void> work();
+    boost::asio::awaitable<void> move();
+    boost::asio::awaitable<bool> copy_while_running();
+    boost::asio::awaitable<void> copy_last();
+    boost::asio::awaitable<copy_answer> copy(copy_phase phase);
+    boost::asio::awaitable<void> pause(core::duration span);
+    [[nodiscard]] bool choose_destination();
+    void settle();
+    void release();
+
+    entry_context& context_;
+    std::shared_ptr<const accepted_call> call_;
+    std::shared_ptr<upstream> source_;
+    placement::work_size work_;
+    std::optional<placement::backend_server> destination_;
+    std::optional<reservation> reserved_;
+    std::vector<placement::server_id> refused_;
+    std::optional<std::string> handle_;
+    std::optional<migrated_run> moved_;
+    boost::asio::steady_timer settled_signal_;
+    core::time_point began_;
+    bool is_stopping_run_ = false;
+    bool is_settled_ = false;
+    bool is_stopped_ = false;
+};
+
+} // namespace godwit::entry
--- /dev/null
+++ b/services/entry/include/godwit/entry/reservation.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <godwit/entry/entry_context.hpp>
+#include <godwit/placement/backend_server.hpp>
+#include <godwit/placement/work_size.hpp>
+
+namespace godwit::entry {
+
+/// Work that this host has at a backend server, entered in the ledger for
+/// as long as the object lives.
+class reservation
+{
+public:
+    reservation(
+        entry_context& context,
+        placement::server_id server,
+        placement::work_size work);
+    ~reservation();
+
+    reservation(const reservation&) = delete;
+    reservation& operator=(const reservation&) = delete;
+
+    /// The prompt has been read.
+    void prompt_is_read();
+
+private:
+    entry_context& context_;
+    placement::server_id server_;
+    placement::work_size work_;
+};
+
+} // namespace godwit::entry
--- /dev/null
+++ b/services/entry/include/godwit/entry/running_stream.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <godwit/placement/backend_server.hpp>
+
+namespace godwit::entry {
+
+/// A stream that is being relayed, as the register of streams sees it.
+class running_stream
+{
+public:
+    virtual ~running_stream() = default;
+
+    /// The server that runs the generation leaves.
+    virtual void server_leaves() = 0;
+
+protected:
+    running_stream() = default;
+    running_stream(const running_stream&) = default;
+    running_stream& operator=(const running_stream&) = default;
+};
+
+} // namespace godwit::entry
--- /dev/null
+++ b/services/entry/include/godwit/entry/stream_call.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <godwit/entry/accepted_call.hpp>
+#include <godwit/entry/entry_context.hpp>
+#include <godwit/entry/event_splitter.hpp>
+#include <godwit/entry/migrator.hpp>
+#include <godwit/entry/refusal.hpp>
+#include <godwit/entry/reservation.hpp>
+#include <godwit/entry/running_stream.hpp>
+#include <godwit/entry/upstream.hpp>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace godwit::entry {
+
+/// Serves a request whose answer is an event stream. It runs at most once;
+/// when its server leaves, the same run goes on at another one.
+class stream_call : public running_stream,
+                    public std::enable_shared_from_this<stream_call>
+{
+public:
+    stream_call(entry_context& context, accepted_call call);
+    ~stream_call() override;
+
+    stream_call(const stream_call&) = delete;
+    stream_call& operator=(const stream_call&) = delete;
+
+    boost::asio::awaitable<void> run();
+
+    void server_leaves() override;
+
+private:
+    boost::asio::awaitable<bool> start();
+    boost::asio::awaitable<std::optional<placement::backend_server>> place();
+    boost::asio::awaitable<std::optional<http::response_head>>
+    send_to(placement::backend_server server);
+    boost::asio::awaitable<void> relay(http::response_head head);
+    boost::asio::awaitable<bool> relay_events(std::string bytes);
+    boost::asio::awaitable<bool> go_on_elsewhere();
+    boost::asio::awaitable<bool> resume(migrated_run moved);
+    boost::asio::awaitable<void> refuse(refusal_reason reason);
+    boost::asio::awaitable<void> pass_on_failure(http::response_head head);
+    [[nodiscard]] http::request request_for(
+        const placement::server_id& server,
+        std::optional<continuation> resumes) const;
+    [[nodiscard]] placement::work_size work() const;
+    [[nodiscard]] std::uint32_t expected_output() const;
+    void adopt(std::shared_ptr<upstream> serving);
+    void leave_server();
+    void caller_left();
+    void cut(std::string_view cause);
+
+    entry_context& context_;
+    std::shared_ptr<const accepted_call> call_;
+    std::shared_ptr<upstream> active_;
+    std::optional<reservation> reserved_;
+    std::shared_ptr<migrator> migration_;
+    event_splitter splitter_;
+    waiting_line::place* waiting_ = nullptr;
+    std::vector<placement::server_id> tried_;
+    std::uint64_t last_event_ = 0;
+    std::uint64_t events_ = 0;
+    unsigned refusals_ = 0;
+    bool is_registered_ = false;
+    bool caller_gone_ = false;
+};
+
+} // namespace godwit::entry
--- /dev/null
+++ b/services/entry/include/godwit/entry/waiting_line.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <godwit/core/time.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <utility>
+
+namespace godwit::entry {
+
+/// Requests that wait for room at the backend servers, the most urgent and
+/// then the oldest first. Used on one executor.
+class waiting_line
+{
+public:
+    /// One request's place; it is given up with the object.
+    class place
+    {
+    public:
+        place(
+            waiting_line& line,
+            const boost::asio::any_io_executor& executor,
+            int priority);
+        ~place();
+
+        place(const place&) = delete;
+        place& operator=(const place&) = delete;
+
+        /// Waits until it is this request's turn, or until `end`.
+        boost::asio::awaitable<void> turn(core::time_point end);
+
+        /// Ends the waiting at once.
+        void cancel();
+
+    private:
+        friend class waiting_line;
+
+        waiting_line& line_;
+        std::pair<int, std::uint64_t> key_;
+        boost::asio::steady_timer timer_;
+    };
+
+    /// Lets the first request try; the others follow as each leaves.
+    void wake();
+
+    [[nodiscard]] std::size_t size() const noexcept { return places_.size(); }
+
+    /// Whether a request of `priority` would stand behind another one.
+    [[nodiscard]] bool is_ahead_of(int priority) const noexcept;
+
+private:
+    std::map<std::pair<int, std::uint64_t>, place*> places_;
+    std::uint64_t next_ = 0;
+};
+
+} // namespace godwit::entry
--- /dev/null
+++ b/services/entry/include/godwit/entry/whole_call.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <godwit/entry/accepted_call.hpp>
+#include <godwit/entry/entry_context.hpp>
+#include <godwit/entry/refusal.hpp>
+#include <godwit/entry/upstream.hpp>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace godwit::entry {
+
+/// Serves a request whose answer is delivered whole: sends it, sends it once
+/// more where that is allowed and can help, and delivers one answer.
+class whole_call : public std::enable_shared_from_this<whole_call>
+{
+public:
+    whole_call(entry_context& context, accepted_call call);
+
+    boost::asio::awaitable<void> run();
+
+private:
+    /// What became of one send.
+    struct attempt_result
+    {
+        std::optional<http::response> answer;
+        std::optional<refusal_reason> refusal; ///< Without an answer.
+        bool may_have_run = true;
+        /// The answer is the caller's unless another server does better.
+        bool is_failure = true;
+    };
+
+    [[nodiscard]] http::request
+    request_for(const placement::backend_server& server) const;
+    [[nodiscard]] bool may_repeat(core::time_point now);
+    [[nodiscard]] core::time_point attempt_end(core::time_point now);
+    boost::asio::awaitable<std::optional<placement::backend_server>> place();
+    boost::asio::awaitable<attempt_result>
+    attempt(placement::backend_server server);
+    boost::asio::awaitable<void> deliver(attempt_result result);
+    boost::asio::awaitable<void> refuse(refusal_reason reason);
+    void caller_left();
+
+    entry_context& context_;
+    accepted_call call_;
+    unsigned runs_ = 0; ///< Servers that may have run the request.
+    unsigned refusals_ = 0;
+    std::vector<placement::server_id> tried_;
+    std::shared_ptr<upstream> active_;
+    waiting_line::place* waiting_ = nullptr;
+    bool caller_gone_ = false;
+};
+
+} // namespace godwit::entry
--- /dev/null
+++ b/services/entry/src/call_log.cpp
@@ -0,0 +1,95 @@
+#include <godwit/entry/call_log.hpp>
+
+#include <godwit/telemetry/log.hpp>
+
+#include <chrono>
+#include <cstdint>
+
+namespace godwit::entry {
+
+namespace {
+
+constexpr std::string_view component = "entry";
+
+std::int64_t milliseconds(core::duration span)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
+} // namespace
+
+void log_refused(
+    std::string_view attempt_id,
+    std::string_view route,
+    refusal_reason reason,
+    std::uint64_t table_version,
+    core::duration waited)
+{
+    telemetry::log_event(
+        telemetry::log_level::info,
+        component,
+        "refused",
+        {{"request", attempt_id},
+         {"route", route},
+         {"reason", to_string(reason)},
+         {"outcome", core::to_string(outcome_of(reason))},
+         {"table_version", table_version},
+         {"waited_ms", milliseconds(waited)}});
+}
+
+void log_send_failed(
+    const accepted_call& call,
+    const placement::backend_server& server,
+    std::string_view fault,
+    std::string_view cause)
+{
+    telemetry::log_event(
+        telemetry::log_level::info,
+        component,
+        "send_failed",
+        {{"request", call.terms.attempt_id},
+         {"route", call.via.name},
+         {"server", server.id},
+         {"fault", fault},
+         {"cause", cause},
+         {"table_version", call.routes->version()},
+         {"age_ms", milliseconds(core::monotonic_now() - call.arrived)}});
+}
+
+void log_cut(
+    const accepted_call& call,
+    const placement::backend_server& server,
+    std::string_view cause,
+    std::uint64_t last_event)
+{
+    telemetry::log_event(
+        telemetry::log_level::info,
+        component,
+        "cut",
+        {{"request", call.terms.attempt_id},
+         {"route", call.via.name},
+         {"server", server.id},
+         {"cause", cause},
+         {"last_event", last_event},
+         {"age_ms", milliseconds(core::monotonic_now() - call.arrived)}});
+}
+
+void log_migration(
+    const accepted_call& call,
+    const placement::backend_server& source,
+    std::string_view destination,
+    std::string_view verdict,
+    core::duration took)
+{
+    telemetry::log_event(
+        telemetry::log_level::info,
+        component,
+        "migration",
+        {{"request", call.terms.attempt_id},
+         {"source", source.id},
+         {"destination", destination},
+         {"verdict", verdict},
+         {"took_ms", milliseconds(took)}});
+}
+
+} // namespace godwit::entry
--- /dev/null
+++ b/services/entry/src/entry_context.cpp
@@ -0,0 +1,36 @@
+#include <godwit/entry/entry_context.hpp>
+
+#include <godwit/core/hash.hpp>
+
+#include <chrono>
+#include <utility>
+
+namespace godwit::entry {
+
+namespace {
+
+http::connection_pool_limits pool_limits()
+{
+    http::connection_pool_limits limits;
+    limits.idle_per_server = 16;
+    limits.idle_in_all = 512;
+    // Backend servers close idle connections after some seconds; a request
+    // that meets the close may have run.
+    limits.idle_time = std::chrono::seconds(3);
+    return limits;
+}
+
+} // namespace
+
+entry_context::entry_context(
+    const boost::asio::any_io_executor& used,
+    entry_settings read,
+    const dialect& spoken)
+    : executor(used), settings(std::move(read)), words(spoken),
+      chooser(
+          directory, ledger, health, core::stable_hash(settings.host.value())),
+      budgets(settings),
+      connections(http::connection_pool::create(executor, pool_limits()))
+{}
+
+} // namespace godwit::entry
--- /dev/null
+++ b/services/entry/src/entry_settings.cpp
@@ -0,0 +1,77 @@
+#include <godwit/entry/entry_settings.hpp>
+
+#include <godwit/settings/read_values.hpp>
+#include <godwit/telemetry/read_log_level.hpp>
+
+#include <utility>
+
+namespace godwit::entry {
+
+namespace {
+
+constexpr std::size_t longest_name = 128;
+constexpr std::size_t most_seeds = 16;
+
+core::result<http::endpoint>
+read_endpoint(settings::reader& from, std::string_view key)
+{
+    const settings::address address = GODWIT_TRY(from.get_address(key));
+    return http::endpoint::parse(address.to_string());
+}
+
+core::result<core::duration> read_seconds(
+    settings::reader& from, std::string_view key, core::duration absent)
+{
+    constexpr double shortest = 0.1;
+    constexpr double longest = 3600;
+    const double seconds = GODWIT_TRY(from.get_number(
+        key,
+        {shortest, longest},
+        std::chrono::duration<double>(absent).count()));
+    return std::chrono::duration_cast<core::duration>(
+        std::chrono::duration<double>(seconds));
+}
+
+core::result<std::vector<http::endpoint>> read_seeds(settings::reader& from)
+{
+    const auto addresses = GODWIT_TRY(from.get_addresses("seeds", most_seeds));
+    std::vector<http::endpoint> seeds;
+    for (const settings::address& one : addresses)
+        seeds.push_back(GODWIT_TRY(http::endpoint::parse(one.to_string())));
+    return seeds;
+}
+
+} // namespace
+
+core::result<entry_settings> entry_settings::read(settings::reader source)
+{
+    auto listen = GODWIT_TRY(source.get_object("listen"));
+    entry_settings read{
+        .host = core::host_name(
+            GODWIT_TRY(source.get_string("host", std::nullopt, longest_name))),
+        .zone = core::zone_name(
+            GODWIT_TRY(source.get_string("zone", std::nullopt, longest_name))),
+        .log_level = GODWIT_TRY(telemetry::read_log_level(source)),
+        .callers = GODWIT_TRY(read_endpoint(listen, "callers")),
+        .readiness = GODWIT_TRY(read_endpoint(listen, "readiness")),
+        .operators = GODWIT_TRY(read_endpoint(listen, "operators")),
+        .neighbours = GODWIT_TRY(read_endpoint(listen, "neighbours")),
+        .seeds = GODWIT_TRY(read_seeds(source)),
+    };
+    GODWIT_TRY(listen.finish(true));
+    read.caller_connections = GODWIT_TRY(settings::read_count(
+        source, "caller_connections", {1, 65536}, read.caller_connections));
+    read.stop_grace =
+        GODWIT_TRY(read_seconds(source, "stop_grace_s", read.stop_grace));
+    auto retry = GODWIT_TRY(source.get_object("retry"));
+    read.retry_share =
+        GODWIT_TRY(retry.get_number("share", {0.0, 1.0}, read.retry_share));
+    read.retry_allowance = GODWIT_TRY(
+        retry.get_number("allowance", {0.0, 1e6}, read.retry_allowance));
+    read.retry_window =
+        GODWIT_TRY(read_seconds(retry, "window_s", read.retry_window));
+    GODWIT_TRY(retry.finish(true));
+    return source.finish(std::move(read));
+}
+
+} // namespace godwit::entry
--- /dev/null
+++ b/services/entry/src/migrator.cpp
@@ -0,0 +1,246 @@
+#include <godwit/entry/migrator.hpp>
+
+#include <godwit/entry/call_log.hpp>
+#include <godwit/http/fetch.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace godwit::entry {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// While another stream of this host copies from the same server.
+constexpr core::duration turn_pause = std::chrono::milliseconds(15);
+// After an answer that a little time may change.
+constexpr core::duration retry_pause = std::chrono::milliseconds(40);
+// Further copies of a running generation, each for what came meanwhile,
+// until one is short enough to stop for.
+constexpr int most_running_copies = 4;
+// A server that has left for this long is gone, or about to be.
+constexpr core::duration longest_leaving = std::chrono::seconds(6);
+
+std::string_view name_of(copy_verdict verdict)
+{
+    switch (verdict) {
+    case copy_verdict::done:
+        return "done";
+    case copy_verdict::not_running:
+        return "not_running";
+    case copy_verdict::busy:
+        return "busy";
+    case copy_verdict::refused:
+        return "refused";
+    case copy_verdict::failed:
+        return "failed";
+    }
+    return "failed";
+}
+
+} // namespace
+
+migrator::migrator(
+    entry_context& context,
+    std::shared_ptr<const accepted_call> call,
+    std::shared_ptr<upstream> source,
+    placement::work_size work)
+    : context_(context), call_(std::move(call)), source_(std::move(source)),
+      work_(work), settled_signal_(context.executor),
+      began_(core::monotonic_now())
+{
+    settled_signal_.expires_at(asio::steady_timer::time_point::max());
+}
+
+void migrator::start()
+{
+    asio::co_spawn(
+        context_.executor,
+        [kept = shared_from_this()]() -> asio::awaitable<void> {
+            co_await kept->work();
+        },
+        asio::detached);
+}
+
+void migrator::stop()
+{
+    is_stopped_ = true;
+    if (is_settled_)
+        release();
+}
+
+asio::awaitable<std::optional<migrated_run>>
+migrator::outcome(core::time_point end)
+{
+    while (!is_settled_ && core::monotonic_now() < end) {
+        settled_signal_.expires_after(end - core::monotonic_now());
+        boost::system::error_code woken;
+        co_await settled_signal_.async_wait(
+            asio::redirect_error(asio::use_awaitable, woken));
+    }
+    co_return moved_;
+}
+
+asio::awaitable<void> migrator::pause(core::duration span)
+{
+    asio::steady_timer timer(context_.executor, span);
+    boost::system::error_code ended;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ended));
+}
+
+asio::awaitable<void> migrator::work()
+{
+    const placement::server_id source = source_->server().id;
+    while (!is_stopped_ && !context_.streams.try_begin_copy(source))
+        co_await pause(turn_pause);
+    if (!is_stopped_) {
+        co_await move();
+        context_.streams.end_copy(source);
+    }
+    settle();
+}
+
+asio::awaitable<void> migrator::move()
+{
+    while (!is_stopped_ && !moved_ &&
+           core::monotonic_now() - began_ < longest_leaving) {
+        if (!choose_destination()) {
+            co_await pause(retry_pause);
+            continue;
+        }
+        const bool is_copied = co_await copy_while_running();
+        if (is_copied && !is_stopped_) {
+            co_await copy_last();
+            co_return;
+        }
+    }
+}
+
+bool migrator::choose_destination()
+{
+    placement::placement_request wanted;
+    wanted.service = &call_->target;
+    wanted.work = work_;
+    wanted.purpose = placement::placement_purpose::migration;
+    wanted.near = source_->server().zone;
+    wanted.excluded = refused_;
+    wanted.excluded.push_back(source_->server().id);
+    const auto found = context_.chooser.choose(wanted, core::monotonic_now());
+    if (!found) {
+        // Whoever refused a moment ago may have room now.
+        refused_.clear();
+        return false;
+    }
+    destination_ = *found;
+    reserved_.reset();
+    reserved_.emplace(context_, destination_->id, work_);
+    return true;
+}
+
+// Whether the destination holds nearly everything and a last copy will be
+// short.
+asio::awaitable<bool> migrator::copy_while_running()
+{
+    for (int copies = 0; copies < most_running_copies && !is_stopped_;) {
+        const core::time_point before = core::monotonic_now();
+        const copy_answer answer = co_await copy(copy_phase::running);
+        const core::duration took = core::monotonic_now() - before;
+        switch (answer.verdict) {
+        case copy_verdict::done:
+            ++copies;
+            if (took <= short_copy || copies == most_running_copies)
+                co_return true;
+            break;
+        case copy_verdict::refused:
+            refused_.push_back(destination_->id);
+            co_return false;
+        case copy_verdict::not_running:
+        case copy_verdict::busy:
+        case copy_verdict::failed:
+            co_await pause(retry_pause);
+            if (core::monotonic_now() - began_ > longest_leaving)
+                co_return false;
+            break;
+        }
+    }
+    co_return !is_stopped_;
+}
+
+asio::awaitable<void> migrator::copy_last()
+{
+    is_stopping_run_ = true;
+    const copy_answer answer = co_await copy(copy_phase::last);
+    if (answer.verdict == copy_verdict::done && answer.handle) {
+        moved_ = migrated_run{*destination_, *answer.handle};
+        co_return;
+    }
+    if (answer.verdict == copy_verdict::refused && answer.handle) {
+        // The run stopped, and its memory stayed where it was.
+        moved_ = migrated_run{source_->server(), *answer.handle};
+        co_return;
+    }
+    is_stopping_run_ = false;
+}
+
+asio::awaitable<copy_answer> migrator::copy(copy_phase phase)
+{
+    copy_order order{call_->terms.attempt_id, destination_->address, phase};
+    http::request outgoing = context_.words.write_copy_order(order);
+    const http::fetch_limits limits{.deadline = copy_limit};
+    const core::time_point before = core::monotonic_now();
+    const auto answered = co_await http::fetch(
+        *context_.connections,
+        source_->server().address,
+        std::move(outgoing),
+        limits);
+    copy_answer answer;
+    if (answered)
+        answer = context_.words.read_copy_answer(*answered);
+    if (answer.handle)
+        handle_ = answer.handle;
+    log_migration(
+        *call_,
+        source_->server(),
+        destination_->id.value(),
+        std::string(name_of(answer.verdict)) +
+            (phase == copy_phase::last ? "_last" : "_running"),
+        core::monotonic_now() - before);
+    co_return answer;
+}
+
+void migrator::settle()
+{
+    is_settled_ = true;
+    settled_signal_.cancel();
+    if (is_stopped_ || !moved_)
+        release();
+}
+
+// A copy that nobody goes on from would hold memory at both servers.
+void migrator::release()
+{
+    reserved_.reset();
+    if (!handle_)
+        return;
+    asio::co_spawn(
+        context_.executor,
+        [&context = context_,
+         source = source_->server().address,
+         handle =
+             *std::exchange(handle_, std::nullopt)]() -> asio::awaitable<void> {
+            http::request outgoing = context.words.write_copy_release(handle);
+            const http::fetch_limits limits{.deadline = copy_limit};
+            // The server frees the copy by itself some seconds later.
+            [[maybe_unused]] const auto freed = co_await http::fetch(
+                *context.connections, source, std::move(outgoing), limits);
+        },
+        asio::detached);
+}
+
+} // namespace godwit::entry
--- /dev/null
+++ b/services/entry/src/reservation.cpp
@@ -0,0 +1,29 @@
+#include <godwit/entry/reservation.hpp>
+
+#include <utility>
+
+namespace godwit::entry {
+
+reservation::reservation(
+    entry_context& context,
+    placement::server_id server,
+    placement::work_size work)
+    : context_(context), server_(std::move(server)), work_(work)
+{
+    context_.ledger.add(server_, work_);
+}
+
+reservation::~reservation()
+{
+    context_.ledger.remove(server_, work_);
+    context_.line.wake();
+}
+
+void reservation::prompt_is_read()
+{
+    placement::work_size read;
+    read.unread_tokens = std::exchange(work_.unread_tokens, 0);
+    context_.ledger.remove(server_, read);
+}
+
+} // namespace godwit::entry
--- /dev/null
+++ b/services/entry/src/retry_budgets.cpp
@@ -0,0 +1,66 @@
+#include <godwit/entry/retry_budgets.hpp>
+
+#include <algorithm>
+#include <cassert>
+#include <chrono>
+
+namespace godwit::entry {
+
+namespace {
+
+// What is saved up and what accrues may both be spent within one window.
+constexpr double parts_of_allowance = 2.0;
+// Requests are counted where they arrive, repeats a little later.
+constexpr double share_in_use = 0.8;
+// Without a word from others a host assumes a small fleet.
+constexpr std::size_t fewest_hosts = 6;
+
+} // namespace
+
+retry_budgets::retry_budgets(const entry_settings& settings)
+    : share_(settings.retry_share * share_in_use),
+      allowance_(settings.retry_allowance), window_(settings.retry_window),
+      hosts_(fewest_hosts)
+{}
+
+void retry_budgets::set_hosts(std::size_t hosts)
+{
+    if (hosts <= hosts_)
+        return;
+    hosts_ = hosts;
+    // The next use makes them anew with the smaller part.
+    budgets_.clear();
+}
+
+request::retry_budget& retry_budgets::find_or_add(
+    const core::service_name& service, core::time_point now)
+{
+    const auto found = budgets_.find(service);
+    if (found != budgets_.end())
+        return found->second;
+    const double part =
+        allowance_ / (parts_of_allowance * static_cast<double>(hosts_));
+    const double seconds = std::chrono::duration<double>(window_).count();
+    request::retry_budget_settings settings;
+    settings.share = share_;
+    settings.capacity = std::max(part, 1.0);
+    settings.floor_per_second = part / seconds;
+    auto budget = request::retry_budget::create(settings, now);
+    // The settings' ranges leave nothing that it refuses.
+    assert(budget);
+    return budgets_.emplace(service, *budget).first->second;
+}
+
+void retry_budgets::first_attempt(
+    const core::service_name& service, core::time_point now)
+{
+    find_or_add(service, now).deposit(now);
+}
+
+bool retry_budgets::try_spend(
+    const core::service_name& service, core::time_point now)
+{
+    return find_or_add(service, now).try_spend(now);
+}
+
+} // namespace godwit::entry
--- /dev/null
+++ b/services/entry/src/stream_call.cpp
@@ -0,0 +1,406 @@
+#include <godwit/entry/stream_call.hpp>
+
+#include <godwit/entry/call_log.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace godwit::entry {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Of the latency objective: how long a request waits for room before it is
+// told to come back. A refusal within a quarter leaves the caller time to be
+// served on its next attempt.
+constexpr double longest_wait_share = 0.24;
+constexpr core::duration come_back_after = std::chrono::milliseconds(700);
+// Servers that may turn one request away before it is given up.
+constexpr unsigned most_refusals = 3;
+// A caller's guess is right at the median; room for this much more keeps
+// most generations from outgrowing their plan.
+constexpr double guess_margin = 1.25;
+// Without a guess: of the most that the generation may write.
+constexpr double usual_output_share = 0.5;
+// How long the source's stopping may take to be seen on the stream.
+constexpr core::duration stopping_limit = std::chrono::seconds(3);
+constexpr unsigned first_failure = 300;
+
+} // namespace
+
+stream_call::stream_call(entry_context& context, accepted_call call)
+    : context_(context),
+      call_(std::make_shared<const accepted_call>(std::move(call)))
+{}
+
+stream_call::~stream_call()
+{
+    leave_server();
+}
+
+asio::awaitable<void> stream_call::run()
+{
+    call_->caller.on_caller_gone([weak = weak_from_this()] {
+        if (const auto kept = weak.lock())
+            kept->caller_left();
+    });
+    context_.budgets.first_attempt(call_->target.name, call_->arrived);
+    co_await start();
+    leave_server();
+}
+
+void stream_call::caller_left()
+{
+    caller_gone_ = true;
+    if (waiting_ != nullptr)
+        waiting_->cancel();
+    if (migration_)
+        migration_->stop();
+    if (active_)
+        active_->cancel();
+}
+
+std::uint32_t stream_call::expected_output() const
+{
+    if (!call_->terms.generation)
+        return 0;
+    const generation_terms& size = *call_->terms.generation;
+    const double guessed = size.expected_output_tokens
+                               ? guess_margin * *size.expected_output_tokens
+                               : usual_output_share * size.most_output_tokens;
+    return std::min(
+        static_cast<std::uint32_t>(guessed), size.most_output_tokens);
+}
+
+placement::work_size stream_call::work() const
+{
+    placement::work_size work;
+    work.requests = 1;
+    if (!call_->terms.generation)
+        return work;
+    work.unread_tokens = call_->terms.generation->prompt_tokens;
+    work.tokens = work.unread_tokens + expected_output();
+    return work;
+}
+
+http::request stream_call::request_for(
+    const placement::server_id& server,
+    std::optional<continuation> resumes) const
+{
+    const http::request& received = call_->caller.received();
+    forward_terms terms;
+    terms.server = server;
+    terms.time_left = std::max(
+        call_->ends - core::monotonic_now(),
+        core::duration(std::chrono::milliseconds(1)));
+    terms.organisation = call_->organisation;
+    if (call_->target.engine)
+        terms.priority = call_->priority;
+    terms.resumes = std::move(resumes);
+    return http::request{
+        received.method,
+        received.target,
+        context_.words.forwarded_fields(received.fields, terms),
+        received.body};
+}
+
+asio::awaitable<bool> stream_call::start()
+{
+    while (!caller_gone_) {
+        const auto server = co_await place();
+        if (caller_gone_)
+            co_return false;
+        if (!server) {
+            co_await refuse(refusal_reason::no_room);
+            co_return false;
+        }
+        auto head = co_await send_to(*server);
+        if (head) {
+            co_await relay(std::move(*head));
+            co_return true;
+        }
+        if (caller_gone_ || call_->caller.is_answered())
+            co_return false;
+        const core::time_point now = core::monotonic_now();
+        const bool may_go_on = refusals_ < most_refusals &&
+                               (refusals_ == 0 || context_.budgets.try_spend(
+                                                      call_->target.name, now));
+        if (!may_go_on) {
+            co_await refuse(refusal_reason::servers_refused);
+            co_return false;
+        }
+    }
+    co_return false;
+}
+
+asio::awaitable<std::optional<placement::backend_server>> stream_call::place()
+{
+    placement::placement_request wanted;
+    wanted.service = &call_->target;
+    wanted.work = work();
+    wanted.near = context_.settings.zone;
+    wanted.excluded = tried_;
+    const auto longest = std::chrono::duration_cast<core::duration>(
+        call_->via.latency_objective * longest_wait_share);
+    const core::time_point end =
+        std::min(call_->arrived + longest, call_->ends);
+    std::optional<waiting_line::place> waiting;
+    bool is_my_turn = !context_.line.is_ahead_of(call_->priority);
+    while (!caller_gone_) {
+        const core::time_point now = core::monotonic_now();
+        if (is_my_turn) {
+            const auto found = context_.chooser.choose(wanted, now);
+            if (found)
+                co_return *found;
+        }
+        if (now >= end)
+            co_return std::nullopt;
+        if (!waiting)
+            waiting.emplace(context_.line, context_.executor, call_->priority);
+        waiting_ = &*waiting;
+        co_await waiting->turn(end);
+        waiting_ = nullptr;
+        is_my_turn = true;
+    }
+    co_return std::nullopt;
+}
+
+// The head of a stream that runs, or nothing: then the request did not run,
+// or its caller has an answer.
+asio::awaitable<std::optional<http::response_head>>
+stream_call::send_to(placement::backend_server server)
+{
+    reserved_.emplace(context_, server.id, work());
+    active_ = std::make_shared<upstream>(context_, server);
+    http::request outgoing = request_for(server.id, std::nullopt);
+    const std::string attempt_id = call_->terms.attempt_id;
+    auto head =
+        co_await active_->begin(std::move(outgoing), attempt_id, call_->ends);
+    if (caller_gone_)
+        co_return std::nullopt;
+    if (!head) {
+        const upstream_failure& why = head.error();
+        log_send_failed(*call_, server, "no_head", why.cause.message());
+        context_.health.unreachable(server.id, core::monotonic_now());
+        reserved_.reset();
+        tried_.push_back(server.id);
+        if (why.fault != upstream_fault::unreachable) {
+            const bool is_late = why.fault == upstream_fault::timed_out;
+            co_await refuse(
+                is_late ? refusal_reason::out_of_time
+                        : refusal_reason::answer_lost);
+        }
+        co_return std::nullopt;
+    }
+    const answer_terms said = context_.words.read_answer(head->fields);
+    if (said.is_not_run) {
+        log_send_failed(
+            *call_, server, "not_run", std::to_string(head->status));
+        context_.health.full(server.id, core::monotonic_now());
+        ++refusals_;
+        reserved_.reset();
+        tried_.push_back(server.id);
+        co_return std::nullopt;
+    }
+    if (head->status >= first_failure) {
+        context_.health.failed(server.id);
+        co_await pass_on_failure(std::move(*head));
+        co_return std::nullopt;
+    }
+    if (!said.is_signed) {
+        log_send_failed(
+            *call_, server, "unsigned", std::to_string(head->status));
+        active_->cancel();
+        co_await refuse(refusal_reason::answer_spoiled);
+        co_return std::nullopt;
+    }
+    co_return std::move(*head);
+}
+
+asio::awaitable<void> stream_call::pass_on_failure(http::response_head head)
+{
+    auto body = co_await active_->read_all(call_->ends);
+    if (caller_gone_)
+        co_return;
+    if (!body) {
+        co_await refuse(refusal_reason::answer_lost);
+        co_return;
+    }
+    active_->finish();
+    http::response answer{
+        head.status,
+        context_.words.returned_fields(head.fields),
+        std::move(*body)};
+    [[maybe_unused]] const auto sent =
+        co_await call_->caller.respond(std::move(answer));
+}
+
+void stream_call::adopt(std::shared_ptr<upstream> serving)
+{
+    leave_server();
+    active_ = std::move(serving);
+    context_.streams.add(active_->server().id, *this);
+    is_registered_ = true;
+    if (!context_.directory.is_usable(active_->server().id))
+        server_leaves();
+}
+
+void stream_call::leave_server()
+{
+    if (is_registered_)
+        context_.streams.remove(active_->server().id, *this);
+    is_registered_ = false;
+}
+
+void stream_call::server_leaves()
+{
+    const bool can_move = call_->target.engine && call_->target.engine->moves;
+    if (!can_move || migration_ || caller_gone_)
+        return;
+    placement::work_size moved = work();
+    moved.unread_tokens = 0;
+    migration_ = std::make_shared<migrator>(context_, call_, active_, moved);
+    migration_->start();
+}
+
+asio::awaitable<void> stream_call::relay(http::response_head head)
+{
+    auto begun = co_await call_->caller.start_stream(
+        head.status, context_.words.returned_fields(head.fields));
+    if (!begun)
+        co_return;
+    adopt(active_);
+    while (!caller_gone_) {
+        auto piece = co_await active_->read_some(call_->ends);
+        if (caller_gone_)
+            co_return;
+        if (piece && piece->has_value()) {
+            const bool goes_on = co_await relay_events(std::move(**piece));
+            if (!goes_on)
+                co_return;
+            continue;
+        }
+        if (piece && splitter_.is_between_events()) {
+            active_->finish();
+            if (migration_)
+                migration_->stop();
+            context_.health.succeeded(active_->server().id);
+            [[maybe_unused]] const auto ended =
+                co_await call_->caller.finish_stream();
+            co_return;
+        }
+        const bool goes_on = co_await go_on_elsewhere();
+        if (goes_on)
+            continue;
+        if (caller_gone_)
+            co_return;
+        context_.health.unreachable(
+            active_->server().id, core::monotonic_now());
+        cut(piece ? "incomplete event" : piece.error().cause.message());
+        co_return;
+    }
+}
+
+asio::awaitable<bool> stream_call::relay_events(std::string bytes)
+{
+    auto events = splitter_.push(bytes);
+    if (!events) {
+        cut(events.error().message());
+        co_return false;
+    }
+    std::string ready;
+    for (raw_event& event : *events) {
+        // After a resumption the server may repeat what the caller has.
+        if (event.id && events_ > 0 && *event.id <= last_event_)
+            continue;
+        if (event.id)
+            last_event_ = *event.id;
+        ++events_;
+        ready += event.bytes;
+    }
+    if (events_ > 0 && reserved_)
+        reserved_->prompt_is_read();
+    if (ready.empty())
+        co_return true;
+    const auto written = co_await call_->caller.write_chunk(std::move(ready));
+    if (!written)
+        active_->cancel();
+    co_return written.has_value();
+}
+
+asio::awaitable<bool> stream_call::go_on_elsewhere()
+{
+    if (!migration_)
+        co_return false;
+    const core::time_point end = core::monotonic_now() + stopping_limit;
+    const auto moved = co_await migration_->outcome(end);
+    if (!moved || caller_gone_)
+        co_return false;
+    co_return co_await resume(*moved);
+}
+
+asio::awaitable<bool> stream_call::resume(migrated_run moved)
+{
+    const core::time_point before = core::monotonic_now();
+    const placement::backend_server source = active_->server();
+    continuation resumes{source.address, moved.handle, last_event_};
+    auto next = std::make_shared<upstream>(context_, moved.destination);
+    http::request outgoing =
+        request_for(moved.destination.id, std::move(resumes));
+    reserved_.reset();
+    placement::work_size moved_work = work();
+    moved_work.unread_tokens = 0;
+    reserved_.emplace(context_, moved.destination.id, moved_work);
+    leave_server();
+    active_ = next;
+    splitter_ = event_splitter();
+    const std::string attempt_id = call_->terms.attempt_id;
+    auto head =
+        co_await next->begin(std::move(outgoing), attempt_id, call_->ends);
+    const bool runs = head && head->status < first_failure;
+    std::string verdict = "resumed";
+    if (!head)
+        verdict = head.error().cause.message();
+    else if (!runs)
+        verdict = "status_" + std::to_string(head->status);
+    log_migration(
+        *call_,
+        source,
+        moved.destination.id.value(),
+        verdict,
+        core::monotonic_now() - before);
+    if (!runs || caller_gone_)
+        co_return false;
+    migration_.reset();
+    adopt(next);
+    co_return true;
+}
+
+void stream_call::cut(std::string_view cause)
+{
+    log_cut(*call_, active_->server(), cause, last_event_);
+    active_->cancel();
+    if (migration_)
+        migration_->stop();
+    call_->caller.cut();
+}
+
+asio::awaitable<void> stream_call::refuse(refusal_reason reason)
+{
+    log_refused(
+        call_->terms.attempt_id,
+        call_->via.name,
+        reason,
+        call_->routes->version(),
+        core::monotonic_now() - call_->arrived);
+    const bool can_come_back = outcome_of(reason) == core::outcome::not_run;
+    http::response answer = make_refusal(
+        reason,
+        can_come_back ? std::optional<core::duration>(come_back_after)
+                      : std::nullopt);
+    [[maybe_unused]] const auto sent =
+        co_await call_->caller.respond(std::move(answer));
+}
+
+} // namespace godwit::entry
--- /dev/null
+++ b/services/entry/src/stream_register.cpp
@@ -0,0 +1,60 @@
+#include <godwit/entry/stream_register.hpp>
+
+namespace godwit::entry {
+
+void stream_register::add(
+    const placement::server_id& server, running_stream& stream)
+{
+    streams_[server].insert(&stream);
+}
+
+void stream_register::remove(
+    const placement::server_id& server, running_stream& stream)
+{
+    const auto found = streams_.find(server);
+    if (found == streams_.end())
+        return;
+    found->second.erase(&stream);
+    if (found->second.empty())
+        streams_.erase(found);
+}
+
+void stream_register::server_leaves(const placement::server_id& server)
+{
+    const auto found = streams_.find(server);
+    if (found == streams_.end())
+        return;
+    // The streams may change the register while they are told.
+    const std::vector<running_stream*> told(
+        found->second.begin(), found->second.end());
+    for (running_stream* stream : told)
+        stream->server_leaves();
+}
+
+bool stream_register::try_begin_copy(const placement::server_id& server)
+{
+    std::size_t& under_way = copies_[server];
+    if (under_way >= copies_at_once)
+        return false;
+    ++under_way;
+    return true;
+}
+
+void stream_register::end_copy(const placement::server_id& server)
+{
+    const auto found = copies_.find(server);
+    if (found == copies_.end())
+        return;
+    if (--found->second == 0)
+        copies_.erase(found);
+}
+
+std::size_t stream_register::size() const noexcept
+{
+    std::size_t count = 0;
+    for (const auto& [server, streams] : streams_)
+        count += streams.size();
+    return count;
+}
+
+} // namespace godwit::entry
--- /dev/null
+++ b/services/entry/src/upstream.cpp
@@ -0,0 +1,144 @@
+#include <godwit/entry/upstream.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace godwit::entry {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// A server that answers one request twice sends the second answer where the
+// next one is expected. More than a few in a row are a broken server.
+constexpr int most_stray_answers = 3;
+constexpr std::size_t largest_body = std::size_t{16} * 1024 * 1024;
+
+core::duration left_until(core::time_point end)
+{
+    return std::max(
+        end - core::monotonic_now(),
+        core::duration(std::chrono::milliseconds(1)));
+}
+
+upstream_failure to_failure(const http::client_error& why)
+{
+    upstream_fault fault = upstream_fault::lost;
+    if (why.handed_over == http::bytes_handed_over::none)
+        fault = upstream_fault::unreachable;
+    else if (why.cause.kind() == core::error_kind::timeout)
+        fault = upstream_fault::timed_out;
+    return upstream_failure{fault, why.cause};
+}
+
+upstream_failure spoiled(std::string what)
+{
+    return upstream_failure{
+        upstream_fault::lost,
+        core::error(
+            core::error_kind::protocol,
+            std::move(what),
+            "look at the backend server; its connection was closed")};
+}
+
+} // namespace
+
+upstream::upstream(entry_context& context, placement::backend_server server)
+    : context_(context), server_(std::move(server))
+{}
+
+asio::awaitable<upstream_result<void>> upstream::connect(core::time_point end)
+{
+    stream_ = context_.connections->take(server_.address);
+    if (stream_)
+        co_return upstream_result<void>();
+    stream_ = http::client_stream::create(context_.executor);
+    const auto connected = co_await stream_->connect(
+        server_.address, std::min(left_until(end), connect_limit));
+    if (!connected)
+        co_return tl::unexpected(to_failure(connected.error()));
+    co_return upstream_result<void>();
+}
+
+asio::awaitable<upstream_result<http::response_head>> upstream::begin(
+    http::request outgoing, std::string attempt_id, core::time_point end)
+{
+    const auto connected = co_await connect(end);
+    if (!connected)
+        co_return tl::unexpected(connected.error());
+    if (is_cancelled_) {
+        stream_->cancel();
+        co_return tl::unexpected(upstream_failure{
+            upstream_fault::unreachable,
+            core::error(
+                core::error_kind::unavailable,
+                "the caller left while a connection was made",
+                "nothing; the request was not sent")});
+    }
+    const auto sent =
+        co_await stream_->send(std::move(outgoing), left_until(end));
+    if (!sent)
+        co_return tl::unexpected(to_failure(sent.error()));
+    co_return co_await read_own_head(std::move(attempt_id), end);
+}
+
+asio::awaitable<upstream_result<http::response_head>>
+upstream::read_own_head(std::string attempt_id, core::time_point end)
+{
+    for (int stray = 0; stray < most_stray_answers; ++stray) {
+        auto head = co_await stream_->read_head(left_until(end));
+        if (!head)
+            co_return tl::unexpected(to_failure(head.error()));
+        const answer_terms said = context_.words.read_answer(head->fields);
+        if (said.attempt_id.empty() || said.attempt_id == attempt_id)
+            co_return std::move(*head);
+        const auto passed_over = co_await read_all(end);
+        if (!passed_over)
+            co_return tl::unexpected(passed_over.error());
+    }
+    co_return tl::unexpected(
+        spoiled(server_.address.to_string() + " answered other requests"));
+}
+
+asio::awaitable<upstream_result<std::optional<std::string>>>
+upstream::read_some(core::time_point end)
+{
+    auto piece = co_await stream_->read_some(left_until(end));
+    if (!piece)
+        co_return tl::unexpected(to_failure(piece.error()));
+    co_return std::move(*piece);
+}
+
+asio::awaitable<upstream_result<std::string>>
+upstream::read_all(core::time_point end)
+{
+    std::string body;
+    while (true) {
+        auto piece = co_await read_some(end);
+        if (!piece)
+            co_return tl::unexpected(piece.error());
+        if (!piece->has_value())
+            co_return body;
+        body += **piece;
+        if (body.size() > largest_body)
+            co_return tl::unexpected(spoiled(
+                "the answer of " + server_.address.to_string() +
+                " is larger than " + std::to_string(largest_body) + " bytes"));
+    }
+}
+
+void upstream::cancel() noexcept
+{
+    is_cancelled_ = true;
+    if (stream_)
+        stream_->cancel();
+}
+
+void upstream::finish()
+{
+    if (stream_ && !is_cancelled_)
+        context_.connections->give_back(server_.address, std::move(*stream_));
+    stream_.reset();
+}
+
+} // namespace godwit::entry
--- /dev/null
+++ b/services/entry/src/whole_call.cpp
@@ -0,0 +1,250 @@
+#include <godwit/entry/whole_call.hpp>
+
+#include <godwit/entry/call_log.hpp>
+#include <godwit/entry/reservation.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace godwit::entry {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Of the latency objective: how long a request waits for a server to be
+// listed at all before it is told to come back.
+constexpr double longest_wait_share = 0.5;
+// An idempotent request that has no answer after twice its objective is sent
+// to another server, while there is time for it.
+constexpr int patience_objectives = 2;
+constexpr core::duration shortest_patience = std::chrono::milliseconds(250);
+// When a caller that was told "no server" should come back.
+constexpr core::duration come_back_after = std::chrono::milliseconds(300);
+// Servers that may turn one request away before it is given up.
+constexpr unsigned most_refusals = 3;
+constexpr unsigned first_server_error = 500;
+
+std::string_view name_of(upstream_fault fault)
+{
+    switch (fault) {
+    case upstream_fault::unreachable:
+        return "unreachable";
+    case upstream_fault::lost:
+        return "lost";
+    case upstream_fault::timed_out:
+        return "timed_out";
+    }
+    return "lost";
+}
+
+} // namespace
+
+whole_call::whole_call(entry_context& context, accepted_call call)
+    : context_(context), call_(std::move(call))
+{}
+
+asio::awaitable<void> whole_call::run()
+{
+    call_.caller.on_caller_gone([weak = weak_from_this()] {
+        if (const auto kept = weak.lock())
+            kept->caller_left();
+    });
+    context_.budgets.first_attempt(call_.target.name, call_.arrived);
+    attempt_result last;
+    last.refusal = refusal_reason::no_server;
+    last.may_have_run = false;
+    while (!caller_gone_) {
+        const auto server = co_await place();
+        if (caller_gone_)
+            co_return;
+        if (!server)
+            break;
+        attempt_result now = co_await attempt(*server);
+        // A refusal says nothing more than what is already known.
+        const bool is_worse = !now.may_have_run && last.may_have_run;
+        if (!is_worse)
+            last = std::move(now);
+        if (caller_gone_)
+            co_return;
+        if (!last.is_failure || !may_repeat(core::monotonic_now()))
+            break;
+    }
+    co_await deliver(std::move(last));
+}
+
+void whole_call::caller_left()
+{
+    caller_gone_ = true;
+    if (waiting_ != nullptr)
+        waiting_->cancel();
+    if (active_)
+        active_->cancel();
+}
+
+asio::awaitable<std::optional<placement::backend_server>> whole_call::place()
+{
+    placement::placement_request wanted;
+    wanted.service = &call_.target;
+    wanted.work.requests = 1;
+    wanted.near = context_.settings.zone;
+    wanted.excluded = tried_;
+    const auto longest = std::chrono::duration_cast<core::duration>(
+        call_.via.latency_objective * longest_wait_share);
+    const core::time_point end = std::min(call_.arrived + longest, call_.ends);
+    while (!caller_gone_) {
+        const core::time_point now = core::monotonic_now();
+        const auto found = context_.chooser.choose(wanted, now);
+        if (found)
+            co_return *found;
+        if (now >= end || !tried_.empty())
+            co_return std::nullopt;
+        waiting_line::place waiting(
+            context_.line, context_.executor, call_.priority);
+        waiting_ = &waiting;
+        co_await waiting.turn(end);
+        waiting_ = nullptr;
+    }
+    co_return std::nullopt;
+}
+
+http::request
+whole_call::request_for(const placement::backend_server& server) const
+{
+    const http::request& received = call_.caller.received();
+    forward_terms terms;
+    terms.server = server.id;
+    terms.time_left = std::max(
+        call_.ends - core::monotonic_now(),
+        core::duration(std::chrono::milliseconds(1)));
+    terms.organisation = call_.organisation;
+    return http::request{
+        received.method,
+        received.target,
+        context_.words.forwarded_fields(received.fields, terms),
+        received.body};
+}
+
+core::time_point whole_call::attempt_end(core::time_point now)
+{
+    const bool may_run_again =
+        call_.via.repeats == routing::repeat_rule::idempotent &&
+        runs_ + 1 < call_.via.max_attempts;
+    if (!may_run_again)
+        return call_.ends;
+    const core::duration patience = std::max<core::duration>(
+        call_.via.latency_objective * patience_objectives, shortest_patience);
+    return std::min(now + patience, call_.ends);
+}
+
+asio::awaitable<whole_call::attempt_result>
+whole_call::attempt(placement::backend_server server)
+{
+    placement::work_size work;
+    work.requests = 1;
+    const reservation reserved(context_, server.id, work);
+    tried_.push_back(server.id);
+    const auto exchange = std::make_shared<upstream>(context_, server);
+    active_ = exchange;
+    const core::time_point end = attempt_end(core::monotonic_now());
+
+    attempt_result result;
+    http::request outgoing = request_for(server);
+    const std::string attempt_id = call_.terms.attempt_id;
+    auto head = co_await exchange->begin(std::move(outgoing), attempt_id, end);
+    upstream_result<std::string> body;
+    if (head)
+        body = co_await exchange->read_all(end);
+    active_.reset();
+    const core::time_point now = core::monotonic_now();
+    if (!head || !body) {
+        const upstream_failure why = head ? body.error() : head.error();
+        if (caller_gone_)
+            co_return result;
+        log_send_failed(call_, server, name_of(why.fault), why.cause.message());
+        context_.health.unreachable(server.id, now);
+        result.may_have_run = why.fault != upstream_fault::unreachable;
+        result.refusal = refusal_reason::answer_lost;
+        if (!result.may_have_run)
+            result.refusal = refusal_reason::no_server;
+        else if (now >= call_.ends)
+            result.refusal = refusal_reason::out_of_time;
+        runs_ += result.may_have_run ? 1 : 0;
+        co_return result;
+    }
+    exchange->finish();
+    const answer_terms said = context_.words.read_answer(head->fields);
+    result.may_have_run = !said.is_not_run;
+    if (said.is_not_run) {
+        ++refusals_;
+        context_.health.full(server.id, now);
+        log_send_failed(call_, server, "not_run", std::to_string(head->status));
+        result.refusal = refusal_reason::servers_refused;
+        co_return result;
+    }
+    ++runs_;
+    const bool is_error = head->status >= first_server_error;
+    if (!is_error && !said.is_signed) {
+        // Bytes that the server does not vouch for are nobody's answer.
+        context_.health.failed(server.id);
+        log_send_failed(
+            call_, server, "unsigned", std::to_string(head->status));
+        result.refusal = refusal_reason::answer_spoiled;
+        co_return result;
+    }
+    if (is_error)
+        context_.health.failed(server.id);
+    else
+        context_.health.succeeded(server.id);
+    result.is_failure = is_error;
+    result.answer = http::response{
+        head->status,
+        context_.words.returned_fields(head->fields),
+        std::move(*body)};
+    co_return result;
+}
+
+bool whole_call::may_repeat(core::time_point now)
+{
+    if (now >= call_.ends || refusals_ >= most_refusals)
+        return false;
+    if (runs_ > 0 && (call_.via.repeats != routing::repeat_rule::idempotent ||
+                      runs_ >= call_.via.max_attempts))
+        return false;
+    const bool was_handed_over = runs_ + refusals_ > 0;
+    return !was_handed_over ||
+           context_.budgets.try_spend(call_.target.name, now);
+}
+
+asio::awaitable<void> whole_call::deliver(attempt_result result)
+{
+    if (caller_gone_)
+        co_return;
+    if (!result.answer) {
+        co_await refuse(result.refusal.value_or(refusal_reason::answer_lost));
+        co_return;
+    }
+    // A caller that is gone meanwhile has no use for the answer, and says so
+    // by its closed connection.
+    [[maybe_unused]] const auto sent =
+        co_await call_.caller.respond(std::move(*result.answer));
+}
+
+asio::awaitable<void> whole_call::refuse(refusal_reason reason)
+{
+    log_refused(
+        call_.terms.attempt_id,
+        call_.via.name,
+        reason,
+        call_.routes->version(),
+        core::monotonic_now() - call_.arrived);
+    const bool can_come_back = outcome_of(reason) == core::outcome::not_run;
+    http::response answer = make_refusal(
+        reason,
+        can_come_back ? std::optional<core::duration>(come_back_after)
+                      : std::nullopt);
+    [[maybe_unused]] const auto sent =
+        co_await call_.caller.respond(std::move(answer));
+}
+
+} // namespace godwit::entry
