--- /dev/null
+++ b/libraries/wire/include/godwit/wire/host_work.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace godwit::wire {
+
+/// What one entry host has at work at one run of a backend server.
+struct server_work
+{
+    std::string server; ///< The id of the run.
+    std::uint32_t requests = 0;
+    std::uint64_t tokens = 0;        ///< Memory at the requests' ends.
+    std::uint64_t unread_tokens = 0; ///< Of prompts.
+
+    friend bool operator==(const server_work&, const server_work&) = default;
+};
+
+/// All that one entry host has at work; replaces what it said before.
+struct host_work
+{
+    std::vector<server_work> work;
+
+    friend bool operator==(const host_work&, const host_work&) = default;
+};
+
+} // namespace godwit::wire
--- /dev/null
+++ b/libraries/wire/include/godwit/wire/listed_servers.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <godwit/core/identifiers.hpp>
+#include <godwit/wire/server_state.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace godwit::wire {
+
+/// One run of a backend server, as the list of servers shows it.
+struct listed_server
+{
+    std::string id; ///< A restart makes a new one.
+    core::server_address address;
+    core::zone_name zone;
+    core::service_name service;
+    std::uint32_t slots = 0; ///< Requests that it works on at one time.
+    server_state state = server_state::live;
+
+    friend bool
+    operator==(const listed_server&, const listed_server&) = default;
+};
+
+/// The whole list of servers, from a host that reads it at its source.
+struct listed_servers
+{
+    std::vector<listed_server> servers;
+
+    friend bool
+    operator==(const listed_servers&, const listed_servers&) = default;
+};
+
+} // namespace godwit::wire
--- a/libraries/wire/include/godwit/wire/message.hpp
+++ b/libraries/wire/include/godwit/wire/message.hpp
@@ -15,9 +15,12 @@
 #include <godwit/wire/duty_message.hpp>
 #include <godwit/wire/heartbeat.hpp>
 #include <godwit/wire/hello.hpp>
+#include <godwit/wire/host_work.hpp>
+#include <godwit/wire/listed_servers.hpp>
 #include <godwit/wire/pull.hpp>
 #include <godwit/wire/records.hpp>
 #include <godwit/wire/server_sign.hpp>
+#include <godwit/wire/table_document.hpp>
 
 #include <string_view>
 #include <variant>
@@ -43,7 +46,10 @@
     pull,
     records,
     duty_message,
-    claim_withdrawal>;
+    claim_withdrawal,
+    table_document,
+    listed_servers,
+    host_work>;
 
 /// The name of the message's type, for logs and metrics.
 [[nodiscard]] std::string_view name_of(const message& value) noexcept;
--- /dev/null
+++ b/libraries/wire/include/godwit/wire/table_document.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace godwit::wire {
+
+/// A version of the route table, as its operator wrote it.
+struct table_document
+{
+    std::uint64_t version = 0;
+    std::string text;
+
+    friend bool
+    operator==(const table_document&, const table_document&) = default;
+};
+
+} // namespace godwit::wire
--- a/libraries/wire/src/codec.cpp
+++ b/libraries/wire/src/codec.cpp
@@ -95,6 +95,12 @@
         return read_payload(frame.payload_as_duty_message(), reader);
     case format::payload::claim_withdrawal:
         return read_payload(frame.payload_as_claim_withdrawal(), reader);
+    case format::payload::table_document:
+        return read_payload(frame.payload_as_table_document(), reader);
+    case format::payload::listed_servers:
+        return read_payload(frame.payload_as_listed_servers(), reader);
+    case format::payload::host_work:
+        return read_payload(frame.payload_as_host_work(), reader);
     case format::payload::NONE:
         break;
     }
--- a/libraries/wire/src/godwit_generated.h
+++ b/libraries/wire/src/godwit_generated.h
@@ -80,6 +80,21 @@
 struct duty_message;
 struct duty_messageBuilder;
 
+struct table_document;
+struct table_documentBuilder;
+
+struct listed_server;
+struct listed_serverBuilder;
+
+struct listed_servers;
+struct listed_serversBuilder;
+
+struct server_work;
+struct server_workBuilder;
+
+struct host_work;
+struct host_workBuilder;
+
 struct frame;
 struct frameBuilder;
 
@@ -87,31 +102,34 @@
   agent = 0,
   proxy = 1,
   tool = 2,
+  entry = 3,
   MIN = agent,
-  MAX = tool
+  MAX = entry
 };
 
-inline const role (&EnumValuesrole())[3] {
+inline const role (&EnumValuesrole())[4] {
   static const role values[] = {
     role::agent,
     role::proxy,
-    role::tool
+    role::tool,
+    role::entry
   };
   return values;
 }
 
 inline const char * const *EnumNamesrole() {
-  static const char * const names[4] = {
+  static const char * const names[5] = {
     "agent",
     "proxy",
     "tool",
+    "entry",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamerole(role e) {
-  if (flatbuffers::IsOutRange(e, role::agent, role::tool)) return "";
+  if (flatbuffers::IsOutRange(e, role::agent, role::entry)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesrole()[index];
 }
@@ -355,11 +373,14 @@
   records = 16,
   duty_message = 17,
   claim_withdrawal = 18,
+  table_document = 19,
+  listed_servers = 20,
+  host_work = 21,
   MIN = NONE,
-  MAX = claim_withdrawal
+  MAX = host_work
 };
 
-inline const payload (&EnumValuespayload())[19] {
+inline const payload (&EnumValuespayload())[22] {
   static const payload values[] = {
     payload::NONE,
     payload::hello,
@@ -379,13 +400,16 @@
     payload::pull,
     payload::records,
     payload::duty_message,
-    payload::claim_withdrawal
+    payload::claim_withdrawal,
+    payload::table_document,
+    payload::listed_servers,
+    payload::host_work
   };
   return values;
 }
 
 inline const char * const *EnumNamespayload() {
-  static const char * const names[20] = {
+  static const char * const names[23] = {
     "NONE",
     "hello",
     "heartbeat",
@@ -405,13 +429,16 @@
     "records",
     "duty_message",
     "claim_withdrawal",
+    "table_document",
+    "listed_servers",
+    "host_work",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamepayload(payload e) {
-  if (flatbuffers::IsOutRange(e, payload::NONE, payload::claim_withdrawal)) return "";
+  if (flatbuffers::IsOutRange(e, payload::NONE, payload::host_work)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamespayload()[index];
 }
@@ -492,6 +519,18 @@
   static const payload enum_value = payload::claim_withdrawal;
 };
 
+template<> struct payloadTraits<godwit::wire::format::table_document> {
+  static const payload enum_value = payload::table_document;
+};
+
+template<> struct payloadTraits<godwit::wire::format::listed_servers> {
+  static const payload enum_value = payload::listed_servers;
+};
+
+template<> struct payloadTraits<godwit::wire::format::host_work> {
+  static const payload enum_value = payload::host_work;
+};
+
 bool Verifypayload(flatbuffers::Verifier &verifier, const void *obj, payload type);
 bool VerifypayloadVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<payload> *types);
 
@@ -2326,6 +2365,407 @@
       body__);
 }
 
+struct table_document FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef table_documentBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_VERSION = 4,
+    VT_TEXT = 6
+  };
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  const flatbuffers::String *text() const {
+    return GetPointer<const flatbuffers::String *>(VT_TEXT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyOffset(verifier, VT_TEXT) &&
+           verifier.VerifyString(text()) &&
+           verifier.EndTable();
+  }
+};
+
+struct table_documentBuilder {
+  typedef table_document Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(table_document::VT_VERSION, version, 0);
+  }
+  void add_text(flatbuffers::Offset<flatbuffers::String> text) {
+    fbb_.AddOffset(table_document::VT_TEXT, text);
+  }
+  explicit table_documentBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<table_document> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<table_document>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<table_document> Createtable_document(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t version = 0,
+    flatbuffers::Offset<flatbuffers::String> text = 0) {
+  table_documentBuilder builder_(_fbb);
+  builder_.add_version(version);
+  builder_.add_text(text);
+  return builder_.Finish();
+}
+
+struct table_document::Traits {
+  using type = table_document;
+  static auto constexpr Create = Createtable_document;
+};
+
+inline flatbuffers::Offset<table_document> Createtable_documentDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t version = 0,
+    const char *text = nullptr) {
+  auto text__ = text ? _fbb.CreateString(text) : 0;
+  return godwit::wire::format::Createtable_document(
+      _fbb,
+      version,
+      text__);
+}
+
+struct listed_server FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef listed_serverBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_ADDRESS = 6,
+    VT_ZONE = 8,
+    VT_SERVICE = 10,
+    VT_SLOTS = 12,
+    VT_STATE = 14
+  };
+  const flatbuffers::String *id() const {
+    return GetPointer<const flatbuffers::String *>(VT_ID);
+  }
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  uint32_t slots() const {
+    return GetField<uint32_t>(VT_SLOTS, 0);
+  }
+  godwit::wire::format::server_state state() const {
+    return static_cast<godwit::wire::format::server_state>(GetField<uint8_t>(VT_STATE, 0));
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ID) &&
+           verifier.VerifyString(id()) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyField<uint32_t>(verifier, VT_SLOTS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct listed_serverBuilder {
+  typedef listed_server Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(flatbuffers::Offset<flatbuffers::String> id) {
+    fbb_.AddOffset(listed_server::VT_ID, id);
+  }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(listed_server::VT_ADDRESS, address);
+  }
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(listed_server::VT_ZONE, zone);
+  }
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(listed_server::VT_SERVICE, service);
+  }
+  void add_slots(uint32_t slots) {
+    fbb_.AddElement<uint32_t>(listed_server::VT_SLOTS, slots, 0);
+  }
+  void add_state(godwit::wire::format::server_state state) {
+    fbb_.AddElement<uint8_t>(listed_server::VT_STATE, static_cast<uint8_t>(state), 0);
+  }
+  explicit listed_serverBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<listed_server> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<listed_server>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<listed_server> Createlisted_server(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> id = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    uint32_t slots = 0,
+    godwit::wire::format::server_state state = godwit::wire::format::server_state::live) {
+  listed_serverBuilder builder_(_fbb);
+  builder_.add_slots(slots);
+  builder_.add_service(service);
+  builder_.add_zone(zone);
+  builder_.add_address(address);
+  builder_.add_id(id);
+  builder_.add_state(state);
+  return builder_.Finish();
+}
+
+struct listed_server::Traits {
+  using type = listed_server;
+  static auto constexpr Create = Createlisted_server;
+};
+
+inline flatbuffers::Offset<listed_server> Createlisted_serverDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *id = nullptr,
+    const char *address = nullptr,
+    const char *zone = nullptr,
+    const char *service = nullptr,
+    uint32_t slots = 0,
+    godwit::wire::format::server_state state = godwit::wire::format::server_state::live) {
+  auto id__ = id ? _fbb.CreateString(id) : 0;
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  return godwit::wire::format::Createlisted_server(
+      _fbb,
+      id__,
+      address__,
+      zone__,
+      service__,
+      slots,
+      state);
+}
+
+struct listed_servers FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef listed_serversBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVERS = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::listed_server>> *servers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::listed_server>> *>(VT_SERVERS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVERS) &&
+           verifier.VerifyVector(servers()) &&
+           verifier.VerifyVectorOfTables(servers()) &&
+           verifier.EndTable();
+  }
+};
+
+struct listed_serversBuilder {
+  typedef listed_servers Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_servers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::listed_server>>> servers) {
+    fbb_.AddOffset(listed_servers::VT_SERVERS, servers);
+  }
+  explicit listed_serversBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<listed_servers> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<listed_servers>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<listed_servers> Createlisted_servers(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::listed_server>>> servers = 0) {
+  listed_serversBuilder builder_(_fbb);
+  builder_.add_servers(servers);
+  return builder_.Finish();
+}
+
+struct listed_servers::Traits {
+  using type = listed_servers;
+  static auto constexpr Create = Createlisted_servers;
+};
+
+inline flatbuffers::Offset<listed_servers> Createlisted_serversDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<godwit::wire::format::listed_server>> *servers = nullptr) {
+  auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<godwit::wire::format::listed_server>>(*servers) : 0;
+  return godwit::wire::format::Createlisted_servers(
+      _fbb,
+      servers__);
+}
+
+struct server_work FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef server_workBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVER = 4,
+    VT_REQUESTS = 6,
+    VT_TOKENS = 8,
+    VT_UNREAD_TOKENS = 10
+  };
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  uint32_t requests() const {
+    return GetField<uint32_t>(VT_REQUESTS, 0);
+  }
+  uint64_t tokens() const {
+    return GetField<uint64_t>(VT_TOKENS, 0);
+  }
+  uint64_t unread_tokens() const {
+    return GetField<uint64_t>(VT_UNREAD_TOKENS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           VerifyField<uint32_t>(verifier, VT_REQUESTS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_TOKENS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_UNREAD_TOKENS, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct server_workBuilder {
+  typedef server_work Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(server_work::VT_SERVER, server);
+  }
+  void add_requests(uint32_t requests) {
+    fbb_.AddElement<uint32_t>(server_work::VT_REQUESTS, requests, 0);
+  }
+  void add_tokens(uint64_t tokens) {
+    fbb_.AddElement<uint64_t>(server_work::VT_TOKENS, tokens, 0);
+  }
+  void add_unread_tokens(uint64_t unread_tokens) {
+    fbb_.AddElement<uint64_t>(server_work::VT_UNREAD_TOKENS, unread_tokens, 0);
+  }
+  explicit server_workBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<server_work> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<server_work>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<server_work> Createserver_work(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    uint32_t requests = 0,
+    uint64_t tokens = 0,
+    uint64_t unread_tokens = 0) {
+  server_workBuilder builder_(_fbb);
+  builder_.add_unread_tokens(unread_tokens);
+  builder_.add_tokens(tokens);
+  builder_.add_requests(requests);
+  builder_.add_server(server);
+  return builder_.Finish();
+}
+
+struct server_work::Traits {
+  using type = server_work;
+  static auto constexpr Create = Createserver_work;
+};
+
+inline flatbuffers::Offset<server_work> Createserver_workDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *server = nullptr,
+    uint32_t requests = 0,
+    uint64_t tokens = 0,
+    uint64_t unread_tokens = 0) {
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  return godwit::wire::format::Createserver_work(
+      _fbb,
+      server__,
+      requests,
+      tokens,
+      unread_tokens);
+}
+
+struct host_work FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef host_workBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_WORK = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::server_work>> *work() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::server_work>> *>(VT_WORK);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_WORK) &&
+           verifier.VerifyVector(work()) &&
+           verifier.VerifyVectorOfTables(work()) &&
+           verifier.EndTable();
+  }
+};
+
+struct host_workBuilder {
+  typedef host_work Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_work(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::server_work>>> work) {
+    fbb_.AddOffset(host_work::VT_WORK, work);
+  }
+  explicit host_workBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<host_work> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<host_work>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<host_work> Createhost_work(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::server_work>>> work = 0) {
+  host_workBuilder builder_(_fbb);
+  builder_.add_work(work);
+  return builder_.Finish();
+}
+
+struct host_work::Traits {
+  using type = host_work;
+  static auto constexpr Create = Createhost_work;
+};
+
+inline flatbuffers::Offset<host_work> Createhost_workDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<godwit::wire::format::server_work>> *work = nullptr) {
+  auto work__ = work ? _fbb.CreateVector<flatbuffers::Offset<godwit::wire::format::server_work>>(*work) : 0;
+  return godwit::wire::format::Createhost_work(
+      _fbb,
+      work__);
+}
+
 struct frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef frameBuilder Builder;
   struct Traits;
@@ -2394,6 +2834,15 @@
   const godwit::wire::format::claim_withdrawal *payload_as_claim_withdrawal() const {
     return payload_type() == godwit::wire::format::payload::claim_withdrawal ? static_cast<const godwit::wire::format::claim_withdrawal *>(payload()) : nullptr;
   }
+  const godwit::wire::format::table_document *payload_as_table_document() const {
+    return payload_type() == godwit::wire::format::payload::table_document ? static_cast<const godwit::wire::format::table_document *>(payload()) : nullptr;
+  }
+  const godwit::wire::format::listed_servers *payload_as_listed_servers() const {
+    return payload_type() == godwit::wire::format::payload::listed_servers ? static_cast<const godwit::wire::format::listed_servers *>(payload()) : nullptr;
+  }
+  const godwit::wire::format::host_work *payload_as_host_work() const {
+    return payload_type() == godwit::wire::format::payload::host_work ? static_cast<const godwit::wire::format::host_work *>(payload()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_PAYLOAD_TYPE, 1) &&
@@ -2475,6 +2924,18 @@
   return payload_as_claim_withdrawal();
 }
 
+template<> inline const godwit::wire::format::table_document *frame::payload_as<godwit::wire::format::table_document>() const {
+  return payload_as_table_document();
+}
+
+template<> inline const godwit::wire::format::listed_servers *frame::payload_as<godwit::wire::format::listed_servers>() const {
+  return payload_as_listed_servers();
+}
+
+template<> inline const godwit::wire::format::host_work *frame::payload_as<godwit::wire::format::host_work>() const {
+  return payload_as_host_work();
+}
+
 struct frameBuilder {
   typedef frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2588,6 +3049,18 @@
       auto ptr = reinterpret_cast<const godwit::wire::format::claim_withdrawal *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case payload::table_document: {
+      auto ptr = reinterpret_cast<const godwit::wire::format::table_document *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case payload::listed_servers: {
+      auto ptr = reinterpret_cast<const godwit::wire::format::listed_servers *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case payload::host_work: {
+      auto ptr = reinterpret_cast<const godwit::wire::format::host_work *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/libraries/wire/src/message.cpp
+++ b/libraries/wire/src/message.cpp
@@ -26,7 +26,10 @@
             "pull",
             "records",
             "duty_message",
-            "claim_withdrawal"};
+            "claim_withdrawal",
+            "table_document",
+            "listed_servers",
+            "host_work"};
     return names.at(value.index());
 }
 
--- a/libraries/wire/src/message_reader.cpp
+++ b/libraries/wire/src/message_reader.cpp
@@ -191,4 +191,41 @@
         .ask = table.ask(), .key = reader.text(table.key())};
 }
 
+table_document read(const format::table_document& table, frame_reader& reader)
+{
+    return table_document{
+        .version = table.version(), .text = reader.text(table.text())};
+}
+
+listed_server read(const format::listed_server& table, frame_reader& reader)
+{
+    return listed_server{
+        .id = reader.text(table.id()),
+        .address = reader.identifier<core::server_address>(table.address()),
+        .zone = reader.identifier<core::zone_name>(table.zone()),
+        .service = reader.identifier<core::service_name>(table.service()),
+        .slots = table.slots(),
+        .state = reader.enumerator<server_state>(table.state())};
+}
+
+listed_servers read(const format::listed_servers& table, frame_reader& reader)
+{
+    return listed_servers{
+        .servers = reader.list<listed_server>(table.servers())};
+}
+
+server_work read(const format::server_work& table, frame_reader& reader)
+{
+    return server_work{
+        .server = reader.text(table.server()),
+        .requests = table.requests(),
+        .tokens = table.tokens(),
+        .unread_tokens = table.unread_tokens()};
+}
+
+host_work read(const format::host_work& table, frame_reader& reader)
+{
+    return host_work{.work = reader.list<server_work>(table.work())};
+}
+
 } // namespace godwit::wire
--- a/libraries/wire/src/message_reader.hpp
+++ b/libraries/wire/src/message_reader.hpp
@@ -36,5 +36,10 @@
 duty_message read(const format::duty_message& table, frame_reader& reader);
 claim_withdrawal
 read(const format::claim_withdrawal& table, frame_reader& reader);
+table_document read(const format::table_document& table, frame_reader& reader);
+listed_server read(const format::listed_server& table, frame_reader& reader);
+listed_servers read(const format::listed_servers& table, frame_reader& reader);
+server_work read(const format::server_work& table, frame_reader& reader);
+host_work read(const format::host_work& table, frame_reader& reader);
 
 } // namespace godwit::wire
--- a/libraries/wire/src/message_writer.cpp
+++ b/libraries/wire/src/message_writer.cpp
@@ -242,4 +242,47 @@
     return format::Createclaim_withdrawal(out, value.ask, text(out, value.key));
 }
 
+flatbuffers::Offset<format::table_document>
+write(builder& out, const table_document& value)
+{
+    return format::Createtable_document(
+        out, value.version, text(out, value.text));
+}
+
+flatbuffers::Offset<format::listed_server>
+write(builder& out, const listed_server& value)
+{
+    return format::Createlisted_server(
+        out,
+        text(out, value.id),
+        text(out, value.address),
+        text(out, value.zone),
+        text(out, value.service),
+        value.slots,
+        enumerator<format::server_state>(value.state));
+}
+
+flatbuffers::Offset<format::listed_servers>
+write(builder& out, const listed_servers& value)
+{
+    return format::Createlisted_servers(out, list(out, value.servers));
+}
+
+flatbuffers::Offset<format::server_work>
+write(builder& out, const server_work& value)
+{
+    return format::Createserver_work(
+        out,
+        text(out, value.server),
+        value.requests,
+        value.tokens,
+        value.unread_tokens);
+}
+
+flatbuffers::Offset<format::host_work>
+write(builder& out, const host_work& value)
+{
+    return format::Createhost_work(out, list(out, value.work));
+}
+
 } // namespace godwit::wire
--- a/libraries/wire/src/message_writer.hpp
+++ b/libraries/wire/src/message_writer.hpp
@@ -49,5 +49,15 @@
 write(flatbuffers::FlatBufferBuilder& out, const duty_message& value);
 flatbuffers::Offset<format::claim_withdrawal>
 write(flatbuffers::FlatBufferBuilder& out, const claim_withdrawal& value);
+flatbuffers::Offset<format::table_document>
+write(flatbuffers::FlatBufferBuilder& out, const table_document& value);
+flatbuffers::Offset<format::listed_server>
+write(flatbuffers::FlatBufferBuilder& out, const listed_server& value);
+flatbuffers::Offset<format::listed_servers>
+write(flatbuffers::FlatBufferBuilder& out, const listed_servers& value);
+flatbuffers::Offset<format::server_work>
+write(flatbuffers::FlatBufferBuilder& out, const server_work& value);
+flatbuffers::Offset<format::host_work>
+write(flatbuffers::FlatBufferBuilder& out, const host_work& value);
 
 } // namespace godwit::wire
--- a/services/entry/include/godwit/entry/dialect.hpp
+++ b/services/entry/include/godwit/entry/dialect.hpp
@@ -9,7 +9,12 @@
 #include <godwit/http/response.hpp>
 #include <godwit/http/response_head.hpp>
 
+#include <godwit/routing/route_table.hpp>
+
 #include <concepts>
+#include <memory>
+#include <string>
+#include <string_view>
 
 namespace godwit::entry {
 
@@ -49,6 +54,11 @@
     {
         Codec::write_copy_release(handle)
         } -> std::same_as<http::request>;
+    // A version of the route table as its operator wrote it.
+    {
+        Codec::read_table(handle)
+        } -> std::same_as<
+            core::result<std::shared_ptr<const routing::route_table>>>;
 };
 
 /// The functions of one codec, so that the program is compiled once.
@@ -62,6 +72,8 @@
     http::request (*write_copy_order)(const copy_order&);
     copy_answer (*read_copy_answer)(const http::response&);
     http::request (*write_copy_release)(const std::string&);
+    core::result<std::shared_ptr<const routing::route_table>> (*read_table)(
+        std::string_view);
 
     template<wire_codec Codec>
     [[nodiscard]] static constexpr dialect of() noexcept
@@ -73,7 +85,8 @@
             &Codec::returned_fields,
             &Codec::write_copy_order,
             &Codec::read_copy_answer,
-            &Codec::write_copy_release};
+            &Codec::write_copy_release,
+            &Codec::read_table};
     }
 };
 
--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -5,6 +5,7 @@
 #include <godwit/entry/dialect.hpp>
 #include <godwit/entry/entry_context.hpp>
 #include <godwit/entry/entry_settings.hpp>
+#include <godwit/entry/neighbour_links.hpp>
 #include <godwit/http/server.hpp>
 #include <godwit/placement/server_directory.hpp>
 #include <godwit/routing/route_table.hpp>
@@ -14,7 +15,9 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <memory>
+#include <string>
 #include <string_view>
+#include <vector>
 
 namespace godwit::entry {
 
@@ -38,10 +41,9 @@
     void start();
 
     /// Puts a version in force, unless a newer one already is: a process
-    /// never goes back. `source` names who brought it, for the log.
-    void take_routes(
-        std::shared_ptr<const routing::route_table> routes,
-        std::string_view source);
+    /// never goes back. `source` names who brought it, for the log. A table
+    /// that cannot be read is logged, and the last good one stays.
+    void take_table(const std::string& text, std::string_view source);
 
     void server_listed(
         const placement::backend_server& server, std::string_view source);
@@ -50,9 +52,16 @@
         placement::source_state state,
         std::string_view source);
 
+    /// Whether the list of servers is being read at its source. While it is,
+    /// neighbours are told, and what they say of servers is passed over.
+    void set_source_current(bool is_current);
+
     /// The first whole list of servers was read.
     void servers_are_known();
 
+    /// The entry hosts of the fleet.
+    void set_hosts(const std::vector<known_host>& hosts);
+
     /// Whether the balancer may send connections here.
     [[nodiscard]] bool is_ready() const noexcept;
 
@@ -74,6 +83,15 @@
     void watch_stop();
     void tick();
     void left(const placement::server_id& server, std::string_view source);
+    void tell_work();
+    void tell_servers();
+    [[nodiscard]] wire::listed_servers servers_to_tell() const;
+    [[nodiscard]] wire::host_work work_to_tell() const;
+    [[nodiscard]] std::vector<wire::message> greeting() const;
+    void hear(const core::host_name& host, wire::message said);
+    void hear_servers(
+        const core::host_name& host, const wire::listed_servers& said);
+    void hear_work(const core::host_name& host, const wire::host_work& said);
 
     boost::asio::io_context& io_;
     entry_context context_;
@@ -85,6 +103,12 @@
     boost::asio::steady_timer tick_timer_;
     boost::asio::steady_timer stop_timer_;
     core::time_point stop_began_{};
+    std::unique_ptr<neighbour_links> neighbours_;
+    std::string table_text_; ///< Of the version in force.
+    wire::host_work told_work_;
+    core::time_point told_work_at_{};
+    bool is_source_current_ = false;
+    bool has_servers_to_tell_ = false;
     bool has_servers_ = false;
     bool was_ready_ = false;
 };
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <csignal>
 #include <utility>
+#include <variant>
 
 namespace godwit::entry {
 
@@ -26,6 +27,8 @@
 constexpr core::duration accepting_after_stop = std::chrono::milliseconds(2600);
 // What is left of the grace for closing sockets and ending.
 constexpr core::duration exit_margin = std::chrono::milliseconds(350);
+// Neighbours forget what a host has at work after some seconds of silence.
+constexpr core::duration work_refresh = std::chrono::seconds(1);
 constexpr core::duration stop_watch_span = std::chrono::milliseconds(50);
 // The table's limits come from outside; a buffer of this size a connection
 // is the most that the memory of a small host can bear.
@@ -87,6 +90,14 @@
         [this](http::exchange& asked) -> asio::awaitable<void> {
             co_await answer_operator(asked);
         }));
+    neighbours_ = GODWIT_TRY(neighbour_links::create(
+        io_.get_executor(),
+        context_.settings,
+        neighbour_handlers{
+            [this] { return greeting(); },
+            [this](const core::host_name& host, wire::message said) {
+                hear(host, std::move(said));
+            }}));
     return {};
 }
 
@@ -97,6 +108,7 @@
     signals_.add(SIGINT, ignored);
     signals_.add(SIGHUP, ignored);
     wait_for_signal();
+    neighbours_->start();
     tick();
     log_event(
         log_level::info,
@@ -156,26 +168,39 @@
         co_await asked.respond(std::move(answer));
 }
 
-void entry_process::take_routes(
-    std::shared_ptr<const routing::route_table> routes, std::string_view source)
+void entry_process::take_table(
+    const std::string& text, std::string_view source)
 {
+    const auto routes = context_.words.read_table(text);
+    if (!routes) {
+        log_event(
+            log_level::error,
+            component,
+            "table_refused",
+            {{"source", source}, {"cause", routes.error().to_string()}});
+        return;
+    }
+    const std::uint64_t version = (*routes)->version();
     const std::uint64_t before =
         context_.routes ? context_.routes->version() : 0;
-    if (context_.routes && routes->version() <= before)
+    if (context_.routes && version <= before)
         return;
-    const auto& content = routes->content();
+    const auto& content = (*routes)->content();
     callers_->set_limits(
         caller_limits(content.limits, context_.settings.caller_connections));
     log_event(
         log_level::info,
         component,
         "routes_in_force",
-        {{"version", routes->version()},
+        {{"version", version},
          {"before", before},
          {"source", source},
          {"routes", content.routes.size()},
          {"organisations", content.organisations.size()}});
-    context_.routes = std::move(routes);
+    context_.routes = *routes;
+    table_text_ = text;
+    neighbours_->broadcast(wire::table_document{version, text});
+    context_.line.wake();
 }
 
 void entry_process::server_listed(
@@ -187,6 +212,7 @@
         left(server.id, source);
     if (change != placement::directory_change::appeared)
         return;
+    has_servers_to_tell_ = true;
     context_.connections->forget(server.address);
     log_event(
         log_level::info,
@@ -218,13 +244,137 @@
         component,
         "server_left",
         {{"server", server}, {"source", source}});
+    has_servers_to_tell_ = true;
     context_.health.forget(server);
     context_.streams.server_leaves(server);
 }
 
+void entry_process::set_source_current(bool is_current)
+{
+    if (is_current && !is_source_current_)
+        has_servers_to_tell_ = true;
+    is_source_current_ = is_current;
+}
+
 void entry_process::servers_are_known()
 {
     has_servers_ = true;
+    has_servers_to_tell_ = true;
+}
+
+void entry_process::set_hosts(const std::vector<known_host>& hosts)
+{
+    context_.budgets.set_hosts(hosts.size());
+    neighbours_->set_hosts(hosts);
+}
+
+std::vector<wire::message> entry_process::greeting() const
+{
+    std::vector<wire::message> said;
+    if (context_.routes)
+        said.emplace_back(
+            wire::table_document{context_.routes->version(), table_text_});
+    if (is_source_current_)
+        said.emplace_back(servers_to_tell());
+    said.emplace_back(work_to_tell());
+    return said;
+}
+
+wire::listed_servers entry_process::servers_to_tell() const
+{
+    wire::listed_servers said;
+    for (const auto& id : context_.directory.ids()) {
+        const placement::backend_server& known = *context_.directory.find(id);
+        const bool is_leaving = !context_.directory.is_usable(id);
+        said.servers.push_back(wire::listed_server{
+            id.value(),
+            core::server_address(known.address.to_string()),
+            known.zone,
+            known.service,
+            known.slots,
+            is_leaving ? wire::server_state::leaving
+                       : wire::server_state::live});
+    }
+    return said;
+}
+
+wire::host_work entry_process::work_to_tell() const
+{
+    wire::host_work said;
+    for (const auto& [server, work] : context_.ledger.own())
+        said.work.push_back(wire::server_work{
+            server.value(), work.requests, work.tokens, work.unread_tokens});
+    return said;
+}
+
+void entry_process::tell_servers()
+{
+    if (!has_servers_to_tell_ || !is_source_current_ || !has_servers_)
+        return;
+    has_servers_to_tell_ = false;
+    neighbours_->broadcast(servers_to_tell());
+}
+
+void entry_process::tell_work()
+{
+    const core::time_point now = core::monotonic_now();
+    wire::host_work said = work_to_tell();
+    if (said == told_work_ && now - told_work_at_ < work_refresh)
+        return;
+    neighbours_->broadcast(said);
+    told_work_ = std::move(said);
+    told_work_at_ = now;
+}
+
+void entry_process::hear(const core::host_name& host, wire::message said)
+{
+    if (const auto* table = std::get_if<wire::table_document>(&said)) {
+        if (!context_.routes || table->version > context_.routes->version())
+            take_table(table->text, host.value());
+    } else if (const auto* servers = std::get_if<wire::listed_servers>(&said)) {
+        hear_servers(host, *servers);
+    } else if (const auto* work = std::get_if<wire::host_work>(&said)) {
+        hear_work(host, *work);
+    }
+}
+
+// Only while this host cannot read the list itself: the neighbour reads it
+// at its source, and two views of different age must not undo each other.
+void entry_process::hear_servers(
+    const core::host_name& host, const wire::listed_servers& said)
+{
+    if (is_source_current_)
+        return;
+    for (const wire::listed_server& one : said.servers) {
+        const auto address = http::endpoint::parse(one.address.value());
+        if (!address)
+            continue;
+        const bool is_leaving = one.state != wire::server_state::live;
+        server_listed(
+            placement::backend_server{
+                placement::server_id(one.id),
+                one.service,
+                *address,
+                one.zone,
+                one.slots,
+                is_leaving ? placement::server_state::leaving
+                           : placement::server_state::ready},
+            host.value());
+    }
+    has_servers_ = true;
+}
+
+void entry_process::hear_work(
+    const core::host_name& host, const wire::host_work& said)
+{
+    std::vector<placement::server_work> word;
+    word.reserve(said.work.size());
+    for (const wire::server_work& one : said.work)
+        word.push_back(placement::server_work{
+            placement::server_id(one.server),
+            placement::work_size{
+                one.requests, one.tokens, one.unread_tokens}});
+    context_.ledger.neighbour_says(host, word, core::monotonic_now());
 }
 
 void entry_process::tick()
@@ -232,6 +382,8 @@
     for (const auto& gone : context_.directory.expire(core::monotonic_now()))
         left(gone, "lapsed");
     context_.line.wake();
+    tell_servers();
+    tell_work();
     tick_timer_.expires_after(tick_span);
     tick_timer_.async_wait([this](const auto& failure) {
         if (!failure)
--- /dev/null
+++ b/services/entry/src/neighbour_links.cpp
@@ -0,0 +1,199 @@
+#include <godwit/entry/neighbour_links.hpp>
+
+#include <godwit/core/hash.hpp>
+#include <godwit/telemetry/log.hpp>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <chrono>
+#include <random>
+#include <set>
+#include <utility>
+
+namespace godwit::entry {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using telemetry::log_event;
+using telemetry::log_level;
+
+namespace {
+
+constexpr std::string_view component = "neighbours";
+
+tcp::endpoint to_tcp(const http::endpoint& address)
+{
+    return {asio::ip::make_address(address.address()), address.port()};
+}
+
+// A frozen neighbour must not hold memory for what it does not read, and a
+// dead one must not be believed for long.
+wire::link_options link_options()
+{
+    wire::link_options options;
+    options.send_queue_limit = 2 * wire::default_frame_limit;
+    options.hello_timeout = std::chrono::seconds(2);
+    options.heartbeat_interval = std::chrono::seconds(1);
+    options.idle_timeout = std::chrono::seconds(3);
+    return options;
+}
+
+std::string new_incarnation()
+{
+    std::random_device source;
+    return std::to_string(source()) + "-" + std::to_string(source());
+}
+
+} // namespace
+
+core::result<std::unique_ptr<neighbour_links>> neighbour_links::create(
+    const asio::any_io_executor& executor,
+    const entry_settings& settings,
+    neighbour_handlers handlers)
+{
+    std::unique_ptr<neighbour_links> made(
+        new neighbour_links(executor, settings, std::move(handlers)));
+    const auto listening = made->listen();
+    if (!listening)
+        return tl::unexpected(listening.error());
+    return made;
+}
+
+neighbour_links::neighbour_links(
+    const asio::any_io_executor& executor,
+    const entry_settings& settings,
+    neighbour_handlers handlers)
+    : executor_(executor), settings_(settings), handlers_(std::move(handlers)),
+      incarnation_(new_incarnation())
+{}
+
+neighbour_links::~neighbour_links()
+{
+    for (const auto& [address, connector] : connectors_)
+        connector->stop();
+    if (acceptor_)
+        acceptor_->stop();
+}
+
+core::result<void> neighbour_links::listen()
+{
+    acceptor_ = GODWIT_TRY(wire::acceptor::create(
+        executor_,
+        to_tcp(settings_.neighbours),
+        link_options(),
+        [this] { return introduction(); },
+        watch()));
+    return {};
+}
+
+wire::hello neighbour_links::introduction() const
+{
+    return wire::hello{
+        .version = wire::protocol_version,
+        .role = wire::peer_role::entry,
+        .host = settings_.host,
+        .zone = settings_.zone,
+        .incarnation = core::incarnation_id(incarnation_),
+        .address = settings_.neighbours.to_string()};
+}
+
+wire::link_handlers neighbour_links::watch() const
+{
+    wire::link_handlers handlers;
+    handlers.on_open = [this](const auto& link, const wire::hello& peer) {
+        log_event(
+            log_level::info,
+            component,
+            "neighbour_linked",
+            {{"neighbour", peer.host}, {"zone", peer.zone}});
+        for (const wire::message& said : handlers_.on_greeting())
+            link->send(said);
+    };
+    handlers.on_message = [this](const auto& link, wire::message said) {
+        handlers_.on_message(link->peer()->host, std::move(said));
+    };
+    handlers.on_close = [](const auto& link, const core::error& why) {
+        if (!link->peer())
+            return;
+        log_event(
+            log_level::info,
+            component,
+            "neighbour_lost",
+            {{"neighbour", link->peer()->host}, {"cause", why.message()}});
+    };
+    return handlers;
+}
+
+void neighbour_links::start()
+{
+    acceptor_->start();
+    for (const http::endpoint& seed : settings_.seeds) {
+        if (seed != settings_.neighbours)
+            connect(seed);
+    }
+}
+
+void neighbour_links::connect(const http::endpoint& address)
+{
+    if (connectors_.contains(address))
+        return;
+    auto made = wire::connector::create(
+        executor_,
+        to_tcp(address),
+        link_options(),
+        [this] { return introduction(); },
+        watch(),
+        core::stable_hash(incarnation_ + address.to_string()));
+    if (!made) {
+        log_event(
+            log_level::error,
+            component,
+            "connector_refused",
+            {{"address", address.to_string()},
+             {"cause", made.error().to_string()}});
+        return;
+    }
+    (*made)->start();
+    connectors_.emplace(address, *made);
+}
+
+void neighbour_links::set_hosts(const std::vector<known_host>& hosts)
+{
+    std::set<http::endpoint> wanted;
+    for (const known_host& chosen : choose_neighbours(hosts, settings_.host))
+        wanted.insert(chosen.address);
+    for (auto at = connectors_.begin(); at != connectors_.end();) {
+        if (wanted.contains(at->first)) {
+            ++at;
+            continue;
+        }
+        at->second->stop();
+        at = connectors_.erase(at);
+    }
+    for (const http::endpoint& address : wanted)
+        connect(address);
+}
+
+void neighbour_links::broadcast(const wire::message& said)
+{
+    for (const auto& link : acceptor_->links()) {
+        if (link->is_open())
+            link->send(said);
+    }
+    for (const auto& [address, connector] : connectors_)
+        connector->send(said);
+}
+
+std::size_t neighbour_links::open_links() const
+{
+    std::size_t count = 0;
+    for (const auto& link : acceptor_->links())
+        count += link->is_open() ? 1 : 0;
+    for (const auto& [address, connector] : connectors_) {
+        const auto link = connector->current();
+        count += link && link->is_open() ? 1 : 0;
+    }
+    return count;
+}
+
+} // namespace godwit::entry
--- a/tests/wire/sample_messages.cpp
+++ b/tests/wire/sample_messages.cpp
@@ -57,7 +57,17 @@
         pull{4},
         records{{log_record{5, 1, "record"}, log_record{6, 2, ""}}, 0xfeedULL},
         duty_message{"orders", 2, 11, std::string("\xff\0", 2)},
-        claim_withdrawal{7, "key"}};
+        claim_withdrawal{7, "key"},
+        table_document{12, "{\"version\":12}"},
+        listed_servers{
+            {listed_server{
+                "i-1",
+                core::server_address("127.0.0.1:9000"),
+                core::zone_name("east"),
+                core::service_name("lm"),
+                24,
+                server_state::leaving}}},
+        host_work{{server_work{"i-1", 3, 9000, 1200}}}};
 }
 
 } // namespace godwit::wire
