--- a/services/entry/include/godwit/entry/dialect.hpp
+++ b/services/entry/include/godwit/entry/dialect.hpp
@@ -4,6 +4,7 @@
 #include <godwit/entry/call_terms.hpp>
 #include <godwit/entry/forward_terms.hpp>
 #include <godwit/entry/migration.hpp>
+#include <godwit/entry/server_report.hpp>
 #include <godwit/http/header_fields.hpp>
 #include <godwit/http/request.hpp>
 #include <godwit/http/response.hpp>
@@ -54,6 +55,13 @@
     {
         Codec::write_copy_release(handle)
         } -> std::same_as<http::request>;
+    // Asks a backend server for its report, and reads it.
+    {
+        Codec::write_report_request()
+        } -> std::same_as<http::request>;
+    {
+        Codec::read_report(answer)
+        } -> std::same_as<core::result<server_report>>;
     // A version of the route table as its operator wrote it.
     {
         Codec::read_table(handle)
@@ -72,6 +80,8 @@
     http::request (*write_copy_order)(const copy_order&);
     copy_answer (*read_copy_answer)(const http::response&);
     http::request (*write_copy_release)(const std::string&);
+    http::request (*write_report_request)();
+    core::result<server_report> (*read_report)(const http::response&);
     core::result<std::shared_ptr<const routing::route_table>> (*read_table)(
         std::string_view);
 
@@ -86,6 +96,8 @@
             &Codec::write_copy_order,
             &Codec::read_copy_answer,
             &Codec::write_copy_release,
+            &Codec::write_report_request,
+            &Codec::read_report,
             &Codec::read_table};
     }
 };
--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -6,6 +6,7 @@
 #include <godwit/entry/entry_context.hpp>
 #include <godwit/entry/entry_settings.hpp>
 #include <godwit/entry/neighbour_links.hpp>
+#include <godwit/entry/report_poller.hpp>
 #include <godwit/http/server.hpp>
 #include <godwit/placement/server_directory.hpp>
 #include <godwit/routing/route_table.hpp>
@@ -83,14 +84,15 @@
     void watch_stop();
     void tick();
     void left(const placement::server_id& server, std::string_view source);
+    void poll_reports();
     void tell_work();
     void tell_servers();
     [[nodiscard]] wire::listed_servers servers_to_tell() const;
     [[nodiscard]] wire::host_work work_to_tell() const;
     [[nodiscard]] std::vector<wire::message> greeting() const;
     void hear(const core::host_name& host, wire::message said);
-    void hear_servers(
-        const core::host_name& host, const wire::listed_servers& said);
+    void
+    hear_servers(const core::host_name& host, const wire::listed_servers& said);
     void hear_work(const core::host_name& host, const wire::host_work& said);
 
     boost::asio::io_context& io_;
@@ -107,6 +109,8 @@
     std::string table_text_; ///< Of the version in force.
     wire::host_work told_work_;
     core::time_point told_work_at_{};
+    report_poller reports_;
+    core::time_point polled_at_{};
     bool is_source_current_ = false;
     bool has_servers_to_tell_ = false;
     bool has_servers_ = false;
--- /dev/null
+++ b/services/entry/include/godwit/entry/server_report.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+namespace godwit::entry {
+
+/// What a backend server says of itself when it is asked.
+struct server_report
+{
+    bool is_leaving = false; ///< It takes nothing new, and ends soon.
+
+    friend bool
+    operator==(const server_report&, const server_report&) = default;
+};
+
+} // namespace godwit::entry
--- a/services/entry/include/godwit/entry/stream_register.hpp
+++ b/services/entry/include/godwit/entry/stream_register.hpp
@@ -29,6 +29,9 @@
     [[nodiscard]] bool try_begin_copy(const placement::server_id& server);
     void end_copy(const placement::server_id& server);
 
+    /// The servers that run streams.
+    [[nodiscard]] std::vector<placement::server_id> servers() const;
+
     [[nodiscard]] std::size_t size() const noexcept;
 
 private:
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -29,6 +29,8 @@
 constexpr core::duration exit_margin = std::chrono::milliseconds(350);
 // Neighbours forget what a host has at work after some seconds of silence.
 constexpr core::duration work_refresh = std::chrono::seconds(1);
+// A server gives about two seconds of notice, of which the copies need one.
+constexpr core::duration report_span = std::chrono::milliseconds(250);
 constexpr core::duration stop_watch_span = std::chrono::milliseconds(50);
 // The table's limits come from outside; a buffer of this size a connection
 // is the most that the memory of a small host can bear.
@@ -62,7 +64,12 @@
 entry_process::entry_process(
     asio::io_context& io, entry_settings settings, const dialect& words)
     : io_(io), context_(io.get_executor(), std::move(settings), words),
-      calls_(context_), signals_(io), tick_timer_(io), stop_timer_(io)
+      calls_(context_), signals_(io), tick_timer_(io), stop_timer_(io),
+      reports_(context_, [this](const placement::backend_server& server) {
+          placement::backend_server leaving = server;
+          leaving.state = placement::server_state::leaving;
+          server_listed(leaving, "report");
+      })
 {}
 
 core::result<void> entry_process::listen()
@@ -168,8 +175,7 @@
         co_await asked.respond(std::move(answer));
 }
 
-void entry_process::take_table(
-    const std::string& text, std::string_view source)
+void entry_process::take_table(const std::string& text, std::string_view source)
 {
     const auto routes = context_.words.read_table(text);
     if (!routes) {
@@ -315,6 +321,15 @@
     neighbours_->broadcast(servers_to_tell());
 }
 
+void entry_process::poll_reports()
+{
+    const core::time_point now = core::monotonic_now();
+    if (is_source_current_ || now - polled_at_ < report_span)
+        return;
+    polled_at_ = now;
+    reports_.poll();
+}
+
 void entry_process::tell_work()
 {
     const core::time_point now = core::monotonic_now();
@@ -372,8 +387,7 @@
     for (const wire::server_work& one : said.work)
         word.push_back(placement::server_work{
             placement::server_id(one.server),
-            placement::work_size{
-                one.requests, one.tokens, one.unread_tokens}});
+            placement::work_size{one.requests, one.tokens, one.unread_tokens}});
     context_.ledger.neighbour_says(host, word, core::monotonic_now());
 }
 
@@ -384,6 +398,7 @@
     context_.line.wake();
     tell_servers();
     tell_work();
+    poll_reports();
     tick_timer_.expires_after(tick_span);
     tick_timer_.async_wait([this](const auto& failure) {
         if (!failure)
--- /dev/null
+++ b/services/entry/src/report_poller.cpp
@@ -0,0 +1,70 @@
+#include <godwit/entry/report_poller.hpp>
+
+#include <godwit/http/fetch.hpp>
+#include <godwit/telemetry/log.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <chrono>
+#include <utility>
+
+namespace godwit::entry {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// A report needs no slot; a server that takes longer cannot be reached.
+constexpr core::duration report_limit = std::chrono::milliseconds(600);
+
+} // namespace
+
+report_poller::report_poller(
+    entry_context& context,
+    std::function<void(const placement::backend_server&)> on_leaving)
+    : context_(context), on_leaving_(std::move(on_leaving))
+{}
+
+void report_poller::poll()
+{
+    for (const auto& id : context_.streams.servers()) {
+        const placement::backend_server* server = context_.directory.find(id);
+        const bool is_worth_asking =
+            server != nullptr && context_.directory.is_usable(id);
+        if (!is_worth_asking || !asked_.insert(id).second)
+            continue;
+        asio::co_spawn(
+            context_.executor,
+            [this, asked = *server]() -> asio::awaitable<void> {
+                co_await ask(asked);
+            },
+            asio::detached);
+    }
+}
+
+asio::awaitable<void> report_poller::ask(placement::backend_server server)
+{
+    http::request question = context_.words.write_report_request();
+    const http::fetch_limits limits{.deadline = report_limit};
+    const auto answered = co_await http::fetch(
+        *context_.connections, server.address, std::move(question), limits);
+    asked_.erase(server.id);
+    // A server that does not answer may be cut off from this host alone; its
+    // streams decide for themselves.
+    if (!answered)
+        co_return;
+    const auto report = context_.words.read_report(*answered);
+    if (!report) {
+        telemetry::log_event(
+            telemetry::log_level::warning,
+            "entry",
+            "report_refused",
+            {{"server", server.id}, {"cause", report.error().message()}});
+        co_return;
+    }
+    if (report->is_leaving)
+        on_leaving_(server);
+}
+
+} // namespace godwit::entry
--- a/services/entry/src/stream_register.cpp
+++ b/services/entry/src/stream_register.cpp
@@ -49,6 +49,15 @@
         copies_.erase(found);
 }
 
+std::vector<placement::server_id> stream_register::servers() const
+{
+    std::vector<placement::server_id> running;
+    running.reserve(streams_.size());
+    for (const auto& [server, streams] : streams_)
+        running.push_back(server);
+    return running;
+}
+
 std::size_t stream_register::size() const noexcept
 {
     std::size_t count = 0;
