--- a/services/entry/include/godwit/entry/stream_call.hpp
+++ b/services/entry/include/godwit/entry/stream_call.hpp
@@ -43,10 +43,13 @@
     send_to(placement::backend_server server);
     boost::asio::awaitable<void> relay(http::response_head head);
     boost::asio::awaitable<bool> relay_events(std::string bytes);
-    boost::asio::awaitable<bool> go_on_elsewhere();
-    boost::asio::awaitable<bool> resume(migrated_run moved);
+    boost::asio::awaitable<std::optional<http::response_head>>
+    go_on_elsewhere();
+    boost::asio::awaitable<std::optional<http::response_head>>
+    resume(migrated_run moved);
     boost::asio::awaitable<void> refuse(refusal_reason reason);
     boost::asio::awaitable<void> pass_on_failure(http::response_head head);
+    boost::asio::awaitable<void> give_up_send(upstream_failure why);
     [[nodiscard]] http::request request_for(
         const placement::server_id& server,
         std::optional<continuation> resumes) const;
@@ -54,6 +57,7 @@
     [[nodiscard]] std::uint32_t expected_output() const;
     void adopt(std::shared_ptr<upstream> serving);
     void leave_server();
+    void stop_migration();
     void caller_left();
     void cut(std::string_view cause);
 
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -69,6 +69,10 @@
           placement::backend_server leaving = server;
           leaving.state = placement::server_state::leaving;
           server_listed(leaving, "report");
+          neighbours_->broadcast(wire::server_sign{
+              core::server_address(server.address.to_string()),
+              wire::sign_kind::leaving,
+              0});
       })
 {}
 
@@ -350,6 +354,25 @@
         hear_servers(host, *servers);
     } else if (const auto* work = std::get_if<wire::host_work>(&said)) {
         hear_work(host, *work);
+    } else if (const auto* sign = std::get_if<wire::server_sign>(&said)) {
+        hear_sign(host, *sign);
+    }
+}
+
+// A neighbour asked the server itself.
+void entry_process::hear_sign(
+    const core::host_name& host, const wire::server_sign& said)
+{
+    if (is_source_current_ || said.kind != wire::sign_kind::leaving)
+        return;
+    for (const auto& id : context_.directory.ids()) {
+        placement::backend_server known = *context_.directory.find(id);
+        const bool is_meant = context_.directory.is_usable(id) &&
+                              known.address.to_string() == said.address.value();
+        if (!is_meant)
+            continue;
+        known.state = placement::server_state::leaving;
+        server_listed(known, host.value());
     }
 }
 
--- a/services/entry/src/stream_call.cpp
+++ b/services/entry/src/stream_call.cpp
@@ -172,7 +172,7 @@
 stream_call::send_to(placement::backend_server server)
 {
     reserved_.emplace(context_, server.id, work());
-    active_ = std::make_shared<upstream>(context_, server);
+    adopt(std::make_shared<upstream>(context_, server));
     http::request outgoing = request_for(server.id, std::nullopt);
     const std::string attempt_id = call_->terms.attempt_id;
     auto head =
@@ -180,18 +180,11 @@
     if (caller_gone_)
         co_return std::nullopt;
     if (!head) {
-        const upstream_failure& why = head.error();
-        log_send_failed(*call_, server, "no_head", why.cause.message());
-        context_.health.unreachable(server.id, core::monotonic_now());
-        reserved_.reset();
-        tried_.push_back(server.id);
-        if (why.fault != upstream_fault::unreachable) {
-            const bool is_late = why.fault == upstream_fault::timed_out;
-            co_await refuse(
-                is_late ? refusal_reason::out_of_time
-                        : refusal_reason::answer_lost);
-        }
-        co_return std::nullopt;
+        // The run may have been moved before its first event.
+        auto moved_head = co_await go_on_elsewhere();
+        if (!moved_head)
+            co_await give_up_send(head.error());
+        co_return moved_head;
     }
     const answer_terms said = context_.words.read_answer(head->fields);
     if (said.is_not_run) {
@@ -199,6 +192,7 @@
             *call_, server, "not_run", std::to_string(head->status));
         context_.health.full(server.id, core::monotonic_now());
         ++refusals_;
+        stop_migration();
         reserved_.reset();
         tried_.push_back(server.id);
         co_return std::nullopt;
@@ -218,6 +212,30 @@
     co_return std::move(*head);
 }
 
+asio::awaitable<void> stream_call::give_up_send(upstream_failure why)
+{
+    if (caller_gone_)
+        co_return;
+    const placement::backend_server server = active_->server();
+    log_send_failed(*call_, server, "no_head", why.cause.message());
+    context_.health.unreachable(server.id, core::monotonic_now());
+    stop_migration();
+    reserved_.reset();
+    tried_.push_back(server.id);
+    if (why.fault == upstream_fault::unreachable)
+        co_return;
+    const bool is_late = why.fault == upstream_fault::timed_out;
+    co_await refuse(
+        is_late ? refusal_reason::out_of_time : refusal_reason::answer_lost);
+}
+
+void stream_call::stop_migration()
+{
+    if (migration_)
+        migration_->stop();
+    migration_.reset();
+}
+
 asio::awaitable<void> stream_call::pass_on_failure(http::response_head head)
 {
     auto body = co_await active_->read_all(call_->ends);
@@ -270,7 +288,6 @@
         head.status, context_.words.returned_fields(head.fields));
     if (!begun)
         co_return;
-    adopt(active_);
     while (!caller_gone_) {
         auto piece = co_await active_->read_some(call_->ends);
         if (caller_gone_)
@@ -283,15 +300,14 @@
         }
         if (piece && splitter_.is_between_events()) {
             active_->finish();
-            if (migration_)
-                migration_->stop();
+            stop_migration();
             context_.health.succeeded(active_->server().id);
             [[maybe_unused]] const auto ended =
                 co_await call_->caller.finish_stream();
             co_return;
         }
-        const bool goes_on = co_await go_on_elsewhere();
-        if (goes_on)
+        const auto next_head = co_await go_on_elsewhere();
+        if (next_head)
             continue;
         if (caller_gone_)
             co_return;
@@ -329,18 +345,20 @@
     co_return written.has_value();
 }
 
-asio::awaitable<bool> stream_call::go_on_elsewhere()
+asio::awaitable<std::optional<http::response_head>>
+stream_call::go_on_elsewhere()
 {
     if (!migration_)
-        co_return false;
+        co_return std::nullopt;
     const core::time_point end = core::monotonic_now() + stopping_limit;
     const auto moved = co_await migration_->outcome(end);
     if (!moved || caller_gone_)
-        co_return false;
+        co_return std::nullopt;
     co_return co_await resume(*moved);
 }
 
-asio::awaitable<bool> stream_call::resume(migrated_run moved)
+asio::awaitable<std::optional<http::response_head>>
+stream_call::resume(migrated_run moved)
 {
     const core::time_point before = core::monotonic_now();
     const placement::backend_server source = active_->server();
@@ -371,18 +389,17 @@
         verdict,
         core::monotonic_now() - before);
     if (!runs || caller_gone_)
-        co_return false;
+        co_return std::nullopt;
     migration_.reset();
     adopt(next);
-    co_return true;
+    co_return std::move(*head);
 }
 
 void stream_call::cut(std::string_view cause)
 {
     log_cut(*call_, active_->server(), cause, last_event_);
     active_->cancel();
-    if (migration_)
-        migration_->stop();
+    stop_migration();
     call_->caller.cut();
 }
 
