entry: only an outage of the store itself lets entries lapse

Cause: a host that came back from a cut took dropped entries of leaving engines for lapsed ones and lost a stream.

--- a/libraries/wire/include/godwit/wire/host_work.hpp
+++ b/libraries/wire/include/godwit/wire/host_work.hpp
@@ -21,6 +21,8 @@
 struct host_work
 {
     std::vector<server_work> work;
+    /// Whether the sender reads the list of servers at its source now.
+    bool reads_list = false;
 
     friend bool operator==(const host_work&, const host_work&) = default;
 };
--- a/libraries/wire/src/godwit_generated.h
+++ b/libraries/wire/src/godwit_generated.h
@@ -2712,16 +2712,21 @@
   typedef host_workBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_WORK = 4
+    VT_WORK = 4,
+    VT_READS_LIST = 6
   };
   const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::server_work>> *work() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::server_work>> *>(VT_WORK);
   }
+  bool reads_list() const {
+    return GetField<uint8_t>(VT_READS_LIST, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_WORK) &&
            verifier.VerifyVector(work()) &&
            verifier.VerifyVectorOfTables(work()) &&
+           VerifyField<uint8_t>(verifier, VT_READS_LIST, 1) &&
            verifier.EndTable();
   }
 };
@@ -2733,6 +2738,9 @@
   void add_work(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::server_work>>> work) {
     fbb_.AddOffset(host_work::VT_WORK, work);
   }
+  void add_reads_list(bool reads_list) {
+    fbb_.AddElement<uint8_t>(host_work::VT_READS_LIST, static_cast<uint8_t>(reads_list), 0);
+  }
   explicit host_workBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2746,9 +2754,11 @@
 
 inline flatbuffers::Offset<host_work> Createhost_work(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::server_work>>> work = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::server_work>>> work = 0,
+    bool reads_list = false) {
   host_workBuilder builder_(_fbb);
   builder_.add_work(work);
+  builder_.add_reads_list(reads_list);
   return builder_.Finish();
 }
 
@@ -2759,11 +2769,13 @@
 
 inline flatbuffers::Offset<host_work> Createhost_workDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<flatbuffers::Offset<godwit::wire::format::server_work>> *work = nullptr) {
+    const std::vector<flatbuffers::Offset<godwit::wire::format::server_work>> *work = nullptr,
+    bool reads_list = false) {
   auto work__ = work ? _fbb.CreateVector<flatbuffers::Offset<godwit::wire::format::server_work>>(*work) : 0;
   return godwit::wire::format::Createhost_work(
       _fbb,
-      work__);
+      work__,
+      reads_list);
 }
 
 struct frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/libraries/wire/src/message_reader.cpp
+++ b/libraries/wire/src/message_reader.cpp
@@ -225,7 +225,9 @@
 
 host_work read(const format::host_work& table, frame_reader& reader)
 {
-    return host_work{.work = reader.list<server_work>(table.work())};
+    return host_work{
+        .work = reader.list<server_work>(table.work()),
+        .reads_list = table.reads_list()};
 }
 
 } // namespace godwit::wire
--- a/libraries/wire/src/message_writer.cpp
+++ b/libraries/wire/src/message_writer.cpp
@@ -282,7 +282,8 @@
 flatbuffers::Offset<format::host_work>
 write(builder& out, const host_work& value)
 {
-    return format::Createhost_work(out, list(out, value.work));
+    return format::Createhost_work(
+        out, list(out, value.work), value.reads_list);
 }
 
 } // namespace godwit::wire
--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -5,6 +5,7 @@
 #include <godwit/entry/dialect.hpp>
 #include <godwit/entry/entry_context.hpp>
 #include <godwit/entry/entry_settings.hpp>
+#include <godwit/entry/list_outage.hpp>
 #include <godwit/entry/neighbour_links.hpp>
 #include <godwit/entry/report_poller.hpp>
 #include <godwit/http/server.hpp>
@@ -49,9 +50,7 @@
     void server_listed(
         const placement::backend_server& server, std::string_view source);
     void server_delisted(
-        const placement::server_id& server,
-        placement::source_state state,
-        std::string_view source);
+        const placement::server_id& server, std::string_view source);
 
     /// Whether the list of servers is being read at its source. While it is,
     /// neighbours are told, and what they say of servers is passed over.
@@ -112,7 +111,7 @@
     core::time_point told_work_at_{};
     report_poller reports_;
     core::time_point polled_at_{};
-    bool is_source_current_ = false;
+    list_outage outage_;
     bool has_servers_to_tell_ = false;
     bool has_servers_ = false;
     bool was_ready_ = false;
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -236,12 +236,11 @@
 }
 
 void entry_process::server_delisted(
-    const placement::server_id& server,
-    placement::source_state state,
-    std::string_view source)
+    const placement::server_id& server, std::string_view source)
 {
     const core::time_point now = core::monotonic_now();
-    const auto change = context_.directory.delisted(server, state, now);
+    const auto change =
+        context_.directory.delisted(server, outage_.source(now), now);
     if (change == placement::directory_change::left)
         left(server, source);
 }
@@ -261,9 +260,16 @@
 
 void entry_process::set_source_current(bool is_current)
 {
-    if (is_current && !is_source_current_)
-        has_servers_to_tell_ = true;
-    is_source_current_ = is_current;
+    const core::time_point now = core::monotonic_now();
+    outage_.set_current(is_current, now);
+    const bool is_steady =
+        outage_.source(now) == placement::source_state::steady;
+    log_event(
+        log_level::info,
+        component,
+        "server_list",
+        {{"current", is_current}, {"steady", is_steady}});
+    has_servers_to_tell_ = has_servers_to_tell_ || is_current;
 }
 
 void entry_process::servers_are_known()
@@ -284,7 +290,7 @@
     if (context_.routes)
         said.emplace_back(
             wire::table_document{context_.routes->version(), table_text_});
-    if (is_source_current_)
+    if (outage_.is_current())
         said.emplace_back(servers_to_tell());
     said.emplace_back(work_to_tell());
     return said;
@@ -314,12 +320,13 @@
     for (const auto& [server, work] : context_.ledger.own())
         said.work.push_back(wire::server_work{
             server.value(), work.requests, work.tokens, work.unread_tokens});
+    said.reads_list = outage_.is_current();
     return said;
 }
 
 void entry_process::tell_servers()
 {
-    if (!has_servers_to_tell_ || !is_source_current_ || !has_servers_)
+    if (!has_servers_to_tell_ || !outage_.is_current() || !has_servers_)
         return;
     has_servers_to_tell_ = false;
     neighbours_->broadcast(servers_to_tell());
@@ -328,7 +335,7 @@
 void entry_process::poll_reports()
 {
     const core::time_point now = core::monotonic_now();
-    if (is_source_current_ || now - polled_at_ < report_span)
+    if (outage_.is_current() || now - polled_at_ < report_span)
         return;
     polled_at_ = now;
     reports_.poll();
@@ -363,7 +370,7 @@
 void entry_process::hear_sign(
     const core::host_name& host, const wire::server_sign& said)
 {
-    if (is_source_current_ || said.kind != wire::sign_kind::leaving)
+    if (outage_.is_current() || said.kind != wire::sign_kind::leaving)
         return;
     for (const auto& id : context_.directory.ids()) {
         placement::backend_server known = *context_.directory.find(id);
@@ -381,7 +388,7 @@
 void entry_process::hear_servers(
     const core::host_name& host, const wire::listed_servers& said)
 {
-    if (is_source_current_)
+    if (outage_.is_current())
         return;
     for (const wire::listed_server& one : said.servers) {
         const auto address = http::endpoint::parse(one.address.value());
@@ -405,6 +412,8 @@
 void entry_process::hear_work(
     const core::host_name& host, const wire::host_work& said)
 {
+    if (said.reads_list)
+        outage_.neighbour_reads(core::monotonic_now());
     std::vector<placement::server_work> word;
     word.reserve(said.work.size());
     for (const wire::server_work& one : said.work)
--- a/tests/wire/sample_messages.cpp
+++ b/tests/wire/sample_messages.cpp
@@ -67,7 +67,7 @@
                 core::service_name("lm"),
                 24,
                 server_state::leaving}}},
-        host_work{{server_work{"i-1", 3, 9000, 1200}}}};
+        host_work{{server_work{"i-1", 3, 9000, 1200}}, true}};
 }
 
 } // namespace godwit::wire
