--- a/libraries/wire/include/godwit/wire/message.hpp
+++ b/libraries/wire/include/godwit/wire/message.hpp
@@ -16,6 +16,7 @@
 #include <godwit/wire/heartbeat.hpp>
 #include <godwit/wire/hello.hpp>
 #include <godwit/wire/host_work.hpp>
+#include <godwit/wire/link_claim.hpp>
 #include <godwit/wire/listed_servers.hpp>
 #include <godwit/wire/pull.hpp>
 #include <godwit/wire/records.hpp>
@@ -49,7 +50,8 @@
     claim_withdrawal,
     table_document,
     listed_servers,
-    host_work>;
+    host_work,
+    link_claim>;
 
 /// The name of the message's type, for logs and metrics.
 [[nodiscard]] std::string_view name_of(const message& value) noexcept;
--- a/libraries/wire/src/codec.cpp
+++ b/libraries/wire/src/codec.cpp
@@ -101,6 +101,8 @@
         return read_payload(frame.payload_as_listed_servers(), reader);
     case format::payload::host_work:
         return read_payload(frame.payload_as_host_work(), reader);
+    case format::payload::link_claim:
+        return read_payload(frame.payload_as_link_claim(), reader);
     case format::payload::NONE:
         break;
     }
--- a/libraries/wire/src/godwit_generated.h
+++ b/libraries/wire/src/godwit_generated.h
@@ -95,6 +95,9 @@
 struct host_work;
 struct host_workBuilder;
 
+struct link_claim;
+struct link_claimBuilder;
+
 struct frame;
 struct frameBuilder;
 
@@ -376,11 +379,12 @@
   table_document = 19,
   listed_servers = 20,
   host_work = 21,
+  link_claim = 22,
   MIN = NONE,
-  MAX = host_work
+  MAX = link_claim
 };
 
-inline const payload (&EnumValuespayload())[22] {
+inline const payload (&EnumValuespayload())[23] {
   static const payload values[] = {
     payload::NONE,
     payload::hello,
@@ -403,13 +407,14 @@
     payload::claim_withdrawal,
     payload::table_document,
     payload::listed_servers,
-    payload::host_work
+    payload::host_work,
+    payload::link_claim
   };
   return values;
 }
 
 inline const char * const *EnumNamespayload() {
-  static const char * const names[23] = {
+  static const char * const names[24] = {
     "NONE",
     "hello",
     "heartbeat",
@@ -432,13 +437,14 @@
     "table_document",
     "listed_servers",
     "host_work",
+    "link_claim",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamepayload(payload e) {
-  if (flatbuffers::IsOutRange(e, payload::NONE, payload::host_work)) return "";
+  if (flatbuffers::IsOutRange(e, payload::NONE, payload::link_claim)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamespayload()[index];
 }
@@ -531,6 +537,10 @@
   static const payload enum_value = payload::host_work;
 };
 
+template<> struct payloadTraits<godwit::wire::format::link_claim> {
+  static const payload enum_value = payload::link_claim;
+};
+
 bool Verifypayload(flatbuffers::Verifier &verifier, const void *obj, payload type);
 bool VerifypayloadVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<payload> *types);
 
@@ -2778,6 +2788,76 @@
       reads_list);
 }
 
+struct link_claim FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef link_claimBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVERS = 4,
+    VT_HOLD_MS = 6
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *servers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_SERVERS);
+  }
+  uint32_t hold_ms() const {
+    return GetField<uint32_t>(VT_HOLD_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVERS) &&
+           verifier.VerifyVector(servers()) &&
+           verifier.VerifyVectorOfStrings(servers()) &&
+           VerifyField<uint32_t>(verifier, VT_HOLD_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct link_claimBuilder {
+  typedef link_claim Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_servers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> servers) {
+    fbb_.AddOffset(link_claim::VT_SERVERS, servers);
+  }
+  void add_hold_ms(uint32_t hold_ms) {
+    fbb_.AddElement<uint32_t>(link_claim::VT_HOLD_MS, hold_ms, 0);
+  }
+  explicit link_claimBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<link_claim> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<link_claim>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<link_claim> Createlink_claim(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> servers = 0,
+    uint32_t hold_ms = 0) {
+  link_claimBuilder builder_(_fbb);
+  builder_.add_hold_ms(hold_ms);
+  builder_.add_servers(servers);
+  return builder_.Finish();
+}
+
+struct link_claim::Traits {
+  using type = link_claim;
+  static auto constexpr Create = Createlink_claim;
+};
+
+inline flatbuffers::Offset<link_claim> Createlink_claimDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *servers = nullptr,
+    uint32_t hold_ms = 0) {
+  auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*servers) : 0;
+  return godwit::wire::format::Createlink_claim(
+      _fbb,
+      servers__,
+      hold_ms);
+}
+
 struct frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef frameBuilder Builder;
   struct Traits;
@@ -2855,6 +2935,9 @@
   const godwit::wire::format::host_work *payload_as_host_work() const {
     return payload_type() == godwit::wire::format::payload::host_work ? static_cast<const godwit::wire::format::host_work *>(payload()) : nullptr;
   }
+  const godwit::wire::format::link_claim *payload_as_link_claim() const {
+    return payload_type() == godwit::wire::format::payload::link_claim ? static_cast<const godwit::wire::format::link_claim *>(payload()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_PAYLOAD_TYPE, 1) &&
@@ -2948,6 +3031,10 @@
   return payload_as_host_work();
 }
 
+template<> inline const godwit::wire::format::link_claim *frame::payload_as<godwit::wire::format::link_claim>() const {
+  return payload_as_link_claim();
+}
+
 struct frameBuilder {
   typedef frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -3073,6 +3160,10 @@
       auto ptr = reinterpret_cast<const godwit::wire::format::host_work *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case payload::link_claim: {
+      auto ptr = reinterpret_cast<const godwit::wire::format::link_claim *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/libraries/wire/src/message.cpp
+++ b/libraries/wire/src/message.cpp
@@ -29,7 +29,8 @@
             "claim_withdrawal",
             "table_document",
             "listed_servers",
-            "host_work"};
+            "host_work",
+            "link_claim"};
     return names.at(value.index());
 }
 
--- a/libraries/wire/src/message_reader.cpp
+++ b/libraries/wire/src/message_reader.cpp
@@ -230,4 +230,11 @@
         .reads_list = table.reads_list()};
 }
 
+link_claim read(const format::link_claim& table, frame_reader& reader)
+{
+    return link_claim{
+        .servers = reader.identifiers<std::string>(table.servers()),
+        .hold_ms = table.hold_ms()};
+}
+
 } // namespace godwit::wire
--- a/libraries/wire/src/message_writer.cpp
+++ b/libraries/wire/src/message_writer.cpp
@@ -286,4 +286,11 @@
         out, list(out, value.work), value.reads_list);
 }
 
+flatbuffers::Offset<format::link_claim>
+write(builder& out, const link_claim& value)
+{
+    return format::Createlink_claim(
+        out, out.CreateVectorOfStrings(value.servers), value.hold_ms);
+}
+
 } // namespace godwit::wire
--- a/libraries/wire/src/message_writer.hpp
+++ b/libraries/wire/src/message_writer.hpp
@@ -59,5 +59,7 @@
 write(flatbuffers::FlatBufferBuilder& out, const server_work& value);
 flatbuffers::Offset<format::host_work>
 write(flatbuffers::FlatBufferBuilder& out, const host_work& value);
+flatbuffers::Offset<format::link_claim>
+write(flatbuffers::FlatBufferBuilder& out, const link_claim& value);
 
 } // namespace godwit::wire
--- a/services/entry/include/godwit/entry/call_log.hpp
+++ b/services/entry/include/godwit/entry/call_log.hpp
@@ -32,6 +32,14 @@
     std::string_view cause,
     std::uint64_t last_event);
 
+/// An event of a stream came later than its route aims at.
+void log_late_event(
+    const accepted_call& call,
+    const placement::backend_server& server,
+    std::uint64_t event,
+    core::duration pause,
+    core::duration objective);
+
 /// A running generation went on at another server, or could not.
 void log_migration(
     const accepted_call& call,
--- a/services/entry/include/godwit/entry/entry_context.hpp
+++ b/services/entry/include/godwit/entry/entry_context.hpp
@@ -2,6 +2,7 @@
 
 #include <godwit/entry/dialect.hpp>
 #include <godwit/entry/entry_settings.hpp>
+#include <godwit/entry/link_claims.hpp>
 #include <godwit/entry/retry_budgets.hpp>
 #include <godwit/entry/stream_register.hpp>
 #include <godwit/entry/waiting_line.hpp>
@@ -12,8 +13,11 @@
 #include <godwit/placement/server_health.hpp>
 #include <godwit/routing/route_table.hpp>
 
+#include <godwit/wire/message.hpp>
+
 #include <boost/asio/any_io_executor.hpp>
 
+#include <functional>
 #include <memory>
 
 namespace godwit::entry {
@@ -43,6 +47,9 @@
     retry_budgets budgets;
     waiting_line line;
     stream_register streams;
+    link_claims claims;
+    /// Tells the neighbours something; set by the process.
+    std::function<void(const wire::message&)> tell;
     std::unique_ptr<http::connection_pool> connections;
     bool is_stopping = false;
 };
--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -93,6 +93,7 @@
     void
     hear_servers(const core::host_name& host, const wire::listed_servers& said);
     void hear_sign(const core::host_name& host, const wire::server_sign& said);
+    void hear_claim(const core::host_name& host, const wire::link_claim& said);
     void hear_work(const core::host_name& host, const wire::host_work& said);
 
     boost::asio::io_context& io_;
--- a/services/entry/include/godwit/entry/migrator.hpp
+++ b/services/entry/include/godwit/entry/migrator.hpp
@@ -67,6 +67,8 @@
     boost::asio::awaitable<void> copy_last();
     boost::asio::awaitable<copy_answer> copy(copy_phase phase);
     boost::asio::awaitable<void> pause(core::duration span);
+    boost::asio::awaitable<void> wait_for_links();
+    void claim_links(core::duration hold);
     [[nodiscard]] bool choose_destination();
     void settle();
     void release();
--- a/services/entry/include/godwit/entry/stream_call.hpp
+++ b/services/entry/include/godwit/entry/stream_call.hpp
@@ -58,6 +58,7 @@
     void adopt(std::shared_ptr<upstream> serving);
     void leave_server();
     void stop_migration();
+    void watch_pause();
     void caller_left();
     void cut(std::string_view cause);
 
@@ -71,6 +72,7 @@
     std::vector<placement::server_id> tried_;
     std::uint64_t last_event_ = 0;
     std::uint64_t events_ = 0;
+    std::optional<core::time_point> last_relayed_;
     unsigned refusals_ = 0;
     bool is_registered_ = false;
     bool caller_gone_ = false;
--- a/services/entry/src/call_log.cpp
+++ b/services/entry/src/call_log.cpp
@@ -74,6 +74,25 @@
          {"age_ms", milliseconds(core::monotonic_now() - call.arrived)}});
 }
 
+void log_late_event(
+    const accepted_call& call,
+    const placement::backend_server& server,
+    std::uint64_t event,
+    core::duration pause,
+    core::duration objective)
+{
+    telemetry::log_event(
+        telemetry::log_level::info,
+        component,
+        "late_event",
+        {{"request", call.terms.attempt_id},
+         {"route", call.via.name},
+         {"server", server.id},
+         {"event_id", event},
+         {"pause_ms", milliseconds(pause)},
+         {"objective_ms", milliseconds(objective)}});
+}
+
 void log_migration(
     const accepted_call& call,
     const placement::backend_server& source,
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -31,6 +31,8 @@
 constexpr core::duration work_refresh = std::chrono::seconds(1);
 // A server gives about two seconds of notice, of which the copies need one.
 constexpr core::duration report_span = std::chrono::milliseconds(250);
+// A neighbour that dies while it holds a link holds up others no longer.
+constexpr core::duration longest_link_claim = std::chrono::milliseconds(500);
 constexpr core::duration stop_watch_span = std::chrono::milliseconds(50);
 // The table's limits come from outside; a buffer of this size a connection
 // is the most that the memory of a small host can bear.
@@ -119,6 +121,9 @@
     signals_.add(SIGINT, ignored);
     signals_.add(SIGHUP, ignored);
     wait_for_signal();
+    context_.tell = [this](const wire::message& said) {
+        neighbours_->broadcast(said);
+    };
     neighbours_->start();
     tick();
     log_event(
@@ -363,9 +368,23 @@
         hear_work(host, *work);
     } else if (const auto* sign = std::get_if<wire::server_sign>(&said)) {
         hear_sign(host, *sign);
+    } else if (const auto* claim = std::get_if<wire::link_claim>(&said)) {
+        hear_claim(host, *claim);
     }
 }
 
+void entry_process::hear_claim(
+    const core::host_name& host, const wire::link_claim& said)
+{
+    const core::duration hold = std::min<core::duration>(
+        std::chrono::milliseconds(said.hold_ms), longest_link_claim);
+    std::vector<placement::server_id> servers;
+    for (const std::string& id : said.servers)
+        servers.emplace_back(id);
+    context_.claims.hear(
+        host, std::move(servers), core::monotonic_now() + hold);
+}
+
 // A neighbour asked the server itself.
 void entry_process::hear_sign(
     const core::host_name& host, const wire::server_sign& said)
--- a/services/entry/src/migrator.cpp
+++ b/services/entry/src/migrator.cpp
@@ -24,6 +24,12 @@
 // Further copies of a running generation, each for what came meanwhile,
 // until one is short enough to stop for.
 constexpr int most_running_copies = 4;
+// Two short copies and the way to the source and back, with some to spare.
+constexpr core::duration link_claim_span = std::chrono::milliseconds(250);
+// Claims of others that follow each other must not use up the notice.
+constexpr core::duration longest_link_wait = std::chrono::milliseconds(400);
+// Answers that say neither yes nor no before another destination is tried.
+constexpr int most_failures = 2;
 // A server that has left for this long is gone, or about to be.
 constexpr core::duration longest_leaving = std::chrono::seconds(6);
 
@@ -116,12 +122,35 @@
         }
         const bool is_copied = co_await copy_while_running();
         if (is_copied && !is_stopped_) {
+            claim_links(link_claim_span);
             co_await copy_last();
+            claim_links(core::duration::zero());
             co_return;
         }
     }
 }
 
+asio::awaitable<void> migrator::wait_for_links()
+{
+    const std::vector<placement::server_id> links{
+        source_->server().id, destination_->id};
+    const core::time_point end = core::monotonic_now() + longest_link_wait;
+    while (!is_stopped_ && core::monotonic_now() < end &&
+           context_.claims.is_claimed(links, core::monotonic_now()))
+        co_await pause(turn_pause);
+}
+
+void migrator::claim_links(core::duration hold)
+{
+    if (!context_.tell)
+        return;
+    const auto hold_ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(hold).count();
+    context_.tell(wire::link_claim{
+        {source_->server().id.value(), destination_->id.value()},
+        static_cast<std::uint32_t>(hold_ms)});
+}
+
 bool migrator::choose_destination()
 {
     placement::placement_request wanted;
@@ -147,7 +176,14 @@
 // short.
 asio::awaitable<bool> migrator::copy_while_running()
 {
+    int failures = 0;
     for (int copies = 0; copies < most_running_copies && !is_stopped_;) {
+        // The first copy is long; after it the links are needed for the
+        // short ones.
+        if (copies == 0)
+            co_await wait_for_links();
+        else
+            claim_links(link_claim_span);
         const core::time_point before = core::monotonic_now();
         const copy_answer answer = co_await copy(copy_phase::running);
         const core::duration took = core::monotonic_now() - before;
@@ -160,9 +196,14 @@
         case copy_verdict::refused:
             refused_.push_back(destination_->id);
             co_return false;
+        case copy_verdict::failed:
+            if (++failures >= most_failures) {
+                refused_.push_back(destination_->id);
+                co_return false;
+            }
+            [[fallthrough]];
         case copy_verdict::not_running:
         case copy_verdict::busy:
-        case copy_verdict::failed:
             co_await pause(retry_pause);
             if (core::monotonic_now() - began_ > longest_leaving)
                 co_return false;
@@ -209,7 +250,9 @@
         source_->server(),
         destination_->id.value(),
         std::string(name_of(answer.verdict)) +
-            (phase == copy_phase::last ? "_last" : "_running"),
+            (phase == copy_phase::last ? "_last_" : "_running_") +
+            (answered ? std::to_string(answered->status)
+                      : answered.error().cause.message()),
         core::monotonic_now() - before);
     co_return answer;
 }
--- a/services/entry/src/stream_call.cpp
+++ b/services/entry/src/stream_call.cpp
@@ -339,12 +339,26 @@
         reserved_->prompt_is_read();
     if (ready.empty())
         co_return true;
+    watch_pause();
     const auto written = co_await call_->caller.write_chunk(std::move(ready));
     if (!written)
         active_->cancel();
     co_return written.has_value();
 }
 
+void stream_call::watch_pause()
+{
+    const core::time_point now = core::monotonic_now();
+    const bool is_first = !last_relayed_;
+    const core::duration pause = now - last_relayed_.value_or(call_->arrived);
+    const core::duration objective =
+        is_first ? call_->via.latency_objective : call_->via.pause_objective;
+    last_relayed_ = now;
+    if (pause > objective)
+        log_late_event(
+            *call_, active_->server(), last_event_, pause, objective);
+}
+
 asio::awaitable<std::optional<http::response_head>>
 stream_call::go_on_elsewhere()
 {
--- a/tests/wire/sample_messages.cpp
+++ b/tests/wire/sample_messages.cpp
@@ -67,7 +67,8 @@
                 core::service_name("lm"),
                 24,
                 server_state::leaving}}},
-        host_work{{server_work{"i-1", 3, 9000, 1200}}, true}};
+        host_work{{server_work{"i-1", 3, 9000, 1200}}, true},
+        link_claim{{"i-1", "i-2"}, 200}};
 }
 
 } // namespace godwit::wire
