entry, placement: one quick reader tells the others; destinations spread

Cause: all hosts saw a leaving engine up to 250 ms late, and chose the same destination at the same moment.

--- a/libraries/placement/include/godwit/placement/backend_server.hpp
+++ b/libraries/placement/include/godwit/placement/backend_server.hpp
@@ -27,6 +27,8 @@
     core::zone_name zone;
     std::uint32_t slots = 1; ///< Requests that it works on at one time.
     server_state state = server_state::ready;
+    /// Rises with each report of the server; orders views of unequal age.
+    std::uint64_t revision = 0;
 
     friend bool
     operator==(const backend_server&, const backend_server&) = default;
--- a/libraries/placement/include/godwit/placement/server_directory.hpp
+++ b/libraries/placement/include/godwit/placement/server_directory.hpp
@@ -39,8 +39,9 @@
     /// still works on.
     static constexpr core::duration memory = std::chrono::seconds(60);
 
-    /// The server is listed like this. An address that another server had
-    /// means that the other one is gone.
+    /// The server is listed like this; a view that is older than what is
+    /// known changes nothing. An address that another server had means that
+    /// the other one is gone.
     directory_change listed(const backend_server& server, core::time_point now);
 
     /// The list dropped the server.
--- a/libraries/placement/src/placer.cpp
+++ b/libraries/placement/src/placer.cpp
@@ -19,11 +19,14 @@
 // Another zone adds a hop to each event, and its traffic is paid for.
 constexpr double other_zone_cost = 0.12;
 // A copy of memory takes twice as long to another zone.
-constexpr double other_zone_migration_cost = 0.5;
+constexpr double other_zone_migration_cost = 0.8;
 // A server that fails every request costs as much as two full ones.
 constexpr double failure_cost = 2.0;
 // Spreads the choices of hosts that know the same.
 constexpr double jitter = 0.05;
+// All hosts choose at the same moment when a server leaves, and copies to
+// one destination wait for each other.
+constexpr double migration_jitter = 0.4;
 
 } // namespace
 
@@ -95,8 +98,11 @@
         if (!has_room(wanted, *candidate, load))
             continue;
         const bool is_avoided = health_.is_avoided(candidate->id, now);
+        const double spread = wanted.purpose == placement_purpose::migration
+                                  ? migration_jitter
+                                  : jitter;
         const double own_cost =
-            cost(wanted, *candidate, load) + jitter * random_.unit();
+            cost(wanted, *candidate, load) + spread * random_.unit();
         const bool is_better = best_is_avoided != is_avoided
                                    ? best_is_avoided
                                    : own_cost < best_cost;
--- a/libraries/placement/src/server_directory.cpp
+++ b/libraries/placement/src/server_directory.cpp
@@ -36,6 +36,10 @@
         return directory_change::none;
     }
     entry& known = found->second;
+    // A view that is older than what is known, from a slower source.
+    const bool is_old = server.revision <= known.server.revision;
+    if (is_old && (known.left_at || server.state == server_state::ready))
+        return directory_change::none;
     if (server.state == server_state::leaving) {
         known.server = server;
         return leave(known, now);
--- a/libraries/wire/include/godwit/wire/listed_servers.hpp
+++ b/libraries/wire/include/godwit/wire/listed_servers.hpp
@@ -18,6 +18,7 @@
     core::service_name service;
     std::uint32_t slots = 0; ///< Requests that it works on at one time.
     server_state state = server_state::live;
+    std::uint64_t revision = 0; ///< Rises with each report of the server.
 
     friend bool
     operator==(const listed_server&, const listed_server&) = default;
--- a/libraries/wire/src/godwit_generated.h
+++ b/libraries/wire/src/godwit_generated.h
@@ -2453,7 +2453,8 @@
     VT_ZONE = 8,
     VT_SERVICE = 10,
     VT_SLOTS = 12,
-    VT_STATE = 14
+    VT_STATE = 14,
+    VT_REVISION = 16
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -2473,6 +2474,9 @@
   godwit::wire::format::server_state state() const {
     return static_cast<godwit::wire::format::server_state>(GetField<uint8_t>(VT_STATE, 0));
   }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -2485,6 +2489,7 @@
            verifier.VerifyString(service()) &&
            VerifyField<uint32_t>(verifier, VT_SLOTS, 4) &&
            VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
            verifier.EndTable();
   }
 };
@@ -2511,6 +2516,9 @@
   void add_state(godwit::wire::format::server_state state) {
     fbb_.AddElement<uint8_t>(listed_server::VT_STATE, static_cast<uint8_t>(state), 0);
   }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(listed_server::VT_REVISION, revision, 0);
+  }
   explicit listed_serverBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2529,8 +2537,10 @@
     flatbuffers::Offset<flatbuffers::String> zone = 0,
     flatbuffers::Offset<flatbuffers::String> service = 0,
     uint32_t slots = 0,
-    godwit::wire::format::server_state state = godwit::wire::format::server_state::live) {
+    godwit::wire::format::server_state state = godwit::wire::format::server_state::live,
+    uint64_t revision = 0) {
   listed_serverBuilder builder_(_fbb);
+  builder_.add_revision(revision);
   builder_.add_slots(slots);
   builder_.add_service(service);
   builder_.add_zone(zone);
@@ -2552,7 +2562,8 @@
     const char *zone = nullptr,
     const char *service = nullptr,
     uint32_t slots = 0,
-    godwit::wire::format::server_state state = godwit::wire::format::server_state::live) {
+    godwit::wire::format::server_state state = godwit::wire::format::server_state::live,
+    uint64_t revision = 0) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
@@ -2564,7 +2575,8 @@
       zone__,
       service__,
       slots,
-      state);
+      state,
+      revision);
 }
 
 struct listed_servers FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/libraries/wire/src/message_reader.cpp
+++ b/libraries/wire/src/message_reader.cpp
@@ -205,7 +205,8 @@
         .zone = reader.identifier<core::zone_name>(table.zone()),
         .service = reader.identifier<core::service_name>(table.service()),
         .slots = table.slots(),
-        .state = reader.enumerator<server_state>(table.state())};
+        .state = reader.enumerator<server_state>(table.state()),
+        .revision = table.revision()};
 }
 
 listed_servers read(const format::listed_servers& table, frame_reader& reader)
--- a/libraries/wire/src/message_writer.cpp
+++ b/libraries/wire/src/message_writer.cpp
@@ -259,7 +259,8 @@
         text(out, value.zone),
         text(out, value.service),
         value.slots,
-        enumerator<format::server_state>(value.state));
+        enumerator<format::server_state>(value.state),
+        value.revision);
 }
 
 flatbuffers::Offset<format::listed_servers>
--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -16,6 +16,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -59,6 +60,10 @@
     /// The first whole list of servers was read.
     void servers_are_known();
 
+    /// Whether this host should read the list of servers at a quick pace and
+    /// tell the others; one of them is enough, and each read has its price.
+    [[nodiscard]] bool is_quick_reader() const;
+
     /// The entry hosts of the fleet.
     void set_hosts(const std::vector<known_host>& hosts);
 
@@ -108,6 +113,7 @@
     core::time_point stop_began_{};
     std::unique_ptr<neighbour_links> neighbours_;
     std::string table_text_; ///< Of the version in force.
+    std::map<core::host_name, core::time_point> readers_;
     wire::host_work told_work_;
     core::time_point told_work_at_{};
     report_poller reports_;
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -28,11 +28,15 @@
 // What is left of the grace for closing sockets and ending.
 constexpr core::duration exit_margin = std::chrono::milliseconds(350);
 // Neighbours forget what a host has at work after some seconds of silence.
-constexpr core::duration work_refresh = std::chrono::seconds(1);
+constexpr core::duration work_refresh = std::chrono::milliseconds(500);
 // A server gives about two seconds of notice, of which the copies need one.
 constexpr core::duration report_span = std::chrono::milliseconds(250);
 // A neighbour that dies while it holds a link holds up others no longer.
 constexpr core::duration longest_link_claim = std::chrono::milliseconds(500);
+// The name that the adapter gives the list's source.
+constexpr std::string_view store_source = "store";
+// Three words of a reader that were not heard.
+constexpr core::duration reader_lifetime = std::chrono::milliseconds(1500);
 constexpr core::duration stop_watch_span = std::chrono::milliseconds(50);
 // The table's limits come from outside; a buffer of this size a connection
 // is the most that the memory of a small host can bear.
@@ -259,6 +263,8 @@
         "server_left",
         {{"server", server}, {"source", source}});
     has_servers_to_tell_ = true;
+    if (outage_.is_current() && source == store_source)
+        tell_servers();
     context_.health.forget(server);
     context_.streams.server_leaves(server);
 }
@@ -313,8 +319,8 @@
             known.zone,
             known.service,
             known.slots,
-            is_leaving ? wire::server_state::leaving
-                       : wire::server_state::live});
+            is_leaving ? wire::server_state::leaving : wire::server_state::live,
+            known.revision});
     }
     return said;
 }
@@ -402,13 +408,9 @@
     }
 }
 
-// Only while this host cannot read the list itself: the neighbour reads it
-// at its source, and two views of different age must not undo each other.
 void entry_process::hear_servers(
     const core::host_name& host, const wire::listed_servers& said)
 {
-    if (outage_.is_current())
-        return;
     for (const wire::listed_server& one : said.servers) {
         const auto address = http::endpoint::parse(one.address.value());
         if (!address)
@@ -422,15 +424,33 @@
                 one.zone,
                 one.slots,
                 is_leaving ? placement::server_state::leaving
-                           : placement::server_state::ready},
+                           : placement::server_state::ready,
+                one.revision},
             host.value());
     }
     has_servers_ = true;
 }
 
+// Which host reads the list at the quick pace: the first by name of those
+// that read it now. When it falls silent the next one takes over; meanwhile
+// everybody's own slow reads go on.
+bool entry_process::is_quick_reader() const
+{
+    const core::time_point now = core::monotonic_now();
+    return std::none_of(
+        readers_.begin(), readers_.end(), [this, now](const auto& reader) {
+            return reader.first < context_.settings.host &&
+                   now - reader.second < reader_lifetime;
+        });
+}
+
 void entry_process::hear_work(
     const core::host_name& host, const wire::host_work& said)
 {
+    if (said.reads_list)
+        readers_[host] = core::monotonic_now();
+    else
+        readers_.erase(host);
     if (said.reads_list)
         outage_.neighbour_reads(core::monotonic_now());
     std::vector<placement::server_work> word;
--- a/tests/wire/sample_messages.cpp
+++ b/tests/wire/sample_messages.cpp
@@ -66,7 +66,8 @@
                 core::zone_name("east"),
                 core::service_name("lm"),
                 24,
-                server_state::leaving}}},
+                server_state::leaving,
+                77}}},
         host_work{{server_work{"i-1", 3, 9000, 1200}}, true},
         link_claim{{"i-1", "i-2"}, 200}};
 }
