--- a/libraries/telemetry/include/godwit/telemetry/log.hpp
+++ b/libraries/telemetry/include/godwit/telemetry/log.hpp
@@ -9,11 +9,21 @@
 
 namespace godwit::telemetry {
 
-/// Sends events of `lowest` and above to standard error, one line each:
+/// Where the log goes.
+enum class log_target
+{
+    standard_error,  ///< Each line, waiting for the reader where it must.
+    standard_output, ///< Bounded and without waiting, see `bounded_sink`.
+};
+
+/// Sends events of `lowest` and above to `target`, one line each:
 /// `time=... level=... component=... host=... zone=... event=... key=value`.
 /// Call once, before the first thread that logs.
 void start_log(
-    log_level lowest, const core::host_name& host, const core::zone_name& zone);
+    log_level lowest,
+    const core::host_name& host,
+    const core::zone_name& zone,
+    log_target target = log_target::standard_error);
 
 /// Logs one event of `component`. Safe from every thread; nothing is
 /// written before `start_log`.
--- a/libraries/telemetry/src/log.cpp
+++ b/libraries/telemetry/src/log.cpp
@@ -2,11 +2,15 @@
 
 #include <godwit/telemetry/log_line.hpp>
 
+#include "sink_appender.hpp"
+
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/logmanager.h>
 #include <log4cxx/patternlayout.h>
 
+#include <unistd.h>
+
 #include <atomic>
 #include <string>
 
@@ -45,17 +49,29 @@
     return quoted;
 }
 
+log4cxx::AppenderPtr
+make_appender(const log4cxx::LayoutPtr& layout, log_target target)
+{
+    if (target == log_target::standard_output)
+        return std::make_shared<sink_appender>(
+            layout, STDOUT_FILENO, bounded_sink_limits());
+    return std::make_shared<log4cxx::ConsoleAppender>(
+        layout, log4cxx::ConsoleAppender::getSystemErr());
+}
+
 } // namespace
 
 void start_log(
-    log_level lowest, const core::host_name& host, const core::zone_name& zone)
+    log_level lowest,
+    const core::host_name& host,
+    const core::zone_name& zone,
+    log_target target)
 {
     const std::string pattern =
         "time=%d{yyyy-MM-ddTHH:mm:ss.SSS} level=%p component=%c{1} host=" +
         literal(host.value()) + " zone=" + literal(zone.value()) + " %m%n";
     const auto layout = std::make_shared<log4cxx::PatternLayout>(pattern);
-    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-        layout, log4cxx::ConsoleAppender::getSystemErr());
+    const log4cxx::AppenderPtr appender = make_appender(layout, target);
     const auto root = log4cxx::Logger::getLogger(std::string(root_name));
     root->setAdditivity(false);
     root->removeAllAppenders();
--- a/tests/telemetry/telemetry_test.cpp
+++ b/tests/telemetry/telemetry_test.cpp
@@ -1,9 +1,15 @@
+#include <godwit/telemetry/bounded_sink.hpp>
 #include <godwit/telemetry/log_line.hpp>
 #include <godwit/telemetry/metrics.hpp>
 #include <godwit/telemetry/state_dump.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <unistd.h>
+
+#include <array>
+#include <chrono>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -11,6 +17,8 @@
 
 using godwit::core::class_name;
 using godwit::core::service_name;
+using godwit::core::time_point;
+using godwit::telemetry::bounded_sink;
 using godwit::telemetry::log_line;
 using godwit::telemetry::metrics;
 using godwit::telemetry::state_dump;
@@ -22,6 +30,8 @@
     CPPUNIT_TEST(test_length_is_bounded);
     CPPUNIT_TEST(test_label_sets_are_bounded);
     CPPUNIT_TEST(test_dump_lists_are_bounded);
+    CPPUNIT_TEST(test_a_full_pipe_does_not_block_the_log);
+    CPPUNIT_TEST(test_log_lines_are_bounded_by_time);
     CPPUNIT_TEST_SUITE_END();
 
     void test_one_line_whatever_the_values()
@@ -71,6 +81,54 @@
         CPPUNIT_ASSERT(list.at("count").to_number<int>() == 3);
         CPPUNIT_ASSERT(list.at("items").as_array().size() == 2);
     }
+
+    static std::string notice(std::uint64_t count)
+    {
+        return "left_out=" + std::to_string(count) + "\n";
+    }
+
+    static std::string drain(int descriptor)
+    {
+        std::string text(1024 * 1024, '\0');
+        const auto size = ::read(descriptor, text.data(), text.size());
+        text.resize(size > 0 ? static_cast<std::size_t>(size) : 0);
+        return text;
+    }
+
+    void test_a_full_pipe_does_not_block_the_log()
+    {
+        std::array<int, 2> ends{};
+        CPPUNIT_ASSERT_EQUAL(0, ::pipe(ends.data()));
+        bounded_sink sink(ends[1], {1e9, 1e9}, &notice);
+        const std::string line = std::string(999, 'x') + "\n";
+        // A pipe holds 64 KiB; the test would hang here if a write waited.
+        for (int count = 0; count < 1000; ++count)
+            sink.write(line, time_point());
+        CPPUNIT_ASSERT(sink.left_out() > 900);
+        const std::uint64_t left_out = sink.left_out();
+        drain(ends[0]);
+        sink.write("end\n", time_point());
+        CPPUNIT_ASSERT_EQUAL(notice(left_out) + "end\n", drain(ends[0]));
+        ::close(ends[0]);
+        ::close(ends[1]);
+    }
+
+    void test_log_lines_are_bounded_by_time()
+    {
+        std::array<int, 2> ends{};
+        CPPUNIT_ASSERT_EQUAL(0, ::pipe(ends.data()));
+        bounded_sink sink(ends[1], {10, 5}, &notice);
+        const time_point start{std::chrono::seconds(1)};
+        for (int count = 0; count < 20; ++count)
+            sink.write("a\n", start);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{15}, sink.left_out());
+        sink.write("b\n", start + std::chrono::milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("a\na\na\na\na\n") + notice(15) + "b\n",
+            drain(ends[0]));
+        ::close(ends[0]);
+        ::close(ends[1]);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(telemetry_test);
