--- /dev/null
+++ b/tests/entry/parts_test.cpp
@@ -0,0 +1,181 @@
+#include <godwit/entry/event_splitter.hpp>
+#include <godwit/entry/link_claims.hpp>
+#include <godwit/entry/list_outage.hpp>
+#include <godwit/entry/neighbour_choice.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace {
+
+using namespace godwit;
+using namespace godwit::entry;
+using placement::server_id;
+using placement::source_state;
+
+core::time_point at_ms(int milliseconds)
+{
+    return core::time_point(std::chrono::milliseconds(milliseconds));
+}
+
+std::vector<known_host> fleet(int size)
+{
+    std::vector<known_host> hosts;
+    for (int number = 0; number < size; ++number)
+        hosts.push_back(
+            {core::host_name("h" + std::to_string(1000 + number)),
+             http::endpoint::parse("127.0.0.1:" + std::to_string(2000 + number))
+                 .value()});
+    return hosts;
+}
+
+class parts_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(parts_test);
+    CPPUNIT_TEST(test_events_come_whole_and_unchanged);
+    CPPUNIT_TEST(test_an_event_that_is_cut_is_kept_back);
+    CPPUNIT_TEST(test_an_endless_event_is_refused);
+    CPPUNIT_TEST(test_a_store_outage_lets_entries_lapse);
+    CPPUNIT_TEST(test_an_own_cut_does_not_let_entries_lapse);
+    CPPUNIT_TEST(test_a_word_from_the_very_return_proves_nothing);
+    CPPUNIT_TEST(test_small_fleets_have_one_link_a_pair);
+    CPPUNIT_TEST(test_news_reaches_large_fleets_in_few_steps);
+    CPPUNIT_TEST(test_claims_hold_up_others_until_they_end);
+    CPPUNIT_TEST_SUITE_END();
+
+    void test_events_come_whole_and_unchanged()
+    {
+        const std::string text =
+            "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\ndata: c\n\n";
+        // In pieces of every size.
+        for (std::size_t size = 1; size <= text.size(); ++size) {
+            event_splitter splitter;
+            std::string joined;
+            std::vector<std::uint64_t> ids;
+            for (std::size_t at = 0; at < text.size(); at += size) {
+                const auto events =
+                    splitter.push(text.substr(at, size)).value();
+                for (const raw_event& event : events) {
+                    joined += event.bytes;
+                    ids.push_back(event.id.value_or(0));
+                }
+            }
+            CPPUNIT_ASSERT_EQUAL(text, joined);
+            CPPUNIT_ASSERT(ids == (std::vector<std::uint64_t>{1, 2, 0}));
+            CPPUNIT_ASSERT(splitter.is_between_events());
+        }
+    }
+
+    void test_an_event_that_is_cut_is_kept_back()
+    {
+        event_splitter splitter;
+        const auto events = splitter.push("id: 1\n\nid: 2\nda").value();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, events.size());
+        CPPUNIT_ASSERT(!splitter.is_between_events());
+    }
+
+    void test_an_endless_event_is_refused()
+    {
+        event_splitter splitter;
+        const std::string endless(event_splitter::largest_event + 1, 'x');
+        CPPUNIT_ASSERT(!splitter.push(endless));
+    }
+
+    void test_a_store_outage_lets_entries_lapse()
+    {
+        list_outage outage;
+        CPPUNIT_ASSERT(outage.source(at_ms(0)) == source_state::disturbed);
+        outage.set_current(true, at_ms(0));
+        CPPUNIT_ASSERT(outage.source(at_ms(0)) == source_state::steady);
+        outage.set_current(false, at_ms(1000));
+        CPPUNIT_ASSERT(outage.source(at_ms(1000)) == source_state::disturbed);
+        outage.set_current(true, at_ms(5000));
+        CPPUNIT_ASSERT(outage.source(at_ms(8999)) == source_state::disturbed);
+        CPPUNIT_ASSERT(outage.source(at_ms(9000)) == source_state::steady);
+    }
+
+    void test_an_own_cut_does_not_let_entries_lapse()
+    {
+        list_outage outage;
+        outage.set_current(true, at_ms(0));
+        outage.set_current(false, at_ms(1000));
+        // The neighbour may not have noticed yet what this host did.
+        outage.neighbour_reads(at_ms(2000));
+        outage.neighbour_reads(at_ms(4000));
+        outage.set_current(true, at_ms(6000));
+        CPPUNIT_ASSERT(outage.source(at_ms(6000)) == source_state::steady);
+    }
+
+    void test_a_word_from_the_very_return_proves_nothing()
+    {
+        list_outage outage;
+        outage.set_current(true, at_ms(0));
+        outage.set_current(false, at_ms(1000));
+        outage.neighbour_reads(at_ms(5500));
+        outage.set_current(true, at_ms(6000));
+        CPPUNIT_ASSERT(outage.source(at_ms(6000)) == source_state::disturbed);
+    }
+
+    void test_small_fleets_have_one_link_a_pair()
+    {
+        const auto hosts = fleet(6);
+        std::set<std::pair<std::string, std::string>> pairs;
+        for (const auto& self : hosts) {
+            for (const auto& other : choose_neighbours(hosts, self.name)) {
+                CPPUNIT_ASSERT(
+                    !pairs.contains({other.name.value(), self.name.value()}));
+                pairs.insert({self.name.value(), other.name.value()});
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{15}, pairs.size());
+        CPPUNIT_ASSERT(choose_neighbours(hosts, core::host_name("x")).empty());
+    }
+
+    void test_news_reaches_large_fleets_in_few_steps()
+    {
+        const auto hosts = fleet(410);
+        std::map<std::string, std::set<std::string>> links;
+        std::size_t most = 0;
+        for (const auto& self : hosts) {
+            const auto chosen = choose_neighbours(hosts, self.name);
+            most = std::max(most, chosen.size());
+            for (const auto& other : chosen) {
+                links[self.name.value()].insert(other.name.value());
+                links[other.name.value()].insert(self.name.value());
+            }
+        }
+        CPPUNIT_ASSERT(most <= 8);
+        std::set<std::string> reached{hosts.front().name.value()};
+        int steps = 0;
+        while (reached.size() < hosts.size()) {
+            CPPUNIT_ASSERT(++steps <= 5);
+            std::set<std::string> next = reached;
+            for (const auto& host : reached)
+                next.insert(links[host].begin(), links[host].end());
+            reached = next;
+        }
+    }
+
+    void test_claims_hold_up_others_until_they_end()
+    {
+        link_claims claims;
+        claims.hear(
+            core::host_name("a"), {server_id("s"), server_id("d")}, at_ms(100));
+        CPPUNIT_ASSERT(claims.is_claimed({server_id("d")}, at_ms(99)));
+        CPPUNIT_ASSERT(!claims.is_claimed({server_id("e")}, at_ms(99)));
+        CPPUNIT_ASSERT(!claims.is_claimed({server_id("d")}, at_ms(100)));
+        claims.hear(core::host_name("a"), {server_id("d")}, at_ms(50));
+        CPPUNIT_ASSERT(!claims.is_claimed({server_id("d")}, at_ms(60)));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(parts_test);
+
+} // namespace
--- /dev/null
+++ b/tests/placement/placer_test.cpp
@@ -0,0 +1,168 @@
+#include "samples.hpp"
+
+#include <godwit/placement/placer.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <set>
+#include <string>
+
+namespace {
+
+using namespace godwit::placement;
+using namespace godwit::placement::test;
+using godwit::core::host_name;
+using godwit::core::service_name;
+using godwit::core::zone_name;
+using godwit::routing::engine_profile;
+using godwit::routing::service;
+
+class placer_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(placer_test);
+    CPPUNIT_TEST(test_the_emptier_server_is_chosen);
+    CPPUNIT_TEST(test_neighbours_work_counts_until_it_is_old);
+    CPPUNIT_TEST(test_unread_prompts_weigh);
+    CPPUNIT_TEST(test_full_servers_are_no_room);
+    CPPUNIT_TEST(test_a_migration_may_use_what_starts_leave_free);
+    CPPUNIT_TEST(test_a_request_larger_than_the_share_gets_an_empty_server);
+    CPPUNIT_TEST(test_excluded_and_leaving_servers_are_no_server);
+    CPPUNIT_TEST(test_avoided_servers_come_last);
+    CPPUNIT_TEST(test_a_failing_server_gets_less);
+    CPPUNIT_TEST(test_migrations_stay_in_the_zone);
+    CPPUNIT_TEST(test_migrations_spread);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        service_.name = service_name("lm");
+        service_.engine = engine_profile{4, 10000, 1, 1, true, false};
+        wanted_.service = &service_;
+        wanted_.work = {1, 1000, 0};
+        wanted_.near = zone_name("east");
+        directory_.listed(sample_server(1), at_ms(0));
+        directory_.listed(sample_server(2), at_ms(0));
+    }
+
+private:
+    service service_;
+    placement_request wanted_;
+    server_directory directory_;
+    load_ledger ledger_;
+    server_health health_;
+    placer placer_{directory_, ledger_, health_, 1};
+
+    std::string choose(int now_ms = 0)
+    {
+        const auto chosen = placer_.choose(wanted_, at_ms(now_ms));
+        if (chosen)
+            return chosen->id.value();
+        return chosen.error() == placement_obstacle::no_room ? "no room"
+                                                             : "no server";
+    }
+
+    void test_the_emptier_server_is_chosen()
+    {
+        ledger_.add(server_id("i-1"), {1, 3000, 0});
+        CPPUNIT_ASSERT_EQUAL(std::string("i-2"), choose());
+        ledger_.remove(server_id("i-1"), {1, 3000, 0});
+        ledger_.add(server_id("i-2"), {1, 3000, 0});
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), choose());
+    }
+
+    void test_neighbours_work_counts_until_it_is_old()
+    {
+        ledger_.add(server_id("i-2"), {1, 2000, 0});
+        ledger_.neighbour_says(
+            host_name("h"), {{server_id("i-1"), {2, 6000, 0}}}, at_ms(0));
+        CPPUNIT_ASSERT_EQUAL(std::string("i-2"), choose(3000));
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), choose(3001));
+    }
+
+    void test_unread_prompts_weigh()
+    {
+        ledger_.add(server_id("i-1"), {1, 3000, 3000});
+        ledger_.add(server_id("i-2"), {1, 4000, 0});
+        CPPUNIT_ASSERT_EQUAL(std::string("i-2"), choose());
+    }
+
+    void test_full_servers_are_no_room()
+    {
+        ledger_.add(server_id("i-1"), {1, 8000, 0});
+        ledger_.add(server_id("i-2"), {4, 100, 0});
+        CPPUNIT_ASSERT_EQUAL(std::string("no room"), choose());
+    }
+
+    void test_a_migration_may_use_what_starts_leave_free()
+    {
+        ledger_.add(server_id("i-1"), {1, 8500, 0});
+        ledger_.add(server_id("i-2"), {1, 8500, 0});
+        CPPUNIT_ASSERT_EQUAL(std::string("no room"), choose());
+        wanted_.purpose = placement_purpose::migration;
+        CPPUNIT_ASSERT(choose() != "no room");
+    }
+
+    void test_a_request_larger_than_the_share_gets_an_empty_server()
+    {
+        wanted_.work.tokens = 9900;
+        ledger_.add(server_id("i-1"), {1, 10, 0});
+        CPPUNIT_ASSERT_EQUAL(std::string("i-2"), choose());
+    }
+
+    void test_excluded_and_leaving_servers_are_no_server()
+    {
+        wanted_.excluded = {server_id("i-1")};
+        CPPUNIT_ASSERT_EQUAL(std::string("i-2"), choose());
+        directory_.listed(leaving(sample_server(2)), at_ms(0));
+        CPPUNIT_ASSERT_EQUAL(std::string("no server"), choose());
+    }
+
+    void test_avoided_servers_come_last()
+    {
+        health_.unreachable(server_id("i-1"), at_ms(0));
+        ledger_.add(server_id("i-2"), {2, 6000, 0});
+        CPPUNIT_ASSERT_EQUAL(std::string("i-2"), choose(1));
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), choose(501));
+        health_.unreachable(server_id("i-2"), at_ms(501));
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), choose(502));
+    }
+
+    void test_a_failing_server_gets_less()
+    {
+        health_.failed(server_id("i-1"));
+        ledger_.add(server_id("i-2"), {1, 2000, 0});
+        CPPUNIT_ASSERT_EQUAL(std::string("i-2"), choose());
+        for (int count = 0; count < 20; ++count)
+            health_.succeeded(server_id("i-1"));
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), choose());
+    }
+
+    void test_migrations_stay_in_the_zone()
+    {
+        directory_.listed(sample_server(3, "west"), at_ms(0));
+        ledger_.add(server_id("i-1"), {1, 3000, 0});
+        ledger_.add(server_id("i-2"), {1, 3000, 0});
+        wanted_.purpose = placement_purpose::migration;
+        for (int count = 0; count < 20; ++count)
+            CPPUNIT_ASSERT(choose() != "i-3");
+    }
+
+    // Every host chooses at the same moment; if all chose the emptiest, their
+    // copies would wait for each other on its link.
+    void test_migrations_spread()
+    {
+        directory_.listed(sample_server(3), at_ms(0));
+        wanted_.purpose = placement_purpose::migration;
+        std::set<std::string> chosen;
+        for (std::uint64_t host = 0; host < 12; ++host) {
+            placer other(directory_, ledger_, health_, host);
+            chosen.insert(other.choose(wanted_, at_ms(0))->id.value());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, chosen.size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(placer_test);
+
+} // namespace
--- /dev/null
+++ b/tests/placement/samples.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <godwit/placement/backend_server.hpp>
+
+#include <chrono>
+#include <string>
+
+namespace godwit::placement::test {
+
+/// A ready server of "lm"; its address ends in `number`.
+inline backend_server sample_server(
+    int number, const std::string& zone = "east", std::uint64_t revision = 1)
+{
+    const std::string id = "i-" + std::to_string(number);
+    return {
+        server_id(id),
+        core::service_name("lm"),
+        http::endpoint::parse("127.0.0.1:" + std::to_string(9000 + number))
+            .value(),
+        core::zone_name(zone),
+        4,
+        server_state::ready,
+        revision};
+}
+
+inline backend_server leaving(backend_server server)
+{
+    server.state = server_state::leaving;
+    ++server.revision;
+    return server;
+}
+
+inline core::time_point at_ms(int milliseconds)
+{
+    return core::time_point(std::chrono::milliseconds(milliseconds));
+}
+
+} // namespace godwit::placement::test
--- /dev/null
+++ b/tests/placement/server_directory_test.cpp
@@ -0,0 +1,110 @@
+#include "samples.hpp"
+
+#include <godwit/placement/server_directory.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace {
+
+using namespace godwit::placement;
+using namespace godwit::placement::test;
+using godwit::core::service_name;
+
+class server_directory_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(server_directory_test);
+    CPPUNIT_TEST(test_a_server_that_leaves_stays_known);
+    CPPUNIT_TEST(test_an_older_view_does_not_bring_a_server_back);
+    CPPUNIT_TEST(test_a_dropped_entry_means_leaving);
+    CPPUNIT_TEST(test_a_lapsed_entry_has_two_seconds);
+    CPPUNIT_TEST(test_a_server_that_lists_itself_again_stays);
+    CPPUNIT_TEST(test_a_new_server_replaces_the_one_at_its_address);
+    CPPUNIT_TEST(test_servers_that_left_are_forgotten);
+    CPPUNIT_TEST_SUITE_END();
+
+    server_directory directory_;
+
+    void test_a_server_that_leaves_stays_known()
+    {
+        CPPUNIT_ASSERT(
+            directory_.listed(sample_server(1), at_ms(0)) ==
+            directory_change::appeared);
+        CPPUNIT_ASSERT(
+            directory_.listed(leaving(sample_server(1)), at_ms(10)) ==
+            directory_change::left);
+        CPPUNIT_ASSERT(!directory_.is_usable(server_id("i-1")));
+        CPPUNIT_ASSERT(directory_.find(server_id("i-1")) != nullptr);
+        CPPUNIT_ASSERT(directory_.usable(service_name("lm")).empty());
+        CPPUNIT_ASSERT(
+            directory_.listed(leaving(sample_server(1)), at_ms(20)) ==
+            directory_change::none);
+    }
+
+    void test_an_older_view_does_not_bring_a_server_back()
+    {
+        directory_.listed(sample_server(1, "east", 5), at_ms(0));
+        directory_.listed(leaving(sample_server(1, "east", 5)), at_ms(10));
+        CPPUNIT_ASSERT(
+            directory_.listed(sample_server(1, "east", 5), at_ms(20)) ==
+            directory_change::none);
+        CPPUNIT_ASSERT(!directory_.is_usable(server_id("i-1")));
+    }
+
+    void test_a_dropped_entry_means_leaving()
+    {
+        directory_.listed(sample_server(1), at_ms(0));
+        CPPUNIT_ASSERT(
+            directory_.delisted(
+                server_id("i-1"), source_state::steady, at_ms(5)) ==
+            directory_change::left);
+        CPPUNIT_ASSERT(!directory_.is_usable(server_id("i-1")));
+    }
+
+    void test_a_lapsed_entry_has_two_seconds()
+    {
+        directory_.listed(sample_server(1), at_ms(0));
+        CPPUNIT_ASSERT(
+            directory_.delisted(
+                server_id("i-1"), source_state::disturbed, at_ms(100)) ==
+            directory_change::none);
+        CPPUNIT_ASSERT(directory_.expire(at_ms(2099)).empty());
+        CPPUNIT_ASSERT(directory_.is_usable(server_id("i-1")));
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t{1}, directory_.expire(at_ms(2100)).size());
+        CPPUNIT_ASSERT(!directory_.is_usable(server_id("i-1")));
+    }
+
+    void test_a_server_that_lists_itself_again_stays()
+    {
+        directory_.listed(sample_server(1, "east", 1), at_ms(0));
+        directory_.delisted(
+            server_id("i-1"), source_state::disturbed, at_ms(100));
+        directory_.listed(sample_server(1, "east", 2), at_ms(1500));
+        CPPUNIT_ASSERT(directory_.expire(at_ms(5000)).empty());
+        CPPUNIT_ASSERT(directory_.is_usable(server_id("i-1")));
+    }
+
+    void test_a_new_server_replaces_the_one_at_its_address()
+    {
+        directory_.listed(sample_server(1), at_ms(0));
+        auto next = sample_server(2);
+        next.address = sample_server(1).address;
+        directory_.listed(next, at_ms(10));
+        CPPUNIT_ASSERT(!directory_.is_usable(server_id("i-1")));
+        CPPUNIT_ASSERT(directory_.is_usable(server_id("i-2")));
+    }
+
+    void test_servers_that_left_are_forgotten()
+    {
+        directory_.listed(sample_server(1), at_ms(0));
+        directory_.listed(leaving(sample_server(1)), at_ms(0));
+        directory_.expire(at_ms(59999));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, directory_.size());
+        directory_.expire(at_ms(60000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, directory_.size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(server_directory_test);
+
+} // namespace
