--- a/tests/placement/server_directory_test.cpp
+++ b/tests/placement/server_directory_test.cpp
@@ -98,9 +98,9 @@
     {
         directory_.listed(sample_server(1), at_ms(0));
         directory_.listed(leaving(sample_server(1)), at_ms(0));
-        directory_.expire(at_ms(59999));
+        CPPUNIT_ASSERT(directory_.expire(at_ms(59999)).empty());
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, directory_.size());
-        directory_.expire(at_ms(60000));
+        CPPUNIT_ASSERT(directory_.expire(at_ms(60000)).empty());
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, directory_.size());
     }
 };
--- /dev/null
+++ b/tests/platform_adapter/codec_test.cpp
@@ -0,0 +1,236 @@
+#include <godwit/platform_adapter/request_codec.hpp>
+#include <godwit/platform_adapter/server_codec.hpp>
+#include <godwit/platform_adapter/store_codec.hpp>
+#include <godwit/platform_adapter/table_codec.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <string>
+
+namespace {
+
+using namespace godwit;
+using namespace godwit::platform_adapter;
+using entry::copy_verdict;
+
+const std::string table_text = R"({"version":7,"routes":[
+{"name":"r1","host":"a.example","path_prefix":"/x/","kind":"streaming",
+ "timeout_ms":6000,"target_latency_ms":1500,"priority":0,"service":"lm",
+ "max_attempts":1,"public":false,"gap_aim_ms":180},
+{"name":"r2","host":"a.example","path_prefix":"/y/","kind":"idempotent",
+ "timeout_ms":1000,"target_latency_ms":150,"priority":2,"max_attempts":2,
+ "traffic_split":[{"service":"lm","weight":90},{"service":"api","weight":10}]}],
+"services":[{"name":"lm","health_check":"/health","max_connections":232,
+ "engine":{"slots":24,"kv_cache_tokens":34440,"kv_token_bytes":18432,
+  "link_mbps":2700.0,"moves":true,"backups":true}},{"name":"api"}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
+ "header_timeout_ms":3000,"idle_timeout_ms":15000},
+"tenants":[{"name":"north","api_keys":["k1","k2"],"priority":1}]})";
+
+class codec_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(codec_test);
+    CPPUNIT_TEST(test_a_table_is_read);
+    CPPUNIT_TEST(test_malformed_tables_are_refused);
+    CPPUNIT_TEST(test_a_server_is_read);
+    CPPUNIT_TEST(test_malformed_servers_are_refused);
+    CPPUNIT_TEST(test_records_survive_every_cut);
+    CPPUNIT_TEST(test_newest_pages);
+    CPPUNIT_TEST(test_call_terms);
+    CPPUNIT_TEST(test_forwarded_fields_are_the_systems);
+    CPPUNIT_TEST(test_fields_of_a_connection_end_with_it);
+    CPPUNIT_TEST(test_copy_answers);
+    CPPUNIT_TEST(test_reports);
+    CPPUNIT_TEST_SUITE_END();
+
+    void test_a_table_is_read()
+    {
+        const auto table = read_table(table_text).value();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, table->version());
+        const auto* stream = table->find_route("a.example", "/x/1");
+        CPPUNIT_ASSERT(stream != nullptr);
+        CPPUNIT_ASSERT(stream->form == routing::answer_form::event_stream);
+        CPPUNIT_ASSERT(stream->repeats == routing::repeat_rule::at_most_once);
+        CPPUNIT_ASSERT(
+            stream->pause_objective == std::chrono::milliseconds(180));
+        const auto* plain = table->find_route("a.example", "/y/");
+        CPPUNIT_ASSERT(plain->repeats == routing::repeat_rule::idempotent);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, plain->services.size());
+        const auto* lm = table->find_service(core::service_name("lm"));
+        CPPUNIT_ASSERT(lm->engine && lm->engine->moves);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{34440}, lm->engine->memory_tokens);
+        CPPUNIT_ASSERT_EQUAL(1, *table->find_organisation("k2")->priority);
+    }
+
+    void test_malformed_tables_are_refused()
+    {
+        for (std::size_t size = 0; size < table_text.size(); ++size)
+            CPPUNIT_ASSERT(!read_table(table_text.substr(0, size)));
+        for (const char* text :
+             {"[]",
+              "7",
+              "{}",
+              R"({"version":"x"})",
+              R"({"version":1,"routes":[7]})",
+              R"({"version":1,"routes":[{"host":"a"}]})"})
+            CPPUNIT_ASSERT(!read_table(text));
+        CPPUNIT_ASSERT(!read_table(std::string(1 << 20, '[')));
+    }
+
+    void test_a_server_is_read()
+    {
+        const auto server = read_server(
+            "i-1",
+            R"({"service":"lm","address":"10.1.2.3:80","zone":"e",)"
+            R"("version":"v1","slots":24,"state":"draining","sequence":4})");
+        CPPUNIT_ASSERT(server.has_value());
+        CPPUNIT_ASSERT(server->state == placement::server_state::leaving);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, server->revision);
+    }
+
+    void test_malformed_servers_are_refused()
+    {
+        for (const char* text :
+             {"",
+              "{",
+              "[]",
+              "{}",
+              R"({"service":"lm"})",
+              R"({"service":"lm","address":"nowhere"})"})
+            CPPUNIT_ASSERT(!read_server("i-1", text));
+    }
+
+    void test_records_survive_every_cut()
+    {
+        const std::string head =
+            std::string(7, '\0') + '\x07' + std::string(7, '\0') + '\x02';
+        const std::string whole =
+            head + write_record("a", "value") + write_record("b", "");
+        const auto page = read_records(whole, 5).value();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, page.records.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, page.next_offset);
+        CPPUNIT_ASSERT_EQUAL(std::string("value"), *page.records[0].value);
+        CPPUNIT_ASSERT(!page.records[1].value);
+        for (std::size_t size = 0; size < whole.size(); ++size) {
+            const auto cut = read_records(whole.substr(0, size), 5);
+            const bool is_between =
+                size == head.size() || size == whole.size() - 6;
+            CPPUNIT_ASSERT_EQUAL(is_between, cut.has_value());
+        }
+        // More records than the log says that it holds.
+        CPPUNIT_ASSERT(!read_records(whole, 6));
+        // A length that no body of this size can hold.
+        CPPUNIT_ASSERT(!read_records(head + "\xff\xff\xff\xff....", 5));
+    }
+
+    void test_newest_pages()
+    {
+        const auto page = read_newest(
+            R"({"items":[{"key":"config","value":"e30=","offset":4}],)"
+            R"("more":true,"end":6})");
+        CPPUNIT_ASSERT(page.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string("{}"), *page->page.records[0].value);
+        CPPUNIT_ASSERT_EQUAL(std::string("config"), *page->continue_after);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{6}, page->page.next_offset);
+        for (const char* text :
+             {"",
+              "{}",
+              R"({"items":7,"end":1})",
+              R"({"items":[7],"end":1})",
+              R"({"items":[],"end":"x"})"})
+            CPPUNIT_ASSERT(!read_newest(text));
+    }
+
+    void test_call_terms()
+    {
+        const http::header_fields fields{
+            {"X-Godwitworks-Attempt-Id", "a1"},
+            {"X-Godwitworks-Deadline-Ms", "39000"},
+            {"X-Godwitworks-Token-Usage", "1460,80"},
+            {"X-Godwitworks-Length-Hint", "33.5"},
+            {"Authorization", "bearer k1"}};
+        const auto terms = request_codec::read_call(fields);
+        CPPUNIT_ASSERT_EQUAL(std::string("a1"), terms.attempt_id);
+        CPPUNIT_ASSERT_EQUAL(std::string("k1"), terms.key);
+        CPPUNIT_ASSERT(*terms.time_left == std::chrono::seconds(39));
+        CPPUNIT_ASSERT_EQUAL(
+            std::uint32_t{33}, *terms.generation->expected_output_tokens);
+        for (const char* size : {"", "x", "5", "5,", ",5", "-1,5", "5,5x"}) {
+            const http::header_fields odd{
+                {"X-Godwitworks-Token-Usage", size},
+                {"X-Godwitworks-Deadline-Ms", size}};
+            const auto read = request_codec::read_call(odd);
+            CPPUNIT_ASSERT(!read.generation);
+            CPPUNIT_ASSERT(
+                read.time_left.has_value() == (std::string(size) == "5"));
+        }
+    }
+
+    void test_forwarded_fields_are_the_systems()
+    {
+        const http::header_fields received{
+            {"X-Godwitworks-Attempt-Id", "a1"},
+            {"X-Godwitworks-Tenant", "forged"},
+            {"X-Godwitworks-Hold", "forged"},
+            {"x-godwitworks-pin-ms", "1"},
+            {"X-Godwitworks-Kv-Backup", "1.2.3.4:5"},
+            {"Kv-From", "1.2.3.4:5/x"},
+            {"X-Godwitworks-Request-Priority", "0"},
+            {"Authorization", "Bearer k1"},
+            {"Accept", "x"}};
+        entry::forward_terms terms;
+        terms.server = placement::server_id("i-1");
+        terms.time_left = std::chrono::milliseconds(1500);
+        terms.organisation = core::organisation_name("north");
+        const auto sent = request_codec::forwarded_fields(received, terms);
+        const http::header_fields expected{
+            {"X-Godwitworks-Attempt-Id", "a1"},
+            {"Accept", "x"},
+            {"X-Godwitworks-Deadline-Ms", "1500"},
+            {"X-Godwitworks-Expect-Replica", "i-1"},
+            {"X-Godwitworks-Tenant", "north"}};
+        CPPUNIT_ASSERT(expected == sent);
+    }
+
+    void test_fields_of_a_connection_end_with_it()
+    {
+        const http::header_fields received{
+            {"Connection", "close, X-Own"},
+            {"X-Own", "1"},
+            {"Keep-Alive", "timeout=5"},
+            {"X-Kept", "2"}};
+        const http::header_fields expected{{"X-Kept", "2"}};
+        CPPUNIT_ASSERT(expected == request_codec::returned_fields(received));
+    }
+
+    void test_copy_answers()
+    {
+        const auto read = [](unsigned status, const std::string& body) {
+            return request_codec::read_copy_answer({status, {}, body});
+        };
+        const auto done = read(200, R"({"handle":"h1","create_rev":3})");
+        CPPUNIT_ASSERT(done.verdict == copy_verdict::done);
+        CPPUNIT_ASSERT_EQUAL(std::string("h1"), *done.handle);
+        CPPUNIT_ASSERT(read(404, "").verdict == copy_verdict::not_running);
+        CPPUNIT_ASSERT(read(409, "").verdict == copy_verdict::busy);
+        CPPUNIT_ASSERT(read(503, R"({"handle":"h1"})").handle.has_value());
+        CPPUNIT_ASSERT(read(500, "{").verdict == copy_verdict::failed);
+    }
+
+    void test_reports()
+    {
+        const auto read = [](const std::string& body) {
+            return request_codec::read_report({200, {}, body});
+        };
+        CPPUNIT_ASSERT(!read(R"({"state":"ready"})")->is_leaving);
+        CPPUNIT_ASSERT(read(R"({"state":"draining"})")->is_leaving);
+        CPPUNIT_ASSERT(
+            read(R"({"state":"ready","leaves_ms":1500})")->is_leaving);
+        CPPUNIT_ASSERT(!read("["));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(codec_test);
+
+} // namespace
