--- a/libraries/request/src/retry_budget.cpp
+++ b/libraries/request/src/retry_budget.cpp
@@ -4,6 +4,17 @@
 
 namespace godwit::request {
 
+namespace {
+
+double first_balance(const retry_budget_settings& settings)
+{
+    if (settings.floor_per_second <= 0)
+        return 0;
+    return std::max(settings.floor_per_second, 1.0);
+}
+
+} // namespace
+
 core::result<retry_budget>
 retry_budget::create(retry_budget_settings settings, core::time_point now)
 {
@@ -31,9 +42,10 @@
 retry_budget::retry_budget(
     retry_budget_settings settings, core::time_point now) noexcept
     : settings_(settings),
-      // One second's floor to begin with, so that a service that is called
-      // rarely can retry its first failure.
-      balance_(std::min(settings.floor_per_second, settings.capacity)),
+      // One second's floor to begin with, and where there is a floor at least
+      // one retry, so that a service that is called rarely can retry its
+      // first failure.
+      balance_(std::min(first_balance(settings), settings.capacity)),
       accrued_at_(now)
 {}
 
--- /dev/null
+++ b/tests/platform_adapter/stand_in_server.cpp
@@ -0,0 +1,71 @@
+#include "stand_in_server.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace godwit::platform_adapter::test {
+
+namespace asio = boost::asio;
+
+stand_in_server::stand_in_server(asio::io_context& context, std::string id)
+    : id_(std::move(id))
+{
+    behaviour_ = [](http::exchange& asked) -> asio::awaitable<void> {
+        http::response whole = answer(asked, 200, "hello");
+        [[maybe_unused]] const auto sent =
+            co_await asked.respond(std::move(whole));
+    };
+    server_ = http::server::create(
+                  context,
+                  {http::endpoint::parse("127.0.0.1:0").value(), {}, {}},
+                  [this](http::exchange& asked) -> asio::awaitable<void> {
+                      {
+                          const std::lock_guard lock(mutex_);
+                          received_.push_back(asked.received());
+                      }
+                      co_await behaviour_(asked);
+                  })
+                  .value();
+}
+
+std::string
+stand_in_server::entry(const std::string& state, unsigned sequence) const
+{
+    return R"({"service":"lm","address":")" + address() +
+           R"(","zone":"east","slots":4,"state":")" + state +
+           R"(","sequence":)" + std::to_string(sequence) + "}";
+}
+
+std::string stand_in_server::address() const
+{
+    return server_->address().to_string();
+}
+
+std::vector<http::request> stand_in_server::received()
+{
+    const std::lock_guard lock(mutex_);
+    return received_;
+}
+
+std::size_t stand_in_server::count(const std::string& path)
+{
+    const auto all = received();
+    return static_cast<std::size_t>(std::count_if(
+        all.begin(), all.end(), [&path](const http::request& one) {
+            return one.target == path;
+        }));
+}
+
+http::response stand_in_server::answer(
+    const http::exchange& asked, unsigned status, std::string body)
+{
+    http::response made;
+    made.status = status;
+    made.fields.set("X-Godwitworks-Replica-Signature", "signed");
+    const auto id = asked.received().fields.find("X-Godwitworks-Attempt-Id");
+    made.fields.set("X-Godwitworks-Attempt-Id", std::string(id.value_or("")));
+    made.body = std::move(body);
+    return made;
+}
+
+} // namespace godwit::platform_adapter::test
--- /dev/null
+++ b/tests/platform_adapter/stand_in_server.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <godwit/http/endpoint.hpp>
+#include <godwit/http/server.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace godwit::platform_adapter::test {
+
+/// A backend server whose answers a test chooses.
+class stand_in_server
+{
+public:
+    using behaviour =
+        std::function<boost::asio::awaitable<void>(http::exchange&)>;
+
+    stand_in_server(boost::asio::io_context& context, std::string id);
+
+    /// What it does from now on; set before requests come.
+    void behave(behaviour chosen) { behaviour_ = std::move(chosen); }
+
+    /// The entry under which it lists itself.
+    [[nodiscard]] std::string
+    entry(const std::string& state, unsigned sequence) const;
+
+    [[nodiscard]] const std::string& id() const { return id_; }
+
+    [[nodiscard]] std::string address() const;
+
+    /// Every request so far.
+    [[nodiscard]] std::vector<http::request> received();
+
+    /// How many requests were for `path`.
+    [[nodiscard]] std::size_t count(const std::string& path);
+
+    /// A signed answer to `asked`.
+    static http::response
+    answer(const http::exchange& asked, unsigned status, std::string body);
+
+private:
+    std::string id_;
+    behaviour behaviour_;
+    std::mutex mutex_;
+    std::vector<http::request> received_;
+    std::unique_ptr<http::server> server_;
+};
+
+} // namespace godwit::platform_adapter::test
--- /dev/null
+++ b/tests/platform_adapter/stand_in_store.cpp
@@ -0,0 +1,169 @@
+#include "stand_in_store.hpp"
+
+#include <godwit/core/time.hpp>
+#include <godwit/platform_adapter/store_codec.hpp>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/detail/base64.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <chrono>
+
+namespace godwit::platform_adapter::test {
+
+namespace asio = boost::asio;
+
+namespace {
+
+std::string parameter(const std::string& target, const std::string& name)
+{
+    const auto at = target.find(name + "=");
+    if (at == std::string::npos)
+        return "";
+    const auto from = at + name.size() + 1;
+    return target.substr(from, target.find('&', from) - from);
+}
+
+std::string eight_bytes(std::uint64_t number)
+{
+    std::string bytes;
+    for (int shift = 56; shift >= 0; shift -= 8)
+        bytes += static_cast<char>(number >> shift & 0xffU);
+    return bytes;
+}
+
+std::string base64(const std::string& bytes)
+{
+    namespace codec = boost::beast::detail::base64;
+    std::string text(codec::encoded_size(bytes.size()), '\0');
+    text.resize(codec::encode(text.data(), bytes.data(), bytes.size()));
+    return text;
+}
+
+} // namespace
+
+stand_in_store::stand_in_store(asio::io_context& context)
+{
+    server_ = http::server::create(
+                  context,
+                  {http::endpoint::parse("127.0.0.1:0").value(), {}, {}},
+                  [this](http::exchange& asked) -> asio::awaitable<void> {
+                      co_await serve(asked);
+                  })
+                  .value();
+}
+
+const http::endpoint& stand_in_store::address() const
+{
+    return server_->address();
+}
+
+void stand_in_store::put(
+    const std::string& topic,
+    const std::string& key,
+    std::optional<std::string> value)
+{
+    const std::lock_guard lock(mutex_);
+    topics_[topic].records.push_back({key, std::move(value)});
+}
+
+void stand_in_store::compact()
+{
+    const std::lock_guard lock(mutex_);
+    for (auto& [name, log] : topics_)
+        log.first = log.records.size();
+}
+
+asio::awaitable<void> stand_in_store::serve(http::exchange& asked)
+{
+    ++calls_;
+    const std::string target = asked.received().target;
+    http::response answer;
+    answer.status = status_;
+    if (status_ == 0 && target.starts_with("/api/log-read")) {
+        co_await read(asked);
+        co_return;
+    }
+    if (status_ == 0) {
+        answer.status = 200;
+        const std::string topic = parameter(target, "topic");
+        if (target.starts_with("/api/log-newest")) {
+            answer.body = newest(topic);
+        } else if (target.starts_with("/api/log-append")) {
+            append(topic, asked.received().body);
+            answer.body = "{}";
+        } else {
+            answer.status = 404;
+        }
+    }
+    [[maybe_unused]] const auto sent =
+        co_await asked.respond(std::move(answer));
+}
+
+asio::awaitable<void> stand_in_store::read(http::exchange& asked)
+{
+    const std::string target = asked.received().target;
+    const std::string topic = parameter(target, "topic");
+    const std::size_t from = std::stoul(parameter(target, "from"));
+    const auto end =
+        core::monotonic_now() +
+        std::chrono::milliseconds(std::stol(parameter(target, "wait_ms")));
+    http::response answer;
+    while (true) {
+        {
+            const std::lock_guard lock(mutex_);
+            const topic_log& log = topics_[topic];
+            if (from < log.first) {
+                answer.status = 410;
+                break;
+            }
+            if (log.records.size() > from || core::monotonic_now() >= end) {
+                answer.body =
+                    eight_bytes(log.records.size()) + eight_bytes(log.first);
+                for (std::size_t at = from; at < log.records.size(); ++at)
+                    answer.body += write_record(
+                        log.records[at].key,
+                        log.records[at].value.value_or(""));
+                break;
+            }
+        }
+        asio::steady_timer pause(
+            asked.executor(), std::chrono::milliseconds(2));
+        co_await pause.async_wait(asio::use_awaitable);
+    }
+    [[maybe_unused]] const auto sent =
+        co_await asked.respond(std::move(answer));
+}
+
+std::string stand_in_store::newest(const std::string& topic)
+{
+    const std::lock_guard lock(mutex_);
+    std::map<std::string, std::optional<std::string>> latest;
+    for (const record& one : topics_[topic].records)
+        latest[one.key] = one.value;
+    boost::json::array items;
+    for (const auto& [key, value] : latest) {
+        if (value)
+            items.push_back(boost::json::object{
+                {"key", key}, {"value", base64(*value)}, {"offset", 0}});
+    }
+    return boost::json::serialize(boost::json::object{
+        {"items", items},
+        {"more", false},
+        {"end", topics_[topic].records.size()}});
+}
+
+void stand_in_store::append(const std::string& topic, const std::string& body)
+{
+    const auto page =
+        read_records(eight_bytes(1000000) + eight_bytes(0) + body, 0);
+    if (!page)
+        return;
+    for (const keyed_record& one : page->records)
+        put(topic, one.key, one.value);
+}
+
+} // namespace godwit::platform_adapter::test
--- /dev/null
+++ b/tests/platform_adapter/stand_in_store.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <godwit/http/endpoint.hpp>
+#include <godwit/http/server.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace godwit::platform_adapter::test {
+
+/// The platform's store as the adapter sees it: keyed topics in memory, one
+/// partition each. `put` and the switches may be used on any thread.
+class stand_in_store
+{
+public:
+    explicit stand_in_store(boost::asio::io_context& context);
+
+    [[nodiscard]] const http::endpoint& address() const;
+
+    /// Appends a record; nothing drops the key.
+    void
+    put(const std::string& topic,
+        const std::string& key,
+        std::optional<std::string> value);
+
+    /// Every call is answered with this status; 0 serves again.
+    void answer_with(unsigned status) { status_ = status; }
+
+    /// Forgets the records that were read; the newest of each key stay.
+    void compact();
+
+    /// Calls so far.
+    [[nodiscard]] unsigned calls() const { return calls_; }
+
+private:
+    struct record
+    {
+        std::string key;
+        std::optional<std::string> value;
+    };
+
+    struct topic_log
+    {
+        std::vector<record> records;
+        std::size_t first = 0;
+    };
+
+    boost::asio::awaitable<void> serve(http::exchange& asked);
+    boost::asio::awaitable<void> read(http::exchange& asked);
+    [[nodiscard]] std::string newest(const std::string& topic);
+    void append(const std::string& topic, const std::string& body);
+
+    std::mutex mutex_;
+    std::map<std::string, topic_log> topics_;
+    std::atomic<unsigned> status_ = 0;
+    std::atomic<unsigned> calls_ = 0;
+    std::unique_ptr<http::server> server_;
+};
+
+} // namespace godwit::platform_adapter::test
--- /dev/null
+++ b/tests/platform_adapter/world.cpp
@@ -0,0 +1,173 @@
+#include "world.hpp"
+
+#include <godwit/http/fetch.hpp>
+#include <godwit/platform_adapter/request_codec.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_future.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <future>
+#include <utility>
+
+namespace godwit::platform_adapter::test {
+
+namespace asio = boost::asio;
+
+namespace {
+
+http::endpoint any_port()
+{
+    return http::endpoint::parse("127.0.0.1:0").value();
+}
+
+// A port that was free a moment ago.
+http::endpoint free_port()
+{
+    asio::io_context context;
+    asio::ip::tcp::acceptor listener(
+        context, {asio::ip::make_address("127.0.0.1"), 0});
+    return any_port().with_port(listener.local_endpoint().port());
+}
+
+std::string table_text(unsigned version, const std::string& extra_key)
+{
+    const std::string keys =
+        extra_key.empty() ? R"(["k1"])" : R"(["k1",")" + extra_key + R"("])";
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[
+{"name":"plain","host":"a.example","path_prefix":"/plain/",
+ "kind":"non_idempotent","timeout_ms":3000,"target_latency_ms":300,
+ "max_attempts":1,"priority":1,"service":"lm"},
+{"name":"again","host":"a.example","path_prefix":"/again/",
+ "kind":"idempotent","timeout_ms":3000,"target_latency_ms":300,
+ "max_attempts":2,"priority":1,"service":"lm"},
+{"name":"stream","host":"a.example","path_prefix":"/stream/",
+ "kind":"streaming","timeout_ms":5000,"target_latency_ms":1000,
+ "gap_aim_ms":180,"max_attempts":1,"priority":1,"service":"lm"}],
+"services":[{"name":"lm","health_check":"/health","max_connections":99,
+ "engine":{"slots":4,"kv_cache_tokens":10000,"kv_token_bytes":1,
+ "link_mbps":1000,"moves":true,"backups":true}}],
+"tenants":[{"name":"north","api_keys":)" +
+           keys + "}]}";
+}
+
+} // namespace
+
+world::world() : outside_work_(asio::make_work_guard(outside_))
+{
+    store_ = std::make_unique<stand_in_store>(outside_);
+    first_ = std::make_unique<stand_in_server>(outside_, "i-1");
+    second_ = std::make_unique<stand_in_server>(outside_, "i-2");
+    entry::entry_settings settings{
+        .host = core::host_name("h1"),
+        .zone = core::zone_name("east"),
+        .log_level = telemetry::log_level::error,
+        .callers = free_port(),
+        .readiness = free_port(),
+        .operators = free_port(),
+        .neighbours = free_port(),
+        .seeds = {}};
+    process_ =
+        entry::entry_process::create(
+            inside_, std::move(settings), entry::dialect::of<request_codec>())
+            .value();
+    sources_ = std::make_unique<platform_sources>(
+        inside_.get_executor(), store_->address(), *process_);
+    process_->start();
+    sources_->start();
+    outside_thread_ = std::thread([this] { outside_.run(); });
+    inside_thread_ = std::thread([this] { inside_.run(); });
+}
+
+world::~world()
+{
+    inside_.stop();
+    inside_thread_.join();
+    outside_.stop();
+    outside_thread_.join();
+}
+
+void world::publish(unsigned version, const std::string& extra_key)
+{
+    store_->put("keyed.op", "config", table_text(version, extra_key));
+}
+
+void world::list(stand_in_server& server, const std::string& state)
+{
+    store_->put("keyed.servers", server.id(), server.entry(state, ++sequence_));
+    const placement::server_id id(server.id());
+    const bool is_ready = state == "ready";
+    wait("the list", [this, &id, is_ready] {
+        return look<bool>([&id](entry::entry_process& process) {
+                   return process.context().directory.is_usable(id);
+               }) == is_ready;
+    });
+}
+
+void world::begin()
+{
+    publish(1);
+    list(*first_, "ready");
+    list(*second_, "ready");
+    wait("readiness", [this] { return is_ready(); });
+}
+
+http::endpoint world::callers() const
+{
+    return process_->context().settings.callers;
+}
+
+bool world::is_ready()
+{
+    return look<bool>(
+        [](entry::entry_process& process) { return process.is_ready(); });
+}
+
+http::response world::call(
+    const std::string& method, const std::string& path, const std::string& key)
+{
+    http::request request{method, path, {}, {}};
+    request.fields.set("Host", "a.example");
+    request.fields.set("X-Godwitworks-Attempt-Id", "a1");
+    request.fields.set("X-Godwitworks-Token-Usage", "100,50");
+    request.fields.set("Authorization", "Bearer " + key);
+    const http::fetch_limits limits{.deadline = std::chrono::seconds(10)};
+    auto answered = asio::co_spawn(
+        outside_,
+        http::fetch(callers(), std::move(request), limits),
+        asio::use_future);
+    auto answer = answered.get();
+    CPPUNIT_ASSERT_MESSAGE(
+        answer ? "" : answer.error().cause.message(), answer.has_value());
+    return *answer;
+}
+
+void world::wait(
+    const std::string& what, const std::function<bool()>& condition)
+{
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    while (!condition()) {
+        CPPUNIT_ASSERT_MESSAGE(
+            "no " + what, std::chrono::steady_clock::now() < end);
+        std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    }
+}
+
+template<class Value>
+Value world::look(const std::function<Value(entry::entry_process&)>& look)
+{
+    std::promise<Value> seen;
+    asio::post(
+        inside_, [this, &seen, &look] { seen.set_value(look(*process_)); });
+    return seen.get_future().get();
+}
+
+template bool
+world::look<bool>(const std::function<bool(entry::entry_process&)>& look);
+template std::uint64_t world::look<std::uint64_t>(
+    const std::function<std::uint64_t(entry::entry_process&)>& look);
+
+} // namespace godwit::platform_adapter::test
--- /dev/null
+++ b/tests/platform_adapter/world.hpp
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "stand_in_server.hpp"
+#include "stand_in_store.hpp"
+
+#include <godwit/entry/entry_process.hpp>
+#include <godwit/platform_adapter/platform_sources.hpp>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace godwit::platform_adapter::test {
+
+/// An entry host with a store and two servers of the service "lm", each on
+/// threads of their own: the outside on one, the entry host on another.
+class world
+{
+public:
+    world();
+    ~world();
+
+    world(const world&) = delete;
+    world& operator=(const world&) = delete;
+
+    stand_in_store& store() { return *store_; }
+
+    stand_in_server& first() { return *first_; }
+
+    stand_in_server& second() { return *second_; }
+
+    /// Publishes the table of the tests as `version`.
+    void publish(unsigned version, const std::string& extra_key = "");
+
+    /// Lists the server so, and waits until the entry host believes it.
+    void list(stand_in_server& server, const std::string& state);
+
+    /// Publishes version 1, lists both servers and waits until ready.
+    void begin();
+
+    /// Sends a request with the key "k1" and the id "a1".
+    [[nodiscard]] http::response call(
+        const std::string& method,
+        const std::string& path,
+        const std::string& key = "k1");
+
+    /// Where callers connect.
+    [[nodiscard]] http::endpoint callers() const;
+
+    /// Whether the entry host says that it is ready.
+    [[nodiscard]] bool is_ready();
+
+    /// Waits until `condition` holds; fails the test after five seconds.
+    static void
+    wait(const std::string& what, const std::function<bool()>& condition);
+
+    /// Runs `look` on the entry host's thread.
+    template<class Value>
+    Value look(const std::function<Value(entry::entry_process&)>& look);
+
+private:
+    boost::asio::io_context outside_{1};
+    boost::asio::io_context inside_{1};
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+        outside_work_;
+    std::unique_ptr<stand_in_store> store_;
+    std::unique_ptr<stand_in_server> first_;
+    std::unique_ptr<stand_in_server> second_;
+    std::unique_ptr<entry::entry_process> process_;
+    std::unique_ptr<platform_sources> sources_;
+    std::thread outside_thread_;
+    std::thread inside_thread_;
+    unsigned sequence_ = 0;
+};
+
+} // namespace godwit::platform_adapter::test
--- /dev/null
+++ b/tests/platform_adapter/world_test.cpp
@@ -0,0 +1,450 @@
+#include "world.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <chrono>
+#include <string>
+#include <thread>
+
+namespace {
+
+using namespace godwit;
+using namespace godwit::platform_adapter::test;
+namespace asio = boost::asio;
+
+asio::awaitable<void> sleep(http::exchange& asked, int milliseconds)
+{
+    asio::steady_timer pause(
+        asked.executor(), std::chrono::milliseconds(milliseconds));
+    co_await pause.async_wait(asio::use_awaitable);
+}
+
+stand_in_server::behaviour answers(unsigned status, const std::string& body)
+{
+    return [status, body](http::exchange& asked) -> asio::awaitable<void> {
+        http::response whole = stand_in_server::answer(asked, status, body);
+        if (status == 503)
+            whole.fields.set("X-Godwitworks-Not-Executed", "1");
+        [[maybe_unused]] const auto sent =
+            co_await asked.respond(std::move(whole));
+    };
+}
+
+std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: t\n\n";
+}
+
+class world_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(world_test);
+    CPPUNIT_TEST(test_a_call_reaches_a_server_and_its_answer_the_caller);
+    CPPUNIT_TEST(test_routes_and_keys);
+    CPPUNIT_TEST(test_without_a_table_nothing_is_refused_for_good);
+    CPPUNIT_TEST(test_a_rejected_request_goes_to_another_server);
+    CPPUNIT_TEST(test_a_request_that_all_reject_has_not_run);
+    CPPUNIT_TEST(test_a_lost_answer_is_not_asked_for_again);
+    CPPUNIT_TEST(test_a_failure_is_repeated_once_where_it_may_be);
+    CPPUNIT_TEST(test_an_unsigned_success_is_no_answer);
+    CPPUNIT_TEST(test_an_answer_to_another_request_is_passed_over);
+    CPPUNIT_TEST(test_a_newer_table_replaces_and_an_older_one_does_not);
+    CPPUNIT_TEST(test_a_table_that_cannot_be_read_changes_nothing);
+    CPPUNIT_TEST(test_a_store_that_is_away_changes_nothing);
+    CPPUNIT_TEST(test_history_that_is_dropped_is_read_anew);
+    CPPUNIT_TEST(test_a_stream_arrives_whole);
+    CPPUNIT_TEST(test_a_stream_goes_on_where_its_server_leaves);
+    CPPUNIT_TEST(test_a_stopped_run_goes_on_at_home_when_nobody_has_room);
+    CPPUNIT_TEST(test_a_broken_stream_does_not_look_complete);
+    CPPUNIT_TEST(test_a_leaving_server_gets_nothing_new);
+    CPPUNIT_TEST(test_a_leaving_server_is_seen_while_the_store_is_away);
+    CPPUNIT_TEST_SUITE_END();
+
+    world world_;
+
+    void test_a_call_reaches_a_server_and_its_answer_the_caller()
+    {
+        world_.begin();
+        const auto answer = world_.call("POST", "/plain/7?x=1");
+        CPPUNIT_ASSERT_EQUAL(200U, answer.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("hello"), answer.body);
+        CPPUNIT_ASSERT(answer.fields.find("X-Godwitworks-Replica-Signature"));
+        auto sent = world_.first().received();
+        if (sent.empty())
+            sent = world_.second().received();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sent.size());
+        const auto& fields = sent.front().fields;
+        CPPUNIT_ASSERT_EQUAL(std::string("/plain/7?x=1"), sent.front().target);
+        CPPUNIT_ASSERT(fields.find("X-Godwitworks-Tenant") == "north");
+        CPPUNIT_ASSERT(fields.find("Host") == "a.example");
+        CPPUNIT_ASSERT(!fields.find("Authorization"));
+        CPPUNIT_ASSERT(fields.find("X-Godwitworks-Deadline-Ms"));
+    }
+
+    void test_routes_and_keys()
+    {
+        world_.begin();
+        CPPUNIT_ASSERT_EQUAL(404U, world_.call("GET", "/none/").status);
+        CPPUNIT_ASSERT_EQUAL(401U, world_.call("GET", "/plain/", "x").status);
+        CPPUNIT_ASSERT_EQUAL(401U, world_.call("GET", "/plain/", "").status);
+    }
+
+    void test_without_a_table_nothing_is_refused_for_good()
+    {
+        const auto answer = world_.call("GET", "/none/");
+        CPPUNIT_ASSERT_EQUAL(503U, answer.status);
+        CPPUNIT_ASSERT(answer.fields.find("Retry-After"));
+        CPPUNIT_ASSERT(!world_.is_ready());
+    }
+
+    void test_a_rejected_request_goes_to_another_server()
+    {
+        world_.first().behave(answers(503, ""));
+        world_.begin();
+        for (int count = 0; count < 6; ++count)
+            CPPUNIT_ASSERT_EQUAL(200U, world_.call("POST", "/plain/").status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{6}, world_.second().received().size());
+    }
+
+    void test_a_request_that_all_reject_has_not_run()
+    {
+        world_.first().behave(answers(503, ""));
+        world_.second().behave(answers(503, ""));
+        world_.begin();
+        const auto answer = world_.call("POST", "/plain/");
+        CPPUNIT_ASSERT_EQUAL(503U, answer.status);
+        CPPUNIT_ASSERT(answer.fields.find("Retry-After"));
+        CPPUNIT_ASSERT(answer.body.find("not_run") != std::string::npos);
+    }
+
+    void test_a_lost_answer_is_not_asked_for_again()
+    {
+        const auto lose = [](http::exchange& asked) -> asio::awaitable<void> {
+            asked.cut();
+            co_return;
+        };
+        world_.first().behave(lose);
+        world_.second().behave(lose);
+        world_.begin();
+        CPPUNIT_ASSERT_EQUAL(502U, world_.call("POST", "/plain/").status);
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t{1},
+            world_.first().received().size() +
+                world_.second().received().size());
+    }
+
+    void test_a_failure_is_repeated_once_where_it_may_be()
+    {
+        world_.first().behave(answers(500, "no"));
+        world_.second().behave(answers(500, "no"));
+        world_.begin();
+        CPPUNIT_ASSERT_EQUAL(500U, world_.call("POST", "/plain/").status);
+        CPPUNIT_ASSERT_EQUAL(500U, world_.call("GET", "/again/").status);
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t{2},
+            world_.first().count("/again/") + world_.second().count("/again/"));
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t{1},
+            world_.first().count("/plain/") + world_.second().count("/plain/"));
+    }
+
+    void test_an_unsigned_success_is_no_answer()
+    {
+        const auto unsign = [](http::exchange& asked) -> asio::awaitable<void> {
+            http::response whole = stand_in_server::answer(asked, 200, "?");
+            whole.fields.remove("X-Godwitworks-Replica-Signature");
+            [[maybe_unused]] const auto sent =
+                co_await asked.respond(std::move(whole));
+        };
+        world_.first().behave(unsign);
+        world_.second().behave(unsign);
+        world_.begin();
+        CPPUNIT_ASSERT_EQUAL(502U, world_.call("POST", "/plain/").status);
+        CPPUNIT_ASSERT_EQUAL(502U, world_.call("GET", "/stream/").status);
+    }
+
+    void test_an_answer_to_another_request_is_passed_over()
+    {
+        const auto confuse =
+            [](http::exchange& asked) -> asio::awaitable<void> {
+            http::response other = stand_in_server::answer(asked, 200, "other");
+            other.fields.set("X-Godwitworks-Attempt-Id", "someone");
+            [[maybe_unused]] const auto sent =
+                co_await asked.respond(std::move(other));
+        };
+        world_.first().behave(confuse);
+        world_.second().behave(confuse);
+        world_.begin();
+        // The own answer never comes; the other one is not delivered.
+        const auto answer = world_.call("POST", "/plain/");
+        CPPUNIT_ASSERT(answer.status == 504U || answer.status == 502U);
+        CPPUNIT_ASSERT(answer.body.find("other") == std::string::npos);
+    }
+
+    void test_a_newer_table_replaces_and_an_older_one_does_not()
+    {
+        world_.begin();
+        CPPUNIT_ASSERT_EQUAL(401U, world_.call("GET", "/plain/", "k2").status);
+        world_.publish(5, "k2");
+        world::wait("version 5", [this] { return version() == 5; });
+        CPPUNIT_ASSERT_EQUAL(200U, world_.call("GET", "/plain/", "k2").status);
+        world_.publish(4);
+        world_.publish(6, "k3");
+        world::wait("version 6", [this] { return version() == 6; });
+        CPPUNIT_ASSERT_EQUAL(401U, world_.call("GET", "/plain/", "k2").status);
+    }
+
+    void test_a_table_that_cannot_be_read_changes_nothing()
+    {
+        world_.begin();
+        world_.store().put("keyed.op", "config", R"({"version":9,"routes":7)");
+        world_.store().put("keyed.op", "config", std::string(100000, '{'));
+        world_.store().put("keyed.servers", "i-3", "no server");
+        world_.publish(3, "k3");
+        world::wait("version 3", [this] { return version() == 3; });
+        CPPUNIT_ASSERT_EQUAL(200U, world_.call("GET", "/plain/").status);
+    }
+
+    void test_a_store_that_is_away_changes_nothing()
+    {
+        world_.begin();
+        for (const unsigned status : {503U, 429U, 500U}) {
+            world_.store().answer_with(status);
+            const unsigned before = world_.store().calls();
+            world::wait("calls", [this, before] {
+                return world_.store().calls() > before + 2;
+            });
+            CPPUNIT_ASSERT_EQUAL(200U, world_.call("GET", "/plain/").status);
+            CPPUNIT_ASSERT(world_.is_ready());
+        }
+        world_.publish(2, "k2");
+        world_.store().answer_with(0);
+        world::wait("version 2", [this] { return version() == 2; });
+    }
+
+    void test_history_that_is_dropped_is_read_anew()
+    {
+        world_.begin();
+        world_.store().answer_with(503);
+        world_.publish(8);
+        world_.store().compact();
+        world_.store().answer_with(0);
+        world::wait("version 8", [this] { return version() == 8; });
+    }
+
+    void test_a_stream_arrives_whole()
+    {
+        const auto stream = [](http::exchange& asked) -> asio::awaitable<void> {
+            http::response head = stand_in_server::answer(asked, 200, "");
+            [[maybe_unused]] auto sent =
+                co_await asked.start_stream(200, head.fields);
+            for (int id = 1; id <= 3; ++id) {
+                sent = co_await asked.write_chunk(event(id));
+                co_await sleep(asked, 5);
+            }
+            sent = co_await asked.finish_stream();
+        };
+        world_.first().behave(stream);
+        world_.second().behave(stream);
+        world_.begin();
+        const auto answer = world_.call("POST", "/stream/");
+        CPPUNIT_ASSERT_EQUAL(200U, answer.status);
+        CPPUNIT_ASSERT_EQUAL(event(1) + event(2) + event(3), answer.body);
+    }
+
+    /// A server that streams events until a last copy stops it, and goes on
+    /// after the event that a continuation names.
+    struct moving_server
+    {
+        std::atomic<bool> stopped = false;
+        std::atomic<int> sent = 0;
+        unsigned last_copy_status = 200;
+
+        asio::awaitable<void> operator()(http::exchange& asked)
+        {
+            const http::request& request = asked.received();
+            if (request.target == "/api/kv-move") {
+                co_await copy(asked);
+                co_return;
+            }
+            if (request.target.starts_with("/api/"))
+                co_return;
+            co_await stream(asked);
+        }
+
+        asio::awaitable<void> copy(http::exchange& asked)
+        {
+            const bool is_last =
+                asked.received().body.find("last") != std::string::npos;
+            stopped = stopped || is_last;
+            http::response done = stand_in_server::answer(
+                asked, is_last ? last_copy_status : 200, R"({"handle":"c7"})");
+            [[maybe_unused]] const auto said =
+                co_await asked.respond(std::move(done));
+        }
+
+        asio::awaitable<void> stream(http::exchange& asked)
+        {
+            const auto& fields = asked.received().fields;
+            const bool resumes = fields.find("Kv-From").has_value();
+            const auto last = fields.find("Last-Event-Id");
+            int id = last ? std::stoi(std::string(*last)) : 0;
+            http::response head = stand_in_server::answer(asked, 200, "");
+            [[maybe_unused]] auto said =
+                co_await asked.start_stream(200, head.fields);
+            const int end = resumes ? id + 5 : 1000;
+            while (id < end) {
+                if (stopped && !resumes)
+                    co_return; // Without its end.
+                ++id;
+                said = co_await asked.write_chunk(event(id));
+                sent = id;
+                co_await sleep(asked, 3);
+            }
+            said = co_await asked.finish_stream();
+        }
+    };
+
+    static std::string events_until(int last)
+    {
+        std::string all;
+        for (int id = 1; id <= last; ++id)
+            all += event(id);
+        return all;
+    }
+
+    void move_while_streaming(moving_server& at_first, moving_server& at_second)
+    {
+        world_.first().behave(
+            [&at_first](http::exchange& asked) -> asio::awaitable<void> {
+                co_await at_first(asked);
+            });
+        world_.second().behave(
+            [&at_second](http::exchange& asked) -> asio::awaitable<void> {
+                co_await at_second(asked);
+            });
+        world_.publish(1);
+        world_.list(world_.first(), "ready");
+        world::wait("readiness", [this] { return world_.is_ready(); });
+        http::response answer;
+        std::thread caller(
+            [this, &answer] { answer = world_.call("POST", "/stream/"); });
+        world::wait("events", [&at_first] { return at_first.sent > 3; });
+        world_.list(world_.second(), "ready");
+        world_.list(world_.first(), "draining");
+        caller.join();
+        answer_ = answer;
+    }
+
+    http::response answer_;
+
+    void test_a_stream_goes_on_where_its_server_leaves()
+    {
+        moving_server at_first;
+        moving_server at_second;
+        move_while_streaming(at_first, at_second);
+        CPPUNIT_ASSERT_EQUAL(200U, answer_.status);
+        CPPUNIT_ASSERT_EQUAL(events_until(at_second.sent), answer_.body);
+        const auto resumed = world_.second().received();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, resumed.size());
+        CPPUNIT_ASSERT(
+            resumed.front().fields.find("Kv-From") ==
+            world_.first().address() + "/c7");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world_.first().count("/stream/"));
+    }
+
+    void test_a_stopped_run_goes_on_at_home_when_nobody_has_room()
+    {
+        moving_server at_first;
+        moving_server at_second;
+        at_first.last_copy_status = 503;
+        move_while_streaming(at_first, at_second);
+        CPPUNIT_ASSERT_EQUAL(200U, answer_.status);
+        CPPUNIT_ASSERT_EQUAL(events_until(at_first.sent), answer_.body);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, world_.first().count("/stream/"));
+        CPPUNIT_ASSERT(world_.second().received().empty());
+    }
+
+    void test_a_broken_stream_does_not_look_complete()
+    {
+        const auto stream = [](http::exchange& asked) -> asio::awaitable<void> {
+            http::response head = stand_in_server::answer(asked, 200, "");
+            [[maybe_unused]] auto sent =
+                co_await asked.start_stream(200, head.fields);
+            sent = co_await asked.write_chunk(event(1) + "id: 2\nda");
+            co_await sleep(asked, 20);
+            asked.cut();
+        };
+        world_.first().behave(stream);
+        world_.second().behave(stream);
+        world_.begin();
+        // `call` fails the test itself when the body is cut.
+        CPPUNIT_ASSERT_THROW(
+            world_.call("POST", "/stream/"), CppUnit::Exception);
+    }
+
+    void test_a_leaving_server_gets_nothing_new()
+    {
+        world_.begin();
+        world_.list(world_.first(), "draining");
+        for (int count = 0; count < 10; ++count)
+            CPPUNIT_ASSERT_EQUAL(200U, world_.call("GET", "/plain/").status);
+        world_.store().put("keyed.servers", "i-2", std::nullopt);
+        world::wait("the second to leave", [this] {
+            return world_.call("GET", "/plain/").status == 503;
+        });
+        CPPUNIT_ASSERT(world_.first().received().empty());
+    }
+
+    void test_a_leaving_server_is_seen_while_the_store_is_away()
+    {
+        moving_server at_first;
+        moving_server at_second;
+        std::atomic<bool> leaves = false;
+        world_.first().behave(
+            [&](http::exchange& asked) -> asio::awaitable<void> {
+                if (asked.received().target != "/api/report") {
+                    co_await at_first(asked);
+                    co_return;
+                }
+                http::response report = stand_in_server::answer(
+                    asked,
+                    200,
+                    leaves ? R"({"state":"draining"})"
+                           : R"({"state":"ready"})");
+                [[maybe_unused]] const auto said =
+                    co_await asked.respond(std::move(report));
+            });
+        world_.second().behave(
+            [&at_second](http::exchange& asked) -> asio::awaitable<void> {
+                co_await at_second(asked);
+            });
+        world_.publish(1);
+        world_.list(world_.first(), "ready");
+        world::wait("readiness", [this] { return world_.is_ready(); });
+        http::response answer;
+        std::thread caller(
+            [this, &answer] { answer = world_.call("POST", "/stream/"); });
+        world::wait("events", [&at_first] { return at_first.sent > 3; });
+        world_.list(world_.second(), "ready");
+        world_.store().answer_with(503);
+        leaves = true;
+        caller.join();
+        CPPUNIT_ASSERT_EQUAL(200U, answer.status);
+        CPPUNIT_ASSERT_EQUAL(events_until(at_second.sent), answer.body);
+    }
+
+    std::uint64_t version()
+    {
+        return world_.look<std::uint64_t>([](entry::entry_process& process) {
+            return process.context().routes->version();
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(world_test);
+
+} // namespace
