--- a/libraries/wire/include/godwit/wire/listed_servers.hpp
+++ b/libraries/wire/include/godwit/wire/listed_servers.hpp
@@ -24,7 +24,7 @@
     operator==(const listed_server&, const listed_server&) = default;
 };
 
-/// The whole list of servers, from a host that reads it at its source.
+/// Servers of the list: all of them on a new link, then what changes.
 struct listed_servers
 {
     std::vector<listed_server> servers;
--- a/libraries/wire/src/godwit_generated.h
+++ b/libraries/wire/src/godwit_generated.h
@@ -2735,7 +2735,10 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_WORK = 4,
-    VT_READS_LIST = 6
+    VT_READS_LIST = 6,
+    VT_READER = 8,
+    VT_READER_AGE_MS = 10,
+    VT_ZONE_TOKENS = 12
   };
   const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::server_work>> *work() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::server_work>> *>(VT_WORK);
@@ -2743,12 +2746,25 @@
   bool reads_list() const {
     return GetField<uint8_t>(VT_READS_LIST, 0) != 0;
   }
+  const flatbuffers::String *reader() const {
+    return GetPointer<const flatbuffers::String *>(VT_READER);
+  }
+  uint32_t reader_age_ms() const {
+    return GetField<uint32_t>(VT_READER_AGE_MS, 0);
+  }
+  uint64_t zone_tokens() const {
+    return GetField<uint64_t>(VT_ZONE_TOKENS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_WORK) &&
            verifier.VerifyVector(work()) &&
            verifier.VerifyVectorOfTables(work()) &&
            VerifyField<uint8_t>(verifier, VT_READS_LIST, 1) &&
+           VerifyOffset(verifier, VT_READER) &&
+           verifier.VerifyString(reader()) &&
+           VerifyField<uint32_t>(verifier, VT_READER_AGE_MS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_ZONE_TOKENS, 8) &&
            verifier.EndTable();
   }
 };
@@ -2763,6 +2779,15 @@
   void add_reads_list(bool reads_list) {
     fbb_.AddElement<uint8_t>(host_work::VT_READS_LIST, static_cast<uint8_t>(reads_list), 0);
   }
+  void add_reader(flatbuffers::Offset<flatbuffers::String> reader) {
+    fbb_.AddOffset(host_work::VT_READER, reader);
+  }
+  void add_reader_age_ms(uint32_t reader_age_ms) {
+    fbb_.AddElement<uint32_t>(host_work::VT_READER_AGE_MS, reader_age_ms, 0);
+  }
+  void add_zone_tokens(uint64_t zone_tokens) {
+    fbb_.AddElement<uint64_t>(host_work::VT_ZONE_TOKENS, zone_tokens, 0);
+  }
   explicit host_workBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2777,8 +2802,14 @@
 inline flatbuffers::Offset<host_work> Createhost_work(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::server_work>>> work = 0,
-    bool reads_list = false) {
+    bool reads_list = false,
+    flatbuffers::Offset<flatbuffers::String> reader = 0,
+    uint32_t reader_age_ms = 0,
+    uint64_t zone_tokens = 0) {
   host_workBuilder builder_(_fbb);
+  builder_.add_zone_tokens(zone_tokens);
+  builder_.add_reader_age_ms(reader_age_ms);
+  builder_.add_reader(reader);
   builder_.add_work(work);
   builder_.add_reads_list(reads_list);
   return builder_.Finish();
@@ -2792,12 +2823,19 @@
 inline flatbuffers::Offset<host_work> Createhost_workDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<flatbuffers::Offset<godwit::wire::format::server_work>> *work = nullptr,
-    bool reads_list = false) {
+    bool reads_list = false,
+    const char *reader = nullptr,
+    uint32_t reader_age_ms = 0,
+    uint64_t zone_tokens = 0) {
   auto work__ = work ? _fbb.CreateVector<flatbuffers::Offset<godwit::wire::format::server_work>>(*work) : 0;
+  auto reader__ = reader ? _fbb.CreateString(reader) : 0;
   return godwit::wire::format::Createhost_work(
       _fbb,
       work__,
-      reads_list);
+      reads_list,
+      reader__,
+      reader_age_ms,
+      zone_tokens);
 }
 
 struct link_claim FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/libraries/wire/src/message_reader.cpp
+++ b/libraries/wire/src/message_reader.cpp
@@ -228,7 +228,10 @@
 {
     return host_work{
         .work = reader.list<server_work>(table.work()),
-        .reads_list = table.reads_list()};
+        .reads_list = table.reads_list(),
+        .reader = reader.text(table.reader()),
+        .reader_age_ms = table.reader_age_ms(),
+        .zone_tokens = table.zone_tokens()};
 }
 
 link_claim read(const format::link_claim& table, frame_reader& reader)
--- a/libraries/wire/src/message_writer.cpp
+++ b/libraries/wire/src/message_writer.cpp
@@ -284,7 +284,12 @@
 write(builder& out, const host_work& value)
 {
     return format::Createhost_work(
-        out, list(out, value.work), value.reads_list);
+        out,
+        list(out, value.work),
+        value.reads_list,
+        out.CreateString(value.reader),
+        value.reader_age_ms,
+        value.zone_tokens);
 }
 
 flatbuffers::Offset<format::link_claim>
--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -18,6 +18,8 @@
 
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -64,6 +66,12 @@
     /// tell the others; one of them is enough, and each read has its price.
     [[nodiscard]] bool is_quick_reader() const;
 
+    /// How many entry hosts are known.
+    [[nodiscard]] std::size_t fleet_size() const noexcept
+    {
+        return fleet_size_;
+    }
+
     /// The entry hosts of the fleet.
     void set_hosts(const std::vector<known_host>& hosts);
 
@@ -92,14 +100,20 @@
     void tell_work();
     void tell_servers();
     [[nodiscard]] wire::listed_servers servers_to_tell() const;
+    [[nodiscard]] wire::listed_server
+    server_to_tell(const placement::server_id& id) const;
+    [[nodiscard]] std::uint64_t own_zone_tokens() const;
+    [[nodiscard]] bool is_engine(const core::service_name& name) const;
+    [[nodiscard]] std::optional<core::host_name> first_reader() const;
     [[nodiscard]] wire::host_work work_to_tell() const;
     [[nodiscard]] std::vector<wire::message> greeting() const;
-    void hear(const core::host_name& host, wire::message said);
+    void hear(const wire::hello& peer, wire::message said);
     void
     hear_servers(const core::host_name& host, const wire::listed_servers& said);
     void hear_sign(const core::host_name& host, const wire::server_sign& said);
     void hear_claim(const core::host_name& host, const wire::link_claim& said);
-    void hear_work(const core::host_name& host, const wire::host_work& said);
+    void hear_work(const wire::hello& peer, const wire::host_work& said);
+    void hear_reader(const core::host_name& host, const wire::host_work& said);
 
     boost::asio::io_context& io_;
     entry_context context_;
@@ -119,7 +133,8 @@
     report_poller reports_;
     core::time_point polled_at_{};
     list_outage outage_;
-    bool has_servers_to_tell_ = false;
+    std::set<placement::server_id> changed_servers_; ///< Not told yet.
+    std::size_t fleet_size_ = 1;
     bool has_servers_ = false;
     bool was_ready_ = false;
 };
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -33,10 +33,8 @@
 constexpr core::duration report_span = std::chrono::milliseconds(250);
 // A neighbour that dies while it holds a link holds up others no longer.
 constexpr core::duration longest_link_claim = std::chrono::milliseconds(500);
-// The name that the adapter gives the list's source.
-constexpr std::string_view store_source = "store";
-// Three words of a reader that were not heard.
-constexpr core::duration reader_lifetime = std::chrono::milliseconds(1500);
+// A reader whose word is older, over several hosts, may have gone.
+constexpr core::duration reader_lifetime = std::chrono::milliseconds(2000);
 constexpr core::duration stop_watch_span = std::chrono::milliseconds(50);
 // The table's limits come from outside; a buffer of this size a connection
 // is the most that the memory of a small host can bear.
@@ -54,6 +52,12 @@
     return made;
 }
 
+std::uint32_t age_ms(core::duration age)
+{
+    return static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
+}
+
 } // namespace
 
 core::result<std::unique_ptr<entry_process>> entry_process::create(
@@ -112,8 +116,8 @@
         context_.settings,
         neighbour_handlers{
             [this] { return greeting(); },
-            [this](const core::host_name& host, wire::message said) {
-                hear(host, std::move(said));
+            [this](const wire::hello& peer, wire::message said) {
+                hear(peer, std::move(said));
             }}));
     return {};
 }
@@ -231,7 +235,7 @@
         left(server.id, source);
     if (change != placement::directory_change::appeared)
         return;
-    has_servers_to_tell_ = true;
+    changed_servers_.insert(server.id);
     context_.connections->forget(server.address);
     log_event(
         log_level::info,
@@ -262,9 +266,9 @@
         component,
         "server_left",
         {{"server", server}, {"source", source}});
-    has_servers_to_tell_ = true;
-    if (outage_.is_current() && source == store_source)
-        tell_servers();
+    // At once, and on from host to host: the notice is short.
+    changed_servers_.insert(server);
+    tell_servers();
     context_.health.forget(server);
     context_.streams.server_leaves(server);
 }
@@ -280,18 +284,19 @@
         component,
         "server_list",
         {{"current", is_current}, {"steady", is_steady}});
-    has_servers_to_tell_ = has_servers_to_tell_ || is_current;
 }
 
 void entry_process::servers_are_known()
 {
     has_servers_ = true;
-    has_servers_to_tell_ = true;
 }
 
 void entry_process::set_hosts(const std::vector<known_host>& hosts)
 {
     context_.budgets.set_hosts(hosts.size());
+    fleet_size_ = hosts.size();
+    if (hosts.size() > full_mesh)
+        context_.zones.set_heard({context_.settings.zone});
     neighbours_->set_hosts(hosts);
 }
 
@@ -310,21 +315,26 @@
 wire::listed_servers entry_process::servers_to_tell() const
 {
     wire::listed_servers said;
-    for (const auto& id : context_.directory.ids()) {
-        const placement::backend_server& known = *context_.directory.find(id);
-        const bool is_leaving = !context_.directory.is_usable(id);
-        said.servers.push_back(wire::listed_server{
-            id.value(),
-            core::server_address(known.address.to_string()),
-            known.zone,
-            known.service,
-            known.slots,
-            is_leaving ? wire::server_state::leaving : wire::server_state::live,
-            known.revision});
-    }
+    for (const auto& id : context_.directory.ids())
+        said.servers.push_back(server_to_tell(id));
     return said;
 }
 
+wire::listed_server
+entry_process::server_to_tell(const placement::server_id& id) const
+{
+    const placement::backend_server& known = *context_.directory.find(id);
+    const bool is_leaving = !context_.directory.is_usable(id);
+    return wire::listed_server{
+        id.value(),
+        core::server_address(known.address.to_string()),
+        known.zone,
+        known.service,
+        known.slots,
+        is_leaving ? wire::server_state::leaving : wire::server_state::live,
+        known.revision};
+}
+
 wire::host_work entry_process::work_to_tell() const
 {
     wire::host_work said;
@@ -332,15 +342,53 @@
         said.work.push_back(wire::server_work{
             server.value(), work.requests, work.tokens, work.unread_tokens});
     said.reads_list = outage_.is_current();
+    const core::time_point now = core::monotonic_now();
+    if (const auto reader = first_reader(); reader && !said.reads_list) {
+        said.reader = reader->value();
+        said.reader_age_ms = age_ms(now - readers_.at(*reader));
+    } else if (reader && *reader < context_.settings.host) {
+        said.reader = reader->value();
+        said.reader_age_ms = age_ms(now - readers_.at(*reader));
+    }
+    said.zone_tokens = own_zone_tokens();
     return said;
 }
 
 void entry_process::tell_servers()
 {
-    if (!has_servers_to_tell_ || !outage_.is_current() || !has_servers_)
+    if (changed_servers_.empty())
         return;
-    has_servers_to_tell_ = false;
-    neighbours_->broadcast(servers_to_tell());
+    wire::listed_servers said;
+    for (const auto& id : std::exchange(changed_servers_, {})) {
+        if (context_.directory.find(id) != nullptr)
+            said.servers.push_back(server_to_tell(id));
+    }
+    neighbours_->broadcast(said);
+}
+
+// The mean over the engines of the own zone of what all hosts have there, as
+// far as this one hears them.
+std::uint64_t entry_process::own_zone_tokens() const
+{
+    const core::time_point now = core::monotonic_now();
+    std::uint64_t sum = 0;
+    std::uint64_t engines = 0;
+    for (const auto& id : context_.directory.ids()) {
+        const placement::backend_server& server = *context_.directory.find(id);
+        if (!context_.directory.is_usable(id) ||
+            server.zone != context_.settings.zone || !is_engine(server.service))
+            continue;
+        sum += context_.ledger.at(id, now).tokens;
+        ++engines;
+    }
+    return engines == 0 ? 0 : sum / engines;
+}
+
+bool entry_process::is_engine(const core::service_name& name) const
+{
+    const routing::service* service =
+        context_.routes ? context_.routes->find_service(name) : nullptr;
+    return service != nullptr && service->engine.has_value();
 }
 
 void entry_process::poll_reports()
@@ -356,22 +404,23 @@
 {
     const core::time_point now = core::monotonic_now();
     wire::host_work said = work_to_tell();
-    if (said == told_work_ && now - told_work_at_ < work_refresh)
+    if (said.work == told_work_.work && now - told_work_at_ < work_refresh)
         return;
     neighbours_->broadcast(said);
     told_work_ = std::move(said);
     told_work_at_ = now;
 }
 
-void entry_process::hear(const core::host_name& host, wire::message said)
+void entry_process::hear(const wire::hello& peer, wire::message said)
 {
+    const core::host_name& host = peer.host;
     if (const auto* table = std::get_if<wire::table_document>(&said)) {
         if (!context_.routes || table->version > context_.routes->version())
             take_table(table->text, host.value());
     } else if (const auto* servers = std::get_if<wire::listed_servers>(&said)) {
         hear_servers(host, *servers);
     } else if (const auto* work = std::get_if<wire::host_work>(&said)) {
-        hear_work(host, *work);
+        hear_work(peer, *work);
     } else if (const auto* sign = std::get_if<wire::server_sign>(&said)) {
         hear_sign(host, *sign);
     } else if (const auto* claim = std::get_if<wire::link_claim>(&said)) {
@@ -435,22 +484,45 @@
 // that read it now. When it falls silent the next one takes over; meanwhile
 // everybody's own slow reads go on.
 bool entry_process::is_quick_reader() const
+{
+    const auto reader = first_reader();
+    return !reader || *reader >= context_.settings.host;
+}
+
+std::optional<core::host_name> entry_process::first_reader() const
 {
     const core::time_point now = core::monotonic_now();
-    return std::none_of(
-        readers_.begin(), readers_.end(), [this, now](const auto& reader) {
-            return reader.first < context_.settings.host &&
-                   now - reader.second < reader_lifetime;
-        });
+    for (const auto& [host, heard_at] : readers_) {
+        if (now - heard_at < reader_lifetime)
+            return host;
+    }
+    return std::nullopt;
 }
 
-void entry_process::hear_work(
+void entry_process::hear_reader(
     const core::host_name& host, const wire::host_work& said)
 {
+    const core::time_point now = core::monotonic_now();
     if (said.reads_list)
-        readers_[host] = core::monotonic_now();
+        readers_[host] = now;
     else
         readers_.erase(host);
+    const core::host_name told(said.reader);
+    if (told.empty() || told == host || told == context_.settings.host)
+        return;
+    const core::time_point told_at =
+        now - std::chrono::milliseconds(said.reader_age_ms);
+    const auto known = readers_.find(told);
+    if (known == readers_.end() || known->second < told_at)
+        readers_[told] = told_at;
+}
+
+void entry_process::hear_work(
+    const wire::hello& peer, const wire::host_work& said)
+{
+    const core::host_name& host = peer.host;
+    hear_reader(host, said);
+    context_.zones.hear(peer.zone, said.zone_tokens, core::monotonic_now());
     if (said.reads_list)
         outage_.neighbour_reads(core::monotonic_now());
     std::vector<placement::server_work> word;
