--- a/libraries/placement/include/godwit/placement/placer.hpp
+++ b/libraries/placement/include/godwit/placement/placer.hpp
@@ -41,6 +41,17 @@
     no_room,   ///< There are servers, but all of them are full.
 };
 
+/// The server that was chosen, and why: its load as it was known.
+struct placement_choice
+{
+    backend_server server;
+    work_size load;
+    double cost = 0; ///< Lower is better; only compared with others.
+
+    friend bool
+    operator==(const placement_choice&, const placement_choice&) = default;
+};
+
 /// Chooses backend servers by their load, health and distance.
 class placer
 {
@@ -54,7 +65,7 @@
 
     /// The best server for the request. Servers that are avoided are taken
     /// only when no other one is left.
-    [[nodiscard]] tl::expected<backend_server, placement_obstacle>
+    [[nodiscard]] tl::expected<placement_choice, placement_obstacle>
     choose(const placement_request& wanted, core::time_point now);
 
 private:
--- a/libraries/placement/src/placer.cpp
+++ b/libraries/placement/src/placer.cpp
@@ -1,7 +1,6 @@
 #include <godwit/placement/placer.hpp>
 
 #include <algorithm>
-#include <limits>
 #include <optional>
 
 namespace godwit::placement {
@@ -60,6 +59,8 @@
         static_cast<double>(wanted.service->engine->memory_tokens));
     load.tokens = std::max(
         load.tokens, zones_.mean_tokens(server.zone, now).value_or(unheard));
+    // It is not empty: an empty server would take a request of any size.
+    load.requests = std::max<std::uint32_t>(load.requests, 1);
     return load;
 }
 
@@ -105,11 +106,10 @@
     return sum;
 }
 
-tl::expected<backend_server, placement_obstacle>
+tl::expected<placement_choice, placement_obstacle>
 placer::choose(const placement_request& wanted, core::time_point now)
 {
-    const backend_server* best = nullptr;
-    double best_cost = std::numeric_limits<double>::max();
+    std::optional<placement_choice> best;
     bool best_is_avoided = true;
     bool any = false;
     for (const backend_server* candidate :
@@ -130,16 +130,15 @@
                                   : jitter;
         const double own_cost =
             cost(wanted, *candidate, load) + spread * random_.unit();
-        const bool is_better = best_is_avoided != is_avoided
-                                   ? best_is_avoided
-                                   : own_cost < best_cost;
-        if (best != nullptr && !is_better)
+        const bool is_better =
+            !best || (best_is_avoided != is_avoided ? best_is_avoided
+                                                    : own_cost < best->cost);
+        if (!is_better)
             continue;
-        best = candidate;
-        best_cost = own_cost;
+        best = placement_choice{*candidate, load, own_cost};
         best_is_avoided = is_avoided;
     }
-    if (best != nullptr)
+    if (best)
         return *best;
     return tl::unexpected(
         any ? placement_obstacle::no_room : placement_obstacle::no_server);
--- a/services/entry/include/godwit/entry/call_log.hpp
+++ b/services/entry/include/godwit/entry/call_log.hpp
@@ -4,6 +4,7 @@
 #include <godwit/entry/accepted_call.hpp>
 #include <godwit/entry/refusal.hpp>
 #include <godwit/placement/backend_server.hpp>
+#include <godwit/placement/placer.hpp>
 
 #include <cstdint>
 #include <string_view>
@@ -18,6 +19,10 @@
     std::uint64_t table_version,
     core::duration waited);
 
+/// A request goes to a backend server, chosen by its load as it was known.
+void log_placed(
+    const accepted_call& call, const placement::placement_choice& choice);
+
 /// A send to a backend server failed, or was turned away.
 void log_send_failed(
     const accepted_call& call,
--- a/services/entry/include/godwit/entry/entry_context.hpp
+++ b/services/entry/include/godwit/entry/entry_context.hpp
@@ -51,6 +51,8 @@
     link_claims claims;
     /// Tells the neighbours something; set by the process.
     std::function<void(const wire::message&)> tell;
+    /// Work was added at a server; set by the process.
+    std::function<void()> on_work_added;
     std::unique_ptr<http::connection_pool> connections;
     bool is_stopping = false;
 };
--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -98,6 +98,7 @@
     void left(const placement::server_id& server, std::string_view source);
     void poll_reports();
     void tell_work();
+    void tell_work_soon();
     void tell_servers();
     [[nodiscard]] wire::listed_servers servers_to_tell() const;
     [[nodiscard]] wire::listed_server
@@ -135,6 +136,7 @@
     list_outage outage_;
     std::set<placement::server_id> changed_servers_; ///< Not told yet.
     std::size_t fleet_size_ = 1;
+    bool is_telling_work_ = false;
     bool has_servers_ = false;
     bool was_ready_ = false;
 };
--- a/services/entry/src/call_log.cpp
+++ b/services/entry/src/call_log.cpp
@@ -37,6 +37,25 @@
          {"waited_ms", milliseconds(waited)}});
 }
 
+void log_placed(
+    const accepted_call& call, const placement::placement_choice& choice)
+{
+    telemetry::log_event(
+        telemetry::log_level::info,
+        component,
+        "placed",
+        {{"request", call.terms.attempt_id},
+         {"route", call.via.name},
+         {"server", choice.server.id},
+         {"server_zone", choice.server.zone},
+         {"server_requests", choice.load.requests},
+         {"server_tokens", choice.load.tokens},
+         {"server_unread", choice.load.unread_tokens},
+         {"cost", choice.cost},
+         {"table_version", call.routes->version()},
+         {"waited_ms", milliseconds(core::monotonic_now() - call.arrived)}});
+}
+
 void log_send_failed(
     const accepted_call& call,
     const placement::backend_server& server,
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -2,6 +2,7 @@
 
 #include <godwit/telemetry/log.hpp>
 
+#include <boost/asio/post.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
@@ -132,6 +133,9 @@
     context_.tell = [this](const wire::message& said) {
         neighbours_->broadcast(said);
     };
+    context_.on_work_added = [this] {
+        tell_work_soon();
+    };
     neighbours_->start();
     tick();
     log_event(
@@ -411,6 +415,19 @@
     told_work_at_ = now;
 }
 
+// At once, so that hosts which choose within milliseconds of each other do
+// not all choose the server that was the emptiest; what ends may wait for the
+// next tick.
+void entry_process::tell_work_soon()
+{
+    if (std::exchange(is_telling_work_, true))
+        return;
+    asio::post(io_, [this] {
+        is_telling_work_ = false;
+        tell_work();
+    });
+}
+
 void entry_process::hear(const wire::hello& peer, wire::message said)
 {
     const core::host_name& host = peer.host;
--- a/services/entry/src/migrator.cpp
+++ b/services/entry/src/migrator.cpp
@@ -166,7 +166,7 @@
         refused_.clear();
         return false;
     }
-    destination_ = *found;
+    destination_ = found->server;
     reserved_.reset();
     reserved_.emplace(context_, destination_->id, work_);
     return true;
--- a/services/entry/src/reservation.cpp
+++ b/services/entry/src/reservation.cpp
@@ -11,6 +11,8 @@
     : context_(context), server_(std::move(server)), work_(work)
 {
     context_.ledger.add(server_, work_);
+    if (context_.on_work_added)
+        context_.on_work_added();
 }
 
 reservation::~reservation()
--- a/services/entry/src/stream_call.cpp
+++ b/services/entry/src/stream_call.cpp
@@ -151,8 +151,10 @@
         const core::time_point now = core::monotonic_now();
         if (is_my_turn) {
             const auto found = context_.chooser.choose(wanted, now);
-            if (found)
-                co_return *found;
+            if (found) {
+                log_placed(*call_, *found);
+                co_return found->server;
+            }
         }
         if (now >= end)
             co_return std::nullopt;
--- a/services/entry/src/whole_call.cpp
+++ b/services/entry/src/whole_call.cpp
@@ -95,8 +95,10 @@
     while (!caller_gone_) {
         const core::time_point now = core::monotonic_now();
         const auto found = context_.chooser.choose(wanted, now);
-        if (found)
-            co_return *found;
+        if (found) {
+            log_placed(call_, *found);
+            co_return found->server;
+        }
         if (now >= end || !tried_.empty())
             co_return std::nullopt;
         waiting_line::place waiting(
--- a/tests/placement/placer_test.cpp
+++ b/tests/placement/placer_test.cpp
@@ -59,7 +59,7 @@
     {
         const auto chosen = placer_.choose(wanted_, at_ms(now_ms));
         if (chosen)
-            return chosen->id.value();
+            return chosen->server.id.value();
         return chosen.error() == placement_obstacle::no_room ? "no room"
                                                              : "no server";
     }
@@ -159,7 +159,7 @@
         std::set<std::string> chosen;
         for (std::uint64_t host = 0; host < 12; ++host) {
             placer other(directory_, ledger_, health_, zones_, host);
-            chosen.insert(other.choose(wanted_, at_ms(0))->id.value());
+            chosen.insert(other.choose(wanted_, at_ms(0))->server.id.value());
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, chosen.size());
     }
