--- a/libraries/placement/src/placer.cpp
+++ b/libraries/placement/src/placer.cpp
@@ -9,9 +9,9 @@
 
 // The share of a server's memory that starts may plan to fill. What stays
 // free takes generations that come from a server that leaves.
-constexpr double start_memory_share = 0.85;
+constexpr double start_memory_share = 0.95;
 // Migrations may fill what a server has; beyond it somebody is preempted.
-constexpr double migration_memory_share = 0.98;
+constexpr double migration_memory_share = 1.05;
 // Unread prompt tokens that weigh as much as a whole memory: about a second
 // of reading beside running generations.
 constexpr double unread_tokens_weight = 7000.0;
--- a/libraries/routing/include/godwit/routing/engine_profile.hpp
+++ b/libraries/routing/include/godwit/routing/engine_profile.hpp
@@ -11,6 +11,7 @@
     std::uint64_t memory_tokens = 0; ///< Tokens of all of them together.
     std::uint64_t token_bytes = 0;   ///< Memory of one token, in bytes.
     double link_mbit_per_second = 0; ///< For copies of memory.
+    std::uint32_t tokens_per_event = 1;
     bool moves = false;   ///< A generation can go on at another server.
     bool backups = false; ///< Copies its memory elsewhere as it grows.
 
--- a/services/entry/include/godwit/entry/reservation.hpp
+++ b/services/entry/include/godwit/entry/reservation.hpp
@@ -4,6 +4,8 @@
 #include <godwit/placement/backend_server.hpp>
 #include <godwit/placement/work_size.hpp>
 
+#include <cstdint>
+
 namespace godwit::entry {
 
 /// Work that this host has at a backend server, entered in the ledger for
@@ -23,6 +25,9 @@
     /// The prompt has been read.
     void prompt_is_read();
 
+    /// The work takes this much memory now.
+    void set_tokens(std::uint64_t tokens);
+
 private:
     entry_context& context_;
     placement::server_id server_;
--- a/services/entry/include/godwit/entry/stream_call.hpp
+++ b/services/entry/include/godwit/entry/stream_call.hpp
@@ -39,6 +39,8 @@
 private:
     boost::asio::awaitable<bool> start();
     boost::asio::awaitable<std::optional<placement::backend_server>> place();
+    boost::asio::awaitable<std::optional<placement::backend_server>>
+    place_until(core::time_point end, int priority);
     boost::asio::awaitable<std::optional<http::response_head>>
     send_to(placement::backend_server server);
     boost::asio::awaitable<void> relay(http::response_head head);
@@ -54,6 +56,7 @@
         const placement::server_id& server,
         std::optional<continuation> resumes) const;
     [[nodiscard]] placement::work_size work() const;
+    [[nodiscard]] std::uint64_t memory_tokens() const;
     [[nodiscard]] std::uint32_t expected_output() const;
     void adopt(std::shared_ptr<upstream> serving);
     void leave_server();
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -59,6 +59,21 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
 }
 
+bool is_same_but_growth(
+    const wire::host_work& left, const wire::host_work& right)
+{
+    return std::equal(
+        left.work.begin(),
+        left.work.end(),
+        right.work.begin(),
+        right.work.end(),
+        [](const wire::server_work& one, const wire::server_work& other) {
+            return one.server == other.server &&
+                   one.requests == other.requests &&
+                   one.unread_tokens == other.unread_tokens;
+        });
+}
+
 } // namespace
 
 core::result<std::unique_ptr<entry_process>> entry_process::create(
@@ -408,7 +423,9 @@
 {
     const core::time_point now = core::monotonic_now();
     wire::host_work said = work_to_tell();
-    if (said.work == told_work_.work && now - told_work_at_ < work_refresh)
+    // Runs grow with each event; that alone may wait.
+    if (is_same_but_growth(said, told_work_) &&
+        now - told_work_at_ < work_refresh)
         return;
     neighbours_->broadcast(said);
     told_work_ = std::move(said);
--- a/services/entry/src/reservation.cpp
+++ b/services/entry/src/reservation.cpp
@@ -21,6 +21,13 @@
     context_.line.wake();
 }
 
+void reservation::set_tokens(std::uint64_t tokens)
+{
+    context_.ledger.remove(server_, work_);
+    work_.tokens = tokens;
+    context_.ledger.add(server_, work_);
+}
+
 void reservation::prompt_is_read()
 {
     placement::work_size read;
--- a/services/entry/src/stream_call.cpp
+++ b/services/entry/src/stream_call.cpp
@@ -11,10 +11,16 @@
 
 namespace {
 
-// Of the latency objective: how long a request waits for room before it is
-// told to come back. A refusal within a quarter leaves the caller time to be
-// served on its next attempt.
-constexpr double longest_wait_share = 0.24;
+// Of the latency objective: how long a request waits as one that can still be
+// on time. About a third of the objective goes into reading the prompt.
+constexpr double timely_wait_share = 0.65;
+// After that it waits behind all that can, and takes what is left over, until
+// it is told to come back: in objectives, and at most this share of the time
+// that its caller has.
+constexpr double longest_wait_objectives = 2.5;
+constexpr double longest_wait_share = 0.3;
+// Added to the priority of a request that is late already.
+constexpr int late_priority = 1000;
 constexpr core::duration come_back_after = std::chrono::milliseconds(700);
 // Servers that may turn one request away before it is given up.
 constexpr unsigned most_refusals = 3;
@@ -23,6 +29,10 @@
 constexpr double guess_margin = 1.25;
 // Without a guess: of the most that the generation may write.
 constexpr double usual_output_share = 0.5;
+// Growth of a run that is counted ahead: about two seconds of writing. The
+// least is for runs that outlast their caller's guess.
+constexpr std::uint64_t most_growth_tokens = 200;
+constexpr std::uint64_t least_growth_tokens = 50;
 // How long the source's stopping may take to be seen on the stream.
 constexpr core::duration stopping_limit = std::chrono::seconds(3);
 constexpr unsigned first_failure = 300;
@@ -73,14 +83,28 @@
         static_cast<std::uint32_t>(guessed), size.most_output_tokens);
 }
 
+// What the run takes now, and what it will grow by soon. Counting what it
+// takes at its end would leave memory unused: while some of a batch grow,
+// others end.
+std::uint64_t stream_call::memory_tokens() const
+{
+    if (!call_->terms.generation || !call_->target.engine)
+        return 0;
+    const std::uint64_t written =
+        events_ * call_->target.engine->tokens_per_event;
+    const std::uint64_t expected = expected_output();
+    const std::uint64_t left = expected > written ? expected - written : 0;
+    return call_->terms.generation->prompt_tokens + written +
+           std::clamp(left, least_growth_tokens, most_growth_tokens);
+}
+
 placement::work_size stream_call::work() const
 {
     placement::work_size work;
     work.requests = 1;
-    if (!call_->terms.generation)
-        return work;
-    work.unread_tokens = call_->terms.generation->prompt_tokens;
-    work.tokens = work.unread_tokens + expected_output();
+    work.tokens = memory_tokens();
+    if (call_->terms.generation && events_ == 0)
+        work.unread_tokens = call_->terms.generation->prompt_tokens;
     return work;
 }
 
@@ -135,18 +159,31 @@
 }
 
 asio::awaitable<std::optional<placement::backend_server>> stream_call::place()
+{
+    const core::duration objective = call_->via.latency_objective;
+    const core::time_point timely_end =
+        call_->arrived + std::chrono::duration_cast<core::duration>(
+                             objective * timely_wait_share);
+    const auto longest = std::chrono::duration_cast<core::duration>(std::min(
+        objective * longest_wait_objectives,
+        (call_->ends - call_->arrived) * longest_wait_share));
+    auto server = co_await place_until(timely_end, call_->priority);
+    if (!server && !caller_gone_)
+        server = co_await place_until(
+            call_->arrived + longest, call_->priority + late_priority);
+    co_return server;
+}
+
+asio::awaitable<std::optional<placement::backend_server>>
+stream_call::place_until(core::time_point end, int priority)
 {
     placement::placement_request wanted;
     wanted.service = &call_->target;
     wanted.work = work();
     wanted.near = context_.settings.zone;
     wanted.excluded = tried_;
-    const auto longest = std::chrono::duration_cast<core::duration>(
-        call_->via.latency_objective * longest_wait_share);
-    const core::time_point end =
-        std::min(call_->arrived + longest, call_->ends);
     std::optional<waiting_line::place> waiting;
-    bool is_my_turn = !context_.line.is_ahead_of(call_->priority);
+    bool is_my_turn = !context_.line.is_ahead_of(priority);
     while (!caller_gone_) {
         const core::time_point now = core::monotonic_now();
         if (is_my_turn) {
@@ -159,7 +196,7 @@
         if (now >= end)
             co_return std::nullopt;
         if (!waiting)
-            waiting.emplace(context_.line, context_.executor, call_->priority);
+            waiting.emplace(context_.line, context_.executor, priority);
         waiting_ = &*waiting;
         co_await waiting->turn(end);
         waiting_ = nullptr;
@@ -337,8 +374,10 @@
         ++events_;
         ready += event.bytes;
     }
-    if (events_ > 0 && reserved_)
+    if (events_ > 0 && reserved_) {
         reserved_->prompt_is_read();
+        reserved_->set_tokens(memory_tokens());
+    }
     if (ready.empty())
         co_return true;
     watch_pause();
