entry: versions are announced, tables asked for

Cause: each new version sent the whole table over some forty links of a host at once; links of 10 Mbit/s were busy for a second, and every stream was late.

--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -108,7 +108,12 @@
     [[nodiscard]] std::optional<core::host_name> first_reader() const;
     [[nodiscard]] wire::host_work work_to_tell() const;
     [[nodiscard]] std::vector<wire::message> greeting() const;
-    void hear(const wire::hello& peer, wire::message said);
+    void hear(const std::shared_ptr<wire::link>& from, wire::message said);
+    void hear_version(
+        const std::shared_ptr<wire::link>& from, std::uint64_t version);
+    void
+    hear_table(const core::host_name& host, const wire::table_document& said);
+    void tell_table(wire::link& to) const;
     void
     hear_servers(const core::host_name& host, const wire::listed_servers& said);
     void hear_sign(const core::host_name& host, const wire::server_sign& said);
--- a/services/entry/include/godwit/entry/neighbour_links.hpp
+++ b/services/entry/include/godwit/entry/neighbour_links.hpp
@@ -22,8 +22,9 @@
 {
     /// What a neighbour should know at once when its link opens.
     std::function<std::vector<wire::message>()> on_greeting;
-    /// A neighbour, known by its introduction, said something.
-    std::function<void(const wire::hello&, wire::message)> on_message;
+    /// A neighbour said something over its link, which is introduced.
+    std::function<void(const std::shared_ptr<wire::link>&, wire::message)>
+        on_message;
 };
 
 /// The links to some other entry hosts. Each is on its own: a neighbour that
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -36,6 +36,8 @@
 constexpr core::duration longest_link_claim = std::chrono::milliseconds(500);
 // A reader whose word is older, over several hosts, may have gone.
 constexpr core::duration reader_lifetime = std::chrono::milliseconds(2000);
+// How long a version that neighbours have may take to come from the store.
+constexpr core::duration table_patience = std::chrono::milliseconds(250);
 constexpr core::duration stop_watch_span = std::chrono::milliseconds(50);
 // The table's limits come from outside; a buffer of this size a connection
 // is the most that the memory of a small host can bear.
@@ -132,8 +134,9 @@
         context_.settings,
         neighbour_handlers{
             [this] { return greeting(); },
-            [this](const wire::hello& peer, wire::message said) {
-                hear(peer, std::move(said));
+            [this](
+                const std::shared_ptr<wire::link>& from, wire::message said) {
+                hear(from, std::move(said));
             }}));
     return {};
 }
@@ -241,7 +244,7 @@
          {"organisations", content.organisations.size()}});
     context_.routes = *routes;
     table_text_ = text;
-    neighbours_->broadcast(wire::table_document{version, text});
+    neighbours_->broadcast(wire::catalogue_position{version, 0});
     context_.line.wake();
 }
 
@@ -324,7 +327,7 @@
     std::vector<wire::message> said;
     if (context_.routes)
         said.emplace_back(
-            wire::table_document{context_.routes->version(), table_text_});
+            wire::catalogue_position{context_.routes->version(), 0});
     if (outage_.is_current())
         said.emplace_back(servers_to_tell());
     said.emplace_back(work_to_tell());
@@ -445,21 +448,57 @@
     });
 }
 
-void entry_process::hear(const wire::hello& peer, wire::message said)
+void entry_process::hear(
+    const std::shared_ptr<wire::link>& from, wire::message said)
 {
-    const core::host_name& host = peer.host;
-    if (const auto* table = std::get_if<wire::table_document>(&said)) {
-        if (!context_.routes || table->version > context_.routes->version())
-            take_table(table->text, host.value());
-    } else if (const auto* servers = std::get_if<wire::listed_servers>(&said)) {
-        hear_servers(host, *servers);
-    } else if (const auto* work = std::get_if<wire::host_work>(&said)) {
+    const wire::hello& peer = *from->peer();
+    if (const auto* newest = std::get_if<wire::catalogue_position>(&said))
+        hear_version(from, newest->next_offset);
+    else if (std::holds_alternative<wire::pull>(said))
+        tell_table(*from);
+    else if (const auto* table = std::get_if<wire::table_document>(&said))
+        hear_table(peer.host, *table);
+    else if (const auto* servers = std::get_if<wire::listed_servers>(&said))
+        hear_servers(peer.host, *servers);
+    else if (const auto* work = std::get_if<wire::host_work>(&said))
         hear_work(peer, *work);
-    } else if (const auto* sign = std::get_if<wire::server_sign>(&said)) {
-        hear_sign(host, *sign);
-    } else if (const auto* claim = std::get_if<wire::link_claim>(&said)) {
-        hear_claim(host, *claim);
-    }
+    else if (const auto* sign = std::get_if<wire::server_sign>(&said))
+        hear_sign(peer.host, *sign);
+    else if (const auto* claim = std::get_if<wire::link_claim>(&said))
+        hear_claim(peer.host, *claim);
+}
+
+// A neighbour has a version. The table itself is large, and the store brings
+// it to nearly every host by itself: sent to every neighbour it kept the
+// links of small hosts busy for a second. Only who still lacks it after a
+// while asks for it.
+void entry_process::hear_version(
+    const std::shared_ptr<wire::link>& from, std::uint64_t version)
+{
+    const auto has = [this, version] {
+        return context_.routes && context_.routes->version() >= version;
+    };
+    if (has())
+        return;
+    const auto timer =
+        std::make_shared<asio::steady_timer>(io_, table_patience);
+    timer->async_wait([has, version, from, timer](const auto& failure) {
+        if (!failure && !has() && from->is_open())
+            from->send(wire::pull{version});
+    });
+}
+
+void entry_process::tell_table(wire::link& to) const
+{
+    if (context_.routes)
+        to.send(wire::table_document{context_.routes->version(), table_text_});
+}
+
+void entry_process::hear_table(
+    const core::host_name& host, const wire::table_document& said)
+{
+    if (!context_.routes || said.version > context_.routes->version())
+        take_table(said.text, host.value());
 }
 
 void entry_process::hear_claim(
--- a/services/entry/src/neighbour_links.cpp
+++ b/services/entry/src/neighbour_links.cpp
@@ -110,7 +110,7 @@
             link->send(said);
     };
     handlers.on_message = [this](const auto& link, wire::message said) {
-        handlers_.on_message(*link->peer(), std::move(said));
+        handlers_.on_message(link, std::move(said));
     };
     handlers.on_close = [](const auto& link, const core::error& why) {
         if (!link->peer())
