--- a/services/proxy/request_metrics.hpp
+++ b/libraries/telemetry/include/godwit/telemetry/request_metrics.hpp
@@ -7,7 +7,7 @@
 
 #include <optional>
 
-namespace godwit::proxy {
+namespace godwit::telemetry {
 
 /// Measures one request for the three measures: stall time, preemptions and
 /// gaps between tokens. Used on the request's strand.
@@ -15,7 +15,7 @@
 {
 public:
     request_metrics(
-        telemetry::metrics& into,
+        metrics& into,
         core::service_name service,
         core::class_name request_class,
         core::time_point accepted_at);
@@ -33,12 +33,12 @@
     void finished(core::outcome outcome, core::time_point now);
 
 private:
-    telemetry::metrics& into_;
-    telemetry::labels labels_;
+    metrics& into_;
+    labels labels_;
     prometheus::Histogram& gaps_;
     core::time_point accepted_at_;
     std::optional<core::time_point> last_token_at_;
     core::duration longest_wait_{};
 };
 
-} // namespace godwit::proxy
+} // namespace godwit::telemetry
--- a/services/proxy/request_metrics.cpp
+++ b/libraries/telemetry/src/request_metrics.cpp
@@ -1,10 +1,10 @@
-#include "request_metrics.hpp"
+#include <godwit/telemetry/request_metrics.hpp>
 
 #include <algorithm>
 #include <chrono>
 #include <utility>
 
-namespace godwit::proxy {
+namespace godwit::telemetry {
 
 namespace {
 
@@ -16,7 +16,7 @@
 } // namespace
 
 request_metrics::request_metrics(
-    telemetry::metrics& into,
+    metrics& into,
     core::service_name service,
     core::class_name request_class,
     core::time_point accepted_at)
@@ -86,4 +86,4 @@
         .Increment();
 }
 
-} // namespace godwit::proxy
+} // namespace godwit::telemetry
--- a/services/entry/include/godwit/entry/entry_context.hpp
+++ b/services/entry/include/godwit/entry/entry_context.hpp
@@ -12,6 +12,7 @@
 #include <godwit/placement/server_directory.hpp>
 #include <godwit/placement/server_health.hpp>
 #include <godwit/routing/route_table.hpp>
+#include <godwit/telemetry/metrics.hpp>
 
 #include <godwit/wire/message.hpp>
 
@@ -54,6 +55,7 @@
     /// Work was added at a server; set by the process.
     std::function<void()> on_work_added;
     std::unique_ptr<http::connection_pool> connections;
+    std::unique_ptr<telemetry::metrics> metrics;
     bool is_stopping = false;
 };
 
--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -90,6 +90,7 @@
     boost::asio::awaitable<void> answer_readiness(http::exchange& asked);
     boost::asio::awaitable<void> answer_operator(http::exchange& asked);
     [[nodiscard]] std::string state_text() const;
+    void set_gauges();
     void wait_for_signal();
     void on_signal(int number);
     void begin_stop();
--- a/services/entry/include/godwit/entry/stream_call.hpp
+++ b/services/entry/include/godwit/entry/stream_call.hpp
@@ -8,6 +8,7 @@
 #include <godwit/entry/reservation.hpp>
 #include <godwit/entry/running_stream.hpp>
 #include <godwit/entry/upstream.hpp>
+#include <godwit/telemetry/request_metrics.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -78,6 +79,7 @@
     std::optional<core::time_point> last_relayed_;
     unsigned refusals_ = 0;
     bool is_registered_ = false;
+    telemetry::request_metrics metrics_;
     bool caller_gone_ = false;
 };
 
--- a/services/entry/include/godwit/entry/whole_call.hpp
+++ b/services/entry/include/godwit/entry/whole_call.hpp
@@ -4,6 +4,7 @@
 #include <godwit/entry/entry_context.hpp>
 #include <godwit/entry/refusal.hpp>
 #include <godwit/entry/upstream.hpp>
+#include <godwit/telemetry/request_metrics.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -51,6 +52,7 @@
     std::vector<placement::server_id> tried_;
     std::shared_ptr<upstream> active_;
     waiting_line::place* waiting_ = nullptr;
+    telemetry::request_metrics metrics_;
     bool caller_gone_ = false;
 };
 
--- a/services/entry/src/call_service.cpp
+++ b/services/entry/src/call_service.cpp
@@ -127,6 +127,14 @@
         reason,
         routes ? routes->version() : 0,
         core::monotonic_now() - arrived);
+    context_.metrics
+        ->counter(
+            "godwit_unrouted_total",
+            "Requests without a route, a known key or a table.",
+            {core::service_name("none"),
+             core::class_name(std::string(to_string(reason))),
+             outcome_of(reason)})
+        .Increment();
     const bool can_come_back = reason == refusal_reason::no_routes;
     http::response answer = make_refusal(
         reason,
--- a/services/entry/src/entry_context.cpp
+++ b/services/entry/src/entry_context.cpp
@@ -34,7 +34,8 @@
           zones,
           core::stable_hash(settings.host.value())),
       budgets(settings),
-      connections(http::connection_pool::create(executor, pool_limits()))
+      connections(http::connection_pool::create(executor, pool_limits())),
+      metrics(telemetry::metrics::create())
 {}
 
 } // namespace godwit::entry
--- a/services/entry/src/stream_call.cpp
+++ b/services/entry/src/stream_call.cpp
@@ -41,7 +41,12 @@
 
 stream_call::stream_call(entry_context& context, accepted_call call)
     : context_(context),
-      call_(std::make_shared<const accepted_call>(std::move(call)))
+      call_(std::make_shared<const accepted_call>(std::move(call))),
+      metrics_(
+          *context.metrics,
+          call_->target.name,
+          core::class_name(call_->via.name),
+          call_->arrived)
 {}
 
 stream_call::~stream_call()
@@ -62,6 +67,7 @@
 
 void stream_call::caller_left()
 {
+    metrics_.finished(core::outcome::interrupted, core::monotonic_now());
     caller_gone_ = true;
     if (waiting_ != nullptr)
         waiting_->cancel();
@@ -285,6 +291,7 @@
         co_return;
     }
     active_->finish();
+    metrics_.finished(core::outcome::completed, core::monotonic_now());
     http::response answer{
         head.status,
         context_.words.returned_fields(head.fields),
@@ -341,6 +348,7 @@
             active_->finish();
             stop_migration();
             context_.health.succeeded(active_->server().id);
+            metrics_.finished(core::outcome::completed, core::monotonic_now());
             [[maybe_unused]] const auto ended =
                 co_await call_->caller.finish_stream();
             co_return;
@@ -395,6 +403,7 @@
     const core::duration objective =
         is_first ? call_->via.latency_objective : call_->via.pause_objective;
     last_relayed_ = now;
+    metrics_.tokens_arrived(now);
     if (pause > objective)
         log_late_event(
             *call_, active_->server(), last_event_, pause, objective);
@@ -437,6 +446,14 @@
         verdict = head.error().cause.message();
     else if (!runs)
         verdict = "status_" + std::to_string(head->status);
+    context_.metrics
+        ->counter(
+            "godwit_migrations_total",
+            "Running generations that went on at another server.",
+            {call_->target.name,
+             core::class_name(call_->via.name),
+             runs ? core::outcome::completed : core::outcome::interrupted})
+        .Increment();
     log_migration(
         *call_,
         source,
@@ -452,6 +469,7 @@
 
 void stream_call::cut(std::string_view cause)
 {
+    metrics_.finished(core::outcome::interrupted, core::monotonic_now());
     log_cut(*call_, active_->server(), cause, last_event_);
     active_->cancel();
     stop_migration();
@@ -466,6 +484,7 @@
         reason,
         call_->routes->version(),
         core::monotonic_now() - call_->arrived);
+    metrics_.finished(outcome_of(reason), core::monotonic_now());
     const bool can_come_back = outcome_of(reason) == core::outcome::not_run;
     http::response answer = make_refusal(
         reason,
--- a/services/entry/src/whole_call.cpp
+++ b/services/entry/src/whole_call.cpp
@@ -41,7 +41,12 @@
 } // namespace
 
 whole_call::whole_call(entry_context& context, accepted_call call)
-    : context_(context), call_(std::move(call))
+    : context_(context), call_(std::move(call)),
+      metrics_(
+          *context.metrics,
+          call_.target.name,
+          core::class_name(call_.via.name),
+          call_.arrived)
 {}
 
 asio::awaitable<void> whole_call::run()
@@ -75,6 +80,7 @@
 
 void whole_call::caller_left()
 {
+    metrics_.finished(core::outcome::interrupted, core::monotonic_now());
     caller_gone_ = true;
     if (waiting_ != nullptr)
         waiting_->cancel();
@@ -226,6 +232,7 @@
         co_await refuse(result.refusal.value_or(refusal_reason::answer_lost));
         co_return;
     }
+    metrics_.finished(core::outcome::completed, core::monotonic_now());
     // A caller that is gone meanwhile has no use for the answer, and says so
     // by its closed connection.
     [[maybe_unused]] const auto sent =
@@ -240,6 +247,7 @@
         reason,
         call_.routes->version(),
         core::monotonic_now() - call_.arrived);
+    metrics_.finished(outcome_of(reason), core::monotonic_now());
     const bool can_come_back = outcome_of(reason) == core::outcome::not_run;
     http::response answer = make_refusal(
         reason,
--- a/services/proxy/request_session.hpp
+++ b/services/proxy/request_session.hpp
@@ -8,7 +8,6 @@
 #include "dispatch_answer.hpp"
 #include "engine_event.hpp"
 #include "problem.hpp"
-#include "request_metrics.hpp"
 #include "session_services.hpp"
 
 #include <godwit/claims/claim_key.hpp>
@@ -21,6 +20,7 @@
 #include <godwit/request/events.hpp>
 #include <godwit/request/life.hpp>
 #include <godwit/request/timer.hpp>
+#include <godwit/telemetry/request_metrics.hpp>
 #include <godwit/wire/claim_answer.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -166,7 +166,7 @@
     std::shared_ptr<shared_budget> budget_;
     request::life life_;
     completion_text text_;
-    request_metrics metrics_;
+    telemetry::request_metrics metrics_;
     answer_writer writer_;
     core::time_point accepted_at_;
 
--- a/tests/platform_adapter/world.cpp
+++ b/tests/platform_adapter/world.cpp
@@ -134,10 +134,22 @@
     request.fields.set("X-Godwitworks-Attempt-Id", "a1");
     request.fields.set("X-Godwitworks-Token-Usage", "100,50");
     request.fields.set("Authorization", "Bearer " + key);
+    return send(callers(), std::move(request));
+}
+
+http::response world::ask_operators(const std::string& page)
+{
+    return send(
+        process_->context().settings.operators,
+        http::request{"GET", page, {}, {}});
+}
+
+http::response world::send(const http::endpoint& to, http::request request)
+{
     const http::fetch_limits limits{.deadline = std::chrono::seconds(10)};
     auto answered = asio::co_spawn(
         outside_,
-        http::fetch(callers(), std::move(request), limits),
+        http::fetch(to, std::move(request), limits),
         asio::use_future);
     auto answer = answered.get();
     CPPUNIT_ASSERT_MESSAGE(
--- a/tests/platform_adapter/world.hpp
+++ b/tests/platform_adapter/world.hpp
@@ -48,6 +48,9 @@
         const std::string& path,
         const std::string& key = "k1");
 
+    /// Asks for a page on the operators' address.
+    [[nodiscard]] http::response ask_operators(const std::string& page);
+
     /// Where callers connect.
     [[nodiscard]] http::endpoint callers() const;
 
@@ -63,6 +66,9 @@
     Value look(const std::function<Value(entry::entry_process&)>& look);
 
 private:
+    [[nodiscard]] http::response
+    send(const http::endpoint& to, http::request request);
+
     boost::asio::io_context outside_{1};
     boost::asio::io_context inside_{1};
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
--- a/tests/platform_adapter/world_test.cpp
+++ b/tests/platform_adapter/world_test.cpp
@@ -61,6 +61,7 @@
     CPPUNIT_TEST(test_a_broken_stream_does_not_look_complete);
     CPPUNIT_TEST(test_a_leaving_server_gets_nothing_new);
     CPPUNIT_TEST(test_a_leaving_server_is_seen_while_the_store_is_away);
+    CPPUNIT_TEST(test_metrics_and_state_are_served);
     CPPUNIT_TEST_SUITE_END();
 
     world world_;
@@ -437,6 +438,25 @@
         CPPUNIT_ASSERT_EQUAL(events_until(at_second.sent), answer.body);
     }
 
+    void test_metrics_and_state_are_served()
+    {
+        world_.begin();
+        CPPUNIT_ASSERT_EQUAL(200U, world_.call("GET", "/plain/").status);
+        const auto metrics = world_.ask_operators("/metrics").body;
+        for (const char* line :
+             {"godwit_requests_total{class=\"plain\",outcome=\"completed\","
+              "service=\"lm\"} 1\n",
+              "godwit_table_version 1\n",
+              "godwit_servers_known 2\n",
+              "godwit_server_list_current 1\n",
+              "# TYPE godwit_request_seconds histogram\n"})
+            CPPUNIT_ASSERT_MESSAGE(
+                line, metrics.find(line) != std::string::npos);
+        const auto state = world_.ask_operators("/state").body;
+        CPPUNIT_ASSERT(state.find("\"table_version\":1") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(404U, world_.ask_operators("/none").status);
+    }
+
     std::uint64_t version()
     {
         return world_.look<std::uint64_t>([](entry::entry_process& process) {
