--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -97,6 +97,7 @@
     void watch_stop();
     void tick();
     void left(const placement::server_id& server, std::string_view source);
+    void avoid_silent_servers();
     void poll_reports();
     void tell_work();
     void tell_work_soon();
--- a/services/entry/include/godwit/entry/running_stream.hpp
+++ b/services/entry/include/godwit/entry/running_stream.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <godwit/core/time.hpp>
 #include <godwit/placement/backend_server.hpp>
 
 namespace godwit::entry {
@@ -13,6 +14,10 @@
     /// The server that runs the generation leaves.
     virtual void server_leaves() = 0;
 
+    /// How long nothing has come from the server, if something should have.
+    [[nodiscard]] virtual core::duration
+    silence(core::time_point now) const = 0;
+
 protected:
     running_stream() = default;
     running_stream(const running_stream&) = default;
--- a/services/entry/include/godwit/entry/stream_call.hpp
+++ b/services/entry/include/godwit/entry/stream_call.hpp
@@ -37,6 +37,8 @@
 
     void server_leaves() override;
 
+    [[nodiscard]] core::duration silence(core::time_point now) const override;
+
 private:
     boost::asio::awaitable<bool> start();
     boost::asio::awaitable<std::optional<placement::backend_server>> place();
@@ -76,6 +78,7 @@
     std::vector<placement::server_id> tried_;
     std::uint64_t last_event_ = 0;
     std::uint64_t events_ = 0;
+    core::time_point sent_at_{};
     std::optional<core::time_point> last_relayed_;
     unsigned refusals_ = 0;
     bool is_registered_ = false;
--- a/services/entry/include/godwit/entry/stream_register.hpp
+++ b/services/entry/include/godwit/entry/stream_register.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <godwit/core/time.hpp>
 #include <godwit/entry/running_stream.hpp>
 #include <godwit/placement/backend_server.hpp>
 
@@ -29,6 +30,12 @@
     [[nodiscard]] bool try_begin_copy(const placement::server_id& server);
     void end_copy(const placement::server_id& server);
 
+    /// The servers of which every stream of this host has been silent for
+    /// `span`: they hang or are cut off, whatever the list says. One silent
+    /// stream among others was pushed off for a while.
+    [[nodiscard]] std::vector<placement::server_id>
+    silent_servers(core::duration span, core::time_point now) const;
+
     /// The servers that run streams.
     [[nodiscard]] std::vector<placement::server_id> servers() const;
 
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -38,6 +38,9 @@
 constexpr core::duration reader_lifetime = std::chrono::milliseconds(2000);
 // How long a version that neighbours have may take to come from the store.
 constexpr core::duration table_patience = std::chrono::milliseconds(250);
+// Events come some thirty milliseconds apart; a batch that reads several
+// prompts at once is slower by a factor of five.
+constexpr core::duration silent_span = std::chrono::milliseconds(700);
 constexpr core::duration stop_watch_span = std::chrono::milliseconds(50);
 // The table's limits come from outside; a buffer of this size a connection
 // is the most that the memory of a small host can bear.
@@ -442,6 +445,19 @@
     return service != nullptr && service->engine.has_value();
 }
 
+// New requests at a server that hangs would be lost with those that run.
+void entry_process::avoid_silent_servers()
+{
+    const core::time_point now = core::monotonic_now();
+    for (const auto& id : context_.streams.silent_servers(silent_span, now)) {
+        if (context_.health.is_avoided(id, now))
+            continue;
+        context_.health.unreachable(id, now);
+        log_event(
+            log_level::info, component, "server_silent", {{"server", id}});
+    }
+}
+
 void entry_process::poll_reports()
 {
     const core::time_point now = core::monotonic_now();
@@ -643,6 +659,7 @@
     context_.line.wake();
     tell_servers();
     tell_work();
+    avoid_silent_servers();
     poll_reports();
     tick_timer_.expires_after(tick_span);
     tick_timer_.async_wait([this](const auto& failure) {
--- a/services/entry/src/neighbour_links.cpp
+++ b/services/entry/src/neighbour_links.cpp
@@ -176,7 +176,9 @@
 
 void neighbour_links::broadcast(const wire::message& said)
 {
-    for (const auto& link : acceptor_->links()) {
+    // A link whose peer does not read closes here, and leaves the set.
+    const std::set<std::shared_ptr<wire::link>> links = acceptor_->links();
+    for (const auto& link : links) {
         if (link->is_open())
             link->send(said);
     }
--- a/services/entry/src/stream_call.cpp
+++ b/services/entry/src/stream_call.cpp
@@ -217,6 +217,7 @@
 stream_call::send_to(placement::backend_server server)
 {
     reserved_.emplace(context_, server.id, work());
+    sent_at_ = core::monotonic_now();
     adopt(std::make_shared<upstream>(context_, server));
     http::request outgoing = request_for(server.id, std::nullopt);
     const std::string attempt_id = call_->terms.attempt_id;
@@ -328,6 +329,15 @@
     migration_->start();
 }
 
+core::duration stream_call::silence(core::time_point now) const
+{
+    if (last_relayed_)
+        return now - *last_relayed_;
+    // A prompt takes its time to be read.
+    const core::duration due = call_->via.latency_objective;
+    return std::max(now - sent_at_ - due, core::duration::zero());
+}
+
 asio::awaitable<void> stream_call::relay(http::response_head head)
 {
     auto begun = co_await call_->caller.start_stream(
--- a/services/entry/src/stream_register.cpp
+++ b/services/entry/src/stream_register.cpp
@@ -1,5 +1,7 @@
 #include <godwit/entry/stream_register.hpp>
 
+#include <algorithm>
+
 namespace godwit::entry {
 
 void stream_register::add(
@@ -49,6 +51,23 @@
         copies_.erase(found);
 }
 
+std::vector<placement::server_id>
+stream_register::silent_servers(core::duration span, core::time_point now) const
+{
+    std::vector<placement::server_id> silent;
+    for (const auto& [server, streams] : streams_) {
+        const bool are_silent = std::all_of(
+            streams.begin(),
+            streams.end(),
+            [span, now](const running_stream* stream) {
+                return stream->silence(now) >= span;
+            });
+        if (are_silent)
+            silent.push_back(server);
+    }
+    return silent;
+}
+
 std::vector<placement::server_id> stream_register::servers() const
 {
     std::vector<placement::server_id> running;
--- a/tests/entry/parts_test.cpp
+++ b/tests/entry/parts_test.cpp
@@ -2,6 +2,7 @@
 #include <godwit/entry/link_claims.hpp>
 #include <godwit/entry/list_outage.hpp>
 #include <godwit/entry/neighbour_choice.hpp>
+#include <godwit/entry/stream_register.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -37,6 +38,18 @@
     return hosts;
 }
 
+struct quiet_stream : running_stream
+{
+    core::time_point last;
+
+    void server_leaves() override {}
+
+    [[nodiscard]] core::duration silence(core::time_point now) const override
+    {
+        return now - last;
+    }
+};
+
 class parts_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(parts_test);
@@ -49,6 +62,7 @@
     CPPUNIT_TEST(test_small_fleets_have_one_link_a_pair);
     CPPUNIT_TEST(test_news_reaches_large_fleets_in_few_steps);
     CPPUNIT_TEST(test_claims_hold_up_others_until_they_end);
+    CPPUNIT_TEST(test_a_server_is_silent_when_all_its_streams_are);
     CPPUNIT_TEST_SUITE_END();
 
     void test_events_come_whole_and_unchanged()
@@ -175,6 +189,24 @@
         claims.hear(core::host_name("a"), {server_id("d")}, at_ms(50));
         CPPUNIT_ASSERT(!claims.is_claimed({server_id("d")}, at_ms(60)));
     }
+
+    void test_a_server_is_silent_when_all_its_streams_are()
+    {
+        stream_register streams;
+        quiet_stream one;
+        quiet_stream other;
+        streams.add(server_id("s"), one);
+        streams.add(server_id("s"), other);
+        other.last = at_ms(500);
+        const auto span = std::chrono::milliseconds(700);
+        CPPUNIT_ASSERT(streams.silent_servers(span, at_ms(1199)).empty());
+        CPPUNIT_ASSERT(
+            streams.silent_servers(span, at_ms(1200)) ==
+            std::vector{server_id("s")});
+        streams.remove(server_id("s"), one);
+        streams.remove(server_id("s"), other);
+        CPPUNIT_ASSERT(streams.silent_servers(span, at_ms(9999)).empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(parts_test);
