entry: while the list of servers is held up, the quick reader asks engines

Cause: when the store drops its history the list says nothing, or repeats old reports, for some seconds; engines that left meanwhile took their streams along.

--- a/services/entry/include/godwit/entry/report_poller.hpp
+++ b/services/entry/include/godwit/entry/report_poller.hpp
@@ -25,9 +25,13 @@
     report_poller& operator=(const report_poller&) = delete;
 
     /// Asks each server that runs streams and is not being asked.
-    void poll();
+    void poll_own();
+
+    /// Asks every usable engine that is not being asked.
+    void poll_all();
 
 private:
+    void begin_to_ask(const placement::server_id& id);
     boost::asio::awaitable<void> ask(placement::backend_server server);
 
     entry_context& context_;
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -41,6 +41,11 @@
 // Events come some thirty milliseconds apart; a batch that reads several
 // prompts at once is slower by a factor of five.
 constexpr core::duration silent_span = std::chrono::milliseconds(700);
+// Servers report at times of their own. So many of them are not all silent
+// for three quarters of the interval between two reports; fewer may be.
+constexpr std::size_t many_servers = 6;
+constexpr double many_servers_silence = 0.75;
+constexpr double few_servers_silence = 1.5;
 constexpr core::duration stop_watch_span = std::chrono::milliseconds(50);
 // The table's limits come from outside; a buffer of this size a connection
 // is the most that the memory of a small host can bear.
@@ -284,6 +289,10 @@
     const placement::backend_server& server, std::string_view source)
 {
     const core::time_point now = core::monotonic_now();
+    const auto* known = context_.directory.find(server.id);
+    // What is known already is no news: the source repeats itself.
+    if (known == nullptr || known->revision < server.revision)
+        list_news_at_ = now;
     const auto change = context_.directory.listed(server, now);
     if (change == placement::directory_change::left)
         left(server.id, source);
@@ -458,13 +467,33 @@
     }
 }
 
+core::duration entry_process::longest_list_silence() const
+{
+    const double intervals = context_.directory.size() >= many_servers
+                                 ? many_servers_silence
+                                 : few_servers_silence;
+    return std::chrono::duration_cast<core::duration>(
+        context_.settings.server_report * intervals);
+}
+
+// While the list cannot be read, each host asks the servers of its own
+// streams. While it can be read but says nothing, though servers report about
+// once a second each, its news are held up: the quick reader asks everybody
+// for all.
 void entry_process::poll_reports()
 {
     const core::time_point now = core::monotonic_now();
-    if (outage_.is_current() || now - polled_at_ < report_span)
+    if (now - polled_at_ < report_span)
+        return;
+    const bool is_held_up = has_servers_ && is_quick_reader() &&
+                            now - list_news_at_ > longest_list_silence();
+    if (outage_.is_current() && !is_held_up)
         return;
     polled_at_ = now;
-    reports_.poll();
+    if (is_held_up)
+        reports_.poll_all();
+    else
+        reports_.poll_own();
 }
 
 void entry_process::tell_work()
@@ -562,7 +591,7 @@
 void entry_process::hear_sign(
     const core::host_name& host, const wire::server_sign& said)
 {
-    if (outage_.is_current() || said.kind != wire::sign_kind::leaving)
+    if (said.kind != wire::sign_kind::leaving)
         return;
     for (const auto& id : context_.directory.ids()) {
         placement::backend_server known = *context_.directory.find(id);
--- a/services/entry/src/report_poller.cpp
+++ b/services/entry/src/report_poller.cpp
@@ -26,23 +26,38 @@
     : context_(context), on_leaving_(std::move(on_leaving))
 {}
 
-void report_poller::poll()
+void report_poller::poll_own()
 {
-    for (const auto& id : context_.streams.servers()) {
-        const placement::backend_server* server = context_.directory.find(id);
-        const bool is_worth_asking =
-            server != nullptr && context_.directory.is_usable(id);
-        if (!is_worth_asking || !asked_.insert(id).second)
-            continue;
-        asio::co_spawn(
-            context_.executor,
-            [this, asked = *server]() -> asio::awaitable<void> {
-                co_await ask(asked);
-            },
-            asio::detached);
+    for (const auto& id : context_.streams.servers())
+        begin_to_ask(id);
+}
+
+void report_poller::poll_all()
+{
+    for (const auto& id : context_.directory.ids()) {
+        const auto& name = context_.directory.find(id)->service;
+        const routing::service* service =
+            context_.routes ? context_.routes->find_service(name) : nullptr;
+        if (service != nullptr && service->engine)
+            begin_to_ask(id);
     }
 }
 
+void report_poller::begin_to_ask(const placement::server_id& id)
+{
+    const placement::backend_server* server = context_.directory.find(id);
+    const bool is_worth_asking =
+        server != nullptr && context_.directory.is_usable(id);
+    if (!is_worth_asking || !asked_.insert(id).second)
+        return;
+    asio::co_spawn(
+        context_.executor,
+        [this, asked = *server]() -> asio::awaitable<void> {
+            co_await ask(asked);
+        },
+        asio::detached);
+}
+
 asio::awaitable<void> report_poller::ask(placement::backend_server server)
 {
     http::request question = context_.words.write_report_request();
--- a/tests/platform_adapter/world_test.cpp
+++ b/tests/platform_adapter/world_test.cpp
@@ -61,6 +61,7 @@
     CPPUNIT_TEST(test_a_broken_stream_does_not_look_complete);
     CPPUNIT_TEST(test_a_leaving_server_gets_nothing_new);
     CPPUNIT_TEST(test_a_leaving_server_is_seen_while_the_store_is_away);
+    CPPUNIT_TEST(test_a_leaving_server_is_seen_while_its_list_is_held_up);
     CPPUNIT_TEST(test_metrics_and_state_are_served);
     CPPUNIT_TEST_SUITE_END();
 
@@ -401,6 +402,17 @@
     }
 
     void test_a_leaving_server_is_seen_while_the_store_is_away()
+    {
+        leave_unlisted(true);
+    }
+
+    // The store answers, but brings no news.
+    void test_a_leaving_server_is_seen_while_its_list_is_held_up()
+    {
+        leave_unlisted(false);
+    }
+
+    void leave_unlisted(bool store_away)
     {
         moving_server at_first;
         moving_server at_second;
@@ -431,7 +443,8 @@
             [this, &answer] { answer = world_.call("POST", "/stream/"); });
         world::wait("events", [&at_first] { return at_first.sent > 3; });
         world_.list(world_.second(), "ready");
-        world_.store().answer_with(503);
+        if (store_away)
+            world_.store().answer_with(503);
         leaves = true;
         caller.join();
         CPPUNIT_ASSERT_EQUAL(200U, answer.status);
