--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -98,7 +98,6 @@
     void tick();
     void left(const placement::server_id& server, std::string_view source);
     void avoid_silent_servers();
-    [[nodiscard]] core::duration longest_list_silence() const;
     void poll_reports();
     void tell_work();
     void tell_work_soon();
@@ -141,7 +140,6 @@
     core::time_point told_work_at_{};
     report_poller reports_;
     core::time_point polled_at_{};
-    core::time_point list_news_at_{};
     list_outage outage_;
     std::set<placement::server_id> changed_servers_; ///< Not told yet.
     std::size_t fleet_size_ = 1;
--- a/services/entry/include/godwit/entry/entry_settings.hpp
+++ b/services/entry/include/godwit/entry/entry_settings.hpp
@@ -26,8 +26,6 @@
     /// Addresses at which some other entry hosts may be found.
     std::vector<http::endpoint> seeds;
     std::size_t caller_connections = 3000;
-    /// Between two reports of a backend server to the list of servers.
-    core::duration server_report = std::chrono::milliseconds(1200);
     /// From the order to stop until the process has to be gone.
     core::duration stop_grace = std::chrono::seconds(8);
     /// The share of a service's requests that may be sent once more.
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -41,11 +41,9 @@
 // Events come some thirty milliseconds apart; a batch that reads several
 // prompts at once is slower by a factor of five.
 constexpr core::duration silent_span = std::chrono::milliseconds(700);
-// Servers report at times of their own. So many of them are not all silent
-// for three quarters of the interval between two reports; fewer may be.
-constexpr std::size_t many_servers = 6;
-constexpr double many_servers_silence = 0.75;
-constexpr double few_servers_silence = 1.5;
+// Of about two seconds of notice the copies need one; each question has its
+// price.
+constexpr core::duration doubt_span = std::chrono::milliseconds(600);
 constexpr core::duration stop_watch_span = std::chrono::milliseconds(50);
 // The table's limits come from outside; a buffer of this size a connection
 // is the most that the memory of a small host can bear.
@@ -289,10 +287,6 @@
     const placement::backend_server& server, std::string_view source)
 {
     const core::time_point now = core::monotonic_now();
-    const auto* known = context_.directory.find(server.id);
-    // What is known already is no news: the source repeats itself.
-    if (known == nullptr || known->revision < server.revision)
-        list_news_at_ = now;
     const auto change = context_.directory.listed(server, now);
     if (change == placement::directory_change::left)
         left(server.id, source);
@@ -467,33 +461,21 @@
     }
 }
 
-core::duration entry_process::longest_list_silence() const
-{
-    const double intervals = context_.directory.size() >= many_servers
-                                 ? many_servers_silence
-                                 : few_servers_silence;
-    return std::chrono::duration_cast<core::duration>(
-        context_.settings.server_report * intervals);
-}
-
-// While the list cannot be read, each host asks the servers of its own
-// streams. While it can be read but says nothing, though servers report about
-// once a second each, its news are held up: the quick reader asks everybody
-// for all.
+// While the list cannot be read, each host asks the servers of its own streams
+// often. While it can, the quick reader asks every engine now and then for
+// all: the list may be held up without a sign, since it says something only
+// when an entry changes.
 void entry_process::poll_reports()
 {
     const core::time_point now = core::monotonic_now();
-    if (now - polled_at_ < report_span)
-        return;
-    const bool is_held_up = has_servers_ && is_quick_reader() &&
-                            now - list_news_at_ > longest_list_silence();
-    if (outage_.is_current() && !is_held_up)
+    const bool is_current = outage_.is_current();
+    if (now - polled_at_ < (is_current ? doubt_span : report_span))
         return;
     polled_at_ = now;
-    if (is_held_up)
-        reports_.poll_all();
-    else
+    if (!is_current)
         reports_.poll_own();
+    else if (is_quick_reader())
+        reports_.poll_all();
 }
 
 void entry_process::tell_work()
--- a/services/entry/src/entry_settings.cpp
+++ b/services/entry/src/entry_settings.cpp
@@ -61,11 +61,6 @@
     GODWIT_TRY(listen.finish(true));
     read.caller_connections = GODWIT_TRY(settings::read_count(
         source, "caller_connections", {1, 65536}, read.caller_connections));
-    read.server_report = GODWIT_TRY(settings::read_span(
-        source,
-        "server_report_ms",
-        {std::chrono::milliseconds(1), std::chrono::hours(1)},
-        read.server_report));
     read.stop_grace =
         GODWIT_TRY(read_seconds(source, "stop_grace_s", read.stop_grace));
     auto retry = GODWIT_TRY(source.get_object("retry"));
