entry: a run whose source dies goes on from its copy

Cause: a source that ended between its first and last copy took the run along, though the destination held nearly all of it; the host also asked the dead source for three seconds before it told the caller. The run is asked for once more at the source, so that it never goes on at two servers.

--- a/services/entry/include/godwit/entry/migrator.hpp
+++ b/services/entry/include/godwit/entry/migrator.hpp
@@ -48,12 +48,10 @@
     boost::asio::awaitable<std::optional<migrated_run>>
     outcome(core::time_point end);
 
-    /// Whether a last copy was ordered: an end of the stream without its
-    /// last event is then the source's stopping.
-    [[nodiscard]] bool is_stopping_run() const noexcept
-    {
-        return is_stopping_run_;
-    }
+    /// The stream ended without its last event. Unless it was stopped for
+    /// its last copy, the source died under way: then the run goes on from
+    /// what the destination holds, if it holds anything.
+    void stream_broke() { is_broken_ = true; }
 
 private:
     /// The most that a last copy may wait for others on the link, as the one
@@ -81,10 +79,11 @@
     std::optional<reservation> reserved_;
     std::vector<placement::server_id> refused_;
     std::optional<std::string> handle_;
+    std::optional<migrated_run> copied_; ///< By a copy of the running one.
     std::optional<migrated_run> moved_;
     boost::asio::steady_timer settled_signal_;
     core::time_point began_;
-    bool is_stopping_run_ = false;
+    bool is_broken_ = false;
     bool is_settled_ = false;
     bool is_stopped_ = false;
 };
--- a/services/entry/src/migrator.cpp
+++ b/services/entry/src/migrator.cpp
@@ -114,7 +114,7 @@
 
 asio::awaitable<void> migrator::move()
 {
-    while (!is_stopped_ && !moved_ &&
+    while (!is_stopped_ && !is_broken_ &&
            core::monotonic_now() - began_ < longest_leaving) {
         if (!choose_destination()) {
             co_await pause(retry_pause);
@@ -125,9 +125,15 @@
             claim_links(link_claim_span);
             co_await copy_last();
             claim_links(core::duration::zero());
-            co_return;
+            if (moved_)
+                co_return;
+            co_await pause(retry_pause);
         }
     }
+    // The last copy also tells whether the run is really gone: nobody may go
+    // on with it while it is still at work.
+    if (is_broken_ && copied_ && !is_stopped_)
+        co_await copy_last();
 }
 
 asio::awaitable<void> migrator::wait_for_links()
@@ -190,6 +196,10 @@
         switch (answer.verdict) {
         case copy_verdict::done:
             ++copies;
+            if (answer.handle)
+                copied_ = migrated_run{*destination_, *answer.handle};
+            if (is_broken_)
+                co_return false;
             if (took <= short_copy || copies == most_running_copies)
                 co_return true;
             break;
@@ -205,7 +215,7 @@
         case copy_verdict::not_running:
         case copy_verdict::busy:
             co_await pause(retry_pause);
-            if (core::monotonic_now() - began_ > longest_leaving)
+            if (is_broken_ || core::monotonic_now() - began_ > longest_leaving)
                 co_return false;
             break;
         }
@@ -215,7 +225,6 @@
 
 asio::awaitable<void> migrator::copy_last()
 {
-    is_stopping_run_ = true;
     const copy_answer answer = co_await copy(copy_phase::last);
     if (answer.verdict == copy_verdict::done && answer.handle) {
         moved_ = migrated_run{*destination_, *answer.handle};
@@ -226,7 +235,12 @@
         moved_ = migrated_run{source_->server(), *answer.handle};
         co_return;
     }
-    is_stopping_run_ = false;
+    // No run there, or no source: what was copied while it ran is all there
+    // is. The destination reads again what came later.
+    const bool is_gone = answer.verdict == copy_verdict::not_running ||
+                         answer.verdict == copy_verdict::failed;
+    if (is_broken_ && is_gone)
+        moved_ = copied_;
 }
 
 asio::awaitable<copy_answer> migrator::copy(copy_phase phase)
--- a/services/entry/src/stream_call.cpp
+++ b/services/entry/src/stream_call.cpp
@@ -424,6 +424,7 @@
 {
     if (!migration_)
         co_return std::nullopt;
+    migration_->stream_broke();
     const core::time_point end = core::monotonic_now() + stopping_limit;
     const auto moved = co_await migration_->outcome(end);
     if (!moved || caller_gone_)
