--- a/services/entry/include/godwit/entry/upstream.hpp
+++ b/services/entry/include/godwit/entry/upstream.hpp
@@ -42,11 +42,19 @@
 class upstream
 {
 public:
-    /// A server that takes longer to accept a connection is passed over.
-    static constexpr core::duration connect_limit =
+    /// A server that takes longer to accept a connection is passed over; the
+    /// longest and the shortest limit.
+    static constexpr core::duration longest_connect =
         std::chrono::milliseconds(400);
+    static constexpr core::duration shortest_connect =
+        std::chrono::milliseconds(80);
 
-    upstream(entry_context& context, placement::backend_server server);
+    /// `objective` is the request's latency objective: a connection attempt
+    /// that uses it up leaves no time for another server.
+    upstream(
+        entry_context& context,
+        placement::backend_server server,
+        core::duration objective);
 
     [[nodiscard]] const placement::backend_server& server() const noexcept
     {
@@ -79,6 +87,7 @@
 
     entry_context& context_;
     placement::backend_server server_;
+    core::duration connect_limit_;
     std::optional<http::client_stream> stream_;
     bool is_cancelled_ = false;
 };
--- a/services/entry/src/stream_call.cpp
+++ b/services/entry/src/stream_call.cpp
@@ -218,7 +218,8 @@
 {
     reserved_.emplace(context_, server.id, work());
     sent_at_ = core::monotonic_now();
-    adopt(std::make_shared<upstream>(context_, server));
+    adopt(std::make_shared<upstream>(
+        context_, server, call_->via.latency_objective));
     http::request outgoing = request_for(server.id, std::nullopt);
     const std::string attempt_id = call_->terms.attempt_id;
     auto head =
@@ -438,7 +439,8 @@
     const core::time_point before = core::monotonic_now();
     const placement::backend_server source = active_->server();
     continuation resumes{source.address, moved.handle, last_event_};
-    auto next = std::make_shared<upstream>(context_, moved.destination);
+    auto next = std::make_shared<upstream>(
+        context_, moved.destination, call_->via.latency_objective);
     http::request outgoing =
         request_for(moved.destination.id, std::move(resumes));
     reserved_.reset();
--- a/services/entry/src/upstream.cpp
+++ b/services/entry/src/upstream.cpp
@@ -12,6 +12,8 @@
 // A server that answers one request twice sends the second answer where the
 // next one is expected. More than a few in a row are a broken server.
 constexpr int most_stray_answers = 3;
+// Of the latency objective: half of it may go into an attempt to connect.
+constexpr int connect_part = 2;
 constexpr std::size_t largest_body = std::size_t{16} * 1024 * 1024;
 
 core::duration left_until(core::time_point end)
@@ -43,8 +45,13 @@
 
 } // namespace
 
-upstream::upstream(entry_context& context, placement::backend_server server)
-    : context_(context), server_(std::move(server))
+upstream::upstream(
+    entry_context& context,
+    placement::backend_server server,
+    core::duration objective)
+    : context_(context), server_(std::move(server)),
+      connect_limit_(std::clamp(
+          objective / connect_part, shortest_connect, longest_connect))
 {}
 
 asio::awaitable<upstream_result<void>> upstream::connect(core::time_point end)
@@ -54,7 +61,7 @@
         co_return upstream_result<void>();
     stream_ = http::client_stream::create(context_.executor);
     const auto connected = co_await stream_->connect(
-        server_.address, std::min(left_until(end), connect_limit));
+        server_.address, std::min(left_until(end), connect_limit_));
     if (!connected)
         co_return tl::unexpected(to_failure(connected.error()));
     co_return upstream_result<void>();
--- a/services/entry/src/whole_call.cpp
+++ b/services/entry/src/whole_call.cpp
@@ -152,7 +152,8 @@
     work.requests = 1;
     const reservation reserved(context_, server.id, work);
     tried_.push_back(server.id);
-    const auto exchange = std::make_shared<upstream>(context_, server);
+    const auto exchange = std::make_shared<upstream>(
+        context_, server, call_.via.latency_objective);
     active_ = exchange;
     const core::time_point end = attempt_end(core::monotonic_now());
 
