--- a/meta/soak_parts/callers.py
+++ b/meta/soak_parts/callers.py
@@ -19,10 +19,11 @@
         self.key = key
         self.count = 0
         self.good = []
+        self.is_done = False
         self._reader = self._writer = None
 
-    async def run(self, clock, end):
-        while clock() < end:
+    async def run(self, clock):
+        while not self.is_done:
             self.count += 1
             kind = self.rng.choice(KINDS)
             good = await self._one(kind, f"{self.name}-{self.count}")
--- a/meta/soak_parts/host.py
+++ b/meta/soak_parts/host.py
@@ -21,7 +21,7 @@
 class Host:
     """Starts, signals and watches one godwit-entry."""
 
-    GRACE_SECONDS = 5
+    GRACE_SECONDS = 4
 
     def __init__(self, name, program, folder, store_port, seeds):
         self.name = name
