--- a/libraries/placement/src/server_directory.cpp
+++ b/libraries/placement/src/server_directory.cpp
@@ -37,8 +37,10 @@
     }
     entry& known = found->second;
     // A view that is older than what is known, from a slower source.
-    const bool is_old = server.revision <= known.server.revision;
-    if (is_old && (known.left_at || server.state == server_state::ready))
+    const bool is_older = server.revision < known.server.revision;
+    const bool is_no_news = server.revision == known.server.revision &&
+                            server.state == server_state::ready;
+    if (is_older || is_no_news)
         return directory_change::none;
     if (server.state == server_state::leaving) {
         known.server = server;
--- a/tests/placement/server_directory_test.cpp
+++ b/tests/placement/server_directory_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST_SUITE(server_directory_test);
     CPPUNIT_TEST(test_a_server_that_leaves_stays_known);
     CPPUNIT_TEST(test_an_older_view_does_not_bring_a_server_back);
+    CPPUNIT_TEST(test_an_older_word_of_leaving_changes_nothing);
     CPPUNIT_TEST(test_a_dropped_entry_means_leaving);
     CPPUNIT_TEST(test_a_lapsed_entry_has_two_seconds);
     CPPUNIT_TEST(test_a_server_that_lists_itself_again_stays);
@@ -50,6 +51,26 @@
         CPPUNIT_ASSERT(!directory_.is_usable(server_id("i-1")));
     }
 
+    // An entry that lapsed and came back is "leaving" with an older revision
+    // at hosts that were slower. If their word counted, and the newer one
+    // then again, the hosts would tell each other for ever.
+    void test_an_older_word_of_leaving_changes_nothing()
+    {
+        directory_.listed(sample_server(1, "east", 7), at_ms(0));
+        auto older = sample_server(1, "east", 6);
+        older.state = server_state::leaving;
+        CPPUNIT_ASSERT(
+            directory_.listed(older, at_ms(10)) == directory_change::none);
+        CPPUNIT_ASSERT(directory_.is_usable(server_id("i-1")));
+        // Of the same age, leaving is the later of the two.
+        older.revision = 7;
+        CPPUNIT_ASSERT(
+            directory_.listed(older, at_ms(20)) == directory_change::left);
+        CPPUNIT_ASSERT(
+            directory_.listed(sample_server(1, "east", 7), at_ms(30)) ==
+            directory_change::none);
+    }
+
     void test_a_dropped_entry_means_leaving()
     {
         directory_.listed(sample_server(1), at_ms(0));
