--- a/libraries/catalogue/bench/main.cpp
+++ b/libraries/catalogue/bench/main.cpp
@@ -12,6 +12,7 @@
 #include <iostream>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <malloc.h>
@@ -175,8 +176,18 @@
 
 } // namespace
 
-int main()
+int main(int argument_count, char** arguments)
 {
+    const std::string_view wanted = argument_count > 1 ? arguments[1] : "";
+    if (wanted == "--version") {
+        std::cout << "godwit-catalogue-bench " << GODWIT_VERSION << '\n';
+        return 0;
+    }
+    if (!wanted.empty()) {
+        std::cout << "usage: godwit-catalogue-bench [--help | --version]\n"
+                     "Measures folds and checkpoints of the catalogue.\n";
+        return wanted == "--help" ? 0 : 2;
+    }
     for (const std::size_t organisations : {10, 100, 1000, 3100})
         measure(organisations);
     return 0;
--- a/utilities/godwit-bench/main.cpp
+++ b/utilities/godwit-bench/main.cpp
@@ -90,6 +90,8 @@
         {"hosts", required_argument, nullptr, 'h'},
         {"json", required_argument, nullptr, 'j'},
         {"markdown", required_argument, nullptr, 'm'},
+        {"help", no_argument, nullptr, 'H'},
+        {"version", no_argument, nullptr, 'V'},
         {nullptr, 0, nullptr, 0}};
     int code = 0;
     while ((code = getopt_long(count, values, "", options, nullptr)) != -1) {
@@ -128,6 +130,12 @@
         case 'm':
             result.markdown = optarg;
             break;
+        case 'H':
+            print_usage(std::cout);
+            std::exit(EXIT_SUCCESS);
+        case 'V':
+            std::cout << "godwit-bench " << GODWIT_VERSION << '\n';
+            std::exit(EXIT_SUCCESS);
         default:
             return false;
         }
--- a/utilities/godwit-capacity/main.cpp
+++ b/utilities/godwit-capacity/main.cpp
@@ -44,12 +44,18 @@
 
 int main(int argument_count, char** arguments)
 {
-    const std::array<option, 2> options{
-        {{"help", no_argument, nullptr, 'h'}, {nullptr, 0, nullptr, 0}}};
+    const std::array<option, 3> options{
+        {{"help", no_argument, nullptr, 'h'},
+         {"version", no_argument, nullptr, 'v'},
+         {nullptr, 0, nullptr, 0}}};
     const int found =
         ::getopt_long(argument_count, arguments, "h", options.data(), nullptr);
     if (found == 'h')
         return show_usage(std::cout, exit_done);
+    if (found == 'v') {
+        std::cout << "godwit-capacity " << GODWIT_VERSION << '\n';
+        return exit_done;
+    }
     if (found != -1 || optind + 1 != argument_count)
         return show_usage(std::cerr, exit_usage);
     for (const named_sweep& each : sweeps) {
