--- a/tests/entry/parts_test.cpp
+++ b/tests/entry/parts_test.cpp
@@ -3,6 +3,11 @@
 #include <godwit/entry/list_outage.hpp>
 #include <godwit/entry/neighbour_choice.hpp>
 #include <godwit/entry/stream_register.hpp>
+#include <godwit/entry/waiting_line.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -63,6 +68,7 @@
     CPPUNIT_TEST(test_news_reaches_large_fleets_in_few_steps);
     CPPUNIT_TEST(test_claims_hold_up_others_until_they_end);
     CPPUNIT_TEST(test_a_server_is_silent_when_all_its_streams_are);
+    CPPUNIT_TEST(test_the_most_urgent_and_then_the_oldest_go_first);
     CPPUNIT_TEST_SUITE_END();
 
     void test_events_come_whole_and_unchanged()
@@ -207,6 +213,35 @@
         streams.remove(server_id("s"), other);
         CPPUNIT_ASSERT(streams.silent_servers(span, at_ms(9999)).empty());
     }
+
+    void test_the_most_urgent_and_then_the_oldest_go_first()
+    {
+        boost::asio::io_context context;
+        waiting_line line;
+        std::string order;
+        const auto wait = [&](int priority,
+                              char name) -> boost::asio::awaitable<void> {
+            waiting_line::place place(line, context.get_executor(), priority);
+            co_await place.turn(
+                core::monotonic_now() + std::chrono::seconds(10));
+            order += name;
+        };
+        const auto spawn = [&](int priority, char name) {
+            boost::asio::co_spawn(
+                context, wait(priority, name), boost::asio::detached);
+            context.poll();
+        };
+        spawn(1, 'a');
+        spawn(1, 'b');
+        spawn(0, 'c');
+        spawn(2, 'd');
+        CPPUNIT_ASSERT(line.is_ahead_of(0));
+        // Each that leaves lets the next one try.
+        line.wake();
+        context.run();
+        CPPUNIT_ASSERT_EQUAL(std::string("cabd"), order);
+        CPPUNIT_ASSERT(!line.is_ahead_of(2));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(parts_test);
