--- /dev/null
+++ b/services/entry/src/entry_process_operators.cpp
@@ -0,0 +1,96 @@
+#include <godwit/entry/entry_process.hpp>
+
+#include <godwit/telemetry/log.hpp>
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <utility>
+
+namespace godwit::entry {
+
+namespace asio = boost::asio;
+using telemetry::log_event;
+using telemetry::log_level;
+
+namespace {
+
+constexpr std::string_view component = "entry";
+
+} // namespace
+
+asio::awaitable<void> entry_process::answer_readiness(http::exchange& asked)
+{
+    constexpr unsigned ok = 200;
+    constexpr unsigned unavailable = 503;
+    const bool ready = is_ready();
+    if (ready != was_ready_)
+        log_event(log_level::info, component, "readiness", {{"ready", ready}});
+    was_ready_ = ready;
+    http::response answer;
+    answer.status = ready ? ok : unavailable;
+    answer.fields.set("Content-Type", "text/plain");
+    answer.body = ready ? "ready\n" : "not ready\n";
+    [[maybe_unused]] const auto sent =
+        co_await asked.respond(std::move(answer));
+}
+
+void entry_process::set_gauges()
+{
+    const auto set = [this](const char* name, const char* help, double value) {
+        context_.metrics->gauge(name, help).Set(value);
+    };
+    set("godwit_table_version",
+        "The version of the route table in force; 0 before the first.",
+        context_.routes ? static_cast<double>(context_.routes->version()) : 0);
+    set("godwit_servers_known",
+        "Backend servers that are known, with those that left lately.",
+        static_cast<double>(context_.directory.size()));
+    set("godwit_streams_running",
+        "Streams that are being relayed.",
+        static_cast<double>(context_.streams.size()));
+    set("godwit_requests_waiting",
+        "Requests that wait for room at the backend servers.",
+        static_cast<double>(context_.line.size()));
+    set("godwit_neighbours_linked",
+        "Entry hosts with an open link.",
+        static_cast<double>(neighbours_->open_links()));
+    set("godwit_server_list_current",
+        "1 while this host reads the list of servers at its source.",
+        outage_.is_current() ? 1 : 0);
+}
+
+std::string entry_process::state_text() const
+{
+    boost::json::object state;
+    state["host"] = context_.settings.host.value();
+    state["ready"] = is_ready();
+    state["stopping"] = context_.is_stopping;
+    state["table_version"] = context_.routes ? context_.routes->version() : 0;
+    state["servers"] = context_.directory.size();
+    state["streams"] = context_.streams.size();
+    state["waiting"] = context_.line.size();
+    state["connections"] = callers_->open_connections();
+    return boost::json::serialize(state);
+}
+
+asio::awaitable<void> entry_process::answer_operator(http::exchange& asked)
+{
+    constexpr unsigned not_found = 404;
+    http::response answer;
+    answer.fields.set("Content-Type", "application/json");
+    if (asked.received().target == "/state") {
+        answer.body = state_text();
+    } else if (asked.received().target == "/metrics") {
+        set_gauges();
+        answer.fields.set("Content-Type", telemetry::metrics::content_type);
+        answer.body = context_.metrics->serialise();
+    } else {
+        answer.status = not_found;
+        answer.body = R"({"title":"no such page; ask for /state or /metrics"})";
+    }
+    [[maybe_unused]] const auto sent =
+        co_await asked.respond(std::move(answer));
+}
+
+} // namespace godwit::entry
--- /dev/null
+++ b/services/entry/src/entry_process_stop.cpp
@@ -0,0 +1,82 @@
+#include <godwit/entry/entry_process.hpp>
+
+#include <godwit/telemetry/log.hpp>
+
+#include <chrono>
+#include <csignal>
+
+namespace godwit::entry {
+
+using telemetry::log_event;
+using telemetry::log_level;
+
+namespace {
+
+constexpr std::string_view component = "entry";
+// A balancer asks each second and takes a host out after two misses; new
+// connections come that long after the order to stop.
+constexpr core::duration accepting_after_stop = std::chrono::milliseconds(2600);
+// What is left of the grace for closing sockets and ending.
+constexpr core::duration exit_margin = std::chrono::milliseconds(350);
+constexpr core::duration stop_watch_span = std::chrono::milliseconds(50);
+
+} // namespace
+
+void entry_process::wait_for_signal()
+{
+    signals_.async_wait([this](const auto& failure, int number) {
+        if (failure)
+            return;
+        on_signal(number);
+        wait_for_signal();
+    });
+}
+
+void entry_process::on_signal(int number)
+{
+    log_event(log_level::info, component, "signal", {{"number", number}});
+    if (number == SIGHUP || context_.is_stopping)
+        return;
+    begin_stop();
+}
+
+// Readiness fails at once and each answer ends its connection, so that
+// callers move away; new connections are served until the balancer has
+// noticed, and what runs is served to its end.
+void entry_process::begin_stop()
+{
+    context_.is_stopping = true;
+    stop_began_ = core::monotonic_now();
+    callers_->announce_close();
+    log_event(
+        log_level::info,
+        component,
+        "stop",
+        {{"requests", callers_->active_exchanges()}});
+    watch_stop();
+}
+
+void entry_process::watch_stop()
+{
+    const core::duration since = core::monotonic_now() - stop_began_;
+    if (since >= accepting_after_stop)
+        callers_->stop_accepting();
+    const bool is_idle =
+        since >= accepting_after_stop && callers_->open_connections() == 0;
+    if (is_idle || since >= context_.settings.stop_grace - exit_margin) {
+        log_event(
+            log_level::info,
+            component,
+            "end",
+            {{"requests_cut", callers_->active_exchanges()}});
+        io_.stop();
+        return;
+    }
+    stop_timer_.expires_after(stop_watch_span);
+    stop_timer_.async_wait([this](const auto& failure) {
+        if (!failure)
+            watch_stop();
+    });
+}
+
+} // namespace godwit::entry
