--- a/libraries/http/src/server_state.hpp
+++ b/libraries/http/src/server_state.hpp
@@ -37,6 +37,7 @@
     void close();
 
     void set_limits(const server_limits& limits);
+
     void announce_close() noexcept { closes_connections_ = true; }
 
     /// The limits in force, which may change between two reads.
--- a/tests/wire/sample_messages.cpp
+++ b/tests/wire/sample_messages.cpp
@@ -59,15 +59,14 @@
         duty_message{"orders", 2, 11, std::string("\xff\0", 2)},
         claim_withdrawal{7, "key"},
         table_document{12, "{\"version\":12}"},
-        listed_servers{
-            {listed_server{
-                "i-1",
-                core::server_address("127.0.0.1:9000"),
-                core::zone_name("east"),
-                core::service_name("lm"),
-                24,
-                server_state::leaving,
-                77}}},
+        listed_servers{{listed_server{
+            "i-1",
+            core::server_address("127.0.0.1:9000"),
+            core::zone_name("east"),
+            core::service_name("lm"),
+            24,
+            server_state::leaving,
+            77}}},
         host_work{{server_work{"i-1", 3, 9000, 1200}}, true, "h1", 40, 7000},
         link_claim{{"i-1", "i-2"}, 200}};
 }
