--- a/libraries/http/include/godwit/http/endpoint.hpp
+++ b/libraries/http/include/godwit/http/endpoint.hpp
@@ -37,6 +37,9 @@
     [[nodiscard]] std::string to_string() const;
 
     friend bool operator==(const endpoint&, const endpoint&) = default;
+    // clang-tidy 14 takes the comparison with 0 inside a defaulted <=> for a
+    // null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(const endpoint&, const endpoint&) = default;
 
 private:
--- a/services/entry/include/godwit/entry/neighbour_choice.hpp
+++ b/services/entry/include/godwit/entry/neighbour_choice.hpp
@@ -16,6 +16,9 @@
     core::zone_name zone;
 
     friend bool operator==(const known_host&, const known_host&) = default;
+    // clang-tidy 14 takes the comparison with 0 inside a defaulted <=> for a
+    // null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(const known_host&, const known_host&) = default;
 };
 
--- a/services/entry/src/entry_process_neighbours.cpp
+++ b/services/entry/src/entry_process_neighbours.cpp
@@ -88,10 +88,10 @@
             server.value(), work.requests, work.tokens, work.unread_tokens});
     said.reads_list = outage_.is_current();
     const core::time_point now = core::monotonic_now();
-    if (const auto reader = first_reader(); reader && !said.reads_list) {
-        said.reader = reader->value();
-        said.reader_age_ms = age_ms(now - readers_.at(*reader));
-    } else if (reader && *reader < context_.settings.host) {
+    const auto reader = first_reader();
+    const bool is_ahead =
+        reader && (!said.reads_list || *reader < context_.settings.host);
+    if (is_ahead) {
         said.reader = reader->value();
         said.reader_age_ms = age_ms(now - readers_.at(*reader));
     }
--- a/services/entry/src/entry_settings.cpp
+++ b/services/entry/src/entry_settings.cpp
@@ -36,6 +36,7 @@
 {
     const auto addresses = GODWIT_TRY(from.get_addresses("seeds", most_seeds));
     std::vector<http::endpoint> seeds;
+    seeds.reserve(addresses.size());
     for (const settings::address& one : addresses)
         seeds.push_back(GODWIT_TRY(http::endpoint::parse(one.to_string())));
     return seeds;
--- a/tests/entry/parts_test.cpp
+++ b/tests/entry/parts_test.cpp
@@ -34,6 +34,7 @@
 std::vector<known_host> fleet(int size)
 {
     std::vector<known_host> hosts;
+    hosts.reserve(static_cast<std::size_t>(size));
     for (int number = 0; number < size; ++number)
         hosts.push_back(
             {core::host_name("h" + std::to_string(1000 + number)),
