--- a/services/entry/include/godwit/entry/migration.hpp
+++ b/services/entry/include/godwit/entry/migration.hpp
@@ -33,6 +33,7 @@
     busy,        ///< Another copy of it is on its way.
     refused,     ///< No room at the destination, or no way there.
     failed,      ///< The source said something else.
+    unreachable, ///< The source did not answer.
 };
 
 /// The source's answer to an order.
--- a/services/entry/src/migrator.cpp
+++ b/services/entry/src/migrator.cpp
@@ -46,6 +46,8 @@
         return "refused";
     case copy_verdict::failed:
         return "failed";
+    case copy_verdict::unreachable:
+        return "unreachable";
     }
     return "failed";
 }
@@ -207,6 +209,7 @@
             refused_.push_back(destination_->id);
             co_return false;
         case copy_verdict::failed:
+        case copy_verdict::unreachable:
             if (++failures >= most_failures) {
                 refused_.push_back(destination_->id);
                 co_return false;
@@ -238,7 +241,7 @@
     // No run there, or no source: what was copied while it ran is all there
     // is. The destination reads again what came later.
     const bool is_gone = answer.verdict == copy_verdict::not_running ||
-                         answer.verdict == copy_verdict::failed;
+                         answer.verdict == copy_verdict::unreachable;
     if (is_broken_ && is_gone)
         moved_ = copied_;
 }
@@ -255,6 +258,7 @@
         std::move(outgoing),
         limits);
     copy_answer answer;
+    answer.verdict = copy_verdict::unreachable;
     if (answered)
         answer = context_.words.read_copy_answer(*answered);
     if (answer.handle)
--- a/tests/platform_adapter/world_test.cpp
+++ b/tests/platform_adapter/world_test.cpp
@@ -59,6 +59,7 @@
     CPPUNIT_TEST(test_a_stream_goes_on_where_its_server_leaves);
     CPPUNIT_TEST(test_a_stopped_run_goes_on_at_home_when_nobody_has_room);
     CPPUNIT_TEST(test_a_run_whose_source_dies_goes_on_from_its_copy);
+    CPPUNIT_TEST(test_a_run_that_may_live_on_is_not_begun_elsewhere);
     CPPUNIT_TEST(test_a_broken_stream_does_not_look_complete);
     CPPUNIT_TEST(test_a_leaving_server_gets_nothing_new);
     CPPUNIT_TEST(test_a_leaving_server_is_seen_while_the_store_is_away);
@@ -340,16 +341,24 @@
         world_.list(world_.first(), "ready");
         world::wait("readiness", [this] { return world_.is_ready(); });
         http::response answer;
-        std::thread caller(
-            [this, &answer] { answer = world_.call("POST", "/stream/"); });
+        std::thread caller([this, &answer] {
+            try {
+                answer = world_.call("POST", "/stream/");
+            } catch (const CppUnit::Exception&) {
+                is_cut_ = true;
+            }
+        });
         world::wait("events", [&at_first] { return at_first.sent > 3; });
         world_.list(world_.second(), "ready");
         world_.list(world_.first(), "draining");
         caller.join();
+        CPPUNIT_ASSERT_EQUAL(expects_cut_, is_cut_);
         answer_ = answer;
     }
 
     http::response answer_;
+    bool expects_cut_ = false;
+    bool is_cut_ = false;
 
     void test_a_stream_goes_on_where_its_server_leaves()
     {
@@ -399,6 +408,19 @@
         CPPUNIT_ASSERT_EQUAL(world_.first().address() + "/c7", resumed_from());
     }
 
+    // The stream broke, and the source answers, but not whether the run is
+    // gone: it may still be at work.
+    void test_a_run_that_may_live_on_is_not_begun_elsewhere()
+    {
+        moving_server at_first;
+        moving_server at_second;
+        at_first.last_copy_status = 500;
+        expects_cut_ = true;
+        move_while_streaming(at_first, at_second);
+        CPPUNIT_ASSERT(is_cut_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world_.second().count("/stream/"));
+    }
+
     void test_a_broken_stream_does_not_look_complete()
     {
         const auto stream = [](http::exchange& asked) -> asio::awaitable<void> {
