--- a/libraries/routing/include/godwit/routing/route_table.hpp
+++ b/libraries/routing/include/godwit/routing/route_table.hpp
@@ -57,6 +57,9 @@
     [[nodiscard]] const service*
     find_service(const core::service_name& name) const;
 
+    /// Whether the service of that name is a language model's.
+    [[nodiscard]] bool has_engines(const core::service_name& name) const;
+
     /// The organisation that holds `key`, or null.
     [[nodiscard]] const organisation*
     find_organisation(const std::string& key) const;
--- a/libraries/routing/src/route_table.cpp
+++ b/libraries/routing/src/route_table.cpp
@@ -121,6 +121,12 @@
                                     : &content_.services[found->second];
 }
 
+bool route_table::has_engines(const core::service_name& name) const
+{
+    const service* found = find_service(name);
+    return found != nullptr && found->engine.has_value();
+}
+
 const organisation* route_table::find_organisation(const std::string& key) const
 {
     const auto found = organisations_by_key_.find(key);
--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -106,7 +106,6 @@
     [[nodiscard]] wire::listed_server
     server_to_tell(const placement::server_id& id) const;
     [[nodiscard]] std::uint64_t own_zone_tokens() const;
-    [[nodiscard]] bool is_engine(const core::service_name& name) const;
     [[nodiscard]] std::optional<core::host_name> first_reader() const;
     [[nodiscard]] wire::host_work work_to_tell() const;
     [[nodiscard]] std::vector<wire::message> greeting() const;
--- a/services/entry/include/godwit/entry/stream_call.hpp
+++ b/services/entry/include/godwit/entry/stream_call.hpp
@@ -59,6 +59,7 @@
         const placement::server_id& server,
         std::optional<continuation> resumes) const;
     [[nodiscard]] placement::work_size work() const;
+    [[nodiscard]] placement::work_size moved_work() const;
     [[nodiscard]] std::uint64_t memory_tokens() const;
     [[nodiscard]] std::uint32_t expected_output() const;
     void adopt(std::shared_ptr<upstream> serving);
--- a/services/entry/src/entry_process_neighbours.cpp
+++ b/services/entry/src/entry_process_neighbours.cpp
@@ -53,7 +53,9 @@
             wire::catalogue_position{context_.routes->version(), 0});
     if (outage_.is_current())
         said.emplace_back(servers_to_tell());
-    said.emplace_back(work_to_tell());
+    wire::host_work work = work_to_tell();
+    work.zone_tokens = own_zone_tokens();
+    said.emplace_back(std::move(work));
     return said;
 }
 
@@ -95,7 +97,6 @@
         said.reader = reader->value();
         said.reader_age_ms = age_ms(now - readers_.at(*reader));
     }
-    said.zone_tokens = own_zone_tokens();
     return said;
 }
 
@@ -115,13 +116,16 @@
 // far as this one hears them.
 std::uint64_t entry_process::own_zone_tokens() const
 {
+    if (!context_.routes)
+        return 0;
     const core::time_point now = core::monotonic_now();
     std::uint64_t sum = 0;
     std::uint64_t engines = 0;
     for (const auto& id : context_.directory.ids()) {
         const placement::backend_server& server = *context_.directory.find(id);
         if (!context_.directory.is_usable(id) ||
-            server.zone != context_.settings.zone || !is_engine(server.service))
+            server.zone != context_.settings.zone ||
+            !context_.routes->has_engines(server.service))
             continue;
         sum += context_.ledger.at(id, now).tokens;
         ++engines;
@@ -129,13 +133,6 @@
     return engines == 0 ? 0 : sum / engines;
 }
 
-bool entry_process::is_engine(const core::service_name& name) const
-{
-    const routing::service* service =
-        context_.routes ? context_.routes->find_service(name) : nullptr;
-    return service != nullptr && service->engine.has_value();
-}
-
 void entry_process::tell_work()
 {
     const core::time_point now = core::monotonic_now();
@@ -144,6 +141,8 @@
     if (is_same_but_growth(said, told_work_) &&
         now - told_work_at_ < work_refresh)
         return;
+    // Over every engine and neighbour; not for each tick that tells nothing.
+    said.zone_tokens = own_zone_tokens();
     neighbours_->broadcast(said);
     told_work_ = std::move(said);
     told_work_at_ = now;
--- a/services/entry/src/report_poller.cpp
+++ b/services/entry/src/report_poller.cpp
@@ -34,11 +34,10 @@
 
 void report_poller::poll_all()
 {
+    if (!context_.routes)
+        return;
     for (const auto& id : context_.directory.ids()) {
-        const auto& name = context_.directory.find(id)->service;
-        const routing::service* service =
-            context_.routes ? context_.routes->find_service(name) : nullptr;
-        if (service != nullptr && service->engine)
+        if (context_.routes->has_engines(context_.directory.find(id)->service))
             begin_to_ask(id);
     }
 }
--- a/services/entry/src/stream_call.cpp
+++ b/services/entry/src/stream_call.cpp
@@ -114,6 +114,14 @@
     return work;
 }
 
+// A run that moves brings its memory along: there is nothing to read.
+placement::work_size stream_call::moved_work() const
+{
+    placement::work_size moved = work();
+    moved.unread_tokens = 0;
+    return moved;
+}
+
 http::request stream_call::request_for(
     const placement::server_id& server,
     std::optional<continuation> resumes) const
@@ -324,9 +332,8 @@
     const bool can_move = call_->target.engine && call_->target.engine->moves;
     if (!can_move || migration_ || caller_gone_)
         return;
-    placement::work_size moved = work();
-    moved.unread_tokens = 0;
-    migration_ = std::make_shared<migrator>(context_, call_, active_, moved);
+    migration_ =
+        std::make_shared<migrator>(context_, call_, active_, moved_work());
     migration_->start();
 }
 
@@ -444,9 +451,7 @@
     http::request outgoing =
         request_for(moved.destination.id, std::move(resumes));
     reserved_.reset();
-    placement::work_size moved_work = work();
-    moved_work.unread_tokens = 0;
-    reserved_.emplace(context_, moved.destination.id, moved_work);
+    reserved_.emplace(context_, moved.destination.id, moved_work());
     leave_server();
     active_ = next;
     splitter_ = event_splitter();
