entry: whole and streamed calls refuse and forward by one piece of code

Both built the forwarded request and this host's own answer alike, but for the time to come back and what a stream adds. Behaviour is the same.

--- /dev/null
+++ b/services/entry/include/godwit/entry/call_answers.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <godwit/core/time.hpp>
+#include <godwit/entry/accepted_call.hpp>
+#include <godwit/entry/entry_context.hpp>
+#include <godwit/entry/forward_terms.hpp>
+#include <godwit/entry/refusal.hpp>
+#include <godwit/http/request.hpp>
+#include <godwit/telemetry/request_metrics.hpp>
+
+#include <boost/asio/awaitable.hpp>
+
+namespace godwit::entry {
+
+/// The caller's request as a backend server gets it. The time left and the
+/// organisation are filled in; `terms` brings the rest.
+[[nodiscard]] http::request forwarded_request(
+    const entry_context& context,
+    const accepted_call& call,
+    forward_terms terms);
+
+/// Answers the call from this host: logged, counted, and with when to come
+/// back where it has not run. The arguments live until it is done.
+boost::asio::awaitable<void> refuse_call(
+    const accepted_call& call,
+    telemetry::request_metrics& metrics,
+    refusal_reason reason,
+    core::duration come_back_after);
+
+} // namespace godwit::entry
--- a/services/entry/include/godwit/entry/whole_call.hpp
+++ b/services/entry/include/godwit/entry/whole_call.hpp
@@ -34,8 +34,6 @@
         bool is_failure = true;
     };
 
-    [[nodiscard]] http::request
-    request_for(const placement::backend_server& server) const;
     [[nodiscard]] bool may_repeat(core::time_point now);
     [[nodiscard]] core::time_point attempt_end(core::time_point now);
     boost::asio::awaitable<std::optional<placement::backend_server>> place();
--- /dev/null
+++ b/services/entry/src/call_answers.cpp
@@ -0,0 +1,52 @@
+#include <godwit/entry/call_answers.hpp>
+
+#include <godwit/entry/call_log.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace godwit::entry {
+
+http::request forwarded_request(
+    const entry_context& context,
+    const accepted_call& call,
+    forward_terms terms)
+{
+    const http::request& received = call.caller.received();
+    terms.time_left = std::max(
+        call.ends - core::monotonic_now(),
+        core::duration(std::chrono::milliseconds(1)));
+    terms.organisation = call.organisation;
+    return http::request{
+        received.method,
+        received.target,
+        context.words.forwarded_fields(received.fields, terms),
+        received.body};
+}
+
+boost::asio::awaitable<void> refuse_call(
+    const accepted_call& call,
+    telemetry::request_metrics& metrics,
+    refusal_reason reason,
+    core::duration come_back_after)
+{
+    const core::time_point now = core::monotonic_now();
+    log_refused(
+        call.terms.attempt_id,
+        call.via.name,
+        reason,
+        call.routes->version(),
+        now - call.arrived);
+    metrics.finished(outcome_of(reason), now);
+    const bool can_come_back = outcome_of(reason) == core::outcome::not_run;
+    http::response answer = make_refusal(
+        reason,
+        can_come_back ? std::optional<core::duration>(come_back_after)
+                      : std::nullopt);
+    // A caller that is gone needs no answer.
+    [[maybe_unused]] const auto sent =
+        co_await call.caller.respond(std::move(answer));
+}
+
+} // namespace godwit::entry
--- a/services/entry/src/stream_call.cpp
+++ b/services/entry/src/stream_call.cpp
@@ -1,5 +1,6 @@
 #include <godwit/entry/stream_call.hpp>
 
+#include <godwit/entry/call_answers.hpp>
 #include <godwit/entry/call_log.hpp>
 
 #include <algorithm>
@@ -126,21 +127,12 @@
     const placement::server_id& server,
     std::optional<continuation> resumes) const
 {
-    const http::request& received = call_->caller.received();
     forward_terms terms;
     terms.server = server;
-    terms.time_left = std::max(
-        call_->ends - core::monotonic_now(),
-        core::duration(std::chrono::milliseconds(1)));
-    terms.organisation = call_->organisation;
     if (call_->target.engine)
         terms.priority = call_->priority;
     terms.resumes = std::move(resumes);
-    return http::request{
-        received.method,
-        received.target,
-        context_.words.forwarded_fields(received.fields, terms),
-        received.body};
+    return forwarded_request(context_, *call_, std::move(terms));
 }
 
 asio::awaitable<bool> stream_call::start()
@@ -496,20 +488,7 @@
 
 asio::awaitable<void> stream_call::refuse(refusal_reason reason)
 {
-    log_refused(
-        call_->terms.attempt_id,
-        call_->via.name,
-        reason,
-        call_->routes->version(),
-        core::monotonic_now() - call_->arrived);
-    metrics_.finished(outcome_of(reason), core::monotonic_now());
-    const bool can_come_back = outcome_of(reason) == core::outcome::not_run;
-    http::response answer = make_refusal(
-        reason,
-        can_come_back ? std::optional<core::duration>(come_back_after)
-                      : std::nullopt);
-    [[maybe_unused]] const auto sent =
-        co_await call_->caller.respond(std::move(answer));
+    co_await refuse_call(*call_, metrics_, reason, come_back_after);
 }
 
 } // namespace godwit::entry
--- a/services/entry/src/whole_call.cpp
+++ b/services/entry/src/whole_call.cpp
@@ -1,5 +1,6 @@
 #include <godwit/entry/whole_call.hpp>
 
+#include <godwit/entry/call_answers.hpp>
 #include <godwit/entry/call_log.hpp>
 #include <godwit/entry/reservation.hpp>
 
@@ -116,23 +117,6 @@
     co_return std::nullopt;
 }
 
-http::request
-whole_call::request_for(const placement::backend_server& server) const
-{
-    const http::request& received = call_.caller.received();
-    forward_terms terms;
-    terms.server = server.id;
-    terms.time_left = std::max(
-        call_.ends - core::monotonic_now(),
-        core::duration(std::chrono::milliseconds(1)));
-    terms.organisation = call_.organisation;
-    return http::request{
-        received.method,
-        received.target,
-        context_.words.forwarded_fields(received.fields, terms),
-        received.body};
-}
-
 core::time_point whole_call::attempt_end(core::time_point now)
 {
     const bool may_run_again =
@@ -158,7 +142,10 @@
     const core::time_point end = attempt_end(core::monotonic_now());
 
     attempt_result result;
-    http::request outgoing = request_for(server);
+    forward_terms terms;
+    terms.server = server.id;
+    http::request outgoing =
+        forwarded_request(context_, call_, std::move(terms));
     const std::string attempt_id = call_.terms.attempt_id;
     auto head = co_await exchange->begin(std::move(outgoing), attempt_id, end);
     upstream_result<std::string> body;
@@ -242,20 +229,7 @@
 
 asio::awaitable<void> whole_call::refuse(refusal_reason reason)
 {
-    log_refused(
-        call_.terms.attempt_id,
-        call_.via.name,
-        reason,
-        call_.routes->version(),
-        core::monotonic_now() - call_.arrived);
-    metrics_.finished(outcome_of(reason), core::monotonic_now());
-    const bool can_come_back = outcome_of(reason) == core::outcome::not_run;
-    http::response answer = make_refusal(
-        reason,
-        can_come_back ? std::optional<core::duration>(come_back_after)
-                      : std::nullopt);
-    [[maybe_unused]] const auto sent =
-        co_await call_.caller.respond(std::move(answer));
+    co_await refuse_call(call_, metrics_, reason, come_back_after);
 }
 
 } // namespace godwit::entry
