--- a/services/entry/include/godwit/entry/call_log.hpp
+++ b/services/entry/include/godwit/entry/call_log.hpp
@@ -1,12 +1,14 @@
 #pragma once
 
 #include <godwit/core/error.hpp>
+#include <godwit/core/time.hpp>
 #include <godwit/entry/accepted_call.hpp>
 #include <godwit/entry/refusal.hpp>
 #include <godwit/placement/backend_server.hpp>
 #include <godwit/placement/placer.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 namespace godwit::entry {
@@ -45,6 +47,22 @@
     core::duration pause,
     core::duration objective);
 
+/// How fast a stream came to its caller.
+struct stream_pace
+{
+    std::optional<core::duration> first; ///< From the call to its first event.
+    core::duration longest_pause{};      ///< Between two later events.
+    std::uint64_t events = 0;
+
+    friend bool operator==(const stream_pace&, const stream_pace&) = default;
+};
+
+/// A stream came to its end and its caller has all of it.
+void log_stream_completed(
+    const accepted_call& call,
+    const placement::backend_server& server,
+    const stream_pace& pace);
+
 /// A running generation went on at another server, or could not.
 void log_migration(
     const accepted_call& call,
--- a/services/entry/include/godwit/entry/stream_call.hpp
+++ b/services/entry/include/godwit/entry/stream_call.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <godwit/entry/accepted_call.hpp>
+#include <godwit/entry/call_log.hpp>
 #include <godwit/entry/entry_context.hpp>
 #include <godwit/entry/event_splitter.hpp>
 #include <godwit/entry/migrator.hpp>
@@ -78,7 +79,7 @@
     waiting_line::place* waiting_ = nullptr;
     std::vector<placement::server_id> tried_;
     std::uint64_t last_event_ = 0;
-    std::uint64_t events_ = 0;
+    stream_pace pace_;
     core::time_point sent_at_{};
     std::optional<core::time_point> last_relayed_;
     unsigned refusals_ = 0;
--- a/services/entry/src/call_log.cpp
+++ b/services/entry/src/call_log.cpp
@@ -112,6 +112,24 @@
          {"objective_ms", milliseconds(objective)}});
 }
 
+void log_stream_completed(
+    const accepted_call& call,
+    const placement::backend_server& server,
+    const stream_pace& pace)
+{
+    telemetry::log_event(
+        telemetry::log_level::info,
+        component,
+        "stream_completed",
+        {{"request", call.terms.attempt_id},
+         {"route", call.via.name},
+         {"server", server.id},
+         {"events", pace.events},
+         {"first_ms", milliseconds(pace.first.value_or(core::duration()))},
+         {"longest_pause_ms", milliseconds(pace.longest_pause)},
+         {"age_ms", milliseconds(core::monotonic_now() - call.arrived)}});
+}
+
 void log_migration(
     const accepted_call& call,
     const placement::backend_server& source,
--- a/services/entry/src/stream_call.cpp
+++ b/services/entry/src/stream_call.cpp
@@ -1,7 +1,6 @@
 #include <godwit/entry/stream_call.hpp>
 
 #include <godwit/entry/call_answers.hpp>
-#include <godwit/entry/call_log.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -98,7 +97,7 @@
     if (!call_->terms.generation || !call_->target.engine)
         return 0;
     const std::uint64_t written =
-        events_ * call_->target.engine->tokens_per_event;
+        pace_.events * call_->target.engine->tokens_per_event;
     const std::uint64_t expected = expected_output();
     const std::uint64_t left = expected > written ? expected - written : 0;
     return call_->terms.generation->prompt_tokens + written +
@@ -110,7 +109,7 @@
     placement::work_size work;
     work.requests = 1;
     work.tokens = memory_tokens();
-    if (call_->terms.generation && events_ == 0)
+    if (call_->terms.generation && pace_.events == 0)
         work.unread_tokens = call_->terms.generation->prompt_tokens;
     return work;
 }
@@ -359,6 +358,7 @@
             stop_migration();
             context_.health.succeeded(active_->server().id);
             metrics_.finished(core::outcome::completed, core::monotonic_now());
+            log_stream_completed(*call_, active_->server(), pace_);
             [[maybe_unused]] const auto ended =
                 co_await call_->caller.finish_stream();
             co_return;
@@ -385,14 +385,14 @@
     std::string ready;
     for (raw_event& event : *events) {
         // After a resumption the server may repeat what the caller has.
-        if (event.id && events_ > 0 && *event.id <= last_event_)
+        if (event.id && pace_.events > 0 && *event.id <= last_event_)
             continue;
         if (event.id)
             last_event_ = *event.id;
-        ++events_;
+        ++pace_.events;
         ready += event.bytes;
     }
-    if (events_ > 0 && reserved_) {
+    if (pace_.events > 0 && reserved_) {
         reserved_->prompt_is_read();
         reserved_->set_tokens(memory_tokens());
     }
@@ -412,6 +412,10 @@
     const core::duration pause = now - last_relayed_.value_or(call_->arrived);
     const core::duration objective =
         is_first ? call_->via.latency_objective : call_->via.pause_objective;
+    if (is_first)
+        pace_.first = pause;
+    else
+        pace_.longest_pause = std::max(pace_.longest_pause, pause);
     last_relayed_ = now;
     metrics_.tokens_arrived(now);
     if (pause > objective)
