--- a/libraries/placement/include/godwit/placement/load_ledger.hpp
+++ b/libraries/placement/include/godwit/placement/load_ledger.hpp
@@ -6,6 +6,7 @@
 #include <godwit/placement/work_size.hpp>
 
 #include <chrono>
+#include <cstddef>
 #include <map>
 #include <vector>
 
@@ -20,8 +21,19 @@
     friend bool operator==(const server_work&, const server_work&) = default;
 };
 
+/// The name of a group of hosts that tell the sums of their work.
+using host_group = core::identifier<struct host_group_tag>;
+
+/// Whether a group told all of its work, or only what changed.
+enum class word_extent
+{
+    whole,
+    changes,
+};
+
 /// What each backend server has to do: this host's own requests, exactly,
-/// and what the neighbours last said of theirs.
+/// what the neighbours last said of theirs, and the sums that groups of
+/// hosts further away told.
 class load_ledger
 {
 public:
@@ -38,22 +50,39 @@
         const std::vector<server_work>& word,
         core::time_point now);
 
-    /// Own and neighbours' work at the server.
+    /// The sums of a group of hosts, of which none is a neighbour.
+    void group_says(
+        const host_group& group,
+        word_extent extent,
+        const std::vector<server_work>& word,
+        core::time_point now);
+
+    /// Work of all hosts at the server, as far as it is known.
     [[nodiscard]] work_size
     at(const server_id& server, core::time_point now) const;
 
     /// Own work alone, of every server that has some.
     [[nodiscard]] std::vector<server_work> own() const;
 
+    /// Own and neighbours' work, of every server that has some.
+    [[nodiscard]] std::vector<server_work> nearby(core::time_point now) const;
+
+    /// How many neighbours were heard lately.
+    [[nodiscard]] std::size_t neighbours_heard(core::time_point now) const;
+
 private:
-    struct neighbour_word
+    struct told_work
     {
         std::map<server_id, work_size> work;
         core::time_point heard_at;
+
+        [[nodiscard]] bool is_fresh(core::time_point now) const;
+        [[nodiscard]] work_size at(const server_id& server) const;
     };
 
     std::map<server_id, work_size> own_;
-    std::map<core::host_name, neighbour_word> neighbours_;
+    std::map<core::host_name, told_work> neighbours_;
+    std::map<host_group, told_work> groups_;
 };
 
 } // namespace godwit::placement
--- a/libraries/placement/include/godwit/placement/placer.hpp
+++ b/libraries/placement/include/godwit/placement/placer.hpp
@@ -7,7 +7,6 @@
 #include <godwit/placement/server_directory.hpp>
 #include <godwit/placement/server_health.hpp>
 #include <godwit/placement/work_size.hpp>
-#include <godwit/placement/zone_view.hpp>
 #include <godwit/routing/service.hpp>
 
 #include <tl/expected.hpp>
@@ -60,7 +59,6 @@
         const server_directory& directory,
         const load_ledger& ledger,
         const server_health& health,
-        const zone_view& zones,
         std::uint64_t seed);
 
     /// The best server for the request. Servers that are avoided are taken
@@ -69,10 +67,6 @@
     choose(const placement_request& wanted, core::time_point now);
 
 private:
-    [[nodiscard]] work_size load_of(
-        const placement_request& wanted,
-        const backend_server& server,
-        core::time_point now) const;
     [[nodiscard]] bool has_room(
         const placement_request& wanted,
         const backend_server& server,
@@ -85,7 +79,6 @@
     const server_directory& directory_;
     const load_ledger& ledger_;
     const server_health& health_;
-    const zone_view& zones_;
     core::random random_;
 };
 
--- a/libraries/placement/src/placer.cpp
+++ b/libraries/placement/src/placer.cpp
@@ -17,10 +17,6 @@
 constexpr double unread_tokens_weight = 7000.0;
 // Another zone adds a hop to each event, and its traffic is paid for.
 constexpr double other_zone_cost = 0.12;
-// A mean hides which of its engines are full.
-constexpr double unheard_zone_cost = 0.2;
-// Of an engine's memory, in a zone of which nothing is known.
-constexpr double unheard_memory_share = 0.8;
 // A copy of memory takes twice as long to another zone.
 constexpr double other_zone_migration_cost = 0.8;
 // A server that fails every request costs as much as two full ones.
@@ -37,33 +33,11 @@
     const server_directory& directory,
     const load_ledger& ledger,
     const server_health& health,
-    const zone_view& zones,
     std::uint64_t seed)
-    : directory_(directory), ledger_(ledger), health_(health), zones_(zones),
+    : directory_(directory), ledger_(ledger), health_(health),
       random_(seed)
 {}
 
-// Where the hosts of a zone are not heard one by one, each of its engines
-// counts as full as the zone's mean: taking it for empty would draw every
-// host's work there.
-work_size placer::load_of(
-    const placement_request& wanted,
-    const backend_server& server,
-    core::time_point now) const
-{
-    work_size load = ledger_.at(server.id, now);
-    if (!wanted.service->engine || zones_.is_heard(server.zone))
-        return load;
-    const auto unheard = static_cast<std::uint64_t>(
-        unheard_memory_share *
-        static_cast<double>(wanted.service->engine->memory_tokens));
-    load.tokens = std::max(
-        load.tokens, zones_.mean_tokens(server.zone, now).value_or(unheard));
-    // It is not empty: an empty server would take a request of any size.
-    load.requests = std::max<std::uint32_t>(load.requests, 1);
-    return load;
-}
-
 bool placer::has_room(
     const placement_request& wanted,
     const backend_server& server,
@@ -97,8 +71,6 @@
         return sum + static_cast<double>(load.requests) /
                          std::max<std::uint32_t>(server.slots, 1);
     const routing::engine_profile& engine = *wanted.service->engine;
-    if (!zones_.is_heard(server.zone))
-        sum += unheard_zone_cost;
     sum +=
         static_cast<double>(load.tokens) /
         static_cast<double>(std::max<std::uint64_t>(engine.memory_tokens, 1));
@@ -121,7 +93,7 @@
         if (is_excluded)
             continue;
         any = true;
-        const work_size load = load_of(wanted, *candidate, now);
+        const work_size load = ledger_.at(candidate->id, now);
         if (!has_room(wanted, *candidate, load))
             continue;
         const bool is_avoided = health_.is_avoided(candidate->id, now);
--- a/libraries/wire/include/godwit/wire/host_work.hpp
+++ b/libraries/wire/include/godwit/wire/host_work.hpp
@@ -27,9 +27,6 @@
     /// ago it said so; empty if none is known.
     std::string reader;
     std::uint32_t reader_age_ms = 0;
-    /// The mean memory, in tokens, that requests of all hosts have at an
-    /// engine of the sender's zone, as far as the sender knows.
-    std::uint64_t zone_tokens = 0;
 
     friend bool operator==(const host_work&, const host_work&) = default;
 };
--- a/libraries/wire/include/godwit/wire/message.hpp
+++ b/libraries/wire/include/godwit/wire/message.hpp
@@ -4,6 +4,7 @@
 #include <godwit/wire/catalogue_change.hpp>
 #include <godwit/wire/catalogue_position.hpp>
 #include <godwit/wire/catalogue_snapshot.hpp>
+#include <godwit/wire/cell_work.hpp>
 #include <godwit/wire/claim_answer.hpp>
 #include <godwit/wire/claim_finished.hpp>
 #include <godwit/wire/claim_forward.hpp>
@@ -51,7 +52,8 @@
     table_document,
     listed_servers,
     host_work,
-    link_claim>;
+    link_claim,
+    cell_work>;
 
 /// The name of the message's type, for logs and metrics.
 [[nodiscard]] std::string_view name_of(const message& value) noexcept;
--- a/libraries/wire/src/codec.cpp
+++ b/libraries/wire/src/codec.cpp
@@ -103,6 +103,8 @@
         return read_payload(frame.payload_as_host_work(), reader);
     case format::payload::link_claim:
         return read_payload(frame.payload_as_link_claim(), reader);
+    case format::payload::cell_work:
+        return read_payload(frame.payload_as_cell_work(), reader);
     case format::payload::NONE:
         break;
     }
--- a/libraries/wire/src/godwit_generated.h
+++ b/libraries/wire/src/godwit_generated.h
@@ -95,6 +95,9 @@
 struct host_work;
 struct host_workBuilder;
 
+struct cell_work;
+struct cell_workBuilder;
+
 struct link_claim;
 struct link_claimBuilder;
 
@@ -380,11 +383,12 @@
   listed_servers = 20,
   host_work = 21,
   link_claim = 22,
+  cell_work = 23,
   MIN = NONE,
-  MAX = link_claim
+  MAX = cell_work
 };
 
-inline const payload (&EnumValuespayload())[23] {
+inline const payload (&EnumValuespayload())[24] {
   static const payload values[] = {
     payload::NONE,
     payload::hello,
@@ -408,13 +412,14 @@
     payload::table_document,
     payload::listed_servers,
     payload::host_work,
-    payload::link_claim
+    payload::link_claim,
+    payload::cell_work
   };
   return values;
 }
 
 inline const char * const *EnumNamespayload() {
-  static const char * const names[24] = {
+  static const char * const names[25] = {
     "NONE",
     "hello",
     "heartbeat",
@@ -438,13 +443,14 @@
     "listed_servers",
     "host_work",
     "link_claim",
+    "cell_work",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamepayload(payload e) {
-  if (flatbuffers::IsOutRange(e, payload::NONE, payload::link_claim)) return "";
+  if (flatbuffers::IsOutRange(e, payload::NONE, payload::cell_work)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamespayload()[index];
 }
@@ -541,6 +547,10 @@
   static const payload enum_value = payload::link_claim;
 };
 
+template<> struct payloadTraits<godwit::wire::format::cell_work> {
+  static const payload enum_value = payload::cell_work;
+};
+
 bool Verifypayload(flatbuffers::Verifier &verifier, const void *obj, payload type);
 bool VerifypayloadVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<payload> *types);
 
@@ -2737,8 +2747,7 @@
     VT_WORK = 4,
     VT_READS_LIST = 6,
     VT_READER = 8,
-    VT_READER_AGE_MS = 10,
-    VT_ZONE_TOKENS = 12
+    VT_READER_AGE_MS = 10
   };
   const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::server_work>> *work() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::server_work>> *>(VT_WORK);
@@ -2752,9 +2761,6 @@
   uint32_t reader_age_ms() const {
     return GetField<uint32_t>(VT_READER_AGE_MS, 0);
   }
-  uint64_t zone_tokens() const {
-    return GetField<uint64_t>(VT_ZONE_TOKENS, 0);
-  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_WORK) &&
@@ -2764,7 +2770,6 @@
            VerifyOffset(verifier, VT_READER) &&
            verifier.VerifyString(reader()) &&
            VerifyField<uint32_t>(verifier, VT_READER_AGE_MS, 4) &&
-           VerifyField<uint64_t>(verifier, VT_ZONE_TOKENS, 8) &&
            verifier.EndTable();
   }
 };
@@ -2785,9 +2790,6 @@
   void add_reader_age_ms(uint32_t reader_age_ms) {
     fbb_.AddElement<uint32_t>(host_work::VT_READER_AGE_MS, reader_age_ms, 0);
   }
-  void add_zone_tokens(uint64_t zone_tokens) {
-    fbb_.AddElement<uint64_t>(host_work::VT_ZONE_TOKENS, zone_tokens, 0);
-  }
   explicit host_workBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2804,10 +2806,8 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::server_work>>> work = 0,
     bool reads_list = false,
     flatbuffers::Offset<flatbuffers::String> reader = 0,
-    uint32_t reader_age_ms = 0,
-    uint64_t zone_tokens = 0) {
+    uint32_t reader_age_ms = 0) {
   host_workBuilder builder_(_fbb);
-  builder_.add_zone_tokens(zone_tokens);
   builder_.add_reader_age_ms(reader_age_ms);
   builder_.add_reader(reader);
   builder_.add_work(work);
@@ -2825,8 +2825,7 @@
     const std::vector<flatbuffers::Offset<godwit::wire::format::server_work>> *work = nullptr,
     bool reads_list = false,
     const char *reader = nullptr,
-    uint32_t reader_age_ms = 0,
-    uint64_t zone_tokens = 0) {
+    uint32_t reader_age_ms = 0) {
   auto work__ = work ? _fbb.CreateVector<flatbuffers::Offset<godwit::wire::format::server_work>>(*work) : 0;
   auto reader__ = reader ? _fbb.CreateString(reader) : 0;
   return godwit::wire::format::Createhost_work(
@@ -2834,8 +2833,91 @@
       work__,
       reads_list,
       reader__,
-      reader_age_ms,
-      zone_tokens);
+      reader_age_ms);
+}
+
+struct cell_work FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef cell_workBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CELL = 4,
+    VT_WHOLE = 6,
+    VT_WORK = 8
+  };
+  const flatbuffers::String *cell() const {
+    return GetPointer<const flatbuffers::String *>(VT_CELL);
+  }
+  bool whole() const {
+    return GetField<uint8_t>(VT_WHOLE, 0) != 0;
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::server_work>> *work() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::server_work>> *>(VT_WORK);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_CELL) &&
+           verifier.VerifyString(cell()) &&
+           VerifyField<uint8_t>(verifier, VT_WHOLE, 1) &&
+           VerifyOffset(verifier, VT_WORK) &&
+           verifier.VerifyVector(work()) &&
+           verifier.VerifyVectorOfTables(work()) &&
+           verifier.EndTable();
+  }
+};
+
+struct cell_workBuilder {
+  typedef cell_work Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_cell(flatbuffers::Offset<flatbuffers::String> cell) {
+    fbb_.AddOffset(cell_work::VT_CELL, cell);
+  }
+  void add_whole(bool whole) {
+    fbb_.AddElement<uint8_t>(cell_work::VT_WHOLE, static_cast<uint8_t>(whole), 0);
+  }
+  void add_work(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::server_work>>> work) {
+    fbb_.AddOffset(cell_work::VT_WORK, work);
+  }
+  explicit cell_workBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<cell_work> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<cell_work>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<cell_work> Createcell_work(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> cell = 0,
+    bool whole = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::server_work>>> work = 0) {
+  cell_workBuilder builder_(_fbb);
+  builder_.add_work(work);
+  builder_.add_cell(cell);
+  builder_.add_whole(whole);
+  return builder_.Finish();
+}
+
+struct cell_work::Traits {
+  using type = cell_work;
+  static auto constexpr Create = Createcell_work;
+};
+
+inline flatbuffers::Offset<cell_work> Createcell_workDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *cell = nullptr,
+    bool whole = false,
+    const std::vector<flatbuffers::Offset<godwit::wire::format::server_work>> *work = nullptr) {
+  auto cell__ = cell ? _fbb.CreateString(cell) : 0;
+  auto work__ = work ? _fbb.CreateVector<flatbuffers::Offset<godwit::wire::format::server_work>>(*work) : 0;
+  return godwit::wire::format::Createcell_work(
+      _fbb,
+      cell__,
+      whole,
+      work__);
 }
 
 struct link_claim FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2988,6 +3070,9 @@
   const godwit::wire::format::link_claim *payload_as_link_claim() const {
     return payload_type() == godwit::wire::format::payload::link_claim ? static_cast<const godwit::wire::format::link_claim *>(payload()) : nullptr;
   }
+  const godwit::wire::format::cell_work *payload_as_cell_work() const {
+    return payload_type() == godwit::wire::format::payload::cell_work ? static_cast<const godwit::wire::format::cell_work *>(payload()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_PAYLOAD_TYPE, 1) &&
@@ -3085,6 +3170,10 @@
   return payload_as_link_claim();
 }
 
+template<> inline const godwit::wire::format::cell_work *frame::payload_as<godwit::wire::format::cell_work>() const {
+  return payload_as_cell_work();
+}
+
 struct frameBuilder {
   typedef frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -3214,6 +3303,10 @@
       auto ptr = reinterpret_cast<const godwit::wire::format::link_claim *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case payload::cell_work: {
+      auto ptr = reinterpret_cast<const godwit::wire::format::cell_work *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/libraries/wire/src/message.cpp
+++ b/libraries/wire/src/message.cpp
@@ -30,7 +30,8 @@
             "table_document",
             "listed_servers",
             "host_work",
-            "link_claim"};
+            "link_claim",
+            "cell_work"};
     return names.at(value.index());
 }
 
--- a/libraries/wire/src/message_reader.cpp
+++ b/libraries/wire/src/message_reader.cpp
@@ -230,8 +230,7 @@
         .work = reader.list<server_work>(table.work()),
         .reads_list = table.reads_list(),
         .reader = reader.text(table.reader()),
-        .reader_age_ms = table.reader_age_ms(),
-        .zone_tokens = table.zone_tokens()};
+        .reader_age_ms = table.reader_age_ms()};
 }
 
 link_claim read(const format::link_claim& table, frame_reader& reader)
@@ -241,4 +240,12 @@
         .hold_ms = table.hold_ms()};
 }
 
+cell_work read(const format::cell_work& table, frame_reader& reader)
+{
+    return cell_work{
+        .cell = reader.text(table.cell()),
+        .is_whole = table.whole(),
+        .work = reader.list<server_work>(table.work())};
+}
+
 } // namespace godwit::wire
--- a/libraries/wire/src/message_reader.hpp
+++ b/libraries/wire/src/message_reader.hpp
@@ -42,5 +42,6 @@
 server_work read(const format::server_work& table, frame_reader& reader);
 host_work read(const format::host_work& table, frame_reader& reader);
 link_claim read(const format::link_claim& table, frame_reader& reader);
+cell_work read(const format::cell_work& table, frame_reader& reader);
 
 } // namespace godwit::wire
--- a/libraries/wire/src/message_writer.cpp
+++ b/libraries/wire/src/message_writer.cpp
@@ -288,8 +288,7 @@
         list(out, value.work),
         value.reads_list,
         out.CreateString(value.reader),
-        value.reader_age_ms,
-        value.zone_tokens);
+        value.reader_age_ms);
 }
 
 flatbuffers::Offset<format::link_claim>
@@ -299,4 +298,11 @@
         out, out.CreateVectorOfStrings(value.servers), value.hold_ms);
 }
 
+flatbuffers::Offset<format::cell_work>
+write(builder& out, const cell_work& value)
+{
+    return format::Createcell_work(
+        out, text(out, value.cell), value.is_whole, list(out, value.work));
+}
+
 } // namespace godwit::wire
--- a/libraries/wire/src/message_writer.hpp
+++ b/libraries/wire/src/message_writer.hpp
@@ -61,5 +61,7 @@
 write(flatbuffers::FlatBufferBuilder& out, const host_work& value);
 flatbuffers::Offset<format::link_claim>
 write(flatbuffers::FlatBufferBuilder& out, const link_claim& value);
+flatbuffers::Offset<format::cell_work>
+write(flatbuffers::FlatBufferBuilder& out, const cell_work& value);
 
 } // namespace godwit::wire
--- /dev/null
+++ b/services/entry/include/godwit/entry/cell_report.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <godwit/core/time.hpp>
+#include <godwit/placement/load_ledger.hpp>
+#include <godwit/wire/cell_work.hpp>
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace godwit::entry {
+
+/// What a host tells other cells of its own one: the work at each server, as
+/// sums over the cell's hosts.
+class cell_report
+{
+public:
+    /// The span between two words. A choice between engines is as good as
+    /// what is known of them; a prompt takes some 400 ms to be read.
+    static constexpr core::duration pace = std::chrono::milliseconds(100);
+    /// All sums are told this often, for whoever missed changes.
+    static constexpr core::duration whole_pace = std::chrono::seconds(1);
+    /// Memory that grows by less than this many tokens waits for more.
+    static constexpr std::uint64_t told_growth = 400;
+
+    /// The word that is due now, if anything is to be told. `sums` names
+    /// each server with work once.
+    [[nodiscard]] std::optional<wire::cell_work> next(
+        const placement::host_group& cell,
+        const std::vector<placement::server_work>& sums,
+        core::time_point now);
+
+private:
+    std::map<placement::server_id, placement::work_size> told_;
+    core::time_point whole_told_at_{};
+};
+
+} // namespace godwit::entry
--- a/services/entry/include/godwit/entry/entry_context.hpp
+++ b/services/entry/include/godwit/entry/entry_context.hpp
@@ -44,7 +44,6 @@
     placement::server_directory directory;
     placement::load_ledger ledger;
     placement::server_health health;
-    placement::zone_view zones;
     placement::placer chooser;
     retry_budgets budgets;
     waiting_line line;
--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -2,6 +2,7 @@
 
 #include <godwit/core/result.hpp>
 #include <godwit/entry/call_service.hpp>
+#include <godwit/entry/cell_report.hpp>
 #include <godwit/entry/dialect.hpp>
 #include <godwit/entry/entry_context.hpp>
 #include <godwit/entry/entry_settings.hpp>
@@ -101,11 +102,11 @@
     void poll_reports();
     void tell_work();
     void tell_work_soon();
+    void tell_cell();
     void tell_servers();
     [[nodiscard]] wire::listed_servers servers_to_tell() const;
     [[nodiscard]] wire::listed_server
     server_to_tell(const placement::server_id& id) const;
-    [[nodiscard]] std::uint64_t own_zone_tokens() const;
     [[nodiscard]] std::optional<core::host_name> first_reader() const;
     [[nodiscard]] wire::host_work work_to_tell() const;
     [[nodiscard]] std::vector<wire::message> greeting() const;
@@ -120,6 +121,7 @@
     void hear_sign(const core::host_name& host, const wire::server_sign& said);
     void hear_claim(const core::host_name& host, const wire::link_claim& said);
     void hear_work(const wire::hello& peer, const wire::host_work& said);
+    void hear_cell(const wire::cell_work& said);
     void hear_reader(const core::host_name& host, const wire::host_work& said);
 
     boost::asio::io_context& io_;
@@ -137,6 +139,9 @@
     std::map<core::host_name, core::time_point> readers_;
     wire::host_work told_work_;
     core::time_point told_work_at_{};
+    cell_report cell_report_;
+    core::time_point told_cell_at_{};
+    core::time_point told_reader_at_{};
     report_poller reports_;
     core::time_point polled_at_{};
     list_outage outage_;
--- a/services/entry/include/godwit/entry/neighbour_links.hpp
+++ b/services/entry/include/godwit/entry/neighbour_links.hpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,14 @@
         on_message;
 };
 
+/// Who is told something.
+enum class audience
+{
+    everybody,
+    cell,   ///< The hosts of the own cell.
+    others, ///< The hosts of other cells.
+};
+
 /// The links to some other entry hosts. Each is on its own: a neighbour that
 /// freezes, is cut off or loses power costs its own link only. Used on one
 /// executor.
@@ -50,8 +59,25 @@
     /// The hosts that are known now; links to others end.
     void set_hosts(const std::vector<known_host>& hosts);
 
-    /// Sends to every neighbour whose link is open.
-    void broadcast(const wire::message& said);
+    /// Sends to the neighbours of the audience whose links are open.
+    void broadcast(
+        const wire::message& said, audience meant = audience::everybody);
+
+    /// The own cell's name; empty until the hosts are known.
+    [[nodiscard]] const placement::host_group& cell() const noexcept
+    {
+        return cell_;
+    }
+
+    /// Whether the host is of the own cell. Until the hosts are known,
+    /// everybody is.
+    [[nodiscard]] bool is_cell_mate(const core::host_name& host) const;
+
+    /// The other hosts of the own cell.
+    [[nodiscard]] std::size_t cell_mates() const noexcept
+    {
+        return mates_.size();
+    }
 
     /// Neighbours whose links are open.
     [[nodiscard]] std::size_t open_links() const;
@@ -66,6 +92,9 @@
     [[nodiscard]] wire::hello introduction() const;
     [[nodiscard]] wire::link_handlers watch() const;
     void connect(const http::endpoint& address);
+    void note_cell(const std::vector<host_cell>& cells);
+    [[nodiscard]] bool
+    is_meant(const std::shared_ptr<wire::link>& link, audience meant) const;
 
     boost::asio::any_io_executor executor_;
     const entry_settings& settings_;
@@ -73,6 +102,8 @@
     std::string incarnation_;
     std::shared_ptr<wire::acceptor> acceptor_;
     std::map<http::endpoint, std::shared_ptr<wire::connector>> connectors_;
+    placement::host_group cell_;
+    std::set<core::host_name> mates_;
 };
 
 } // namespace godwit::entry
--- /dev/null
+++ b/services/entry/src/cell_report.cpp
@@ -0,0 +1,62 @@
+#include <godwit/entry/cell_report.hpp>
+
+#include <utility>
+
+namespace godwit::entry {
+
+namespace {
+
+using placement::work_size;
+
+wire::server_work
+to_wire(const placement::server_id& server, const work_size& work)
+{
+    return wire::server_work{
+        server.value(), work.requests, work.tokens, work.unread_tokens};
+}
+
+bool is_news(const work_size& told, const work_size& now)
+{
+    const std::uint64_t growth = told.tokens < now.tokens
+                                     ? now.tokens - told.tokens
+                                     : told.tokens - now.tokens;
+    return told.requests != now.requests ||
+           told.unread_tokens != now.unread_tokens ||
+           growth >= cell_report::told_growth;
+}
+
+} // namespace
+
+std::optional<wire::cell_work> cell_report::next(
+    const placement::host_group& cell,
+    const std::vector<placement::server_work>& sums,
+    core::time_point now)
+{
+    wire::cell_work said;
+    said.cell = cell.value();
+    said.is_whole = told_.empty() || now - whole_told_at_ >= whole_pace;
+    std::map<placement::server_id, work_size> kept;
+    for (const auto& [server, work] : sums) {
+        const auto before = told_.find(server);
+        const bool is_told = said.is_whole || before == told_.end() ||
+                             is_news(before->second, work);
+        kept.emplace(server, is_told ? work : before->second);
+        if (is_told)
+            said.work.push_back(to_wire(server, work));
+        if (before != told_.end())
+            told_.erase(before);
+    }
+    // What is left has no work any more.
+    if (!said.is_whole) {
+        for (const auto& [server, work] : told_)
+            said.work.push_back(to_wire(server, work_size()));
+    }
+    told_ = std::move(kept);
+    if (said.is_whole)
+        whole_told_at_ = now;
+    if (said.work.empty() && !said.is_whole)
+        return std::nullopt;
+    return said;
+}
+
+} // namespace godwit::entry
--- a/services/entry/src/entry_context.cpp
+++ b/services/entry/src/entry_context.cpp
@@ -31,7 +31,6 @@
           directory,
           ledger,
           health,
-          zones,
           core::stable_hash(settings.host.value())),
       budgets(settings),
       connections(http::connection_pool::create(executor, pool_limits())),
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -238,8 +238,6 @@
 {
     context_.budgets.set_hosts(hosts.size());
     fleet_size_ = hosts.size();
-    if (hosts.size() > full_mesh)
-        context_.zones.set_heard({context_.settings.zone});
     neighbours_->set_hosts(hosts);
 }
 
@@ -280,6 +278,7 @@
     context_.line.wake();
     tell_servers();
     tell_work();
+    tell_cell();
     avoid_silent_servers();
     poll_reports();
     tick_timer_.expires_after(tick_span);
--- a/services/entry/src/entry_process_neighbours.cpp
+++ b/services/entry/src/entry_process_neighbours.cpp
@@ -43,6 +43,18 @@
         });
 }
 
+std::vector<placement::server_work>
+to_ledger(const std::vector<wire::server_work>& said)
+{
+    std::vector<placement::server_work> word;
+    word.reserve(said.size());
+    for (const wire::server_work& one : said)
+        word.push_back(placement::server_work{
+            placement::server_id(one.server),
+            placement::work_size{one.requests, one.tokens, one.unread_tokens}});
+    return word;
+}
+
 } // namespace
 
 std::vector<wire::message> entry_process::greeting() const
@@ -53,9 +65,7 @@
             wire::catalogue_position{context_.routes->version(), 0});
     if (outage_.is_current())
         said.emplace_back(servers_to_tell());
-    wire::host_work work = work_to_tell();
-    work.zone_tokens = own_zone_tokens();
-    said.emplace_back(std::move(work));
+    said.emplace_back(work_to_tell());
     return said;
 }
 
@@ -112,27 +122,6 @@
     neighbours_->broadcast(said);
 }
 
-// The mean over the engines of the own zone of what all hosts have there, as
-// far as this one hears them.
-std::uint64_t entry_process::own_zone_tokens() const
-{
-    if (!context_.routes)
-        return 0;
-    const core::time_point now = core::monotonic_now();
-    std::uint64_t sum = 0;
-    std::uint64_t engines = 0;
-    for (const auto& id : context_.directory.ids()) {
-        const placement::backend_server& server = *context_.directory.find(id);
-        if (!context_.directory.is_usable(id) ||
-            server.zone != context_.settings.zone ||
-            !context_.routes->has_engines(server.service))
-            continue;
-        sum += context_.ledger.at(id, now).tokens;
-        ++engines;
-    }
-    return engines == 0 ? 0 : sum / engines;
-}
-
 void entry_process::tell_work()
 {
     const core::time_point now = core::monotonic_now();
@@ -141,13 +130,34 @@
     if (is_same_but_growth(said, told_work_) &&
         now - told_work_at_ < work_refresh)
         return;
-    // Over every engine and neighbour; not for each tick that tells nothing.
-    said.zone_tokens = own_zone_tokens();
-    neighbours_->broadcast(said);
+    neighbours_->broadcast(said, audience::cell);
     told_work_ = std::move(said);
     told_work_at_ = now;
 }
 
+// Hosts of other cells need no more than the sums of this one; each of them
+// hears them from its counterparts here. Who has not heard most of its cell
+// itself would tell too little.
+void entry_process::tell_cell()
+{
+    const core::time_point now = core::monotonic_now();
+    if (now - told_reader_at_ >= work_refresh) {
+        told_reader_at_ = now;
+        wire::host_work said = work_to_tell();
+        said.work.clear();
+        neighbours_->broadcast(said, audience::others);
+    }
+    const bool is_due = now - told_cell_at_ >= cell_report::pace;
+    if (!is_due || neighbours_->cell().empty() ||
+        2 * context_.ledger.neighbours_heard(now) < neighbours_->cell_mates())
+        return;
+    told_cell_at_ = now;
+    const auto said = cell_report_.next(
+        neighbours_->cell(), context_.ledger.nearby(now), now);
+    if (said)
+        neighbours_->broadcast(*said, audience::others);
+}
+
 // At once, so that hosts which choose within milliseconds of each other do
 // not all choose the server that was the emptiest; what ends may wait for the
 // next tick.
@@ -179,6 +189,8 @@
         hear_sign(peer.host, *sign);
     else if (const auto* claim = std::get_if<wire::link_claim>(&said))
         hear_claim(peer.host, *claim);
+    else if (const auto* cell = std::get_if<wire::cell_work>(&said))
+        hear_cell(*cell);
 }
 
 // A neighbour has a version. The table itself is large, and the store brings
@@ -308,16 +320,26 @@
 {
     const core::host_name& host = peer.host;
     hear_reader(host, said);
-    context_.zones.hear(peer.zone, said.zone_tokens, core::monotonic_now());
     if (said.reads_list)
         outage_.neighbour_reads(core::monotonic_now());
-    std::vector<placement::server_work> word;
-    word.reserve(said.work.size());
-    for (const wire::server_work& one : said.work)
-        word.push_back(placement::server_work{
-            placement::server_id(one.server),
-            placement::work_size{one.requests, one.tokens, one.unread_tokens}});
-    context_.ledger.neighbour_says(host, word, core::monotonic_now());
+    // The greeting of a host of another cell: its cell's sums hold its work.
+    if (!neighbours_->is_cell_mate(host))
+        return;
+    context_.ledger.neighbour_says(
+        host, to_ledger(said.work), core::monotonic_now());
+}
+
+void entry_process::hear_cell(const wire::cell_work& said)
+{
+    const placement::host_group cell(said.cell);
+    if (cell == neighbours_->cell())
+        return;
+    context_.ledger.group_says(
+        cell,
+        said.is_whole ? placement::word_extent::whole
+                      : placement::word_extent::changes,
+        to_ledger(said.work),
+        core::monotonic_now());
 }
 
 } // namespace godwit::entry
--- a/services/entry/src/neighbour_choice.cpp
+++ b/services/entry/src/neighbour_choice.cpp
@@ -2,55 +2,74 @@
 
 #include <algorithm>
 #include <cstddef>
-#include <iterator>
+#include <optional>
 
 namespace godwit::entry {
 
 namespace {
 
-std::size_t
-place_of(const std::vector<known_host>& hosts, const core::host_name& name)
+// Fleets with more cells have links enough on which news goes round; links
+// have their price in memory and processor time.
+constexpr std::size_t most_cells_with_spares = 8;
+
+struct place_in_cells
+{
+    std::size_t cell = 0;
+    std::size_t member = 0;
+};
+
+std::optional<place_in_cells>
+find(const std::vector<host_cell>& cells, const core::host_name& self)
 {
-    const auto found =
-        std::find_if(hosts.begin(), hosts.end(), [&name](const auto& host) {
-            return host.name == name;
-        });
-    return static_cast<std::size_t>(found - hosts.begin());
+    for (std::size_t cell = 0; cell < cells.size(); ++cell) {
+        const auto& members = cells[cell].members;
+        const auto found = std::find_if(
+            members.begin(), members.end(), [&self](const auto& host) {
+                return host.name == self;
+            });
+        if (found != members.end())
+            return place_in_cells{
+                cell, static_cast<std::size_t>(found - members.begin())};
+    }
+    return std::nullopt;
 }
 
-// The hosts of the own cell that come before the own one.
-std::vector<known_host>
-cell_links(const std::vector<known_host>& hosts, const known_host& self)
+// Of two cells one opens the links between counterparts: every second one of
+// the cells after it and before it, so that no host opens most of them.
+bool opens(std::size_t own, std::size_t other)
 {
-    std::vector<known_host> mates;
-    std::copy_if(
-        hosts.begin(),
-        hosts.end(),
-        std::back_inserter(mates),
-        [&self](const auto& host) { return host.zone == self.zone; });
-    const std::size_t own = place_of(mates, self.name);
-    const std::size_t first = own - own % cell_size;
-    const auto begin = mates.begin() + static_cast<std::ptrdiff_t>(first);
-    return {begin, mates.begin() + static_cast<std::ptrdiff_t>(own)};
+    const bool is_even = (own + other) % 2 == 0;
+    return is_even == (own < other);
 }
 
 } // namespace
 
-std::vector<known_host>
-choose_neighbours(std::vector<known_host> hosts, const core::host_name& self)
+std::vector<known_host> choose_neighbours(
+    const std::vector<host_cell>& cells, const core::host_name& self)
 {
-    std::sort(hosts.begin(), hosts.end());
-    const std::size_t own = place_of(hosts, self);
-    if (own == hosts.size())
+    const auto own = find(cells, self);
+    if (!own)
         return {};
-    if (hosts.size() <= full_mesh)
-        return {
-            hosts.begin(), hosts.begin() + static_cast<std::ptrdiff_t>(own)};
-    std::vector<known_host> chosen = cell_links(hosts, hosts[own]);
-    for (std::size_t step = 1; step <= hosts.size() / 2; step *= 2) {
-        const known_host& other = hosts[(own + step) % hosts.size()];
+    const auto& mates = cells[own->cell].members;
+    std::vector<known_host> chosen(
+        mates.begin(),
+        mates.begin() + static_cast<std::ptrdiff_t>(own->member));
+    const auto add = [&](const std::vector<known_host>& members,
+                         std::size_t place) {
+        const known_host& other = members[place % members.size()];
         if (std::find(chosen.begin(), chosen.end(), other) == chosen.end())
             chosen.push_back(other);
+    };
+    for (std::size_t cell = 0; cell < cells.size(); ++cell) {
+        if (cell == own->cell)
+            continue;
+        // In a smaller cell one host is the counterpart of several; each of
+        // them opens its link.
+        const auto& members = cells[cell].members;
+        if (opens(own->cell, cell) || own->member >= members.size())
+            add(members, own->member);
+        if (cells.size() <= most_cells_with_spares)
+            add(members, own->member + 1);
     }
     return chosen;
 }
--- a/services/entry/src/neighbour_links.cpp
+++ b/services/entry/src/neighbour_links.cpp
@@ -159,8 +159,10 @@
 
 void neighbour_links::set_hosts(const std::vector<known_host>& hosts)
 {
+    const std::vector<host_cell> cells = cells_of(hosts);
+    note_cell(cells);
     std::set<http::endpoint> wanted;
-    for (const known_host& chosen : choose_neighbours(hosts, settings_.host))
+    for (const known_host& chosen : choose_neighbours(cells, settings_.host))
         wanted.insert(chosen.address);
     for (auto at = connectors_.begin(); at != connectors_.end();) {
         if (wanted.contains(at->first)) {
@@ -174,16 +176,51 @@
         connect(address);
 }
 
-void neighbour_links::broadcast(const wire::message& said)
+// A host that is not listed itself yet takes everybody for its cell.
+void neighbour_links::note_cell(const std::vector<host_cell>& cells)
+{
+    cell_ = placement::host_group();
+    mates_.clear();
+    for (const host_cell& each : cells) {
+        std::set<core::host_name> names;
+        for (const known_host& member : each.members)
+            names.insert(member.name);
+        if (names.erase(settings_.host) == 0)
+            continue;
+        cell_ = each.name;
+        mates_ = std::move(names);
+    }
+}
+
+bool neighbour_links::is_cell_mate(const core::host_name& host) const
+{
+    return cell_.empty() || mates_.contains(host);
+}
+
+bool neighbour_links::is_meant(
+    const std::shared_ptr<wire::link>& link, audience meant) const
+{
+    if (!link || !link->is_open())
+        return false;
+    if (meant == audience::everybody)
+        return true;
+    const auto& peer = link->peer();
+    return peer &&
+           is_cell_mate(peer->host) == (meant == audience::cell);
+}
+
+void neighbour_links::broadcast(const wire::message& said, audience meant)
 {
     // A link whose peer does not read closes here, and leaves the set.
     const std::set<std::shared_ptr<wire::link>> links = acceptor_->links();
     for (const auto& link : links) {
-        if (link->is_open())
+        if (is_meant(link, meant))
             link->send(said);
     }
-    for (const auto& [address, connector] : connectors_)
-        connector->send(said);
+    for (const auto& [address, connector] : connectors_) {
+        if (is_meant(connector->current(), meant))
+            connector->send(said);
+    }
 }
 
 std::size_t neighbour_links::open_links() const
