--- a/libraries/placement/include/godwit/placement/load_ledger.hpp
+++ b/libraries/placement/include/godwit/placement/load_ledger.hpp
@@ -67,6 +67,9 @@
     /// Own and neighbours' work, of every server that has some.
     [[nodiscard]] std::vector<server_work> nearby(core::time_point now) const;
 
+    /// Whether there are groups of hosts of which only sums are known.
+    [[nodiscard]] bool hears_groups(core::time_point now) const;
+
     /// How many neighbours were heard lately.
     [[nodiscard]] std::size_t neighbours_heard(core::time_point now) const;
 
--- a/libraries/placement/include/godwit/placement/placer.hpp
+++ b/libraries/placement/include/godwit/placement/placer.hpp
@@ -12,6 +12,7 @@
 #include <tl/expected.hpp>
 
 #include <cstdint>
+#include <limits>
 #include <vector>
 
 namespace godwit::placement {
@@ -19,8 +20,9 @@
 /// What a placement is wanted for.
 enum class placement_purpose
 {
-    start,     ///< A request that starts, or is sent again.
-    migration, ///< A running generation that goes on elsewhere.
+    start,      ///< A request that starts, or is sent again.
+    late_start, ///< One that cannot meet its latency objective any more.
+    migration,  ///< A running generation that goes on elsewhere.
 };
 
 /// A request that wants a backend server.
@@ -29,6 +31,10 @@
     const routing::service* service = nullptr;
     work_size work;
     placement_purpose purpose = placement_purpose::start;
+    /// Prompt tokens that a server may have to read, with those of the
+    /// request; a server that reads nothing is always good for one.
+    std::uint64_t most_unread_tokens =
+        std::numeric_limits<std::uint64_t>::max();
     core::zone_name near; ///< The zone that is cheapest to reach.
     std::vector<server_id> excluded;
 };
@@ -67,10 +73,13 @@
     choose(const placement_request& wanted, core::time_point now);
 
 private:
+    [[nodiscard]] static double memory_share(placement_purpose purpose);
     [[nodiscard]] bool has_room(
         const placement_request& wanted,
         const backend_server& server,
         const work_size& load) const;
+    [[nodiscard]] bool
+    is_joining(const backend_server& server, core::time_point now) const;
     [[nodiscard]] double cost(
         const placement_request& wanted,
         const backend_server& server,
@@ -79,6 +88,7 @@
     const server_directory& directory_;
     const load_ledger& ledger_;
     const server_health& health_;
+    std::uint64_t seed_;
     core::random random_;
 };
 
--- a/libraries/placement/include/godwit/placement/server_directory.hpp
+++ b/libraries/placement/include/godwit/placement/server_directory.hpp
@@ -35,6 +35,8 @@
 public:
     /// How long an entry that vanished with its source may stay away.
     static constexpr core::duration lapse_grace = std::chrono::seconds(2);
+    /// A list that is read for the first time comes within this span.
+    static constexpr core::duration first_view = std::chrono::seconds(1);
     /// How long a server that left is remembered, for the requests that it
     /// still works on.
     static constexpr core::duration memory = std::chrono::seconds(60);
@@ -62,6 +64,11 @@
     [[nodiscard]] std::optional<core::time_point>
     left_at(const server_id& id) const;
 
+    /// When the server joined those that were known; nothing if it was there
+    /// when this host first saw the list.
+    [[nodiscard]] std::optional<core::time_point>
+    joined_at(const server_id& id) const;
+
     /// The usable servers of the service, ordered by id.
     [[nodiscard]] std::vector<const backend_server*>
     usable(const core::service_name& service) const;
@@ -77,12 +84,14 @@
         backend_server server;
         std::optional<core::time_point> left_at;
         std::optional<core::time_point> lapsed_at;
+        std::optional<core::time_point> joined_at;
     };
 
     directory_change leave(entry& leaving, core::time_point now);
     void replace_at(const backend_server& server, core::time_point now);
 
     std::map<server_id, entry> servers_;
+    std::optional<core::time_point> first_listed_at_;
 };
 
 } // namespace godwit::placement
--- a/libraries/placement/include/godwit/placement/server_health.hpp
+++ b/libraries/placement/include/godwit/placement/server_health.hpp
@@ -36,6 +36,10 @@
     [[nodiscard]] bool
     is_avoided(const server_id& server, core::time_point now) const;
 
+    /// Whether the server said a moment ago that it has no room.
+    [[nodiscard]] bool
+    is_full(const server_id& server, core::time_point now) const;
+
     /// The share of failed answers lately, 0 to 1.
     [[nodiscard]] double failed_share(const server_id& server) const;
 
@@ -52,6 +56,7 @@
         unsigned unreachable_in_a_row = 0;
         double failed_share = 0;
         core::time_point avoided_until{};
+        core::time_point full_until{};
     };
 
     std::map<server_id, record> records_;
--- a/libraries/placement/src/load_ledger.cpp
+++ b/libraries/placement/src/load_ledger.cpp
@@ -89,6 +89,13 @@
     return all;
 }
 
+bool load_ledger::hears_groups(core::time_point now) const
+{
+    return std::any_of(groups_.begin(), groups_.end(), [now](const auto& each) {
+        return each.second.is_fresh(now);
+    });
+}
+
 std::size_t load_ledger::neighbours_heard(core::time_point now) const
 {
     return static_cast<std::size_t>(std::count_if(
--- a/libraries/placement/src/placer.cpp
+++ b/libraries/placement/src/placer.cpp
@@ -1,6 +1,9 @@
 #include <godwit/placement/placer.hpp>
 
+#include <godwit/core/hash.hpp>
+
 #include <algorithm>
+#include <chrono>
 #include <optional>
 
 namespace godwit::placement {
@@ -10,6 +13,9 @@
 // The share of a server's memory that starts may plan to fill. What stays
 // free takes generations that come from a server that leaves.
 constexpr double start_memory_share = 0.95;
+// Late starts take what nobody needs who can be in time: where memory is
+// short, each of them would make another request late.
+constexpr double late_start_memory_share = 0.6;
 // Migrations may fill what a server has; beyond it somebody is preempted.
 constexpr double migration_memory_share = 1.05;
 // Unread prompt tokens that weigh as much as a whole memory: about a second
@@ -21,6 +27,10 @@
 constexpr double other_zone_migration_cost = 0.8;
 // A server that fails every request costs as much as two full ones.
 constexpr double failure_cost = 2.0;
+// Hosts of other cells hear of work after some 100 ms. Were a new, empty
+// server open to all of them at once, each would send it what it has waiting:
+// streams there began 2 s late. One prompt is read in some 200 ms.
+constexpr core::duration joining_span = std::chrono::milliseconds(600);
 // Spreads the choices of hosts that know the same.
 constexpr double jitter = 0.05;
 // All hosts choose at the same moment when a server leaves, and copies to
@@ -34,10 +44,23 @@
     const load_ledger& ledger,
     const server_health& health,
     std::uint64_t seed)
-    : directory_(directory), ledger_(ledger), health_(health),
+    : directory_(directory), ledger_(ledger), health_(health), seed_(seed),
       random_(seed)
 {}
 
+double placer::memory_share(placement_purpose purpose)
+{
+    switch (purpose) {
+    case placement_purpose::start:
+        return start_memory_share;
+    case placement_purpose::late_start:
+        return late_start_memory_share;
+    case placement_purpose::migration:
+        return migration_memory_share;
+    }
+    return start_memory_share;
+}
+
 bool placer::has_room(
     const placement_request& wanted,
     const backend_server& server,
@@ -46,18 +69,33 @@
     if (!wanted.service->engine)
         return true;
     const routing::engine_profile& engine = *wanted.service->engine;
-    const double share = wanted.purpose == placement_purpose::migration
-                             ? migration_memory_share
-                             : start_memory_share;
     const auto room = static_cast<std::uint64_t>(
-        share * static_cast<double>(engine.memory_tokens));
+        memory_share(wanted.purpose) *
+        static_cast<double>(engine.memory_tokens));
     // A request that is larger than the share may have a server alone.
     if (load.requests == 0)
         return true;
-    return load.requests < server.slots &&
+    const bool is_read_in_time =
+        load.unread_tokens == 0 ||
+        load.unread_tokens + wanted.work.unread_tokens <=
+            wanted.most_unread_tokens;
+    return is_read_in_time && load.requests < server.slots &&
            load.tokens + wanted.work.tokens <= room;
 }
 
+// Each host begins to use a server that joined after a part of the span of its
+// own.
+bool placer::is_joining(
+    const backend_server& server, core::time_point now) const
+{
+    const auto joined = directory_.joined_at(server.id);
+    if (!joined || now - *joined >= joining_span || !ledger_.hears_groups(now))
+        return false;
+    core::random own(core::stable_hash(server.id.value(), seed_));
+    return now - *joined < std::chrono::duration_cast<core::duration>(
+                               joining_span * own.unit());
+}
+
 double placer::cost(
     const placement_request& wanted,
     const backend_server& server,
@@ -93,6 +131,10 @@
         if (is_excluded)
             continue;
         any = true;
+        // An engine's own word goes before what hosts told each other of it.
+        if (wanted.service->engine && (health_.is_full(candidate->id, now) ||
+                                       is_joining(*candidate, now)))
+            continue;
         const work_size load = ledger_.at(candidate->id, now);
         if (!has_room(wanted, *candidate, load))
             continue;
--- a/libraries/placement/src/server_directory.cpp
+++ b/libraries/placement/src/server_directory.cpp
@@ -28,8 +28,12 @@
     const auto found = servers_.find(server.id);
     if (found == servers_.end()) {
         replace_at(server, now);
-        entry& added =
-            servers_.emplace(server.id, entry{server, {}, {}}).first->second;
+        entry& added = servers_.emplace(server.id, entry{server, {}, {}, {}})
+                           .first->second;
+        if (!first_listed_at_)
+            first_listed_at_ = now;
+        if (now - *first_listed_at_ > first_view)
+            added.joined_at = now;
         if (server.state == server_state::ready)
             return directory_change::appeared;
         added.left_at = now;
@@ -47,7 +51,7 @@
         return leave(known, now);
     }
     const bool was_usable = !known.left_at;
-    known = entry{server, {}, {}};
+    known = entry{server, {}, {}, known.joined_at};
     return was_usable ? directory_change::none : directory_change::appeared;
 }
 
@@ -103,6 +107,13 @@
     return found == servers_.end() ? std::nullopt : found->second.left_at;
 }
 
+std::optional<core::time_point>
+server_directory::joined_at(const server_id& id) const
+{
+    const auto found = servers_.find(id);
+    return found == servers_.end() ? std::nullopt : found->second.joined_at;
+}
+
 std::vector<const backend_server*>
 server_directory::usable(const core::service_name& service) const
 {
--- a/libraries/placement/src/server_health.cpp
+++ b/libraries/placement/src/server_health.cpp
@@ -38,14 +38,22 @@
 void server_health::full(const server_id& server, core::time_point now)
 {
     record& known = records_[server];
-    known.avoided_until = std::max(known.avoided_until, now + full_pause);
+    known.full_until = now + full_pause;
+}
+
+bool server_health::is_full(const server_id& server, core::time_point now) const
+{
+    const auto found = records_.find(server);
+    return found != records_.end() && now < found->second.full_until;
 }
 
 bool server_health::is_avoided(
     const server_id& server, core::time_point now) const
 {
     const auto found = records_.find(server);
-    return found != records_.end() && now < found->second.avoided_until;
+    return found != records_.end() &&
+           now <
+               std::max(found->second.avoided_until, found->second.full_until);
 }
 
 double server_health::failed_share(const server_id& server) const
--- a/libraries/routing/include/godwit/routing/engine_profile.hpp
+++ b/libraries/routing/include/godwit/routing/engine_profile.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <godwit/core/time.hpp>
+
 #include <cstdint>
 
 namespace godwit::routing {
@@ -14,6 +16,9 @@
     std::uint32_t tokens_per_event = 1;
     bool moves = false;   ///< A generation can go on at another server.
     bool backups = false; ///< Copies its memory elsewhere as it grows.
+    /// How long it keeps room free for a request at the most; zero if it
+    /// cannot.
+    core::duration longest_hold{};
 
     friend bool
     operator==(const engine_profile&, const engine_profile&) = default;
--- a/services/entry/include/godwit/entry/call_log.hpp
+++ b/services/entry/include/godwit/entry/call_log.hpp
@@ -25,6 +25,13 @@
 void log_placed(
     const accepted_call& call, const placement::placement_choice& choice);
 
+/// A backend server kept no room for a request.
+void log_hold_failed(
+    const accepted_call& call,
+    const placement::backend_server& server,
+    std::uint64_t tokens,
+    std::string_view cause);
+
 /// A send to a backend server failed, or was turned away.
 void log_send_failed(
     const accepted_call& call,
--- a/services/entry/include/godwit/entry/dialect.hpp
+++ b/services/entry/include/godwit/entry/dialect.hpp
@@ -3,6 +3,7 @@
 #include <godwit/entry/answer_terms.hpp>
 #include <godwit/entry/call_terms.hpp>
 #include <godwit/entry/forward_terms.hpp>
+#include <godwit/entry/hold.hpp>
 #include <godwit/entry/migration.hpp>
 #include <godwit/entry/server_report.hpp>
 #include <godwit/http/header_fields.hpp>
@@ -26,6 +27,7 @@
     const http::header_fields& fields,
     const forward_terms& forward,
     const copy_order& order,
+    const hold_order& wanted,
     const http::response& answer,
     const std::string& handle)
 {
@@ -55,6 +57,16 @@
     {
         Codec::write_copy_release(handle)
         } -> std::same_as<http::request>;
+    // Keeps room free for a request that is sent next.
+    {
+        Codec::write_hold_order(wanted)
+        } -> std::same_as<http::request>;
+    {
+        Codec::read_hold_answer(answer)
+        } -> std::same_as<hold_answer>;
+    {
+        Codec::write_hold_release(handle)
+        } -> std::same_as<http::request>;
     // Asks a backend server for its report, and reads it.
     {
         Codec::write_report_request()
@@ -80,6 +92,9 @@
     http::request (*write_copy_order)(const copy_order&);
     copy_answer (*read_copy_answer)(const http::response&);
     http::request (*write_copy_release)(const std::string&);
+    http::request (*write_hold_order)(const hold_order&);
+    hold_answer (*read_hold_answer)(const http::response&);
+    http::request (*write_hold_release)(const std::string&);
     http::request (*write_report_request)();
     core::result<server_report> (*read_report)(const http::response&);
     core::result<std::shared_ptr<const routing::route_table>> (*read_table)(
@@ -96,6 +111,9 @@
             &Codec::write_copy_order,
             &Codec::read_copy_answer,
             &Codec::write_copy_release,
+            &Codec::write_hold_order,
+            &Codec::read_hold_answer,
+            &Codec::write_hold_release,
             &Codec::write_report_request,
             &Codec::read_report,
             &Codec::read_table};
--- a/services/entry/include/godwit/entry/forward_terms.hpp
+++ b/services/entry/include/godwit/entry/forward_terms.hpp
@@ -6,6 +6,7 @@
 #include <godwit/placement/backend_server.hpp>
 
 #include <optional>
+#include <string>
 
 namespace godwit::entry {
 
@@ -17,6 +18,7 @@
     std::optional<core::organisation_name> organisation;
     std::optional<int> priority; ///< Of a generation; 0 is the most urgent.
     std::optional<continuation> resumes;
+    std::optional<std::string> hold; ///< Room that the server keeps free.
 
     friend bool
     operator==(const forward_terms&, const forward_terms&) = default;
--- a/services/entry/include/godwit/entry/stream_call.hpp
+++ b/services/entry/include/godwit/entry/stream_call.hpp
@@ -45,6 +45,7 @@
     boost::asio::awaitable<std::optional<placement::backend_server>> place();
     boost::asio::awaitable<std::optional<placement::backend_server>>
     place_until(core::time_point end, int priority);
+    boost::asio::awaitable<bool> keep_room(placement::backend_server server);
     boost::asio::awaitable<std::optional<http::response_head>>
     send_to(placement::backend_server server);
     boost::asio::awaitable<void> relay(http::response_head head);
@@ -62,10 +63,12 @@
     [[nodiscard]] placement::work_size work() const;
     [[nodiscard]] placement::work_size moved_work() const;
     [[nodiscard]] std::uint64_t memory_tokens() const;
+    [[nodiscard]] std::uint64_t most_unread_tokens(bool is_late) const;
     [[nodiscard]] std::uint32_t expected_output() const;
     void adopt(std::shared_ptr<upstream> serving);
     void leave_server();
     void stop_migration();
+    void drop_hold(const placement::backend_server& server);
     void watch_pause();
     void caller_left();
     void cut(std::string_view cause);
@@ -74,6 +77,7 @@
     std::shared_ptr<const accepted_call> call_;
     std::shared_ptr<upstream> active_;
     std::optional<reservation> reserved_;
+    std::optional<std::string> hold_;
     std::shared_ptr<migrator> migration_;
     event_splitter splitter_;
     waiting_line::place* waiting_ = nullptr;
--- a/services/entry/src/call_log.cpp
+++ b/services/entry/src/call_log.cpp
@@ -56,6 +56,24 @@
          {"waited_ms", milliseconds(core::monotonic_now() - call.arrived)}});
 }
 
+void log_hold_failed(
+    const accepted_call& call,
+    const placement::backend_server& server,
+    std::uint64_t tokens,
+    std::string_view cause)
+{
+    telemetry::log_event(
+        telemetry::log_level::info,
+        component,
+        "hold_failed",
+        {{"request", call.terms.attempt_id},
+         {"route", call.via.name},
+         {"server", server.id},
+         {"tokens", tokens},
+         {"cause", cause},
+         {"age_ms", milliseconds(core::monotonic_now() - call.arrived)}});
+}
+
 void log_send_failed(
     const accepted_call& call,
     const placement::backend_server& server,
--- /dev/null
+++ b/services/entry/src/server_hold.cpp
@@ -0,0 +1,70 @@
+#include <godwit/entry/server_hold.hpp>
+
+#include <godwit/entry/call_log.hpp>
+#include <godwit/http/fetch.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace godwit::entry {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// The answer takes no work of the server's. One that is silent for longer
+// cannot be reached, and another one still can in time.
+constexpr core::duration answer_limit = std::chrono::milliseconds(250);
+
+} // namespace
+
+asio::awaitable<hold_answer> take_hold(
+    entry_context& context,
+    const accepted_call& call,
+    const placement::backend_server& server,
+    std::uint64_t tokens)
+{
+    const hold_order order{tokens, call.target.engine->longest_hold};
+    http::request outgoing = context.words.write_hold_order(order);
+    const core::duration left = call.ends - core::monotonic_now();
+    const http::fetch_limits limits{.deadline = std::min(answer_limit, left)};
+    const auto answered = co_await http::fetch(
+        *context.connections, server.address, std::move(outgoing), limits);
+    hold_answer answer;
+    answer.verdict = hold_verdict::unreachable;
+    if (answered)
+        answer = context.words.read_hold_answer(*answered);
+    if (answer.verdict != hold_verdict::granted)
+        log_hold_failed(
+            call,
+            server,
+            tokens,
+            answered ? std::to_string(answered->status)
+                     : answered.error().cause.message());
+    co_return answer;
+}
+
+void release_hold(
+    entry_context& context,
+    const placement::backend_server& server,
+    std::string handle)
+{
+    asio::co_spawn(
+        context.executor,
+        [&context,
+         address = server.address,
+         handle = std::move(handle)]() -> asio::awaitable<void> {
+            http::request outgoing = context.words.write_hold_release(handle);
+            const http::fetch_limits limits{.deadline = answer_limit};
+            // Otherwise the hold ends by itself.
+            [[maybe_unused]] const auto freed = co_await http::fetch(
+                *context.connections, address, std::move(outgoing), limits);
+        },
+        asio::detached);
+}
+
+} // namespace godwit::entry
--- a/services/entry/src/stream_call.cpp
+++ b/services/entry/src/stream_call.cpp
@@ -1,6 +1,7 @@
 #include <godwit/entry/stream_call.hpp>
 
 #include <godwit/entry/call_answers.hpp>
+#include <godwit/entry/server_hold.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -19,6 +20,13 @@
 // that its caller has.
 constexpr double longest_wait_objectives = 2.5;
 constexpr double longest_wait_share = 0.3;
+// Of the latency objective: what the prompts that a server reads may take.
+constexpr double reading_share = 0.6;
+// How fast a busy engine reads prompts beside its running generations.
+constexpr double read_tokens_per_ms = 7.0;
+// Room that comes free goes to requests of any host that can be in time:
+// these look for it at once, late ones only this often.
+constexpr core::duration late_try_span = std::chrono::milliseconds(400);
 // Added to the priority of a request that is late already.
 constexpr int late_priority = 1000;
 constexpr core::duration come_back_after = std::chrono::milliseconds(700);
@@ -89,6 +97,18 @@
         static_cast<std::uint32_t>(guessed), size.most_output_tokens);
 }
 
+// An engine shares its reading between prompts: one more delays those that
+// it began before.
+std::uint64_t stream_call::most_unread_tokens(bool is_late) const
+{
+    const core::duration objective = call_->via.latency_objective;
+    const auto milliseconds =
+        std::chrono::duration_cast<std::chrono::milliseconds>(objective);
+    const double share = is_late ? 1.0 : reading_share;
+    return static_cast<std::uint64_t>(
+        share * read_tokens_per_ms * static_cast<double>(milliseconds.count()));
+}
+
 // What the run takes now, and what it will grow by soon. Counting what it
 // takes at its end would leave memory unused: while some of a batch grow,
 // others end.
@@ -130,6 +150,8 @@
     terms.server = server;
     if (call_->target.engine)
         terms.priority = call_->priority;
+    if (!resumes)
+        terms.hold = hold_;
     terms.resumes = std::move(resumes);
     return forwarded_request(context_, *call_, std::move(terms));
 }
@@ -144,6 +166,9 @@
             co_await refuse(refusal_reason::no_room);
             co_return false;
         }
+        const bool has_room = co_await keep_room(*server);
+        if (!has_room)
+            continue;
         auto head = co_await send_to(*server);
         if (head) {
             co_await relay(std::move(*head));
@@ -182,16 +207,23 @@
 asio::awaitable<std::optional<placement::backend_server>>
 stream_call::place_until(core::time_point end, int priority)
 {
+    const bool is_late = priority != call_->priority;
     placement::placement_request wanted;
     wanted.service = &call_->target;
     wanted.work = work();
     wanted.near = context_.settings.zone;
     wanted.excluded = tried_;
+    if (is_late)
+        wanted.purpose = placement::placement_purpose::late_start;
+    wanted.most_unread_tokens = most_unread_tokens(is_late);
     std::optional<waiting_line::place> waiting;
+    core::time_point next_try{};
     bool is_my_turn = !context_.line.is_ahead_of(priority);
     while (!caller_gone_) {
         const core::time_point now = core::monotonic_now();
-        if (is_my_turn) {
+        if (is_my_turn && now >= next_try) {
+            if (is_late)
+                next_try = now + late_try_span;
             const auto found = context_.chooser.choose(wanted, now);
             if (found) {
                 log_placed(*call_, *found);
@@ -203,19 +235,56 @@
         if (!waiting)
             waiting.emplace(context_.line, context_.executor, priority);
         waiting_ = &*waiting;
-        co_await waiting->turn(end);
+        co_await waiting->turn(is_late ? std::min(end, next_try) : end);
         waiting_ = nullptr;
         is_my_turn = true;
     }
     co_return std::nullopt;
 }
 
+// Hosts that choose at the same moment choose the same server. It tells the
+// one that comes too late at once, when another server still can be in time;
+// sent without asking, the request would wait there for memory.
+asio::awaitable<bool> stream_call::keep_room(placement::backend_server server)
+{
+    reserved_.emplace(context_, server.id, work());
+    const bool can_hold = call_->target.engine &&
+                          call_->target.engine->longest_hold > core::duration();
+    if (!can_hold)
+        co_return true;
+    hold_answer answer =
+        co_await take_hold(context_, *call_, server, memory_tokens());
+    hold_ = std::move(answer.handle);
+    const core::time_point now = core::monotonic_now();
+    if (caller_gone_) {
+        drop_hold(server);
+        co_return false;
+    }
+    if (answer.verdict == hold_verdict::refused)
+        context_.health.full(server.id, now);
+    if (answer.verdict == hold_verdict::unreachable) {
+        context_.health.unreachable(server.id, now);
+        tried_.push_back(server.id);
+    }
+    // A server that does not understand the question gets the request.
+    const bool is_sent = answer.verdict == hold_verdict::granted ||
+                         answer.verdict == hold_verdict::failed;
+    if (!is_sent)
+        reserved_.reset();
+    co_return is_sent;
+}
+
+void stream_call::drop_hold(const placement::backend_server& server)
+{
+    if (hold_)
+        release_hold(context_, server, *std::exchange(hold_, std::nullopt));
+}
+
 // The head of a stream that runs, or nothing: then the request did not run,
 // or its caller has an answer.
 asio::awaitable<std::optional<http::response_head>>
 stream_call::send_to(placement::backend_server server)
 {
-    reserved_.emplace(context_, server.id, work());
     sent_at_ = core::monotonic_now();
     adopt(std::make_shared<upstream>(
         context_, server, call_->via.latency_objective));
@@ -223,6 +292,12 @@
     const std::string attempt_id = call_->terms.attempt_id;
     auto head =
         co_await active_->begin(std::move(outgoing), attempt_id, call_->ends);
+    const bool was_handed_over =
+        head || head.error().fault != upstream_fault::unreachable;
+    if (was_handed_over)
+        hold_.reset();
+    else
+        drop_hold(server);
     if (caller_gone_)
         co_return std::nullopt;
     if (!head) {
