--- a/tests/placement/server_directory_test.cpp
+++ b/tests/placement/server_directory_test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(test_a_server_that_lists_itself_again_stays);
     CPPUNIT_TEST(test_a_new_server_replaces_the_one_at_its_address);
     CPPUNIT_TEST(test_servers_that_left_are_forgotten);
+    CPPUNIT_TEST(test_servers_of_the_first_view_did_not_join);
     CPPUNIT_TEST_SUITE_END();
 
     server_directory directory_;
@@ -124,6 +125,19 @@
         CPPUNIT_ASSERT(directory_.expire(at_ms(60000)).empty());
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, directory_.size());
     }
+
+    void test_servers_of_the_first_view_did_not_join()
+    {
+        directory_.listed(sample_server(1), at_ms(0));
+        directory_.listed(sample_server(2), at_ms(1000));
+        directory_.listed(sample_server(3), at_ms(1001));
+        CPPUNIT_ASSERT(!directory_.joined_at(server_id("i-1")));
+        CPPUNIT_ASSERT(!directory_.joined_at(server_id("i-2")));
+        CPPUNIT_ASSERT(directory_.joined_at(server_id("i-3")) == at_ms(1001));
+        // A newer view of it is no other server.
+        directory_.listed(sample_server(3, "east", 2), at_ms(5000));
+        CPPUNIT_ASSERT(directory_.joined_at(server_id("i-3")) == at_ms(1001));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(server_directory_test);
--- a/tests/platform_adapter/world.hpp
+++ b/tests/platform_adapter/world.hpp
@@ -33,6 +33,10 @@
 
     stand_in_server& second() { return *second_; }
 
+    /// From the next version on engines keep room for requests, for at most
+    /// so many milliseconds.
+    void offer_holds(unsigned longest_ms) { hold_ms_ = longest_ms; }
+
     /// Publishes the table of the tests as `version`.
     void publish(unsigned version, const std::string& extra_key = "");
 
@@ -48,6 +52,9 @@
         const std::string& path,
         const std::string& key = "k1");
 
+    /// Sends the same request and closes the connection after so long.
+    void call_and_leave(const std::string& path, int after_ms);
+
     /// Asks for a page on the operators' address.
     [[nodiscard]] http::response ask_operators(const std::string& page);
 
@@ -81,6 +88,7 @@
     std::thread outside_thread_;
     std::thread inside_thread_;
     unsigned sequence_ = 0;
+    unsigned hold_ms_ = 0;
 };
 
 } // namespace godwit::platform_adapter::test
--- a/tests/platform_adapter/world_test.cpp
+++ b/tests/platform_adapter/world_test.cpp
@@ -56,6 +56,11 @@
     CPPUNIT_TEST(test_a_store_that_is_away_changes_nothing);
     CPPUNIT_TEST(test_history_that_is_dropped_is_read_anew);
     CPPUNIT_TEST(test_a_stream_arrives_whole);
+    CPPUNIT_TEST(test_a_stream_begins_where_room_is_kept);
+    CPPUNIT_TEST(test_a_stream_that_finds_no_room_has_not_run);
+    CPPUNIT_TEST(test_a_server_that_is_silent_gets_no_stream);
+    CPPUNIT_TEST(test_a_server_without_holds_gets_the_stream);
+    CPPUNIT_TEST(test_room_that_nobody_uses_is_given_back);
     CPPUNIT_TEST(test_a_stream_goes_on_where_its_server_leaves);
     CPPUNIT_TEST(test_a_stopped_run_goes_on_at_home_when_nobody_has_room);
     CPPUNIT_TEST(test_a_run_whose_source_dies_goes_on_from_its_copy);
@@ -261,6 +266,101 @@
         CPPUNIT_ASSERT_EQUAL(event(1) + event(2) + event(3), answer.body);
     }
 
+    /// A server that answers questions for room with `status`, and streams
+    /// one event.
+    static stand_in_server::behaviour keeps_room(unsigned status)
+    {
+        return [status](http::exchange& asked) -> asio::awaitable<void> {
+            const bool is_question =
+                asked.received().target == "/api/hold-take";
+            http::response head = stand_in_server::answer(
+                asked, is_question ? status : 200, R"({"hold":"q7"})");
+            if (is_question && status == 0) {
+                co_await sleep(asked, 2000);
+            } else if (is_question) {
+                [[maybe_unused]] const auto said =
+                    co_await asked.respond(std::move(head));
+            } else {
+                [[maybe_unused]] auto said =
+                    co_await asked.start_stream(200, head.fields);
+                said = co_await asked.write_chunk(event(1));
+                said = co_await asked.finish_stream();
+            }
+        };
+    }
+
+    void begin_with_holds(unsigned at_first, unsigned at_second)
+    {
+        world_.offer_holds(2000);
+        world_.first().behave(keeps_room(at_first));
+        world_.second().behave(keeps_room(at_second));
+        world_.begin();
+    }
+
+    // The first server is full, whatever this host believes of it.
+    void test_a_stream_begins_where_room_is_kept()
+    {
+        begin_with_holds(503, 200);
+        for (int count = 0; count < 4; ++count)
+            CPPUNIT_ASSERT_EQUAL(
+                event(1), world_.call("POST", "/stream/").body);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world_.first().count("/stream/"));
+        for (const http::request& one : world_.second().received()) {
+            if (one.target == "/stream/")
+                CPPUNIT_ASSERT(one.fields.find("X-Godwitworks-Hold") == "q7");
+        }
+    }
+
+    void test_a_stream_that_finds_no_room_has_not_run()
+    {
+        begin_with_holds(503, 503);
+        const auto answer = world_.call("POST", "/stream/");
+        CPPUNIT_ASSERT_EQUAL(503U, answer.status);
+        CPPUNIT_ASSERT(answer.fields.find("Retry-After"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world_.first().count("/stream/"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world_.second().count("/stream/"));
+    }
+
+    // What was not sent cannot be lost: a hung server costs a moment only.
+    void test_a_server_that_is_silent_gets_no_stream()
+    {
+        begin_with_holds(0, 200);
+        for (int count = 0; count < 4; ++count)
+            CPPUNIT_ASSERT_EQUAL(
+                event(1), world_.call("POST", "/stream/").body);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world_.first().count("/stream/"));
+    }
+
+    void test_a_server_without_holds_gets_the_stream()
+    {
+        begin_with_holds(404, 404);
+        CPPUNIT_ASSERT_EQUAL(event(1), world_.call("POST", "/stream/").body);
+    }
+
+    void test_room_that_nobody_uses_is_given_back()
+    {
+        world_.offer_holds(2000);
+        const auto slow = [](http::exchange& asked) -> asio::awaitable<void> {
+            if (asked.received().target == "/api/hold-take")
+                co_await sleep(asked, 150);
+            http::response kept =
+                stand_in_server::answer(asked, 200, R"({"hold":"q7"})");
+            [[maybe_unused]] const auto said =
+                co_await asked.respond(std::move(kept));
+        };
+        world_.first().behave(slow);
+        world_.second().behave(slow);
+        world_.begin();
+        world_.call_and_leave("/stream/", 50);
+        world::wait("the release", [this] {
+            return world_.first().count("/api/hold-drop/q7") +
+                       world_.second().count("/api/hold-drop/q7") ==
+                   1;
+        });
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world_.first().count("/stream/"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world_.second().count("/stream/"));
+    }
+
     /// A server that streams events until a last copy stops it, and goes on
     /// after the event that a continuation names.
     struct moving_server
