--- a/libraries/placement/include/godwit/placement/placer.hpp
+++ b/libraries/placement/include/godwit/placement/placer.hpp
@@ -78,8 +78,10 @@
         const placement_request& wanted,
         const backend_server& server,
         const work_size& load) const;
-    [[nodiscard]] bool
-    is_joining(const backend_server& server, core::time_point now) const;
+    [[nodiscard]] bool is_joining(
+        const placement_request& wanted,
+        const backend_server& server,
+        core::time_point now) const;
     [[nodiscard]] double cost(
         const placement_request& wanted,
         const backend_server& server,
--- a/libraries/placement/include/godwit/placement/server_health.hpp
+++ b/libraries/placement/include/godwit/placement/server_health.hpp
@@ -49,7 +49,7 @@
 private:
     /// How long a server that had no room is passed over: about the time in
     /// which one of its requests ends.
-    static constexpr core::duration full_pause = std::chrono::milliseconds(150);
+    static constexpr core::duration full_pause = std::chrono::milliseconds(400);
 
     struct record
     {
--- a/libraries/placement/src/placer.cpp
+++ b/libraries/placement/src/placer.cpp
@@ -15,7 +15,7 @@
 constexpr double start_memory_share = 0.95;
 // Late starts take what nobody needs who can be in time: where memory is
 // short, each of them would make another request late.
-constexpr double late_start_memory_share = 0.6;
+constexpr double late_start_memory_share = 0.5;
 // Migrations may fill what a server has; beyond it somebody is preempted.
 constexpr double migration_memory_share = 1.05;
 // Unread prompt tokens that weigh as much as a whole memory: about a second
@@ -84,16 +84,23 @@
 }
 
 // Each host begins to use a server that joined after a part of the span of its
-// own.
+// own; what is late already, when all that can be in time had their turn.
 bool placer::is_joining(
-    const backend_server& server, core::time_point now) const
+    const placement_request& wanted,
+    const backend_server& server,
+    core::time_point now) const
 {
     const auto joined = directory_.joined_at(server.id);
-    if (!joined || now - *joined >= joining_span || !ledger_.hears_groups(now))
+    if (!joined || !ledger_.hears_groups(now))
+        return false;
+    const core::duration age = now - *joined;
+    if (wanted.purpose == placement_purpose::late_start)
+        return age < 2 * joining_span;
+    if (age >= joining_span)
         return false;
     core::random own(core::stable_hash(server.id.value(), seed_));
-    return now - *joined < std::chrono::duration_cast<core::duration>(
-                               joining_span * own.unit());
+    return age < std::chrono::duration_cast<core::duration>(
+                     joining_span * own.unit());
 }
 
 double placer::cost(
@@ -133,7 +140,7 @@
         any = true;
         // An engine's own word goes before what hosts told each other of it.
         if (wanted.service->engine && (health_.is_full(candidate->id, now) ||
-                                       is_joining(*candidate, now)))
+                                       is_joining(wanted, *candidate, now)))
             continue;
         const work_size load = ledger_.at(candidate->id, now);
         if (!has_room(wanted, *candidate, load))
--- a/services/entry/include/godwit/entry/stream_call.hpp
+++ b/services/entry/include/godwit/entry/stream_call.hpp
@@ -63,6 +63,7 @@
     [[nodiscard]] placement::work_size work() const;
     [[nodiscard]] placement::work_size moved_work() const;
     [[nodiscard]] std::uint64_t memory_tokens() const;
+    [[nodiscard]] std::uint64_t held_tokens() const;
     [[nodiscard]] std::uint64_t most_unread_tokens(bool is_late) const;
     [[nodiscard]] std::uint32_t expected_output() const;
     void adopt(std::shared_ptr<upstream> serving);
--- a/services/entry/src/server_hold.cpp
+++ b/services/entry/src/server_hold.cpp
@@ -19,6 +19,10 @@
 // The answer takes no work of the server's. One that is silent for longer
 // cannot be reached, and another one still can in time.
 constexpr core::duration answer_limit = std::chrono::milliseconds(250);
+// The request follows at once. What a hold has beyond the request's need
+// stays taken until the hold ends: with two seconds, engines that had room
+// refused seven of eight orders.
+constexpr core::duration hold_span = std::chrono::milliseconds(400);
 
 } // namespace
 
@@ -28,7 +32,8 @@
     const placement::backend_server& server,
     std::uint64_t tokens)
 {
-    const hold_order order{tokens, call.target.engine->longest_hold};
+    const hold_order order{
+        tokens, std::min(hold_span, call.target.engine->longest_hold)};
     http::request outgoing = context.words.write_hold_order(order);
     const core::duration left = call.ends - core::monotonic_now();
     const http::fetch_limits limits{.deadline = std::min(answer_limit, left)};
--- a/services/entry/src/stream_call.cpp
+++ b/services/entry/src/stream_call.cpp
@@ -18,8 +18,8 @@
 // After that it waits behind all that can, and takes what is left over, until
 // it is told to come back: in objectives, and at most this share of the time
 // that its caller has.
-constexpr double longest_wait_objectives = 2.5;
-constexpr double longest_wait_share = 0.3;
+constexpr double longest_wait_objectives = 3.2;
+constexpr double longest_wait_share = 0.55;
 // Of the latency objective: what the prompts that a server reads may take.
 constexpr double reading_share = 0.6;
 // How fast a busy engine reads prompts beside its running generations.
@@ -41,6 +41,12 @@
 // least is for runs that outlast their caller's guess.
 constexpr std::uint64_t most_growth_tokens = 200;
 constexpr std::uint64_t least_growth_tokens = 50;
+// A generation of so few tokens leaves its memory again within half a second:
+// it makes nobody late, whenever it starts.
+constexpr std::uint32_t short_output_tokens = 64;
+// Of an engine's memory: what a start leaves free. Where memory runs out, the
+// newest run there stops and is read again: 364 times in 50 s without it.
+constexpr double growth_room_share = 0.02;
 // How long the source's stopping may take to be seen on the stream.
 constexpr core::duration stopping_limit = std::chrono::seconds(3);
 constexpr unsigned first_failure = 300;
@@ -97,6 +103,15 @@
         static_cast<std::uint32_t>(guessed), size.most_output_tokens);
 }
 
+// More than the run takes: what is left lets the runs grow that are there.
+std::uint64_t stream_call::held_tokens() const
+{
+    const auto memory =
+        static_cast<double>(call_->target.engine->memory_tokens);
+    return memory_tokens() +
+           static_cast<std::uint64_t>(growth_room_share * memory);
+}
+
 // An engine shares its reading between prompts: one more delays those that
 // it began before.
 std::uint64_t stream_call::most_unread_tokens(bool is_late) const
@@ -213,7 +228,7 @@
     wanted.work = work();
     wanted.near = context_.settings.zone;
     wanted.excluded = tried_;
-    if (is_late)
+    if (is_late && expected_output() > short_output_tokens)
         wanted.purpose = placement::placement_purpose::late_start;
     wanted.most_unread_tokens = most_unread_tokens(is_late);
     std::optional<waiting_line::place> waiting;
@@ -253,7 +268,7 @@
     if (!can_hold)
         co_return true;
     hold_answer answer =
-        co_await take_hold(context_, *call_, server, memory_tokens());
+        co_await take_hold(context_, *call_, server, held_tokens());
     hold_ = std::move(answer.handle);
     const core::time_point now = core::monotonic_now();
     if (caller_gone_) {
@@ -567,7 +582,10 @@
 
 asio::awaitable<void> stream_call::refuse(refusal_reason reason)
 {
-    co_await refuse_call(*call_, metrics_, reason, come_back_after);
+    // The shortage has lasted this long; it may as long again.
+    const core::duration waited = core::monotonic_now() - call_->arrived;
+    co_await refuse_call(
+        *call_, metrics_, reason, std::max(come_back_after, waited));
 }
 
 } // namespace godwit::entry
