entry: streams for which room is kept have no priority at engines

Conclusion: the hold settles the order; the priority goes with requests to engines that keep no room."

--- a/services/entry/include/godwit/entry/stream_call.hpp
+++ b/services/entry/include/godwit/entry/stream_call.hpp
@@ -57,13 +57,13 @@
     boost::asio::awaitable<void> refuse(refusal_reason reason);
     boost::asio::awaitable<void> pass_on_failure(http::response_head head);
     boost::asio::awaitable<void> give_up_send(upstream_failure why);
+    [[nodiscard]] bool can_hold() const;
     [[nodiscard]] http::request request_for(
         const placement::server_id& server,
         std::optional<continuation> resumes) const;
     [[nodiscard]] placement::work_size work() const;
     [[nodiscard]] placement::work_size moved_work() const;
     [[nodiscard]] std::uint64_t memory_tokens() const;
-    [[nodiscard]] std::uint64_t held_tokens() const;
     [[nodiscard]] std::uint64_t most_unread_tokens(bool is_late) const;
     [[nodiscard]] std::uint32_t expected_output() const;
     void adopt(std::shared_ptr<upstream> serving);
--- a/services/entry/src/stream_call.cpp
+++ b/services/entry/src/stream_call.cpp
@@ -44,9 +44,6 @@
 // A generation of so few tokens leaves its memory again within half a second:
 // it makes nobody late, whenever it starts.
 constexpr std::uint32_t short_output_tokens = 64;
-// Of an engine's memory: what a start leaves free. Where memory runs out, the
-// newest run there stops and is read again: 364 times in 50 s without it.
-constexpr double growth_room_share = 0.02;
 // How long the source's stopping may take to be seen on the stream.
 constexpr core::duration stopping_limit = std::chrono::seconds(3);
 constexpr unsigned first_failure = 300;
@@ -103,15 +100,6 @@
         static_cast<std::uint32_t>(guessed), size.most_output_tokens);
 }
 
-// More than the run takes: what is left lets the runs grow that are there.
-std::uint64_t stream_call::held_tokens() const
-{
-    const auto memory =
-        static_cast<double>(call_->target.engine->memory_tokens);
-    return memory_tokens() +
-           static_cast<std::uint64_t>(growth_room_share * memory);
-}
-
 // An engine shares its reading between prompts: one more delays those that
 // it began before.
 std::uint64_t stream_call::most_unread_tokens(bool is_late) const
@@ -163,7 +151,10 @@
 {
     forward_terms terms;
     terms.server = server;
-    if (call_->target.engine)
+    // Where room was kept the order is settled. An urgent request would stop
+    // the newest of the others when memory ends, to be read again: three
+    // times as many prompts were read in vain.
+    if (call_->target.engine && !can_hold())
         terms.priority = call_->priority;
     if (!resumes)
         terms.hold = hold_;
@@ -257,18 +248,22 @@
     co_return std::nullopt;
 }
 
+bool stream_call::can_hold() const
+{
+    return call_->target.engine &&
+           call_->target.engine->longest_hold > core::duration();
+}
+
 // Hosts that choose at the same moment choose the same server. It tells the
 // one that comes too late at once, when another server still can be in time;
 // sent without asking, the request would wait there for memory.
 asio::awaitable<bool> stream_call::keep_room(placement::backend_server server)
 {
     reserved_.emplace(context_, server.id, work());
-    const bool can_hold = call_->target.engine &&
-                          call_->target.engine->longest_hold > core::duration();
-    if (!can_hold)
+    if (!can_hold())
         co_return true;
     hold_answer answer =
-        co_await take_hold(context_, *call_, server, held_tokens());
+        co_await take_hold(context_, *call_, server, memory_tokens());
     hold_ = std::move(answer.handle);
     const core::time_point now = core::monotonic_now();
     if (caller_gone_) {
