--- a/libraries/placement/src/placer.cpp
+++ b/libraries/placement/src/placer.cpp
@@ -22,7 +22,7 @@
 // of reading beside running generations.
 constexpr double unread_tokens_weight = 7000.0;
 // Another zone adds a hop to each event, and its traffic is paid for.
-constexpr double other_zone_cost = 0.12;
+constexpr double other_zone_cost = 0.35;
 // A copy of memory takes twice as long to another zone.
 constexpr double other_zone_migration_cost = 0.8;
 // A server that fails every request costs as much as two full ones.
