--- a/libraries/placement/include/godwit/placement/load_ledger.hpp
+++ b/libraries/placement/include/godwit/placement/load_ledger.hpp
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstddef>
 #include <map>
+#include <set>
 #include <vector>
 
 namespace godwit::placement {
@@ -50,6 +51,9 @@
         const std::vector<server_work>& word,
         core::time_point now);
 
+    /// Forgets what other hosts than these said: groups tell of them now.
+    void keep_neighbours(const std::set<core::host_name>& hosts);
+
     /// The sums of a group of hosts, of which none is a neighbour.
     void group_says(
         const host_group& group,
--- a/libraries/placement/src/load_ledger.cpp
+++ b/libraries/placement/src/load_ledger.cpp
@@ -31,6 +31,13 @@
         kept.work[one.server] += one.work;
 }
 
+void load_ledger::keep_neighbours(const std::set<core::host_name>& hosts)
+{
+    std::erase_if(neighbours_, [&hosts](const auto& each) {
+        return !hosts.contains(each.first);
+    });
+}
+
 void load_ledger::group_says(
     const host_group& group,
     word_extent extent,
--- a/services/entry/include/godwit/entry/call_log.hpp
+++ b/services/entry/include/godwit/entry/call_log.hpp
@@ -46,6 +46,13 @@
     std::string_view cause,
     std::uint64_t last_event);
 
+/// The caller of a stream closed its connection. `server` is empty while the
+/// request waited for one.
+void log_caller_left(
+    const accepted_call& call,
+    std::string_view server,
+    std::uint64_t last_event);
+
 /// An event of a stream came later than its route aims at.
 void log_late_event(
     const accepted_call& call,
--- a/services/entry/include/godwit/entry/neighbour_links.hpp
+++ b/services/entry/include/godwit/entry/neighbour_links.hpp
@@ -74,9 +74,9 @@
     [[nodiscard]] bool is_cell_mate(const core::host_name& host) const;
 
     /// The other hosts of the own cell.
-    [[nodiscard]] std::size_t cell_mates() const noexcept
+    [[nodiscard]] const std::set<core::host_name>& cell_mates() const noexcept
     {
-        return mates_.size();
+        return mates_;
     }
 
     /// Neighbours whose links are open.
--- a/services/entry/src/call_log.cpp
+++ b/services/entry/src/call_log.cpp
@@ -111,6 +111,24 @@
          {"age_ms", milliseconds(core::monotonic_now() - call.arrived)}});
 }
 
+void log_caller_left(
+    const accepted_call& call,
+    std::string_view server,
+    std::uint64_t last_event)
+{
+    const core::time_point now = core::monotonic_now();
+    telemetry::log_event(
+        telemetry::log_level::info,
+        component,
+        "caller_left",
+        {{"request", call.terms.attempt_id},
+         {"route", call.via.name},
+         {"server", server},
+         {"last_event", last_event},
+         {"left_ms", milliseconds(call.ends - now)},
+         {"age_ms", milliseconds(now - call.arrived)}});
+}
+
 void log_late_event(
     const accepted_call& call,
     const placement::backend_server& server,
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -239,6 +239,11 @@
     context_.budgets.set_hosts(hosts.size());
     fleet_size_ = hosts.size();
     neighbours_->set_hosts(hosts);
+    // Hosts that join may split a cell. The work of those that are in another
+    // one now would count twice, with that cell's sums, and engines with room
+    // would look full.
+    if (!neighbours_->cell().empty())
+        context_.ledger.keep_neighbours(neighbours_->cell_mates());
 }
 
 // New requests at a server that hangs would be lost with those that run.
--- a/tests/placement/placer_test.cpp
+++ b/tests/placement/placer_test.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(test_migrations_stay_in_the_zone);
     CPPUNIT_TEST(test_migrations_spread);
     CPPUNIT_TEST(test_sums_of_other_cells_count_until_they_are_old);
+    CPPUNIT_TEST(test_hosts_that_a_group_tells_of_count_once);
     CPPUNIT_TEST(test_changes_of_a_sum_leave_the_others);
     CPPUNIT_TEST(test_late_starts_take_spare_memory_only);
     CPPUNIT_TEST(test_prompts_do_not_wait_where_many_are_read);
@@ -181,6 +182,20 @@
         CPPUNIT_ASSERT_EQUAL(std::string("i-1"), choose(3001));
     }
 
+    void test_hosts_that_a_group_tells_of_count_once()
+    {
+        const host_name mate("m");
+        const host_name other("o");
+        const std::vector<server_work> word{{server_id("i-1"), {1, 3000, 0}}};
+        ledger_.neighbour_says(mate, word, at_ms(0));
+        ledger_.neighbour_says(other, word, at_ms(0));
+        ledger_.keep_neighbours({mate});
+        ledger_.group_says(
+            host_group("west/1"), word_extent::whole, word, at_ms(0));
+        const work_size sum = ledger_.at(server_id("i-1"), at_ms(0));
+        CPPUNIT_ASSERT(sum == (work_size{2, 6000, 0}));
+    }
+
     void test_changes_of_a_sum_leave_the_others()
     {
         const host_group west("west/0");
