entry: changed settings are taken over without a restart

Cause: a changed settings file was only logged, and only with a signal. Now it is read again at SIGHUP and each 5 s; seeds, grace and retry terms are taken over, what needs a restart is said, and a file that cannot be read leaves the last good settings. Tests: settings taken over, settings that cannot be read (world_test).

--- a/services/entry/include/godwit/entry/entry_context.hpp
+++ b/services/entry/include/godwit/entry/entry_context.hpp
@@ -37,7 +37,8 @@
     entry_context& operator=(const entry_context&) = delete;
 
     const boost::asio::any_io_executor executor;
-    const entry_settings settings;
+    /// Changes only when the process takes over a changed settings file.
+    entry_settings settings;
     const dialect words;
     /// Null until the first version is known.
     std::shared_ptr<const routing::route_table> routes;
--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -17,6 +17,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -46,6 +47,17 @@
     /// Begins to wait for signals and to keep time.
     void start();
 
+    /// How the settings are read again: when a signal says that they changed,
+    /// and now and then without one.
+    using settings_reader = std::function<core::result<entry_settings>()>;
+
+    /// Sets the reader; before `start`.
+    void set_settings_reader(settings_reader reader);
+
+    /// Reads the settings again and takes over what a running process can.
+    /// A file that cannot be read is logged, and the last good one stays.
+    void reload();
+
     /// Puts a version in force, unless a newer one already is: a process
     /// never goes back. `source` names who brought it, for the log. A table
     /// that cannot be read is logged, and the last good one stays.
@@ -94,6 +106,7 @@
     void set_gauges();
     void wait_for_signal();
     void on_signal(int number);
+    void take_over(const entry_settings& read);
     void begin_stop();
     void watch_stop();
     void tick();
@@ -135,6 +148,9 @@
     boost::asio::steady_timer stop_timer_;
     core::time_point stop_began_{};
     std::unique_ptr<neighbour_links> neighbours_;
+    settings_reader read_settings_;
+    std::optional<entry_settings> last_read_; ///< As the file said it.
+    core::time_point reloaded_at_{};
     std::string table_text_; ///< Of the version in force.
     std::map<core::host_name, core::time_point> readers_;
     wire::host_work told_work_;
--- a/services/entry/include/godwit/entry/entry_settings.hpp
+++ b/services/entry/include/godwit/entry/entry_settings.hpp
@@ -34,6 +34,14 @@
     double retry_allowance = 50;
     core::duration retry_window = std::chrono::seconds(10);
 
+    friend bool
+    operator==(const entry_settings&, const entry_settings&) = default;
+
+    /// These settings with what `newer` changes and a running process can
+    /// take over: seeds, grace and retries. Listeners, names and the log
+    /// stay as they are until the next start.
+    [[nodiscard]] entry_settings taking_over(const entry_settings& newer) const;
+
     /// Reads the object of these settings and refuses unknown keys. Fails
     /// with `invalid_input`.
     [[nodiscard]] static core::result<entry_settings>
--- a/services/entry/include/godwit/entry/neighbour_links.hpp
+++ b/services/entry/include/godwit/entry/neighbour_links.hpp
@@ -56,12 +56,15 @@
     /// Begins to accept, and to connect to the settings' seeds.
     void start();
 
+    /// Connects to the settings' seeds, those that are not linked yet.
+    void connect_seeds();
+
     /// The hosts that are known now; links to others end.
     void set_hosts(const std::vector<known_host>& hosts);
 
     /// Sends to the neighbours of the audience whose links are open.
-    void broadcast(
-        const wire::message& said, audience meant = audience::everybody);
+    void
+    broadcast(const wire::message& said, audience meant = audience::everybody);
 
     /// The own cell's name; empty until the hosts are known.
     [[nodiscard]] const placement::host_group& cell() const noexcept
--- a/services/entry/include/godwit/entry/retry_budgets.hpp
+++ b/services/entry/include/godwit/entry/retry_budgets.hpp
@@ -22,6 +22,9 @@
     /// is not heard may still serve.
     void set_hosts(std::size_t hosts);
 
+    /// Other shares and allowances from now on.
+    void set_terms(const entry_settings& settings);
+
     /// A first attempt at the service starts.
     void first_attempt(const core::service_name& service, core::time_point now);
 
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -26,6 +26,9 @@
 // Of about two seconds of notice the copies need one; each question has its
 // price.
 constexpr core::duration doubt_span = std::chrono::milliseconds(600);
+// The settings file may change without a signal; reading it takes well below
+// a millisecond.
+constexpr core::duration reload_span = std::chrono::seconds(5);
 // The table's limits come from outside; a buffer of this size a connection
 // is the most that the memory of a small host can bear.
 constexpr std::size_t most_header_bytes = std::size_t{256} * 1024;
@@ -286,6 +289,8 @@
     tell_cell();
     avoid_silent_servers();
     poll_reports();
+    if (core::monotonic_now() - reloaded_at_ >= reload_span)
+        reload();
     tick_timer_.expires_after(tick_span);
     tick_timer_.async_wait([this](const auto& failure) {
         if (!failure)
--- a/services/entry/src/entry_process_neighbours.cpp
+++ b/services/entry/src/entry_process_neighbours.cpp
@@ -149,7 +149,8 @@
     }
     const bool is_due = now - told_cell_at_ >= cell_report::pace;
     if (!is_due || neighbours_->cell().empty() ||
-        2 * context_.ledger.neighbours_heard(now) < neighbours_->cell_mates().size())
+        2 * context_.ledger.neighbours_heard(now) <
+            neighbours_->cell_mates().size())
         return;
     told_cell_at_ = now;
     const auto said = cell_report_.next(
--- /dev/null
+++ b/services/entry/src/entry_process_reload.cpp
@@ -0,0 +1,63 @@
+#include <godwit/entry/entry_process.hpp>
+
+#include <godwit/telemetry/log.hpp>
+
+#include <utility>
+
+namespace godwit::entry {
+
+using telemetry::log_event;
+using telemetry::log_level;
+
+namespace {
+
+constexpr std::string_view component = "entry";
+
+} // namespace
+
+void entry_process::set_settings_reader(settings_reader reader)
+{
+    read_settings_ = std::move(reader);
+}
+
+void entry_process::reload()
+{
+    if (!read_settings_)
+        return;
+    reloaded_at_ = core::monotonic_now();
+    const auto read = read_settings_();
+    if (!read) {
+        log_event(
+            log_level::error,
+            component,
+            "reload_refused",
+            {{"cause", read.error().to_string()}});
+        return;
+    }
+    if (!last_read_)
+        last_read_ = context_.settings;
+    if (*read == *last_read_)
+        return;
+    last_read_ = *read;
+    take_over(*read);
+}
+
+// Said once for each change of the file: `restart` means that something
+// changed which waits for the next start.
+void entry_process::take_over(const entry_settings& read)
+{
+    const entry_settings taken = context_.settings.taking_over(read);
+    log_event(
+        log_level::info,
+        component,
+        "reload",
+        {{"taken_over", taken != context_.settings},
+         {"restart", taken != read}});
+    if (taken == context_.settings)
+        return;
+    context_.settings = taken;
+    context_.budgets.set_terms(taken);
+    neighbours_->connect_seeds();
+}
+
+} // namespace godwit::entry
--- a/services/entry/src/entry_process_stop.cpp
+++ b/services/entry/src/entry_process_stop.cpp
@@ -35,6 +35,8 @@
 void entry_process::on_signal(int number)
 {
     log_event(log_level::info, component, "signal", {{"number", number}});
+    if (number == SIGHUP)
+        reload();
     if (number == SIGHUP || context_.is_stopping)
         return;
     begin_stop();
--- a/services/entry/src/entry_settings.cpp
+++ b/services/entry/src/entry_settings.cpp
@@ -44,6 +44,17 @@
 
 } // namespace
 
+entry_settings entry_settings::taking_over(const entry_settings& newer) const
+{
+    entry_settings taken = *this;
+    taken.seeds = newer.seeds;
+    taken.stop_grace = newer.stop_grace;
+    taken.retry_share = newer.retry_share;
+    taken.retry_allowance = newer.retry_allowance;
+    taken.retry_window = newer.retry_window;
+    return taken;
+}
+
 core::result<entry_settings> entry_settings::read(settings::reader source)
 {
     auto listen = GODWIT_TRY(source.get_object("listen"));
--- a/services/entry/src/neighbour_links.cpp
+++ b/services/entry/src/neighbour_links.cpp
@@ -127,6 +127,11 @@
 void neighbour_links::start()
 {
     acceptor_->start();
+    connect_seeds();
+}
+
+void neighbour_links::connect_seeds()
+{
     for (const http::endpoint& seed : settings_.seeds) {
         if (seed != settings_.neighbours)
             connect(seed);
@@ -205,8 +210,7 @@
     if (meant == audience::everybody)
         return true;
     const auto& peer = link->peer();
-    return peer &&
-           is_cell_mate(peer->host) == (meant == audience::cell);
+    return peer && is_cell_mate(peer->host) == (meant == audience::cell);
 }
 
 void neighbour_links::broadcast(const wire::message& said, audience meant)
--- a/services/entry/src/retry_budgets.cpp
+++ b/services/entry/src/retry_budgets.cpp
@@ -23,6 +23,15 @@
       hosts_(fewest_hosts)
 {}
 
+// Balances begin anew: what the old terms had saved up is not spent on top.
+void retry_budgets::set_terms(const entry_settings& settings)
+{
+    share_ = settings.retry_share * share_in_use;
+    allowance_ = settings.retry_allowance;
+    window_ = settings.retry_window;
+    budgets_.clear();
+}
+
 void retry_budgets::set_hosts(std::size_t hosts)
 {
     if (hosts <= hosts_)
--- a/services/entry/src/stream_call.cpp
+++ b/services/entry/src/stream_call.cpp
@@ -80,8 +80,8 @@
 {
     metrics_.finished(core::outcome::interrupted, core::monotonic_now());
     caller_gone_ = true;
-    const std::string server = is_registered_ ? active_->server().id.value()
-                                              : std::string();
+    const std::string server =
+        is_registered_ ? active_->server().id.value() : std::string();
     log_caller_left(*call_, server, last_event_);
     if (waiting_ != nullptr)
         waiting_->cancel();
--- a/tests/platform_adapter/world.cpp
+++ b/tests/platform_adapter/world.cpp
@@ -198,6 +198,8 @@
 
 template bool
 world::look<bool>(const std::function<bool(entry::entry_process&)>& look);
+template entry::entry_settings world::look<entry::entry_settings>(
+    const std::function<entry::entry_settings(entry::entry_process&)>& look);
 template std::uint64_t world::look<std::uint64_t>(
     const std::function<std::uint64_t(entry::entry_process&)>& look);
 
--- a/tests/platform_adapter/world_test.cpp
+++ b/tests/platform_adapter/world_test.cpp
@@ -71,6 +71,8 @@
     CPPUNIT_TEST(test_a_leaving_server_is_seen_while_the_store_is_away);
     CPPUNIT_TEST(test_a_leaving_server_is_seen_while_its_list_is_held_up);
     CPPUNIT_TEST(test_metrics_and_state_are_served);
+    CPPUNIT_TEST(test_changed_settings_are_taken_over);
+    CPPUNIT_TEST(test_settings_that_cannot_be_read_change_nothing);
     CPPUNIT_TEST_SUITE_END();
 
     world world_;
@@ -650,6 +652,52 @@
             return process.context().routes->version();
         });
     }
+
+    using reading = core::result<entry::entry_settings>;
+
+    /// The settings after the file says what `change` makes of them.
+    entry::entry_settings
+    reload(const std::function<reading(entry::entry_settings)>& change)
+    {
+        return world_.look<entry::entry_settings>(
+            [&change](entry::entry_process& process) {
+                process.set_settings_reader(
+                    [&change, now = process.context().settings] {
+                        return change(now);
+                    });
+                process.reload();
+                process.set_settings_reader({});
+                return process.context().settings;
+            });
+    }
+
+    void test_changed_settings_are_taken_over()
+    {
+        world_.begin();
+        const auto before = reload([](const auto& same) { return same; });
+        const auto after = reload([](entry::entry_settings file) -> reading {
+            file.stop_grace = std::chrono::seconds(3);
+            file.retry_share = 0.5;
+            file.host = core::host_name("another");
+            return file;
+        });
+        CPPUNIT_ASSERT(after.stop_grace == std::chrono::seconds(3));
+        CPPUNIT_ASSERT_EQUAL(0.5, after.retry_share);
+        // A name cannot change while the process runs.
+        CPPUNIT_ASSERT(after.host == before.host);
+        CPPUNIT_ASSERT_EQUAL(200U, world_.call("POST", "/plain/").status);
+    }
+
+    void test_settings_that_cannot_be_read_change_nothing()
+    {
+        world_.begin();
+        const auto before = reload([](const auto& same) { return same; });
+        const auto after = reload([](const entry::entry_settings&) -> reading {
+            return core::fail(
+                core::error_kind::invalid_input, "no JSON", "mend it");
+        });
+        CPPUNIT_ASSERT(before == after);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(world_test);
