--- a/tests/platform_adapter/world_test.cpp
+++ b/tests/platform_adapter/world_test.cpp
@@ -54,6 +54,7 @@
     CPPUNIT_TEST(test_a_newer_table_replaces_and_an_older_one_does_not);
     CPPUNIT_TEST(test_a_table_that_cannot_be_read_changes_nothing);
     CPPUNIT_TEST(test_a_store_that_is_away_changes_nothing);
+    CPPUNIT_TEST(test_a_store_that_turns_away_is_asked_ever_more_seldom);
     CPPUNIT_TEST(test_history_that_is_dropped_is_read_anew);
     CPPUNIT_TEST(test_a_stream_arrives_whole);
     CPPUNIT_TEST(test_a_stream_begins_where_room_is_kept);
@@ -239,6 +240,20 @@
         world::wait("version 2", [this] { return version() == 2; });
     }
 
+    // Each call that the store turns away has its price.
+    void test_a_store_that_turns_away_is_asked_ever_more_seldom()
+    {
+        world_.begin();
+        world_.store().answer_with(503);
+        const unsigned before = world_.store().calls();
+        std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+        // Three topics, each asked after 0.2, 0.4, 0.8 and 1 s.
+        CPPUNIT_ASSERT(world_.store().calls() - before <= 18);
+        world_.publish(3);
+        world_.store().answer_with(0);
+        world::wait("version 3", [this] { return version() == 3; });
+    }
+
     void test_history_that_is_dropped_is_read_anew()
     {
         world_.begin();
