--- a/libraries/placement/include/godwit/placement/placer.hpp
+++ b/libraries/placement/include/godwit/placement/placer.hpp
@@ -20,9 +20,10 @@
 /// What a placement is wanted for.
 enum class placement_purpose
 {
-    start,      ///< A request that starts, or is sent again.
-    late_start, ///< One that cannot meet its latency objective any more.
-    migration,  ///< A running generation that goes on elsewhere.
+    start,       ///< A request that starts, or is sent again.
+    short_start, ///< One that gives its memory back within a moment.
+    late_start,  ///< One that cannot meet its latency objective any more.
+    migration,   ///< A running generation that goes on elsewhere.
 };
 
 /// A request that wants a backend server.
--- a/libraries/placement/src/placer.cpp
+++ b/libraries/placement/src/placer.cpp
@@ -13,6 +13,9 @@
 // The share of a server's memory that starts may plan to fill. What stays
 // free takes generations that come from a server that leaves.
 constexpr double start_memory_share = 0.95;
+// Short generations find room beside them: what they take they give back
+// before anybody misses it.
+constexpr double short_start_memory_share = 1.0;
 // Late starts take what nobody needs who can be in time: where memory is
 // short, each of them would make another request late.
 constexpr double late_start_memory_share = 0.5;
@@ -53,6 +56,8 @@
     switch (purpose) {
     case placement_purpose::start:
         return start_memory_share;
+    case placement_purpose::short_start:
+        return short_start_memory_share;
     case placement_purpose::late_start:
         return late_start_memory_share;
     case placement_purpose::migration:
--- a/services/entry/src/stream_call.cpp
+++ b/services/entry/src/stream_call.cpp
@@ -222,7 +222,11 @@
     wanted.work = work();
     wanted.near = context_.settings.zone;
     wanted.excluded = tried_;
-    if (is_late && expected_output() > short_output_tokens)
+    const bool is_short =
+        call_->terms.generation && expected_output() <= short_output_tokens;
+    if (is_short)
+        wanted.purpose = placement::placement_purpose::short_start;
+    else if (is_late)
         wanted.purpose = placement::placement_purpose::late_start;
     wanted.most_unread_tokens = most_unread_tokens(is_late);
     std::optional<waiting_line::place> waiting;
--- a/tests/placement/placer_test.cpp
+++ b/tests/placement/placer_test.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(test_sums_of_other_cells_count_until_they_are_old);
     CPPUNIT_TEST(test_hosts_that_a_group_tells_of_count_once);
     CPPUNIT_TEST(test_changes_of_a_sum_leave_the_others);
+    CPPUNIT_TEST(test_short_starts_find_room_that_long_ones_leave);
     CPPUNIT_TEST(test_late_starts_take_spare_memory_only);
     CPPUNIT_TEST(test_prompts_do_not_wait_where_many_are_read);
     CPPUNIT_TEST(test_an_engine_that_says_it_is_full_is_passed_over);
@@ -224,6 +225,18 @@
             ledger_.at(server_id("i-1"), at_ms(4000)) == work_size());
     }
 
+    // Otherwise a short one waits behind the long ones of every other host.
+    void test_short_starts_find_room_that_long_ones_leave()
+    {
+        ledger_.add(server_id("i-1"), {1, 8700, 0});
+        ledger_.add(server_id("i-2"), {1, 9100, 0});
+        CPPUNIT_ASSERT_EQUAL(std::string("no room"), choose());
+        wanted_.purpose = placement_purpose::short_start;
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), choose());
+        ledger_.add(server_id("i-1"), {1, 400, 0});
+        CPPUNIT_ASSERT_EQUAL(std::string("no room"), choose());
+    }
+
     void test_late_starts_take_spare_memory_only()
     {
         ledger_.add(server_id("i-1"), {1, 5000, 0});
