entry: an answer that came is delivered, whatever a repeat brings

Cause: a request that may be repeated, got a server's 500 and then a broken connection, was answered 502: the later result was kept. Test: world_test, an answer outlives a repeat that fails; fails first (502). The test's world now tries other ports, which it did not; nothing that it checks has changed.

--- a/services/entry/src/whole_call.cpp
+++ b/services/entry/src/whole_call.cpp
@@ -67,8 +67,10 @@
         if (!server)
             break;
         attempt_result now = co_await attempt(*server);
-        // A refusal says nothing more than what is already known.
-        const bool is_worse = !now.may_have_run && last.may_have_run;
+        // A refusal says nothing more than what is already known, and an
+        // answer that came is the caller's whatever a repeat brings.
+        const bool is_worse = (!now.may_have_run && last.may_have_run) ||
+                              (!now.answer && last.answer);
         if (!is_worse)
             last = std::move(now);
         if (caller_gone_)
--- a/tests/platform_adapter/world.cpp
+++ b/tests/platform_adapter/world.cpp
@@ -67,14 +67,9 @@
     return request;
 }
 
-} // namespace
-
-world::world() : outside_work_(asio::make_work_guard(outside_))
+entry::entry_settings settings_on_free_ports()
 {
-    store_ = std::make_unique<stand_in_store>(outside_);
-    first_ = std::make_unique<stand_in_server>(outside_, "i-1");
-    second_ = std::make_unique<stand_in_server>(outside_, "i-2");
-    entry::entry_settings settings{
+    return entry::entry_settings{
         .host = core::host_name("h1"),
         .zone = core::zone_name("east"),
         .log_level = telemetry::log_level::error,
@@ -83,10 +78,32 @@
         .operators = free_port(),
         .neighbours = free_port(),
         .seeds = {}};
-    process_ =
-        entry::entry_process::create(
-            inside_, std::move(settings), entry::dialect::of<request_codec>())
-            .value();
+}
+
+// A port that was free may be taken before it is bound: by another test's
+// process, or by a connection that gets it by chance.
+std::unique_ptr<entry::entry_process> start_process(asio::io_context& context)
+{
+    constexpr int most_tries = 20;
+    for (int tries = 1;; ++tries) {
+        auto made = entry::entry_process::create(
+            context,
+            settings_on_free_ports(),
+            entry::dialect::of<request_codec>());
+        if (made)
+            return std::move(*made);
+        CPPUNIT_ASSERT_MESSAGE(made.error().to_string(), tries < most_tries);
+    }
+}
+
+} // namespace
+
+world::world() : outside_work_(asio::make_work_guard(outside_))
+{
+    store_ = std::make_unique<stand_in_store>(outside_);
+    first_ = std::make_unique<stand_in_server>(outside_, "i-1");
+    second_ = std::make_unique<stand_in_server>(outside_, "i-2");
+    process_ = start_process(inside_);
     sources_ = std::make_unique<platform_sources>(
         inside_.get_executor(), store_->address(), *process_);
     process_->start();
--- a/tests/platform_adapter/world_test.cpp
+++ b/tests/platform_adapter/world_test.cpp
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <memory>
 #include <string>
 #include <thread>
 
@@ -49,6 +50,7 @@
     CPPUNIT_TEST(test_a_request_that_all_reject_has_not_run);
     CPPUNIT_TEST(test_a_lost_answer_is_not_asked_for_again);
     CPPUNIT_TEST(test_a_failure_is_repeated_once_where_it_may_be);
+    CPPUNIT_TEST(test_an_answer_outlives_a_repeat_that_fails);
     CPPUNIT_TEST(test_an_unsigned_success_is_no_answer);
     CPPUNIT_TEST(test_an_answer_to_another_request_is_passed_over);
     CPPUNIT_TEST(test_a_newer_table_replaces_and_an_older_one_does_not);
@@ -166,6 +168,32 @@
             world_.first().count("/plain/") + world_.second().count("/plain/"));
     }
 
+    // The answer that is there is the caller's; a repeat that brought nothing
+    // does not turn it into an unknown.
+    void test_an_answer_outlives_a_repeat_that_fails()
+    {
+        const auto calls = std::make_shared<std::atomic<int>>(0);
+        const auto fail =
+            [calls](http::exchange& asked) -> asio::awaitable<void> {
+            const bool is_meant = asked.received().target == "/again/";
+            if (is_meant && (*calls)++ > 0) {
+                asked.cut();
+                co_return;
+            }
+            http::response failed =
+                stand_in_server::answer(asked, 500, "its own words");
+            [[maybe_unused]] const auto said =
+                co_await asked.respond(std::move(failed));
+        };
+        world_.first().behave(fail);
+        world_.second().behave(fail);
+        world_.begin();
+        const auto answer = world_.call("GET", "/again/");
+        CPPUNIT_ASSERT_EQUAL(2, calls->load());
+        CPPUNIT_ASSERT_EQUAL(500U, answer.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("its own words"), answer.body);
+    }
+
     void test_an_unsigned_success_is_no_answer()
     {
         const auto unsign = [](http::exchange& asked) -> asio::awaitable<void> {
