--- a/libraries/placement/include/godwit/placement/server_health.hpp
+++ b/libraries/placement/include/godwit/placement/server_health.hpp
@@ -47,8 +47,8 @@
     void forget(const server_id& server);
 
 private:
-    /// How long a server that had no room is passed over: about the time in
-    /// which one of its requests ends.
+    /// How long a server that had no room is passed over. What comes free
+    /// meanwhile goes to other hosts, each of which asks as seldom.
     static constexpr core::duration full_pause = std::chrono::milliseconds(400);
 
     struct record
--- a/services/entry/include/godwit/entry/cell_report.hpp
+++ b/services/entry/include/godwit/entry/cell_report.hpp
@@ -21,7 +21,8 @@
     static constexpr core::duration pace = std::chrono::milliseconds(100);
     /// All sums are told this often, for whoever missed changes.
     static constexpr core::duration whole_pace = std::chrono::seconds(1);
-    /// Memory that grows by less than this many tokens waits for more.
+    /// Memory that grows by less than this many tokens, a tenth of a usual
+    /// run's, waits for more.
     static constexpr std::uint64_t told_growth = 400;
 
     /// The word that is due now, if anything is to be told. `sums` names
--- a/services/entry/src/server_hold.cpp
+++ b/services/entry/src/server_hold.cpp
@@ -19,9 +19,8 @@
 // The answer takes no work of the server's. One that is silent for longer
 // cannot be reached, and another one still can in time.
 constexpr core::duration answer_limit = std::chrono::milliseconds(250);
-// The request follows at once. What a hold has beyond the request's need
-// stays taken until the hold ends: with two seconds, engines that had room
-// refused seven of eight orders.
+// The request follows at once. What a hold has beyond the request's need, or
+// all of it when the request's host dies, stays taken until the hold ends.
 constexpr core::duration hold_span = std::chrono::milliseconds(400);
 
 } // namespace
--- a/services/entry/src/stream_call.cpp
+++ b/services/entry/src/stream_call.cpp
@@ -16,8 +16,9 @@
 // on time. About a third of the objective goes into reading the prompt.
 constexpr double timely_wait_share = 0.65;
 // After that it waits behind all that can, and takes what is left over, until
-// it is told to come back: in objectives, and at most this share of the time
-// that its caller has.
+// it is told to come back: in objectives, since callers give up a stream that
+// has not begun after four, and at most this share of the time that its caller
+// has, so that the answer still finds its end.
 constexpr double longest_wait_objectives = 3.2;
 constexpr double longest_wait_share = 0.55;
 // Of the latency objective: what the prompts that a server reads may take.
@@ -29,6 +30,7 @@
 constexpr core::duration late_try_span = std::chrono::milliseconds(400);
 // Added to the priority of a request that is late already.
 constexpr int late_priority = 1000;
+// A stream that was turned away at once may come back after this.
 constexpr core::duration come_back_after = std::chrono::milliseconds(700);
 // Servers that may turn one request away before it is given up.
 constexpr unsigned most_refusals = 3;
