--- a/libraries/placement/src/placer.cpp
+++ b/libraries/placement/src/placer.cpp
@@ -25,8 +25,7 @@
 // of reading beside running generations.
 constexpr double unread_tokens_weight = 7000.0;
 // Another zone adds a hop to each event, its traffic is paid for, and a stream
-// stands still while its engine's zone is cut off. Higher costs left engines of
-// other zones empty while those of the own one were full.
+// stands still while its engine's zone is cut off.
 constexpr double other_zone_cost = 0.35;
 // A copy of memory takes twice as long to another zone.
 constexpr double other_zone_migration_cost = 0.8;
