--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -26,8 +26,7 @@
 // Of about two seconds of notice the copies need one; each question has its
 // price.
 constexpr core::duration doubt_span = std::chrono::milliseconds(600);
-// The settings file may change without a signal; reading it takes well below
-// a millisecond.
+// The settings file may change without a signal.
 constexpr core::duration reload_span = std::chrono::seconds(5);
 // The table's limits come from outside; a buffer of this size a connection
 // is the most that the memory of a small host can bear.
