admission: sizes, waiting and reading pace as decisions of their own

How large a generation is, in which stage and order a request waits, how often it looks, when it is turned away and when it comes back stood as constants in stream_call, a shell of 595 lines. They are a library now that knows no socket, timer or platform; room_search is the shell that asks it, and stream_call (327 lines) and stream_call_moves (123) keep the stream.

--- /dev/null
+++ b/services/entry/include/godwit/entry/room_search.hpp
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <godwit/admission/generation_size.hpp>
+#include <godwit/admission/waiting_plan.hpp>
+#include <godwit/entry/accepted_call.hpp>
+#include <godwit/entry/entry_context.hpp>
+#include <godwit/entry/reservation.hpp>
+#include <godwit/entry/waiting_line.hpp>
+#include <godwit/placement/backend_server.hpp>
+#include <godwit/placement/work_size.hpp>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace godwit::entry {
+
+/// A server that a stream may be sent to.
+struct found_room
+{
+    placement::backend_server server;
+    /// The stream's entry in the ledger of work.
+    std::unique_ptr<reservation> reserved;
+    /// Names the room that the server keeps, where servers do.
+    std::optional<std::string> hold;
+    /// Prompt tokens that the server had to read, the stream's included.
+    std::uint64_t unread_tokens = 0;
+};
+
+/// Waits in the line until a server has room for one stream, as its waiting
+/// plan says. Used on one executor.
+class room_search
+{
+public:
+    room_search(
+        entry_context& context, std::shared_ptr<const accepted_call> call);
+
+    room_search(const room_search&) = delete;
+    room_search& operator=(const room_search&) = delete;
+
+    /// The next server; nothing when the request is to be turned away, or
+    /// when the search was stopped.
+    boost::asio::awaitable<std::optional<found_room>> next();
+
+    /// The server did not take the request; it is not asked again.
+    void exclude(const placement::server_id& server);
+
+    /// The caller left.
+    void stop();
+
+    [[nodiscard]] const admission::waiting_plan& plan() const noexcept
+    {
+        return plan_;
+    }
+
+private:
+    boost::asio::awaitable<std::optional<placement::placement_choice>> place();
+    boost::asio::awaitable<std::optional<placement::placement_choice>>
+    place_in_stage(admission::waiting_stage stage);
+    boost::asio::awaitable<std::optional<found_room>>
+    keep_room(placement::placement_choice choice);
+    [[nodiscard]] placement::placement_request
+    wanted(admission::waiting_stage stage) const;
+
+    entry_context& context_;
+    std::shared_ptr<const accepted_call> call_;
+    admission::waiting_plan plan_;
+    std::optional<admission::generation_size> size_;
+    std::vector<placement::server_id> excluded_;
+    waiting_line::place* waiting_ = nullptr;
+    bool is_stopped_ = false;
+};
+
+/// Whether the service's servers keep room for requests that come next.
+[[nodiscard]] bool can_hold(const accepted_call& call);
+
+} // namespace godwit::entry
--- a/services/entry/include/godwit/entry/stream_call.hpp
+++ b/services/entry/include/godwit/entry/stream_call.hpp
@@ -7,6 +7,7 @@
 #include <godwit/entry/migrator.hpp>
 #include <godwit/entry/refusal.hpp>
 #include <godwit/entry/reservation.hpp>
+#include <godwit/entry/room_search.hpp>
 #include <godwit/entry/running_stream.hpp>
 #include <godwit/entry/upstream.hpp>
 #include <godwit/telemetry/request_metrics.hpp>
@@ -18,7 +19,6 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace godwit::entry {
 
@@ -42,12 +42,10 @@
 
 private:
     boost::asio::awaitable<bool> start();
-    boost::asio::awaitable<std::optional<placement::backend_server>> place();
-    boost::asio::awaitable<std::optional<placement::backend_server>>
-    place_until(core::time_point end, int priority);
-    boost::asio::awaitable<bool> keep_room(placement::backend_server server);
     boost::asio::awaitable<std::optional<http::response_head>>
     send_to(placement::backend_server server);
+    boost::asio::awaitable<std::optional<http::response_head>>
+    take_answer(http::response_head head);
     boost::asio::awaitable<void> relay(http::response_head head);
     boost::asio::awaitable<bool> relay_events(std::string bytes);
     boost::asio::awaitable<std::optional<http::response_head>>
@@ -57,15 +55,11 @@
     boost::asio::awaitable<void> refuse(refusal_reason reason);
     boost::asio::awaitable<void> pass_on_failure(http::response_head head);
     boost::asio::awaitable<void> give_up_send(upstream_failure why);
-    [[nodiscard]] bool can_hold() const;
     [[nodiscard]] http::request request_for(
         const placement::server_id& server,
         std::optional<continuation> resumes) const;
-    [[nodiscard]] placement::work_size work() const;
     [[nodiscard]] placement::work_size moved_work() const;
-    [[nodiscard]] std::uint64_t memory_tokens() const;
-    [[nodiscard]] std::uint64_t most_unread_tokens(bool is_late) const;
-    [[nodiscard]] std::uint32_t expected_output() const;
+    void not_run_at(const placement::backend_server& server);
     void adopt(std::shared_ptr<upstream> serving);
     void leave_server();
     void stop_migration();
@@ -77,12 +71,11 @@
     entry_context& context_;
     std::shared_ptr<const accepted_call> call_;
     std::shared_ptr<upstream> active_;
-    std::optional<reservation> reserved_;
+    room_search search_;
+    std::unique_ptr<reservation> reserved_;
     std::optional<std::string> hold_;
     std::shared_ptr<migrator> migration_;
     event_splitter splitter_;
-    waiting_line::place* waiting_ = nullptr;
-    std::vector<placement::server_id> tried_;
     std::uint64_t last_event_ = 0;
     stream_pace pace_;
     core::time_point sent_at_{};
--- /dev/null
+++ b/services/entry/src/room_search.cpp
@@ -0,0 +1,160 @@
+#include <godwit/entry/room_search.hpp>
+
+#include <godwit/entry/call_log.hpp>
+#include <godwit/entry/server_hold.hpp>
+
+#include <utility>
+
+namespace godwit::entry {
+
+namespace asio = boost::asio;
+using admission::waiting_stage;
+
+namespace {
+
+std::optional<admission::generation_size> size_of(const call_terms& terms)
+{
+    if (!terms.generation)
+        return std::nullopt;
+    return admission::generation_size::create(*terms.generation, 0);
+}
+
+} // namespace
+
+bool can_hold(const accepted_call& call)
+{
+    return call.target.engine &&
+           call.target.engine->longest_hold > core::duration();
+}
+
+room_search::room_search(
+    entry_context& context, std::shared_ptr<const accepted_call> call)
+    : context_(context), call_(std::move(call)),
+      plan_(admission::waiting_plan::create(
+          {call_->arrived,
+           call_->ends,
+           call_->via.latency_objective,
+           call_->priority})),
+      size_(size_of(call_->terms))
+{}
+
+void room_search::exclude(const placement::server_id& server)
+{
+    excluded_.push_back(server);
+}
+
+void room_search::stop()
+{
+    is_stopped_ = true;
+    if (waiting_ != nullptr)
+        waiting_->cancel();
+}
+
+asio::awaitable<std::optional<found_room>> room_search::next()
+{
+    while (!is_stopped_) {
+        auto choice = co_await place();
+        if (!choice)
+            co_return std::nullopt;
+        auto room = co_await keep_room(std::move(*choice));
+        if (room)
+            co_return room;
+    }
+    co_return std::nullopt;
+}
+
+asio::awaitable<std::optional<placement::placement_choice>> room_search::place()
+{
+    auto choice = co_await place_in_stage(waiting_stage::timely);
+    if (!choice && !is_stopped_)
+        choice = co_await place_in_stage(waiting_stage::late);
+    co_return choice;
+}
+
+placement::placement_request room_search::wanted(waiting_stage stage) const
+{
+    placement::placement_request wanted;
+    wanted.service = &call_->target;
+    wanted.work.requests = 1;
+    if (size_ && call_->target.engine)
+        wanted.work = size_->work();
+    wanted.near = context_.settings.zone;
+    wanted.excluded = excluded_;
+    if (size_ && size_->is_short())
+        wanted.purpose = placement::placement_purpose::short_start;
+    else if (stage == waiting_stage::late)
+        wanted.purpose = placement::placement_purpose::late_start;
+    wanted.most_unread_tokens = plan_.most_unread_tokens(
+        stage, context_.reading(call_->target.name).tokens_per_ms());
+    return wanted;
+}
+
+asio::awaitable<std::optional<placement::placement_choice>>
+room_search::place_in_stage(waiting_stage stage)
+{
+    const core::time_point end = plan_.stage_end(stage);
+    std::optional<waiting_line::place> waiting;
+    core::time_point next_look{};
+    bool is_my_turn = !context_.line.is_ahead_of(plan_.rank(stage));
+    while (!is_stopped_) {
+        const core::time_point now = core::monotonic_now();
+        if (is_my_turn && now >= next_look) {
+            next_look = plan_.next_look(stage, now);
+            auto found = context_.chooser.choose(wanted(stage), now);
+            if (found) {
+                log_placed(*call_, *found);
+                co_return std::move(*found);
+            }
+        }
+        if (now >= end)
+            co_return std::nullopt;
+        if (!waiting)
+            waiting.emplace(
+                context_.line, context_.executor, plan_.rank(stage));
+        waiting_ = &*waiting;
+        co_await waiting->turn(
+            next_look > now ? std::min(end, next_look) : end);
+        waiting_ = nullptr;
+        is_my_turn = true;
+    }
+    co_return std::nullopt;
+}
+
+// Hosts that choose at the same moment choose the same server. It tells the
+// one that comes too late at once, when another server still can be in time;
+// sent without asking, the request would wait there for memory.
+asio::awaitable<std::optional<found_room>>
+room_search::keep_room(placement::placement_choice choice)
+{
+    const placement::work_size work = wanted(waiting_stage::timely).work;
+    found_room room{
+        choice.server,
+        std::make_unique<reservation>(context_, choice.server.id, work),
+        std::nullopt,
+        choice.load.unread_tokens + work.unread_tokens};
+    if (!can_hold(*call_))
+        co_return room;
+    hold_answer answer =
+        co_await take_hold(context_, *call_, choice.server, work.tokens);
+    room.hold = std::move(answer.handle);
+    const core::time_point now = core::monotonic_now();
+    if (is_stopped_) {
+        if (room.hold)
+            release_hold(context_, room.server, std::move(*room.hold));
+        co_return std::nullopt;
+    }
+    if (answer.verdict == hold_verdict::refused)
+        context_.health.full(choice.server.id, now);
+    if (answer.verdict == hold_verdict::unreachable) {
+        context_.health.unreachable(choice.server.id, now);
+        exclude(choice.server.id);
+    }
+    // A server that does not understand the question gets the request.
+    const bool is_sent = answer.verdict == hold_verdict::granted ||
+                         answer.verdict == hold_verdict::failed;
+    if (!is_sent)
+        co_return std::nullopt;
+    co_return room;
+}
+
+} // namespace godwit::entry
--- /dev/null
+++ b/services/entry/src/stream_call_moves.cpp
@@ -0,0 +1,123 @@
+#include <godwit/entry/stream_call.hpp>
+
+#include <utility>
+
+// How a running stream goes on at another server.
+
+namespace godwit::entry {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// How long the source's stopping may take to be seen on the stream.
+constexpr core::duration stopping_limit = std::chrono::seconds(3);
+constexpr unsigned first_failure = 300;
+
+} // namespace
+
+// A run that moves brings its memory along: there is nothing to read.
+placement::work_size stream_call::moved_work() const
+{
+    if (!call_->terms.generation || !call_->target.engine)
+        return placement::work_size{1, 0, 0};
+    const std::uint64_t written =
+        pace_.events * call_->target.engine->tokens_per_event;
+    return admission::generation_size::create(*call_->terms.generation, written)
+        .moved_work();
+}
+
+void stream_call::stop_migration()
+{
+    if (migration_)
+        migration_->stop();
+    migration_.reset();
+}
+
+void stream_call::adopt(std::shared_ptr<upstream> serving)
+{
+    leave_server();
+    active_ = std::move(serving);
+    context_.streams.add(active_->server().id, *this);
+    is_registered_ = true;
+    if (!context_.directory.is_usable(active_->server().id))
+        server_leaves();
+}
+
+void stream_call::leave_server()
+{
+    if (is_registered_)
+        context_.streams.remove(active_->server().id, *this);
+    is_registered_ = false;
+}
+
+void stream_call::server_leaves()
+{
+    const bool can_move = call_->target.engine && call_->target.engine->moves;
+    if (!can_move || migration_ || caller_gone_)
+        return;
+    migration_ =
+        std::make_shared<migrator>(context_, call_, active_, moved_work());
+    migration_->start();
+}
+
+asio::awaitable<std::optional<http::response_head>>
+stream_call::go_on_elsewhere()
+{
+    if (!migration_)
+        co_return std::nullopt;
+    migration_->stream_broke();
+    const core::time_point end = core::monotonic_now() + stopping_limit;
+    const auto moved = co_await migration_->outcome(end);
+    if (!moved || caller_gone_)
+        co_return std::nullopt;
+    co_return co_await resume(*moved);
+}
+
+asio::awaitable<std::optional<http::response_head>>
+stream_call::resume(migrated_run moved)
+{
+    const core::time_point before = core::monotonic_now();
+    const placement::backend_server source = active_->server();
+    continuation resumes{source.address, moved.handle, last_event_};
+    auto next = std::make_shared<upstream>(
+        context_, moved.destination, call_->via.latency_objective);
+    http::request outgoing =
+        request_for(moved.destination.id, std::move(resumes));
+    reserved_.reset();
+    reserved_ = std::make_unique<reservation>(
+        context_, moved.destination.id, moved_work());
+    leave_server();
+    active_ = next;
+    splitter_ = event_splitter();
+    const std::string attempt_id = call_->terms.attempt_id;
+    auto head =
+        co_await next->begin(std::move(outgoing), attempt_id, call_->ends);
+    const bool runs = head && head->status < first_failure;
+    std::string verdict = "resumed";
+    if (!head)
+        verdict = head.error().cause.message();
+    else if (!runs)
+        verdict = "status_" + std::to_string(head->status);
+    context_.metrics
+        ->counter(
+            "godwit_migrations_total",
+            "Running generations that went on at another server.",
+            {call_->target.name,
+             core::class_name(call_->via.name),
+             runs ? core::outcome::completed : core::outcome::interrupted})
+        .Increment();
+    log_migration(
+        *call_,
+        source,
+        moved.destination.id.value(),
+        verdict,
+        core::monotonic_now() - before);
+    if (!runs || caller_gone_)
+        co_return std::nullopt;
+    migration_.reset();
+    adopt(next);
+    co_return std::move(*head);
+}
+
+} // namespace godwit::entry
