placement, entry: runs in another zone come home where there is room

Now a run looks every 400 ms whether an engine at home has a quarter of its memory to spare, and moves there as it would from a leaving engine. If that fails it goes on where it is; if the source leaves meanwhile it has to go.

--- /dev/null
+++ b/libraries/placement/include/godwit/placement/homecoming.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <godwit/core/time.hpp>
+#include <godwit/placement/placer.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <utility>
+
+namespace godwit::placement {
+
+/// What is known of a running generation when its host looks for a nearer
+/// server.
+struct distant_run
+{
+    backend_server server;
+    work_size work;
+    std::uint64_t tokens_left = 0; ///< That it is expected to write.
+
+    friend bool operator==(const distant_run&, const distant_run&) = default;
+};
+
+/// Decides when a generation that runs in another zone than its host's goes
+/// on in the host's zone.
+///
+/// Answers zones that are cut off: a stream stands still for as long as the
+/// cut lasts if host and engine are on different sides of it, and callers
+/// leave after some seconds. When load is high, one start in five finds no
+/// room in its own zone; while it runs, room comes free there.
+class homecoming
+{
+public:
+    /// How long a run is left where it is after a look that found no room. A
+    /// run lives for some eight seconds.
+    static constexpr core::duration look_span = std::chrono::milliseconds(400);
+    /// A run with less left ends by itself about as soon as its copy is done.
+    static constexpr std::uint64_t least_tokens_left = 64;
+
+    explicit homecoming(core::zone_name home) : home_(std::move(home)) {}
+
+    /// Whether it is worth looking for room at home now.
+    [[nodiscard]] bool
+    is_due(const distant_run& run, core::time_point now) const;
+
+    /// A look was taken, or a move failed.
+    void looked(core::time_point now) { next_look_ = now + look_span; }
+
+    /// What is wanted of the server at home.
+    [[nodiscard]] placement_request
+    wanted(const routing::service& service, const work_size& work) const;
+
+private:
+    core::zone_name home_;
+    core::time_point next_look_{};
+};
+
+} // namespace godwit::placement
--- a/libraries/placement/include/godwit/placement/placer.hpp
+++ b/libraries/placement/include/godwit/placement/placer.hpp
@@ -23,7 +23,8 @@
     start,       ///< A request that starts, or is sent again.
     short_start, ///< One that gives its memory back within a moment.
     late_start,  ///< One that cannot meet its latency objective any more.
-    migration,   ///< A running generation that goes on elsewhere.
+    migration,   ///< A running generation whose server leaves.
+    homecoming,  ///< A running generation that could stay, but goes nearer.
 };
 
 /// A request that wants a backend server.
@@ -37,6 +38,8 @@
     std::uint64_t most_unread_tokens =
         std::numeric_limits<std::uint64_t>::max();
     core::zone_name near; ///< The zone that is cheapest to reach.
+    /// Servers of other zones than `near` are not wanted at all.
+    bool is_near_only = false;
     std::vector<server_id> excluded;
 };
 
@@ -75,6 +78,8 @@
 
 private:
     [[nodiscard]] static double memory_share(placement_purpose purpose);
+    [[nodiscard]] static bool
+    is_candidate(const placement_request& wanted, const backend_server& server);
     [[nodiscard]] bool has_room(
         const placement_request& wanted,
         const backend_server& server,
--- a/libraries/placement/src/placer.cpp
+++ b/libraries/placement/src/placer.cpp
@@ -21,6 +21,9 @@
 constexpr double late_start_memory_share = 0.5;
 // Migrations may fill what a server has; beyond it somebody is preempted.
 constexpr double migration_memory_share = 1.05;
+// Nobody needs a run to come home, and memory that it fills there keeps starts
+// out: it goes only where plenty is left.
+constexpr double homecoming_memory_share = 0.75;
 // Unread prompt tokens that weigh as much as a whole memory: about a second
 // of reading beside running generations.
 constexpr double unread_tokens_weight = 7000.0;
@@ -63,10 +66,22 @@
         return late_start_memory_share;
     case placement_purpose::migration:
         return migration_memory_share;
+    case placement_purpose::homecoming:
+        return homecoming_memory_share;
     }
     return start_memory_share;
 }
 
+bool placer::is_candidate(
+    const placement_request& wanted, const backend_server& server)
+{
+    if (wanted.is_near_only && server.zone != wanted.near)
+        return false;
+    return std::find(
+               wanted.excluded.begin(), wanted.excluded.end(), server.id) ==
+           wanted.excluded.end();
+}
+
 bool placer::has_room(
     const placement_request& wanted,
     const backend_server& server,
@@ -137,11 +152,7 @@
     bool any = false;
     for (const backend_server* candidate :
          directory_.usable(wanted.service->name)) {
-        const bool is_excluded = std::find(
-                                     wanted.excluded.begin(),
-                                     wanted.excluded.end(),
-                                     candidate->id) != wanted.excluded.end();
-        if (is_excluded)
+        if (!is_candidate(wanted, *candidate))
             continue;
         any = true;
         // An engine's own word goes before what hosts told each other of it.
--- a/services/entry/include/godwit/entry/migrator.hpp
+++ b/services/entry/include/godwit/entry/migrator.hpp
@@ -24,9 +24,16 @@
     std::string handle;
 };
 
-/// Takes one running generation away from a server that leaves: a copy of
-/// its memory while it goes on, then a short last one, after which it has
-/// stopped. Used on one executor.
+/// Why a running generation goes on elsewhere.
+enum class migration_cause
+{
+    server_leaves, ///< It is lost otherwise: any server with room will do.
+    homecoming,    ///< It is better off in its host's zone, if there is room.
+};
+
+/// Takes one running generation away from its server: a copy of its memory
+/// while it goes on, then a short last one, after which it has stopped. Used
+/// on one executor.
 class migrator : public std::enable_shared_from_this<migrator>
 {
 public:
@@ -34,11 +41,15 @@
         entry_context& context,
         std::shared_ptr<const accepted_call> call,
         std::shared_ptr<upstream> source,
-        placement::work_size work);
+        placement::work_size work,
+        migration_cause cause);
 
     /// Begins.
     void start();
 
+    /// The source leaves: whatever it was begun for, the generation has to go.
+    void server_leaves();
+
     /// The caller left or the generation ended by itself: frees what was
     /// copied and ends.
     void stop();
@@ -48,6 +59,12 @@
     boost::asio::awaitable<std::optional<migrated_run>>
     outcome(core::time_point end);
 
+    /// Whether it ended with the generation where it was, still running.
+    [[nodiscard]] bool left_it_running() const noexcept
+    {
+        return is_settled_ && !moved_;
+    }
+
     /// The stream ended without its last event. Unless it was stopped for
     /// its last copy, the source died under way: then the run goes on from
     /// what the destination holds, if it holds anything.
@@ -67,6 +84,13 @@
     boost::asio::awaitable<void> pause(core::duration span);
     boost::asio::awaitable<void> wait_for_links();
     void claim_links(core::duration hold);
+
+    [[nodiscard]] bool has_to_leave() const noexcept
+    {
+        return cause_ == migration_cause::server_leaves;
+    }
+
+    [[nodiscard]] placement::placement_request wanted() const;
     [[nodiscard]] bool choose_destination();
     void settle();
     void release();
@@ -75,6 +99,7 @@
     std::shared_ptr<const accepted_call> call_;
     std::shared_ptr<upstream> source_;
     placement::work_size work_;
+    migration_cause cause_;
     std::optional<placement::backend_server> destination_;
     std::optional<reservation> reserved_;
     std::vector<placement::server_id> refused_;
--- a/services/entry/include/godwit/entry/stream_call.hpp
+++ b/services/entry/include/godwit/entry/stream_call.hpp
@@ -10,6 +10,7 @@
 #include <godwit/entry/room_search.hpp>
 #include <godwit/entry/running_stream.hpp>
 #include <godwit/entry/upstream.hpp>
+#include <godwit/placement/homecoming.hpp>
 #include <godwit/telemetry/request_metrics.hpp>
 
 #include <boost/asio/awaitable.hpp>
@@ -58,11 +59,15 @@
     [[nodiscard]] http::request request_for(
         const placement::server_id& server,
         std::optional<continuation> resumes) const;
+    [[nodiscard]] admission::generation_size size() const;
     [[nodiscard]] placement::work_size moved_work() const;
     void not_run_at(const placement::backend_server& server);
     void adopt(std::shared_ptr<upstream> serving);
     void leave_server();
     void stop_migration();
+    void forget_failed_migration();
+    void migrate(migration_cause cause);
+    void consider_homecoming();
     void drop_hold(const placement::backend_server& server);
     void watch_pause();
     void caller_left();
@@ -75,6 +80,7 @@
     std::unique_ptr<reservation> reserved_;
     std::optional<std::string> hold_;
     std::shared_ptr<migrator> migration_;
+    placement::homecoming homecoming_;
     event_splitter splitter_;
     std::uint64_t last_event_ = 0;
     stream_pace pace_;
--- a/services/entry/src/migrator.cpp
+++ b/services/entry/src/migrator.cpp
@@ -2,6 +2,7 @@
 
 #include <godwit/entry/call_log.hpp>
 #include <godwit/http/fetch.hpp>
+#include <godwit/placement/homecoming.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -58,9 +59,10 @@
     entry_context& context,
     std::shared_ptr<const accepted_call> call,
     std::shared_ptr<upstream> source,
-    placement::work_size work)
+    placement::work_size work,
+    migration_cause cause)
     : context_(context), call_(std::move(call)), source_(std::move(source)),
-      work_(work), settled_signal_(context.executor),
+      work_(work), cause_(cause), settled_signal_(context.executor),
       began_(core::monotonic_now())
 {
     settled_signal_.expires_at(asio::steady_timer::time_point::max());
@@ -76,6 +78,12 @@
         asio::detached);
 }
 
+void migrator::server_leaves()
+{
+    cause_ = migration_cause::server_leaves;
+    began_ = core::monotonic_now();
+}
+
 void migrator::stop()
 {
     is_stopped_ = true;
@@ -119,10 +127,14 @@
     while (!is_stopped_ && !is_broken_ &&
            core::monotonic_now() - began_ < longest_leaving) {
         if (!choose_destination()) {
+            if (!has_to_leave())
+                co_return;
             co_await pause(retry_pause);
             continue;
         }
         const bool is_copied = co_await copy_while_running();
+        if (!is_copied && !has_to_leave() && !is_broken_)
+            co_return;
         if (is_copied && !is_stopped_) {
             claim_links(link_claim_span);
             co_await copy_last();
@@ -159,16 +171,26 @@
         static_cast<std::uint32_t>(hold_ms)});
 }
 
-bool migrator::choose_destination()
+placement::placement_request migrator::wanted() const
 {
+    if (!has_to_leave())
+        return placement::homecoming(context_.settings.zone)
+            .wanted(call_->target, work_);
     placement::placement_request wanted;
     wanted.service = &call_->target;
     wanted.work = work_;
     wanted.purpose = placement::placement_purpose::migration;
+    // A copy takes twice as long to another zone.
     wanted.near = source_->server().zone;
-    wanted.excluded = refused_;
-    wanted.excluded.push_back(source_->server().id);
-    const auto found = context_.chooser.choose(wanted, core::monotonic_now());
+    return wanted;
+}
+
+bool migrator::choose_destination()
+{
+    placement::placement_request request = wanted();
+    request.excluded = refused_;
+    request.excluded.push_back(source_->server().id);
+    const auto found = context_.chooser.choose(request, core::monotonic_now());
     if (!found) {
         // Whoever refused a moment ago may have room now.
         refused_.clear();
--- a/services/entry/src/stream_call.cpp
+++ b/services/entry/src/stream_call.cpp
@@ -21,11 +21,12 @@
 stream_call::stream_call(entry_context& context, accepted_call call)
     : context_(context),
       call_(std::make_shared<const accepted_call>(std::move(call))),
-      search_(context, call_), metrics_(
-                                   *context.metrics,
-                                   call_->target.name,
-                                   core::class_name(call_->via.name),
-                                   call_->arrived)
+      search_(context, call_), homecoming_(context.settings.zone),
+      metrics_(
+          *context.metrics,
+          call_->target.name,
+          core::class_name(call_->via.name),
+          call_->arrived)
 {}
 
 stream_call::~stream_call()
@@ -282,6 +283,7 @@
     if (ready.empty())
         co_return true;
     watch_pause();
+    consider_homecoming();
     const auto written = co_await call_->caller.write_chunk(std::move(ready));
     if (!written)
         active_->cancel();
--- a/services/entry/src/stream_call_moves.cpp
+++ b/services/entry/src/stream_call_moves.cpp
@@ -16,15 +16,19 @@
 
 } // namespace
 
+admission::generation_size stream_call::size() const
+{
+    return admission::generation_size::create(
+        *call_->terms.generation,
+        pace_.events * call_->target.engine->tokens_per_event);
+}
+
 // A run that moves brings its memory along: there is nothing to read.
 placement::work_size stream_call::moved_work() const
 {
     if (!call_->terms.generation || !call_->target.engine)
         return placement::work_size{1, 0, 0};
-    const std::uint64_t written =
-        pace_.events * call_->target.engine->tokens_per_event;
-    return admission::generation_size::create(*call_->terms.generation, written)
-        .moved_work();
+    return size().moved_work();
 }
 
 void stream_call::stop_migration()
@@ -52,15 +56,47 @@
 }
 
 void stream_call::server_leaves()
+{
+    forget_failed_migration();
+    if (migration_)
+        migration_->server_leaves();
+    else
+        migrate(migration_cause::server_leaves);
+}
+
+// One that ended with the run where it was does not keep another one off.
+void stream_call::forget_failed_migration()
+{
+    if (migration_ && migration_->left_it_running())
+        migration_.reset();
+}
+
+void stream_call::migrate(migration_cause cause)
 {
     const bool can_move = call_->target.engine && call_->target.engine->moves;
     if (!can_move || migration_ || caller_gone_)
         return;
-    migration_ =
-        std::make_shared<migrator>(context_, call_, active_, moved_work());
+    migration_ = std::make_shared<migrator>(
+        context_, call_, active_, moved_work(), cause);
     migration_->start();
 }
 
+void stream_call::consider_homecoming()
+{
+    if (!call_->terms.generation || !call_->target.engine)
+        return;
+    const core::time_point now = core::monotonic_now();
+    const placement::distant_run run{
+        active_->server(), moved_work(), size().tokens_left()};
+    if (!homecoming_.is_due(run, now))
+        return;
+    homecoming_.looked(now);
+    forget_failed_migration();
+    const auto wanted = homecoming_.wanted(call_->target, run.work);
+    if (context_.chooser.choose(wanted, now))
+        migrate(migration_cause::homecoming);
+}
+
 asio::awaitable<std::optional<http::response_head>>
 stream_call::go_on_elsewhere()
 {
--- a/tests/placement/placer_test.cpp
+++ b/tests/placement/placer_test.cpp
@@ -1,5 +1,6 @@
 #include "samples.hpp"
 
+#include <godwit/placement/homecoming.hpp>
 #include <godwit/placement/placer.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -40,6 +41,9 @@
     CPPUNIT_TEST(test_an_engine_that_says_it_is_full_is_passed_over);
     CPPUNIT_TEST(test_hosts_begin_with_a_joining_server_one_by_one);
     CPPUNIT_TEST(test_one_cell_begins_with_a_joining_server_at_once);
+    CPPUNIT_TEST(test_a_run_comes_home_where_plenty_is_left);
+    CPPUNIT_TEST(test_a_run_stays_where_home_has_no_room);
+    CPPUNIT_TEST(test_a_run_looks_for_home_now_and_then);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -312,6 +316,43 @@
         join_the_third();
         CPPUNIT_ASSERT_EQUAL(40, hosts_at_the_third(2000));
     }
+
+    const distant_run distant_{sample_server(7, "west"), {1, 3000, 0}, 500};
+    homecoming homecoming_{zone_name("east")};
+
+    void test_a_run_comes_home_where_plenty_is_left()
+    {
+        directory_.listed(distant_.server, at_ms(0));
+        ledger_.add(server_id("i-1"), {1, 4500, 0});
+        ledger_.add(server_id("i-2"), {2, 4400, 0});
+        CPPUNIT_ASSERT(homecoming_.is_due(distant_, at_ms(0)));
+        wanted_ = homecoming_.wanted(service_, distant_.work);
+        CPPUNIT_ASSERT_EQUAL(std::string("i-2"), choose());
+    }
+
+    void test_a_run_stays_where_home_has_no_room()
+    {
+        directory_.listed(distant_.server, at_ms(0));
+        directory_.listed(sample_server(8, "west"), at_ms(0));
+        // Starts would find room here, and an empty server in the west.
+        ledger_.add(server_id("i-1"), {1, 4600, 0});
+        ledger_.add(server_id("i-2"), {1, 4600, 0});
+        wanted_ = homecoming_.wanted(service_, distant_.work);
+        CPPUNIT_ASSERT_EQUAL(std::string("no room"), choose());
+    }
+
+    void test_a_run_looks_for_home_now_and_then()
+    {
+        homecoming_.looked(at_ms(1000));
+        CPPUNIT_ASSERT(!homecoming_.is_due(distant_, at_ms(1399)));
+        CPPUNIT_ASSERT(homecoming_.is_due(distant_, at_ms(1400)));
+        distant_run at_home = distant_;
+        at_home.server.zone = zone_name("east");
+        CPPUNIT_ASSERT(!homecoming_.is_due(at_home, at_ms(1400)));
+        distant_run ending = distant_;
+        ending.tokens_left = 63;
+        CPPUNIT_ASSERT(!homecoming_.is_due(ending, at_ms(1400)));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(placer_test);
--- a/tests/platform_adapter/stand_in_server.cpp
+++ b/tests/platform_adapter/stand_in_server.cpp
@@ -31,9 +31,9 @@
 std::string
 stand_in_server::entry(const std::string& state, unsigned sequence) const
 {
-    return R"({"service":"lm","address":")" + address() +
-           R"(","zone":"east","slots":4,"state":")" + state +
-           R"(","sequence":)" + std::to_string(sequence) + "}";
+    return R"({"service":"lm","address":")" + address() + R"(","zone":")" +
+           zone_ + R"(","slots":4,"state":")" + state + R"(","sequence":)" +
+           std::to_string(sequence) + "}";
 }
 
 std::string stand_in_server::address() const
--- a/tests/platform_adapter/stand_in_server.hpp
+++ b/tests/platform_adapter/stand_in_server.hpp
@@ -25,6 +25,9 @@
     /// What it does from now on; set before requests come.
     void behave(behaviour chosen) { behaviour_ = std::move(chosen); }
 
+    /// Where it stands from now on; "east" if this is not called.
+    void move_to_zone(std::string zone) { zone_ = std::move(zone); }
+
     /// The entry under which it lists itself.
     [[nodiscard]] std::string
     entry(const std::string& state, unsigned sequence) const;
@@ -45,6 +48,7 @@
 
 private:
     std::string id_;
+    std::string zone_ = "east";
     behaviour behaviour_;
     std::mutex mutex_;
     std::vector<http::request> received_;
--- a/tests/platform_adapter/world.cpp
+++ b/tests/platform_adapter/world.cpp
@@ -57,12 +57,15 @@
 }
 
 http::request request_for(
-    const std::string& method, const std::string& path, const std::string& key)
+    const std::string& method,
+    const std::string& path,
+    const std::string& key,
+    const std::string& usage)
 {
     http::request request{method, path, {}, {}};
     request.fields.set("Host", "a.example");
     request.fields.set("X-Godwitworks-Attempt-Id", "a1");
-    request.fields.set("X-Godwitworks-Token-Usage", "100,50");
+    request.fields.set("X-Godwitworks-Token-Usage", usage);
     request.fields.set("Authorization", "Bearer " + key);
     return request;
 }
@@ -159,7 +162,7 @@
 http::response world::call(
     const std::string& method, const std::string& path, const std::string& key)
 {
-    return send(callers(), request_for(method, path, key));
+    return send(callers(), request_for(method, path, key, token_usage_));
 }
 
 void world::call_and_leave(const std::string& path, int after_ms)
@@ -168,7 +171,8 @@
         .deadline = std::chrono::milliseconds(after_ms)};
     auto answered = asio::co_spawn(
         outside_,
-        http::fetch(callers(), request_for("POST", path, "k1"), limits),
+        http::fetch(
+            callers(), request_for("POST", path, "k1", token_usage_), limits),
         asio::use_future);
     CPPUNIT_ASSERT(!answered.get());
 }
--- a/tests/platform_adapter/world.hpp
+++ b/tests/platform_adapter/world.hpp
@@ -37,6 +37,10 @@
     /// so many milliseconds.
     void offer_holds(unsigned longest_ms) { hold_ms_ = longest_ms; }
 
+    /// Later requests say that they have so many prompt tokens, and write so
+    /// many at the most: "prompt,most".
+    void set_token_usage(std::string usage) { token_usage_ = std::move(usage); }
+
     /// Publishes the table of the tests as `version`.
     void publish(unsigned version, const std::string& extra_key = "");
 
@@ -89,6 +93,7 @@
     std::thread inside_thread_;
     unsigned sequence_ = 0;
     unsigned hold_ms_ = 0;
+    std::string token_usage_ = "100,50";
 };
 
 } // namespace godwit::platform_adapter::test
--- a/tests/platform_adapter/world_test.cpp
+++ b/tests/platform_adapter/world_test.cpp
@@ -69,6 +69,9 @@
     CPPUNIT_TEST(test_a_stopped_run_goes_on_at_home_when_nobody_has_room);
     CPPUNIT_TEST(test_a_run_whose_source_dies_goes_on_from_its_copy);
     CPPUNIT_TEST(test_a_run_that_may_live_on_is_not_begun_elsewhere);
+    CPPUNIT_TEST(test_a_stream_comes_home_when_there_is_room);
+    CPPUNIT_TEST(test_a_stream_on_its_way_home_outlives_its_server);
+    CPPUNIT_TEST(test_a_stream_stays_away_when_home_refuses_it);
     CPPUNIT_TEST(test_a_broken_stream_does_not_look_complete);
     CPPUNIT_TEST(test_a_leaving_server_gets_nothing_new);
     CPPUNIT_TEST(test_a_leaving_server_is_seen_while_the_store_is_away);
@@ -434,6 +437,9 @@
         std::atomic<bool> stopped = false;
         std::atomic<int> sent = 0;
         unsigned last_copy_status = 200;
+        int refused_copies = 0; ///< For want of room at the destination.
+        int events = 1000;
+        std::atomic<int> copies = 0;
         bool dies_after_copy = false;
 
         asio::awaitable<void> operator()(http::exchange& asked)
@@ -456,6 +462,14 @@
                 asked.cut();
                 co_return;
             }
+            const bool is_refused = copies++ < refused_copies;
+            if (is_refused) {
+                http::response refused =
+                    stand_in_server::answer(asked, 503, "{}");
+                [[maybe_unused]] const auto told =
+                    co_await asked.respond(std::move(refused));
+                co_return;
+            }
             stopped = stopped || is_last || dies_after_copy;
             http::response done = stand_in_server::answer(
                 asked, is_last ? last_copy_status : 200, R"({"handle":"c7"})");
@@ -472,7 +486,7 @@
             http::response head = stand_in_server::answer(asked, 200, "");
             [[maybe_unused]] auto said =
                 co_await asked.start_stream(200, head.fields);
-            const int end = resumes ? id + 5 : 1000;
+            const int end = resumes ? id + 5 : events;
             while (id < end) {
                 if (stopped && !resumes)
                     co_return; // Without its end.
@@ -516,13 +530,18 @@
         });
         world::wait("events", [&at_first] { return at_first.sent > 3; });
         world_.list(world_.second(), "ready");
-        world_.list(world_.first(), "draining");
+        if (leaves_later_)
+            world::wait("a copy", [&at_first] { return at_first.copies > 0; });
+        if (leaves_source_ || leaves_later_)
+            world_.list(world_.first(), "draining");
         caller.join();
         CPPUNIT_ASSERT_EQUAL(expects_cut_, is_cut_);
         answer_ = answer;
     }
 
     http::response answer_;
+    bool leaves_source_ = true;
+    bool leaves_later_ = false;
     bool expects_cut_ = false;
     bool is_cut_ = false;
 
@@ -587,6 +606,53 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world_.second().count("/stream/"));
     }
 
+    /// A long stream that begins in another zone, since no server of its
+    /// host's zone is there; then `at_second` appears in it.
+    void come_home(moving_server& at_first, moving_server& at_second)
+    {
+        world_.set_token_usage("100,4000");
+        world_.first().move_to_zone("west");
+        leaves_source_ = false;
+        move_while_streaming(at_first, at_second);
+    }
+
+    void test_a_stream_comes_home_when_there_is_room()
+    {
+        moving_server at_first;
+        moving_server at_second;
+        come_home(at_first, at_second);
+        CPPUNIT_ASSERT_EQUAL(200U, answer_.status);
+        CPPUNIT_ASSERT_EQUAL(events_until(at_second.sent), answer_.body);
+        CPPUNIT_ASSERT_EQUAL(world_.first().address() + "/c7", resumed_from());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world_.first().count("/stream/"));
+    }
+
+    // The copies are refused until the source is seen to leave.
+    void test_a_stream_on_its_way_home_outlives_its_server()
+    {
+        moving_server at_first;
+        moving_server at_second;
+        at_first.refused_copies = 2;
+        leaves_later_ = true;
+        come_home(at_first, at_second);
+        CPPUNIT_ASSERT_EQUAL(200U, answer_.status);
+        CPPUNIT_ASSERT_EQUAL(events_until(at_second.sent), answer_.body);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world_.first().count("/stream/"));
+    }
+
+    void test_a_stream_stays_away_when_home_refuses_it()
+    {
+        moving_server at_first;
+        moving_server at_second;
+        at_first.refused_copies = 1000;
+        at_first.events = 400;
+        come_home(at_first, at_second);
+        CPPUNIT_ASSERT_EQUAL(200U, answer_.status);
+        CPPUNIT_ASSERT_EQUAL(events_until(400), answer_.body);
+        CPPUNIT_ASSERT(at_first.copies > 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world_.second().count("/stream/"));
+    }
+
     void test_a_broken_stream_does_not_look_complete()
     {
         const auto stream = [](http::exchange& asked) -> asio::awaitable<void> {
