replay, placement: hosts begin with a joining engine one after the other

Hosts of several cells already began one after the other; hosts of one cell hear of each other within 2 ms, which is too late as well.

The replay library plays a load on simulated engines with the real decisions (waiting plan, placer, ledger, health): its test of the rush failed before. The test that one cell begins at once held the old rule; in its place stand one that a cell begins one by one and one that a host that hears nobody begins at once.

--- a/libraries/placement/src/placer.cpp
+++ b/libraries/placement/src/placer.cpp
@@ -34,9 +34,10 @@
 constexpr double other_zone_migration_cost = 0.8;
 // A server that fails every request costs as much as two full ones.
 constexpr double failure_cost = 2.0;
-// Hosts of other cells hear of work after some 100 ms. Were a new, empty
-// server open to all of them at once, each would send it what it has waiting:
-// streams there began 2 s late. One prompt is read in some 200 ms.
+// All hosts see a new, empty server at the same moment, and hear of what
+// others sent there only afterwards. Were it open to all of them at once, each
+// would send it what it has waiting: up to thirteen prompts within a
+// millisecond, of which the last began 5 s later. One is read in some 200 ms.
 constexpr core::duration joining_span = std::chrono::milliseconds(600);
 // Spreads the choices of hosts that know the same.
 constexpr double jitter = 0.05;
@@ -112,7 +113,9 @@
     core::time_point now) const
 {
     const auto joined = directory_.joined_at(server.id);
-    if (!joined || !ledger_.hears_groups(now))
+    const bool is_alone =
+        ledger_.neighbours_heard(now) == 0 && !ledger_.hears_groups(now);
+    if (!joined || is_alone)
         return false;
     const core::duration age = now - *joined;
     if (wanted.purpose == placement_purpose::late_start)
--- /dev/null
+++ b/libraries/replay/include/godwit/replay/engine_shape.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <cstdint>
+
+namespace godwit::replay {
+
+/// What a simulated engine holds, and how fast it is.
+struct engine_shape
+{
+    std::uint64_t memory_tokens = 34'000;
+    std::uint32_t slots = 24;
+    double step_ms = 7.0; ///< Of an engine with nothing to do.
+    double step_ms_per_run = 0.12;
+    std::uint32_t chunk_tokens = 112; ///< Of prompts that one step reads.
+    double read_tokens_per_ms = 14.0;
+    std::uint32_t tokens_per_event = 4;
+
+    friend bool operator==(const engine_shape&, const engine_shape&) = default;
+};
+
+} // namespace godwit::replay
--- /dev/null
+++ b/libraries/replay/include/godwit/replay/generation_fate.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <godwit/core/time.hpp>
+
+#include <cstdint>
+#include <optional>
+
+namespace godwit::replay {
+
+/// What became of a generation.
+struct generation_fate
+{
+    std::optional<core::time_point> placed;
+    std::optional<core::time_point> first_event;
+    std::optional<core::time_point> ended;
+    std::optional<core::time_point> turned_away;
+    std::uint32_t preemptions = 0;
+
+    friend bool
+    operator==(const generation_fate&, const generation_fate&) = default;
+};
+
+} // namespace godwit::replay
--- /dev/null
+++ b/libraries/replay/src/simulated_host.cpp
@@ -0,0 +1,149 @@
+#include "simulated_host.hpp"
+
+#include <algorithm>
+
+namespace godwit::replay {
+
+namespace {
+
+admission::generation_size
+size_of(const generation_order& order, std::uint64_t written_tokens)
+{
+    return admission::generation_size::create(
+        {order.prompt_tokens, 4 * order.output_tokens, order.expected_tokens},
+        written_tokens);
+}
+
+placement::placement_purpose
+purpose_of(const generation_order& order, admission::waiting_stage stage)
+{
+    if (size_of(order, 0).is_short())
+        return placement::placement_purpose::short_start;
+    return stage == admission::waiting_stage::late
+               ? placement::placement_purpose::late_start
+               : placement::placement_purpose::start;
+}
+
+} // namespace
+
+simulated_host::simulated_host(
+    core::zone_name zone, const routing::service& service, std::uint64_t seed)
+    : zone_(std::move(zone)), service_(service),
+      placer_(directory_, ledger_, health_, seed)
+{}
+
+void simulated_host::server_joins(
+    const placement::backend_server& server, core::time_point now)
+{
+    directory_.listed(server, now);
+}
+
+void simulated_host::arrives(
+    std::size_t generation, const generation_order& order, core::time_point now)
+{
+    const auto plan = admission::waiting_plan::create(
+        {now, now + order.patience, order.objective, order.priority});
+    waiting_.emplace(generation, waiting_generation{order, plan, now});
+}
+
+void simulated_host::replace_work(
+    running_generation& running, placement::work_size work)
+{
+    ledger_.remove(running.server, running.work);
+    running.work = work;
+    ledger_.add(running.server, running.work);
+}
+
+void simulated_host::wrote(std::size_t generation, std::uint64_t written_tokens)
+{
+    const auto found = running_.find(generation);
+    if (found != running_.end())
+        replace_work(
+            found->second,
+            size_of(found->second.order, written_tokens).moved_work());
+}
+
+void simulated_host::ended(std::size_t generation)
+{
+    const auto found = running_.find(generation);
+    if (found == running_.end())
+        return;
+    ledger_.remove(found->second.server, found->second.work);
+    running_.erase(found);
+}
+
+void simulated_host::neighbour_says(
+    const core::host_name& host,
+    const std::vector<placement::server_work>& word,
+    core::time_point now)
+{
+    ledger_.neighbour_says(host, word, now);
+}
+
+std::vector<std::pair<int, std::size_t>>
+simulated_host::line(core::time_point now) const
+{
+    std::vector<std::pair<int, std::size_t>> ordered;
+    ordered.reserve(waiting_.size());
+    for (const auto& [generation, waiting] : waiting_)
+        ordered.emplace_back(
+            waiting.plan.rank(waiting.plan.stage(now)), generation);
+    std::sort(ordered.begin(), ordered.end());
+    return ordered;
+}
+
+bool simulated_host::try_to_place(
+    std::size_t generation,
+    waiting_generation& waiting,
+    core::time_point now,
+    const send_function& send)
+{
+    const auto stage = waiting.plan.stage(now);
+    waiting.next_look = waiting.plan.next_look(stage, now);
+    placement::placement_request wanted;
+    wanted.service = &service_;
+    wanted.work = size_of(waiting.order, 0).work();
+    wanted.near = zone_;
+    wanted.purpose = purpose_of(waiting.order, stage);
+    wanted.most_unread_tokens =
+        waiting.plan.most_unread_tokens(stage, reading_.tokens_per_ms());
+    const auto choice = placer_.choose(wanted, now);
+    if (!choice)
+        return false;
+    if (!send(generation, choice->server.id, wanted.work.tokens)) {
+        health_.full(choice->server.id, now);
+        return false;
+    }
+    ledger_.add(choice->server.id, wanted.work);
+    running_.emplace(
+        generation,
+        running_generation{waiting.order, choice->server.id, wanted.work});
+    return true;
+}
+
+void simulated_host::look_for_room(
+    core::time_point now, const send_function& send)
+{
+    for (const auto& [rank, generation] : line(now)) {
+        const auto found = waiting_.find(generation);
+        if (found->second.next_look > now)
+            continue;
+        if (!try_to_place(generation, found->second, now, send))
+            return;
+        waiting_.erase(found);
+    }
+}
+
+std::vector<std::size_t> simulated_host::turn_away(core::time_point now)
+{
+    std::vector<std::size_t> over;
+    for (const auto& [generation, waiting] : waiting_) {
+        if (waiting.plan.stage(now) == admission::waiting_stage::over)
+            over.push_back(generation);
+    }
+    for (const std::size_t generation : over)
+        waiting_.erase(generation);
+    return over;
+}
+
+} // namespace godwit::replay
