placement, entry, wire: copies queue by the time they take; runs come home only between waves

That the link has a queue was unknown to the choice: a run on its way counted as memory only.

Hosts tell each other the memory that is still to come over each server's link (arriving_tokens), and a migration's cost counts the seconds until its copy would be there, twice as long in another zone. A run comes home only to a server to which nothing is on its way, and not within 2 s after a server was seen to leave. What the wire calls server_work is written and read in one place (work_words).

--- a/libraries/placement/include/godwit/placement/homecoming.hpp
+++ b/libraries/placement/include/godwit/placement/homecoming.hpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <utility>
 
 namespace godwit::placement {
@@ -16,6 +17,8 @@
     backend_server server;
     work_size work;
     std::uint64_t tokens_left = 0; ///< That it is expected to write.
+    /// When a server like its own was last seen to leave.
+    std::optional<core::time_point> last_departure;
 
     friend bool operator==(const distant_run&, const distant_run&) = default;
 };
@@ -36,6 +39,11 @@
     /// A run with less left ends by itself about as soon as its copy is done.
     static constexpr std::uint64_t least_tokens_left = 64;
 
+    /// After a server was seen to leave its runs need the links: a run that
+    /// comes home would hold up one that is lost otherwise. Servers give two
+    /// seconds of notice.
+    static constexpr core::duration quiet_span = std::chrono::seconds(2);
+
     explicit homecoming(core::zone_name home) : home_(std::move(home)) {}
 
     /// Whether it is worth looking for room at home now.
--- a/libraries/placement/include/godwit/placement/server_directory.hpp
+++ b/libraries/placement/include/godwit/placement/server_directory.hpp
@@ -64,6 +64,10 @@
     [[nodiscard]] std::optional<core::time_point>
     left_at(const server_id& id) const;
 
+    /// When a server of the service was last seen to leave.
+    [[nodiscard]] std::optional<core::time_point>
+    last_departure(const core::service_name& service) const;
+
     /// When the server joined those that were known; nothing if it was there
     /// when this host first saw the list.
     [[nodiscard]] std::optional<core::time_point>
--- a/libraries/placement/include/godwit/placement/work_size.hpp
+++ b/libraries/placement/include/godwit/placement/work_size.hpp
@@ -12,6 +12,8 @@
     std::uint64_t tokens = 0;
     /// Prompt tokens that are still to be read.
     std::uint64_t unread_tokens = 0;
+    /// Memory that is still to come over the server's link, of `tokens`.
+    std::uint64_t arriving_tokens = 0;
 
     work_size& operator+=(const work_size& more) noexcept;
     work_size& operator-=(const work_size& less) noexcept;
--- a/libraries/placement/src/homecoming.cpp
+++ b/libraries/placement/src/homecoming.cpp
@@ -4,6 +4,8 @@
 
 bool homecoming::is_due(const distant_run& run, core::time_point now) const
 {
+    if (run.last_departure && now < *run.last_departure + quiet_span)
+        return false;
     return run.server.zone != home_ && run.tokens_left >= least_tokens_left &&
            now >= next_look_;
 }
--- a/libraries/placement/src/placer.cpp
+++ b/libraries/placement/src/placer.cpp
@@ -30,8 +30,15 @@
 // Another zone adds a hop to each event, its traffic is paid for, and a stream
 // stands still while its engine's zone is cut off.
 constexpr double other_zone_cost = 0.35;
-// A copy of memory takes twice as long to another zone.
-constexpr double other_zone_migration_cost = 0.8;
+// Of a migration that takes a second until its memory is there, in the copies
+// that come before it and its own. Servers that leave give some two seconds,
+// so a second weighs as much as two engines' memories.
+constexpr double copy_second_cost = 2.0;
+// A copy takes twice as long to another zone.
+constexpr double other_zone_copy_factor = 2.0;
+// Beside the time of the copy: more than the spread between hosts, so that
+// runs cross zones only where copies queue or memory is short.
+constexpr double other_zone_migration_cost = 0.6;
 // A server that fails every request costs as much as two full ones.
 constexpr double failure_cost = 2.0;
 // All hosts see a new, empty server at the same moment, and hear of what
@@ -45,6 +52,25 @@
 // one destination wait for each other.
 constexpr double migration_jitter = 0.4;
 
+// How long it takes until a copy of the work's memory is at a server to which
+// others are on their way.
+double copy_seconds(
+    const routing::engine_profile& engine,
+    const work_size& work,
+    const work_size& load,
+    bool is_far)
+{
+    constexpr double bits_per_byte = 8.0;
+    constexpr double bits_per_mbit = 1e6;
+    const double bits = bits_per_byte * static_cast<double>(engine.token_bytes);
+    const double rate = bits_per_mbit * engine.link_mbit_per_second;
+    if (rate <= 0)
+        return 0;
+    const double own = static_cast<double>(work.tokens) *
+                       (is_far ? other_zone_copy_factor : 1.0);
+    return (static_cast<double>(load.arriving_tokens) + own) * bits / rate;
+}
+
 } // namespace
 
 placer::placer(
@@ -94,6 +120,10 @@
     const auto room = static_cast<std::uint64_t>(
         memory_share(wanted.purpose) *
         static_cast<double>(engine.memory_tokens));
+    // Its copy would hold up those that cannot wait.
+    if (wanted.purpose == placement_purpose::homecoming &&
+        load.arriving_tokens > 0)
+        return false;
     // A request that is larger than the share may have a server alone.
     if (load.requests == 0)
         return true;
@@ -134,12 +164,16 @@
 {
     double sum = failure_cost * health_.failed_share(server.id);
     const bool migrates = wanted.purpose == placement_purpose::migration;
-    if (server.zone != wanted.near)
+    const bool is_far = server.zone != wanted.near;
+    if (is_far)
         sum += migrates ? other_zone_migration_cost : other_zone_cost;
     if (!wanted.service->engine)
         return sum + static_cast<double>(load.requests) /
                          std::max<std::uint32_t>(server.slots, 1);
     const routing::engine_profile& engine = *wanted.service->engine;
+    if (migrates)
+        sum +=
+            copy_second_cost * copy_seconds(engine, wanted.work, load, is_far);
     sum +=
         static_cast<double>(load.tokens) /
         static_cast<double>(std::max<std::uint64_t>(engine.memory_tokens, 1));
--- a/libraries/placement/src/server_directory.cpp
+++ b/libraries/placement/src/server_directory.cpp
@@ -107,6 +107,17 @@
     return found == servers_.end() ? std::nullopt : found->second.left_at;
 }
 
+std::optional<core::time_point>
+server_directory::last_departure(const core::service_name& service) const
+{
+    std::optional<core::time_point> last;
+    for (const auto& [id, one] : servers_) {
+        if (one.server.service == service && one.left_at > last)
+            last = one.left_at;
+    }
+    return last;
+}
+
 std::optional<core::time_point>
 server_directory::joined_at(const server_id& id) const
 {
--- a/libraries/placement/src/work_size.cpp
+++ b/libraries/placement/src/work_size.cpp
@@ -9,6 +9,7 @@
     requests += more.requests;
     tokens += more.tokens;
     unread_tokens += more.unread_tokens;
+    arriving_tokens += more.arriving_tokens;
     return *this;
 }
 
@@ -17,6 +18,7 @@
     requests -= std::min(requests, less.requests);
     tokens -= std::min(tokens, less.tokens);
     unread_tokens -= std::min(unread_tokens, less.unread_tokens);
+    arriving_tokens -= std::min(arriving_tokens, less.arriving_tokens);
     return *this;
 }
 
--- a/libraries/wire/include/godwit/wire/host_work.hpp
+++ b/libraries/wire/include/godwit/wire/host_work.hpp
@@ -13,6 +13,8 @@
     std::uint32_t requests = 0;
     std::uint64_t tokens = 0;        ///< Memory at the requests' ends.
     std::uint64_t unread_tokens = 0; ///< Of prompts.
+    /// Memory of generations that is being copied to the server.
+    std::uint64_t arriving_tokens = 0;
 
     friend bool operator==(const server_work&, const server_work&) = default;
 };
--- a/libraries/wire/src/godwit_generated.h
+++ b/libraries/wire/src/godwit_generated.h
@@ -2654,7 +2654,8 @@
     VT_SERVER = 4,
     VT_REQUESTS = 6,
     VT_TOKENS = 8,
-    VT_UNREAD_TOKENS = 10
+    VT_UNREAD_TOKENS = 10,
+    VT_ARRIVING_TOKENS = 12
   };
   const flatbuffers::String *server() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVER);
@@ -2668,6 +2669,9 @@
   uint64_t unread_tokens() const {
     return GetField<uint64_t>(VT_UNREAD_TOKENS, 0);
   }
+  uint64_t arriving_tokens() const {
+    return GetField<uint64_t>(VT_ARRIVING_TOKENS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVER) &&
@@ -2675,6 +2679,7 @@
            VerifyField<uint32_t>(verifier, VT_REQUESTS, 4) &&
            VerifyField<uint64_t>(verifier, VT_TOKENS, 8) &&
            VerifyField<uint64_t>(verifier, VT_UNREAD_TOKENS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ARRIVING_TOKENS, 8) &&
            verifier.EndTable();
   }
 };
@@ -2695,6 +2700,9 @@
   void add_unread_tokens(uint64_t unread_tokens) {
     fbb_.AddElement<uint64_t>(server_work::VT_UNREAD_TOKENS, unread_tokens, 0);
   }
+  void add_arriving_tokens(uint64_t arriving_tokens) {
+    fbb_.AddElement<uint64_t>(server_work::VT_ARRIVING_TOKENS, arriving_tokens, 0);
+  }
   explicit server_workBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2711,8 +2719,10 @@
     flatbuffers::Offset<flatbuffers::String> server = 0,
     uint32_t requests = 0,
     uint64_t tokens = 0,
-    uint64_t unread_tokens = 0) {
+    uint64_t unread_tokens = 0,
+    uint64_t arriving_tokens = 0) {
   server_workBuilder builder_(_fbb);
+  builder_.add_arriving_tokens(arriving_tokens);
   builder_.add_unread_tokens(unread_tokens);
   builder_.add_tokens(tokens);
   builder_.add_requests(requests);
@@ -2730,14 +2740,16 @@
     const char *server = nullptr,
     uint32_t requests = 0,
     uint64_t tokens = 0,
-    uint64_t unread_tokens = 0) {
+    uint64_t unread_tokens = 0,
+    uint64_t arriving_tokens = 0) {
   auto server__ = server ? _fbb.CreateString(server) : 0;
   return godwit::wire::format::Createserver_work(
       _fbb,
       server__,
       requests,
       tokens,
-      unread_tokens);
+      unread_tokens,
+      arriving_tokens);
 }
 
 struct host_work FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/libraries/wire/src/message_reader.cpp
+++ b/libraries/wire/src/message_reader.cpp
@@ -221,7 +221,8 @@
         .server = reader.text(table.server()),
         .requests = table.requests(),
         .tokens = table.tokens(),
-        .unread_tokens = table.unread_tokens()};
+        .unread_tokens = table.unread_tokens(),
+        .arriving_tokens = table.arriving_tokens()};
 }
 
 host_work read(const format::host_work& table, frame_reader& reader)
--- a/libraries/wire/src/message_writer.cpp
+++ b/libraries/wire/src/message_writer.cpp
@@ -277,7 +277,8 @@
         text(out, value.server),
         value.requests,
         value.tokens,
-        value.unread_tokens);
+        value.unread_tokens,
+        value.arriving_tokens);
 }
 
 flatbuffers::Offset<format::host_work>
--- a/services/entry/include/godwit/entry/reservation.hpp
+++ b/services/entry/include/godwit/entry/reservation.hpp
@@ -25,6 +25,9 @@
     /// The prompt has been read.
     void prompt_is_read();
 
+    /// Its memory came over the server's link.
+    void memory_has_arrived();
+
     /// The work takes this much memory now.
     void set_tokens(std::uint64_t tokens);
 
--- a/services/entry/src/cell_report.cpp
+++ b/services/entry/src/cell_report.cpp
@@ -1,5 +1,7 @@
 #include <godwit/entry/cell_report.hpp>
 
+#include "work_words.hpp"
+
 #include <utility>
 
 namespace godwit::entry {
@@ -8,13 +10,6 @@
 
 using placement::work_size;
 
-wire::server_work
-to_wire(const placement::server_id& server, const work_size& work)
-{
-    return wire::server_work{
-        server.value(), work.requests, work.tokens, work.unread_tokens};
-}
-
 bool is_news(const work_size& told, const work_size& now)
 {
     const std::uint64_t growth = told.tokens < now.tokens
@@ -22,6 +17,7 @@
                                      : told.tokens - now.tokens;
     return told.requests != now.requests ||
            told.unread_tokens != now.unread_tokens ||
+           told.arriving_tokens != now.arriving_tokens ||
            growth >= cell_report::told_growth;
 }
 
--- a/services/entry/src/entry_process_neighbours.cpp
+++ b/services/entry/src/entry_process_neighbours.cpp
@@ -1,5 +1,7 @@
 #include <godwit/entry/entry_process.hpp>
 
+#include "work_words.hpp"
+
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
@@ -39,22 +41,11 @@
         [](const wire::server_work& one, const wire::server_work& other) {
             return one.server == other.server &&
                    one.requests == other.requests &&
-                   one.unread_tokens == other.unread_tokens;
+                   one.unread_tokens == other.unread_tokens &&
+                   one.arriving_tokens == other.arriving_tokens;
         });
 }
 
-std::vector<placement::server_work>
-to_ledger(const std::vector<wire::server_work>& said)
-{
-    std::vector<placement::server_work> word;
-    word.reserve(said.size());
-    for (const wire::server_work& one : said)
-        word.push_back(placement::server_work{
-            placement::server_id(one.server),
-            placement::work_size{one.requests, one.tokens, one.unread_tokens}});
-    return word;
-}
-
 } // namespace
 
 std::vector<wire::message> entry_process::greeting() const
@@ -96,8 +87,7 @@
 {
     wire::host_work said;
     for (const auto& [server, work] : context_.ledger.own())
-        said.work.push_back(wire::server_work{
-            server.value(), work.requests, work.tokens, work.unread_tokens});
+        said.work.push_back(to_wire(server, work));
     said.reads_list = outage_.is_current();
     const core::time_point now = core::monotonic_now();
     const auto reader = first_reader();
--- a/services/entry/src/migrator.cpp
+++ b/services/entry/src/migrator.cpp
@@ -198,7 +198,9 @@
     }
     destination_ = found->server;
     reserved_.reset();
-    reserved_.emplace(context_, destination_->id, work_);
+    placement::work_size arriving = work_;
+    arriving.arriving_tokens = work_.tokens;
+    reserved_.emplace(context_, destination_->id, arriving);
     return true;
 }
 
@@ -220,6 +222,7 @@
         switch (answer.verdict) {
         case copy_verdict::done:
             ++copies;
+            reserved_->memory_has_arrived();
             if (answer.handle)
                 copied_ = migrated_run{*destination_, *answer.handle};
             if (is_broken_)
--- a/services/entry/src/reservation.cpp
+++ b/services/entry/src/reservation.cpp
@@ -28,6 +28,15 @@
     context_.ledger.add(server_, work_);
 }
 
+void reservation::memory_has_arrived()
+{
+    placement::work_size arrived;
+    arrived.arriving_tokens = std::exchange(work_.arriving_tokens, 0);
+    context_.ledger.remove(server_, arrived);
+    if (context_.on_work_added)
+        context_.on_work_added();
+}
+
 void reservation::prompt_is_read()
 {
     placement::work_size read;
--- a/services/entry/src/stream_call_moves.cpp
+++ b/services/entry/src/stream_call_moves.cpp
@@ -27,7 +27,7 @@
 placement::work_size stream_call::moved_work() const
 {
     if (!call_->terms.generation || !call_->target.engine)
-        return placement::work_size{1, 0, 0};
+        return placement::work_size{.requests = 1};
     return size().moved_work();
 }
 
@@ -87,7 +87,10 @@
         return;
     const core::time_point now = core::monotonic_now();
     const placement::distant_run run{
-        active_->server(), moved_work(), size().tokens_left()};
+        active_->server(),
+        moved_work(),
+        size().tokens_left(),
+        context_.directory.last_departure(call_->target.name)};
     if (!homecoming_.is_due(run, now))
         return;
     homecoming_.looked(now);
--- a/tests/placement/placer_test.cpp
+++ b/tests/placement/placer_test.cpp
@@ -5,6 +5,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -45,6 +47,10 @@
     CPPUNIT_TEST(test_a_run_comes_home_where_plenty_is_left);
     CPPUNIT_TEST(test_a_run_stays_where_home_has_no_room);
     CPPUNIT_TEST(test_a_run_looks_for_home_now_and_then);
+    CPPUNIT_TEST(test_a_run_stays_while_others_need_the_links);
+    CPPUNIT_TEST(test_a_run_does_not_come_home_beside_a_copy);
+    CPPUNIT_TEST(test_migrations_avoid_a_link_with_copies);
+    CPPUNIT_TEST(test_a_wave_of_migrations_spreads_over_links);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -328,7 +334,8 @@
         CPPUNIT_ASSERT_EQUAL(40, hosts_at_the_third(2000));
     }
 
-    const distant_run distant_{sample_server(7, "west"), {1, 3000, 0}, 500};
+    const distant_run distant_{
+        sample_server(7, "west"), {1, 3000, 0}, 500, std::nullopt};
     homecoming homecoming_{zone_name("east")};
 
     void test_a_run_comes_home_where_plenty_is_left()
@@ -364,6 +371,67 @@
         ending.tokens_left = 63;
         CPPUNIT_ASSERT(!homecoming_.is_due(ending, at_ms(1400)));
     }
+
+    void test_a_run_stays_while_others_need_the_links()
+    {
+        distant_run run = distant_;
+        run.last_departure = at_ms(5000);
+        CPPUNIT_ASSERT(!homecoming_.is_due(run, at_ms(6999)));
+        CPPUNIT_ASSERT(homecoming_.is_due(run, at_ms(7000)));
+    }
+
+    void test_a_run_does_not_come_home_beside_a_copy()
+    {
+        ledger_.add(server_id("i-1"), {1, 3000, 0, 3000});
+        ledger_.add(server_id("i-2"), {1, 3000, 0, 3000});
+        wanted_ = homecoming_.wanted(service_, distant_.work);
+        CPPUNIT_ASSERT_EQUAL(std::string("no room"), choose());
+        ledger_.remove(server_id("i-2"), {0, 0, 0, 3000});
+        CPPUNIT_ASSERT_EQUAL(std::string("i-2"), choose());
+    }
+
+    // One token is a megabyte here, and the link takes 2,000 a second.
+    void use_slow_links()
+    {
+        service_.engine->token_bytes = 1'000'000;
+        service_.engine->link_mbit_per_second = 16000;
+        wanted_.purpose = placement_purpose::migration;
+    }
+
+    void test_migrations_avoid_a_link_with_copies()
+    {
+        use_slow_links();
+        ledger_.add(server_id("i-1"), {1, 1000, 0, 1000});
+        ledger_.add(server_id("i-2"), {4 - 1, 4000, 0, 0});
+        for (int count = 0; count < 20; ++count)
+            CPPUNIT_ASSERT_EQUAL(std::string("i-2"), choose());
+    }
+
+    // Ten runs of 1,000 tokens have to leave: two servers in their zone, two
+    // in another one to which a copy takes twice as long.
+    void test_a_wave_of_migrations_spreads_over_links()
+    {
+        use_slow_links();
+        service_.engine->memory_tokens = 34000;
+        wanted_.work = {1, 1000, 0, 1000};
+        std::map<std::string, int> runs;
+        for (int number = 1; number <= 4; ++number) {
+            auto server = sample_server(number, number < 3 ? "east" : "west");
+            server.slots = 24;
+            server.revision = 2;
+            directory_.listed(server, at_ms(0));
+        }
+        for (int count = 0; count < 10; ++count) {
+            const std::string chosen = choose();
+            ledger_.add(server_id(chosen), wanted_.work);
+            ++runs[chosen];
+        }
+        // In the order of their copies: 4, 4 at home end after 2 s, and the
+        // others take 1 s each.
+        CPPUNIT_ASSERT(runs["i-1"] >= 2 && runs["i-1"] <= 4);
+        CPPUNIT_ASSERT(runs["i-2"] >= 2 && runs["i-2"] <= 4);
+        CPPUNIT_ASSERT(runs["i-3"] >= 1 && runs["i-4"] >= 1);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(placer_test);
--- a/tests/wire/sample_messages.cpp
+++ b/tests/wire/sample_messages.cpp
@@ -67,9 +67,9 @@
             24,
             server_state::leaving,
             77}}},
-        host_work{{server_work{"i-1", 3, 9000, 1200}}, true, "h1", 40},
+        host_work{{server_work{"i-1", 3, 9000, 1200, 700}}, true, "h1", 40},
         link_claim{{"i-1", "i-2"}, 200},
-        cell_work{"east/0", true, {server_work{"i-1", 3, 9000, 1200}}}};
+        cell_work{"east/0", true, {server_work{"i-1", 3, 9000, 1200, 700}}}};
 }
 
 } // namespace godwit::wire
