tests: what may run once, copies before a stop, other zones' price

Turned round once in a scratch copy, these conditions had no test that failed: a request that may run once repeated after it ran (the tests' route allowed one attempt only), one copy before a stop in place of four, no price of another zone. Each has one now.

--- a/tests/placement/placer_test.cpp
+++ b/tests/placement/placer_test.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(test_avoided_servers_come_last);
     CPPUNIT_TEST(test_a_failing_server_gets_less);
     CPPUNIT_TEST(test_migrations_stay_in_the_zone);
+    CPPUNIT_TEST(test_starts_stay_in_the_zone_while_it_is_not_much_fuller);
     CPPUNIT_TEST(test_migrations_spread);
     CPPUNIT_TEST(test_sums_of_other_cells_count_until_they_are_old);
     CPPUNIT_TEST(test_hosts_that_a_group_tells_of_count_once);
@@ -158,6 +159,17 @@
         CPPUNIT_ASSERT_EQUAL(std::string("i-1"), choose());
     }
 
+    void test_starts_stay_in_the_zone_while_it_is_not_much_fuller()
+    {
+        directory_.listed(sample_server(3, "west"), at_ms(0));
+        ledger_.add(server_id("i-1"), {1, 2500, 0});
+        ledger_.add(server_id("i-2"), {1, 2500, 0});
+        CPPUNIT_ASSERT(choose() != "i-3");
+        ledger_.add(server_id("i-1"), {1, 2500, 0});
+        ledger_.add(server_id("i-2"), {1, 2500, 0});
+        CPPUNIT_ASSERT_EQUAL(std::string("i-3"), choose());
+    }
+
     void test_migrations_stay_in_the_zone()
     {
         directory_.listed(sample_server(3, "west"), at_ms(0));
--- a/tests/platform_adapter/world_test.cpp
+++ b/tests/platform_adapter/world_test.cpp
@@ -49,6 +49,7 @@
     CPPUNIT_TEST(test_a_rejected_request_goes_to_another_server);
     CPPUNIT_TEST(test_a_request_that_all_reject_has_not_run);
     CPPUNIT_TEST(test_a_lost_answer_is_not_asked_for_again);
+    CPPUNIT_TEST(test_what_may_run_once_runs_once_whatever_its_attempts);
     CPPUNIT_TEST(test_a_failure_is_repeated_once_where_it_may_be);
     CPPUNIT_TEST(test_an_answer_outlives_a_repeat_that_fails);
     CPPUNIT_TEST(test_an_unsigned_success_is_no_answer);
@@ -66,6 +67,7 @@
     CPPUNIT_TEST(test_a_server_without_holds_gets_the_stream);
     CPPUNIT_TEST(test_room_that_nobody_uses_is_given_back);
     CPPUNIT_TEST(test_a_stream_goes_on_where_its_server_leaves);
+    CPPUNIT_TEST(test_a_run_stops_only_for_a_short_copy);
     CPPUNIT_TEST(test_a_stopped_run_goes_on_at_home_when_nobody_has_room);
     CPPUNIT_TEST(test_a_run_whose_source_dies_goes_on_from_its_copy);
     CPPUNIT_TEST(test_a_run_that_may_live_on_is_not_begun_elsewhere);
@@ -156,6 +158,33 @@
             world_.first().count("/plain/") + world_.second().count("/plain/"));
     }
 
+    // Its route allows three servers; it did run at the first one.
+    void test_what_may_run_once_runs_once_whatever_its_attempts()
+    {
+        const auto lose = [](http::exchange& asked) -> asio::awaitable<void> {
+            asked.cut();
+            co_return;
+        };
+        for (const bool is_lost : {false, true}) {
+            world_.first().behave(
+                is_lost ? stand_in_server::behaviour(lose)
+                        : answers(500, "no"));
+            world_.second().behave(
+                is_lost ? stand_in_server::behaviour(lose)
+                        : answers(500, "no"));
+            if (!is_lost)
+                world_.begin();
+            const std::size_t before = world_.first().count("/once/") +
+                                       world_.second().count("/once/");
+            CPPUNIT_ASSERT_EQUAL(
+                is_lost ? 502U : 500U, world_.call("POST", "/once/").status);
+            CPPUNIT_ASSERT_EQUAL(
+                before + 1,
+                world_.first().count("/once/") +
+                    world_.second().count("/once/"));
+        }
+    }
+
     void test_a_failure_is_repeated_once_where_it_may_be()
     {
         world_.first().behave(answers(500, "no"));
@@ -438,7 +467,9 @@
         std::atomic<int> sent = 0;
         unsigned last_copy_status = 200;
         int refused_copies = 0; ///< For want of room at the destination.
+        int slow_copies = 0;    ///< The first so many take 150 ms.
         int events = 1000;
+        std::atomic<int> copies_before_last = 0;
         std::atomic<int> copies = 0;
         bool dies_after_copy = false;
 
@@ -462,6 +493,8 @@
                 asked.cut();
                 co_return;
             }
+            if (!is_last && copies_before_last++ < slow_copies)
+                co_await sleep(asked, 150);
             const bool is_refused = copies++ < refused_copies;
             if (is_refused) {
                 http::response refused =
@@ -556,6 +589,19 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world_.first().count("/stream/"));
     }
 
+    // The first copies take long; a run that stopped for such a one would
+    // pause as long.
+    void test_a_run_stops_only_for_a_short_copy()
+    {
+        moving_server at_first;
+        moving_server at_second;
+        at_first.slow_copies = 2;
+        move_while_streaming(at_first, at_second);
+        CPPUNIT_ASSERT_EQUAL(200U, answer_.status);
+        CPPUNIT_ASSERT_EQUAL(events_until(at_second.sent), answer_.body);
+        CPPUNIT_ASSERT_EQUAL(3, at_first.copies_before_last.load());
+    }
+
     void test_a_stopped_run_goes_on_at_home_when_nobody_has_room()
     {
         moving_server at_first;
