--- a/services/entry/include/godwit/entry/call_log.hpp
+++ b/services/entry/include/godwit/entry/call_log.hpp
@@ -53,11 +53,19 @@
     std::string_view server,
     std::uint64_t last_event);
 
+/// Where in its stream an event stands.
+enum class event_place
+{
+    first,
+    later,
+};
+
 /// An event of a stream came later than its route aims at.
 void log_late_event(
     const accepted_call& call,
     const placement::backend_server& server,
     std::uint64_t event,
+    event_place place,
     core::duration pause,
     core::duration objective);
 
--- a/services/entry/include/godwit/entry/migrator.hpp
+++ b/services/entry/include/godwit/entry/migrator.hpp
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -42,6 +43,7 @@
         std::shared_ptr<const accepted_call> call,
         std::shared_ptr<upstream> source,
         placement::work_size work,
+        std::uint64_t tokens_left,
         migration_cause cause);
 
     /// Begins.
@@ -77,8 +79,19 @@
     static constexpr core::duration copy_limit = std::chrono::seconds(3);
 
     boost::asio::awaitable<void> work();
+    /// How the copies of a running generation ended.
+    enum class copies_outcome
+    {
+        nearly_all, ///< A last copy will be short.
+        no_room,    ///< Not at this destination.
+        not_begun,  ///< The source has not begun the generation yet.
+        broken,     ///< The stream ended, or its caller left.
+    };
+
+    boost::asio::awaitable<void> take_turn();
+    void end_turn();
     boost::asio::awaitable<void> move();
-    boost::asio::awaitable<bool> copy_while_running();
+    boost::asio::awaitable<copies_outcome> copy_while_running();
     boost::asio::awaitable<void> copy_last();
     boost::asio::awaitable<copy_answer> copy(copy_phase phase);
     boost::asio::awaitable<void> pause(core::duration span);
@@ -99,7 +112,9 @@
     std::shared_ptr<const accepted_call> call_;
     std::shared_ptr<upstream> source_;
     placement::work_size work_;
+    double urgency_;
     migration_cause cause_;
+    placement::copy_turns::ticket turn_ = 0;
     std::optional<placement::backend_server> destination_;
     std::optional<reservation> reserved_;
     std::vector<placement::server_id> refused_;
--- a/services/entry/include/godwit/entry/stream_call.hpp
+++ b/services/entry/include/godwit/entry/stream_call.hpp
@@ -61,6 +61,7 @@
         std::optional<continuation> resumes) const;
     [[nodiscard]] admission::generation_size size() const;
     [[nodiscard]] placement::work_size moved_work() const;
+    [[nodiscard]] std::uint64_t tokens_left() const;
     void not_run_at(const placement::backend_server& server);
     void adopt(std::shared_ptr<upstream> serving);
     void leave_server();
--- a/services/entry/include/godwit/entry/stream_register.hpp
+++ b/services/entry/include/godwit/entry/stream_register.hpp
@@ -15,21 +15,12 @@
 class stream_register
 {
 public:
-    /// Streams of one host at one server that may be copying their memory at
-    /// one time: each copy waits for the ones before it on the same link, and
-    /// a stream that has stopped for its last copy must not wait long.
-    static constexpr std::size_t copies_at_once = 1;
-
     void add(const placement::server_id& server, running_stream& stream);
     void remove(const placement::server_id& server, running_stream& stream);
 
     /// Tells each stream at the server that it leaves.
     void server_leaves(const placement::server_id& server);
 
-    /// Takes the right to copy from the server; false when others hold it.
-    [[nodiscard]] bool try_begin_copy(const placement::server_id& server);
-    void end_copy(const placement::server_id& server);
-
     /// The servers of which every stream of this host has been silent for
     /// `span`: they hang or are cut off, whatever the list says. One silent
     /// stream among others was pushed off for a while.
@@ -43,7 +34,6 @@
 
 private:
     std::map<placement::server_id, std::set<running_stream*>> streams_;
-    std::map<placement::server_id, std::size_t> copies_;
 };
 
 } // namespace godwit::entry
--- a/services/entry/src/call_log.cpp
+++ b/services/entry/src/call_log.cpp
@@ -133,6 +133,7 @@
     const accepted_call& call,
     const placement::backend_server& server,
     std::uint64_t event,
+    event_place place,
     core::duration pause,
     core::duration objective)
 {
@@ -144,6 +145,7 @@
          {"route", call.via.name},
          {"server", server.id},
          {"event_id", event},
+         {"first", place == event_place::first},
          {"pause_ms", milliseconds(pause)},
          {"objective_ms", milliseconds(objective)}});
 }
--- a/services/entry/src/migrator.cpp
+++ b/services/entry/src/migrator.cpp
@@ -60,9 +60,11 @@
     std::shared_ptr<const accepted_call> call,
     std::shared_ptr<upstream> source,
     placement::work_size work,
+    std::uint64_t tokens_left,
     migration_cause cause)
     : context_(context), call_(std::move(call)), source_(std::move(source)),
-      work_(work), cause_(cause), settled_signal_(context.executor),
+      work_(work), urgency_(placement::copy_urgency(tokens_left, work)),
+      cause_(cause), settled_signal_(context.executor),
       began_(core::monotonic_now())
 {
     settled_signal_.expires_at(asio::steady_timer::time_point::max());
@@ -110,15 +112,25 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ended));
 }
 
-asio::awaitable<void> migrator::work()
+asio::awaitable<void> migrator::take_turn()
 {
-    const placement::server_id source = source_->server().id;
-    while (!is_stopped_ && !context_.streams.try_begin_copy(source))
+    const placement::server_id& source = source_->server().id;
+    turn_ = context_.copies.ask(source, urgency_);
+    while (!is_stopped_ && !context_.copies.may_begin(source, turn_))
         co_await pause(turn_pause);
-    if (!is_stopped_) {
+}
+
+void migrator::end_turn()
+{
+    context_.copies.end(source_->server().id, turn_);
+}
+
+asio::awaitable<void> migrator::work()
+{
+    co_await take_turn();
+    if (!is_stopped_)
         co_await move();
-        context_.streams.end_copy(source);
-    }
+    end_turn();
     settle();
 }
 
@@ -132,16 +144,21 @@
             co_await pause(retry_pause);
             continue;
         }
-        const bool is_copied = co_await copy_while_running();
-        if (!is_copied && !has_to_leave() && !is_broken_)
-            co_return;
-        if (is_copied && !is_stopped_) {
+        const copies_outcome copied = co_await copy_while_running();
+        if (copied == copies_outcome::nearly_all && !is_stopped_) {
             claim_links(link_claim_span);
             co_await copy_last();
             claim_links(core::duration::zero());
             if (moved_)
                 co_return;
             co_await pause(retry_pause);
+        } else if (!has_to_leave() && !is_broken_) {
+            co_return;
+        } else if (copied == copies_outcome::not_begun) {
+            // Others of this host can be copied meanwhile.
+            end_turn();
+            co_await pause(retry_pause);
+            co_await take_turn();
         }
     }
     // The last copy also tells whether the run is really gone: nobody may go
@@ -204,9 +221,7 @@
     return true;
 }
 
-// Whether the destination holds nearly everything and a last copy will be
-// short.
-asio::awaitable<bool> migrator::copy_while_running()
+asio::awaitable<migrator::copies_outcome> migrator::copy_while_running()
 {
     int failures = 0;
     for (int copies = 0; copies < most_running_copies && !is_stopped_;) {
@@ -226,29 +241,30 @@
             if (answer.handle)
                 copied_ = migrated_run{*destination_, *answer.handle};
             if (is_broken_)
-                co_return false;
+                co_return copies_outcome::broken;
             if (took <= short_copy || copies == most_running_copies)
-                co_return true;
+                co_return copies_outcome::nearly_all;
             break;
         case copy_verdict::refused:
             refused_.push_back(destination_->id);
-            co_return false;
+            co_return copies_outcome::no_room;
+        case copy_verdict::not_running:
+            co_return copies_outcome::not_begun;
         case copy_verdict::failed:
         case copy_verdict::unreachable:
             if (++failures >= most_failures) {
                 refused_.push_back(destination_->id);
-                co_return false;
+                co_return copies_outcome::no_room;
             }
             [[fallthrough]];
-        case copy_verdict::not_running:
         case copy_verdict::busy:
             co_await pause(retry_pause);
             if (is_broken_ || core::monotonic_now() - began_ > longest_leaving)
-                co_return false;
+                co_return copies_outcome::broken;
             break;
         }
     }
-    co_return !is_stopped_;
+    co_return copies_outcome::broken;
 }
 
 asio::awaitable<void> migrator::copy_last()
--- a/services/entry/src/stream_call.cpp
+++ b/services/entry/src/stream_call.cpp
@@ -305,7 +305,12 @@
     metrics_.tokens_arrived(now);
     if (pause > objective)
         log_late_event(
-            *call_, active_->server(), last_event_, pause, objective);
+            *call_,
+            active_->server(),
+            last_event_,
+            is_first ? event_place::first : event_place::later,
+            pause,
+            objective);
 }
 
 void stream_call::cut(std::string_view cause)
--- a/services/entry/src/stream_call_moves.cpp
+++ b/services/entry/src/stream_call_moves.cpp
@@ -31,6 +31,14 @@
     return size().moved_work();
 }
 
+// A run that has not begun has no memory that could move.
+std::uint64_t stream_call::tokens_left() const
+{
+    if (pace_.events == 0 || !call_->terms.generation || !call_->target.engine)
+        return 0;
+    return size().tokens_left();
+}
+
 void stream_call::stop_migration()
 {
     if (migration_)
@@ -77,7 +85,7 @@
     if (!can_move || migration_ || caller_gone_)
         return;
     migration_ = std::make_shared<migrator>(
-        context_, call_, active_, moved_work(), cause);
+        context_, call_, active_, moved_work(), tokens_left(), cause);
     migration_->start();
 }
 
@@ -89,7 +97,7 @@
     const placement::distant_run run{
         active_->server(),
         moved_work(),
-        size().tokens_left(),
+        tokens_left(),
         context_.directory.last_departure(call_->target.name)};
     if (!homecoming_.is_due(run, now))
         return;
--- a/services/entry/src/stream_register.cpp
+++ b/services/entry/src/stream_register.cpp
@@ -33,24 +33,6 @@
         stream->server_leaves();
 }
 
-bool stream_register::try_begin_copy(const placement::server_id& server)
-{
-    std::size_t& under_way = copies_[server];
-    if (under_way >= copies_at_once)
-        return false;
-    ++under_way;
-    return true;
-}
-
-void stream_register::end_copy(const placement::server_id& server)
-{
-    const auto found = copies_.find(server);
-    if (found == copies_.end())
-        return;
-    if (--found->second == 0)
-        copies_.erase(found);
-}
-
 std::vector<placement::server_id>
 stream_register::silent_servers(core::duration span, core::time_point now) const
 {
--- a/tests/platform_adapter/world_test.cpp
+++ b/tests/platform_adapter/world_test.cpp
@@ -61,6 +61,7 @@
     CPPUNIT_TEST(test_history_that_is_dropped_is_read_anew);
     CPPUNIT_TEST(test_a_stream_arrives_whole);
     CPPUNIT_TEST(test_a_stream_begins_where_room_is_kept);
+    CPPUNIT_TEST(test_a_server_that_keeps_no_room_is_asked_once);
     CPPUNIT_TEST(test_without_holds_the_priority_is_passed_on);
     CPPUNIT_TEST(test_a_stream_that_finds_no_room_has_not_run);
     CPPUNIT_TEST(test_a_server_that_is_silent_gets_no_stream);
@@ -391,6 +392,16 @@
         }
     }
 
+    // It would be chosen again: it is nearer than the other one.
+    void test_a_server_that_keeps_no_room_is_asked_once()
+    {
+        world_.second().move_to_zone("west");
+        begin_with_holds(503, 200);
+        CPPUNIT_ASSERT_EQUAL(event(1), world_.call("POST", "/stream/").body);
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t{1}, world_.first().count("/api/hold-take"));
+    }
+
     // Without holds the engine's own queue keeps the order.
     void test_without_holds_the_priority_is_passed_on()
     {
