--- a/tests/entry/parts_test.cpp
+++ b/tests/entry/parts_test.cpp
@@ -71,6 +71,7 @@
     CPPUNIT_TEST(test_cells_are_of_one_zone_and_cover_the_fleet);
     CPPUNIT_TEST(test_every_host_is_linked_with_every_cell);
     CPPUNIT_TEST(test_a_cell_tells_what_changed);
+    CPPUNIT_TEST(test_a_cell_tells_what_is_on_its_way);
     CPPUNIT_TEST(test_growth_adds_up_until_it_is_told);
     CPPUNIT_TEST(test_a_cell_tells_everything_each_second);
     CPPUNIT_TEST(test_claims_hold_up_others_until_they_end);
@@ -267,6 +268,23 @@
         CPPUNIT_ASSERT(second->work == expected);
     }
 
+    void test_a_cell_tells_what_is_on_its_way()
+    {
+        cell_report report;
+        const placement::host_group cell("east/0");
+        const server_id one("i-1");
+        const auto first =
+            report.next(cell, sums{{one, {1, 3000, 0, 3000}}}, at_ms(0));
+        CPPUNIT_ASSERT_EQUAL(
+            std::uint64_t{3000}, first->work.front().arriving_tokens);
+        // The memory has arrived; nothing else changed.
+        const auto second =
+            report.next(cell, sums{{one, {1, 3000, 0, 0}}}, at_ms(100));
+        CPPUNIT_ASSERT(second);
+        CPPUNIT_ASSERT_EQUAL(
+            std::uint64_t{0}, second->work.front().arriving_tokens);
+    }
+
     void test_growth_adds_up_until_it_is_told()
     {
         cell_report report;
--- a/tests/platform_adapter/world.cpp
+++ b/tests/platform_adapter/world.cpp
@@ -151,6 +151,16 @@
     wait("readiness", [this] { return is_ready(); });
 }
 
+std::uint64_t world::arriving_at(const stand_in_server& server)
+{
+    const placement::server_id id(server.id());
+    return look<std::uint64_t>([&id](entry::entry_process& process) {
+        return process.context()
+            .ledger.at(id, core::monotonic_now())
+            .arriving_tokens;
+    });
+}
+
 http::endpoint world::callers() const
 {
     return process_->context().settings.callers;
--- a/tests/platform_adapter/world.hpp
+++ b/tests/platform_adapter/world.hpp
@@ -62,6 +62,9 @@
     /// Asks for a page on the operators' address.
     [[nodiscard]] http::response ask_operators(const std::string& page);
 
+    /// Memory that the entry host believes to be on its way to the server.
+    [[nodiscard]] std::uint64_t arriving_at(const stand_in_server& server);
+
     /// Where callers connect.
     [[nodiscard]] http::endpoint callers() const;
 
--- a/tests/platform_adapter/world_test.cpp
+++ b/tests/platform_adapter/world_test.cpp
@@ -7,6 +7,8 @@
 
 #include <atomic>
 #include <chrono>
+#include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <thread>
@@ -69,6 +71,7 @@
     CPPUNIT_TEST(test_room_that_nobody_uses_is_given_back);
     CPPUNIT_TEST(test_a_stream_goes_on_where_its_server_leaves);
     CPPUNIT_TEST(test_a_run_stops_only_for_a_short_copy);
+    CPPUNIT_TEST(test_memory_is_on_its_way_during_the_first_copy);
     CPPUNIT_TEST(test_a_stopped_run_goes_on_at_home_when_nobody_has_room);
     CPPUNIT_TEST(test_a_run_whose_source_dies_goes_on_from_its_copy);
     CPPUNIT_TEST(test_a_run_that_may_live_on_is_not_begun_elsewhere);
@@ -481,6 +484,7 @@
         int slow_copies = 0;    ///< The first so many take 150 ms.
         int events = 1000;
         std::atomic<int> copies_before_last = 0;
+        std::function<void(int)> on_running_copy; ///< With its number.
         std::atomic<int> copies = 0;
         bool dies_after_copy = false;
 
@@ -504,8 +508,13 @@
                 asked.cut();
                 co_return;
             }
-            if (!is_last && copies_before_last++ < slow_copies)
-                co_await sleep(asked, 150);
+            if (!is_last) {
+                const int number = ++copies_before_last;
+                if (on_running_copy)
+                    on_running_copy(number);
+                if (number <= slow_copies)
+                    co_await sleep(asked, 150);
+            }
             const bool is_refused = copies++ < refused_copies;
             if (is_refused) {
                 http::response refused =
@@ -613,6 +622,21 @@
         CPPUNIT_ASSERT_EQUAL(3, at_first.copies_before_last.load());
     }
 
+    // Other hosts choose by it: a link is free again when most is there.
+    void test_memory_is_on_its_way_during_the_first_copy()
+    {
+        moving_server at_first;
+        moving_server at_second;
+        at_first.slow_copies = 2;
+        std::map<int, std::uint64_t> arriving;
+        at_first.on_running_copy = [this, &arriving](int number) {
+            arriving[number] = world_.arriving_at(world_.second());
+        };
+        move_while_streaming(at_first, at_second);
+        CPPUNIT_ASSERT(arriving[1] > 0);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, arriving[2]);
+    }
+
     void test_a_stopped_run_goes_on_at_home_when_nobody_has_room()
     {
         moving_server at_first;
