--- a/tests/platform_adapter/world_test.cpp
+++ b/tests/platform_adapter/world_test.cpp
@@ -62,6 +62,7 @@
     CPPUNIT_TEST(test_a_store_that_turns_away_is_asked_ever_more_seldom);
     CPPUNIT_TEST(test_history_that_is_dropped_is_read_anew);
     CPPUNIT_TEST(test_a_stream_arrives_whole);
+    CPPUNIT_TEST(test_a_stream_that_is_rejected_goes_to_another_server);
     CPPUNIT_TEST(test_a_stream_begins_where_room_is_kept);
     CPPUNIT_TEST(test_a_server_that_keeps_no_room_is_asked_once);
     CPPUNIT_TEST(test_without_holds_the_priority_is_passed_on);
@@ -379,6 +380,20 @@
         world_.begin();
     }
 
+    // It has not run there, and its server is nearer than the other one.
+    void test_a_stream_that_is_rejected_goes_to_another_server()
+    {
+        world_.first().behave(answers(503, ""));
+        world_.second().behave(keeps_room(200));
+        world_.second().move_to_zone("west");
+        world_.begin();
+        const auto answer = world_.call("POST", "/stream/");
+        CPPUNIT_ASSERT_EQUAL(200U, answer.status);
+        CPPUNIT_ASSERT_EQUAL(event(1), answer.body);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world_.first().count("/stream/"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world_.second().count("/stream/"));
+    }
+
     // The first server is full, whatever this host believes of it.
     void test_a_stream_begins_where_room_is_kept()
     {
