placement: runs look for home each 200 ms, from 1 s after a departure

Hypothesis: between waves of leaving servers, 3.3 s apart, a run has hardly more than one second in which it may come home; most of a wave's first copies are done after one.

--- a/libraries/placement/include/godwit/placement/homecoming.hpp
+++ b/libraries/placement/include/godwit/placement/homecoming.hpp
@@ -35,14 +35,15 @@
 public:
     /// How long a run is left where it is after a look that found no room. A
     /// run lives for some eight seconds.
-    static constexpr core::duration look_span = std::chrono::milliseconds(400);
+    static constexpr core::duration look_span = std::chrono::milliseconds(200);
     /// A run with less left ends by itself about as soon as its copy is done.
     static constexpr std::uint64_t least_tokens_left = 64;
 
     /// After a server was seen to leave its runs need the links: a run that
-    /// comes home would hold up one that is lost otherwise. Servers give two
-    /// seconds of notice.
-    static constexpr core::duration quiet_span = std::chrono::seconds(2);
+    /// comes home would hold up one that is lost otherwise. By then the first
+    /// copies are done, and a link to which something is on its way is left
+    /// alone anyhow.
+    static constexpr core::duration quiet_span = std::chrono::seconds(1);
 
     explicit homecoming(core::zone_name home) : home_(std::move(home)) {}
 
