--- a/tests/platform_adapter/world_test.cpp
+++ b/tests/platform_adapter/world_test.cpp
@@ -78,6 +78,7 @@
     CPPUNIT_TEST(test_a_run_that_may_live_on_is_not_begun_elsewhere);
     CPPUNIT_TEST(test_a_stream_comes_home_when_there_is_room);
     CPPUNIT_TEST(test_a_stream_on_its_way_home_outlives_its_server);
+    CPPUNIT_TEST(test_a_way_home_goes_on_when_the_server_leaves_meanwhile);
     CPPUNIT_TEST(test_a_stream_stays_away_when_home_refuses_it);
     CPPUNIT_TEST(test_a_broken_stream_does_not_look_complete);
     CPPUNIT_TEST(test_a_leaving_server_gets_nothing_new);
@@ -496,7 +497,8 @@
         std::atomic<int> sent = 0;
         unsigned last_copy_status = 200;
         int refused_copies = 0; ///< For want of room at the destination.
-        int slow_copies = 0;    ///< The first so many take 150 ms.
+        int slow_copy_ms = 150;
+        int slow_copies = 0; ///< The first so many take slow_copy_ms.
         int events = 1000;
         std::atomic<int> copies_before_last = 0;
         std::function<void(int)> on_running_copy; ///< With its number.
@@ -528,7 +530,7 @@
                 if (on_running_copy)
                     on_running_copy(number);
                 if (number <= slow_copies)
-                    co_await sleep(asked, 150);
+                    co_await sleep(asked, slow_copy_ms);
             }
             const bool is_refused = copies++ < refused_copies;
             if (is_refused) {
@@ -599,7 +601,13 @@
         world::wait("events", [&at_first] { return at_first.sent > 3; });
         world_.list(world_.second(), "ready");
         if (leaves_later_)
-            world::wait("a copy", [&at_first] { return at_first.copies > 0; });
+            world::wait("a copy", [&at_first] {
+                return at_first.copies_before_last > 0;
+            });
+        if (has_other_home_) {
+            world_.second().move_to_zone("south");
+            world_.list(world_.second(), "ready");
+        }
         if (leaves_source_ || leaves_later_)
             world_.list(world_.first(), "draining");
         caller.join();
@@ -610,6 +618,7 @@
     http::response answer_;
     bool leaves_source_ = true;
     bool leaves_later_ = false;
+    bool has_other_home_ = false; ///< The destination is not at home any more.
     bool expects_cut_ = false;
     bool is_cut_ = false;
 
@@ -736,6 +745,23 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world_.first().count("/stream/"));
     }
 
+    // The server leaves while the first copy is on its way, and that copy
+    // finds no room: there was no need to move, and now there is.
+    void test_a_way_home_goes_on_when_the_server_leaves_meanwhile()
+    {
+        moving_server at_first;
+        moving_server at_second;
+        at_first.slow_copies = 1;
+        at_first.slow_copy_ms = 600;
+        at_first.refused_copies = 1;
+        leaves_later_ = true;
+        has_other_home_ = true;
+        come_home(at_first, at_second);
+        CPPUNIT_ASSERT_EQUAL(200U, answer_.status);
+        CPPUNIT_ASSERT_EQUAL(events_until(at_second.sent), answer_.body);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world_.second().count("/stream/"));
+    }
+
     void test_a_stream_stays_away_when_home_refuses_it()
     {
         moving_server at_first;
--- a/tests/replay/load_replay_test.cpp
+++ b/tests/replay/load_replay_test.cpp
@@ -100,6 +100,7 @@
         fleet_shape fleet = nine_hosts(3);
         fleet.engines.push_back({0, at_ms(3000)});
         std::vector<generation_order> orders;
+        orders.reserve(27 + 18);
         for (int each = 0; each < 27; ++each)
             orders.push_back(
                 long_order(static_cast<std::size_t>(each % 9), 50 * each));
