--- a/services/entry/include/godwit/entry/call_log.hpp
+++ b/services/entry/include/godwit/entry/call_log.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <godwit/admission/waiting_plan.hpp>
 #include <godwit/core/error.hpp>
 #include <godwit/core/time.hpp>
 #include <godwit/entry/accepted_call.hpp>
@@ -23,7 +24,9 @@
 
 /// A request goes to a backend server, chosen by its load as it was known.
 void log_placed(
-    const accepted_call& call, const placement::placement_choice& choice);
+    const accepted_call& call,
+    const placement::placement_choice& choice,
+    admission::waiting_stage stage);
 
 /// A backend server kept no room for a request.
 void log_hold_failed(
@@ -85,6 +88,13 @@
     const placement::backend_server& server,
     const stream_pace& pace);
 
+/// A running generation goes to this server, for `cause`.
+void log_migration_chosen(
+    const accepted_call& call,
+    const placement::backend_server& source,
+    const placement::placement_choice& choice,
+    std::string_view cause);
+
 /// A running generation went on at another server, or could not.
 void log_migration(
     const accepted_call& call,
--- a/services/entry/src/call_log.cpp
+++ b/services/entry/src/call_log.cpp
@@ -38,7 +38,9 @@
 }
 
 void log_placed(
-    const accepted_call& call, const placement::placement_choice& choice)
+    const accepted_call& call,
+    const placement::placement_choice& choice,
+    admission::waiting_stage stage)
 {
     telemetry::log_event(
         telemetry::log_level::info,
@@ -52,6 +54,7 @@
          {"server_tokens", choice.load.tokens},
          {"server_unread", choice.load.unread_tokens},
          {"cost", choice.cost},
+         {"stage", admission::to_string(stage)},
          {"table_version", call.routes->version()},
          {"waited_ms", milliseconds(core::monotonic_now() - call.arrived)}});
 }
@@ -168,6 +171,27 @@
          {"age_ms", milliseconds(core::monotonic_now() - call.arrived)}});
 }
 
+void log_migration_chosen(
+    const accepted_call& call,
+    const placement::backend_server& source,
+    const placement::placement_choice& choice,
+    std::string_view cause)
+{
+    telemetry::log_event(
+        telemetry::log_level::info,
+        component,
+        "migration_chosen",
+        {{"request", call.terms.attempt_id},
+         {"source", source.id},
+         {"destination", choice.server.id},
+         {"cause", cause},
+         {"server_zone", choice.server.zone},
+         {"server_requests", choice.load.requests},
+         {"server_tokens", choice.load.tokens},
+         {"server_arriving", choice.load.arriving_tokens},
+         {"cost", choice.cost}});
+}
+
 void log_migration(
     const accepted_call& call,
     const placement::backend_server& source,
--- a/services/entry/src/migrator.cpp
+++ b/services/entry/src/migrator.cpp
@@ -213,6 +213,11 @@
         refused_.clear();
         return false;
     }
+    log_migration_chosen(
+        *call_,
+        source_->server(),
+        *found,
+        has_to_leave() ? "server_leaves" : "homecoming");
     destination_ = found->server;
     reserved_.reset();
     placement::work_size arriving = work_;
--- a/services/entry/src/room_search.cpp
+++ b/services/entry/src/room_search.cpp
@@ -101,7 +101,7 @@
             next_look = plan_.next_look(stage, now);
             auto found = context_.chooser.choose(wanted(stage), now);
             if (found) {
-                log_placed(*call_, *found);
+                log_placed(*call_, *found, stage);
                 co_return std::move(*found);
             }
         }
