--- a/libraries/placement/include/godwit/placement/placer.hpp
+++ b/libraries/placement/include/godwit/placement/placer.hpp
@@ -24,7 +24,7 @@
     short_start, ///< One that gives its memory back within a moment.
     late_start,  ///< One that cannot meet its latency objective any more.
     migration,   ///< A running generation whose server leaves.
-    homecoming,  ///< A running generation that could stay, but goes nearer.
+    rebalance,   ///< A running generation that could stay, but goes nearer.
 };
 
 /// A request that wants a backend server.
--- a/libraries/placement/include/godwit/placement/homecoming.hpp
+++ b/libraries/placement/include/godwit/placement/zone_rebalancing.hpp
@@ -12,7 +12,7 @@
 
 /// What is known of a running generation when its host looks for a nearer
 /// server.
-struct distant_run
+struct remote_run
 {
     backend_server server;
     work_size work;
@@ -20,7 +20,7 @@
     /// When a server like its own was last seen to leave.
     std::optional<core::time_point> last_departure;
 
-    friend bool operator==(const distant_run&, const distant_run&) = default;
+    friend bool operator==(const remote_run&, const remote_run&) = default;
 };
 
 /// Decides when a generation that runs in another zone than its host's goes
@@ -30,7 +30,7 @@
 /// cut lasts if host and engine are on different sides of it, and callers
 /// leave after some seconds. When load is high, one start in five finds no
 /// room in its own zone; while it runs, room comes free there.
-class homecoming
+class zone_rebalancing
 {
 public:
     /// How long a run is left where it is after a look that found no room. A
@@ -40,26 +40,26 @@
     static constexpr std::uint64_t least_tokens_left = 64;
 
     /// After a server was seen to leave its runs need the links: a run that
-    /// comes home would hold up one that is lost otherwise. By then the first
-    /// copies are done, and a link to which something is on its way is left
-    /// alone anyhow.
+    /// is rebalanced would hold up one that is lost otherwise. By then the
+    /// first copies are done, and a link to which something is on its way is
+    /// left alone anyhow.
     static constexpr core::duration quiet_span = std::chrono::seconds(1);
 
-    explicit homecoming(core::zone_name home) : home_(std::move(home)) {}
+    explicit zone_rebalancing(core::zone_name zone) : zone_(std::move(zone)) {}
 
-    /// Whether it is worth looking for room at home now.
+    /// Whether it is worth looking for room in the own zone now.
     [[nodiscard]] bool
-    is_due(const distant_run& run, core::time_point now) const;
+    is_due(const remote_run& run, core::time_point now) const;
 
     /// A look was taken, or a move failed.
     void looked(core::time_point now) { next_look_ = now + look_span; }
 
-    /// What is wanted of the server at home.
+    /// What is wanted of a server in the own zone.
     [[nodiscard]] placement_request
     wanted(const routing::service& service, const work_size& work) const;
 
 private:
-    core::zone_name home_;
+    core::zone_name zone_;
     core::time_point next_look_{};
 };
 
--- a/libraries/placement/src/placer.cpp
+++ b/libraries/placement/src/placer.cpp
@@ -21,9 +21,9 @@
 constexpr double late_start_memory_share = 0.5;
 // Migrations may fill what a server has; beyond it somebody is preempted.
 constexpr double migration_memory_share = 1.05;
-// Nobody needs a run to come home, and memory that it fills there keeps starts
+// Nobody needs a run to be rebalanced, and memory that it fills keeps starts
 // out: it goes only where plenty is left.
-constexpr double homecoming_memory_share = 0.75;
+constexpr double rebalance_memory_share = 0.75;
 // Unread prompt tokens that weigh as much as a whole memory: about two seconds
 // of reading beside running generations. At a quarter of it requests went to
 // other zones for a moment's wait, and 1.8% fewer long streams were in time
@@ -95,8 +95,8 @@
         return late_start_memory_share;
     case placement_purpose::migration:
         return migration_memory_share;
-    case placement_purpose::homecoming:
-        return homecoming_memory_share;
+    case placement_purpose::rebalance:
+        return rebalance_memory_share;
     }
     return start_memory_share;
 }
@@ -123,7 +123,7 @@
         memory_share(wanted.purpose) *
         static_cast<double>(engine.memory_tokens));
     // Its copy would hold up those that cannot wait.
-    if (wanted.purpose == placement_purpose::homecoming &&
+    if (wanted.purpose == placement_purpose::rebalance &&
         load.arriving_tokens > 0)
         return false;
     // A request that is larger than the share may have a server alone.
--- /dev/null
+++ b/libraries/placement/src/zone_rebalancing.cpp
@@ -0,0 +1,25 @@
+#include <godwit/placement/zone_rebalancing.hpp>
+
+namespace godwit::placement {
+
+bool zone_rebalancing::is_due(const remote_run& run, core::time_point now) const
+{
+    if (run.last_departure && now < *run.last_departure + quiet_span)
+        return false;
+    return run.server.zone != zone_ && run.tokens_left >= least_tokens_left &&
+           now >= next_look_;
+}
+
+placement_request zone_rebalancing::wanted(
+    const routing::service& service, const work_size& work) const
+{
+    placement_request request;
+    request.service = &service;
+    request.work = work;
+    request.purpose = placement_purpose::rebalance;
+    request.near = zone_;
+    request.is_near_only = true;
+    return request;
+}
+
+} // namespace godwit::placement
--- a/services/entry/include/godwit/entry/migrator.hpp
+++ b/services/entry/include/godwit/entry/migrator.hpp
@@ -29,7 +29,7 @@
 enum class migration_cause
 {
     server_leaves, ///< It is lost otherwise: any server with room will do.
-    homecoming,    ///< It is better off in its host's zone, if there is room.
+    rebalance,     ///< It is better off in its host's zone, if there is room.
 };
 
 /// Takes one running generation away from its server: a copy of its memory
--- a/services/entry/include/godwit/entry/stream_call.hpp
+++ b/services/entry/include/godwit/entry/stream_call.hpp
@@ -10,7 +10,7 @@
 #include <godwit/entry/room_search.hpp>
 #include <godwit/entry/running_stream.hpp>
 #include <godwit/entry/upstream.hpp>
-#include <godwit/placement/homecoming.hpp>
+#include <godwit/placement/zone_rebalancing.hpp>
 #include <godwit/telemetry/request_metrics.hpp>
 
 #include <boost/asio/awaitable.hpp>
@@ -68,7 +68,7 @@
     void stop_migration();
     void forget_failed_migration();
     void migrate(migration_cause cause);
-    void consider_homecoming();
+    void consider_rebalancing();
     void drop_hold(const placement::backend_server& server);
     void watch_pause();
     void caller_left();
@@ -81,7 +81,7 @@
     std::unique_ptr<reservation> reserved_;
     std::optional<std::string> hold_;
     std::shared_ptr<migrator> migration_;
-    placement::homecoming homecoming_;
+    placement::zone_rebalancing rebalancing_;
     event_splitter splitter_;
     std::uint64_t last_event_ = 0;
     stream_pace pace_;
--- a/services/entry/src/migrator.cpp
+++ b/services/entry/src/migrator.cpp
@@ -2,7 +2,7 @@
 
 #include <godwit/entry/call_log.hpp>
 #include <godwit/http/fetch.hpp>
-#include <godwit/placement/homecoming.hpp>
+#include <godwit/placement/zone_rebalancing.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -191,7 +191,7 @@
 placement::placement_request migrator::wanted() const
 {
     if (!has_to_leave())
-        return placement::homecoming(context_.settings.zone)
+        return placement::zone_rebalancing(context_.settings.zone)
             .wanted(call_->target, work_);
     placement::placement_request wanted;
     wanted.service = &call_->target;
@@ -217,7 +217,7 @@
         *call_,
         source_->server(),
         *found,
-        has_to_leave() ? "server_leaves" : "homecoming");
+        has_to_leave() ? "server_leaves" : "rebalance");
     destination_ = found->server;
     reserved_.reset();
     placement::work_size arriving = work_;
--- a/services/entry/src/stream_call.cpp
+++ b/services/entry/src/stream_call.cpp
@@ -21,7 +21,7 @@
 stream_call::stream_call(entry_context& context, accepted_call call)
     : context_(context),
       call_(std::make_shared<const accepted_call>(std::move(call))),
-      search_(context, call_), homecoming_(context.settings.zone),
+      search_(context, call_), rebalancing_(context.settings.zone),
       metrics_(
           *context.metrics,
           call_->target.name,
@@ -283,7 +283,7 @@
     if (ready.empty())
         co_return true;
     watch_pause();
-    consider_homecoming();
+    consider_rebalancing();
     const auto written = co_await call_->caller.write_chunk(std::move(ready));
     if (!written)
         active_->cancel();
--- a/services/entry/src/stream_call_moves.cpp
+++ b/services/entry/src/stream_call_moves.cpp
@@ -89,23 +89,23 @@
     migration_->start();
 }
 
-void stream_call::consider_homecoming()
+void stream_call::consider_rebalancing()
 {
     if (!call_->terms.generation || !call_->target.engine)
         return;
     const core::time_point now = core::monotonic_now();
-    const placement::distant_run run{
+    const placement::remote_run run{
         active_->server(),
         moved_work(),
         tokens_left(),
         context_.directory.last_departure(call_->target.name)};
-    if (!homecoming_.is_due(run, now))
+    if (!rebalancing_.is_due(run, now))
         return;
-    homecoming_.looked(now);
+    rebalancing_.looked(now);
     forget_failed_migration();
-    const auto wanted = homecoming_.wanted(call_->target, run.work);
+    const auto wanted = rebalancing_.wanted(call_->target, run.work);
     if (context_.chooser.choose(wanted, now))
-        migrate(migration_cause::homecoming);
+        migrate(migration_cause::rebalance);
 }
 
 asio::awaitable<std::optional<http::response_head>>
--- a/tests/placement/placer_test.cpp
+++ b/tests/placement/placer_test.cpp
@@ -1,7 +1,7 @@
 #include "samples.hpp"
 
-#include <godwit/placement/homecoming.hpp>
 #include <godwit/placement/placer.hpp>
+#include <godwit/placement/zone_rebalancing.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -346,57 +346,57 @@
         CPPUNIT_ASSERT_EQUAL(40, hosts_at_the_third(2000));
     }
 
-    const distant_run distant_{
+    const remote_run remote_{
         sample_server(7, "west"), {1, 3000, 0}, 500, std::nullopt};
-    homecoming homecoming_{zone_name("east")};
+    zone_rebalancing rebalancing_{zone_name("east")};
 
     void test_a_run_comes_home_where_plenty_is_left()
     {
-        directory_.listed(distant_.server, at_ms(0));
+        directory_.listed(remote_.server, at_ms(0));
         ledger_.add(server_id("i-1"), {1, 4500, 0});
         ledger_.add(server_id("i-2"), {2, 4400, 0});
-        CPPUNIT_ASSERT(homecoming_.is_due(distant_, at_ms(0)));
-        wanted_ = homecoming_.wanted(service_, distant_.work);
+        CPPUNIT_ASSERT(rebalancing_.is_due(remote_, at_ms(0)));
+        wanted_ = rebalancing_.wanted(service_, remote_.work);
         CPPUNIT_ASSERT_EQUAL(std::string("i-2"), choose());
     }
 
     void test_a_run_stays_where_home_has_no_room()
     {
-        directory_.listed(distant_.server, at_ms(0));
+        directory_.listed(remote_.server, at_ms(0));
         directory_.listed(sample_server(8, "west"), at_ms(0));
         // Starts would find room here, and an empty server in the west.
         ledger_.add(server_id("i-1"), {1, 4600, 0});
         ledger_.add(server_id("i-2"), {1, 4600, 0});
-        wanted_ = homecoming_.wanted(service_, distant_.work);
+        wanted_ = rebalancing_.wanted(service_, remote_.work);
         CPPUNIT_ASSERT_EQUAL(std::string("no room"), choose());
     }
 
     void test_a_run_looks_for_home_now_and_then()
     {
-        homecoming_.looked(at_ms(1000));
-        CPPUNIT_ASSERT(!homecoming_.is_due(distant_, at_ms(1199)));
-        CPPUNIT_ASSERT(homecoming_.is_due(distant_, at_ms(1200)));
-        distant_run at_home = distant_;
+        rebalancing_.looked(at_ms(1000));
+        CPPUNIT_ASSERT(!rebalancing_.is_due(remote_, at_ms(1199)));
+        CPPUNIT_ASSERT(rebalancing_.is_due(remote_, at_ms(1200)));
+        remote_run at_home = remote_;
         at_home.server.zone = zone_name("east");
-        CPPUNIT_ASSERT(!homecoming_.is_due(at_home, at_ms(1400)));
-        distant_run ending = distant_;
+        CPPUNIT_ASSERT(!rebalancing_.is_due(at_home, at_ms(1400)));
+        remote_run ending = remote_;
         ending.tokens_left = 63;
-        CPPUNIT_ASSERT(!homecoming_.is_due(ending, at_ms(1400)));
+        CPPUNIT_ASSERT(!rebalancing_.is_due(ending, at_ms(1400)));
     }
 
     void test_a_run_stays_while_others_need_the_links()
     {
-        distant_run run = distant_;
+        remote_run run = remote_;
         run.last_departure = at_ms(5000);
-        CPPUNIT_ASSERT(!homecoming_.is_due(run, at_ms(5999)));
-        CPPUNIT_ASSERT(homecoming_.is_due(run, at_ms(6000)));
+        CPPUNIT_ASSERT(!rebalancing_.is_due(run, at_ms(5999)));
+        CPPUNIT_ASSERT(rebalancing_.is_due(run, at_ms(6000)));
     }
 
     void test_a_run_does_not_come_home_beside_a_copy()
     {
         ledger_.add(server_id("i-1"), {1, 3000, 0, 3000});
         ledger_.add(server_id("i-2"), {1, 3000, 0, 3000});
-        wanted_ = homecoming_.wanted(service_, distant_.work);
+        wanted_ = rebalancing_.wanted(service_, remote_.work);
         CPPUNIT_ASSERT_EQUAL(std::string("no room"), choose());
         ledger_.remove(server_id("i-2"), {0, 0, 0, 3000});
         CPPUNIT_ASSERT_EQUAL(std::string("i-2"), choose());
