--- a/libraries/replay/src/fleet_replay.cpp
+++ b/libraries/replay/src/fleet_replay.cpp
@@ -16,9 +16,9 @@
 
 namespace {
 
-// The finest span that the replay tells apart; hosts look for room this often
-// times ten, as a process's tick does.
+// The finest span that the replay tells apart.
 constexpr core::duration step = std::chrono::milliseconds(1);
+// How often hosts look for room when nothing new has happened.
 constexpr core::duration tick = std::chrono::milliseconds(50);
 
 core::zone_name zone_name_of(std::size_t zone)
