entry: a stream at home does not read the list of servers for each event

The look for room in the own zone searched the directory for the last departure and copied the server's entry before it asked whether the stream runs elsewhere at all. The cheap question comes first; the decision is the same. Tests of placement, entry and platform_adapter pass.

--- a/libraries/placement/include/godwit/placement/zone_rebalancing.hpp
+++ b/libraries/placement/include/godwit/placement/zone_rebalancing.hpp
@@ -47,6 +47,14 @@
 
     explicit zone_rebalancing(core::zone_name zone) : zone_(std::move(zone)) {}
 
+    /// Whether a look may be due at all: asked for each event of a stream, so
+    /// it takes no look at the list of servers.
+    [[nodiscard]] bool
+    may_look(const core::zone_name& server_zone, core::time_point now) const
+    {
+        return server_zone != zone_ && now >= next_look_;
+    }
+
     /// Whether it is worth looking for room in the own zone now.
     [[nodiscard]] bool
     is_due(const remote_run& run, core::time_point now) const;
--- a/libraries/placement/src/zone_rebalancing.cpp
+++ b/libraries/placement/src/zone_rebalancing.cpp
@@ -6,8 +6,8 @@
 {
     if (run.last_departure && now < *run.last_departure + quiet_span)
         return false;
-    return run.server.zone != zone_ && run.tokens_left >= least_tokens_left &&
-           now >= next_look_;
+    return may_look(run.server.zone, now) &&
+           run.tokens_left >= least_tokens_left;
 }
 
 placement_request zone_rebalancing::wanted(
--- a/services/entry/src/stream_call_moves.cpp
+++ b/services/entry/src/stream_call_moves.cpp
@@ -94,6 +94,8 @@
     if (!call_->terms.generation || !call_->target.engine)
         return;
     const core::time_point now = core::monotonic_now();
+    if (!rebalancing_.may_look(active_->server().zone, now))
+        return;
     const placement::remote_run run{
         active_->server(),
         moved_work(),
