admission: one request for room, asked by entry hosts and replays alike

room_search and the replay's host built it each for themselves, so that a replay could have tested another decision than the one that runs. A function of the simulated engine that nobody called goes.

--- /dev/null
+++ b/libraries/admission/include/godwit/admission/room_request.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <godwit/admission/generation_size.hpp>
+#include <godwit/admission/waiting_plan.hpp>
+#include <godwit/placement/placer.hpp>
+#include <godwit/routing/service.hpp>
+
+#include <optional>
+
+namespace godwit::admission {
+
+/// What a request that waits asks of the placer. `size` is absent where its
+/// caller says nothing of a generation.
+[[nodiscard]] placement::placement_request room_request(
+    const routing::service& service,
+    const std::optional<generation_size>& size,
+    const waiting_plan& plan,
+    waiting_stage stage);
+
+} // namespace godwit::admission
--- /dev/null
+++ b/libraries/admission/src/room_request.cpp
@@ -0,0 +1,24 @@
+#include <godwit/admission/room_request.hpp>
+
+namespace godwit::admission {
+
+placement::placement_request room_request(
+    const routing::service& service,
+    const std::optional<generation_size>& size,
+    const waiting_plan& plan,
+    waiting_stage stage)
+{
+    placement::placement_request wanted;
+    wanted.service = &service;
+    wanted.work.requests = 1;
+    if (size && service.engine)
+        wanted.work = size->work();
+    if (size && size->is_short())
+        wanted.purpose = placement::placement_purpose::short_start;
+    else if (stage == waiting_stage::late)
+        wanted.purpose = placement::placement_purpose::late_start;
+    wanted.most_unread_tokens = plan.most_unread_tokens(stage);
+    return wanted;
+}
+
+} // namespace godwit::admission
--- a/libraries/replay/include/godwit/replay/simulated_engine.hpp
+++ b/libraries/replay/include/godwit/replay/simulated_engine.hpp
@@ -49,8 +49,6 @@
 
     [[nodiscard]] std::uint64_t used_tokens() const;
 
-    [[nodiscard]] std::uint64_t unread_tokens() const;
-
 private:
     struct run
     {
--- a/libraries/replay/src/simulated_engine.cpp
+++ b/libraries/replay/src/simulated_engine.cpp
@@ -40,17 +40,6 @@
         [](std::uint64_t sum, const run& one) { return sum + one.memory(); });
 }
 
-std::uint64_t simulated_engine::unread_tokens() const
-{
-    return std::accumulate(
-        runs_.begin(),
-        runs_.end(),
-        std::uint64_t{0},
-        [](std::uint64_t sum, const run& one) {
-            return sum + one.unread_tokens;
-        });
-}
-
 simulated_engine::run* simulated_engine::next_to_read()
 {
     const auto found =
--- a/libraries/replay/src/simulated_host.cpp
+++ b/libraries/replay/src/simulated_host.cpp
@@ -1,5 +1,7 @@
 #include "simulated_host.hpp"
 
+#include <godwit/admission/room_request.hpp>
+
 #include <algorithm>
 
 namespace godwit::replay {
@@ -14,16 +16,6 @@
         written_tokens);
 }
 
-placement::placement_purpose
-purpose_of(const generation_order& order, admission::waiting_stage stage)
-{
-    if (size_of(order, 0).is_short())
-        return placement::placement_purpose::short_start;
-    return stage == admission::waiting_stage::late
-               ? placement::placement_purpose::late_start
-               : placement::placement_purpose::start;
-}
-
 } // namespace
 
 simulated_host::simulated_host(
@@ -100,12 +92,9 @@
 {
     const auto stage = waiting.plan.stage(now);
     waiting.next_look = waiting.plan.next_look(stage, now);
-    placement::placement_request wanted;
-    wanted.service = &service_;
-    wanted.work = size_of(waiting.order, 0).work();
+    placement::placement_request wanted = admission::room_request(
+        service_, size_of(waiting.order, 0), waiting.plan, stage);
     wanted.near = zone_;
-    wanted.purpose = purpose_of(waiting.order, stage);
-    wanted.most_unread_tokens = waiting.plan.most_unread_tokens(stage);
     const auto choice = placer_.choose(wanted, now);
     if (!choice)
         return false;
--- a/services/entry/src/room_search.cpp
+++ b/services/entry/src/room_search.cpp
@@ -1,5 +1,6 @@
 #include <godwit/entry/room_search.hpp>
 
+#include <godwit/admission/room_request.hpp>
 #include <godwit/entry/call_log.hpp>
 #include <godwit/entry/server_hold.hpp>
 
@@ -73,18 +74,10 @@
 
 placement::placement_request room_search::wanted(waiting_stage stage) const
 {
-    placement::placement_request wanted;
-    wanted.service = &call_->target;
-    wanted.work.requests = 1;
-    if (size_ && call_->target.engine)
-        wanted.work = size_->work();
+    placement::placement_request wanted =
+        admission::room_request(call_->target, size_, plan_, stage);
     wanted.near = context_.settings.zone;
     wanted.excluded = excluded_;
-    if (size_ && size_->is_short())
-        wanted.purpose = placement::placement_purpose::short_start;
-    else if (stage == waiting_stage::late)
-        wanted.purpose = placement::placement_purpose::late_start;
-    wanted.most_unread_tokens = plan_.most_unread_tokens(stage);
     return wanted;
 }
 
