--- /dev/null
+++ b/meta/soak_parts/engine.py
@@ -0,0 +1,149 @@
+"""A model's engine, as an entry host sees it."""
+
+import asyncio
+import json
+import time
+
+from soak_parts import entries, http11, manners
+from soak_parts.stand_ins import Service
+
+STEP_SECONDS = 0.02
+SPOILED_EVENT_SHARE = 0.1
+_NOT_RUN = {"X-Godwitworks-Not-Executed": "1"}
+
+
+class Run:
+    """One generation: its events are numbered and name their request."""
+
+    def __init__(self, attempt, events):
+        self.attempt = attempt
+        self.events = events
+        self.made = 0
+        self.stopped = False
+
+
+class Engine(Service):
+    """A server of the model: whole answers, streams and copies of runs."""
+
+    def __init__(self, name, ledger, clock, rng):
+        super().__init__()
+        self.name = name
+        self.ledger = ledger
+        self.clock = clock
+        self.born = time.time_ns() // 1_000_000
+        self.sequence = 0
+        self.relay = None
+        self.left_at = None
+        self.served_at = None
+        self.began_again_at = None
+        self.runs = {}
+        self.manner = manners.Manner(rng)
+        self._before = None
+
+    async def respond(self, method, target, fields, body, writer):
+        if target.startswith("/api/") and self._is_spoiled():
+            await self._spoil(writer)
+        if target == "/api/report":
+            state = "draining" if self.left_at else "ready"
+            writer.write(http11.answer(200, json.dumps({
+                "state": state, "born": self.born,
+                "sequence": self.sequence}).encode()))
+        elif target == "/api/kv-move":
+            self._copy(json.loads(body), writer)
+        elif target.startswith("/api/"):
+            writer.write(http11.answer(200, b"{}"))
+        elif fields.get("x-godwitworks-expect-replica") != self.name:
+            writer.write(http11.answer(421, b"", _NOT_RUN))
+        else:
+            await self._run(target, fields, body, writer)
+
+    def _is_spoiled(self):
+        return self.manner.style == "spoiled"
+
+    async def _spoil(self, writer):
+        """What is no answer, or one whose fields are of other types."""
+        rng = self.manner.rng
+        if rng.random() < 0.5:
+            writer.write(manners.spoiled(rng, {}, b"{}"))
+        else:
+            writer.write(http11.answer(200, entries.unreadable(rng)))
+        await writer.drain()
+        raise http11.Broken("spoiled")
+
+    def _copy(self, order, writer):
+        run = self.runs.get(order["id"])
+        if run is None:
+            writer.write(http11.answer(404))
+            return
+        handle = f"c{run.made}"
+        run.stopped = run.stopped or order.get("last", False)
+        writer.write(http11.answer(200, json.dumps(
+            {"handle": handle, "create_rev": run.made}).encode()))
+
+    async def _run(self, target, fields, body, writer):
+        attempt = fields["x-godwitworks-attempt-id"]
+        signed = {"X-Godwitworks-Attempt-Id": attempt,
+                  "X-Godwitworks-Replica-Signature": self.name}
+        resumed = "kv-from" in fields
+        self.served_at = self.clock()
+        self.ledger.arrived(self, attempt, target, body, resumed,
+                            self.clock())
+        if target.startswith("/stream/"):
+            await self._stream(attempt, signed, fields, resumed, writer)
+            return
+        await asyncio.sleep(STEP_SECONDS)
+        made = self.manner.body_of(f"answer to {attempt}".encode())
+        self.ledger.made(attempt, made)
+        other, self._before = self._before, (signed, made)
+        await self.manner.answer(writer, made, signed, other)
+
+    async def _stream(self, attempt, signed, fields, resumed, writer):
+        run = Run(attempt, int(fields["x-godwitworks-token-usage"]
+                               .partition(",")[2]))
+        run.made = int(fields.get("last-event-id", 0)) if resumed else 0
+        if resumed:
+            self.ledger.resumed(attempt)
+        self.ledger.streams[attempt] = run
+        self.runs[attempt] = run
+        writer.write(http11.head("HTTP/1.1 200 OK", {
+            **signed, "Transfer-Encoding": "chunked"}))
+        while run.made < run.events:
+            await asyncio.sleep(STEP_SECONDS)
+            run.stopped = run.stopped or writer.transport.is_closing()
+            if run.stopped:
+                http11.reset(writer)
+                return
+            await self._event(run, writer)
+        del self.runs[attempt]
+        await self._send(http11.chunk(b""), writer)
+
+    async def _event(self, run, writer):
+        rng = self.manner.rng
+        if self._is_spoiled() and rng.random() < SPOILED_EVENT_SHARE:
+            run.stopped = True
+            writer.write(manners.spoiled_chunk(rng))
+            raise http11.Broken("spoiled")
+        run.made += 1
+        await self._send(http11.chunk(
+            f"id: {run.made}\ndata: {run.attempt}\n\n".encode()), writer)
+
+    async def _send(self, data, writer):
+        if self.manner.style in (manners.PLAIN, "spoiled"):
+            writer.write(data)
+            await writer.drain()
+        else:
+            await http11.send_cut(writer, data, self.manner.rng)
+
+
+class Trap(Service):
+    """Where entries that name no replica point: nothing may be sent here."""
+
+    def __init__(self, ledger):
+        super().__init__()
+        self.ledger = ledger
+
+    async def respond(self, method, target, fields, body, writer):
+        server = fields.get("x-godwitworks-expect-replica")
+        self.ledger.check("names no replica", target.startswith("/api/"),
+                          f"{method} {target} sent to {server}")
+        writer.write(http11.answer(503, b"", _NOT_RUN))
--- a/meta/soak_parts/http11.py
+++ b/meta/soak_parts/http11.py
@@ -1,6 +1,11 @@
 """Just enough HTTP/1.1 over asyncio streams for stand-ins and callers."""
 
 import asyncio
+import socket
+import struct
+
+LONGEST_GAP = 0.004
+MOST_PIECES = 40
 
 
 class Broken(Exception):
@@ -64,3 +69,46 @@
 def chunk(data):
     """The bytes of one chunk."""
     return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+def chunks(data, rng):
+    """The bytes of a whole body in chunks of random sizes."""
+    encoded = b""
+    while data:
+        size = rng.randint(1, len(data))
+        encoded += chunk(data[:size])
+        data = data[size:]
+    return encoded + chunk(b"")
+
+
+def cut(data, rng):
+    """The pieces of `data`, cut anywhere, often byte by byte at its end."""
+    if len(data) < 2:
+        return [data]
+    if rng.random() < 0.5:
+        tail = len(data) - min(len(data) - 1, rng.randint(1, 12))
+        places = range(tail, len(data))
+    else:
+        most = min(len(data) - 1, MOST_PIECES)
+        places = sorted(rng.sample(range(1, len(data)),
+                                   rng.randint(1, most)))
+    starts = [0, *places]
+    return [data[start:end]
+            for start, end in zip(starts, [*places, len(data)])]
+
+
+async def send_cut(writer, data, rng):
+    """Sends `data` in pieces that mostly arrive apart."""
+    for piece in cut(data, rng):
+        writer.write(piece)
+        await writer.drain()
+        await asyncio.sleep(rng.uniform(0.0, LONGEST_GAP))
+
+
+def reset(writer):
+    """Ends a connection with a reset, not with an orderly end."""
+    connected = writer.get_extra_info("socket")
+    if connected is not None and not writer.transport.is_closing():
+        connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                             struct.pack("ii", 1, 0))
+    writer.transport.abort()
--- a/meta/soak_parts/relay.py
+++ b/meta/soak_parts/relay.py
@@ -1,19 +1,25 @@
-"""A loopback proxy that delays, resets, silences or cuts one way."""
+"""A loopback proxy that delays, cuts up, resets, silences or cuts one way."""
 
 import asyncio
 
+from soak_parts import http11
+
+DELAY_SECONDS = 0.15
+
 
 class Relay:
     """Passes bytes to one target; `mode` says what goes wrong meanwhile."""
 
-    MODES = ("delay", "silent", "up_silent", "down_silent", "refuse")
+    MODES = ("delay", "pieces", "silent", "up_silent", "down_silent",
+             "refuse")
 
-    def __init__(self, target):
+    def __init__(self, target, rng):
         self.target = target
         self.mode = "pass"
+        self.port = 0
+        self._rng = rng
         self._writers = set()
         self._server = None
-        self.port = 0
 
     async def start(self):
         self._server = await asyncio.start_server(
@@ -24,17 +30,17 @@
     def reset(self):
         """Resets every open connection."""
         for writer in list(self._writers):
-            writer.transport.abort()
+            http11.reset(writer)
 
     async def _serve(self, reader, writer):
         if self.mode == "refuse":
-            writer.transport.abort()
+            http11.reset(writer)
             return
         try:
             out_reader, out_writer = await asyncio.open_connection(
                 "127.0.0.1", self.target)
         except OSError:
-            writer.transport.abort()
+            http11.reset(writer)
             return
         self._writers |= {writer, out_writer}
         await asyncio.gather(
@@ -46,11 +52,14 @@
         try:
             while data := await reader.read(65536):
                 if self.mode == "delay":
-                    await asyncio.sleep(0.15)
+                    await asyncio.sleep(DELAY_SECONDS)
                 while self.mode in silent_modes:
                     await asyncio.sleep(0.02)
-                writer.write(data)
+                if self.mode == "pieces":
+                    await http11.send_cut(writer, data, self._rng)
+                else:
+                    writer.write(data)
                 await writer.drain()
             writer.close()
         except (ConnectionError, OSError, asyncio.CancelledError):
-            writer.transport.abort()
+            http11.reset(writer)
--- a/meta/soak_parts/stand_ins.py
+++ b/meta/soak_parts/stand_ins.py
@@ -1,4 +1,4 @@
-"""The platform's store and a model's engine, as an entry host sees them."""
+"""Services on one port, and the platform's store as a host sees it."""
 
 import asyncio
 import base64
@@ -27,7 +27,7 @@
         """Ends like a crash: every connection is reset."""
         self._server.close()
         for writer in list(self._writers):
-            writer.transport.abort()
+            http11.reset(writer)
 
     async def _serve(self, reader, writer):
         self._writers.add(writer)
@@ -59,6 +59,9 @@
         self.loses_answers = False
 
     def put(self, topic, key, value):
+        """Appends a record; without a value, the key is dropped."""
+        if isinstance(value, str):
+            value = value.encode()
         self.topics.setdefault(topic, []).append((key, value))
 
     async def respond(self, method, target, fields, body, writer):
@@ -75,8 +78,7 @@
             answer = self._newest(topic)
         elif url.path == "/api/log-append":
             size = body[4]
-            self.put(topic, body[5:5 + size].decode(),
-                     body[5 + size:].decode())
+            self.put(topic, body[5:5 + size].decode(), body[5 + size:])
             answer = b"{}"
         else:
             writer.write(http11.answer(404))
@@ -95,93 +97,14 @@
             await asyncio.sleep(0.01)
         answer = struct.pack(">QQ", len(records), 0)
         for key, value in records[start:]:
-            data = bytes([len(key)]) + key.encode() + (value or "").encode()
+            data = bytes([len(key)]) + key.encode() + (value or b"")
             answer += struct.pack(">I", len(data)) + data
         return answer
 
     def _newest(self, topic):
         records = self.topics.get(topic, [])
         items = [{"key": key, "offset": 0,
-                  "value": base64.b64encode(value.encode()).decode()}
+                  "value": base64.b64encode(value).decode()}
                  for key, value in dict(records).items() if value]
         return json.dumps({"items": items, "more": False,
                            "end": len(records)}).encode()
-
-
-class Run:
-    """One generation: its events are numbered and name their request."""
-
-    def __init__(self, attempt, events):
-        self.attempt = attempt
-        self.events = events
-        self.made = 0
-        self.stopped = False
-
-
-class Engine(Service):
-    """A server of the model: whole answers, streams and copies of runs."""
-
-    def __init__(self, name, ledger, clock):
-        super().__init__()
-        self.name = name
-        self.ledger = ledger
-        self.clock = clock
-        self.left_at = None
-        self.runs = {}
-
-    async def respond(self, method, target, fields, body, writer):
-        if target == "/api/report":
-            state = "draining" if self.left_at else "ready"
-            writer.write(http11.answer(
-                200, json.dumps({"state": state}).encode()))
-        elif target == "/api/kv-move":
-            self._copy(json.loads(body), writer)
-        elif target.startswith("/api/"):
-            writer.write(http11.answer(200, b"{}"))
-        elif fields.get("x-godwitworks-expect-replica") != self.name:
-            writer.write(http11.answer(421))
-        else:
-            await self._run(target, fields, writer)
-
-    def _copy(self, order, writer):
-        run = self.runs.get(order["id"])
-        if run is None:
-            writer.write(http11.answer(404))
-            return
-        handle = f"c{run.made}"
-        run.stopped = run.stopped or order.get("last", False)
-        writer.write(http11.answer(200, json.dumps(
-            {"handle": handle, "create_rev": run.made}).encode()))
-
-    async def _run(self, target, fields, writer):
-        attempt = fields["x-godwitworks-attempt-id"]
-        signed = {"X-Godwitworks-Attempt-Id": attempt,
-                  "X-Godwitworks-Replica-Signature": self.name}
-        resumed = "kv-from" in fields
-        self.ledger.arrived(self, attempt, target, resumed, self.clock())
-        if not target.startswith("/stream/"):
-            await asyncio.sleep(0.02)
-            writer.write(http11.answer(
-                200, f"answer to {attempt}".encode(), signed))
-            return
-        run = Run(attempt, int(fields["x-godwitworks-token-usage"]
-                               .partition(",")[2]))
-        run.made = int(fields.get("last-event-id", 0)) if resumed else 0
-        if resumed:
-            self.ledger.resumed(attempt)
-        self.ledger.streams[attempt] = run
-        self.runs[attempt] = run
-        writer.write(http11.head("HTTP/1.1 200 OK", {
-            **signed, "Transfer-Encoding": "chunked"}))
-        while run.made < run.events:
-            await asyncio.sleep(0.02)
-            run.stopped = run.stopped or writer.transport.is_closing()
-            if run.stopped:
-                writer.transport.abort()
-                return
-            run.made += 1
-            writer.write(http11.chunk(
-                f"id: {run.made}\ndata: {attempt}\n\n".encode()))
-            await writer.drain()
-        del self.runs[attempt]
-        writer.write(http11.chunk(b""))
--- /dev/null
+++ b/meta/soak_parts/table.py
@@ -0,0 +1,49 @@
+"""Versions of the operator's route table."""
+
+import json
+
+_KINDS = {"plain": "non_idempotent", "again": "idempotent",
+          "stream": "streaming"}
+
+
+def _route(name, prefix, kind):
+    return {"name": name, "host": "soak.example", "path_prefix": prefix,
+            "kind": kind, "timeout_ms": 9000, "target_latency_ms": 1000,
+            "max_attempts": 2 if kind == "idempotent" else 1,
+            "priority": 1, "service": "lm", "gap_aim_ms": 180}
+
+
+def first(version):
+    """The table of a quiet fleet."""
+    return {
+        "version": version,
+        "routes": [_route(name, f"/{name}/", kind)
+                   for name, kind in _KINDS.items()],
+        "services": [{"name": "lm", "engine": {
+            "slots": 24, "kv_cache_tokens": 30000, "moves": True}}],
+        "tenants": [{"name": "north", "api_keys": ["k1"]}]}
+
+
+def changed(version, rng):
+    """One that serves the same callers, and differs in the rest."""
+    table = first(version)
+    for number in range(rng.randint(0, 20)):
+        kind = rng.choice(sorted(_KINDS.values()))
+        table["routes"].append(
+            _route(f"more{number}", f"/more{number}/", kind))
+    rng.shuffle(table["routes"])
+    for route in table["routes"]:
+        route["priority"] = rng.randint(0, 3)
+    keys = [f"k{rng.randint(2, 99)}" for _ in range(rng.randint(0, 5))]
+    table["tenants"].append({"name": "south", "api_keys": keys})
+    table["limits"] = {
+        "max_header_bytes": rng.choice((4096, 16384, 65536)),
+        "max_body_bytes": rng.choice((65536, 1 << 20)),
+        "header_timeout_ms": rng.choice((2000, 10000)),
+        "idle_timeout_ms": rng.choice((30000, 60000))}
+    return table
+
+
+def encoded(table):
+    """A table as the store keeps it."""
+    return json.dumps(table)
--- a/meta/soak_parts/world.py
+++ b/meta/soak_parts/world.py
@@ -1,4 +1,4 @@
-"""The fleet, its surroundings and the plan of faults of one seed."""
+"""The fleet of one seed and its surroundings."""
 
 import asyncio
 import json
@@ -7,15 +7,20 @@
 import tempfile
 from pathlib import Path
 
+from soak_parts import entries, table
 from soak_parts.callers import Caller
+from soak_parts.engine import Engine, Trap
+from soak_parts.faults import Faults
 from soak_parts.host import Host
 from soak_parts.ledger import Ledger
 from soak_parts.relay import Relay
-from soak_parts.stand_ins import Engine, Store
+from soak_parts.stand_ins import Store
 
 # Without faults at the end: callers must be served again.
 RECOVERY_SECONDS = 4.0
-NOTICE_SECONDS = 1.8
+# An engine that started again this long before the end has been used.
+REUSE_SECONDS = 6.0
+RESTART_SECONDS = 0.3
 
 
 class World:
@@ -27,183 +32,139 @@
         self.rng = random.Random(seed)
         self.ledger = Ledger()
         self.store = Store()
+        self.trap = Trap(self.ledger)
         self.hosts = []
         self.engines = {}
         self.relays = []
         self.version = 0
-        self.sequence = 0
-        self.faults = 0
+        self.is_over = False
+        self._restarts = set()
 
     def clock(self):
         return asyncio.get_running_loop().time()
 
+    def random(self, name):
+        """A generator of its own for each part, whatever the others draw."""
+        return random.Random(f"{self.seed}/{name}")
+
     async def play(self):
         """The ledger of the seed, and how many faults were injected."""
+        faults = Faults(self)
         with tempfile.TemporaryDirectory() as folder:
             if self.arguments.logs:
                 folder = self.arguments.logs / str(self.seed)
                 folder.mkdir(parents=True, exist_ok=True)
             await self._start(Path(folder))
             try:
-                await self._run()
+                await self._run(faults)
             finally:
                 await self._stop()
-        return self.ledger, self.faults
+        return self.ledger, faults.count
 
     async def _start(self, folder):
         await self.store.start()
-        self.publish()
+        await self.trap.start()
+        self.publish(table.first)
         for number in range(self.arguments.engines):
-            await self.add_engine(number)
+            await self.add_engine(f"i-{number}")
         seeds = []
         for number in range(self.arguments.hosts):
-            relay = await Relay(self.store.port).start()
-            self.relays.append(relay)
+            relay = await self.add_relay(self.store.port)
             host = Host(f"h{number}", self.arguments.programs /
-                        "godwit-entry", folder, relay.port, seeds)
+                        "godwit-entry", folder, relay.port, seeds,
+                        self.host_ended)
             seeds = seeds or [host.neighbours]
             self.hosts.append(host)
             await host.start()
         for host in self.hosts:
-            while not await host.is_ready():
+            while host.life.is_running() and not await host.is_ready():
                 await asyncio.sleep(0.05)
 
-    async def _run(self):
+    async def _run(self, faults):
         end = self.clock() + self.arguments.seconds
         callers = [Caller(f"s{self.seed}c{number}",
                           self.hosts[number % len(self.hosts)], self.ledger,
-                          random.Random(self.seed * 1000 + number), "k1")
+                          self.random(f"caller {number}"), "k1")
                    for number in range(self.arguments.callers)]
         tasks = [asyncio.create_task(caller.run(self.clock))
                  for caller in callers]
-        await self._inject(end - RECOVERY_SECONDS)
+        await faults.inject(end - RECOVERY_SECONDS)
+        for caller in callers:
+            caller.is_steady = True
         quiet_from = self.clock() + RECOVERY_SECONDS / 2
         await asyncio.sleep(RECOVERY_SECONDS)
         for caller in callers:
             caller.is_done = True
         await asyncio.gather(*tasks)
+        self._check_recovery(callers, quiet_from)
+
+    def _check_recovery(self, callers, quiet_from):
         late = [good for caller in callers
                 for moment, good in caller.good if moment > quiet_from]
         self.ledger.check(
             "recovered", late and sum(late) >= 0.9 * len(late),
             f"{sum(late)} of {len(late)} served after the last fault")
         for host in self.hosts:
-            self.ledger.check("runs on", not host.died(), host.name)
-
-    async def _inject(self, end):
-        """Faults in series that overlap, until `end`."""
-        running = []
-        kinds = (self._relay_fault, self._relay_reset, self._store_fault,
-                 self._engine_leaves, self._engine_dies, self._host_pauses,
-                 self._host_killed, self._host_stops, self._change)
-        while self.clock() < end:
-            kind = self.rng.choice(kinds)
-            span = min(self.rng.uniform(0.3, 2.0), end - self.clock())
-            running.append(asyncio.create_task(kind(max(span, 0.1))))
-            self.faults += 1
-            await asyncio.sleep(self.rng.uniform(0.1, 0.9))
-        await asyncio.gather(*running)
-
-    async def _relay_fault(self, span):
-        relay = self.rng.choice(self.relays)
-        relay.mode = self.rng.choice(Relay.MODES)
-        await asyncio.sleep(span)
-        relay.mode = "pass"
-
-    async def _relay_reset(self, _):
-        self.rng.choice(self.relays).reset()
-
-    async def _store_fault(self, span):
-        what = self.rng.choice(("503", "429", "slow", "lost"))
-        if what.isdigit():
-            self.store.status = int(what)
-        self.store.delay = 0.3 if what == "slow" else 0.0
-        self.store.loses_answers = what == "lost"
-        await asyncio.sleep(span)
-        self.store.status, self.store.delay = 0, 0.0
-        self.store.loses_answers = False
-
-    async def _engine_leaves(self, _):
-        if len(self.engines) < 3:
-            return
-        name, engine = self.rng.choice(sorted(self.engines.items()))
-        del self.engines[name]
-        engine.left_at = self.clock()
-        self.list_engine(engine, "draining")
-        await asyncio.sleep(NOTICE_SECONDS)
-        engine.stop()
-        self.store.put("keyed.servers", name, None)
-        await self.add_engine(self.rng.randrange(10**6))
-
-    async def _engine_dies(self, _):
-        if len(self.engines) < 3:
-            return
-        name, engine = self.rng.choice(sorted(self.engines.items()))
-        del self.engines[name]
-        engine.stop()
-        await asyncio.sleep(0.5)
-        self.store.put("keyed.servers", name, None)
-        await self.add_engine(self.rng.randrange(10**6))
-
-    async def _host_pauses(self, span):
-        await self.rng.choice(self.hosts).pause(span)
-
-    async def _host_killed(self, span):
-        host = self.rng.choice(self.hosts)
-        if not host.expected_to_run:
-            return
-        await host.end(signal.SIGKILL)
-        await asyncio.sleep(span / 2)
-        await host.start()
-
-    async def _host_stops(self, _):
-        host = self.rng.choice(self.hosts)
-        if not host.expected_to_run:
+            self.ledger.check("runs on", host.life.is_running(), host.name)
+        for engine in self.engines.values():
+            is_due = (engine.began_again_at is not None and self.clock()
+                      - engine.began_again_at > REUSE_SECONDS)
+            self.ledger.check(
+                "used again", not is_due or engine.served_at is not None,
+                f"{engine.name}, which started again under its id")
+
+    def host_ended(self, host, life):
+        """A host ends only when it was told to."""
+        if self.is_over:
             return
-        code = await host.end(signal.SIGTERM)
-        self.ledger.check("stops with 0", code in (0, -signal.SIGKILL),
-                          f"{host.name} ended with {code}")
-        await host.start()
-
-    async def _change(self, _):
-        self.publish()
+        self.ledger.check(
+            "ends only when told to", life.ended_as_told(),
+            f"{host.name} ended with {life.process.returncode}, told "
+            f"{sorted(life.told)}, seed {self.seed}: {host.last_lines()}")
+        if not host.is_ending:
+            task = asyncio.create_task(self._restart(host))
+            self._restarts.add(task)
+            task.add_done_callback(self._restarts.discard)
+
+    async def _restart(self, host):
+        await asyncio.sleep(RESTART_SECONDS)
+        if not (self.is_over or host.is_ending or host.life.is_running()):
+            await host.start()
 
-    def publish(self):
+    def publish(self, make):
         """A further version of the route table."""
         self.version += self.rng.randint(1, 3)
-        kinds = {"plain": "non_idempotent", "again": "idempotent",
-                 "stream": "streaming"}
-        routes = [{"name": name, "host": "soak.example",
-                   "path_prefix": f"/{name}/", "kind": kind,
-                   "timeout_ms": 9000, "target_latency_ms": 1000,
-                   "max_attempts": 2 if name == "again" else 1,
-                   "priority": 1, "service": "lm", "gap_aim_ms": 180}
-                  for name, kind in kinds.items()]
-        self.store.put("keyed.op", "config", json.dumps({
-            "version": self.version, "routes": routes,
-            "services": [{"name": "lm", "engine": {
-                "slots": 24, "kv_cache_tokens": 30000, "moves": True}}],
-            "tenants": [{"name": "north", "api_keys": ["k1"]}]}))
+        self.store.put("keyed.op", "config",
+                       table.encoded(make(self.version)))
 
     def list_engine(self, engine, state):
-        self.sequence += 1
-        self.store.put("keyed.servers", engine.name, json.dumps({
-            "service": "lm", "address": f"127.0.0.1:{engine.listed_port}",
-            "zone": "east", "slots": 24, "state": state,
-            "sequence": self.sequence}))
-
-    async def add_engine(self, number):
-        engine = Engine(f"i-{number}", self.ledger, self.clock)
-        await engine.start()
-        relay = await Relay(engine.port).start()
+        engine.sequence += 1
+        self.store.put("keyed.servers", engine.name,
+                       json.dumps(entries.entry(engine, state)))
+
+    async def add_relay(self, target):
+        name = f"relay {len(self.relays)}"
+        relay = await Relay(target, self.random(name)).start()
         self.relays.append(relay)
-        engine.listed_port = relay.port
-        self.engines[engine.name] = engine
+        return relay
+
+    async def add_engine(self, name, relay=None):
+        """An engine, at the port of `relay` or at a new one."""
+        engine = Engine(name, self.ledger, self.clock,
+                        self.random(f"engine {name}"))
+        await engine.start()
+        if relay is None:
+            relay = await self.add_relay(engine.port)
+        relay.target = engine.port
+        engine.relay = relay
+        self.engines[name] = engine
         self.list_engine(engine, "ready")
+        return engine
 
     async def _stop(self):
+        self.is_over = True
         for host in self.hosts:
-            if host.process and host.process.returncode is None:
+            if host.life.is_running():
                 host.send(signal.SIGCONT)
                 await host.end(signal.SIGKILL)
             host.log.close()
