tests: the six streams keep their connections

The test let go of its writers, so their connections closed by themselves and the six streams would have ended on any code. Kept now; on the code before the mend the streams get 4 or 5 of their 50 events each, then end.

--- a/meta/entry_pieces_test.py
+++ b/meta/entry_pieces_test.py
@@ -48,7 +48,10 @@
         streams = [await self.begin_stream(host, number)
                    for number in range(OTHERS)]
         status = await self.send_empty_body_in_pieces(host)
-        events = [await self.count_events(reader) for reader in streams]
+        events = [await self.count_events(reader)
+                  for reader, _ in streams]
+        for _, writer in streams:
+            writer.close()
         self.assertEqual([50] * OTHERS, events)
         self.assertIn("200", status)
 
@@ -62,7 +65,7 @@
             "Authorization": "Bearer k1", "Content-Length": 0}))
         line, _ = await http11.read_head(reader)
         self.assertIn("200", line)
-        return reader
+        return reader, writer
 
     async def send_empty_body_in_pieces(self, host):
         """The first line of the answer; empty if there was none."""
@@ -78,7 +81,8 @@
         try:
             line, _ = await http11.read_head(reader)
         except http11.Broken:
-            return ""
+            line = ""
+        writer.close()
         return line
 
     async def count_events(self, reader):
