--- /dev/null
+++ b/libraries/telemetry/src/last_words.cpp
@@ -0,0 +1,79 @@
+#include <godwit/telemetry/last_words.hpp>
+
+#include <godwit/telemetry/log.hpp>
+
+#include <unistd.h>
+
+#include <array>
+#include <csignal>
+#include <cstdlib>
+#include <exception>
+#include <string>
+#include <string_view>
+
+namespace godwit::telemetry {
+
+namespace {
+
+constexpr std::array fatal_signals{SIGABRT, SIGSEGV, SIGBUS, SIGFPE, SIGILL};
+
+// The line's beginning, made ahead: a signal handler may not allocate.
+std::string beginning; // NOLINT(cert-err58-cpp)
+
+void write_all(std::string_view text)
+{
+    // There is nobody to tell about a failure of the last words.
+    [[maybe_unused]] const auto written =
+        ::write(STDOUT_FILENO, text.data(), text.size());
+}
+
+extern "C" void say_signal(int number)
+{
+    constexpr int base = 10;
+    const std::array digits{
+        static_cast<char>('0' + number / base),
+        static_cast<char>('0' + number % base),
+        '\n'};
+    write_all(beginning);
+    write_all(std::string_view(digits.data(), digits.size()));
+    // Ends as it would have without this handler, with the signal's status.
+    std::signal(number, SIG_DFL);
+    std::raise(number);
+}
+
+std::string describe_exception()
+{
+    const auto pending = std::current_exception();
+    if (!pending)
+        return "terminated without an exception";
+    try {
+        std::rethrow_exception(pending);
+    } catch (const std::exception& thrown) {
+        return thrown.what();
+    } catch (...) {
+        return "an exception of an unknown type";
+    }
+}
+
+[[noreturn]] void say_exception()
+{
+    log_event(
+        log_level::error,
+        "process",
+        "uncaught",
+        {{"cause", describe_exception()}});
+    std::abort();
+}
+
+} // namespace
+
+void say_last_words(const core::host_name& host, const core::zone_name& zone)
+{
+    beginning = "level=ERROR component=process host=" + host.value() +
+                " zone=" + zone.value() + " event=fatal signal=";
+    for (const int number : fatal_signals)
+        std::signal(number, &say_signal);
+    std::set_terminate(&say_exception);
+}
+
+} // namespace godwit::telemetry
