http: one peer's bytes, or one handler's fault, cost one connection

Cause: an empty chunked body whose last chunk comes in pieces ("0\r\n", then one byte) meets an assertion of Beast's parser, in requests and in answers. Assertions are on in release builds, so any caller or backend server could end the process, with every request that others had under way.

The class is a fault of one peer, or at one connection, that ends all. Our own four assertions on the order of answers are results now. Exceptions at a connection and in the watch over its caller end that connection and are logged (connection_fault); those of handlers were swallowed without a line. The watch asked for more than its buffer can have when the limits had grown since the connection began: it vanished, and the connection waited for its end for ever. An answer that claims a length beyond 64 MB is refused before memory is reserved for it.

Sight: whole calls log caller_left as streams do, with the cause.

Ruled out: keeping the assertions with a handler that throws: an empty body in pieces is a legal request and would still fail.

--- a/cmake/GodwitOptions.cmake
+++ b/cmake/GodwitOptions.cmake
@@ -6,6 +6,10 @@
 # Assertions stay on in a release: a state that cannot be is worth an end.
 # -O3 made the build slower and set off false positives in g++ 12.
 set(CMAKE_CXX_FLAGS_RELEASE "-O2")
+# Boost's own are off, as in its releases: its HTTP parser asserts on what a
+# peer sent, and one peer's bytes would end the process with the requests of
+# all others.
+add_compile_definitions(BOOST_DISABLE_ASSERTS)
 
 add_compile_options(-Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor
                     -Werror)
--- a/libraries/http/include/godwit/http/exchange.hpp
+++ b/libraries/http/include/godwit/http/exchange.hpp
@@ -62,6 +62,9 @@
     /// Whether the caller closed or reset its connection.
     [[nodiscard]] bool is_caller_gone() const noexcept;
 
+    /// How the caller's connection ended; empty while it is open.
+    [[nodiscard]] const std::string& gone_cause() const noexcept;
+
     /// Returns when the caller is gone; can be cancelled, and used beside
     /// other awaitables.
     boost::asio::awaitable<void> caller_gone();
--- a/libraries/http/include/godwit/http/server_settings.hpp
+++ b/libraries/http/include/godwit/http/server_settings.hpp
@@ -6,6 +6,7 @@
 #include <godwit/http/server_limits.hpp>
 
 #include <functional>
+#include <string_view>
 
 namespace godwit::http {
 
@@ -14,12 +15,19 @@
 /// on any thread of the io_context.
 using rejection_responder = std::function<response(const rejection&)>;
 
+/// Is told of a fault at the connection of `peer`: an exception, or a handler
+/// that answers out of turn. That connection ends; the others go on. It is
+/// called on any thread of the io_context.
+using fault_observer =
+    std::function<void(std::string_view peer, std::string_view fault)>;
+
 /// Where and how a server listens.
 struct server_settings
 {
     endpoint address; ///< Port 0 lets the operating system choose.
     server_limits limits;
     rejection_responder on_rejection; ///< Plain text when empty.
+    fault_observer on_fault = {};     ///< Nobody is told when empty.
 };
 
 } // namespace godwit::http
--- a/libraries/http/src/client_stream.cpp
+++ b/libraries/http/src/client_stream.cpp
@@ -32,6 +32,9 @@
 constexpr std::uint32_t head_limit = 64 * 1024;
 constexpr std::size_t read_size = std::size_t{16} * 1024;
 constexpr std::size_t buffer_limit = std::size_t{128} * 1024;
+// The parser reserves memory for the length that a head claims. Ten times
+// what the longest generation or the store's largest page has.
+constexpr std::uint64_t body_limit = std::uint64_t{64} * 1024 * 1024;
 
 client_error failed(
     const error_code& failure,
@@ -189,7 +192,7 @@
     while (!failure && is_interim) {
         held.parser.emplace();
         held.parser->header_limit(head_limit);
-        held.parser->body_limit(boost::none);
+        held.parser->body_limit(body_limit);
         co_await beast_http::async_read_header(
             held.socket,
             held.buffer,
--- a/libraries/http/src/connection.cpp
+++ b/libraries/http/src/connection.cpp
@@ -15,7 +15,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cassert>
 #include <chrono>
 #include <exception>
 #include <utility>
@@ -86,11 +85,23 @@
     asio::co_spawn(
         executor_,
         [kept = shared_from_this(), verdict]() -> asio::awaitable<void> {
-            co_await kept->run(verdict);
+            co_await kept->run_guarded(verdict);
         },
         asio::detached);
 }
 
+// What goes wrong with one caller's bytes costs that caller only.
+asio::awaitable<void> connection::run_guarded(admission verdict)
+{
+    try {
+        co_await run(verdict);
+    } catch (const std::exception& fault) {
+        server_->report_fault(peer_, fault.what());
+    }
+    is_watching_ = false;
+    close_socket();
+}
+
 void connection::close()
 {
     asio::post(
@@ -303,7 +314,7 @@
     asio::co_spawn(
         executor_,
         [kept = shared_from_this()]() -> asio::awaitable<void> {
-            co_await kept->watch_caller();
+            co_await kept->watch_caller_guarded();
         },
         asio::detached);
 
@@ -325,13 +336,26 @@
     try {
         co_await server_->handler()(current);
         co_return true;
-    } catch (const std::exception&) {
+    } catch (const std::exception& fault) {
         // The handler is another's code; its fault costs this exchange only
         // and shows as 500 or as a truncated answer.
+        server_->report_fault(peer_, fault.what());
         co_return false;
     }
 }
 
+// However the watch ends, whoever waits for its end is woken.
+asio::awaitable<void> connection::watch_caller_guarded()
+{
+    try {
+        co_await watch_caller();
+    } catch (const std::exception& fault) {
+        server_->report_fault(peer_, fault.what());
+    }
+    watch_ended_ = true;
+    watch_ended_signal_.cancel();
+}
+
 asio::awaitable<void> connection::watch_caller()
 {
     while (is_watching_) {
@@ -342,21 +366,19 @@
         if (!is_watching_)
             break;
         if (failure) {
-            caller_left();
+            caller_left(failure);
             break;
         }
         if (!take_early_bytes())
             break;
     }
-    watch_ended_ = true;
-    watch_ended_signal_.cancel();
 }
 
 // Bytes of a next request wait in the buffer, up to its bound; beyond that
 // the end of the connection is not noticed before they are read.
 bool connection::take_early_bytes()
 {
-    if (buffer_.size() >= server_->limits().header_bytes)
+    if (buffer_.max_size() - buffer_.size() < read_size)
         return false;
     error_code failure;
     const auto space = buffer_.prepare(read_size);
@@ -364,15 +386,16 @@
     buffer_.commit(count);
     if (!failure || failure == asio::error::would_block)
         return true;
-    caller_left();
+    caller_left(failure);
     return false;
 }
 
-void connection::caller_left()
+void connection::caller_left(const error_code& cause)
 {
     if (caller_gone_)
         return;
     caller_gone_ = true;
+    gone_cause_ = cause.message();
     keeps_alive_ = false;
     caller_gone_signal_.cancel();
     if (const auto notify = std::exchange(notify_caller_gone_, nullptr))
@@ -424,9 +447,24 @@
         notify();
 }
 
+// A handler that answers out of turn is at fault; the requests of others are
+// not worth its end, so this is no assertion.
+core::result<void> connection::check_turn(answer_phase needed)
+{
+    if (phase_ == needed)
+        return {};
+    server_->report_fault(peer_, "an answer out of turn");
+    return core::fail(
+        core::error_kind::conflict,
+        "an answer out of turn to " + peer_,
+        "answer each request once, and end a stream once");
+}
+
 asio::awaitable<core::result<void>> connection::respond(response answer)
 {
-    assert(phase_ == answer_phase::none);
+    const auto in_turn = check_turn(answer_phase::none);
+    if (!in_turn)
+        co_return in_turn;
     phase_ = answer_phase::streaming;
     if (server_->closes_connections())
         keeps_alive_ = false;
@@ -446,7 +484,9 @@
 asio::awaitable<core::result<void>>
 connection::start_stream(unsigned status, header_fields fields)
 {
-    assert(phase_ == answer_phase::none);
+    const auto in_turn = check_turn(answer_phase::none);
+    if (!in_turn)
+        co_return in_turn;
     phase_ = answer_phase::streaming;
     // HTTP/1.0 knows no chunks: the end of the connection ends the body.
     if (server_->closes_connections() || !takes_chunks_)
@@ -460,7 +500,9 @@
 
 asio::awaitable<core::result<void>> connection::write_chunk(std::string data)
 {
-    assert(phase_ == answer_phase::streaming);
+    const auto in_turn = check_turn(answer_phase::streaming);
+    if (!in_turn)
+        co_return in_turn;
     if (data.empty() || omits_body_)
         co_return core::result<void>();
     std::string bytes = takes_chunks_ ? format_chunk(data) : std::move(data);
@@ -469,7 +511,9 @@
 
 asio::awaitable<core::result<void>> connection::finish_stream()
 {
-    assert(phase_ == answer_phase::streaming);
+    const auto in_turn = check_turn(answer_phase::streaming);
+    if (!in_turn)
+        co_return in_turn;
     core::result<void> sent;
     if (takes_chunks_ && !omits_body_) {
         std::string bytes(last_chunk);
@@ -495,7 +539,7 @@
         co_return core::result<void>();
     const bool expired = guard.has_expired();
     close_socket();
-    caller_left();
+    caller_left(failure);
     if (expired)
         co_return core::fail(
             core::error_kind::timeout,
--- a/libraries/http/src/connection.hpp
+++ b/libraries/http/src/connection.hpp
@@ -71,6 +71,11 @@
 
     [[nodiscard]] bool is_caller_gone() const noexcept { return caller_gone_; }
 
+    [[nodiscard]] const std::string& gone_cause() const noexcept
+    {
+        return gone_cause_;
+    }
+
     boost::asio::awaitable<void> wait_until_caller_gone();
     void on_caller_gone(std::function<void()> notify);
 
@@ -85,6 +90,7 @@
         finished,
     };
 
+    boost::asio::awaitable<void> run_guarded(admission verdict);
     boost::asio::awaitable<void> run(admission verdict);
     boost::asio::awaitable<bool> wait_for_first_byte();
     boost::asio::awaitable<std::optional<request>> read_request();
@@ -96,13 +102,15 @@
     boost::asio::awaitable<void> discard_rest();
     boost::asio::awaitable<void> serve(request received);
     boost::asio::awaitable<bool> run_handler(exchange& current);
+    boost::asio::awaitable<void> watch_caller_guarded();
     boost::asio::awaitable<void> watch_caller();
     boost::asio::awaitable<void> stop_watching();
     boost::asio::awaitable<core::result<void>> write_all(std::string bytes);
+    [[nodiscard]] core::result<void> check_turn(answer_phase needed);
     [[nodiscard]] bool take_early_bytes();
     [[nodiscard]] bool has_unread_bytes() const;
     void close_unless_used_soon();
-    void caller_left();
+    void caller_left(const boost::system::error_code& cause);
     void close_socket();
 
     boost::asio::ip::tcp::socket socket_;
@@ -117,6 +125,7 @@
     bool omits_body_ = false;
     answer_phase phase_ = answer_phase::none;
     bool caller_gone_ = false;
+    std::string gone_cause_;
     bool is_cut_ = false;
     bool is_watching_ = false;
     bool watch_ended_ = true;
--- a/libraries/http/src/exchange.cpp
+++ b/libraries/http/src/exchange.cpp
@@ -58,6 +58,11 @@
     return owner_.is_caller_gone();
 }
 
+const std::string& exchange::gone_cause() const noexcept
+{
+    return owner_.gone_cause();
+}
+
 asio::awaitable<void> exchange::caller_gone()
 {
     return owner_.wait_until_caller_gone();
--- a/libraries/http/src/server_state.cpp
+++ b/libraries/http/src/server_state.cpp
@@ -197,4 +197,11 @@
     return answer;
 }
 
+void server_state::report_fault(
+    std::string_view peer, std::string_view fault) const
+{
+    if (settings_.on_fault)
+        settings_.on_fault(peer, fault);
+}
+
 } // namespace godwit::http
--- a/libraries/http/src/server_state.hpp
+++ b/libraries/http/src/server_state.hpp
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <memory>
 #include <mutex>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -80,6 +81,9 @@
     /// The answer to a rejection in the shape that the settings choose.
     [[nodiscard]] response answer_to(const rejection& refused) const;
 
+    /// Tells the owner of a fault at the connection of `peer`.
+    void report_fault(std::string_view peer, std::string_view fault) const;
+
 private:
     boost::asio::awaitable<void> accept_loop();
     void admit(boost::asio::ip::tcp::socket socket);
--- a/services/agent/src/operators_interface.cpp
+++ b/services/agent/src/operators_interface.cpp
@@ -1,5 +1,6 @@
 #include "operators_interface.hpp"
 
+#include <godwit/telemetry/log_connection_fault.hpp>
 #include <godwit/telemetry/metrics.hpp>
 
 #include <utility>
@@ -54,7 +55,10 @@
     limits.connections = connection_limit;
     auto server = GODWIT_TRY(http::server::create(
         context,
-        {.address = std::move(address), .limits = limits, .on_rejection = {}},
+        {.address = std::move(address),
+         .limits = limits,
+         .on_rejection = {},
+         .on_fault = &telemetry::log_connection_fault},
         [answers = std::move(answers)](
             http::exchange& exchange) -> boost::asio::awaitable<void> {
             // A caller that is gone needs no answer.
--- a/services/entry/include/godwit/entry/call_log.hpp
+++ b/services/entry/include/godwit/entry/call_log.hpp
@@ -49,8 +49,8 @@
     std::string_view cause,
     std::uint64_t last_event);
 
-/// The caller of a stream closed its connection. `server` is empty while the
-/// request waited for one.
+/// The caller closed its connection before it had the whole answer. `server`
+/// is empty while the request waited for one, `last_event` 0 before a first.
 void log_caller_left(
     const accepted_call& call,
     std::string_view server,
--- a/services/entry/src/call_log.cpp
+++ b/services/entry/src/call_log.cpp
@@ -128,6 +128,7 @@
          {"route", call.via.name},
          {"server", server},
          {"last_event", last_event},
+         {"cause", call.caller.gone_cause()},
          {"left_ms", milliseconds(call.ends - now)},
          {"age_ms", milliseconds(now - call.arrived)}});
 }
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -1,6 +1,7 @@
 #include <godwit/entry/entry_process.hpp>
 
 #include <godwit/telemetry/log.hpp>
+#include <godwit/telemetry/log_connection_fault.hpp>
 
 #include <algorithm>
 #include <chrono>
@@ -10,6 +11,7 @@
 namespace godwit::entry {
 
 namespace asio = boost::asio;
+using telemetry::log_connection_fault;
 using telemetry::log_event;
 using telemetry::log_level;
 
@@ -78,7 +80,8 @@
         .address = context_.settings.callers,
         .limits = caller_limits(
             routing::caller_limits(), context_.settings.caller_connections),
-        .on_rejection = &make_rejection_answer};
+        .on_rejection = &make_rejection_answer,
+        .on_fault = &log_connection_fault};
     callers_ = GODWIT_TRY(http::server::create(
         io_,
         std::move(callers),
@@ -87,13 +90,15 @@
         }));
     readiness_ = GODWIT_TRY(http::server::create(
         io_,
-        http::server_settings{context_.settings.readiness, {}, {}},
+        http::server_settings{
+            context_.settings.readiness, {}, {}, &log_connection_fault},
         [this](http::exchange& asked) -> asio::awaitable<void> {
             co_await answer_readiness(asked);
         }));
     operators_ = GODWIT_TRY(http::server::create(
         io_,
-        http::server_settings{context_.settings.operators, {}, {}},
+        http::server_settings{
+            context_.settings.operators, {}, {}, &log_connection_fault},
         [this](http::exchange& asked) -> asio::awaitable<void> {
             co_await answer_operator(asked);
         }));
--- a/services/entry/src/whole_call.cpp
+++ b/services/entry/src/whole_call.cpp
@@ -85,6 +85,9 @@
 {
     metrics_.finished(core::outcome::interrupted, core::monotonic_now());
     caller_gone_ = true;
+    const std::string server =
+        active_ ? active_->server().id.value() : std::string();
+    log_caller_left(call_, server, 0);
     if (waiting_ != nullptr)
         waiting_->cancel();
     if (active_)
--- a/services/proxy/proxy_process.cpp
+++ b/services/proxy/proxy_process.cpp
@@ -5,6 +5,7 @@
 #include <godwit/core/hash.hpp>
 #include <godwit/http/endpoint.hpp>
 #include <godwit/telemetry/log.hpp>
+#include <godwit/telemetry/log_connection_fault.hpp>
 #include <godwit/wire/protocol.hpp>
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -110,7 +111,10 @@
 core::result<void> proxy_process::listen_to_peers()
 {
     http::server_settings peers{
-        GODWIT_TRY(endpoint_of(settings_.peers_address)), {}, {}};
+        GODWIT_TRY(endpoint_of(settings_.peers_address)),
+        {},
+        {},
+        &telemetry::log_connection_fault};
     peers_ = GODWIT_TRY(http::server::create(
         traffic_context_, std::move(peers), [this](http::exchange& with) {
             return peers_service_->serve(with);
@@ -150,13 +154,17 @@
         settings_.http_limits,
         [this](const http::rejection& why) {
             return callers_service_->refuse(why);
-        }};
+        },
+        &telemetry::log_connection_fault};
     callers_ = GODWIT_TRY(http::server::create(
         traffic_context_, std::move(callers), [this](http::exchange& with) {
             return callers_service_->serve(with);
         }));
     http::server_settings operators{
-        GODWIT_TRY(endpoint_of(settings_.operators_address)), {}, {}};
+        GODWIT_TRY(endpoint_of(settings_.operators_address)),
+        {},
+        {},
+        &telemetry::log_connection_fault};
     operators_ = GODWIT_TRY(http::server::create(
         traffic_context_, std::move(operators), [this](http::exchange& with) {
             return operators_service_->serve(with);
--- /dev/null
+++ b/tests/http/fault_test.cpp
@@ -0,0 +1,137 @@
+#include "server_harness.hpp"
+
+#include <godwit/http/server.hpp>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+// What goes wrong at one connection costs that connection: it is told to the
+// server's owner, and the others are served on. Answers out of turn used to
+// meet an assertion, which ended the process.
+
+namespace {
+
+namespace asio = boost::asio;
+using namespace godwit::http;
+using godwit::http::test::raw_caller;
+using godwit::http::test::server_harness;
+
+constexpr const char* get = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+constexpr const char* last_get =
+    "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+
+asio::awaitable<void> answer_with(exchange& current, std::string body)
+{
+    response answer;
+    answer.body = std::move(body);
+    [[maybe_unused]] const auto sent =
+        co_await current.respond(std::move(answer));
+}
+
+asio::awaitable<void> answer_twice(exchange& current)
+{
+    co_await answer_with(current, "first");
+    co_await answer_with(current, "second");
+}
+
+asio::awaitable<void> write_without_a_stream(exchange& current)
+{
+    [[maybe_unused]] const auto written = co_await current.write_chunk("piece");
+    [[maybe_unused]] const auto ended = co_await current.finish_stream();
+    co_await answer_with(current, "whole");
+}
+
+asio::awaitable<void> throw_a_fault(exchange& /*current*/)
+{
+    throw std::runtime_error("a fault");
+    co_return;
+}
+
+/// Answers after a while, so that the caller's next bytes come meanwhile.
+asio::awaitable<void> answer_late(exchange& current)
+{
+    asio::steady_timer timer(
+        current.executor(), std::chrono::milliseconds(200));
+    co_await timer.async_wait(asio::use_awaitable);
+    co_await answer_with(
+        current, "got:" + std::to_string(current.received().body.size()) + ";");
+}
+
+class fault_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(fault_test);
+    CPPUNIT_TEST(test_a_second_answer_is_not_sent);
+    CPPUNIT_TEST(test_a_piece_of_no_stream_is_not_sent);
+    CPPUNIT_TEST(test_an_exception_is_told);
+    CPPUNIT_TEST(test_limits_that_grow_do_not_stop_a_connection);
+    CPPUNIT_TEST_SUITE_END();
+
+    void test_a_second_answer_is_not_sent()
+    {
+        server_harness harness({}, &answer_twice);
+        const raw_caller caller(harness.target().address());
+        caller.send(std::string(get) + last_get);
+        const std::string answers = caller.read_all();
+        CPPUNIT_ASSERT_EQUAL(std::string::npos, answers.find("second"));
+        CPPUNIT_ASSERT(answers.find("first") < answers.rfind("first"));
+        const std::vector<std::string> expected(2, "an answer out of turn");
+        CPPUNIT_ASSERT(expected == harness.faults());
+    }
+
+    void test_a_piece_of_no_stream_is_not_sent()
+    {
+        server_harness harness({}, &write_without_a_stream);
+        const raw_caller caller(harness.target().address());
+        caller.send(last_get);
+        const std::string answer = caller.read_all();
+        CPPUNIT_ASSERT_EQUAL(std::string::npos, answer.find("piece"));
+        CPPUNIT_ASSERT(answer.ends_with("whole"));
+        const std::vector<std::string> expected(2, "an answer out of turn");
+        CPPUNIT_ASSERT(expected == harness.faults());
+    }
+
+    void test_an_exception_is_told()
+    {
+        server_harness harness({}, &throw_a_fault);
+        const raw_caller caller(harness.target().address());
+        caller.send(last_get);
+        CPPUNIT_ASSERT(caller.read_all().starts_with("HTTP/1.1 500"));
+        CPPUNIT_ASSERT(std::vector<std::string>{"a fault"} == harness.faults());
+    }
+
+    // A connection's buffer has its size from the limits at its start. Limits
+    // that grew meanwhile made the watch over the caller ask for more than
+    // the buffer can have; the watch vanished, and the connection waited for
+    // its end for ever.
+    void test_limits_that_grow_do_not_stop_a_connection()
+    {
+        constexpr std::size_t large = 40000;
+        server_limits limits;
+        limits.header_bytes = 1024;
+        server_harness harness(limits, &answer_late);
+        const raw_caller caller(harness.target().address());
+        caller.send(get);
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        limits.header_bytes = 16 * 1024;
+        harness.target().set_limits(limits);
+        caller.send(
+            "POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+            "Content-Length: " +
+            std::to_string(large) + "\r\n\r\n" + std::string(large, 'x'));
+        const std::string answers = caller.read_all();
+        CPPUNIT_ASSERT(answers.find("got:0;") != std::string::npos);
+        CPPUNIT_ASSERT(answers.ends_with("got:40000;"));
+        CPPUNIT_ASSERT(harness.faults().empty());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(fault_test);
+
+} // namespace
--- a/tests/http/pieces_test.cpp
+++ b/tests/http/pieces_test.cpp
@@ -89,6 +89,7 @@
     CPPUNIT_TEST(test_request_with_a_trailer);
     CPPUNIT_TEST(test_answer_without_a_byte);
     CPPUNIT_TEST(test_answer_byte_by_byte);
+    CPPUNIT_TEST(test_answer_that_claims_more_than_memory);
     CPPUNIT_TEST_SUITE_END();
 
     static asio::awaitable<void> echo(exchange& current)
@@ -148,6 +149,23 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), answer->body);
     }
 
+    // Memory is reserved for the length that an answer claims. A claim beyond
+    // all memory was an exception, also where nobody catches one.
+    void test_answer_that_claims_more_than_memory()
+    {
+        const answering_in_pieces server(
+            {"HTTP/1.1 200 OK\r\nContent-Length: 9000000000000000000\r\n\r\n",
+             "abc"});
+        asio::io_context context(1);
+        auto result = asio::co_spawn(
+            context,
+            fetch(server.address(), request(), {.deadline = seconds(5)}),
+            asio::use_future);
+        context.run();
+        const auto answer = result.get();
+        CPPUNIT_ASSERT(!answer.has_value());
+    }
+
     void test_answer_byte_by_byte()
     {
         pieces body;
--- a/tests/http/server_harness.cpp
+++ b/tests/http/server_harness.cpp
@@ -23,6 +23,10 @@
             response answer;
             answer.body = "hook:" + std::string(to_string(refused.reason));
             return answer;
+        },
+        [this](std::string_view, std::string_view fault) {
+            const std::lock_guard lock(mutex_);
+            faults_.emplace_back(fault);
         }};
     server_ = server::create(context_, std::move(settings), std::move(handler))
                   .value();
@@ -37,6 +41,12 @@
     thread_.join();
 }
 
+std::vector<std::string> server_harness::faults()
+{
+    const std::lock_guard lock(mutex_);
+    return faults_;
+}
+
 raw_caller::raw_caller(const endpoint& target)
     : descriptor_(::socket(AF_INET, SOCK_STREAM, 0))
 {
--- a/tests/http/server_harness.hpp
+++ b/tests/http/server_harness.hpp
@@ -6,8 +6,10 @@
 #include <boost/asio/io_context.hpp>
 
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace godwit::http::test {
 
@@ -23,10 +25,15 @@
 
     [[nodiscard]] server& target() { return *server_; }
 
+    /// The faults that the server told of, so far.
+    [[nodiscard]] std::vector<std::string> faults();
+
     [[nodiscard]] boost::asio::io_context& context() { return context_; }
 
 private:
     boost::asio::io_context context_{1};
+    std::mutex mutex_; // Guards the faults.
+    std::vector<std::string> faults_;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
         work_;
     std::unique_ptr<server> server_;
