--- a/meta/soak_parts/engine.py
+++ b/meta/soak_parts/engine.py
@@ -1,6 +1,7 @@
 """A model's engine, as an entry host sees it."""
 
 import asyncio
+import dataclasses
 import json
 import time
 
@@ -9,33 +10,29 @@
 
 STEP_SECONDS = 0.02
 SPOILED_EVENT_SHARE = 0.1
-_NOT_RUN = {"X-Godwitworks-Not-Executed": "1"}
 
 
+@dataclasses.dataclass
 class Run:
     """One generation: its events are numbered and name their request."""
 
-    def __init__(self, attempt, events):
-        self.attempt = attempt
-        self.events = events
-        self.made = 0
-        self.stopped = False
+    attempt: str
+    events: int
+    made: int = 0
+    stopped: bool = False
 
 
 class Engine(Service):
     """A server of the model: whole answers, streams and copies of runs."""
 
     def __init__(self, name, ledger, clock, rng):
-        super().__init__()
+        super().__init__(ledger)
         self.name = name
-        self.ledger = ledger
         self.clock = clock
         self.born = time.time_ns() // 1_000_000
         self.sequence = 0
         self.relay = None
-        self.left_at = None
-        self.served_at = None
-        self.began_again_at = None
+        self.left_at = self.served_at = self.began_again_at = None
         self.runs = {}
         self.manner = manners.Manner(rng)
         self._before = None
@@ -53,7 +50,7 @@
         elif target.startswith("/api/"):
             writer.write(http11.answer(200, b"{}"))
         elif fields.get("x-godwitworks-expect-replica") != self.name:
-            writer.write(http11.answer(421, b"", _NOT_RUN))
+            writer.write(http11.answer(421, b"", manners.NOT_RUN))
         else:
             await self._run(target, fields, body, writer)
 
@@ -63,11 +60,9 @@
     async def _spoil(self, writer):
         """What is no answer, or one whose fields are of other types."""
         rng = self.manner.rng
-        if rng.random() < 0.5:
-            writer.write(manners.spoiled(rng, {}, b"{}"))
-        else:
-            writer.write(http11.answer(200, entries.unreadable(rng)))
-        await writer.drain()
+        await http11.send(writer, rng.choice((
+            manners.spoiled(rng, {}, b"{}"),
+            http11.answer(200, entries.unreadable(rng)))))
         raise http11.Broken("spoiled")
 
     def _copy(self, order, writer):
@@ -75,10 +70,9 @@
         if run is None:
             writer.write(http11.answer(404))
             return
-        handle = f"c{run.made}"
         run.stopped = run.stopped or order.get("last", False)
         writer.write(http11.answer(200, json.dumps(
-            {"handle": handle, "create_rev": run.made}).encode()))
+            {"handle": f"c{run.made}", "create_rev": run.made}).encode()))
 
     async def _run(self, target, fields, body, writer):
         attempt = fields["x-godwitworks-attempt-id"]
@@ -86,21 +80,21 @@
                   "X-Godwitworks-Replica-Signature": self.name}
         resumed = "kv-from" in fields
         self.served_at = self.clock()
-        self.ledger.arrived(self, attempt, target, body, resumed,
-                            self.clock())
+        self.ledger.arrived(self, attempt, target, body, resumed)
         if target.startswith("/stream/"):
             await self._stream(attempt, signed, fields, resumed, writer)
             return
         await asyncio.sleep(STEP_SECONDS)
-        made = self.manner.body_of(f"answer to {attempt}".encode())
+        is_empty = self.manner.style == "empty"
+        made = b"" if is_empty else f"answer to {attempt}".encode()
         self.ledger.made(attempt, made)
         other, self._before = self._before, (signed, made)
         await self.manner.answer(writer, made, signed, other)
 
     async def _stream(self, attempt, signed, fields, resumed, writer):
-        run = Run(attempt, int(fields["x-godwitworks-token-usage"]
-                               .partition(",")[2]))
-        run.made = int(fields.get("last-event-id", 0)) if resumed else 0
+        usage = fields["x-godwitworks-token-usage"]
+        run = Run(attempt, int(usage.partition(",")[2]),
+                  int(fields.get("last-event-id", 0)) if resumed else 0)
         if resumed:
             self.ledger.resumed(attempt)
         self.ledger.streams[attempt] = run
@@ -121,29 +115,23 @@
         rng = self.manner.rng
         if self._is_spoiled() and rng.random() < SPOILED_EVENT_SHARE:
             run.stopped = True
-            writer.write(manners.spoiled_chunk(rng))
+            writer.write(rng.choice(manners.SPOILED_CHUNKS))
             raise http11.Broken("spoiled")
         run.made += 1
         await self._send(http11.chunk(
             f"id: {run.made}\ndata: {run.attempt}\n\n".encode()), writer)
 
     async def _send(self, data, writer):
-        if self.manner.style in (manners.PLAIN, "spoiled"):
-            writer.write(data)
-            await writer.drain()
-        else:
-            await http11.send_cut(writer, data, self.manner.rng)
+        in_pieces = self.manner.style not in (manners.PLAIN, "spoiled")
+        await http11.send(writer, data,
+                          self.manner.rng if in_pieces else None)
 
 
 class Trap(Service):
     """Where entries that name no replica point: nothing may be sent here."""
 
-    def __init__(self, ledger):
-        super().__init__()
-        self.ledger = ledger
-
     async def respond(self, method, target, fields, body, writer):
         server = fields.get("x-godwitworks-expect-replica")
         self.ledger.check("names no replica", target.startswith("/api/"),
                           f"{method} {target} sent to {server}")
-        writer.write(http11.answer(503, b"", _NOT_RUN))
+        writer.write(http11.answer(503, b"", manners.NOT_RUN))
--- a/meta/soak_parts/entries.py
+++ b/meta/soak_parts/entries.py
@@ -3,18 +3,17 @@
 import json
 
 _UNREADABLE = (b"", b"{", b"[]", b"null", b"7", b'"text"', b"\xff\xfe{\x00",
-                  b"\xef\xbb\xbf{}", b"{}x", b"\0" * 40, b"[" * 5000,
-                  b'{"a":' * 500, b'{"slots":1e999}', b'{"state":"\xc3"}',
-                  b'{"state":"\\ud800"}')
+               b"\xef\xbb\xbf{}", b"{}x", b"\0" * 40, b"[" * 5000,
+               b'{"a":' * 500, b'{"slots":1e999}', b'{"state":"\xc3"}',
+               b'{"state":"\\ud800"}')
 _OTHER_VALUES = (None, True, 0, -1, 1.5, 1e300, "", "x", "1", [], {},
                  ["ready"], {"state": "ready"})
 _FIELDS = ("service", "address", "zone", "slots", "state", "sequence", "born")
-# Values that a field may well have, whatever their type here.
-_LIKELY = {"zone": ("", "x", "1"), "slots": (0,), "sequence": (0,),
-           "born": (0,)}
-_ADDRESSES = ("localhost:80", "127.0.0.1", "127.0.0.1:", "127.0.0.1:0",
-              "127.0.0.1:99999", "127.0.0.1:-1", ":80", "999.1.1.1:80",
-              "[::1", "\0", "a" * 70_000)
+_STATES = ("", "x", "1", "resting", "READY", "ready ")
+_SERVICES = ("", "x", "1", "other", "LM", "lm ")
+_ADDRESSES = ("", "x", "1", "localhost:80", "127.0.0.1", "127.0.0.1:", 
+              "127.0.0.1:0", "127.0.0.1:99999", "127.0.0.1:-1", ":80",
+              "999.1.1.1:80", "[::1", "\0", "a" * 70_000)
 
 
 def entry(engine, state):
@@ -34,25 +33,17 @@
 
 def of_another_writer(rng, good):
     """An entry that names no replica, made from a good one."""
-    changed = dict(good)
-    which = rng.randrange(5)
-    if which == 0:
+    name = rng.choice(_FIELDS)
+    retyped = [value for value in _OTHER_VALUES
+               if value == -1 or type(value) is not type(good[name])]
+    changes = ({"state": rng.choice(_STATES)},
+               {"service": rng.choice(_SERVICES)},
+               {"address": rng.choice(_ADDRESSES)},
+               {name: rng.choice(retyped)}, {name: rng.choice(retyped)})
+    which = rng.randrange(-2, len(changes))
+    if which == -2:
         return unreadable(rng) or b"{"
-    if which == 1:
-        del changed[rng.choice(_FIELDS)]
-    elif which == 2:
-        changed["state"] = rng.choice(("resting", "READY", "ready "))
-    elif which == 3:
-        changed["service"] = rng.choice(("other", "LM", "lm "))
-    elif rng.random() < 0.3:
-        changed["address"] = rng.choice(_ADDRESSES)
-    else:
-        _change_type(rng, changed)
+    changed = {**good, **changes[which]}
+    if which == -1:
+        del changed[name]
     return json.dumps(changed).encode()
-
-
-def _change_type(rng, changed):
-    name = rng.choice(_FIELDS)
-    likely = [json.dumps(value) for value in _LIKELY.get(name, ())]
-    changed[name] = rng.choice([value for value in _OTHER_VALUES
-                                if json.dumps(value) not in likely])
--- a/meta/soak_parts/host.py
+++ b/meta/soak_parts/host.py
@@ -1,6 +1,7 @@
 """One entry host's process."""
 
 import asyncio
+import contextlib
 import json
 import random
 import signal
@@ -17,18 +18,13 @@
 
 def free_ports(count):
     """Ports that were free a moment ago."""
-    sockets = []
-    while len(sockets) < count:
-        each = socket.socket()
-        try:
-            each.bind(("127.0.0.1", random.choice(PORTS)))
-        except OSError:
-            each.close()
-            continue
-        sockets.append(each)
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    ports = []
+    with contextlib.ExitStack() as taken:
+        while len(ports) < count:
+            port = random.choice(PORTS)
+            with contextlib.suppress(OSError):
+                taken.enter_context(socket.create_server(("127.0.0.1", port)))
+                ports.append(port)
     return ports
 
 
@@ -39,7 +35,7 @@
         self.name = name
         self.process = process
         self.told = set()
-        self.is_up = False
+        self.is_up = self.is_late = False
 
     def is_running(self):
         return self.process.returncode is None
@@ -58,38 +54,35 @@
 class Host:
     """Starts, signals and watches one godwit-entry."""
 
-    def __init__(self, name, program, folder, store_port, seeds, on_end):
+    def __init__(self, name, program, folder, store, seeds, watcher):
         self.name = name
         self.program = program
         (self.callers, self.readiness, self.operators,
          self.neighbours) = free_ports(4)
         self.life = None
         self.is_ending = False
-        self.on_end = on_end
+        self.store = store
         self.settings = folder / f"{name}.json"
         self.log_file = folder / f"{name}.log"
         self.log = open(self.log_file, "ab")
-        self._store_port = store_port
         self._seeds = seeds
-        self._paused = 0
-        self._paused_at = 0.0
-        self._paused_seconds = 0.0
-        self._tasks = set()
+        self._watcher = watcher
+        self._pauses = 0
+        self._paused_at = self._paused_seconds = 0.0
+        self._tasks = []
 
     def write_settings(self, seeds=None, grace=4, retry=None):
         """A settings file that can be read, with the terms that may change."""
-        listen = {"callers": self.callers, "readiness": self.readiness,
-                  "operators": self.operators, "neighbours": self.neighbours}
-        entry = {"host": self.name, "zone": "east",
-                 "listen": {key: f"127.0.0.1:{port}"
-                            for key, port in listen.items()},
-                 "seeds": [f"127.0.0.1:{port}" for port in
-                           (self._seeds if seeds is None else seeds)],
+        listen = {name: f"127.0.0.1:{getattr(self, name)}" for name in (
+            "callers", "readiness", "operators", "neighbours")}
+        seeds = self._seeds if seeds is None else seeds
+        entry = {"host": self.name, "zone": "east", "listen": listen,
+                 "seeds": [f"127.0.0.1:{port}" for port in seeds],
                  "stop_grace_s": grace}
         if retry:
             entry["retry"] = retry
         self.settings.write_text(json.dumps({
-            "entry": entry, "store": f"127.0.0.1:{self._store_port}"}))
+            "entry": entry, "store": f"127.0.0.1:{self.store.port}"}))
 
     async def start(self):
         self.write_settings()
@@ -98,8 +91,9 @@
             stdin=asyncio.subprocess.DEVNULL, stdout=self.log,
             stderr=self.log)
         self.life = Life(self.name, process)
-        self._later(self._watch(self.life))
-        self._later(self._wait_until_up(self.life))
+        self._tasks += [asyncio.create_task(self._watch(self.life)),
+                        asyncio.create_task(self._wait_until_up(self.life))]
+        self._watcher.host_started(self, self.life)
 
     def send(self, number):
         if self.life.is_running():
@@ -107,18 +101,17 @@
             self.life.process.send_signal(number)
 
     async def end(self, *numbers, gap=0.0):
-        """Ends the process by signals; whether it ended in time."""
+        """Ends the process by signals; its exit code."""
         life = self.life
         for number in numbers:
             self.send(number)
             await asyncio.sleep(gap)
-        try:
-            await asyncio.wait_for(life.process.wait(), LONGEST_STOP_SECONDS)
-            return True
-        except asyncio.TimeoutError:
+        ended = asyncio.create_task(life.process.wait())
+        done, _ = await asyncio.wait({ended}, timeout=LONGEST_STOP_SECONDS)
+        life.is_late = not done
+        if life.is_late:
             self.send(signal.SIGKILL)
-            await life.process.wait()
-            return False
+        return await ended
 
     def is_up(self):
         """Whether it listens, and so has read its settings."""
@@ -143,31 +136,26 @@
     async def pause(self, seconds):
         """Freezes the process; pauses that overlap end with the last one."""
         now = asyncio.get_running_loop().time
-        if not self._paused:
+        if not self._pauses:
             self._paused_at = now()
-        self._paused += 1
+        self._pauses += 1
         self.send(signal.SIGSTOP)
         await asyncio.sleep(seconds)
-        self._paused -= 1
-        if not self._paused:
+        self._pauses -= 1
+        if not self._pauses:
             self._paused_seconds += now() - self._paused_at
             self.send(signal.SIGCONT)
 
     def paused_seconds(self):
         """How long it was paused in all."""
-        running = 0.0
-        if self._paused:
-            running = asyncio.get_running_loop().time() - self._paused_at
-        return self._paused_seconds + running
-
-    def _later(self, work):
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        if not self._pauses:
+            return self._paused_seconds
+        now = asyncio.get_running_loop().time()
+        return self._paused_seconds + now - self._paused_at
 
     async def _watch(self, life):
         await life.process.wait()
-        self.on_end(self, life)
+        self._watcher.host_ended(self, life)
 
     async def _wait_until_up(self, life):
         while life.is_running() and not life.is_up:
--- a/meta/soak_parts/http11.py
+++ b/meta/soak_parts/http11.py
@@ -1,6 +1,7 @@
 """Just enough HTTP/1.1 over asyncio streams for stand-ins and callers."""
 
 import asyncio
+import contextlib
 import socket
 import struct
 
@@ -12,13 +13,19 @@
     """The peer closed, reset, or sent what is no HTTP."""
 
 
-async def read_head(reader):
-    """The first line and the fields of a message, names in lower case."""
+@contextlib.contextmanager
+def _as_broken():
     try:
-        raw = await reader.readuntil(b"\r\n\r\n")
+        yield
     except (asyncio.IncompleteReadError, asyncio.LimitOverrunError,
-            ConnectionError) as why:
+            ValueError, ConnectionError) as why:
         raise Broken(str(why)) from why
+
+
+async def read_head(reader):
+    """The first line and the fields of a message, names in lower case."""
+    with _as_broken():
+        raw = await reader.readuntil(b"\r\n\r\n")
     lines = raw.decode("latin-1").split("\r\n")
     fields = {}
     for line in lines[1:]:
@@ -31,13 +38,9 @@
 async def read_chunks(reader):
     """Yields the chunks of a chunked body; ends only at its true end."""
     while True:
-        try:
-            line = await reader.readline()
-            size = int(line, 16)
+        with _as_broken():
+            size = int(await reader.readline(), 16)
             data = await reader.readexactly(size + 2)
-        except (asyncio.IncompleteReadError, ValueError,
-                ConnectionError) as why:
-            raise Broken(str(why)) from why
         if size == 0:
             return
         yield data[:-2]
@@ -47,17 +50,15 @@
     """The whole body of a message."""
     if fields.get("transfer-encoding") == "chunked":
         return b"".join([part async for part in read_chunks(reader)])
-    try:
-        return await reader.readexactly(int(fields.get("content-length", 0)))
-    except (asyncio.IncompleteReadError, ConnectionError) as why:
-        raise Broken(str(why)) from why
+    size = int(fields.get("content-length", 0))
+    with _as_broken():
+        return await reader.readexactly(size)
 
 
 def head(first_line, fields):
     """The bytes of a message's head."""
-    lines = [first_line] + [f"{name}: {value}"
-                            for name, value in fields.items()]
-    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+    lines = [f"{name}: {value}" for name, value in fields.items()]
+    return "\r\n".join([first_line, *lines, "", ""]).encode("latin-1")
 
 
 def answer(status, body=b"", fields=None):
@@ -85,24 +86,23 @@
     """The pieces of `data`, cut anywhere, often byte by byte at its end."""
     if len(data) < 2:
         return [data]
+    inner = range(1, len(data))
     if rng.random() < 0.5:
-        tail = len(data) - min(len(data) - 1, rng.randint(1, 12))
-        places = range(tail, len(data))
+        places = inner[-rng.randint(1, 12):]
     else:
-        most = min(len(data) - 1, MOST_PIECES)
-        places = sorted(rng.sample(range(1, len(data)),
-                                   rng.randint(1, most)))
-    starts = [0, *places]
+        most = min(len(inner), MOST_PIECES)
+        places = sorted(rng.sample(inner, rng.randint(1, most)))
     return [data[start:end]
-            for start, end in zip(starts, [*places, len(data)])]
+            for start, end in zip((0, *places), (*places, len(data)))]
 
 
-async def send_cut(writer, data, rng):
-    """Sends `data` in pieces that mostly arrive apart."""
-    for piece in cut(data, rng):
+async def send(writer, data, rng=None):
+    """Sends `data`; with `rng`, in pieces that mostly arrive apart."""
+    for piece in cut(data, rng) if rng else (data,):
         writer.write(piece)
         await writer.drain()
-        await asyncio.sleep(rng.uniform(0.0, LONGEST_GAP))
+        if rng:
+            await asyncio.sleep(rng.uniform(0.0, LONGEST_GAP))
 
 
 def reset(writer):
--- a/meta/soak_parts/ledger.py
+++ b/meta/soak_parts/ledger.py
@@ -1,5 +1,7 @@
 """What engines and callers saw, and the promises that it must keep."""
 
+from collections import Counter, defaultdict
+
 
 class Ledger:
     """Collects arrivals and answers; `broken` lists each broken promise."""
@@ -7,20 +9,19 @@
     # A server that was listed as leaving gets nothing new this much later,
     # with a second for relays that hold bytes up.
     LEAVING_SECONDS = 3.0
-
     # Statuses that promise that the request never runs.
     NOT_RUN = (408, 421, 429, 503)
     MOST_ATTEMPTS = 2
 
     def __init__(self):
-        self.runs = {}
+        self.runs = defaultdict(list)
         self.streams = {}
         self.sent = {}
         self.unfinished = set()
         self.broken = []
         self.checks = 0
-        self.outcomes = {}
-        self._made = {}
+        self.outcomes = Counter()
+        self._made = defaultdict(set)
 
     def check(self, promise, holds, detail):
         """One check of a promise."""
@@ -28,17 +29,17 @@
         if not holds:
             self.broken.append(f"{promise}: {detail}")
 
-    def arrived(self, engine, attempt, target, body, resumed, now):
+    def arrived(self, engine, attempt, target, body, resumed):
         """An engine begins to work on a request."""
         if not resumed:
-            self.runs.setdefault(attempt, []).append(engine.name)
-            late = engine.left_at and now - engine.left_at
+            self.runs[attempt].append(engine.name)
+            late = engine.left_at and engine.served_at - engine.left_at
             self.check("leaving", not late or late < self.LEAVING_SECONDS,
                        f"{attempt} at {engine.name} {late} s after")
         most = self.MOST_ATTEMPTS if target.startswith("/again/") else 1
         self.check("at most once" if most == 1 else "within its attempts",
-                   len(self.runs.get(attempt, [])) <= most,
-                   f"{attempt} at {self.runs.get(attempt)}")
+                   len(self.runs[attempt]) <= most,
+                   f"{attempt} at {self.runs[attempt]}")
         self.check("whole request", attempt not in self.unfinished
                    and body == self.sent.get(attempt),
                    f"{attempt} came to {engine.name} with {len(body)} bytes")
@@ -50,49 +51,37 @@
 
     def made(self, attempt, body):
         """An engine answers a request, in whatever form."""
-        self._made.setdefault(attempt, set()).add(body)
+        self._made[attempt].add(body)
 
     def answered(self, kind, attempt, status, body, fields):
         """A caller got a whole answer."""
-        self._count(f"{kind} {status}")
+        self.outcomes[f"{kind} {status}"] += 1
         if status in self.NOT_RUN:
-            self.check("not run is true", attempt not in self.runs,
+            self.check("not run is true", not self.runs[attempt],
                        f"{attempt} was told {status}")
         if status != 200:
             return
-        self.check("own answer",
-                   fields.get("x-godwitworks-attempt-id") == attempt,
-                   f"{attempt} got the one of "
-                   f"{fields.get('x-godwitworks-attempt-id')}")
+        answered = fields.get("x-godwitworks-attempt-id")
+        self.check("own answer", answered == attempt,
+                   f"{attempt} got the one of {answered}")
         if kind != "stream":
-            self.check("whole answer", body in self._made.get(attempt, ()),
+            self.check("whole answer", body in self._made[attempt],
                        f"{attempt} got {body[:200]!r}")
 
     def lost(self, kind, attempt, life, why):
-        """A caller's connection ended before its answer was there."""
-        self._count(f"{kind} {why}")
+        """A caller has no answer, or went away by itself."""
+        self.outcomes[f"{kind} {why}"] += 1
         if why == "no answer":
             self.check("answered or refused", life.was_told(),
                        f"{attempt}: {life.name} closed the connection")
 
-    def waited(self, attempt, host, seconds, limit):
-        """A caller gave up after `seconds` in which its host was running."""
-        self.check("in time", seconds < limit,
-                   f"{attempt}: nothing of {host.name} for {seconds:.1f} s")
-
-    def left(self, kind):
-        """A caller went away by itself."""
-        self._count(f"{kind} left")
-
-    def streamed(self, attempt, events, wanted, whole):
-        """A stream ended; `events` are its (id, text) pairs."""
-        ids = [number for number, _ in events]
+    def streamed(self, attempt, text, wanted, whole):
+        """A stream ended; `text` is what its caller got."""
+        lines = [event.split("\n") for event in text.split("\n\n")[:-1]]
+        ids = [int(number[4:]) for number, _ in lines]
         self.check("in order, once", ids == list(range(1, len(ids) + 1)),
                    f"{attempt}: {ids}")
-        self.check("own stream",
-                   all(text == attempt for _, text in events), attempt)
-        self.check("whole", not whole or len(events) == wanted,
-                   f"{attempt}: {len(events)} of {wanted}")
-
-    def _count(self, name):
-        self.outcomes[name] = self.outcomes.get(name, 0) + 1
+        self.check("own stream", all(data == f"data: {attempt}"
+                                     for _, data in lines), attempt)
+        self.check("whole", not whole or len(ids) == wanted,
+                   f"{attempt}: {len(ids)} of {wanted}")
--- a/meta/soak_parts/relay.py
+++ b/meta/soak_parts/relay.py
@@ -3,40 +3,27 @@
 import asyncio
 
 from soak_parts import http11
+from soak_parts.stand_ins import Service
 
 DELAY_SECONDS = 0.15
 
 
-class Relay:
+class Relay(Service):
     """Passes bytes to one target; `mode` says what goes wrong meanwhile."""
 
     MODES = ("delay", "pieces", "silent", "up_silent", "down_silent",
-             "refuse")
+             "refuse", "reset", "reset", "reset")
 
     def __init__(self, target, rng):
+        super().__init__()
         self.target = target
         self.mode = "pass"
-        self.port = 0
         self._rng = rng
-        self._writers = set()
-        self._server = None
-
-    async def start(self):
-        self._server = await asyncio.start_server(
-            self._serve, "127.0.0.1", 0)
-        self.port = self._server.sockets[0].getsockname()[1]
-        return self
-
-    def reset(self):
-        """Resets every open connection."""
-        for writer in list(self._writers):
-            http11.reset(writer)
 
     async def _serve(self, reader, writer):
-        if self.mode == "refuse":
-            http11.reset(writer)
-            return
         try:
+            if self.mode == "refuse":
+                raise ConnectionRefusedError
             out_reader, out_writer = await asyncio.open_connection(
                 "127.0.0.1", self.target)
         except OSError:
@@ -55,11 +42,9 @@
                     await asyncio.sleep(DELAY_SECONDS)
                 while self.mode in silent_modes:
                     await asyncio.sleep(0.02)
-                if self.mode == "pieces":
-                    await http11.send_cut(writer, data, self._rng)
-                else:
-                    writer.write(data)
-                await writer.drain()
+                in_pieces = self.mode == "pieces"
+                await http11.send(writer, data,
+                                  self._rng if in_pieces else None)
             writer.close()
         except (ConnectionError, OSError, asyncio.CancelledError):
             http11.reset(writer)
--- a/meta/soak_parts/stand_ins.py
+++ b/meta/soak_parts/stand_ins.py
@@ -4,15 +4,19 @@
 import base64
 import json
 import struct
+from collections import defaultdict
 from urllib.parse import parse_qs, urlparse
 
 from soak_parts import http11
 
+SLOW_SECONDS = 0.3
+
 
 class Service:
     """Serves one address; an answer is written by `respond`."""
 
-    def __init__(self):
+    def __init__(self, ledger=None):
+        self.ledger = ledger
         self.port = 0
         self._server = None
         self._writers = set()
@@ -24,8 +28,12 @@
         return self
 
     def stop(self):
-        """Ends like a crash: every connection is reset."""
+        """Ends like a crash."""
         self._server.close()
+        self.reset()
+
+    def reset(self):
+        """Resets every open connection."""
         for writer in list(self._writers):
             http11.reset(writer)
 
@@ -44,56 +52,52 @@
         finally:
             self._writers.discard(writer)
 
-    async def respond(self, method, target, fields, body, writer):
-        raise NotImplementedError
-
 
 class Store(Service):
-    """Keyed topics with one partition; `status` makes every call fail."""
+    """Keyed topics with one partition; `fault` spoils every call.
+
+    It is a status, `slow` or `lost`.
+    """
 
     def __init__(self):
         super().__init__()
-        self.topics = {}
-        self.status = 0
-        self.delay = 0.0
-        self.loses_answers = False
+        self.topics = defaultdict(list)
+        self.fault = ""
 
     def put(self, topic, key, value):
         """Appends a record; without a value, the key is dropped."""
         if isinstance(value, str):
             value = value.encode()
-        self.topics.setdefault(topic, []).append((key, value))
+        self.topics[topic].append((key, value))
 
     async def respond(self, method, target, fields, body, writer):
-        await asyncio.sleep(self.delay)
+        if self.fault.isdigit():
+            writer.write(http11.answer(self.fault))
+            return
+        if self.fault == "slow":
+            await asyncio.sleep(SLOW_SECONDS)
         url = urlparse(target)
         query = {name: value[0] for name, value in parse_qs(url.query).items()}
-        if self.status:
-            writer.write(http11.answer(self.status))
-            return
         topic = query.get("topic", "")
+        status, answer = 200, b"{}"
         if url.path == "/api/log-read":
             answer = await self._read(topic, query)
         elif url.path == "/api/log-newest":
             answer = self._newest(topic)
         elif url.path == "/api/log-append":
-            size = body[4]
-            self.put(topic, body[5:5 + size].decode(), body[5 + size:])
-            answer = b"{}"
+            end = 5 + body[4]
+            self.put(topic, body[5:end].decode(), body[end:])
         else:
-            writer.write(http11.answer(404))
-            return
-        if self.loses_answers:
-            return
-        writer.write(http11.answer(200, answer))
+            status = 404
+        if self.fault != "lost":
+            writer.write(http11.answer(status, answer))
 
     async def _read(self, topic, query):
         start = int(query["from"])
-        end = asyncio.get_running_loop().time() + int(
-            query.get("wait_ms", 0)) / 1000
-        records = self.topics.setdefault(topic, [])
-        while (len(records) <= start
-               and asyncio.get_running_loop().time() < end):
+        now = asyncio.get_running_loop().time
+        end = now() + int(query.get("wait_ms", 0)) / 1000
+        records = self.topics[topic]
+        while len(records) <= start and now() < end:
             await asyncio.sleep(0.01)
         answer = struct.pack(">QQ", len(records), 0)
         for key, value in records[start:]:
@@ -102,7 +106,7 @@
         return answer
 
     def _newest(self, topic):
-        records = self.topics.get(topic, [])
+        records = self.topics[topic]
         items = [{"key": key, "offset": 0,
                   "value": base64.b64encode(value).decode()}
                  for key, value in dict(records).items() if value]
--- a/meta/soak_parts/table.py
+++ b/meta/soak_parts/table.py
@@ -1,7 +1,5 @@
 """Versions of the operator's route table."""
 
-import json
-
 _KINDS = {"plain": "non_idempotent", "again": "idempotent",
           "stream": "streaming"}
 
@@ -42,8 +40,3 @@
         "header_timeout_ms": rng.choice((2000, 10000)),
         "idle_timeout_ms": rng.choice((30000, 60000))}
     return table
-
-
-def encoded(table):
-    """A table as the store keeps it."""
-    return json.dumps(table)
--- a/meta/soak_parts/world.py
+++ b/meta/soak_parts/world.py
@@ -7,7 +7,7 @@
 import tempfile
 from pathlib import Path
 
-from soak_parts import entries, table
+from soak_parts import entries, recovery, table
 from soak_parts.callers import Caller
 from soak_parts.engine import Engine, Trap
 from soak_parts.faults import Faults
@@ -18,8 +18,6 @@
 
 # Without faults at the end: callers must be served again.
 RECOVERY_SECONDS = 4.0
-# An engine that started again this long before the end has been used.
-REUSE_SECONDS = 6.0
 RESTART_SECONDS = 0.3
 
 
@@ -38,7 +36,7 @@
         self.relays = []
         self.version = 0
         self.is_over = False
-        self._restarts = set()
+        self._tasks = []
 
     def clock(self):
         return asyncio.get_running_loop().time()
@@ -71,20 +69,17 @@
         for number in range(self.arguments.hosts):
             relay = await self.add_relay(self.store.port)
             host = Host(f"h{number}", self.arguments.programs /
-                        "godwit-entry", folder, relay.port, seeds,
-                        self.host_ended)
+                        "godwit-entry", folder, relay, seeds, self)
             seeds = seeds or [host.neighbours]
             self.hosts.append(host)
             await host.start()
-        for host in self.hosts:
-            while host.life.is_running() and not await host.is_ready():
-                await asyncio.sleep(0.05)
+        await asyncio.gather(*self._tasks)
 
     async def _run(self, faults):
         end = self.clock() + self.arguments.seconds
         callers = [Caller(f"s{self.seed}c{number}",
                           self.hosts[number % len(self.hosts)], self.ledger,
-                          self.random(f"caller {number}"), "k1")
+                          self.random(f"caller {number}"))
                    for number in range(self.arguments.callers)]
         tasks = [asyncio.create_task(caller.run(self.clock))
                  for caller in callers]
@@ -93,25 +88,19 @@
             caller.is_steady = True
         quiet_from = self.clock() + RECOVERY_SECONDS / 2
         await asyncio.sleep(RECOVERY_SECONDS)
+        await asyncio.gather(*self._tasks)
         for caller in callers:
             caller.is_done = True
         await asyncio.gather(*tasks)
-        self._check_recovery(callers, quiet_from)
-
-    def _check_recovery(self, callers, quiet_from):
-        late = [good for caller in callers
-                for moment, good in caller.good if moment > quiet_from]
-        self.ledger.check(
-            "recovered", late and sum(late) >= 0.9 * len(late),
-            f"{sum(late)} of {len(late)} served after the last fault")
+        recovery.check_served(self, callers, quiet_from)
+        recovery.check_engines(self)
         for host in self.hosts:
             self.ledger.check("runs on", host.life.is_running(), host.name)
-        for engine in self.engines.values():
-            is_due = (engine.began_again_at is not None and self.clock()
-                      - engine.began_again_at > REUSE_SECONDS)
-            self.ledger.check(
-                "used again", not is_due or engine.served_at is not None,
-                f"{engine.name}, which started again under its id")
+
+    def host_started(self, host, life):
+        """A host that started is ready soon."""
+        self._tasks.append(asyncio.create_task(
+            recovery.check_ready(self, host, life)))
 
     def host_ended(self, host, life):
         """A host ends only when it was told to."""
@@ -122,9 +111,7 @@
             f"{host.name} ended with {life.process.returncode}, told "
             f"{sorted(life.told)}, seed {self.seed}: {host.last_lines()}")
         if not host.is_ending:
-            task = asyncio.create_task(self._restart(host))
-            self._restarts.add(task)
-            task.add_done_callback(self._restarts.discard)
+            self._tasks.append(asyncio.create_task(self._restart(host)))
 
     async def _restart(self, host):
         await asyncio.sleep(RESTART_SECONDS)
@@ -134,8 +121,7 @@
     def publish(self, make):
         """A further version of the route table."""
         self.version += self.rng.randint(1, 3)
-        self.store.put("keyed.op", "config",
-                       table.encoded(make(self.version)))
+        self.store.put("keyed.op", "config", json.dumps(make(self.version)))
 
     def list_engine(self, engine, state):
         engine.sequence += 1
@@ -143,16 +129,15 @@
                        json.dumps(entries.entry(engine, state)))
 
     async def add_relay(self, target):
-        name = f"relay {len(self.relays)}"
-        relay = await Relay(target, self.random(name)).start()
+        rng = self.random(f"relay {len(self.relays)}")
+        relay = await Relay(target, rng).start()
         self.relays.append(relay)
         return relay
 
     async def add_engine(self, name, relay=None):
         """An engine, at the port of `relay` or at a new one."""
-        engine = Engine(name, self.ledger, self.clock,
-                        self.random(f"engine {name}"))
-        await engine.start()
+        engine = await Engine(name, self.ledger, self.clock,
+                              self.random(f"engine {name}")).start()
         if relay is None:
             relay = await self.add_relay(engine.port)
         relay.target = engine.port
@@ -165,6 +150,5 @@
         self.is_over = True
         for host in self.hosts:
             if host.life.is_running():
-                host.send(signal.SIGCONT)
                 await host.end(signal.SIGKILL)
             host.log.close()
