--- a/meta/soak_parts/callers.py
+++ b/meta/soak_parts/callers.py
@@ -133,7 +133,7 @@
 
     async def _read_head(self):
         status = 100
-        while status < 200:
+        while 100 <= status < 200:
             line, fields = await http11.read_head(self._reader)
             status = int(line.split(" ")[1])
         return status, fields
--- a/meta/soak_parts/faults.py
+++ b/meta/soak_parts/faults.py
@@ -142,8 +142,8 @@
             return
         host.is_ending = True
         await host.end(*numbers, gap=gap)
-        self.world.ledger.check("stops in time", not host.life.is_late,
-                                host.name)
+        is_in_time = not host.life.is_late
+        self.world.ledger.check("stops in time", is_in_time, host.name)
         await asyncio.sleep(span / 2)
         await host.start()
         host.is_ending = False
--- a/meta/soak_parts/ledger.py
+++ b/meta/soak_parts/ledger.py
@@ -56,6 +56,7 @@
     def answered(self, kind, attempt, status, body, fields):
         """A caller got a whole answer."""
         self.outcomes[f"{kind} {status}"] += 1
+        self.check("a status", status >= 200, f"{attempt} got {status}")
         if status in self.NOT_RUN:
             self.check("not run is true", not self.runs[attempt],
                        f"{attempt} was told {status}")
--- a/meta/soak_parts/manners.py
+++ b/meta/soak_parts/manners.py
@@ -77,8 +77,7 @@
             writer.write(whole[:self.rng.randint(0, len(whole) - 1)])
             raise http11.Broken(style)
         if style == "interim":
-            for status in self.rng.sample((100, 102, 103),
-                                          self.rng.randint(1, 3)):
+            for status in self.rng.choices((100, 102, 103), k=2):
                 writer.write(http11.head(f"HTTP/1.1 {status} X", {}))
         await http11.send(writer, whole,
                           None if style == PLAIN else self.rng)
