--- a/services/proxy/control_plane.cpp
+++ b/services/proxy/control_plane.cpp
@@ -4,6 +4,7 @@
 #include "poll_subset.hpp"
 #include "request_session.hpp"
 #include "scheduler_dump.hpp"
+#include "sighting_of.hpp"
 
 #include <godwit/telemetry/log.hpp>
 
@@ -54,24 +55,6 @@
     return servers;
 }
 
-membership::sighting sighting_of(request::observation seen)
-{
-    switch (seen) {
-    case request::observation::answered:
-        return membership::sighting::answered;
-    case request::observation::refused:
-        return membership::sighting::refused;
-    case request::observation::timed_out:
-        return membership::sighting::timed_out;
-    case request::observation::broke:
-    case request::observation::crossed:
-        return membership::sighting::failed;
-    case request::observation::leaving:
-        return membership::sighting::leaving;
-    }
-    return membership::sighting::answered;
-}
-
 } // namespace
 
 core::result<std::unique_ptr<control_plane>> control_plane::create(
--- a/tests/faults/entry_host.cpp
+++ b/tests/faults/entry_host.cpp
@@ -1,5 +1,6 @@
 #include "entry_host.hpp"
 
+#include "sighting_of.hpp"
 #include "world.hpp"
 
 #include <algorithm>
@@ -51,22 +52,6 @@
         .value();
 }
 
-membership::sighting sighting_of(request::observation seen)
-{
-    switch (seen) {
-    case request::observation::answered:
-        return membership::sighting::answered;
-    case request::observation::refused:
-        return membership::sighting::refused;
-    case request::observation::timed_out:
-        return membership::sighting::timed_out;
-    case request::observation::leaving:
-        return membership::sighting::leaving;
-    default:
-        return membership::sighting::failed;
-    }
-}
-
 } // namespace
 
 entry_host::entry_host(
@@ -674,7 +659,7 @@
 
 void entry_host::run(const session_pointer&, const request::report_server& what)
 {
-    see(membership::server_seen{what.server, sighting_of(what.seen)});
+    see(membership::server_seen{what.server, proxy::sighting_of(what.seen)});
 }
 
 void entry_host::see(const membership::event& what)
