--- a/tests/faults/backend.cpp
+++ b/tests/faults/backend.cpp
@@ -1,5 +1,7 @@
 #include "backend.hpp"
 
+#include "network.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -9,7 +11,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr auto hop = milliseconds(1);
 constexpr auto token_time = milliseconds(20);
 constexpr auto call_time = milliseconds(5);
 constexpr auto late_time = milliseconds(12'000);
--- a/tests/faults/entry_host.cpp
+++ b/tests/faults/entry_host.cpp
@@ -1,5 +1,6 @@
 #include "entry_host.hpp"
 
+#include "network.hpp"
 #include "sighting_of.hpp"
 #include "world.hpp"
 
@@ -13,7 +14,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr auto hop = milliseconds(1);
 constexpr auto queue_time = milliseconds(10);
 constexpr auto list_interval = milliseconds(1000);
 constexpr auto tick_interval = milliseconds(500);
@@ -38,11 +38,6 @@
     return settings;
 }
 
-std::size_t index_of(const core::server_address& server)
-{
-    return static_cast<std::size_t>(server.value().back() - '0');
-}
-
 const claims::request_fingerprint fingerprint =
     claims::request_fingerprint::of("POST", "/", "body");
 
--- a/tests/faults/world.cpp
+++ b/tests/faults/world.cpp
@@ -1,5 +1,7 @@
 #include "world.hpp"
 
+#include "network.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -13,7 +15,6 @@
 constexpr std::size_t server_count = 3;
 constexpr std::uint64_t token_count = 5;
 constexpr int try_limit = 4;
-constexpr auto hop = milliseconds(1);
 constexpr auto patience = seconds(4);
 constexpr auto bound = seconds(200);
 // Longer than the longest pause of a process; and than a late answer.
@@ -27,11 +28,6 @@
     return work == workload::streamed || work == workload::ledger_generation;
 }
 
-core::server_address address_of(std::size_t index)
-{
-    return core::server_address("e" + std::to_string(index));
-}
-
 const core::service_name service("s");
 
 moment moment_of(request::step at)
