--- a/services/agent/src/agent.cpp
+++ b/services/agent/src/agent.cpp
@@ -1,16 +1,13 @@
 #include "agent.hpp"
 
 #include "incarnation.hpp"
+#include "peer_address.hpp"
 #include "state_report.hpp"
 
-#include <godwit/catalogue/neighbours.hpp>
 #include <godwit/telemetry/log.hpp>
 #include <godwit/telemetry/state_dump.hpp>
 
-#include <boost/asio/ip/address.hpp>
-
-#include <algorithm>
-#include <set>
+#include <chrono>
 #include <sstream>
 #include <utility>
 
@@ -23,23 +20,9 @@
 using telemetry::log_event;
 using telemetry::log_level;
 
-constexpr const char* component = "agent";
-
 // The followers want it at least this often.
 constexpr auto tick_interval = std::chrono::milliseconds(100);
 
-core::result<tcp::endpoint> to_endpoint(const settings::address& address)
-{
-    boost::system::error_code code;
-    const auto ip = asio::ip::make_address(address.ip(), code);
-    if (code)
-        return core::fail(
-            core::error_kind::invalid_input,
-            address.to_string() + " is no IP address and port",
-            "write it as IP:port");
-    return tcp::endpoint(ip, address.port());
-}
-
 std::string to_string(const tcp::endpoint& endpoint)
 {
     std::ostringstream text;
@@ -47,13 +30,6 @@
     return text.str();
 }
 
-core::result<peer_address> address_of(const platform::host_entry& host)
-{
-    const auto address = GODWIT_TRY(settings::address::parse(host.peer));
-    const auto endpoint = GODWIT_TRY(to_endpoint(address));
-    return peer_address{host.name, endpoint};
-}
-
 std::uint64_t wall_time_ms()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -240,99 +216,6 @@
         .address = acceptor_ ? to_string(acceptor_->endpoint()) : ""};
 }
 
-wire::link_handlers agent::accepted_handlers()
-{
-    using link_pointer = std::shared_ptr<wire::link>;
-    return {
-        .on_open =
-            [this](const link_pointer& link, const wire::hello& peer) {
-                look_for_pause();
-                if (peer.role == wire::peer_role::agent)
-                    peers_->opened(link);
-                else if (peer.role == wire::peer_role::proxy)
-                    proxy_opened(link);
-            },
-        .on_message =
-            [this](const link_pointer& link, wire::message value) {
-                look_for_pause();
-                if (link->peer()->role == wire::peer_role::agent)
-                    peers_->received(link, std::move(value));
-                else if (link->peer()->role == wire::peer_role::proxy)
-                    proxy_message(link, value);
-            },
-        .on_close =
-            [this](const link_pointer& link, const core::error& reason) {
-                link_closed(*link, reason);
-                if (!link->peer())
-                    return;
-                if (link->peer()->role == wire::peer_role::agent)
-                    peers_->closed(link, reason);
-                else if (link->peer()->role == wire::peer_role::proxy)
-                    proxy_closed(link);
-            }};
-}
-
-void agent::proxy_opened(const std::shared_ptr<wire::link>& link)
-{
-    log_event(
-        log_level::info,
-        component,
-        "proxy_connected",
-        {{"incarnation", link->peer()->incarnation}});
-    claims_->proxy_opened(link);
-    proxies_.opened(link);
-}
-
-void agent::proxy_closed(const std::shared_ptr<wire::link>& link)
-{
-    proxies_.closed(link);
-    claims_->proxy_closed(link);
-}
-
-peer_handlers agent::handlers_of_peers()
-{
-    return {
-        .on_open =
-            [this](const wire::hello& peer) {
-                look_for_pause();
-                log_event(
-                    log_level::info,
-                    component,
-                    "peer_connected",
-                    {{"peer", peer.host}, {"peer_zone", peer.zone}});
-                if (!host_list_known_)
-                    members_heard();
-                catalogue_->peer_opened(peer.host);
-            },
-        .on_message =
-            [this](const wire::hello& peer, wire::message value) {
-                look_for_pause();
-                peer_message(peer, std::move(value));
-            },
-        .on_close =
-            [this](const wire::hello& peer, const core::error& reason) {
-                log_event(
-                    log_level::warning,
-                    component,
-                    "peer_lost",
-                    {{"peer", peer.host}, {"reason", reason.to_string()}});
-                catalogue_->peer_closed(peer.host);
-            }};
-}
-
-void agent::link_closed(const wire::link& link, const core::error& reason)
-{
-    if (reason.kind() == core::error_kind::protocol)
-        gauges_.bad_links.Increment();
-    log_event(
-        log_level::warning,
-        component,
-        "link_closed",
-        {{"from", link.peer() ? link.peer()->host.value() : "unknown"},
-         {"kind", core::to_string(reason.kind())},
-         {"reason", reason.to_string()}});
-}
-
 // A duty must hear of a pause before it hears of anything that waited
 // meanwhile, because a lease may have passed to another host.
 void agent::look_for_pause()
@@ -369,146 +252,6 @@
     });
 }
 
-void agent::host_list_heard(const core::result<platform::host_list>& list)
-{
-    look_for_pause();
-    if (!list) {
-        log_event(
-            log_level::warning,
-            component,
-            "host_list_unavailable",
-            {{"reason", list.error().to_string()}});
-        return;
-    }
-    proxies_.update_servers(*list);
-    orders_->take_hosts(*list);
-    platform::host_list entries;
-    std::ranges::copy_if(
-        *list, std::back_inserter(entries), [](const auto& host) {
-            return host.kind == platform::host_kind::entry &&
-                   !host.peer.empty();
-        });
-    if (host_list_known_ && entries == entry_hosts_)
-        return;
-    // An empty list is a fault of the list rather than the end of the fleet.
-    if (entries.empty() && !entry_hosts_.empty())
-        return;
-    host_list_known_ = true;
-    entry_hosts_ = std::move(entries);
-    members_heard();
-}
-
-void agent::members_heard()
-{
-    std::vector<catalogue::member> members{{settings_.host, settings_.zone}};
-    if (host_list_known_) {
-        for (const platform::host_entry& host : entry_hosts_) {
-            if (host.name != settings_.host)
-                members.push_back({host.name, host.zone});
-        }
-    } else {
-        for (const wire::hello& peer : peers_->peers())
-            members.push_back({peer.host, peer.zone});
-    }
-    log_->set_hosts(members.size());
-    catalogue_->handle(catalogue::members_changed{std::move(members)});
-    connect_neighbours();
-    tell_claims_of_members();
-}
-
-void agent::tell_claims_of_members()
-{
-    claims::entry_hosts_changed hosts;
-    std::set<core::zone_name> zones{settings_.zone};
-    hosts.zone_hosts.push_back(settings_.host);
-    for (const platform::host_entry& host : entry_hosts_) {
-        if (host.name == settings_.host)
-            continue;
-        ++hosts.all_hosts;
-        zones.insert(host.zone);
-        // A host that leaves takes on nothing new.
-        if (host.zone == settings_.zone &&
-            host.state == platform::host_state::live)
-            hosts.zone_hosts.push_back(host.name);
-    }
-    hosts.zones = zones.size();
-    claims_->handle(hosts);
-}
-
-std::optional<peer_address> agent::find_peer(const core::host_name& host) const
-{
-    const auto found =
-        std::ranges::find(entry_hosts_, host, &platform::host_entry::name);
-    if (found == entry_hosts_.end())
-        return std::nullopt;
-    const auto address = address_of(*found);
-    if (!address)
-        return std::nullopt;
-    return *address;
-}
-
-void agent::connect_neighbours()
-{
-    std::vector<peer_address> wanted;
-    if (!host_list_known_ || entry_hosts_.empty()) {
-        for (const settings::address& peer : settings_.peers) {
-            if (const auto endpoint = to_endpoint(peer))
-                wanted.push_back({core::host_name(), *endpoint});
-        }
-        peers_->set_neighbours(wanted);
-        return;
-    }
-    const auto neighbours = follower().status(core::monotonic_now()).neighbours;
-    for (const platform::host_entry& host : entry_hosts_) {
-        if (std::ranges::find(neighbours, host.name) == neighbours.end())
-            continue;
-        const auto address = address_of(host);
-        if (address)
-            wanted.push_back(*address);
-        else
-            log_event(
-                log_level::warning,
-                component,
-                "bad_peer_address",
-                {{"peer", host.name}, {"reason", address.error().to_string()}});
-    }
-    peers_->set_neighbours(wanted);
-}
-
-void agent::peer_message(const wire::hello& peer, wire::message value)
-{
-    if (const auto* sign = std::get_if<wire::server_sign>(&value)) {
-        spread(*sign, peer.host);
-        return;
-    }
-    if (!catalogue_->received(peer.host, value))
-        (void)claims_->received(peer.host, value);
-}
-
-void agent::proxy_message(
-    const std::shared_ptr<wire::link>& link, const wire::message& value)
-{
-    if (const auto* sign = std::get_if<wire::server_sign>(&value))
-        spread(*sign, settings_.host);
-    else if (
-        const auto* position = std::get_if<wire::catalogue_position>(&value))
-        proxies_.received(link, *position);
-    else
-        (void)claims_->received(link, value);
-}
-
-void agent::spread(wire::server_sign sign, const core::host_name& source)
-{
-    if (!signs_.is_news(sign, core::monotonic_now()))
-        return;
-    if (source != settings_.host)
-        proxies_.broadcast(sign);
-    for (const wire::hello& peer : peers_->peers()) {
-        if (peer.host != source)
-            peers_->send(peer.host, sign);
-    }
-}
-
 std::string agent::metrics_text()
 {
     const auto status = follower().status(core::monotonic_now());
--- a/services/agent/src/agent.hpp
+++ b/services/agent/src/agent.hpp
@@ -84,6 +84,9 @@
     }
 
 private:
+    /// What the log calls this part of the process.
+    static constexpr const char* component = "agent";
+
     agent(boost::asio::io_context& context, agent_settings settings);
 
     [[nodiscard]] core::result<void> prepare();
