--- a/services/agent/src/agent.cpp
+++ b/services/agent/src/agent.cpp
@@ -4,6 +4,7 @@
 #include "peer_address.hpp"
 #include "state_report.hpp"
 
+#include <godwit/core/wall_clock.hpp>
 #include <godwit/telemetry/log.hpp>
 #include <godwit/telemetry/state_dump.hpp>
 
@@ -30,13 +31,6 @@
     return text.str();
 }
 
-std::uint64_t wall_time_ms()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
-}
-
 } // namespace
 
 core::result<std::unique_ptr<agent>>
@@ -243,7 +237,8 @@
     if (stopped_)
         return;
     look_for_pause();
-    catalogue_->tick(wall_time_ms());
+    catalogue_->tick(
+        static_cast<std::uint64_t>(core::wall_clock_now().count()));
     peers_->tick(core::monotonic_now());
     timer_.expires_after(tick_interval);
     timer_.async_wait([this](const boost::system::error_code& code) {
--- a/services/proxy/callers_service.cpp
+++ b/services/proxy/callers_service.cpp
@@ -5,6 +5,7 @@
 #include "problem.hpp"
 #include "request_session.hpp"
 
+#include <godwit/core/wall_clock.hpp>
 #include <godwit/telemetry/log.hpp>
 
 #include <chrono>
@@ -20,12 +21,6 @@
 constexpr unsigned server_error = 500;
 constexpr std::chrono::seconds come_back{1};
 
-std::int64_t unix_seconds()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::seconds>(now).count();
-}
-
 problem not_ready()
 {
     return {
@@ -123,8 +118,10 @@
     if (!snapshot->catalogue) {
         failure = not_ready();
     } else {
+        const auto now = std::chrono::duration_cast<std::chrono::seconds>(
+            core::wall_clock_now());
         const caller_request_reader reader(
-            *snapshot->catalogue, services_.keys, unix_seconds());
+            *snapshot->catalogue, services_.keys, now.count());
         auto request = reader.read(with.received());
         if (request) {
             auto created = request_session::create(
--- a/services/proxy/request_session_caller.cpp
+++ b/services/proxy/request_session_caller.cpp
@@ -4,6 +4,7 @@
 
 #include "fail_detail.hpp"
 
+#include <godwit/core/wall_clock.hpp>
 #include <godwit/http/server_sent_event.hpp>
 #include <godwit/request/resume_token.hpp>
 
@@ -19,12 +20,6 @@
 
 constexpr unsigned ok = 200;
 
-std::int64_t unix_seconds()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::seconds>(now).count();
-}
-
 } // namespace
 
 void request_session::begin_stream()
@@ -46,7 +41,9 @@
     token.organisation = request_.organisation->name;
     token.service = request_.service->name;
     token.position = {core::server_address(server_), generation, offset + 1};
-    token.expires_at = unix_seconds() + validity.count();
+    const auto now = std::chrono::duration_cast<std::chrono::seconds>(
+        core::wall_clock_now());
+    token.expires_at = (now + validity).count();
     token.started_by = request_.resume ? request_.started_by
                                        : services_.claims.self().peer_address;
     // Sealing fails for names of 64 KiB, which no catalogue holds; without
--- a/utilities/godwit-load/program/load_options.cpp
+++ b/utilities/godwit-load/program/load_options.cpp
@@ -1,5 +1,7 @@
 #include "load_options.hpp"
 
+#include <godwit/core/wall_clock.hpp>
+
 #include <charconv>
 #include <chrono>
 #include <cmath>
@@ -65,9 +67,7 @@
     std::string name = from.text("run");
     if (!name.empty())
         return name;
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return std::to_string(
-        std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+    return std::to_string(core::wall_clock_now().count());
 }
 
 } // namespace
