--- a/libraries/settings/include/godwit/settings/read_values.hpp
+++ b/libraries/settings/include/godwit/settings/read_values.hpp
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 namespace godwit::settings {
@@ -28,4 +29,15 @@
     range<std::int64_t> allowed,
     std::size_t absent);
 
+/// The length up to which names of hosts, zones and services are taken.
+inline constexpr std::size_t longest_name = 128;
+
+/// A name that must be there. Fails with `invalid_input` naming the key's
+/// path.
+template<class Name>
+[[nodiscard]] core::result<Name> read_name(reader& from, std::string_view key)
+{
+    return Name(GODWIT_TRY(from.get_string(key, std::nullopt, longest_name)));
+}
+
 } // namespace godwit::settings
--- a/services/agent/src/agent_settings.cpp
+++ b/services/agent/src/agent_settings.cpp
@@ -11,11 +11,11 @@
 
 using namespace std::chrono_literals;
 using settings::read_count;
+using settings::read_name;
 using settings::read_span;
 using settings::reader;
 using telemetry::read_log_level;
 
-constexpr std::size_t longest_name = 128;
 constexpr std::size_t most_peers = 64;
 
 core::result<log_settings> read_log(reader& file)
@@ -194,14 +194,12 @@
 
 core::result<agent_settings> agent_settings::read(reader file)
 {
-    const auto host =
-        GODWIT_TRY(file.get_string("host", std::nullopt, longest_name));
-    const auto zone =
-        GODWIT_TRY(file.get_string("zone", std::nullopt, longest_name));
+    auto host = GODWIT_TRY(read_name<core::host_name>(file, "host"));
+    auto zone = GODWIT_TRY(read_name<core::zone_name>(file, "zone"));
     auto listen = GODWIT_TRY(file.get_object("listen"));
     agent_settings read{
-        .host = core::host_name(host),
-        .zone = core::zone_name(zone),
+        .host = std::move(host),
+        .zone = std::move(zone),
         .frames_address = GODWIT_TRY(listen.get_address("frames")),
         .operators_address = GODWIT_TRY(listen.get_address("operators")),
         .platform = GODWIT_TRY(file.get_address("platform")),
--- a/services/entry/src/entry_settings.cpp
+++ b/services/entry/src/entry_settings.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr std::size_t longest_name = 128;
 constexpr std::size_t most_seeds = 16;
 
 core::result<http::endpoint>
@@ -59,10 +58,10 @@
 {
     auto listen = GODWIT_TRY(source.get_object("listen"));
     entry_settings read{
-        .host = core::host_name(
-            GODWIT_TRY(source.get_string("host", std::nullopt, longest_name))),
-        .zone = core::zone_name(
-            GODWIT_TRY(source.get_string("zone", std::nullopt, longest_name))),
+        .host =
+            GODWIT_TRY(settings::read_name<core::host_name>(source, "host")),
+        .zone =
+            GODWIT_TRY(settings::read_name<core::zone_name>(source, "zone")),
         .log_level = GODWIT_TRY(telemetry::read_log_level(source)),
         .callers = GODWIT_TRY(read_endpoint(listen, "callers")),
         .readiness = GODWIT_TRY(read_endpoint(listen, "readiness")),
--- a/services/proxy/proxy_settings.cpp
+++ b/services/proxy/proxy_settings.cpp
@@ -14,11 +14,11 @@
 
 using namespace std::chrono_literals;
 using settings::read_count;
+using settings::read_name;
 using settings::read_span;
 using settings::reader;
 using telemetry::read_log_level;
 
-constexpr std::size_t longest_name = 128;
 constexpr std::size_t most_static_servers = 4096;
 constexpr std::size_t most_resume_keys = 8;
 
@@ -160,10 +160,8 @@
     static_server server;
     server.address = core::server_address(
         GODWIT_TRY(from.get_address("address")).to_string());
-    server.zone = core::zone_name(
-        GODWIT_TRY(from.get_string("zone", std::nullopt, longest_name)));
-    server.service = core::service_name(
-        GODWIT_TRY(from.get_string("service", std::nullopt, longest_name)));
+    server.zone = GODWIT_TRY(read_name<core::zone_name>(from, "zone"));
+    server.service = GODWIT_TRY(read_name<core::service_name>(from, "service"));
     return from.finish(std::move(server));
 }
 
@@ -207,10 +205,8 @@
 
 core::result<proxy_settings> proxy_settings::read(reader file)
 {
-    const core::host_name host(
-        GODWIT_TRY(file.get_string("host", std::nullopt, longest_name)));
-    const core::zone_name zone(
-        GODWIT_TRY(file.get_string("zone", std::nullopt, longest_name)));
+    const auto host = GODWIT_TRY(read_name<core::host_name>(file, "host"));
+    const auto zone = GODWIT_TRY(read_name<core::zone_name>(file, "zone"));
     auto listen = GODWIT_TRY(file.get_object("listen"));
     auto callers_address = GODWIT_TRY(listen.get_address("callers"));
     auto operators_address = GODWIT_TRY(listen.get_address("operators"));
