--- a/libraries/catalogue/include/godwit/catalogue/follower.hpp
+++ b/libraries/catalogue/include/godwit/catalogue/follower.hpp
@@ -45,6 +45,9 @@
 private:
     explicit follower(follower_settings settings);
 
+    /// Named beside peers where contents are compared.
+    static constexpr const char* checkpoint_holder = "a checkpoint in the log";
+
     struct candidate_peer
     {
         core::host_name peer;
