tests: dispatch's long and short class are described once

Five tests of fairness_test.cpp began with the same policy of two classes; long_and_short makes it. No assertion and no name of a test changed. 233 -> 231 lines.

--- a/tests/dispatch/fairness_test.cpp
+++ b/tests/dispatch/fairness_test.cpp
@@ -115,18 +115,20 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, state.requests);
     }
 
-    static dispatch::class_policy named(const std::string& name)
+    /// A policy of a long and a short class that are alike so far.
+    static dispatch::policy_changed long_and_short()
     {
-        dispatch::class_policy limits;
-        limits.name = core::class_name(name);
-        return limits;
+        dispatch::policy_changed policy;
+        policy.value.classes.resize(2);
+        policy.value.classes[0].name = core::class_name("l");
+        policy.value.classes[1].name = core::class_name("s");
+        return policy;
     }
 
     void test_classes_share_by_weight()
     {
         scheduler_fixture fixture;
-        dispatch::policy_changed policy;
-        policy.value.classes = {named("l"), named("s")};
+        auto policy = long_and_short();
         policy.value.classes[0].weight = 3.0;
         fixture.tell(policy);
         fixture.engines(1, 1000000, 1);
@@ -143,8 +145,7 @@
     {
         // By tokens alone the long class would get one start in sixteen.
         scheduler_fixture fixture;
-        dispatch::policy_changed policy;
-        policy.value.classes = {named("l"), named("s")};
+        auto policy = long_and_short();
         policy.value.classes[0].start_floor = 0.3;
         fixture.tell(policy);
         fixture.engines(1, 1000000, 1);
@@ -158,8 +159,7 @@
     void test_memory_floor_is_kept_free()
     {
         scheduler_fixture fixture;
-        dispatch::policy_changed policy;
-        policy.value.classes = {named("l"), named("s")};
+        auto policy = long_and_short();
         policy.value.classes[1].memory_floor = 0.2;
         fixture.tell(policy);
         fixture.engines(1, 1100);
@@ -173,8 +173,7 @@
     void test_floor_is_open_whatever_the_reports_say()
     {
         scheduler_fixture fixture;
-        dispatch::policy_changed policy;
-        policy.value.classes = {named("l"), named("s")};
+        auto policy = long_and_short();
         policy.value.classes[1].memory_floor = 0.25;
         fixture.tell(policy);
         fixture.engines(1, 1000);
@@ -195,8 +194,7 @@
     void test_no_class_starves()
     {
         scheduler_fixture fixture;
-        dispatch::policy_changed policy;
-        policy.value.classes = {named("l"), named("s")};
+        auto policy = long_and_short();
         policy.value.classes[1].priority = 8;
         fixture.tell(policy);
         fixture.engines(1, 1000000, 1);
