proxy: the control plane in three files by job

The functions are moved as they were; the log's name for the part is a constant of the class, since two files use it.

--- a/services/proxy/control_plane.cpp
+++ b/services/proxy/control_plane.cpp
@@ -1,27 +1,17 @@
 #include "control_plane.hpp"
 
-#include "catalogue_policy.hpp"
-#include "poll_subset.hpp"
-#include "request_session.hpp"
 #include "scheduler_dump.hpp"
-#include "sighting_of.hpp"
-
-#include <godwit/telemetry/log.hpp>
 
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
 #include <chrono>
-#include <set>
-#include <string>
 #include <utility>
 #include <variant>
 
 namespace godwit::proxy {
 
 namespace asio = boost::asio;
-using telemetry::log_event;
-using telemetry::log_level;
 
 namespace {
 
@@ -29,9 +19,6 @@
 // in which a caller notices a wait.
 constexpr std::chrono::milliseconds beat_interval{20};
 constexpr std::chrono::milliseconds membership_interval{100};
-constexpr std::chrono::seconds explore_interval{1};
-constexpr std::chrono::seconds longest_ready_wait{2};
-constexpr std::string_view component = "control";
 
 membership::pool_settings pool_settings(const proxy_settings& from)
 {
@@ -42,19 +29,6 @@
     return settings;
 }
 
-std::vector<membership::listed_server>
-static_servers(const proxy_settings& from)
-{
-    std::vector<membership::listed_server> servers;
-    for (const auto& server : from.fixed.servers)
-        servers.push_back(
-            {server.address,
-             server.service,
-             server.zone,
-             membership::listed_state::live});
-    return servers;
-}
-
 } // namespace
 
 core::result<std::unique_ptr<control_plane>> control_plane::create(
@@ -160,27 +134,6 @@
         to_.on_ready();
 }
 
-void control_plane::refresh_polls()
-{
-    auto polled = poll_subset(
-        listed_, settings_.host, settings_.zone, settings_.backend.subset);
-    polled.insert(eligible_.begin(), eligible_.end());
-    poller_.set_servers(polled);
-}
-
-// After a change of the catalogue the servers that now fit may all be
-// outside of the subset, and then nobody would ever ask them. One question a
-// second finds them.
-void control_plane::explore(core::time_point now)
-{
-    if (now < explore_due_ || listed_.empty())
-        return;
-    explore_due_ = now + explore_interval;
-    const auto& any = listed_.at(random_.below(listed_.size()));
-    if (any.state == membership::listed_state::live)
-        poller_.ask(any.address);
-}
-
 void control_plane::run(const dispatch::event& what)
 {
     for (const auto& action : scheduler_.handle(what, core::monotonic_now()))
@@ -245,61 +198,6 @@
     asio::post(control_, [this, what = std::move(what)] { run(what); });
 }
 
-void control_plane::report(
-    core::server_address server, request::observation seen)
-{
-    asio::post(control_, [this, server = std::move(server), seen] {
-        run(membership::server_seen{server, sighting_of(seen)});
-    });
-}
-
-void control_plane::take_catalogue(catalogue::state_pointer next)
-{
-    asio::post(control_, [this, next = std::move(next)]() mutable {
-        put_into_force(std::move(next));
-        if (to_.on_catalogue)
-            to_.on_catalogue();
-    });
-}
-
-wire::catalogue_position control_plane::position() const
-{
-    if (!catalogue_ || catalogue_is_static_)
-        return {};
-    return {catalogue_->next_offset(), catalogue_->hash()};
-}
-
-void control_plane::take_servers(std::vector<membership::listed_server> servers)
-{
-    asio::post(control_, [this, servers = std::move(servers)]() mutable {
-        listed_ = static_servers(settings_);
-        listed_.insert(listed_.end(), servers.begin(), servers.end());
-        refresh_polls();
-        run(membership::host_list_read{listed_});
-    });
-}
-
-void control_plane::take_entry_hosts(std::uint32_t count)
-{
-    asio::post(control_, [this, count] {
-        if (count == 0 || count == entry_hosts_)
-            return;
-        log_event(
-            log_level::info,
-            component,
-            "entry_hosts_changed",
-            {{"from", entry_hosts_}, {"to", count}});
-        entry_hosts_ = count;
-        tell_of_policy();
-        tell_of_servers();
-    });
-}
-
-void control_plane::take_sign(membership::sign_received sign)
-{
-    asio::post(control_, [this, sign = std::move(sign)] { run(sign); });
-}
-
 void control_plane::describe(std::function<void(boost::json::object)> listener)
 {
     asio::post(control_, [this, listener = std::move(listener)] {
@@ -333,147 +231,6 @@
     // Engines take a priority with the request only.
 }
 
-void control_plane::on(const membership::publish_snapshot&)
-{
-    tell_of_servers();
-}
-
-void control_plane::tell_of_servers()
-{
-    const auto snapshot = pool_.snapshot();
-    dispatch::servers_changed change;
-    change.entry_hosts = entry_hosts_;
-    eligible_.clear();
-    for (const auto& pool : snapshot->pools()) {
-        for (const auto* servers : {&pool.own_zone, &pool.other_zones}) {
-            for (const auto& server : *servers) {
-                change.servers.push_back(
-                    {server.address, server.zone, pool.service, {}});
-                eligible_.insert(server.address);
-            }
-        }
-    }
-    refresh_polls();
-    run(std::move(change));
-}
-
-void control_plane::tell_of_policy()
-{
-    if (catalogue_)
-        run(dispatch::policy_changed{
-            dispatch_policy(*catalogue_, entry_hosts_)});
-}
-
-void control_plane::on(const membership::pass_sign& what)
-{
-    if (to_.on_sign)
-        to_.on_sign(what);
-}
-
-void control_plane::on(const membership::probe_server& what)
-{
-    poller_.ask(what.server);
-}
-
-void control_plane::on(const membership::state_changed& what)
-{
-    log_event(
-        log_level::info,
-        component,
-        "backend_server_changed",
-        {{"server", what.server},
-         {"from", membership::to_string(what.from)},
-         {"to", membership::to_string(what.to)},
-         {"why", what.why}});
-}
-
-void control_plane::on(const membership::host_list_doubted& what)
-{
-    log_event(
-        log_level::warning,
-        component,
-        "host_list_doubted",
-        {{"missing", what.missing}, {"known", what.known}});
-}
-
-void control_plane::on_load(
-    const core::server_address& server, const core::result<load_report>& answer)
-{
-    if (!answer) {
-        log_event(
-            log_level::debug,
-            component,
-            "load_poll_failed",
-            {{"server", server}, {"why", answer.error().to_string()}});
-        run(membership::server_seen{
-            server, membership::sighting::probe_failed});
-        return;
-    }
-    run(membership::load_reported{
-        server,
-        answer->models,
-        answer->adapters,
-        answer->version,
-        answer->leaving ? membership::listed_state::leaving
-                        : membership::listed_state::live});
-    run(dispatch::load_reported{
-        server,
-        core::monotonic_now() - answer->age,
-        answer->running,
-        answer->waiting,
-        answer->memory_tokens_used,
-        answer->memory_tokens_capacity});
-}
-
-void control_plane::put_into_force(catalogue::state_pointer next)
-{
-    const bool is_first = catalogue_ == nullptr;
-    const bool is_newer = is_first || catalogue_is_static_ ||
-                          next->next_offset() > catalogue_->next_offset();
-    if (!is_newer) {
-        const bool is_same = next->next_offset() == catalogue_->next_offset() &&
-                             next->hash() == catalogue_->hash();
-        if (!is_same)
-            log_event(
-                log_level::warning,
-                component,
-                "catalogue_not_taken",
-                {{"offset", next->next_offset()},
-                 {"in_force", catalogue_->next_offset()},
-                 {"why", "it is not newer than the one in force"}});
-        return;
-    }
-    catalogue_is_static_ = is_first && settings_.fixed.catalogue.has_value();
-    if (!is_first)
-        tell_of_gone_services(*next);
-    catalogue_ = std::move(next);
-    to_.snapshots.set({catalogue_, catalogue_->next_offset()});
-    tell_of_policy();
-    run(membership::requirements_changed{service_requirements(*catalogue_)});
-    log_event(
-        log_level::info,
-        component,
-        "catalogue_in_force",
-        {{"offset", catalogue_->next_offset()}, {"hash", catalogue_->hash()}});
-    if (is_first)
-        ready_at_ = core::monotonic_now() + longest_ready_wait;
-}
-
-void control_plane::tell_of_gone_services(const catalogue::state& next)
-{
-    std::set<core::service_name> gone;
-    catalogue_->services().for_each([&](const auto&, const auto& service) {
-        if (!next.find_service(service.name))
-            gone.insert(service.name);
-    });
-    if (gone.empty())
-        return;
-    for (const auto& session : to_.registry.all()) {
-        if (gone.contains(session->service()))
-            session->post(request::service_gone{});
-    }
-}
-
 boost::json::object control_plane::state() const
 {
     boost::json::object state;
--- a/services/proxy/control_plane.hpp
+++ b/services/proxy/control_plane.hpp
@@ -29,6 +29,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -107,6 +108,9 @@
     void describe(std::function<void(boost::json::object)> listener);
 
 private:
+    /// What the log calls this part of the process.
+    static constexpr std::string_view component = "control";
+
     control_plane(
         boost::asio::io_context& control,
         boost::asio::io_context& traffic,
