--- a/tests/catalogue/cluster.hpp
+++ b/tests/catalogue/cluster.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fake_log.hpp"
+#include "virtual_time.hpp"
 
 #include <godwit/catalogue/checkpoint_codec.hpp>
 #include <godwit/catalogue/follower.hpp>
@@ -9,7 +10,6 @@
 
 #include <algorithm>
 #include <functional>
-#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -112,14 +112,14 @@
 
     follower_status status(std::size_t index)
     {
-        return hosts_.at(index).agent->status(now_);
+        return hosts_.at(index).agent->status(time_.now());
     }
 
     [[nodiscard]] std::uint64_t time_ms() const
     {
         constexpr std::uint64_t epoch_ms = 1'700'000'000'000;
         return epoch_ms + static_cast<std::uint64_t>(
-                              now_.time_since_epoch().count() / 1000);
+                              time_.now().time_since_epoch().count() / 1000);
     }
 
     std::optional<std::uint64_t> publish(const std::string& data)
@@ -130,16 +130,7 @@
         return offset;
     }
 
-    void run_for(core::duration span)
-    {
-        const core::time_point end = now_ + span;
-        while (!events_.empty() && events_.begin()->first <= end) {
-            auto next = events_.extract(events_.begin());
-            now_ = next.key();
-            next.mapped()();
-        }
-        now_ = end;
-    }
+    void run_for(core::duration span) { time_.run_for(span); }
 
     /// Runs until `done` holds; the time that it took, or fails after
     /// `limit`.
@@ -185,15 +176,10 @@
         return all;
     }
 
-    void at_time(core::time_point when, std::function<void()> action)
-    {
-        events_.emplace(when, std::move(action));
-    }
-
     void schedule_tick(std::size_t index)
     {
         const std::uint64_t generation = hosts_[index].generation;
-        at_time(now_ + tick_time, [this, index, generation] {
+        time_.after(tick_time, [this, index, generation] {
             if (hosts_[index].generation != generation || hosts_[index].paused)
                 return;
             deliver(index, tick{time_ms() + clock_error_ms});
@@ -205,11 +191,10 @@
     void send(std::size_t index, core::duration delay, follower_event event)
     {
         const std::uint64_t generation = hosts_[index].generation;
-        at_time(
-            now_ + delay, [this, index, generation, event = std::move(event)] {
-                if (hosts_[index].generation == generation)
-                    deliver(index, event);
-            });
+        time_.after(delay, [this, index, generation, event = std::move(event)] {
+            if (hosts_[index].generation == generation)
+                deliver(index, event);
+        });
     }
 
     void deliver(std::size_t index, const follower_event& event)
@@ -217,7 +202,7 @@
         host& target = hosts_[index];
         if (!target.agent || target.paused)
             return;
-        for (const auto& action : target.agent->handle(event, now_)) {
+        for (const auto& action : target.agent->handle(event, time_.now())) {
             std::visit(
                 [this, index](const auto& each) { perform(index, each); },
                 action);
@@ -278,12 +263,11 @@
         }
         hosts_[index].pending_read = action.from;
         const std::uint64_t generation = hosts_[index].generation;
-        at_time(
-            now_ + poll_time, [this, index, generation, from = action.from] {
-                if (hosts_[index].generation == generation &&
-                    hosts_[index].pending_read == from)
-                    answer_read(index, from);
-            });
+        time_.after(poll_time, [this, index, generation, from = action.from] {
+            if (hosts_[index].generation == generation &&
+                hosts_[index].pending_read == from)
+                answer_read(index, from);
+        });
     }
 
     void perform(std::size_t index, const pull_from_peer& action)
@@ -376,7 +360,7 @@
     {
         core::duration delay = log_delay;
         for (const std::string& data : action.records) {
-            at_time(now_ + delay, [this, index, data] {
+            time_.after(delay, [this, index, data] {
                 if (!reaches_log(index) || appends_left == 0)
                     return;
                 --appends_left;
@@ -387,8 +371,7 @@
     }
 
     std::vector<host> hosts_;
-    std::multimap<core::time_point, std::function<void()>> events_;
-    core::time_point now_{};
+    godwit::test::virtual_time time_{core::time_point{}};
 };
 
 } // namespace godwit::catalogue::test
--- a/tests/claims/fleet.cpp
+++ b/tests/claims/fleet.cpp
@@ -56,7 +56,7 @@
     settings.host = core::host_name(name(host));
     settings.zone = core::zone_name(std::to_string(host % options_.zones));
     settings.claimer = random_.next();
-    self.agent.emplace(*claimer::create(settings, now_));
+    self.agent.emplace(*claimer::create(settings, now()));
     std::vector<std::size_t> zone;
     for (std::size_t peer = host % options_.zones; peer < options_.hosts;
          peer += options_.zones)
@@ -72,32 +72,14 @@
     tell(host, event, false);
 }
 
-void fleet::after(core::duration delay, action what)
-{
-    queue_.emplace(now_ + delay, std::move(what));
-}
-
-void fleet::run_for(core::duration length)
-{
-    const auto end = now_ + length;
-    std::size_t events = 0;
-    while (!queue_.empty() && queue_.begin()->first <= end) {
-        auto next = queue_.extract(queue_.begin());
-        now_ = next.key();
-        next.mapped()();
-        CPPUNIT_ASSERT_MESSAGE("events without end", ++events < 2'000'000);
-    }
-    now_ = end;
-}
-
 // What arrives at a host that stands still waits until it runs again.
 void fleet::on_agent(std::size_t host, std::size_t epoch, action what)
 {
     auto& self = hosts_[host];
     if (!self.alive || self.agent_epoch != epoch)
         return;
-    if (now_ < self.paused_until)
-        return after(self.paused_until - now_, [=, this] {
+    if (now() < self.paused_until)
+        return after(self.paused_until - now(), [=, this] {
             on_agent(host, epoch, what);
         });
     what();
@@ -108,8 +90,8 @@
     auto& self = hosts_[host];
     if (!self.alive || self.proxy_epoch != epoch)
         return;
-    if (now_ < self.paused_until)
-        return after(self.paused_until - now_, [=, this] {
+    if (now() < self.paused_until)
+        return after(self.paused_until - now(), [=, this] {
             on_proxy(host, epoch, what);
         });
     what();
@@ -129,9 +111,9 @@
     if (before_event)
         before_event(host, self.events);
     ++self.events;
-    if (now_ < self.paused_until)
+    if (now() < self.paused_until)
         return tell(host, event, false);
-    for (const auto& wanted : self.agent->handle(event, now_))
+    for (const auto& wanted : self.agent->handle(event, now()))
         std::visit([&](const auto& value) { act(host, value); }, wanted);
     schedule_tick(host);
 }
@@ -140,11 +122,11 @@
 {
     auto& self = hosts_[host];
     const auto due = self.agent->next_wakeup();
-    if (self.tick_at > now_ && self.tick_at <= due)
+    if (self.tick_at > now() && self.tick_at <= due)
         return;
     self.tick_at = due;
     const auto epoch = self.agent_epoch;
-    after(due - now_, [=, this] {
+    after(due - now(), [=, this] {
         on_agent(host, epoch, [=, this] {
             if (hosts_[host].tick_at != due)
                 return;
@@ -173,7 +155,7 @@
             2 * options_.hop, append_refused{append.append, milliseconds(50)});
     const bool lost = lose_answers > 0 && lose_answers-- > 0;
     after(append_time, [=, this] {
-        const auto offset = log_.append(append.data, now_);
+        const auto offset = log_.append(append.data, now());
         wake_polls();
         if (lost)
             return reply(
@@ -214,9 +196,9 @@
         waiting.host,
         records_read{
             waiting.read.read,
-            log_.first(now_),
+            log_.first(now()),
             log_.next(),
-            log_.read(waiting.read.from, waiting.read.limit, now_)},
+            log_.read(waiting.read.from, waiting.read.limit, now())},
         true);
 }
 
@@ -258,7 +240,7 @@
                 return;
             CPPUNIT_ASSERT_MESSAGE("answered twice", !tried.answer);
             tried.answer = answer.answer;
-            tried.answered_at = now_;
+            tried.answered_at = now();
             if (const auto* won = std::get_if<claim_won>(&answer.answer))
                 win(answer.ask, *won);
         });
@@ -276,7 +258,7 @@
 fleet::submit(std::size_t host, std::size_t number, const std::string& body)
 {
     const auto index = tries_.size();
-    tries_.push_back({host, number, now_, {}, {}, !hosts_[host].alive});
+    tries_.push_back({host, number, now(), {}, {}, !hosts_[host].alive});
     const auto request =
         request_fingerprint::of("POST", "/v1/services/register-api/sign", body);
     if (hosts_[host].alive)
@@ -294,7 +276,7 @@
     after(options_.start_delay, [=, this] {
         on_proxy(host, hosts_[host].proxy_epoch, [=, this] {
             const auto run = core::request_id(std::to_string(index));
-            if (proxies_decline || now_ >= won.start_before ||
+            if (proxies_decline || now() >= won.start_before ||
                 !hosts_[host].kept->begin(
                     key(number), default_request, won.position, run))
                 return release(host, number, won.position);
@@ -317,7 +299,7 @@
 {
     const kept_answer answer{
         200, "text/plain", "done", core::outcome::completed};
-    hosts_[host].kept->finish(key(number), answer, now_);
+    hosts_[host].kept->finish(key(number), answer, now());
     tell(
         host,
         run_finished{
@@ -365,7 +347,7 @@
 void fleet::pause(std::size_t host, core::duration length)
 {
     auto& self = hosts_[host];
-    self.paused_until = std::max(self.paused_until, now_ + length);
+    self.paused_until = std::max(self.paused_until, now() + length);
     tell(host, resumed_after_pause{length}, false);
 }
 
--- a/tests/claims/fleet.hpp
+++ b/tests/claims/fleet.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fake_log.hpp"
+#include "virtual_time.hpp"
 
 #include <godwit/claims/claimer.hpp>
 #include <godwit/claims/kept_answers.hpp>
@@ -53,12 +54,15 @@
 
     explicit fleet(fleet_options options);
 
-    godwit::core::time_point now() const { return now_; }
+    godwit::core::time_point now() const { return time_.now(); }
 
     /// Does `what` after `delay`.
-    void after(godwit::core::duration delay, action what);
+    void after(godwit::core::duration delay, action what)
+    {
+        time_.after(delay, std::move(what));
+    }
 
-    void run_for(godwit::core::duration length);
+    void run_for(godwit::core::duration length) { time_.run_for(length); }
 
     /// A caller tries `key` at `host`; the index of the try comes back.
     std::size_t
@@ -159,8 +163,7 @@
 
     fleet_options options_;
     godwit::core::random random_;
-    godwit::core::time_point now_;
-    std::multimap<godwit::core::time_point, action> queue_;
+    godwit::test::virtual_time time_{godwit::core::time_point{}, 2'000'000};
     fake_log<godwit::claims::log_record> log_;
     std::vector<entry_host> hosts_;
     std::vector<poll> polls_;
--- a/tests/orders/engine_fleet.cpp
+++ b/tests/orders/engine_fleet.cpp
@@ -16,8 +16,8 @@
 } // namespace
 
 engine_fleet::engine_fleet(engine_fleet_options options)
-    : options_(options), now_(seconds(1)), log_(std::chrono::hours(1)),
-      agents_(options.agents), engines_(options.engines)
+    : options_(options), log_(std::chrono::hours(1)), agents_(options.agents),
+      engines_(options.engines)
 {
     for (auto& one : engines_)
         one.state = {{"toponym"}, {}, "1", "serve", 0};
@@ -37,7 +37,7 @@
     settings.incarnation =
         core::incarnation_id("i" + std::to_string(++incarnations_));
     self.decisions.emplace(
-        std::move(reconciler::create(settings, now_ - self.behind).value()));
+        std::move(reconciler::create(settings, now() - self.behind).value()));
     tell(agent, hop, pools_changed{{pool_}});
     tell(agent, hop, live_engines());
     std::vector<std::size_t> everybody;
@@ -84,26 +84,13 @@
             tell(agent, hop, pools_changed{{pool_}});
 }
 
-void engine_fleet::run_for(core::duration length)
-{
-    const auto end = now_ + length;
-    std::size_t events = 0;
-    while (!queue_.empty() && queue_.begin()->first <= end) {
-        auto next = queue_.extract(queue_.begin());
-        now_ = next.key();
-        next.mapped()();
-        CPPUNIT_ASSERT_MESSAGE("events without end", ++events < 200'000);
-    }
-    now_ = end;
-}
-
 std::optional<core::duration> engine_fleet::time_to_reach(core::duration limit)
 {
-    const auto begun = now_;
-    while (now_ - begun < limit) {
+    const auto begun = now();
+    while (now() - begun < limit) {
         run_for(milliseconds(10));
         if (serving(pool_.targets.front().choice.version) == engines_.size())
-            return now_ - begun;
+            return now() - begun;
     }
     return std::nullopt;
 }
@@ -115,8 +102,8 @@
         const auto& self = agents_[index];
         for (const auto& held : self.decisions->held()) {
             // One that stands still holds nothing once it runs again.
-            if (now_ < self.paused_until ||
-                held.valid_until <= now_ - self.behind)
+            if (now() < self.paused_until ||
+                held.valid_until <= now() - self.behind)
                 continue;
             CPPUNIT_ASSERT_MESSAGE("two holders", !found);
             found = index;
@@ -138,8 +125,8 @@
     const auto& self = agents_[agent];
     if (self.epoch != epoch)
         return;
-    if (now_ < self.paused_until)
-        return after(self.paused_until - now_, [=, this] {
+    if (now() < self.paused_until)
+        return after(self.paused_until - now(), [=, this] {
             on_agent(agent, epoch, what);
         });
     what();
@@ -157,17 +144,18 @@
 void engine_fleet::handle(std::size_t agent, const reconciler_event& event)
 {
     auto& self = agents_[agent];
-    for (const auto& wanted : self.decisions->handle(event, now_ - self.behind))
+    for (const auto& wanted :
+         self.decisions->handle(event, now() - self.behind))
         std::visit([&](const auto& value) { act(agent, value); }, wanted);
     auto due = self.decisions->next_wakeup();
     if (due == core::time_point::max())
         return;
     due += self.behind;
-    if ((self.tick_at > now_ && self.tick_at <= due))
+    if ((self.tick_at > now() && self.tick_at <= due))
         return;
     self.tick_at = due;
     const auto epoch = self.epoch;
-    after(due - now_, [=, this] {
+    after(due - now(), [=, this] {
         on_agent(agent, epoch, [=, this] {
             if (agents_[agent].tick_at != due)
                 return;
@@ -183,8 +171,8 @@
         return tell(agent, hop, append_failed{append.append});
     const bool lost = lose_appends > 0 && lose_appends-- > 0;
     after(append_time, [=, this] {
-        const auto offset = log_.append(append.data, now_);
-        truth_.fold(log_.read(offset, 1, now_).front());
+        const auto offset = log_.append(append.data, now());
+        truth_.fold(log_.read(offset, 1, now()).front());
         tell(
             agent,
             answer_delay,
@@ -212,9 +200,9 @@
         hop,
         records_read{
             read.read,
-            log_.first(now_),
+            log_.first(now()),
             log_.next(),
-            log_.read(read.from, read.limit, now_)});
+            log_.read(read.from, read.limit, now())});
 }
 
 void engine_fleet::act(std::size_t agent, const read_engine& read)
@@ -233,11 +221,11 @@
 void engine_fleet::act(std::size_t agent, const send_order& order)
 {
     const auto epoch = agents_[agent].epoch;
-    const auto checked_at = now_ - agents_[agent].behind;
+    const auto checked_at = now() - agents_[agent].behind;
     after(core::duration(50), [=, this] {
         on_agent(agent, epoch, [=, this] {
             const auto clock =
-                freeze_after_check ? checked_at : now_ - agents_[agent].behind;
+                freeze_after_check ? checked_at : now() - agents_[agent].behind;
             if (clock >= order.send_before)
                 return handle(
                     agent, order_not_sent{order.engine, order.request});
@@ -325,18 +313,18 @@
     auto& one = engines_[engine];
     const bool right = pool_.targets.front().choice.served_by(one.state);
     if (!right && !one.wrong_since)
-        one.wrong_since = now_;
+        one.wrong_since = now();
     if (!right || !one.wrong_since)
         return;
     figures_.longest_wrong =
-        std::max(figures_.longest_wrong, now_ - *one.wrong_since);
+        std::max(figures_.longest_wrong, now() - *one.wrong_since);
     one.wrong_since.reset();
 }
 
 void engine_fleet::pause(std::size_t agent, core::duration length)
 {
     auto& self = agents_[agent];
-    self.paused_until = std::max(self.paused_until, now_ + length);
+    self.paused_until = std::max(self.paused_until, now() + length);
     if (clocks_stop)
         self.behind += length;
     tell(agent, core::duration(0), resumed_after_pause{length});
--- a/tests/orders/engine_fleet.hpp
+++ b/tests/orders/engine_fleet.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../claims/fake_log.hpp"
+#include "virtual_time.hpp"
 
 #include <godwit/core/random.hpp>
 #include <godwit/orders/lease_table.hpp>
@@ -42,14 +43,14 @@
 
     explicit engine_fleet(engine_fleet_options options);
 
-    godwit::core::time_point now() const { return now_; }
+    godwit::core::time_point now() const { return time_.now(); }
 
     void after(godwit::core::duration delay, action what)
     {
-        queue_.emplace(now_ + delay, std::move(what));
+        time_.after(delay, std::move(what));
     }
 
-    void run_for(godwit::core::duration length);
+    void run_for(godwit::core::duration length) { time_.run_for(length); }
 
     /// Publishes what the pool shall serve; how requests are routed.
     void want(const std::string& version, const std::string& serving);
@@ -133,8 +134,8 @@
     godwit::orders::engines_changed live_engines() const;
 
     engine_fleet_options options_;
-    godwit::core::time_point now_;
-    std::multimap<godwit::core::time_point, action> queue_;
+    godwit::test::virtual_time time_{
+        godwit::core::time_point(std::chrono::seconds(1)), 200'000};
     fake_log<godwit::orders::log_record> log_;
     std::vector<agent_host> agents_;
     std::vector<engine_host> engines_;
