proxy: dispatch hears of a start in one place

Reading a generation's answer and reading a call's both told dispatch of the start, in the same five lines; tell_dispatch_of_start serves both. request_session_backend.cpp 380 -> 372 lines, request_session.cpp 354 -> 363.

--- a/services/proxy/request_session.cpp
+++ b/services/proxy/request_session.cpp
@@ -267,6 +267,15 @@
         ask, refusal_of(refused.reason), refused.retry_after});
 }
 
+void request_session::tell_dispatch_of_start()
+{
+    if (dispatch_state_ != dispatch_state::granted)
+        return;
+    dispatch_state_ = dispatch_state::started;
+    services_.control.tell(
+        dispatch::request_started{dispatch_id(dispatch_ask_)});
+}
+
 void request_session::on(const request::leave_dispatch& what)
 {
     const auto id = dispatch_id(what.ask);
--- a/services/proxy/request_session.hpp
+++ b/services/proxy/request_session.hpp
@@ -125,6 +125,7 @@
     // Dispatch.
     [[nodiscard]] core::request_id dispatch_id(std::uint32_t ask) const;
     void on_dispatch_answer(std::uint32_t ask, const dispatch_answer& answer);
+    void tell_dispatch_of_start();
     [[nodiscard]] dispatch::end_reason end_reason() const noexcept;
 
     // The backend server.
--- a/services/proxy/request_session_backend.cpp
+++ b/services/proxy/request_session_backend.cpp
@@ -236,11 +236,7 @@
     handle(event);
     if (!is_current(link))
         co_return;
-    if (dispatch_state_ == dispatch_state::granted) {
-        dispatch_state_ = dispatch_state::started;
-        services_.control.tell(
-            dispatch::request_started{dispatch_id(dispatch_ask_)});
-    }
+    tell_dispatch_of_start();
     co_await read_events(link);
 }
 
@@ -269,11 +265,7 @@
     }
     if (!is_current(link))
         co_return;
-    if (dispatch_state_ == dispatch_state::granted) {
-        dispatch_state_ = dispatch_state::started;
-        services_.control.tell(
-            dispatch::request_started{dispatch_id(dispatch_ask_)});
-    }
+    tell_dispatch_of_start();
     handle(request::answer_complete{link->number()});
 }
 
