--- a/services/agent/src/peer_links.cpp
+++ b/services/agent/src/peer_links.cpp
@@ -32,17 +32,13 @@
         unwanted.push_back(each->second);
         each = neighbours_.erase(each);
     }
-    for (const auto& connector : unwanted) {
-        const auto link = connector->current();
-        connector->stop();
-        if (link)
-            closed(
-                link,
-                core::error(
-                    core::error_kind::unavailable,
-                    "the peer is no neighbour any more",
-                    "none is needed"));
-    }
+    for (const auto& connector : unwanted)
+        disconnect(
+            *connector,
+            core::error(
+                core::error_kind::unavailable,
+                "the peer is no neighbour any more",
+                "none is needed"));
     for (const endpoint& wanted_endpoint : endpoints) {
         if (neighbours_.contains(wanted_endpoint))
             continue;
@@ -149,15 +145,22 @@
         extra_, {}, [](const auto& each) { return each.second.used; });
     const auto connector = oldest->second.connector;
     extra_.erase(oldest);
-    const auto link = connector->current();
-    connector->stop();
+    disconnect(
+        *connector,
+        core::error(
+            core::error_kind::exhausted,
+            "the link was not used lately",
+            "none is needed; it is opened again when a duty needs it"));
+}
+
+// A link that is ended on this side is not reported by its connector.
+void peer_links::disconnect(
+    wire::connector& connector, const core::error& reason)
+{
+    const auto link = connector.current();
+    connector.stop();
     if (link)
-        closed(
-            link,
-            core::error(
-                core::error_kind::exhausted,
-                "the link was not used lately",
-                "none is needed; it is opened again when a duty needs it"));
+        closed(link, reason);
 }
 
 void peer_links::tick(core::time_point now)
--- a/services/agent/src/peer_links.hpp
+++ b/services/agent/src/peer_links.hpp
@@ -78,6 +78,7 @@
     [[nodiscard]] std::shared_ptr<wire::connector> connect(const endpoint& to);
     [[nodiscard]] bool is_own(const wire::link& link) const;
     void drop_least_recent_extra();
+    void disconnect(wire::connector& connector, const core::error& reason);
 
     boost::asio::any_io_executor executor_;
     wire::link_options options_;
