tests: a caller that left while its host stood still, failing

A host that stands still for a moment finds requests and the ends of their callers' connections at once.

--- a/tests/http/fault_test.cpp
+++ b/tests/http/fault_test.cpp
@@ -2,14 +2,17 @@
 
 #include <godwit/http/server.hpp>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <chrono>
+#include <future>
 #include <stdexcept>
 #include <string>
+#include <thread>
 #include <vector>
 
 // What goes wrong at one connection costs that connection: it is told to the
@@ -71,6 +74,7 @@
     CPPUNIT_TEST(test_a_piece_of_no_stream_is_not_sent);
     CPPUNIT_TEST(test_an_exception_is_told);
     CPPUNIT_TEST(test_limits_that_grow_do_not_stop_a_connection);
+    CPPUNIT_TEST(test_a_caller_that_left_during_a_stall_is_gone_at_once);
     CPPUNIT_TEST_SUITE_END();
 
     void test_a_second_answer_is_not_sent()
@@ -130,6 +134,30 @@
         CPPUNIT_ASSERT(answers.ends_with("got:40000;"));
         CPPUNIT_ASSERT(harness.faults().empty());
     }
+
+    // A host that stood still finds requests together with the ends of their
+    // callers' connections. It began to serve them, noticed the end only
+    // afterwards and cut what it had begun a moment before, as in
+    //     event=caller_left server=i-35e1 cause="End of file" age_ms=3
+    // Such a request is known to be nobody's before it is passed on.
+    void test_a_caller_that_left_during_a_stall_is_gone_at_once()
+    {
+        constexpr std::chrono::milliseconds stall(200);
+        std::promise<bool> was_gone;
+        server_harness harness(
+            {}, [&was_gone](exchange& current) -> asio::awaitable<void> {
+                was_gone.set_value(current.is_caller_gone());
+                co_return;
+            });
+        raw_caller caller(harness.target().address());
+        std::this_thread::sleep_for(stall / 4);
+        asio::post(
+            harness.context(), [stall] { std::this_thread::sleep_for(stall); });
+        caller.send(get);
+        std::this_thread::sleep_for(stall / 4);
+        caller.reset();
+        CPPUNIT_ASSERT(was_gone.get_future().get());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(fault_test);
