http: a caller that is gone already is known before its request is served

Before the handler begins, what is there to read is read: bytes of a next request, or the end of the connection.

--- a/libraries/http/src/connection.cpp
+++ b/libraries/http/src/connection.cpp
@@ -309,6 +309,9 @@
 
 asio::awaitable<void> connection::serve(request received)
 {
+    // After a stall the end of the connection may be there with the request:
+    // its handler has to know, or it begins what is cut a moment later.
+    [[maybe_unused]] const bool may_have_more = take_early_bytes();
     is_watching_ = true;
     watch_ended_ = false;
     asio::co_spawn(
