entry: a request whose handler failed may have run, and its answer says so

The 500 for a failed handler said outcome not_run, whatever the handler had sent before. The new test failed on it; answers to what never reached a handler say not_run as before.

--- a/services/entry/src/refusal.cpp
+++ b/services/entry/src/refusal.cpp
@@ -112,8 +112,13 @@
 
 http::response make_rejection_answer(const http::rejection& why)
 {
-    http::response answer = problem(
-        http::to_string(why.reason), core::to_string(core::outcome::not_run));
+    // A handler that failed may have sent the request before it did.
+    const bool reached_handler =
+        why.reason == http::rejection_reason::handler_failed;
+    const core::outcome outcome =
+        reached_handler ? core::outcome::unknown : core::outcome::not_run;
+    http::response answer =
+        problem(http::to_string(why.reason), core::to_string(outcome));
     answer.status = why.status;
     return answer;
 }
