--- a/tests/http/fault_test.cpp
+++ b/tests/http/fault_test.cpp
@@ -2,6 +2,7 @@
 
 #include <godwit/http/server.hpp>
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -22,6 +23,7 @@
 namespace {
 
 namespace asio = boost::asio;
+using asio::ip::tcp;
 using namespace godwit::http;
 using godwit::http::test::raw_caller;
 using godwit::http::test::server_harness;
@@ -75,6 +77,7 @@
     CPPUNIT_TEST(test_an_exception_is_told);
     CPPUNIT_TEST(test_limits_that_grow_do_not_stop_a_connection);
     CPPUNIT_TEST(test_a_caller_that_left_during_a_stall_is_gone_at_once);
+    CPPUNIT_TEST(test_a_head_that_was_late_is_refused_though_it_came);
     CPPUNIT_TEST_SUITE_END();
 
     void test_a_second_answer_is_not_sent()
@@ -158,6 +161,39 @@
         caller.reset();
         CPPUNIT_ASSERT(was_gone.get_future().get());
     }
+
+    // The time for a head runs out while the host serves somebody else, and
+    // the rest of the head comes before the host gets round to either. It
+    // stopped receiving and yet took the head for whole: the request was
+    // served with its connection half closed, which looked like a caller that
+    // had left, and ended without an answer.
+    void test_a_head_that_was_late_is_refused_though_it_came()
+    {
+        using std::chrono::milliseconds;
+        server_limits limits;
+        limits.header_timeout = milliseconds(100);
+        server_harness harness(limits, &answer_twice);
+        const raw_caller late(harness.target().address());
+        // Somebody else's connection, whose handler takes its time.
+        tcp::acceptor others(
+            harness.context(),
+            tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+        others.async_accept([](const auto& /*failure*/, const auto& /*other*/) {
+            std::this_thread::sleep_for(milliseconds(150));
+        });
+        late.send("GET / HTTP/1.1\r\n");
+        std::this_thread::sleep_for(milliseconds(20));
+        asio::post(harness.context(), [] {
+            std::this_thread::sleep_for(milliseconds(130));
+        });
+        std::this_thread::sleep_for(milliseconds(60));
+        asio::io_context outside;
+        tcp::socket other(outside);
+        other.connect(others.local_endpoint());
+        std::this_thread::sleep_for(milliseconds(140));
+        late.send("Host: a\r\nConnection: close\r\n\r\n");
+        CPPUNIT_ASSERT(late.read_all().starts_with("HTTP/1.1 408"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(fault_test);
