http: a head or body that came after its time is refused

An expired deadline has closed the receiving side, whatever the read says. The request is answered 408 and never reaches its handler.

--- a/libraries/http/src/connection.cpp
+++ b/libraries/http/src/connection.cpp
@@ -241,14 +241,15 @@
         buffer_,
         parser,
         asio::redirect_error(asio::use_awaitable, failure));
-    if (!failure) {
-        if (breaks_framing_rules(parser.get()))
-            co_return rejection_reason::malformed;
-        co_return std::nullopt;
-    }
+    // Also when the rest came after all: the receiving side is closed, and
+    // would look like a caller that left.
     if (guard.has_expired())
         co_return rejection_reason::slow_header;
-    co_return classify_head_failure(failure);
+    if (failure)
+        co_return classify_head_failure(failure);
+    if (breaks_framing_rules(parser.get()))
+        co_return rejection_reason::malformed;
+    co_return std::nullopt;
 }
 
 asio::awaitable<std::optional<rejection_reason>>
@@ -275,11 +276,11 @@
             buffer_,
             parser,
             asio::redirect_error(asio::use_awaitable, failure));
-    if (!failure)
-        co_return std::nullopt;
     if (guard.has_expired())
         co_return rejection_reason::slow_body;
-    co_return classify_body_failure(failure);
+    if (failure)
+        co_return classify_body_failure(failure);
+    co_return std::nullopt;
 }
 
 asio::awaitable<void> connection::reject(rejection_reason reason)
