--- a/libraries/http/src/connection.cpp
+++ b/libraries/http/src/connection.cpp
@@ -1,42 +1,32 @@
 #include "connection.hpp"
 
-#include "request_rules.hpp"
 #include "server_state.hpp"
 
-#include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/beast/http/error.hpp>
-#include <boost/beast/http/read.hpp>
 
 #include <algorithm>
-#include <array>
 #include <chrono>
 #include <exception>
 #include <utility>
 
+// The life of a connection: from its start over one request after another to
+// its end.
+
 namespace godwit::http {
 
 namespace asio = boost::asio;
-namespace beast_http = boost::beast::http;
 using asio::ip::tcp;
 using boost::system::error_code;
 
 namespace {
 
-// After a rejection the caller may still be sending; closing at once would
-// reset the connection and lose the answer on its way.
-constexpr std::chrono::seconds discard_time{1};
 // How long a connection without a request may bring its first one while the
 // server drains.
 constexpr std::chrono::seconds drain_grace{1};
-constexpr std::size_t discard_bytes = std::size_t{4} * 1024 * 1024;
-constexpr std::size_t read_size = std::size_t{8} * 1024;
-constexpr std::string_view continue_head = "HTTP/1.1 100 Continue\r\n\r\n";
 
 std::string describe_peer(const tcp::socket& socket)
 {
@@ -196,118 +186,6 @@
     co_return !failure;
 }
 
-asio::awaitable<std::optional<request>> connection::read_request()
-{
-    // A request that is refused here is answered before serve() begins, also
-    // when the connection has served others.
-    phase_ = answer_phase::none;
-    request_parser parser;
-    parser.header_limit(
-        static_cast<std::uint32_t>(server_->limits().header_bytes));
-    parser.body_limit(server_->limits().body_bytes);
-
-    std::optional<rejection_reason> refused = co_await read_head(parser);
-    if (!refused)
-        refused = co_await read_body(parser);
-    if (refused) {
-        co_await reject(*refused);
-        co_return std::nullopt;
-    }
-
-    keeps_alive_ = parser.keep_alive();
-    takes_chunks_ = parser.get().version() >= 11;
-    omits_body_ = parser.get().method() == beast_http::verb::head;
-    request received;
-    received.method = std::string(parser.get().method_string());
-    received.target = std::string(parser.get().target());
-    for (const auto& one : parser.get())
-        received.fields.add(
-            std::string(one.name_string()), std::string(one.value()));
-    received.body = std::move(parser.get().body());
-    co_return received;
-}
-
-asio::awaitable<std::optional<rejection_reason>>
-connection::read_head(request_parser& parser)
-{
-    const deadline guard(
-        executor_,
-        socket_,
-        server_->limits().header_timeout,
-        expiry_action::stop_receiving);
-    error_code failure;
-    co_await beast_http::async_read_header(
-        socket_,
-        buffer_,
-        parser,
-        asio::redirect_error(asio::use_awaitable, failure));
-    // Also when the rest came after all: the receiving side is closed, and
-    // would look like a caller that left.
-    if (guard.has_expired())
-        co_return rejection_reason::slow_header;
-    if (failure)
-        co_return classify_head_failure(failure);
-    if (breaks_framing_rules(parser.get()))
-        co_return rejection_reason::malformed;
-    co_return std::nullopt;
-}
-
-asio::awaitable<std::optional<rejection_reason>>
-connection::read_body(request_parser& parser)
-{
-    if (parser.is_done())
-        co_return std::nullopt;
-    const deadline guard(
-        executor_,
-        socket_,
-        server_->limits().body_timeout,
-        expiry_action::stop_receiving);
-    error_code failure;
-    if (expects_continue(parser.get())) {
-        const auto invitation = asio::buffer(continue_head);
-        co_await asio::async_write(
-            socket_,
-            invitation,
-            asio::redirect_error(asio::use_awaitable, failure));
-    }
-    if (!failure)
-        co_await beast_http::async_read(
-            socket_,
-            buffer_,
-            parser,
-            asio::redirect_error(asio::use_awaitable, failure));
-    if (guard.has_expired())
-        co_return rejection_reason::slow_body;
-    if (failure)
-        co_return classify_body_failure(failure);
-    co_return std::nullopt;
-}
-
-asio::awaitable<void> connection::reject(rejection_reason reason)
-{
-    keeps_alive_ = false;
-    const rejection refused = make_rejection(reason);
-    response answer = server_->answer_to(refused);
-    const auto sent = co_await respond(std::move(answer));
-    if (sent)
-        co_await discard_rest();
-}
-
-asio::awaitable<void> connection::discard_rest()
-{
-    error_code failure;
-    socket_.shutdown(tcp::socket::shutdown_send, failure);
-    const deadline guard(
-        executor_, socket_, discard_time, expiry_action::close);
-    std::size_t discarded = 0;
-    std::array<char, read_size> bytes{};
-    while (!failure && discarded < discard_bytes) {
-        const auto space = asio::buffer(bytes);
-        discarded += co_await socket_.async_read_some(
-            space, asio::redirect_error(asio::use_awaitable, failure));
-    }
-}
-
 asio::awaitable<void> connection::serve(request received)
 {
     // After a stall the end of the connection may be there with the request:
@@ -348,211 +226,4 @@
     }
 }
 
-// However the watch ends, whoever waits for its end is woken.
-asio::awaitable<void> connection::watch_caller_guarded()
-{
-    try {
-        co_await watch_caller();
-    } catch (const std::exception& fault) {
-        server_->report_fault(peer_, fault.what());
-    }
-    watch_ended_ = true;
-    watch_ended_signal_.cancel();
-}
-
-asio::awaitable<void> connection::watch_caller()
-{
-    while (is_watching_) {
-        error_code failure;
-        co_await socket_.async_wait(
-            tcp::socket::wait_read,
-            asio::redirect_error(asio::use_awaitable, failure));
-        if (!is_watching_)
-            break;
-        if (failure) {
-            caller_left(failure);
-            break;
-        }
-        if (!take_early_bytes())
-            break;
-    }
-}
-
-// Bytes of a next request wait in the buffer, up to its bound; beyond that
-// the end of the connection is not noticed before they are read.
-bool connection::take_early_bytes()
-{
-    if (buffer_.max_size() - buffer_.size() < read_size)
-        return false;
-    error_code failure;
-    const auto space = buffer_.prepare(read_size);
-    const std::size_t count = socket_.read_some(space, failure);
-    buffer_.commit(count);
-    if (!failure || failure == asio::error::would_block)
-        return true;
-    caller_left(failure);
-    return false;
-}
-
-void connection::caller_left(const error_code& cause)
-{
-    if (caller_gone_)
-        return;
-    caller_gone_ = true;
-    gone_cause_ = cause.message();
-    keeps_alive_ = false;
-    caller_gone_signal_.cancel();
-    if (const auto notify = std::exchange(notify_caller_gone_, nullptr))
-        notify();
-}
-
-asio::awaitable<void> connection::stop_watching()
-{
-    is_watching_ = false;
-    error_code ignored;
-    socket_.cancel(ignored);
-    while (!watch_ended_) {
-        error_code cancelled;
-        co_await watch_ended_signal_.async_wait(
-            asio::redirect_error(asio::use_awaitable, cancelled));
-    }
-}
-
-asio::awaitable<void> connection::wait_until_caller_gone()
-{
-    while (!caller_gone_) {
-        error_code failure;
-        co_await caller_gone_signal_.async_wait(
-            asio::redirect_error(asio::use_awaitable, failure));
-        const auto cancelled =
-            (co_await asio::this_coro::cancellation_state).cancelled();
-        if (cancelled != asio::cancellation_type::none)
-            break;
-    }
-}
-
-void connection::cut() noexcept
-{
-    is_cut_ = true;
-    keeps_alive_ = false;
-    // Without lingering, closing sends a reset.
-    error_code ignored;
-    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
-    socket_.close(ignored);
-}
-
-void connection::on_caller_gone(std::function<void()> notify)
-{
-    if (!caller_gone_) {
-        notify_caller_gone_ = std::move(notify);
-        return;
-    }
-    if (notify)
-        notify();
-}
-
-// A handler that answers out of turn is at fault; the requests of others are
-// not worth its end, so this is no assertion.
-core::result<void> connection::check_turn(answer_phase needed)
-{
-    if (phase_ == needed)
-        return {};
-    server_->report_fault(peer_, "an answer out of turn");
-    return core::fail(
-        core::error_kind::conflict,
-        "an answer out of turn to " + peer_,
-        "answer each request once, and end a stream once");
-}
-
-asio::awaitable<core::result<void>> connection::respond(response answer)
-{
-    const auto in_turn = check_turn(answer_phase::none);
-    if (!in_turn)
-        co_return in_turn;
-    phase_ = answer_phase::streaming;
-    if (server_->closes_connections())
-        keeps_alive_ = false;
-    body_framing framing;
-    framing.content_length = answer.body.size();
-    framing.keeps_connection = keeps_alive_;
-    std::string bytes =
-        format_response_head(answer.status, answer.fields, framing);
-    if (!omits_body_)
-        bytes += answer.body;
-    core::result<void> sent = co_await write_all(std::move(bytes));
-    if (sent)
-        phase_ = answer_phase::finished;
-    co_return sent;
-}
-
-asio::awaitable<core::result<void>>
-connection::start_stream(unsigned status, header_fields fields)
-{
-    const auto in_turn = check_turn(answer_phase::none);
-    if (!in_turn)
-        co_return in_turn;
-    phase_ = answer_phase::streaming;
-    // HTTP/1.0 knows no chunks: the end of the connection ends the body.
-    if (server_->closes_connections() || !takes_chunks_)
-        keeps_alive_ = false;
-    body_framing framing;
-    framing.is_chunked = takes_chunks_;
-    framing.keeps_connection = keeps_alive_;
-    std::string bytes = format_response_head(status, fields, framing);
-    co_return co_await write_all(std::move(bytes));
-}
-
-asio::awaitable<core::result<void>> connection::write_chunk(std::string data)
-{
-    const auto in_turn = check_turn(answer_phase::streaming);
-    if (!in_turn)
-        co_return in_turn;
-    if (data.empty() || omits_body_)
-        co_return core::result<void>();
-    std::string bytes = takes_chunks_ ? format_chunk(data) : std::move(data);
-    co_return co_await write_all(std::move(bytes));
-}
-
-asio::awaitable<core::result<void>> connection::finish_stream()
-{
-    const auto in_turn = check_turn(answer_phase::streaming);
-    if (!in_turn)
-        co_return in_turn;
-    core::result<void> sent;
-    if (takes_chunks_ && !omits_body_) {
-        std::string bytes(last_chunk);
-        sent = co_await write_all(std::move(bytes));
-    }
-    if (sent)
-        phase_ = answer_phase::finished;
-    co_return sent;
-}
-
-asio::awaitable<core::result<void>> connection::write_all(std::string bytes)
-{
-    const deadline guard(
-        executor_,
-        socket_,
-        server_->limits().write_timeout,
-        expiry_action::close);
-    error_code failure;
-    const auto view = asio::buffer(bytes);
-    co_await asio::async_write(
-        socket_, view, asio::redirect_error(asio::use_awaitable, failure));
-    if (!failure)
-        co_return core::result<void>();
-    const bool expired = guard.has_expired();
-    close_socket();
-    caller_left(failure);
-    if (expired)
-        co_return core::fail(
-            core::error_kind::timeout,
-            "the caller " + peer_ + " took no bytes within the write timeout",
-            "drop the exchange; the caller may connect again");
-    co_return core::fail(
-        core::error_kind::unavailable,
-        "the caller " + peer_ + " is gone: " + failure.message(),
-        "drop the exchange; the caller may connect again");
-}
-
 } // namespace godwit::http
--- a/libraries/http/src/connection.hpp
+++ b/libraries/http/src/connection.hpp
@@ -83,6 +83,9 @@
     using request_parser =
         boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+    /// How much is read at once.
+    static constexpr std::size_t read_size = std::size_t{8} * 1024;
+
     enum class answer_phase
     {
         none,
--- /dev/null
+++ b/libraries/http/src/connection_answer.cpp
@@ -0,0 +1,134 @@
+#include "connection.hpp"
+
+#include "server_state.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <utility>
+
+// Writing answers: whole ones and streams, each in its turn.
+
+namespace godwit::http {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+void connection::cut() noexcept
+{
+    is_cut_ = true;
+    keeps_alive_ = false;
+    // Without lingering, closing sends a reset.
+    error_code ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket_.close(ignored);
+}
+
+// A handler that answers out of turn is at fault; the requests of others are
+// not worth its end, so this is no assertion.
+core::result<void> connection::check_turn(answer_phase needed)
+{
+    if (phase_ == needed)
+        return {};
+    server_->report_fault(peer_, "an answer out of turn");
+    return core::fail(
+        core::error_kind::conflict,
+        "an answer out of turn to " + peer_,
+        "answer each request once, and end a stream once");
+}
+
+asio::awaitable<core::result<void>> connection::respond(response answer)
+{
+    const auto in_turn = check_turn(answer_phase::none);
+    if (!in_turn)
+        co_return in_turn;
+    phase_ = answer_phase::streaming;
+    if (server_->closes_connections())
+        keeps_alive_ = false;
+    body_framing framing;
+    framing.content_length = answer.body.size();
+    framing.keeps_connection = keeps_alive_;
+    std::string bytes =
+        format_response_head(answer.status, answer.fields, framing);
+    if (!omits_body_)
+        bytes += answer.body;
+    core::result<void> sent = co_await write_all(std::move(bytes));
+    if (sent)
+        phase_ = answer_phase::finished;
+    co_return sent;
+}
+
+asio::awaitable<core::result<void>>
+connection::start_stream(unsigned status, header_fields fields)
+{
+    const auto in_turn = check_turn(answer_phase::none);
+    if (!in_turn)
+        co_return in_turn;
+    phase_ = answer_phase::streaming;
+    // HTTP/1.0 knows no chunks: the end of the connection ends the body.
+    if (server_->closes_connections() || !takes_chunks_)
+        keeps_alive_ = false;
+    body_framing framing;
+    framing.is_chunked = takes_chunks_;
+    framing.keeps_connection = keeps_alive_;
+    std::string bytes = format_response_head(status, fields, framing);
+    co_return co_await write_all(std::move(bytes));
+}
+
+asio::awaitable<core::result<void>> connection::write_chunk(std::string data)
+{
+    const auto in_turn = check_turn(answer_phase::streaming);
+    if (!in_turn)
+        co_return in_turn;
+    if (data.empty() || omits_body_)
+        co_return core::result<void>();
+    std::string bytes = takes_chunks_ ? format_chunk(data) : std::move(data);
+    co_return co_await write_all(std::move(bytes));
+}
+
+asio::awaitable<core::result<void>> connection::finish_stream()
+{
+    const auto in_turn = check_turn(answer_phase::streaming);
+    if (!in_turn)
+        co_return in_turn;
+    core::result<void> sent;
+    if (takes_chunks_ && !omits_body_) {
+        std::string bytes(last_chunk);
+        sent = co_await write_all(std::move(bytes));
+    }
+    if (sent)
+        phase_ = answer_phase::finished;
+    co_return sent;
+}
+
+asio::awaitable<core::result<void>> connection::write_all(std::string bytes)
+{
+    const deadline guard(
+        executor_,
+        socket_,
+        server_->limits().write_timeout,
+        expiry_action::close);
+    error_code failure;
+    const auto view = asio::buffer(bytes);
+    co_await asio::async_write(
+        socket_, view, asio::redirect_error(asio::use_awaitable, failure));
+    if (!failure)
+        co_return core::result<void>();
+    const bool expired = guard.has_expired();
+    close_socket();
+    caller_left(failure);
+    if (expired)
+        co_return core::fail(
+            core::error_kind::timeout,
+            "the caller " + peer_ + " took no bytes within the write timeout",
+            "drop the exchange; the caller may connect again");
+    co_return core::fail(
+        core::error_kind::unavailable,
+        "the caller " + peer_ + " is gone: " + failure.message(),
+        "drop the exchange; the caller may connect again");
+}
+
+} // namespace godwit::http
--- a/tests/http/fault_test.cpp
+++ b/tests/http/fault_test.cpp
@@ -126,7 +126,7 @@
         const raw_caller caller(harness.target().address());
         caller.send(get);
         std::this_thread::sleep_for(std::chrono::milliseconds(50));
-        limits.header_bytes = 16 * 1024;
+        limits.header_bytes = std::size_t{16} * 1024;
         harness.target().set_limits(limits);
         caller.send(
             "POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
