--- /dev/null
+++ b/tests/platform_adapter/topic_follower_test.cpp
@@ -0,0 +1,79 @@
+// A host lives by what it reads of the store's topics. An exception, of the
+// answer's reader or of whoever takes a record, ended the following of that
+// topic for ever and without a word: the host served on with the servers and
+// routes of that moment.
+
+#include "stand_in_store.hpp"
+
+#include <godwit/platform_adapter/topic_follower.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <set>
+#include <stdexcept>
+#include <string>
+
+namespace {
+
+using namespace godwit;
+using namespace godwit::platform_adapter;
+
+class topic_follower_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(topic_follower_test);
+    CPPUNIT_TEST(test_an_exception_does_not_end_the_following);
+    CPPUNIT_TEST_SUITE_END();
+
+    static void fail_once(bool& has_failed)
+    {
+        if (!std::exchange(has_failed, true))
+            throw std::runtime_error("a fault of whoever takes the records");
+    }
+
+    void test_an_exception_does_not_end_the_following()
+    {
+        boost::asio::io_context io{1};
+        test::stand_in_store store(io);
+        store.put("t", "first", "1");
+        store_client client(io.get_executor(), store.address());
+        std::set<std::string> seen;
+        bool has_failed_for_all = false;
+        bool has_failed_for_one = false;
+        topic_follower follower(
+            io.get_executor(),
+            client,
+            "t",
+            {},
+            {[&](const std::vector<keyed_record>& records) {
+                 fail_once(has_failed_for_all);
+                 for (const keyed_record& record : records)
+                     seen.insert(record.key);
+             },
+             [&](const keyed_record& record) {
+                 fail_once(has_failed_for_one);
+                 seen.insert(record.key);
+             },
+             {}});
+        follower.start();
+        const auto run_until_seen = [&](const std::string& key) {
+            const auto end =
+                std::chrono::steady_clock::now() + std::chrono::seconds(10);
+            while (!seen.contains(key) &&
+                   std::chrono::steady_clock::now() < end)
+                io.run_one_for(std::chrono::milliseconds(100));
+            return seen.contains(key);
+        };
+        CPPUNIT_ASSERT(run_until_seen("first"));
+        // Both come in one answer; the first of them is the one that fails.
+        store.put("t", "second", "2");
+        store.put("t", "third", "3");
+        CPPUNIT_ASSERT(run_until_seen("second"));
+        CPPUNIT_ASSERT(run_until_seen("third"));
+        CPPUNIT_ASSERT(has_failed_for_all && has_failed_for_one);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(topic_follower_test);
+
+} // namespace
