--- a/libraries/telemetry/include/godwit/telemetry/log.hpp
+++ b/libraries/telemetry/include/godwit/telemetry/log.hpp
@@ -18,7 +18,8 @@
 
 /// Sends events of `lowest` and above to `target`, one line each:
 /// `time=... level=... component=... host=... zone=... event=... key=value`.
-/// Call once, before the first thread that logs.
+/// Call once, before the first thread that logs. From then on a write to a
+/// pipe that nobody reads fails instead of ending the process.
 void start_log(
     log_level lowest,
     const core::host_name& host,
--- a/libraries/telemetry/src/log.cpp
+++ b/libraries/telemetry/src/log.cpp
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 #include <atomic>
+#include <csignal>
 #include <string>
 
 namespace godwit::telemetry {
@@ -67,6 +68,9 @@
     const core::zone_name& zone,
     log_target target)
 {
+    // A reader that ends, even between the sink's look and its write, makes
+    // that write fail; it must not end the process and all that it serves.
+    std::signal(SIGPIPE, SIG_IGN);
     const std::string pattern =
         "time=%d{yyyy-MM-ddTHH:mm:ss.SSS} level=%p component=%c{1} host=" +
         literal(host.value()) + " zone=" + literal(zone.value()) + " %m%n";
