entry: a coroutine that fails is told, and gives back what it holds

A migration gives back its turn and settles, a question for a report may be asked again. Whoever waits for a migration keeps it.

--- a/services/entry/src/migrator.cpp
+++ b/services/entry/src/migrator.cpp
@@ -1,11 +1,10 @@
 #include <godwit/entry/migrator.hpp>
 
 #include <godwit/entry/call_log.hpp>
+#include <godwit/entry/spawn.hpp>
 #include <godwit/http/fetch.hpp>
 #include <godwit/placement/zone_rebalancing.hpp>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -72,12 +71,17 @@
 
 void migrator::start()
 {
-    asio::co_spawn(
+    // However it ends, others may be copied and whoever waits is told.
+    spawn(
         context_.executor,
+        "migration",
         [kept = shared_from_this()]() -> asio::awaitable<void> {
             co_await kept->work();
         },
-        asio::detached);
+        [kept = shared_from_this()] {
+            kept->end_turn();
+            kept->settle();
+        });
 }
 
 void migrator::server_leaves()
@@ -96,6 +100,9 @@
 asio::awaitable<std::optional<migrated_run>>
 migrator::outcome(core::time_point end)
 {
+    // The stream may forget a migration that settled before its waiter goes
+    // on.
+    const auto kept = shared_from_this();
     while (!is_settled_ && core::monotonic_now() < end) {
         settled_signal_.expires_after(end - core::monotonic_now());
         boost::system::error_code woken;
@@ -130,8 +137,6 @@
     co_await take_turn();
     if (!is_stopped_)
         co_await move();
-    end_turn();
-    settle();
 }
 
 asio::awaitable<void> migrator::move()
@@ -335,8 +340,9 @@
     reserved_.reset();
     if (!handle_)
         return;
-    asio::co_spawn(
+    spawn(
         context_.executor,
+        "copy_release",
         [&context = context_,
          source = source_->server().address,
          handle =
@@ -346,8 +352,7 @@
             // The server frees the copy by itself some seconds later.
             [[maybe_unused]] const auto freed = co_await http::fetch(
                 *context.connections, source, std::move(outgoing), limits);
-        },
-        asio::detached);
+        });
 }
 
 } // namespace godwit::entry
--- a/services/entry/src/report_poller.cpp
+++ b/services/entry/src/report_poller.cpp
@@ -1,11 +1,9 @@
 #include <godwit/entry/report_poller.hpp>
 
+#include <godwit/entry/spawn.hpp>
 #include <godwit/http/fetch.hpp>
 #include <godwit/telemetry/log.hpp>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <chrono>
 #include <utility>
 
@@ -49,12 +47,14 @@
         server != nullptr && context_.directory.is_usable(id);
     if (!is_worth_asking || !asked_.insert(id).second)
         return;
-    asio::co_spawn(
+    // However the question ends, the server may be asked again.
+    spawn(
         context_.executor,
+        "report",
         [this, asked = *server]() -> asio::awaitable<void> {
             co_await ask(asked);
         },
-        asio::detached);
+        [this, id] { asked_.erase(id); });
 }
 
 asio::awaitable<void> report_poller::ask(placement::backend_server server)
@@ -63,7 +63,6 @@
     const http::fetch_limits limits{.deadline = report_limit};
     const auto answered = co_await http::fetch(
         *context_.connections, server.address, std::move(question), limits);
-    asked_.erase(server.id);
     // A server that does not answer may be cut off from this host alone; its
     // streams decide for themselves.
     if (!answered)
--- a/services/entry/src/server_hold.cpp
+++ b/services/entry/src/server_hold.cpp
@@ -1,11 +1,9 @@
 #include <godwit/entry/server_hold.hpp>
 
 #include <godwit/entry/call_log.hpp>
+#include <godwit/entry/spawn.hpp>
 #include <godwit/http/fetch.hpp>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <algorithm>
 #include <chrono>
 #include <utility>
@@ -57,8 +55,9 @@
     const placement::backend_server& server,
     std::string handle)
 {
-    asio::co_spawn(
+    spawn(
         context.executor,
+        "hold_release",
         [&context,
          address = server.address,
          handle = std::move(handle)]() -> asio::awaitable<void> {
@@ -67,8 +66,7 @@
             // Otherwise the hold ends by itself.
             [[maybe_unused]] const auto freed = co_await http::fetch(
                 *context.connections, address, std::move(outgoing), limits);
-        },
-        asio::detached);
+        });
 }
 
 } // namespace godwit::entry
