--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -31,13 +31,16 @@
 // The table's limits come from outside; a buffer of this size a connection
 // is the most that the memory of a small host can bear.
 constexpr std::size_t most_header_bytes = std::size_t{256} * 1024;
+// Memory for a body is set aside when it begins, as much as its caller says:
+// more than there is would end the process.
+constexpr std::size_t most_body_bytes = std::size_t{64} * 1024 * 1024;
 
 http::server_limits
 caller_limits(const routing::caller_limits& limits, std::size_t connections)
 {
     http::server_limits made;
     made.header_bytes = std::min(limits.header_bytes, most_header_bytes);
-    made.body_bytes = limits.body_bytes;
+    made.body_bytes = std::min(limits.body_bytes, most_body_bytes);
     made.header_timeout = limits.header_timeout;
     made.idle_timeout = limits.idle_timeout;
     made.connections = connections;
