--- a/services/entry/src/entry_settings.cpp
+++ b/services/entry/src/entry_settings.cpp
@@ -58,17 +58,27 @@
 core::result<entry_settings> entry_settings::read(settings::reader source)
 {
     auto listen = GODWIT_TRY(source.get_object("listen"));
+    // One by one: a return out of a list of initialisers, as GODWIT_TRY makes
+    // it, leaves what the list has made already undestroyed (g++ 12).
+    const core::host_name host(
+        GODWIT_TRY(source.get_string("host", std::nullopt, longest_name)));
+    const core::zone_name zone(
+        GODWIT_TRY(source.get_string("zone", std::nullopt, longest_name)));
+    const auto log_level = GODWIT_TRY(telemetry::read_log_level(source));
+    const auto callers = GODWIT_TRY(read_endpoint(listen, "callers"));
+    const auto readiness = GODWIT_TRY(read_endpoint(listen, "readiness"));
+    const auto operators = GODWIT_TRY(read_endpoint(listen, "operators"));
+    const auto neighbours = GODWIT_TRY(read_endpoint(listen, "neighbours"));
+    const auto seeds = GODWIT_TRY(read_seeds(source));
     entry_settings read{
-        .host = core::host_name(
-            GODWIT_TRY(source.get_string("host", std::nullopt, longest_name))),
-        .zone = core::zone_name(
-            GODWIT_TRY(source.get_string("zone", std::nullopt, longest_name))),
-        .log_level = GODWIT_TRY(telemetry::read_log_level(source)),
-        .callers = GODWIT_TRY(read_endpoint(listen, "callers")),
-        .readiness = GODWIT_TRY(read_endpoint(listen, "readiness")),
-        .operators = GODWIT_TRY(read_endpoint(listen, "operators")),
-        .neighbours = GODWIT_TRY(read_endpoint(listen, "neighbours")),
-        .seeds = GODWIT_TRY(read_seeds(source)),
+        .host = host,
+        .zone = zone,
+        .log_level = log_level,
+        .callers = callers,
+        .readiness = readiness,
+        .operators = operators,
+        .neighbours = neighbours,
+        .seeds = seeds,
     };
     GODWIT_TRY(listen.finish(true));
     read.caller_connections = GODWIT_TRY(settings::read_count(
