--- a/tests/wire/link_test.cpp
+++ b/tests/wire/link_test.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(test_slow_reader_is_closed_at_the_bound);
     CPPUNIT_TEST(test_silent_peer_is_closed);
     CPPUNIT_TEST(test_link_limit);
+    CPPUNIT_TEST(test_a_hello_that_does_not_fit_closes_its_link);
     CPPUNIT_TEST_SUITE_END();
 
     boost::asio::io_context context_;
@@ -246,6 +247,31 @@
         wait_until([this] { return acceptor_->refused() == 1; });
         CPPUNIT_ASSERT(connector_->current());
     }
+
+    // The link closes while it starts, and whoever holds it drops it then: it
+    // was read from after its end.
+    void test_a_hello_that_does_not_fit_closes_its_link()
+    {
+        listen();
+        int lost = 0;
+        wire::link_handlers handlers;
+        handlers.on_close = [&lost](const auto&, const core::error& reason) {
+            CPPUNIT_ASSERT(reason.kind() == core::error_kind::exhausted);
+            ++lost;
+        };
+        wire::link_options options;
+        options.frame_limit = 16;
+        connector_ = wire::connector::create(
+                         context_.get_executor(),
+                         acceptor_->endpoint(),
+                         options,
+                         [] { return introduce("client"); },
+                         handlers,
+                         1)
+                         .value();
+        connector_->start();
+        wait_until([&lost] { return lost >= 2; });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(link_test);
