--- a/libraries/wire/src/link.cpp
+++ b/libraries/wire/src/link.cpp
@@ -53,6 +53,8 @@
 
 void link::start()
 {
+    // A hello that cannot be sent closes the link, and its holder drops it.
+    const auto kept = shared_from_this();
     // Frames are small and their answers are waited for; the write queue
     // already joins what is sent together.
     boost::system::error_code ignored;
@@ -60,6 +62,8 @@
     started_ = core::monotonic_now();
     last_received_ = started_;
     send(self_);
+    if (closed_)
+        return;
     read();
     tick();
 }
