--- a/tests/http/fault_test.cpp
+++ b/tests/http/fault_test.cpp
@@ -2,14 +2,18 @@
 
 #include <godwit/http/server.hpp>
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <chrono>
+#include <future>
 #include <stdexcept>
 #include <string>
+#include <thread>
 #include <vector>
 
 // What goes wrong at one connection costs that connection: it is told to the
@@ -19,6 +23,7 @@
 namespace {
 
 namespace asio = boost::asio;
+using asio::ip::tcp;
 using namespace godwit::http;
 using godwit::http::test::raw_caller;
 using godwit::http::test::server_harness;
@@ -71,6 +76,8 @@
     CPPUNIT_TEST(test_a_piece_of_no_stream_is_not_sent);
     CPPUNIT_TEST(test_an_exception_is_told);
     CPPUNIT_TEST(test_limits_that_grow_do_not_stop_a_connection);
+    CPPUNIT_TEST(test_a_caller_that_left_during_a_stall_is_gone_at_once);
+    CPPUNIT_TEST(test_a_head_that_was_late_is_refused_though_it_came);
     CPPUNIT_TEST_SUITE_END();
 
     void test_a_second_answer_is_not_sent()
@@ -119,7 +126,7 @@
         const raw_caller caller(harness.target().address());
         caller.send(get);
         std::this_thread::sleep_for(std::chrono::milliseconds(50));
-        limits.header_bytes = 16 * 1024;
+        limits.header_bytes = std::size_t{16} * 1024;
         harness.target().set_limits(limits);
         caller.send(
             "POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
@@ -130,6 +137,63 @@
         CPPUNIT_ASSERT(answers.ends_with("got:40000;"));
         CPPUNIT_ASSERT(harness.faults().empty());
     }
+
+    // A host that stood still finds requests together with the ends of their
+    // callers' connections. It began to serve them, noticed the end only
+    // afterwards and cut what it had begun a moment before, as in
+    //     event=caller_left server=i-35e1 cause="End of file" age_ms=3
+    // Such a request is known to be nobody's before it is passed on.
+    void test_a_caller_that_left_during_a_stall_is_gone_at_once()
+    {
+        constexpr std::chrono::milliseconds stall(200);
+        std::promise<bool> was_gone;
+        server_harness harness(
+            {}, [&was_gone](exchange& current) -> asio::awaitable<void> {
+                was_gone.set_value(current.is_caller_gone());
+                co_return;
+            });
+        raw_caller caller(harness.target().address());
+        std::this_thread::sleep_for(stall / 4);
+        asio::post(
+            harness.context(), [stall] { std::this_thread::sleep_for(stall); });
+        caller.send(get);
+        std::this_thread::sleep_for(stall / 4);
+        caller.reset();
+        CPPUNIT_ASSERT(was_gone.get_future().get());
+    }
+
+    // The time for a head runs out while the host serves somebody else, and
+    // the rest of the head comes before the host gets round to either. It
+    // stopped receiving and yet took the head for whole: the request was
+    // served with its connection half closed, which looked like a caller that
+    // had left, and ended without an answer.
+    void test_a_head_that_was_late_is_refused_though_it_came()
+    {
+        using std::chrono::milliseconds;
+        server_limits limits;
+        limits.header_timeout = milliseconds(100);
+        server_harness harness(limits, &answer_twice);
+        const raw_caller late(harness.target().address());
+        // Somebody else's connection, whose handler takes its time.
+        tcp::acceptor others(
+            harness.context(),
+            tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+        others.async_accept([](const auto& /*failure*/, const auto& /*other*/) {
+            std::this_thread::sleep_for(milliseconds(150));
+        });
+        late.send("GET / HTTP/1.1\r\n");
+        std::this_thread::sleep_for(milliseconds(20));
+        asio::post(harness.context(), [] {
+            std::this_thread::sleep_for(milliseconds(130));
+        });
+        std::this_thread::sleep_for(milliseconds(60));
+        asio::io_context outside;
+        tcp::socket other(outside);
+        other.connect(others.local_endpoint());
+        std::this_thread::sleep_for(milliseconds(140));
+        late.send("Host: a\r\nConnection: close\r\n\r\n");
+        CPPUNIT_ASSERT(late.read_all().starts_with("HTTP/1.1 408"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(fault_test);
