placement: a server that begins anew under its id replaces its former life

Cause: the directory ordered views by revision alone. A server that starts again under its id counts its reports from 0, so it was taken for an older view of its former life: ignored, or kept as leaving. A late word of the former life could take the new one away.

A view now carries the start of the life that it speaks of, on the wire between entry hosts too (listed_server and server_sign, appended at the end). Lives are ordered before revisions. On a restart the entry host forgets connections and failures of the former life, and its streams leave the register: they are neither copied from the new life nor counted as silent there, and still go on from a copy that another server holds.

An unknown start comes before every known one, and a start that becomes known is no restart. An entry of another service no longer takes an address away from a living server: an entry that no server wrote could have done so.

Ruled out: ending the former life's streams at once. Their own connections say how they ended, and a wrong entry would cut streams that live.

--- a/libraries/placement/include/godwit/placement/backend_server.hpp
+++ b/libraries/placement/include/godwit/placement/backend_server.hpp
@@ -3,12 +3,14 @@
 #include <godwit/core/identifiers.hpp>
 #include <godwit/core/time.hpp>
 #include <godwit/http/endpoint.hpp>
+#include <godwit/placement/server_start.hpp>
 
 #include <cstdint>
 
 namespace godwit::placement {
 
-/// One run of a backend server's process; a restart makes a new one.
+/// A backend server. It may start anew under its id; `server_start` tells
+/// its lives apart.
 using server_id = core::identifier<struct server_id_tag>;
 
 /// What a backend server says of itself.
@@ -27,8 +29,9 @@
     core::zone_name zone;
     std::uint32_t slots = 1; ///< Requests that it works on at one time.
     server_state state = server_state::ready;
-    /// Rises with each report of the server; orders views of unequal age.
+    /// Rises with each report of one life; orders views of unequal age.
     std::uint64_t revision = 0;
+    server_start start = {}; ///< Of the life that this is said of.
 
     friend bool
     operator==(const backend_server&, const backend_server&) = default;
--- a/libraries/placement/include/godwit/placement/server_directory.hpp
+++ b/libraries/placement/include/godwit/placement/server_directory.hpp
@@ -16,6 +16,9 @@
     none,
     appeared, ///< It may be used.
     left,     ///< It takes nothing new from now on.
+    /// It began anew: all work of its former life is gone. Whether the new
+    /// life may be used is a question of its own.
+    restarted,
 };
 
 /// How the source of the list stood when it dropped an entry.
@@ -42,8 +45,8 @@
     static constexpr core::duration memory = std::chrono::seconds(60);
 
     /// The server is listed like this; a view that is older than what is
-    /// known changes nothing. An address that another server had means that
-    /// the other one is gone.
+    /// known, or of an earlier life, changes nothing. An address that another
+    /// server of the service had means that the other one is gone.
     directory_change listed(const backend_server& server, core::time_point now);
 
     /// The list dropped the server.
@@ -91,6 +94,9 @@
         std::optional<core::time_point> joined_at;
     };
 
+    directory_change add(const backend_server& server, core::time_point now);
+    directory_change begin_anew(
+        entry& known, const backend_server& server, core::time_point now);
     directory_change leave(entry& leaving, core::time_point now);
     void replace_at(const backend_server& server, core::time_point now);
 
--- a/libraries/placement/src/server_directory.cpp
+++ b/libraries/placement/src/server_directory.cpp
@@ -1,7 +1,28 @@
 #include <godwit/placement/server_directory.hpp>
 
+#include <compare>
+#include <tuple>
+
 namespace godwit::placement {
 
+namespace {
+
+// Counts of one life say nothing of another one, so lives come first.
+std::strong_ordering
+compare_age(const backend_server& left, const backend_server& right)
+{
+    return std::tie(left.start, left.revision) <=>
+           std::tie(right.start, right.revision);
+}
+
+// A start that was not known before is no proof of a second life.
+bool is_new_life(const backend_server& known, const backend_server& server)
+{
+    return known.start.is_known() && server.start > known.start;
+}
+
+} // namespace
+
 directory_change server_directory::leave(entry& leaving, core::time_point now)
 {
     leaving.lapsed_at.reset();
@@ -12,40 +33,65 @@
     return directory_change::left;
 }
 
-// Two living servers cannot share an address.
+// Two living servers cannot share an address. The list may hold entries that
+// no server wrote; one of another service must not take away a living server,
+// and if it is genuine, the entry of the former server is dropped as well.
 void server_directory::replace_at(
     const backend_server& server, core::time_point now)
 {
     for (auto& [id, other] : servers_) {
-        if (id != server.id && other.server.address == server.address)
+        const bool is_replaced = id != server.id &&
+                                 other.server.service == server.service &&
+                                 other.server.address == server.address;
+        if (is_replaced)
             leave(other, now);
     }
 }
 
+directory_change
+server_directory::add(const backend_server& server, core::time_point now)
+{
+    replace_at(server, now);
+    entry& added =
+        servers_.emplace(server.id, entry{server, {}, {}, {}}).first->second;
+    if (!first_listed_at_)
+        first_listed_at_ = now;
+    if (now - *first_listed_at_ > first_view)
+        added.joined_at = now;
+    if (server.state == server_state::ready)
+        return directory_change::appeared;
+    added.left_at = now;
+    return directory_change::none;
+}
+
+// That the former life left, or that its entry lapsed, says nothing of this
+// one; like any server that has just started, it joins.
+directory_change server_directory::begin_anew(
+    entry& known, const backend_server& server, core::time_point now)
+{
+    replace_at(server, now);
+    known = entry{server, {}, {}, now};
+    if (server.state == server_state::leaving)
+        known.left_at = now;
+    return directory_change::restarted;
+}
+
 directory_change
 server_directory::listed(const backend_server& server, core::time_point now)
 {
     const auto found = servers_.find(server.id);
-    if (found == servers_.end()) {
-        replace_at(server, now);
-        entry& added = servers_.emplace(server.id, entry{server, {}, {}, {}})
-                           .first->second;
-        if (!first_listed_at_)
-            first_listed_at_ = now;
-        if (now - *first_listed_at_ > first_view)
-            added.joined_at = now;
-        if (server.state == server_state::ready)
-            return directory_change::appeared;
-        added.left_at = now;
-        return directory_change::none;
-    }
+    if (found == servers_.end())
+        return add(server, now);
     entry& known = found->second;
     // A view that is older than what is known, from a slower source.
-    const bool is_older = server.revision < known.server.revision;
-    const bool is_no_news = server.revision == known.server.revision &&
+    const std::strong_ordering age = compare_age(server, known.server);
+    const bool is_older = age == std::strong_ordering::less;
+    const bool is_no_news = age == std::strong_ordering::equal &&
                             server.state == server_state::ready;
     if (is_older || is_no_news)
         return directory_change::none;
+    if (is_new_life(known.server, server))
+        return begin_anew(known, server, now);
     if (server.state == server_state::leaving) {
         known.server = server;
         return leave(known, now);
--- a/libraries/wire/include/godwit/wire/listed_servers.hpp
+++ b/libraries/wire/include/godwit/wire/listed_servers.hpp
@@ -9,16 +9,18 @@
 
 namespace godwit::wire {
 
-/// One run of a backend server, as the list of servers shows it.
+/// One life of a backend server, as the list of servers shows it.
 struct listed_server
 {
-    std::string id; ///< A restart makes a new one.
+    std::string id; ///< A server may start anew under it.
     core::server_address address;
     core::zone_name zone;
     core::service_name service;
     std::uint32_t slots = 0; ///< Requests that it works on at one time.
     server_state state = server_state::live;
-    std::uint64_t revision = 0; ///< Rises with each report of the server.
+    std::uint64_t revision = 0; ///< Rises with each report of this life.
+    /// When this life began, in Unix milliseconds; 0 is not known.
+    std::uint64_t started_at_ms = 0;
 
     friend bool
     operator==(const listed_server&, const listed_server&) = default;
--- a/libraries/wire/include/godwit/wire/server_sign.hpp
+++ b/libraries/wire/include/godwit/wire/server_sign.hpp
@@ -14,6 +14,9 @@
     sign_kind kind = sign_kind::failed;
     /// How long ago the sign was seen, in milliseconds.
     std::uint32_t age_ms = 0;
+    /// When the life that is meant began, in Unix milliseconds; 0 is not
+    /// known.
+    std::uint64_t started_at_ms = 0;
 
     friend bool operator==(const server_sign&, const server_sign&) = default;
 };
--- a/libraries/wire/src/godwit_generated.h
+++ b/libraries/wire/src/godwit_generated.h
@@ -1203,7 +1203,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ADDRESS = 4,
     VT_KIND = 6,
-    VT_AGE_MS = 8
+    VT_AGE_MS = 8,
+    VT_STARTED_AT_MS = 10
   };
   const flatbuffers::String *address() const {
     return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
@@ -1214,12 +1215,16 @@
   uint32_t age_ms() const {
     return GetField<uint32_t>(VT_AGE_MS, 0);
   }
+  uint64_t started_at_ms() const {
+    return GetField<uint64_t>(VT_STARTED_AT_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ADDRESS) &&
            verifier.VerifyString(address()) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
            VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_STARTED_AT_MS, 8) &&
            verifier.EndTable();
   }
 };
@@ -1237,6 +1242,9 @@
   void add_age_ms(uint32_t age_ms) {
     fbb_.AddElement<uint32_t>(server_sign::VT_AGE_MS, age_ms, 0);
   }
+  void add_started_at_ms(uint64_t started_at_ms) {
+    fbb_.AddElement<uint64_t>(server_sign::VT_STARTED_AT_MS, started_at_ms, 0);
+  }
   explicit server_signBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1252,8 +1260,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> address = 0,
     godwit::wire::format::sign_kind kind = godwit::wire::format::sign_kind::leaving,
-    uint32_t age_ms = 0) {
+    uint32_t age_ms = 0,
+    uint64_t started_at_ms = 0) {
   server_signBuilder builder_(_fbb);
+  builder_.add_started_at_ms(started_at_ms);
   builder_.add_age_ms(age_ms);
   builder_.add_address(address);
   builder_.add_kind(kind);
@@ -1269,13 +1279,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *address = nullptr,
     godwit::wire::format::sign_kind kind = godwit::wire::format::sign_kind::leaving,
-    uint32_t age_ms = 0) {
+    uint32_t age_ms = 0,
+    uint64_t started_at_ms = 0) {
   auto address__ = address ? _fbb.CreateString(address) : 0;
   return godwit::wire::format::Createserver_sign(
       _fbb,
       address__,
       kind,
-      age_ms);
+      age_ms,
+      started_at_ms);
 }
 
 struct claim_holder FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2464,7 +2476,8 @@
     VT_SERVICE = 10,
     VT_SLOTS = 12,
     VT_STATE = 14,
-    VT_REVISION = 16
+    VT_REVISION = 16,
+    VT_STARTED_AT_MS = 18
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -2487,6 +2500,9 @@
   uint64_t revision() const {
     return GetField<uint64_t>(VT_REVISION, 0);
   }
+  uint64_t started_at_ms() const {
+    return GetField<uint64_t>(VT_STARTED_AT_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -2500,6 +2516,7 @@
            VerifyField<uint32_t>(verifier, VT_SLOTS, 4) &&
            VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
            VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_STARTED_AT_MS, 8) &&
            verifier.EndTable();
   }
 };
@@ -2529,6 +2546,9 @@
   void add_revision(uint64_t revision) {
     fbb_.AddElement<uint64_t>(listed_server::VT_REVISION, revision, 0);
   }
+  void add_started_at_ms(uint64_t started_at_ms) {
+    fbb_.AddElement<uint64_t>(listed_server::VT_STARTED_AT_MS, started_at_ms, 0);
+  }
   explicit listed_serverBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2548,8 +2568,10 @@
     flatbuffers::Offset<flatbuffers::String> service = 0,
     uint32_t slots = 0,
     godwit::wire::format::server_state state = godwit::wire::format::server_state::live,
-    uint64_t revision = 0) {
+    uint64_t revision = 0,
+    uint64_t started_at_ms = 0) {
   listed_serverBuilder builder_(_fbb);
+  builder_.add_started_at_ms(started_at_ms);
   builder_.add_revision(revision);
   builder_.add_slots(slots);
   builder_.add_service(service);
@@ -2573,7 +2595,8 @@
     const char *service = nullptr,
     uint32_t slots = 0,
     godwit::wire::format::server_state state = godwit::wire::format::server_state::live,
-    uint64_t revision = 0) {
+    uint64_t revision = 0,
+    uint64_t started_at_ms = 0) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
@@ -2586,7 +2609,8 @@
       service__,
       slots,
       state,
-      revision);
+      revision,
+      started_at_ms);
 }
 
 struct listed_servers FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/libraries/wire/src/message_reader.cpp
+++ b/libraries/wire/src/message_reader.cpp
@@ -75,7 +75,8 @@
     return server_sign{
         .address = reader.identifier<core::server_address>(table.address()),
         .kind = reader.enumerator<sign_kind>(table.kind()),
-        .age_ms = table.age_ms()};
+        .age_ms = table.age_ms(),
+        .started_at_ms = table.started_at_ms()};
 }
 
 claim_holder read(const format::claim_holder& table, frame_reader& reader)
@@ -206,7 +207,8 @@
         .service = reader.identifier<core::service_name>(table.service()),
         .slots = table.slots(),
         .state = reader.enumerator<server_state>(table.state()),
-        .revision = table.revision()};
+        .revision = table.revision(),
+        .started_at_ms = table.started_at_ms()};
 }
 
 listed_servers read(const format::listed_servers& table, frame_reader& reader)
--- a/libraries/wire/src/message_writer.cpp
+++ b/libraries/wire/src/message_writer.cpp
@@ -123,7 +123,8 @@
         out,
         text(out, value.address),
         enumerator<format::sign_kind>(value.kind),
-        value.age_ms);
+        value.age_ms,
+        value.started_at_ms);
 }
 
 flatbuffers::Offset<format::claim_holder>
@@ -260,7 +261,8 @@
         text(out, value.service),
         value.slots,
         enumerator<format::server_state>(value.state),
-        value.revision);
+        value.revision,
+        value.started_at_ms);
 }
 
 flatbuffers::Offset<format::listed_servers>
--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -110,7 +110,13 @@
     void begin_stop();
     void watch_stop();
     void tick();
+    void
+    appeared(const placement::backend_server& server, std::string_view source);
     void left(const placement::server_id& server, std::string_view source);
+    void former_life_ended(
+        const placement::server_id& server,
+        const http::endpoint& address,
+        std::string_view source);
     void avoid_silent_servers();
     void poll_reports();
     void tell_work();
--- a/services/entry/include/godwit/entry/report_poller.hpp
+++ b/services/entry/include/godwit/entry/report_poller.hpp
@@ -16,10 +16,11 @@
 class report_poller
 {
 public:
-    /// `on_leaving` is called for a server that says that it leaves.
+    /// `on_news` is called for a server that says that it leaves, or that it
+    /// began anew, with the server as it says.
     report_poller(
         entry_context& context,
-        std::function<void(const placement::backend_server&)> on_leaving);
+        std::function<void(const placement::backend_server&)> on_news);
 
     report_poller(const report_poller&) = delete;
     report_poller& operator=(const report_poller&) = delete;
@@ -35,7 +36,7 @@
     boost::asio::awaitable<void> ask(placement::backend_server server);
 
     entry_context& context_;
-    std::function<void(const placement::backend_server&)> on_leaving_;
+    std::function<void(const placement::backend_server&)> on_news_;
     std::set<placement::server_id> asked_;
 };
 
--- a/services/entry/include/godwit/entry/running_stream.hpp
+++ b/services/entry/include/godwit/entry/running_stream.hpp
@@ -14,6 +14,9 @@
     /// The server that runs the generation leaves.
     virtual void server_leaves() = 0;
 
+    /// The server began anew: the generation is gone there.
+    virtual void server_restarted() = 0;
+
     /// How long nothing has come from the server, if something should have.
     [[nodiscard]] virtual core::duration
     silence(core::time_point now) const = 0;
--- a/services/entry/include/godwit/entry/stream_call.hpp
+++ b/services/entry/include/godwit/entry/stream_call.hpp
@@ -39,6 +39,8 @@
 
     void server_leaves() override;
 
+    void server_restarted() override;
+
     [[nodiscard]] core::duration silence(core::time_point now) const override;
 
 private:
--- a/services/entry/include/godwit/entry/stream_register.hpp
+++ b/services/entry/include/godwit/entry/stream_register.hpp
@@ -21,6 +21,9 @@
     /// Tells each stream at the server that it leaves.
     void server_leaves(const placement::server_id& server);
 
+    /// Tells each stream at the server that the server began anew.
+    void server_restarted(const placement::server_id& server);
+
     /// The servers of which every stream of this host has been silent for
     /// `span`: they hang or are cut off, whatever the list says. One silent
     /// stream among others was pushed off for a while.
@@ -33,6 +36,10 @@
     [[nodiscard]] std::size_t size() const noexcept;
 
 private:
+    /// A copy, since the streams may change the register while they are told.
+    [[nodiscard]] std::vector<running_stream*>
+    streams_at(const placement::server_id& server) const;
+
     std::map<placement::server_id, std::set<running_stream*>> streams_;
 };
 
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -62,13 +62,14 @@
     : io_(io), context_(io.get_executor(), std::move(settings), words),
       calls_(context_), signals_(io), tick_timer_(io), stop_timer_(io),
       reports_(context_, [this](const placement::backend_server& server) {
-          placement::backend_server leaving = server;
-          leaving.state = placement::server_state::leaving;
-          server_listed(leaving, "report");
+          server_listed(server, "report");
+          if (server.state != placement::server_state::leaving)
+              return;
           neighbours_->broadcast(wire::server_sign{
               core::server_address(server.address.to_string()),
               wire::sign_kind::leaving,
-              0});
+              0,
+              server.start.unix_ms});
       })
 {}
 
@@ -174,12 +175,30 @@
 void entry_process::server_listed(
     const placement::backend_server& server, std::string_view source)
 {
-    const core::time_point now = core::monotonic_now();
-    const auto change = context_.directory.listed(server, now);
-    if (change == placement::directory_change::left)
+    const placement::backend_server* known = context_.directory.find(server.id);
+    const http::endpoint former =
+        known != nullptr ? known->address : server.address;
+    switch (context_.directory.listed(server, core::monotonic_now())) {
+    case placement::directory_change::none:
+        return;
+    case placement::directory_change::left:
         left(server.id, source);
-    if (change != placement::directory_change::appeared)
         return;
+    case placement::directory_change::restarted:
+        former_life_ended(server.id, former, source);
+        break;
+    case placement::directory_change::appeared:
+        break;
+    }
+    if (context_.directory.is_usable(server.id))
+        appeared(server, source);
+    else
+        left(server.id, source);
+}
+
+void entry_process::appeared(
+    const placement::backend_server& server, std::string_view source)
+{
     changed_servers_.insert(server.id);
     context_.connections->forget(server.address);
     log_event(
@@ -193,6 +212,24 @@
     context_.line.wake();
 }
 
+// Connections, failures and runs were the former life's. Reservations end
+// with the streams that hold them: each still waits for its own connection to
+// say how it ended.
+void entry_process::former_life_ended(
+    const placement::server_id& server,
+    const http::endpoint& address,
+    std::string_view source)
+{
+    log_event(
+        log_level::info,
+        component,
+        "server_restarted",
+        {{"server", server}, {"source", source}});
+    context_.connections->forget(address);
+    context_.health.forget(server);
+    context_.streams.server_restarted(server);
+}
+
 void entry_process::server_delisted(
     const placement::server_id& server, std::string_view source)
 {
--- a/services/entry/src/entry_process_neighbours.cpp
+++ b/services/entry/src/entry_process_neighbours.cpp
@@ -80,7 +80,8 @@
         known.service,
         known.slots,
         is_leaving ? wire::server_state::leaving : wire::server_state::live,
-        known.revision};
+        known.revision,
+        known.start.unix_ms};
 }
 
 wire::host_work entry_process::work_to_tell() const
@@ -229,7 +230,8 @@
         host, std::move(servers), core::monotonic_now() + hold);
 }
 
-// A neighbour asked the server itself.
+// A neighbour asked the server itself. Its word may come late: then it is said
+// of a life that ended, and another one may be at the address.
 void entry_process::hear_sign(
     const core::host_name& host, const wire::server_sign& said)
 {
@@ -237,7 +239,10 @@
         return;
     for (const auto& id : context_.directory.ids()) {
         placement::backend_server known = *context_.directory.find(id);
-        const bool is_meant = context_.directory.is_usable(id) &&
+        const placement::server_start start{said.started_at_ms};
+        const bool is_of_this_life = !start.is_known() || start == known.start;
+        const bool is_meant = is_of_this_life &&
+                              context_.directory.is_usable(id) &&
                               known.address.to_string() == said.address.value();
         if (!is_meant)
             continue;
@@ -263,7 +268,8 @@
                 one.slots,
                 is_leaving ? placement::server_state::leaving
                            : placement::server_state::ready,
-                one.revision},
+                one.revision,
+                placement::server_start{one.started_at_ms}},
             host.value());
     }
     has_servers_ = true;
--- a/services/entry/src/stream_call_moves.cpp
+++ b/services/entry/src/stream_call_moves.cpp
@@ -72,6 +72,16 @@
         migrate(migration_cause::server_leaves);
 }
 
+// The new life knows nothing of this run: it is asked for no copy, and its
+// leaving is none of this stream's. The stream itself ends with its connection,
+// and goes on from what a copy brought elsewhere before, if there is one.
+void stream_call::server_restarted()
+{
+    leave_server();
+    if (migration_)
+        migration_->stream_broke();
+}
+
 // One that ended with the run where it was does not keep another one off.
 void stream_call::forget_failed_migration()
 {
--- a/services/entry/src/stream_register.cpp
+++ b/services/entry/src/stream_register.cpp
@@ -21,18 +21,27 @@
         streams_.erase(found);
 }
 
-void stream_register::server_leaves(const placement::server_id& server)
+std::vector<running_stream*>
+stream_register::streams_at(const placement::server_id& server) const
 {
     const auto found = streams_.find(server);
     if (found == streams_.end())
-        return;
-    // The streams may change the register while they are told.
-    const std::vector<running_stream*> told(
-        found->second.begin(), found->second.end());
-    for (running_stream* stream : told)
+        return {};
+    return {found->second.begin(), found->second.end()};
+}
+
+void stream_register::server_leaves(const placement::server_id& server)
+{
+    for (running_stream* stream : streams_at(server))
         stream->server_leaves();
 }
 
+void stream_register::server_restarted(const placement::server_id& server)
+{
+    for (running_stream* stream : streams_at(server))
+        stream->server_restarted();
+}
+
 std::vector<placement::server_id>
 stream_register::silent_servers(core::duration span, core::time_point now) const
 {
--- a/tests/wire/sample_messages.cpp
+++ b/tests/wire/sample_messages.cpp
@@ -45,7 +45,10 @@
             {core::server_address("127.0.0.1:9001")},
             410},
         server_sign{
-            core::server_address("127.0.0.1:9000"), sign_kind::leaving, 15},
+            core::server_address("127.0.0.1:9000"),
+            sign_kind::leaving,
+            15,
+            1700000000000},
         claim_request{7, "key", "fingerprint", holder},
         answer,
         claim_release{"key", 42, 3},
@@ -66,7 +69,8 @@
             core::service_name("lm"),
             24,
             server_state::leaving,
-            77}}},
+            77,
+            1700000000000}}},
         host_work{{server_work{"i-1", 3, 9000, 1200, 700}}, true, "h1", 40},
         link_claim{{"i-1", "i-2"}, 200},
         cell_work{"east/0", true, {server_work{"i-1", 3, 9000, 1200, 700}}}};
