entry: a report tells which life it speaks of, and changes no start

A report that comes from an earlier life than the one that was asked says nothing of that one. A later life is learned from the list alone: a report names no id, and another server may have the address by now. Taken over, its start could have hidden the asked server's own entries for good.

--- a/libraries/placement/include/godwit/placement/server_start.hpp
+++ b/libraries/placement/include/godwit/placement/server_start.hpp
@@ -14,6 +14,9 @@
 
     [[nodiscard]] bool is_known() const noexcept { return unix_ms != 0; }
 
+    // clang-tidy 14 takes the comparison with 0 inside a defaulted <=> for a
+    // null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(const server_start&, const server_start&) = default;
 };
 
--- a/services/entry/include/godwit/entry/report_poller.hpp
+++ b/services/entry/include/godwit/entry/report_poller.hpp
@@ -16,11 +16,10 @@
 class report_poller
 {
 public:
-    /// `on_news` is called for a server that says that it leaves, or that it
-    /// began anew, with the server as it says.
+    /// `on_leaving` is called for a server that says that it leaves.
     report_poller(
         entry_context& context,
-        std::function<void(const placement::backend_server&)> on_news);
+        std::function<void(const placement::backend_server&)> on_leaving);
 
     report_poller(const report_poller&) = delete;
     report_poller& operator=(const report_poller&) = delete;
@@ -36,7 +35,7 @@
     boost::asio::awaitable<void> ask(placement::backend_server server);
 
     entry_context& context_;
-    std::function<void(const placement::backend_server&)> on_news_;
+    std::function<void(const placement::backend_server&)> on_leaving_;
     std::set<placement::server_id> asked_;
 };
 
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -62,9 +62,9 @@
     : io_(io), context_(io.get_executor(), std::move(settings), words),
       calls_(context_), signals_(io), tick_timer_(io), stop_timer_(io),
       reports_(context_, [this](const placement::backend_server& server) {
-          server_listed(server, "report");
-          if (server.state != placement::server_state::leaving)
-              return;
+          placement::backend_server leaving = server;
+          leaving.state = placement::server_state::leaving;
+          server_listed(leaving, "report");
           neighbours_->broadcast(wire::server_sign{
               core::server_address(server.address.to_string()),
               wire::sign_kind::leaving,
--- a/services/entry/src/report_poller.cpp
+++ b/services/entry/src/report_poller.cpp
@@ -18,28 +18,22 @@
 // A report needs no slot; a server that takes longer cannot be reached.
 constexpr core::duration report_limit = std::chrono::milliseconds(600);
 
-// The server as it says of itself. Whatever the list says of a new life is
-// newer than this: its reports are counted anew.
-placement::backend_server
-as_reported(const placement::backend_server& asked, const server_report& report)
+// A life that came after the one that was asked means that this one has gone;
+// the list tells of it. What an earlier one says is not the asked one's.
+bool says_that_it_leaves(
+    const placement::backend_server& asked, const server_report& report)
 {
-    placement::backend_server said = asked;
-    if (asked.start.is_known() && report.start > asked.start) {
-        said.start = report.start;
-        said.revision = 0;
-        said.state = placement::server_state::ready;
-    }
-    if (report.is_leaving)
-        said.state = placement::server_state::leaving;
-    return said;
+    const bool is_of_former_life =
+        report.start.is_known() && report.start < asked.start;
+    return report.is_leaving && !is_of_former_life;
 }
 
 } // namespace
 
 report_poller::report_poller(
     entry_context& context,
-    std::function<void(const placement::backend_server&)> on_news)
-    : context_(context), on_news_(std::move(on_news))
+    std::function<void(const placement::backend_server&)> on_leaving)
+    : context_(context), on_leaving_(std::move(on_leaving))
 {}
 
 void report_poller::poll_own()
@@ -93,9 +87,8 @@
             {{"server", server.id}, {"cause", report.error().message()}});
         co_return;
     }
-    const placement::backend_server said = as_reported(server, *report);
-    if (said != server)
-        on_news_(said);
+    if (says_that_it_leaves(server, *report))
+        on_leaving_(server);
 }
 
 } // namespace godwit::entry
