platform: an entry that is not whole names no server, and hides no other

Cause: the reader of server entries filled in what was missing (no state was "ready", an unknown one "leaving", numbers cast from double without a look at their range), and an entry that could not be read left the former belief in place. One malformed record or item failed its whole page, at every attempt: the host was blind from then on.

Now an entry needs service, address, zone, slots, state and sequence, each of its type and in range, and an id and names of visible ASCII, since they become header fields. Any other entry counts as absent and is logged once. "born" is read from entries and reports; it may be missing, so that a fleet of servers older than the field is still seen, but of another type it spoils the entry. Records and items without a readable key or value are passed over one by one, and counted in one line a page. Keys that are no text spoil no answer, and are encoded where a page goes on. Entries of hosts are read as strictly.

Kept: an answer of the store whose own framing is cut still fails and is read again, since no writer of records can cause that.

--- /dev/null
+++ b/tests/platform_adapter/entries_world_test.cpp
@@ -0,0 +1,283 @@
+#include "world.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <chrono>
+#include <string>
+#include <thread>
+
+namespace {
+
+using namespace godwit;
+using namespace godwit::platform_adapter::test;
+namespace asio = boost::asio;
+
+constexpr const char* servers_topic = "keyed.servers";
+constexpr std::uint64_t former_life = 1700000000000;
+constexpr std::uint64_t new_life = 1700000009000;
+
+asio::awaitable<void>
+answer_with(http::exchange& asked, unsigned status, std::string body)
+{
+    http::response whole =
+        stand_in_server::answer(asked, status, std::move(body));
+    [[maybe_unused]] const auto sent = co_await asked.respond(std::move(whole));
+}
+
+// An entry host whose topics others write to, too, and whose servers start
+// again under their ids.
+class entries_world_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(entries_world_test);
+    CPPUNIT_TEST(test_a_refused_entry_takes_only_its_server_away);
+    CPPUNIT_TEST(test_unreadable_records_blind_nobody);
+    CPPUNIT_TEST(test_a_list_with_unreadable_items_is_read);
+    CPPUNIT_TEST(test_odd_keys_do_not_stop_a_list_in_pages);
+    CPPUNIT_TEST(test_an_entry_of_an_unknown_service_is_harmless);
+    CPPUNIT_TEST(test_refused_hosts_hide_no_other);
+    CPPUNIT_TEST(test_a_server_begins_anew_under_its_id);
+    CPPUNIT_TEST(test_a_server_that_left_begins_anew);
+    CPPUNIT_TEST(test_a_report_of_a_former_life_is_passed_over);
+    CPPUNIT_TEST(test_a_former_life_is_asked_for_no_copy);
+    CPPUNIT_TEST_SUITE_END();
+
+    world world_;
+
+    bool is_usable(const stand_in_server& server)
+    {
+        const placement::server_id id(server.id());
+        return world_.look<bool>([&id](entry::entry_process& process) {
+            return process.context().directory.is_usable(id);
+        });
+    }
+
+    std::uint64_t life_of(const stand_in_server& server)
+    {
+        const placement::server_id id(server.id());
+        return world_.look<std::uint64_t>([&id](entry::entry_process& process) {
+            const auto* known = process.context().directory.find(id);
+            return known == nullptr ? 0 : known->start.unix_ms;
+        });
+    }
+
+    void put_entry(const std::string& key, const std::string& text)
+    {
+        world_.store().put(servers_topic, key, text);
+    }
+
+    void wait_for_life(const stand_in_server& server, std::uint64_t life)
+    {
+        world::wait("the life " + std::to_string(life), [&] {
+            return life_of(server) == life;
+        });
+    }
+
+    // After an outage the newest records are read, in pages.
+    void read_lists_anew()
+    {
+        const unsigned before = world_.store().calls();
+        world_.store().answer_with(503);
+        world::wait("some refused calls", [this, before] {
+            return world_.store().calls() > before + 4;
+        });
+        world_.store().answer_with(0);
+    }
+
+    void test_a_refused_entry_takes_only_its_server_away()
+    {
+        world_.begin();
+        const std::string whole = world_.first().entry("ready", 90);
+        for (const std::string& text :
+             {std::string("{"),
+              std::string("\xff\0", 2),
+              world_.first().entry("unheard", 90),
+              whole.substr(0, whole.size() / 2)}) {
+            put_entry(world_.first().id(), text);
+            world::wait(
+                "refusal", [this] { return !is_usable(world_.first()); });
+            CPPUNIT_ASSERT(is_usable(world_.second()));
+            world_.list(world_.first(), "ready");
+        }
+        CPPUNIT_ASSERT_EQUAL(200U, world_.call("POST", "/plain/").status);
+    }
+
+    void test_unreadable_records_blind_nobody()
+    {
+        world_.begin();
+        const unsigned calls = world_.store().calls();
+        for (int count = 0; count < 20; ++count) {
+            world_.store().put_unreadable(servers_topic);
+            put_entry("i-9", "no entry");
+            put_entry("", "{}");
+        }
+        world_.list(world_.first(), "draining");
+        CPPUNIT_ASSERT(is_usable(world_.second()));
+        // Nor is the list read anew for it, again and again.
+        CPPUNIT_ASSERT(world_.store().calls() < calls + 20);
+    }
+
+    void test_a_list_with_unreadable_items_is_read()
+    {
+        world_.store().put_unreadable(servers_topic);
+        world_.store().put_unreadable("keyed.op");
+        put_entry("i-9", "[]");
+        world_.begin();
+        CPPUNIT_ASSERT_EQUAL(200U, world_.call("POST", "/plain/").status);
+        read_lists_anew();
+        world_.list(world_.first(), "draining");
+        CPPUNIT_ASSERT(is_usable(world_.second()));
+    }
+
+    void test_odd_keys_do_not_stop_a_list_in_pages()
+    {
+        world_.store().set_page_size(1);
+        for (const char* key : {"a", "a b&from=1", "b%", "c\r\nd", "e\xff"})
+            put_entry(key, "{}");
+        world_.begin();
+        read_lists_anew();
+        world_.list(world_.first(), "draining");
+        CPPUNIT_ASSERT(is_usable(world_.second()));
+    }
+
+    void test_an_entry_of_an_unknown_service_is_harmless()
+    {
+        world_.begin();
+        std::string text = world_.first().entry("ready", 90);
+        text.replace(text.find("\"lm\""), 4, "\"no\"");
+        put_entry("i-9", text);
+        const placement::server_id id("i-9");
+        world::wait("the entry", [this, &id] {
+            return world_.look<bool>([&id](entry::entry_process& process) {
+                return process.context().directory.find(id) != nullptr;
+            });
+        });
+        CPPUNIT_ASSERT(is_usable(world_.first()));
+        CPPUNIT_ASSERT_EQUAL(200U, world_.call("POST", "/plain/").status);
+    }
+
+    void test_refused_hosts_hide_no_other()
+    {
+        world_.begin();
+        for (const char* text : {"", "no address", "10.1.2.3:0/x", "\xff/x"})
+            world_.store().put("keyed.hosts", "h3", text);
+        world_.store().put_unreadable("keyed.hosts");
+        world_.store().put("keyed.hosts", "h2", "127.0.0.1:1/east");
+        world::wait("both hosts", [this] {
+            return world_.look<std::uint64_t>(
+                       [](entry::entry_process& process) {
+                           return std::uint64_t{process.fleet_size()};
+                       }) == 2;
+        });
+    }
+
+    void test_a_server_begins_anew_under_its_id()
+    {
+        world_.first().begin_life(former_life);
+        world_.begin();
+        world_.list(world_.first(), "ready");
+        const std::string late_word = world_.first().entry("draining", 900);
+        world_.first().begin_life(new_life);
+        put_entry(world_.first().id(), world_.first().entry("ready", 0));
+        wait_for_life(world_.first(), new_life);
+        CPPUNIT_ASSERT(is_usable(world_.first()));
+        put_entry(world_.first().id(), late_word);
+        world_.list(world_.second(), "draining");
+        CPPUNIT_ASSERT(is_usable(world_.first()));
+        CPPUNIT_ASSERT_EQUAL(new_life, life_of(world_.first()));
+        CPPUNIT_ASSERT_EQUAL(200U, world_.call("POST", "/plain/").status);
+    }
+
+    void test_a_server_that_left_begins_anew()
+    {
+        world_.first().begin_life(former_life);
+        world_.begin();
+        world_.list(world_.first(), "draining");
+        world_.first().begin_life(new_life);
+        put_entry(world_.first().id(), world_.first().entry("ready", 0));
+        wait_for_life(world_.first(), new_life);
+        CPPUNIT_ASSERT(is_usable(world_.first()));
+    }
+
+    void test_a_report_of_a_former_life_is_passed_over()
+    {
+        std::atomic<std::uint64_t> life = former_life;
+        world_.first().behave([&life](http::exchange& asked) {
+            return answer_with(
+                asked,
+                200,
+                R"({"state":"draining","sequence":900,"born":)" +
+                    std::to_string(life) + "}");
+        });
+        world_.first().begin_life(new_life);
+        world_.begin();
+        world::wait("reports", [this] {
+            return world_.first().count("/api/report") > 1;
+        });
+        CPPUNIT_ASSERT(is_usable(world_.first()));
+        life = new_life;
+        world::wait("leaving", [this] { return !is_usable(world_.first()); });
+    }
+
+    // The stream's connection may outlive its server's listing for a while.
+    // The new life leaves; the stream of the former one is not its to move.
+    void test_a_former_life_is_asked_for_no_copy()
+    {
+        std::atomic<bool> is_over = false;
+        std::atomic<int> events = 0;
+        std::atomic<int> copies = 0;
+        world_.first().behave(
+            [&](http::exchange& asked) -> asio::awaitable<void> {
+                if (asked.received().target != "/stream/") {
+                    const bool is_copy =
+                        asked.received().target == "/api/kv-move";
+                    copies += is_copy ? 1 : 0;
+                    co_await answer_with(asked, is_copy ? 404 : 200, "{}");
+                    co_return;
+                }
+                const http::response head =
+                    stand_in_server::answer(asked, 200, "");
+                auto said = co_await asked.start_stream(200, head.fields);
+                while (said && !is_over) {
+                    ++events;
+                    said = co_await asked.write_chunk(
+                        "id: " + std::to_string(events) + "\ndata: t\n\n");
+                    asio::steady_timer pause(
+                        asked.executor(), std::chrono::milliseconds(3));
+                    co_await pause.async_wait(asio::use_awaitable);
+                }
+                said = co_await asked.finish_stream();
+            });
+        world_.first().begin_life(former_life);
+        world_.publish(1);
+        world_.list(world_.first(), "ready");
+        world::wait("readiness", [this] { return world_.is_ready(); });
+        http::response answer;
+        std::thread caller([this, &answer] {
+            try {
+                answer = world_.call("POST", "/stream/");
+            } catch (const CppUnit::Exception&) {
+                answer.status = 0; // It was cut.
+            }
+        });
+        world::wait("events", [&events] { return events > 3; });
+        world_.list(world_.second(), "ready");
+        world_.first().begin_life(new_life);
+        put_entry(world_.first().id(), world_.first().entry("ready", 0));
+        wait_for_life(world_.first(), new_life);
+        world_.list(world_.first(), "draining");
+        const int before = events;
+        world::wait("more events", [&] { return events > before + 50; });
+        is_over = true;
+        caller.join();
+        CPPUNIT_ASSERT_EQUAL(0, copies.load());
+        CPPUNIT_ASSERT_EQUAL(200U, answer.status);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(entries_world_test);
+
+} // namespace
--- a/tests/platform_adapter/stand_in_server.hpp
+++ b/tests/platform_adapter/stand_in_server.hpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -28,6 +29,13 @@
     /// Where it stands from now on; "east" if this is not called.
     void move_to_zone(std::string zone) { zone_ = std::move(zone); }
 
+    /// The life that its entries and later reports speak of; none is named if
+    /// this is not called.
+    void begin_life(std::uint64_t started_at_ms)
+    {
+        started_at_ms_ = started_at_ms;
+    }
+
     /// The entry under which it lists itself.
     [[nodiscard]] std::string
     entry(const std::string& state, unsigned sequence) const;
@@ -49,6 +57,7 @@
 private:
     std::string id_;
     std::string zone_ = "east";
+    std::uint64_t started_at_ms_ = 0;
     behaviour behaviour_;
     std::mutex mutex_;
     std::vector<http::request> received_;
