--- a/services/entry/src/report_poller.cpp
+++ b/services/entry/src/report_poller.cpp
@@ -16,6 +16,16 @@
 // A report needs no slot; a server that takes longer cannot be reached.
 constexpr core::duration report_limit = std::chrono::milliseconds(600);
 
+// A life that came after the one that was asked means that this one has gone;
+// the list tells of it. What an earlier one says is not the asked one's.
+bool says_that_it_leaves(
+    const placement::backend_server& asked, const server_report& report)
+{
+    const bool is_of_former_life =
+        report.start.is_known() && report.start < asked.start;
+    return report.is_leaving && !is_of_former_life;
+}
+
 } // namespace
 
 report_poller::report_poller(
@@ -76,7 +86,7 @@
             {{"server", server.id}, {"cause", report.error().message()}});
         co_return;
     }
-    if (report->is_leaving)
+    if (says_that_it_leaves(server, *report))
         on_leaving_(server);
 }
 
