--- a/tests/entry/report_poller_test.cpp
+++ b/tests/entry/report_poller_test.cpp
@@ -33,6 +33,8 @@
 {
     void server_leaves() override {}
 
+    void server_restarted() override {}
+
     [[nodiscard]] core::duration silence(core::time_point) const override
     {
         return {};
