http: the idle deadline ends a wait, never a request

Cause of six requests passed on, cut and never answered: the deadline over an idle connection was in force while the next request was read. A host that stood still across the end of the idle time and the coming of the request read it, passed it on, and then closed the connection under it.

The deadline is now over the wait alone and only cancels it; whether the connection closes is decided afterwards, by what has come and by the newest limit. So a limit that grew holds for connections that were idle already.

--- a/libraries/http/include/godwit/http/server_settings.hpp
+++ b/libraries/http/include/godwit/http/server_settings.hpp
@@ -15,9 +15,9 @@
 /// on any thread of the io_context.
 using rejection_responder = std::function<response(const rejection&)>;
 
-/// Is told of a fault at the connection of `peer`: an exception, or a handler
-/// that answers out of turn. That connection ends; the others go on. It is
-/// called on any thread of the io_context.
+/// Is told of a fault at the connection of `peer`: an exception, which ends
+/// it, or a handler that answers out of turn, whose further answer is dropped.
+/// Other connections go on. It is called on any thread of the io_context.
 using fault_observer =
     std::function<void(std::string_view peer, std::string_view fault)>;
 
--- a/libraries/http/src/client_stream.cpp
+++ b/libraries/http/src/client_stream.cpp
@@ -32,8 +32,9 @@
 constexpr std::uint32_t head_limit = 64 * 1024;
 constexpr std::size_t read_size = std::size_t{16} * 1024;
 constexpr std::size_t buffer_limit = std::size_t{128} * 1024;
-// The parser reserves memory for the length that a head claims. Ten times
-// what the longest generation or the store's largest page has.
+// Of one answer, a stream's chunks added up. The parser reserves memory for
+// the length that a head claims; this is eight times the largest page that is
+// read and more than ten times the longest generation.
 constexpr std::uint64_t body_limit = std::uint64_t{64} * 1024 * 1024;
 
 client_error failed(
@@ -107,6 +108,7 @@
     bytes_handed_over handed_over = bytes_handed_over::none;
     bool is_cancelled = false;
     bool is_whole = false;
+    bool asked_head = false;
 };
 
 client_stream::client_stream(std::unique_ptr<implementation> held)
@@ -159,6 +161,7 @@
     implementation& held = *held_;
     held.handed_over = bytes_handed_over::none;
     held.is_whole = false;
+    held.asked_head = outgoing.method == "HEAD";
     held.parser.reset();
     const auto executor = co_await asio::this_coro::executor;
     std::string bytes = format_request_head(outgoing, held.server);
@@ -193,6 +196,8 @@
         held.parser.emplace();
         held.parser->header_limit(head_limit);
         held.parser->body_limit(body_limit);
+        // The answer to HEAD names the length of a body that does not come.
+        held.parser->skip(held.asked_head);
         co_await beast_http::async_read_header(
             held.socket,
             held.buffer,
--- a/libraries/http/src/connection.cpp
+++ b/libraries/http/src/connection.cpp
@@ -160,37 +160,63 @@
 
 asio::awaitable<bool> connection::wait_for_first_byte()
 {
-    if (buffer_.size() > 0)
-        co_return true;
-    core::duration patience = server_->limits().idle_timeout;
-    if (server_->is_draining()) {
+    error_code failure = asio::error::would_block;
+    while (buffer_.size() == 0 && failure == asio::error::would_block) {
+        is_idle_ = true;
+        const bool is_readable = co_await wait_until_readable();
+        is_idle_ = false;
+        if (!is_readable)
+            co_return false;
+        const auto space = buffer_.prepare(read_size);
+        buffer_.commit(socket_.read_some(space, failure));
+    }
+    co_return buffer_.size() > 0;
+}
+
+// The deadline is over the wait alone, and only ends the wait: a request that
+// comes as the idle time ends is served. Closed under it, requests were passed
+// on, cut, and never answered.
+asio::awaitable<bool> connection::wait_until_readable()
+{
+    const core::time_point since = core::monotonic_now();
+    while (true) {
+        const core::duration left =
+            since + idle_patience() - core::monotonic_now();
         // What was sent is served all the same.
-        if (has_served_ && !has_unread_bytes())
+        if (left <= core::duration::zero())
+            co_return has_unread_bytes();
+        error_code failure;
+        {
+            const deadline guard(
+                executor_, socket_, left, expiry_action::cancel);
+            // Waiting leaves the bytes where `has_unread_bytes` sees them.
+            co_await socket_.async_wait(
+                tcp::socket::wait_read,
+                asio::redirect_error(asio::use_awaitable, failure));
+        }
+        if (!failure)
+            co_return true;
+        if (!socket_.is_open() || failure != asio::error::operation_aborted)
             co_return false;
-        patience = std::min<core::duration>(patience, drain_grace);
     }
-    is_idle_ = true;
-    const deadline guard(executor_, socket_, patience, expiry_action::close);
-    error_code failure;
-    // Waiting leaves the bytes where `has_unread_bytes` sees them.
-    co_await socket_.async_wait(
-        tcp::socket::wait_read,
-        asio::redirect_error(asio::use_awaitable, failure));
-    is_idle_ = false;
-    if (failure)
-        co_return false;
-    const auto space = buffer_.prepare(read_size);
-    const std::size_t count = co_await socket_.async_read_some(
-        space, asio::redirect_error(asio::use_awaitable, failure));
-    buffer_.commit(count);
-    co_return !failure;
+}
+
+// Callers go by the newest limit, so an idle connection does, too.
+core::duration connection::idle_patience() const
+{
+    const core::duration longest = server_->limits().idle_timeout;
+    if (!server_->is_draining())
+        return longest;
+    if (has_served_)
+        return core::duration::zero();
+    return std::min<core::duration>(longest, drain_grace);
 }
 
 asio::awaitable<void> connection::serve(request received)
 {
     // After a stall the end of the connection may be there with the request:
     // its handler has to know, or it begins what is cut a moment later.
-    [[maybe_unused]] const bool may_have_more = take_early_bytes();
+    (void)take_early_bytes();
     is_watching_ = true;
     watch_ended_ = false;
     asio::co_spawn(
--- a/libraries/http/src/connection.hpp
+++ b/libraries/http/src/connection.hpp
@@ -96,6 +96,8 @@
     boost::asio::awaitable<void> run_guarded(admission verdict);
     boost::asio::awaitable<void> run(admission verdict);
     boost::asio::awaitable<bool> wait_for_first_byte();
+    boost::asio::awaitable<bool> wait_until_readable();
+    [[nodiscard]] core::duration idle_patience() const;
     boost::asio::awaitable<std::optional<request>> read_request();
     boost::asio::awaitable<std::optional<rejection_reason>>
     read_head(request_parser& parser);
--- a/libraries/http/src/deadline.cpp
+++ b/libraries/http/src/deadline.cpp
@@ -35,11 +35,18 @@
             // Closing, unlike cancelling, also ends the operation that a
             // composed read or write starts next.
             boost::system::error_code ignored;
-            if (kept->action == expiry_action::close)
+            switch (kept->action) {
+            case expiry_action::close:
                 kept->socket->close(ignored);
-            else
+                break;
+            case expiry_action::stop_receiving:
                 kept->socket->shutdown(
                     boost::asio::socket_base::shutdown_receive, ignored);
+                break;
+            case expiry_action::cancel:
+                kept->socket->cancel(ignored);
+                break;
+            }
         });
 }
 
--- a/libraries/http/src/server_state.cpp
+++ b/libraries/http/src/server_state.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <chrono>
+#include <exception>
 #include <utility>
 #include <vector>
 
@@ -79,7 +80,7 @@
         co_await acceptor_.async_accept(
             socket, asio::redirect_error(asio::use_awaitable, failure));
         if (!failure) {
-            admit(std::move(socket));
+            admit_guarded(std::move(socket));
             continue;
         }
         if (!acceptor_.is_open())
@@ -90,6 +91,16 @@
     }
 }
 
+// A connection that cannot be taken must not end the accepting of others.
+void server_state::admit_guarded(tcp::socket socket)
+{
+    try {
+        admit(std::move(socket));
+    } catch (const std::exception& fault) {
+        report_fault("acceptor", fault.what());
+    }
+}
+
 void server_state::admit(tcp::socket socket)
 {
     const std::size_t open = open_connections_;
--- a/libraries/http/src/server_state.hpp
+++ b/libraries/http/src/server_state.hpp
@@ -86,6 +86,7 @@
 
 private:
     boost::asio::awaitable<void> accept_loop();
+    void admit_guarded(boost::asio::ip::tcp::socket socket);
     void admit(boost::asio::ip::tcp::socket socket);
     void close_acceptor();
     void accept_waiting();
