--- a/tests/http/pieces_test.cpp
+++ b/tests/http/pieces_test.cpp
@@ -90,6 +90,7 @@
     CPPUNIT_TEST(test_answer_without_a_byte);
     CPPUNIT_TEST(test_answer_byte_by_byte);
     CPPUNIT_TEST(test_answer_that_claims_more_than_memory);
+    CPPUNIT_TEST(test_answer_with_a_status_that_is_none);
     CPPUNIT_TEST_SUITE_END();
 
     static asio::awaitable<void> echo(exchange& current)
@@ -166,6 +167,20 @@
         CPPUNIT_ASSERT(!answer.has_value());
     }
 
+    // A caller that got such a status took it for an interim one and waited.
+    void test_answer_with_a_status_that_is_none()
+    {
+        const answering_in_pieces server(
+            {"HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\nab"});
+        asio::io_context context(1);
+        auto result = asio::co_spawn(
+            context,
+            fetch(server.address(), request(), {.deadline = seconds(5)}),
+            asio::use_future);
+        context.run();
+        CPPUNIT_ASSERT(!result.get().has_value());
+    }
+
     void test_answer_byte_by_byte()
     {
         pieces body;
--- a/tests/platform_adapter/entries_world_test.cpp
+++ b/tests/platform_adapter/entries_world_test.cpp
@@ -34,6 +34,7 @@
 {
     CPPUNIT_TEST_SUITE(entries_world_test);
     CPPUNIT_TEST(test_a_refused_entry_takes_only_its_server_away);
+    CPPUNIT_TEST(test_where_servers_say_their_start_others_are_no_servers);
     CPPUNIT_TEST(test_unreadable_records_blind_nobody);
     CPPUNIT_TEST(test_a_list_with_unreadable_items_is_read);
     CPPUNIT_TEST(test_odd_keys_do_not_stop_a_list_in_pages);
@@ -106,6 +107,28 @@
         CPPUNIT_ASSERT_EQUAL(200U, world_.call("POST", "/plain/").status);
     }
 
+    // Another writer's entry may lack nothing but the start. Where servers do
+    // not say it at all, every entry lacks it.
+    void test_where_servers_say_their_start_others_are_no_servers()
+    {
+        const std::string without = world_.first().entry("ready", 90);
+        world_.first().begin_life(former_life);
+        world_.second().begin_life(former_life);
+        world_.begin();
+        put_entry("i-other", without);
+        put_entry(world_.first().id(), without);
+        world::wait("refusal", [this] { return !is_usable(world_.first()); });
+        const auto knows_other = [](entry::entry_process& process) {
+            return process.context().directory.find(
+                       placement::server_id("i-other")) != nullptr;
+        };
+        CPPUNIT_ASSERT(!world_.look<bool>(knows_other));
+        CPPUNIT_ASSERT(is_usable(world_.second()));
+        read_lists_anew();
+        world_.list(world_.first(), "ready");
+        CPPUNIT_ASSERT(!world_.look<bool>(knows_other));
+    }
+
     void test_unreadable_records_blind_nobody()
     {
         world_.begin();
