--- a/libraries/http/src/client_stream.cpp
+++ b/libraries/http/src/client_stream.cpp
@@ -30,6 +30,8 @@
 using response_parser = beast_http::response_parser<beast_http::string_body>;
 
 constexpr std::uint32_t head_limit = 64 * 1024;
+constexpr unsigned first_status = 100;
+constexpr unsigned first_final_status = 200;
 constexpr std::size_t read_size = std::size_t{16} * 1024;
 constexpr std::size_t buffer_limit = std::size_t{128} * 1024;
 // Of one answer, a stream's chunks added up. The parser reserves memory for
@@ -204,7 +206,10 @@
             *held.parser,
             asio::redirect_error(asio::use_awaitable, failure));
         const unsigned status = held.parser->get().result_int();
-        is_interim = status >= 100 && status < 200;
+        // Passed on, it would look like an interim answer (RFC 9110, 15).
+        if (!failure && status < first_status)
+            failure = beast_http::error::bad_status;
+        is_interim = !failure && status < first_final_status;
     }
     if (failure)
         co_return tl::unexpected(failed(
