--- a/tests/http/pieces_test.cpp
+++ b/tests/http/pieces_test.cpp
@@ -115,11 +115,9 @@
         return caller.read_all();
     }
 
-    /// What a client makes of a chunked answer whose body comes so.
-    static client_result<response> fetched(const pieces& body)
+    /// What a client makes of an answer that comes so.
+    static client_result<response> fetched_whole(pieces answer)
     {
-        pieces answer{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"};
-        answer.insert(answer.end(), body.begin(), body.end());
         const answering_in_pieces server(std::move(answer));
         asio::io_context context(1);
         auto result = asio::co_spawn(
@@ -130,6 +128,14 @@
         return result.get();
     }
 
+    /// What a client makes of a chunked answer whose body comes so.
+    static client_result<response> fetched(const pieces& body)
+    {
+        pieces answer{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"};
+        answer.insert(answer.end(), body.begin(), body.end());
+        return fetched_whole(std::move(answer));
+    }
+
     void test_request_without_a_byte()
     {
         const std::string answer = answer_to({"0\r\n", "\r", "\n"});
@@ -154,31 +160,18 @@
     // all memory was an exception, also where nobody catches one.
     void test_answer_that_claims_more_than_memory()
     {
-        const answering_in_pieces server(
+        const auto answer = fetched_whole(
             {"HTTP/1.1 200 OK\r\nContent-Length: 9000000000000000000\r\n\r\n",
              "abc"});
-        asio::io_context context(1);
-        auto result = asio::co_spawn(
-            context,
-            fetch(server.address(), request(), {.deadline = seconds(5)}),
-            asio::use_future);
-        context.run();
-        const auto answer = result.get();
         CPPUNIT_ASSERT(!answer.has_value());
     }
 
     // A caller that got such a status took it for an interim one and waited.
     void test_answer_with_a_status_that_is_none()
     {
-        const answering_in_pieces server(
-            {"HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\nab"});
-        asio::io_context context(1);
-        auto result = asio::co_spawn(
-            context,
-            fetch(server.address(), request(), {.deadline = seconds(5)}),
-            asio::use_future);
-        context.run();
-        CPPUNIT_ASSERT(!result.get().has_value());
+        const auto answer =
+            fetched_whole({"HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\nab"});
+        CPPUNIT_ASSERT(!answer.has_value());
     }
 
     void test_answer_byte_by_byte()
