entry, platform: one host of a cell reads the list, changes alone between cells

Two thirds of the bytes between zones are sums that did not change.

- Who reads the list (list_readers): the first host by name of each cell, and the first of all at the quick pace.
A host is a reader only while its own reads succeed, so that a store that is away is not waited for host after host.
Who hears no reader for 2 s reads for itself.
- Hosts of a fleet beyond nine come back to a store within 3 s, not 1 s, and read bursts of versions and of new hosts together.
- A new link between cells begins with all sums; after it changes are told, and all sums each 10 s.
- Hosts compare the paces of their engines each 100 ms (server_paces), log changes as one line, and refuse gaps that cannot be.

--- a/services/entry/include/godwit/entry/cell_report.hpp
+++ b/services/entry/include/godwit/entry/cell_report.hpp
@@ -19,8 +19,15 @@
     /// The span between two words. A choice between engines is as good as
     /// what is known of them; a prompt takes some 400 ms to be read.
     static constexpr core::duration pace = std::chrono::milliseconds(100);
-    /// All sums are told this often, for whoever missed changes.
-    static constexpr core::duration whole_pace = std::chrono::seconds(1);
+    /// All sums are told this often. A new link begins with all of them, and
+    /// loses none of what follows; this mends what two hosts of the cell told
+    /// of the same server in another order. Told each second, they were two
+    /// thirds of all bytes between the zones of 295 hosts.
+    static constexpr core::duration whole_pace = std::chrono::seconds(10);
+    /// Something is told this often, so that silence means that the cell is
+    /// not heard.
+    static constexpr core::duration longest_silence =
+        std::chrono::milliseconds(500);
     /// Memory that grows by less than this many tokens, a tenth of a usual
     /// run's, waits for more.
     static constexpr std::uint64_t told_growth = 400;
@@ -32,9 +39,16 @@
         const std::vector<placement::server_work>& sums,
         core::time_point now);
 
+    /// All that was told so far, for a host that begins to listen; nothing
+    /// before the first word.
+    [[nodiscard]] std::optional<wire::cell_work>
+    whole(const placement::host_group& cell) const;
+
 private:
+    placement::host_group cell_; ///< Whose sums were told.
     std::map<placement::server_id, placement::work_size> told_;
     core::time_point whole_told_at_{};
+    core::time_point told_at_{};
 };
 
 } // namespace godwit::entry
--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -6,7 +6,9 @@
 #include <godwit/entry/dialect.hpp>
 #include <godwit/entry/entry_context.hpp>
 #include <godwit/entry/entry_settings.hpp>
+#include <godwit/entry/host_cell.hpp>
 #include <godwit/entry/list_outage.hpp>
+#include <godwit/entry/list_readers.hpp>
 #include <godwit/entry/neighbour_links.hpp>
 #include <godwit/entry/report_poller.hpp>
 #include <godwit/http/server.hpp>
@@ -18,7 +20,6 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -72,6 +73,9 @@
     /// neighbours are told, and what they say of servers is passed over.
     void set_source_current(bool is_current);
 
+    /// The list of servers was read at its source just now.
+    void list_was_read();
+
     /// The first whole list of servers was read.
     void servers_are_known();
 
@@ -79,6 +83,18 @@
     /// tell the others; one of them is enough, and each read has its price.
     [[nodiscard]] bool is_quick_reader() const;
 
+    /// Whether this host may leave the list to another one of its cell, whose
+    /// word reaches it at once. While its own reads fail any reader will do;
+    /// otherwise it is one before this host by name.
+    [[nodiscard]] bool may_leave_list_to_others() const;
+
+    /// Whether the fleet is too large for each host to call the source on
+    /// its own.
+    [[nodiscard]] bool is_large_fleet() const noexcept
+    {
+        return fleet_size_ > full_mesh;
+    }
+
     /// How many entry hosts are known.
     [[nodiscard]] std::size_t fleet_size() const noexcept
     {
@@ -118,6 +134,9 @@
         const http::endpoint& address,
         std::string_view source);
     void avoid_silent_servers();
+    void compare_paces();
+    void
+    compare_paces_of(const routing::service& service, core::time_point now);
     void poll_reports();
     void tell_work();
     void tell_work_soon();
@@ -126,9 +145,9 @@
     [[nodiscard]] wire::listed_servers servers_to_tell() const;
     [[nodiscard]] wire::listed_server
     server_to_tell(const placement::server_id& id) const;
-    [[nodiscard]] std::optional<core::host_name> first_reader() const;
     [[nodiscard]] wire::host_work work_to_tell() const;
-    [[nodiscard]] std::vector<wire::message> greeting() const;
+    [[nodiscard]] std::vector<wire::message>
+    greeting(const wire::hello& peer) const;
     void hear(const std::shared_ptr<wire::link>& from, wire::message said);
     void hear_version(
         const std::shared_ptr<wire::link>& from, std::uint64_t version);
@@ -140,7 +159,10 @@
     void hear_sign(const core::host_name& host, const wire::server_sign& said);
     void hear_claim(const core::host_name& host, const wire::link_claim& said);
     void hear_work(const wire::hello& peer, const wire::host_work& said);
-    void hear_cell(const wire::cell_work& said);
+    void hear_cell(const core::host_name& host, const wire::cell_work& said);
+    void check_gaps(
+        const core::host_name& host,
+        const std::vector<wire::server_work>& said);
     void hear_reader(const core::host_name& host, const wire::host_work& said);
 
     boost::asio::io_context& io_;
@@ -158,7 +180,7 @@
     std::optional<entry_settings> last_read_; ///< As the file said it.
     core::time_point reloaded_at_{};
     std::string table_text_; ///< Of the version in force.
-    std::map<core::host_name, core::time_point> readers_;
+    list_readers readers_;
     wire::host_work told_work_;
     core::time_point told_work_at_{};
     cell_report cell_report_;
@@ -168,6 +190,8 @@
     core::time_point polled_at_{};
     list_outage outage_;
     std::set<placement::server_id> changed_servers_; ///< Not told yet.
+    core::time_point compared_at_{};
+    std::set<core::host_name> false_gaps_from_; ///< Hosts that were logged.
     std::size_t fleet_size_ = 1;
     bool is_telling_work_ = false;
     bool has_servers_ = false;
--- a/services/entry/include/godwit/entry/neighbour_links.hpp
+++ b/services/entry/include/godwit/entry/neighbour_links.hpp
@@ -21,8 +21,8 @@
 /// What the links ask of their host, and tell it.
 struct neighbour_handlers
 {
-    /// What a neighbour should know at once when its link opens.
-    std::function<std::vector<wire::message>()> on_greeting;
+    /// What this neighbour should know at once, now that its link is open.
+    std::function<std::vector<wire::message>(const wire::hello&)> on_greeting;
     /// A neighbour said something over its link, which is introduced.
     std::function<void(const std::shared_ptr<wire::link>&, wire::message)>
         on_message;
--- a/services/entry/src/cell_report.cpp
+++ b/services/entry/src/cell_report.cpp
@@ -18,6 +18,7 @@
     return told.requests != now.requests ||
            told.unread_tokens != now.unread_tokens ||
            told.arriving_tokens != now.arriving_tokens ||
+           placement::differ_much(told.gaps, now.gaps) ||
            growth >= cell_report::told_growth;
 }
 
@@ -28,6 +29,10 @@
     const std::vector<placement::server_work>& sums,
     core::time_point now)
 {
+    // Nobody has heard the sums of this cell, if the host came into another.
+    if (cell != cell_)
+        told_.clear();
+    cell_ = cell;
     wire::cell_work said;
     said.cell = cell.value();
     said.is_whole = told_.empty() || now - whole_told_at_ >= whole_pace;
@@ -50,8 +55,23 @@
     told_ = std::move(kept);
     if (said.is_whole)
         whole_told_at_ = now;
-    if (said.work.empty() && !said.is_whole)
+    const bool is_silent = said.work.empty() && !said.is_whole;
+    if (is_silent && now - told_at_ < longest_silence)
         return std::nullopt;
+    told_at_ = now;
+    return said;
+}
+
+std::optional<wire::cell_work>
+cell_report::whole(const placement::host_group& cell) const
+{
+    if (told_at_ == core::time_point() || cell != cell_)
+        return std::nullopt;
+    wire::cell_work said;
+    said.cell = cell.value();
+    said.is_whole = true;
+    for (const auto& [server, work] : told_)
+        said.work.push_back(to_wire(server, work));
     return said;
 }
 
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -66,6 +66,7 @@
     asio::io_context& io, entry_settings settings, const dialect& words)
     : io_(io), context_(io.get_executor(), std::move(settings), words),
       calls_(context_), signals_(io), tick_timer_(io), stop_timer_(io),
+      readers_(context_.settings.host),
       reports_(context_, [this](const placement::backend_server& server) {
           placement::backend_server leaving = server;
           leaving.state = placement::server_state::leaving;
@@ -110,7 +111,7 @@
         io_.get_executor(),
         context_.settings,
         neighbour_handlers{
-            [this] { return greeting(); },
+            [this](const wire::hello& peer) { return greeting(peer); },
             [this](
                 const std::shared_ptr<wire::link>& from, wire::message said) {
                 hear(from, std::move(said));
@@ -267,6 +268,8 @@
 {
     const core::time_point now = core::monotonic_now();
     outage_.set_current(is_current, now);
+    if (!is_current)
+        readers_.cannot_read();
     const bool is_steady =
         outage_.source(now) == placement::source_state::steady;
     log_event(
@@ -276,6 +279,11 @@
         {{"current", is_current}, {"steady", is_steady}});
 }
 
+void entry_process::list_was_read()
+{
+    readers_.has_read(core::monotonic_now());
+}
+
 void entry_process::servers_are_known()
 {
     has_servers_ = true;
@@ -291,6 +299,12 @@
     // would look full.
     if (!neighbours_->cell().empty())
         context_.ledger.keep_neighbours(neighbours_->cell_mates());
+    std::erase_if(false_gaps_from_, [&hosts](const core::host_name& host) {
+        return std::none_of(
+            hosts.begin(), hosts.end(), [&host](const known_host& known) {
+                return known.name == host;
+            });
+    });
 }
 
 // New requests at a server that hangs would be lost with those that run.
@@ -306,9 +320,9 @@
     }
 }
 
-// While the list cannot be read, each host asks the servers of its own streams
-// often. While it can, the quick reader asks every engine now and then for
-// all: the list may be held up without a sign, since it says something only
+// While nobody near can read the list, each host asks the servers of its own
+// streams often. While it can, the quick reader asks every engine now and then
+// for all: the list may be held up without a sign, since it says something only
 // when an entry changes.
 void entry_process::poll_reports()
 {
@@ -317,9 +331,9 @@
     if (now - polled_at_ < (is_current ? doubt_span : report_span))
         return;
     polled_at_ = now;
-    if (!is_current)
+    if (!is_current && !may_leave_list_to_others())
         reports_.poll_own();
-    else if (is_quick_reader())
+    else if (is_current && is_quick_reader())
         reports_.poll_all();
 }
 
@@ -332,6 +346,7 @@
     tell_work();
     tell_cell();
     avoid_silent_servers();
+    compare_paces();
     poll_reports();
     if (core::monotonic_now() - reloaded_at_ >= reload_span)
         reload();
--- a/services/entry/src/entry_process_neighbours.cpp
+++ b/services/entry/src/entry_process_neighbours.cpp
@@ -2,6 +2,8 @@
 
 #include <godwit/entry/work_words.hpp>
 
+#include <godwit/telemetry/log.hpp>
+
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
@@ -12,6 +14,8 @@
 namespace godwit::entry {
 
 namespace asio = boost::asio;
+using telemetry::log_event;
+using telemetry::log_level;
 
 namespace {
 
@@ -19,8 +23,6 @@
 constexpr core::duration work_refresh = std::chrono::milliseconds(500);
 // A neighbour that dies while it holds a link holds up others no longer.
 constexpr core::duration longest_link_claim = std::chrono::milliseconds(500);
-// A reader whose word is older, over several hosts, may have gone.
-constexpr core::duration reader_lifetime = std::chrono::milliseconds(2000);
 // How long a version that neighbours have may take to come from the store.
 constexpr core::duration table_patience = std::chrono::milliseconds(250);
 
@@ -42,13 +44,17 @@
             return one.server == other.server &&
                    one.requests == other.requests &&
                    one.unread_tokens == other.unread_tokens &&
-                   one.arriving_tokens == other.arriving_tokens;
+                   one.arriving_tokens == other.arriving_tokens &&
+                   !placement::differ_much(
+                       {one.paced_streams, one.gap_ms},
+                       {other.paced_streams, other.gap_ms});
         });
 }
 
 } // namespace
 
-std::vector<wire::message> entry_process::greeting() const
+std::vector<wire::message>
+entry_process::greeting(const wire::hello& peer) const
 {
     std::vector<wire::message> said;
     if (context_.routes)
@@ -57,6 +63,11 @@
     if (outage_.is_current())
         said.emplace_back(servers_to_tell());
     said.emplace_back(work_to_tell());
+    // Afterwards it hears what changes.
+    if (!neighbours_->is_cell_mate(peer.host)) {
+        if (auto sums = cell_report_.whole(neighbours_->cell()))
+            said.emplace_back(std::move(*sums));
+    }
     return said;
 }
 
@@ -89,14 +100,14 @@
     wire::host_work said;
     for (const auto& [server, work] : context_.ledger.own())
         said.work.push_back(to_wire(server, work));
-    said.reads_list = outage_.is_current();
     const core::time_point now = core::monotonic_now();
-    const auto reader = first_reader();
+    said.reads_list = readers_.reads(now);
+    const auto reader = readers_.first(now);
     const bool is_ahead =
-        reader && (!said.reads_list || *reader < context_.settings.host);
+        reader && (!said.reads_list || reader->first < context_.settings.host);
     if (is_ahead) {
-        said.reader = reader->value();
-        said.reader_age_ms = age_ms(now - readers_.at(*reader));
+        said.reader = reader->first.value();
+        said.reader_age_ms = age_ms(now - reader->second);
     }
     return said;
 }
@@ -182,7 +193,7 @@
     else if (const auto* claim = std::get_if<wire::link_claim>(&said))
         hear_claim(peer.host, *claim);
     else if (const auto* cell = std::get_if<wire::cell_work>(&said))
-        hear_cell(*cell);
+        hear_cell(peer.host, *cell);
 }
 
 // A neighbour has a version. The table itself is large, and the store brings
@@ -275,47 +286,63 @@
     has_servers_ = true;
 }
 
-// Which host reads the list at the quick pace: the first by name of those
-// that read it now. When it falls silent the next one takes over; meanwhile
-// everybody's own slow reads go on.
+// The first by name of those that read it now. When it falls silent the next
+// one takes over.
 bool entry_process::is_quick_reader() const
 {
-    const auto reader = first_reader();
-    return !reader || *reader >= context_.settings.host;
+    return readers_.is_first(core::monotonic_now());
 }
 
-std::optional<core::host_name> entry_process::first_reader() const
+bool entry_process::may_leave_list_to_others() const
 {
     const core::time_point now = core::monotonic_now();
-    for (const auto& [host, heard_at] : readers_) {
-        if (now - heard_at < reader_lifetime)
-            return host;
-    }
-    return std::nullopt;
+    const auto& mates = neighbours_->cell_mates();
+    if (!is_large_fleet())
+        return false;
+    return outage_.is_current() ? readers_.is_preceded_by(mates, now)
+                                : readers_.is_read_by(mates, now);
 }
 
 void entry_process::hear_reader(
     const core::host_name& host, const wire::host_work& said)
 {
     const core::time_point now = core::monotonic_now();
-    if (said.reads_list)
-        readers_[host] = now;
-    else
-        readers_.erase(host);
+    readers_.says(host, said.reads_list, now);
     const core::host_name told(said.reader);
-    if (told.empty() || told == host || told == context_.settings.host)
+    if (!told.empty() && told != host)
+        readers_.is_said_to_read(
+            told, now - std::chrono::milliseconds(said.reader_age_ms));
+}
+
+// Counted each time, told once a host.
+void entry_process::check_gaps(
+    const core::host_name& host, const std::vector<wire::server_work>& said)
+{
+    const auto refused = std::count_if(
+        said.begin(), said.end(), [](const wire::server_work& one) {
+            return !has_possible_gaps(one);
+        });
+    if (refused == 0)
+        return;
+    context_.metrics
+        ->counter(
+            "godwit_refused_gaps_total",
+            "Gaps between events that a neighbour told and that cannot be.")
+        .Increment(static_cast<double>(refused));
+    if (!false_gaps_from_.insert(host).second)
         return;
-    const core::time_point told_at =
-        now - std::chrono::milliseconds(said.reader_age_ms);
-    const auto known = readers_.find(told);
-    if (known == readers_.end() || known->second < told_at)
-        readers_[told] = told_at;
+    log_event(
+        log_level::warning,
+        "neighbours",
+        "gaps_refused",
+        {{"neighbour", host}, {"count", refused}});
 }
 
 void entry_process::hear_work(
     const wire::hello& peer, const wire::host_work& said)
 {
     const core::host_name& host = peer.host;
+    check_gaps(host, said.work);
     hear_reader(host, said);
     if (said.reads_list)
         outage_.neighbour_reads(core::monotonic_now());
@@ -326,8 +353,10 @@
         host, to_ledger(said.work), core::monotonic_now());
 }
 
-void entry_process::hear_cell(const wire::cell_work& said)
+void entry_process::hear_cell(
+    const core::host_name& host, const wire::cell_work& said)
 {
+    check_gaps(host, said.work);
     const placement::host_group cell(said.cell);
     if (cell == neighbours_->cell())
         return;
--- /dev/null
+++ b/services/entry/src/entry_process_paces.cpp
@@ -0,0 +1,70 @@
+#include <godwit/entry/entry_process.hpp>
+
+#include <godwit/telemetry/log.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <vector>
+
+// Which backend servers write slower than the others of their service.
+
+namespace godwit::entry {
+
+namespace {
+
+// Sums of other cells come this often; two late events take longer.
+constexpr core::duration compare_span = std::chrono::milliseconds(100);
+// One line names so many servers, however many there are.
+constexpr std::size_t most_named = 4;
+
+std::string first_names(const std::vector<placement::server_id>& servers)
+{
+    std::string names;
+    const std::size_t count = std::min(servers.size(), most_named);
+    for (std::size_t each = 0; each < count; ++each) {
+        if (!names.empty())
+            names += ',';
+        names += servers[each].value();
+    }
+    return names;
+}
+
+} // namespace
+
+void entry_process::compare_paces()
+{
+    const core::time_point now = core::monotonic_now();
+    if (!context_.routes || now - compared_at_ < compare_span)
+        return;
+    compared_at_ = now;
+    for (const routing::service& service :
+         context_.routes->content().services) {
+        if (service.engine)
+            compare_paces_of(service, now);
+    }
+}
+
+void entry_process::compare_paces_of(
+    const routing::service& service, core::time_point now)
+{
+    std::vector<placement::server_gaps> seen;
+    for (const placement::backend_server* server :
+         context_.directory.usable(service.name))
+        seen.push_back({server->id, context_.ledger.at(server->id, now).gaps});
+    const auto changes = context_.paces.compare(seen, now);
+    if (changes == placement::pace_changes())
+        return;
+    telemetry::log_event(
+        telemetry::log_level::info,
+        "entry",
+        "server_paces",
+        {{"service", service.name},
+         {"slower", changes.slower.size()},
+         {"slower_first", first_names(changes.slower)},
+         {"recovered", changes.recovered.size()},
+         {"recovered_first", first_names(changes.recovered)},
+         {"compared", seen.size()}});
+}
+
+} // namespace godwit::entry
--- a/services/entry/src/neighbour_links.cpp
+++ b/services/entry/src/neighbour_links.cpp
@@ -106,7 +106,7 @@
             component,
             "neighbour_linked",
             {{"neighbour", peer.host}, {"zone", peer.zone}});
-        for (const wire::message& said : handlers_.on_greeting())
+        for (const wire::message& said : handlers_.on_greeting(peer))
             link->send(said);
     };
     handlers.on_message = [this](const auto& link, wire::message said) {
--- a/tests/platform_adapter/topic_follower_test.cpp
+++ b/tests/platform_adapter/topic_follower_test.cpp
@@ -23,6 +23,8 @@
 {
     CPPUNIT_TEST_SUITE(topic_follower_test);
     CPPUNIT_TEST(test_an_exception_does_not_end_the_following);
+    CPPUNIT_TEST(test_it_rests_while_others_read);
+    CPPUNIT_TEST(test_it_comes_back_slowly_while_turned_away);
     CPPUNIT_TEST_SUITE_END();
 
     static void fail_once(bool& has_failed)
@@ -54,6 +56,7 @@
                  fail_once(has_failed_for_one);
                  seen.insert(record.key);
              },
+             {},
              {}});
         follower.start();
         const auto run_until_seen = [&](const std::string& key) {
@@ -72,6 +75,85 @@
         CPPUNIT_ASSERT(run_until_seen("third"));
         CPPUNIT_ASSERT(has_failed_for_all && has_failed_for_one);
     }
+
+    static void run_for(boost::asio::io_context& io, int milliseconds)
+    {
+        const auto end = std::chrono::steady_clock::now() +
+                         std::chrono::milliseconds(milliseconds);
+        while (std::chrono::steady_clock::now() < end)
+            io.run_one_for(std::chrono::milliseconds(20));
+    }
+
+    // In a large fleet one host of a cell reads; were the others to read, too,
+    // each change would cost as many calls as there are hosts.
+    void test_it_rests_while_others_read()
+    {
+        boost::asio::io_context io{1};
+        test::stand_in_store store(io);
+        store.put("t", "first", "1");
+        store_client client(io.get_executor(), store.address());
+        bool others_read = true;
+        unsigned reads = 0;
+        std::set<std::string> seen;
+        topic_pace pace;
+        pace.may_rest = [&others_read] {
+            return others_read;
+        };
+        pace.longest_rest = std::chrono::seconds(60);
+        topic_handlers handlers;
+        handlers.on_whole = [&seen](const std::vector<keyed_record>& records) {
+            for (const keyed_record& record : records)
+                seen.insert(record.key);
+        };
+        handlers.on_record = [&seen](const keyed_record& record) {
+            seen.insert(record.key);
+        };
+        handlers.on_read = [&reads] {
+            ++reads;
+        };
+        topic_follower follower(io.get_executor(), client, "t", pace, handlers);
+        follower.start();
+        run_for(io, 500);
+        // What was there at the start is its own to read.
+        CPPUNIT_ASSERT(seen.contains("first"));
+        store.put("t", "second", "2");
+        run_for(io, 500);
+        CPPUNIT_ASSERT(!seen.contains("second"));
+        CPPUNIT_ASSERT_EQUAL(1U, reads);
+        CPPUNIT_ASSERT_EQUAL(1U, store.calls());
+        // The reader falls silent.
+        others_read = false;
+        run_for(io, 500);
+        CPPUNIT_ASSERT(seen.contains("second"));
+    }
+
+    void test_it_comes_back_slowly_while_turned_away()
+    {
+        boost::asio::io_context io{1};
+        test::stand_in_store store(io);
+        store.answer_with(503);
+        store_client client(io.get_executor(), store.address());
+        topic_pace pace;
+        pace.longest_retry_pause = [] {
+            return std::chrono::seconds(3);
+        };
+        unsigned reads = 0;
+        topic_handlers handlers;
+        handlers.on_whole = [](const std::vector<keyed_record>&) {
+        };
+        handlers.on_read = [&reads] {
+            ++reads;
+        };
+        topic_follower follower(io.get_executor(), client, "t", pace, handlers);
+        follower.start();
+        // Pauses of 0.2, 0.4, 0.8 and 1.6 s, then of 3 s.
+        run_for(io, 4000);
+        CPPUNIT_ASSERT(store.calls() <= 6);
+        CPPUNIT_ASSERT_EQUAL(0U, reads);
+        store.answer_with(0);
+        run_for(io, 3500);
+        CPPUNIT_ASSERT(reads > 0);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(topic_follower_test);
