--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -174,6 +174,7 @@
     boost::asio::signal_set signals_;
     boost::asio::steady_timer tick_timer_;
     boost::asio::steady_timer stop_timer_;
+    core::time_point started_at_{};
     core::time_point stop_began_{};
     std::unique_ptr<neighbour_links> neighbours_;
     settings_reader read_settings_;
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -133,6 +133,7 @@
         tell_work_soon();
     };
     neighbours_->start();
+    started_at_ = core::monotonic_now();
     tick();
     log_event(
         log_level::info,
--- a/services/entry/src/entry_process_neighbours.cpp
+++ b/services/entry/src/entry_process_neighbours.cpp
@@ -23,6 +23,9 @@
 constexpr core::duration work_refresh = std::chrono::milliseconds(500);
 // A neighbour that dies while it holds a link holds up others no longer.
 constexpr core::duration longest_link_claim = std::chrono::milliseconds(500);
+// A host that has just started hears its neighbours before it reads the list
+// again; by then most links are open.
+constexpr core::duration linking_span = std::chrono::milliseconds(1500);
 // How long a version that neighbours have may take to come from the store.
 constexpr core::duration table_patience = std::chrono::milliseconds(250);
 
@@ -299,6 +302,8 @@
     const auto& mates = neighbours_->cell_mates();
     if (!is_large_fleet())
         return false;
+    if (neighbours_->open_links() == 0 && now - started_at_ < linking_span)
+        return true;
     return outage_.is_current() ? readers_.is_preceded_by(mates, now)
                                 : readers_.is_read_by(mates, now);
 }
