--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -89,6 +89,13 @@
     /// otherwise it is one before this host by name.
     [[nodiscard]] bool may_leave_list_to_others() const;
 
+    /// Whether this host started a moment ago beside others, whom it has yet
+    /// to hear.
+    [[nodiscard]] bool is_new_in_fleet() const;
+
+    /// How many hosts of the own cell come before this one by name.
+    [[nodiscard]] std::size_t rank_in_cell() const;
+
     /// Whether the fleet is too large for each host to call the source on
     /// its own.
     [[nodiscard]] bool is_large_fleet() const noexcept
--- a/services/entry/src/entry_process_neighbours.cpp
+++ b/services/entry/src/entry_process_neighbours.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <utility>
 #include <variant>
 
@@ -23,9 +24,8 @@
 constexpr core::duration work_refresh = std::chrono::milliseconds(500);
 // A neighbour that dies while it holds a link holds up others no longer.
 constexpr core::duration longest_link_claim = std::chrono::milliseconds(500);
-// A host that has just started hears its neighbours before it reads the list
-// again; by then most links are open.
-constexpr core::duration linking_span = std::chrono::milliseconds(1500);
+// Until a host that starts beside others has links to them.
+constexpr core::duration linking_span = std::chrono::seconds(3);
 // How long a version that neighbours have may take to come from the store.
 constexpr core::duration table_patience = std::chrono::milliseconds(250);
 
@@ -296,14 +296,31 @@
     return readers_.is_first(core::monotonic_now());
 }
 
+bool entry_process::is_new_in_fleet() const
+{
+    const auto& settings = context_.settings;
+    const bool has_others = std::any_of(
+        settings.seeds.begin(),
+        settings.seeds.end(),
+        [&settings](const http::endpoint& seed) {
+            return seed != settings.neighbours;
+        });
+    return has_others && core::monotonic_now() - started_at_ < linking_span;
+}
+
+std::size_t entry_process::rank_in_cell() const
+{
+    const auto& mates = neighbours_->cell_mates();
+    return static_cast<std::size_t>(std::distance(
+        mates.begin(), mates.lower_bound(context_.settings.host)));
+}
+
 bool entry_process::may_leave_list_to_others() const
 {
     const core::time_point now = core::monotonic_now();
     const auto& mates = neighbours_->cell_mates();
     if (!is_large_fleet())
         return false;
-    if (neighbours_->open_links() == 0 && now - started_at_ < linking_span)
-        return true;
     return outage_.is_current() ? readers_.is_preceded_by(mates, now)
                                 : readers_.is_read_by(mates, now);
 }
