--- a/tests/placement/placer_test.cpp
+++ b/tests/placement/placer_test.cpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace {
 
@@ -52,6 +53,11 @@
     CPPUNIT_TEST(test_a_run_does_not_come_home_beside_a_copy);
     CPPUNIT_TEST(test_migrations_avoid_a_link_with_copies);
     CPPUNIT_TEST(test_a_wave_of_migrations_spreads_over_links);
+    CPPUNIT_TEST(test_a_slow_server_is_chosen_last);
+    CPPUNIT_TEST(test_a_slow_server_reads_one_prompt_at_a_time);
+    CPPUNIT_TEST(test_a_slow_server_gets_no_prompt_that_would_be_late);
+    CPPUNIT_TEST(test_a_slow_server_takes_runs_that_read_nothing);
+    CPPUNIT_TEST(test_a_server_that_may_be_slow_is_tried_by_one_at_a_time);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -445,6 +451,79 @@
         CPPUNIT_ASSERT(runs["i-2"] >= 2 && runs["i-2"] <= 4);
         CPPUNIT_ASSERT(runs["i-3"] >= 1 && runs["i-4"] >= 1);
     }
+
+    // "i-1" writes three times slower than four others.
+    void slow_down_the_first(int now_ms)
+    {
+        std::vector<server_gaps> seen{{server_id("i-1"), {1, 120}, false}};
+        for (int server = 2; server <= 5; ++server)
+            seen.push_back(
+                {server_id("i-" + std::to_string(server)), {1, 40}, false});
+        [[maybe_unused]] const auto changes =
+            paces_.compare(seen, at_ms(now_ms));
+    }
+
+    void leave_the_first_alone() { wanted_.excluded = {server_id("i-2")}; }
+
+    void test_a_slow_server_is_chosen_last()
+    {
+        ledger_.add(server_id("i-2"), {2, 8000, 0});
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), choose());
+        slow_down_the_first(0);
+        CPPUNIT_ASSERT_EQUAL(std::string("i-2"), choose());
+        // What has nowhere else to go goes there.
+        ledger_.add(server_id("i-2"), {1, 1500, 0});
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), choose());
+    }
+
+    void test_a_slow_server_reads_one_prompt_at_a_time()
+    {
+        leave_the_first_alone();
+        slow_down_the_first(0);
+        wanted_.work = {1, 1000, 1000};
+        wanted_.most_unread_tokens = 4000;
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), choose());
+        ledger_.add(server_id("i-1"), {1, 500, 500});
+        CPPUNIT_ASSERT_EQUAL(std::string("no room"), choose());
+    }
+
+    void test_a_slow_server_gets_no_prompt_that_would_be_late()
+    {
+        leave_the_first_alone();
+        slow_down_the_first(0);
+        wanted_.work = {1, 1000, 1000};
+        wanted_.most_unread_tokens = 3000;
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), choose());
+        wanted_.most_unread_tokens = 2999;
+        CPPUNIT_ASSERT_EQUAL(std::string("no room"), choose());
+    }
+
+    void test_a_slow_server_takes_runs_that_read_nothing()
+    {
+        leave_the_first_alone();
+        slow_down_the_first(0);
+        ledger_.add(server_id("i-1"), {1, 500, 500});
+        wanted_.purpose = placement_purpose::migration;
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), choose());
+    }
+
+    void test_a_server_that_may_be_slow_is_tried_by_one_at_a_time()
+    {
+        slow_down_the_first(0);
+        ledger_.add(server_id("i-2"), {2, 6000, 0});
+        constexpr int tried_from_ms = 2001;
+        int trying = 0;
+        for (std::uint64_t host = 0; host < 100; ++host) {
+            placer other(directory_, ledger_, health_, paces_, host);
+            const auto chosen = other.choose(wanted_, at_ms(tried_from_ms));
+            trying += chosen->server.id == server_id("i-1") ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(0, trying);
+        // All would by the end of the doubt.
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), choose(12'000));
+        ledger_.add(server_id("i-1"), {1, 100, 0});
+        CPPUNIT_ASSERT_EQUAL(std::string("i-2"), choose(12'000));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(placer_test);
