--- a/tests/platform_adapter/world.cpp
+++ b/tests/platform_adapter/world.cpp
@@ -73,19 +73,6 @@
     return request;
 }
 
-entry::entry_settings settings_on_free_ports()
-{
-    return entry::entry_settings{
-        .host = core::host_name("h1"),
-        .zone = core::zone_name("east"),
-        .log_level = telemetry::log_level::error,
-        .callers = free_port(),
-        .readiness = free_port(),
-        .operators = free_port(),
-        .neighbours = free_port(),
-        .seeds = {}};
-}
-
 // A port that was free may be taken before it is bound: by another test's
 // process, or by a connection that gets it by chance.
 std::unique_ptr<entry::entry_process> start_process(asio::io_context& context)
@@ -104,6 +91,19 @@
 
 } // namespace
 
+entry::entry_settings settings_on_free_ports()
+{
+    return entry::entry_settings{
+        .host = core::host_name("h1"),
+        .zone = core::zone_name("east"),
+        .log_level = telemetry::log_level::error,
+        .callers = free_port(),
+        .readiness = free_port(),
+        .operators = free_port(),
+        .neighbours = free_port(),
+        .seeds = {}};
+}
+
 world::world() : outside_work_(asio::make_work_guard(outside_))
 {
     store_ = std::make_unique<stand_in_store>(outside_);
--- a/tests/platform_adapter/world.hpp
+++ b/tests/platform_adapter/world.hpp
@@ -16,6 +16,9 @@
 
 namespace godwit::platform_adapter::test {
 
+/// Settings of an entry host "h1" that is alone, at ports that are free now.
+[[nodiscard]] entry::entry_settings settings_on_free_ports();
+
 /// An entry host with a store and two servers of the service "lm", each on
 /// threads of their own: the outside on one, the entry host on another.
 class world
