--- a/services/entry/include/godwit/entry/cell_report.hpp
+++ b/services/entry/include/godwit/entry/cell_report.hpp
@@ -21,8 +21,8 @@
     static constexpr core::duration pace = std::chrono::milliseconds(100);
     /// All sums are told this often. A new link begins with all of them, and
     /// loses none of what follows; this mends what two hosts of the cell told
-    /// of the same server in another order. Told each second, they were two
-    /// thirds of all bytes between the zones of 295 hosts.
+    /// of the same server in another order. Told each second, they were 8% of
+    /// the bytes between the zones of 295 hosts (0.87 GB in 48 s).
     static constexpr core::duration whole_pace = std::chrono::seconds(10);
     /// Something is told this often, so that silence means that the cell is
     /// not heard.
