--- a/services/entry/include/godwit/entry/migrator.hpp
+++ b/services/entry/include/godwit/entry/migrator.hpp
@@ -94,7 +94,6 @@
     boost::asio::awaitable<copies_outcome> copy_while_running();
     boost::asio::awaitable<void> copy_last();
     boost::asio::awaitable<copy_answer> copy(copy_phase phase);
-    boost::asio::awaitable<void> pause(core::duration span);
     boost::asio::awaitable<void> wait_for_links();
     void claim_links(core::duration hold);
 
--- /dev/null
+++ b/services/entry/src/pause.cpp
@@ -0,0 +1,18 @@
+#include <godwit/entry/pause.hpp>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace godwit::entry {
+
+namespace asio = boost::asio;
+
+asio::awaitable<void> pause(asio::any_io_executor executor, core::duration span)
+{
+    asio::steady_timer timer(executor, span);
+    boost::system::error_code ended;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ended));
+}
+
+} // namespace godwit::entry
--- a/services/entry/src/spawn.cpp
+++ b/services/entry/src/spawn.cpp
@@ -1,13 +1,11 @@
 #include <godwit/entry/spawn.hpp>
 
 #include <godwit/core/time.hpp>
+#include <godwit/entry/pause.hpp>
 #include <godwit/telemetry/log.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <chrono>
 #include <exception>
@@ -57,10 +55,7 @@
         if (!failure)
             co_return;
         log_failed(name, failure);
-        asio::steady_timer timer(executor, restart_pause);
-        boost::system::error_code ended;
-        co_await timer.async_wait(
-            asio::redirect_error(asio::use_awaitable, ended));
+        co_await pause(executor, restart_pause);
     }
 }
 
