--- a/tests/platform_adapter/topic_follower_test.cpp
+++ b/tests/platform_adapter/topic_follower_test.cpp
@@ -56,7 +56,6 @@
                  fail_once(has_failed_for_one);
                  seen.insert(record.key);
              },
-             {},
              {}});
         follower.start();
         const auto run_until_seen = [&](const std::string& key) {
