placement: one look at a server's pace, one way to collect gaps, one to take work out

The choice asked server_paces three times for each candidate; at() gives both answers. What is compared was gathered alike by entry hosts and replays (seen_gaps). load_ledger took work out of a sum and dropped an empty one in three places (take_out). The tests ask at() and keep what they assert.

--- a/libraries/placement/include/godwit/placement/placer.hpp
+++ b/libraries/placement/include/godwit/placement/placer.hpp
@@ -86,21 +86,21 @@
         const placement_request& wanted,
         const backend_server& server,
         const work_size& load,
-        double slowness) const;
+        const server_pace& pace) const;
     [[nodiscard]] bool is_joining(
         const placement_request& wanted,
         const backend_server& server,
         core::time_point now) const;
-    [[nodiscard]] bool is_doubted(
+    [[nodiscard]] bool is_tried_by_others(
         const backend_server& server,
         const work_size& load,
+        const server_pace& pace,
         core::time_point now) const;
     [[nodiscard]] double cost(
         const placement_request& wanted,
         const backend_server& server,
         const work_size& load,
-        double slowness,
-        core::time_point now) const;
+        const server_pace& pace) const;
 
     const server_directory& directory_;
     const load_ledger& ledger_;
--- a/libraries/placement/include/godwit/placement/server_paces.hpp
+++ b/libraries/placement/include/godwit/placement/server_paces.hpp
@@ -3,6 +3,8 @@
 #include <godwit/core/time.hpp>
 #include <godwit/placement/backend_server.hpp>
 #include <godwit/placement/event_gaps.hpp>
+#include <godwit/placement/load_ledger.hpp>
+#include <godwit/placement/server_directory.hpp>
 
 #include <chrono>
 #include <cstddef>
@@ -25,6 +27,25 @@
     friend bool operator==(const server_gaps&, const server_gaps&) = default;
 };
 
+/// The gaps at each usable server of the service, as the ledger knows them.
+[[nodiscard]] std::vector<server_gaps> seen_gaps(
+    const server_directory& directory,
+    const load_ledger& ledger,
+    const core::service_name& service,
+    core::time_point now);
+
+/// What is believed of a server's pace.
+struct server_pace
+{
+    /// How many times slower than the median it writes; 1 unless it is slow.
+    double slowness = 1.0;
+    /// Since when it is tried: it was slow, and nothing has shown for a while
+    /// whether it still is.
+    std::optional<core::time_point> doubted_since;
+
+    friend bool operator==(const server_pace&, const server_pace&) = default;
+};
+
 /// Servers that turned slow, or are no longer slow.
 struct pace_changes
 {
@@ -66,15 +87,8 @@
     pace_changes
     compare(const std::vector<server_gaps>& seen, core::time_point now);
 
-    /// How many times slower than the median the server writes; 1 unless it
-    /// is slow.
-    [[nodiscard]] double
-    slowness(const server_id& server, core::time_point now) const;
-
-    /// Since when the server is tried: it was slow, and nothing has shown for
-    /// a while whether it still is. Nothing for any other server.
-    [[nodiscard]] std::optional<core::time_point>
-    doubted_since(const server_id& server, core::time_point now) const;
+    [[nodiscard]] server_pace
+    at(const server_id& server, core::time_point now) const;
 
 private:
     struct slow_server
--- a/libraries/placement/src/event_gaps.cpp
+++ b/libraries/placement/src/event_gaps.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-// An engine that reads prompts beside its streams writes at some 0.6 of its
-// speed, and does so all day; what is slow to its callers differs by more.
+// Of the two means. A smaller change does not turn a verdict on its own: a
+// server is slow from 2.2 times the median and quick again below 1.5.
 constexpr double much = 1.5;
 
 } // namespace
--- a/libraries/placement/src/load_ledger.cpp
+++ b/libraries/placement/src/load_ledger.cpp
@@ -5,6 +5,24 @@
 
 namespace godwit::placement {
 
+namespace {
+
+// A server without work is not kept: servers come and go.
+void take_out(
+    std::map<server_id, work_size>& sums,
+    const server_id& server,
+    const work_size& work)
+{
+    const auto found = sums.find(server);
+    if (found == sums.end())
+        return;
+    found->second -= work;
+    if (found->second == work_size())
+        sums.erase(found);
+}
+
+} // namespace
+
 void load_ledger::add(const server_id& server, const work_size& work)
 {
     own_[server] += work;
@@ -12,12 +30,7 @@
 
 void load_ledger::remove(const server_id& server, const work_size& work)
 {
-    const auto found = own_.find(server);
-    if (found == own_.end())
-        return;
-    found->second -= work;
-    if (found->second == work_size())
-        own_.erase(found);
+    take_out(own_, server, work);
 }
 
 void load_ledger::count(told_work& word) const
@@ -32,14 +45,8 @@
 {
     if (!std::exchange(word.is_counted, false))
         return;
-    for (const auto& [server, work] : word.work) {
-        const auto found = others_.find(server);
-        if (found == others_.end())
-            continue;
-        found->second -= work;
-        if (found->second == work_size())
-            others_.erase(found);
-    }
+    for (const auto& [server, work] : word.work)
+        take_out(others_, server, work);
 }
 
 void load_ledger::uncount_lapsed(core::time_point now) const
@@ -99,16 +106,15 @@
     kept.heard_at = now;
     count(kept);
     for (const server_work& one : word) {
-        work_size& told = kept.work[one.server];
-        work_size& sum = others_[one.server];
-        sum -= told;
-        sum += one.work;
-        told = one.work;
-        // Servers come and go; what has no work any more is not kept.
-        if (told == work_size())
-            kept.work.erase(one.server);
-        if (sum == work_size())
-            others_.erase(one.server);
+        const auto told = kept.work.find(one.server);
+        if (told != kept.work.end()) {
+            take_out(others_, one.server, told->second);
+            kept.work.erase(told);
+        }
+        if (one.work == work_size())
+            continue;
+        others_[one.server] += one.work;
+        kept.work.emplace(one.server, one.work);
     }
 }
 
--- a/libraries/placement/src/placer.cpp
+++ b/libraries/placement/src/placer.cpp
@@ -122,7 +122,7 @@
     const placement_request& wanted,
     const backend_server& server,
     const work_size& load,
-    double slowness) const
+    const server_pace& pace) const
 {
     if (!wanted.service->engine)
         return true;
@@ -136,9 +136,9 @@
         return false;
     // A slow server reads as slowly as it writes. It gets one prompt at a time,
     // and one that it reads in time.
-    if (slowness > 1.0 && wanted.work.unread_tokens > 0 &&
+    if (pace.slowness > 1.0 && wanted.work.unread_tokens > 0 &&
         (load.unread_tokens > 0 ||
-         static_cast<double>(wanted.work.unread_tokens) * slowness >
+         static_cast<double>(wanted.work.unread_tokens) * pace.slowness >
              static_cast<double>(wanted.most_unread_tokens)))
         return false;
     // A request that is larger than the share may have a server alone.
@@ -176,30 +176,29 @@
 
 // Hosts begin to try a server that may still be slow after a part of the span
 // of their own, and only while nobody else does.
-bool placer::is_doubted(
+bool placer::is_tried_by_others(
     const backend_server& server,
     const work_size& load,
+    const server_pace& pace,
     core::time_point now) const
 {
-    const auto since = paces_.doubted_since(server.id, now);
-    if (!since)
+    if (!pace.doubted_since)
         return false;
     core::random own(core::stable_hash(server.id.value(), seed_));
-    return load.requests > 0 ||
-           now - *since < std::chrono::duration_cast<core::duration>(
-                              server_paces::doubt * own.unit());
+    return load.requests > 0 || now - *pace.doubted_since <
+                                    std::chrono::duration_cast<core::duration>(
+                                        server_paces::doubt * own.unit());
 }
 
 double placer::cost(
     const placement_request& wanted,
     const backend_server& server,
     const work_size& load,
-    double slowness,
-    core::time_point now) const
+    const server_pace& pace) const
 {
     double sum = failure_cost * health_.failed_share(server.id);
-    sum += slowness_cost * (slowness - 1.0);
-    if (paces_.doubted_since(server.id, now))
+    sum += slowness_cost * (pace.slowness - 1.0);
+    if (pace.doubted_since)
         sum += doubt_cost;
     const bool migrates = wanted.purpose == placement_purpose::migration;
     const bool is_far = server.zone != wanted.near;
@@ -235,17 +234,17 @@
                                        is_joining(wanted, *candidate, now)))
             continue;
         const work_size load = ledger_.at(candidate->id, now);
-        const double slowness = paces_.slowness(candidate->id, now);
-        if (is_doubted(*candidate, load, now))
+        const server_pace pace = paces_.at(candidate->id, now);
+        if (is_tried_by_others(*candidate, load, pace, now))
             continue;
-        if (!has_room(wanted, *candidate, load, slowness))
+        if (!has_room(wanted, *candidate, load, pace))
             continue;
         const bool is_avoided = health_.is_avoided(candidate->id, now);
         const double spread = wanted.purpose == placement_purpose::migration
                                   ? migration_jitter
                                   : jitter;
-        const double own_cost = cost(wanted, *candidate, load, slowness, now) +
-                                spread * random_.unit();
+        const double own_cost =
+            cost(wanted, *candidate, load, pace) + spread * random_.unit();
         const bool is_better =
             !best || (best_is_avoided != is_avoided ? best_is_avoided
                                                     : own_cost < best->cost);
--- a/libraries/placement/src/server_paces.cpp
+++ b/libraries/placement/src/server_paces.cpp
@@ -32,6 +32,20 @@
     return reads_prompts ? *mean / server_paces::reading_times : *mean;
 }
 
+std::vector<server_gaps> seen_gaps(
+    const server_directory& directory,
+    const load_ledger& ledger,
+    const core::service_name& service,
+    core::time_point now)
+{
+    std::vector<server_gaps> seen;
+    for (const backend_server* server : directory.usable(service)) {
+        const work_size load = ledger.at(server->id, now);
+        seen.push_back({server->id, load.gaps, load.unread_tokens > 0});
+    }
+    return seen;
+}
+
 pace_changes server_paces::compare(
     const std::vector<server_gaps>& seen, core::time_point now)
 {
@@ -63,22 +77,15 @@
     return changes;
 }
 
-double
-server_paces::slowness(const server_id& server, core::time_point now) const
+server_pace
+server_paces::at(const server_id& server, core::time_point now) const
 {
     const auto found = slow_.find(server);
-    const bool is_slow =
-        found != slow_.end() && now - found->second.seen_at <= memory;
-    return is_slow ? found->second.times : 1.0;
-}
-
-std::optional<core::time_point>
-server_paces::doubted_since(const server_id& server, core::time_point now) const
-{
-    const auto found = slow_.find(server);
-    if (found == slow_.end() || now - found->second.seen_at <= memory)
-        return std::nullopt;
-    return found->second.seen_at + memory;
+    if (found == slow_.end())
+        return {};
+    if (now - found->second.seen_at <= memory)
+        return {found->second.times, std::nullopt};
+    return {1.0, found->second.seen_at + memory};
 }
 
 } // namespace godwit::placement
--- a/libraries/replay/src/simulated_host.cpp
+++ b/libraries/replay/src/simulated_host.cpp
@@ -62,11 +62,8 @@
 
 void simulated_host::compare_paces(core::time_point now)
 {
-    std::vector<placement::server_gaps> seen;
-    for (const auto* server : directory_.usable(service_.name)) {
-        const placement::work_size load = ledger_.at(server->id, now);
-        seen.push_back({server->id, load.gaps, load.unread_tokens > 0});
-    }
+    const auto seen =
+        placement::seen_gaps(directory_, ledger_, service_.name, now);
     [[maybe_unused]] const auto changes = paces_.compare(seen, now);
 }
 
--- a/services/entry/include/godwit/entry/cell_report.hpp
+++ b/services/entry/include/godwit/entry/cell_report.hpp
@@ -48,7 +48,7 @@
     placement::host_group cell_; ///< Whose sums were told.
     std::map<placement::server_id, placement::work_size> told_;
     core::time_point whole_told_at_{};
-    core::time_point told_at_{};
+    std::optional<core::time_point> told_at_; ///< The last word.
 };
 
 } // namespace godwit::entry
--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -168,7 +168,7 @@
     void hear_claim(const core::host_name& host, const wire::link_claim& said);
     void hear_work(const wire::hello& peer, const wire::host_work& said);
     void hear_cell(const core::host_name& host, const wire::cell_work& said);
-    void check_gaps(
+    [[nodiscard]] std::vector<placement::server_work> believed(
         const core::host_name& host,
         const std::vector<wire::server_work>& said);
     void hear_reader(const core::host_name& host, const wire::host_work& said);
--- a/services/entry/include/godwit/entry/list_readers.hpp
+++ b/services/entry/include/godwit/entry/list_readers.hpp
@@ -65,9 +65,16 @@
         const std::set<core::host_name>& mates, core::time_point now) const;
 
 private:
+    using words = std::map<core::host_name, core::time_point>;
+
+    [[nodiscard]] bool is_any_fresh(
+        words::const_iterator end,
+        const std::set<core::host_name>& mates,
+        core::time_point now) const;
+
     core::host_name self_;
     std::optional<core::time_point> read_at_;
-    std::map<core::host_name, core::time_point> others_;
+    words others_; ///< When each was last heard to read the list.
 };
 
 } // namespace godwit::entry
--- a/services/entry/include/godwit/entry/work_words.hpp
+++ b/services/entry/include/godwit/entry/work_words.hpp
@@ -3,6 +3,7 @@
 #include <godwit/placement/load_ledger.hpp>
 #include <godwit/wire/host_work.hpp>
 
+#include <cstddef>
 #include <vector>
 
 namespace godwit::entry {
@@ -12,12 +13,17 @@
 to_wire(const placement::server_id& server, const placement::work_size& work);
 
 /// What another host told, as the ledger takes it.
-[[nodiscard]] std::vector<placement::server_work>
-to_ledger(const std::vector<wire::server_work>& said);
+struct heard_work
+{
+    std::vector<placement::server_work> work;
+    /// Gaps between events that no running streams can have. They are not
+    /// taken over: a false one would make a sound server look slow, or hide a
+    /// slow one.
+    std::size_t refused_gaps = 0;
 
-/// Whether the gaps that were told can be of streams that run. Others are not
-/// taken over: a false one would make a sound server look slow, or hide a slow
-/// one.
-[[nodiscard]] bool has_possible_gaps(const wire::server_work& told);
+    friend bool operator==(const heard_work&, const heard_work&) = default;
+};
+
+[[nodiscard]] heard_work to_ledger(const std::vector<wire::server_work>& said);
 
 } // namespace godwit::entry
--- a/services/entry/src/cell_report.cpp
+++ b/services/entry/src/cell_report.cpp
@@ -56,7 +56,7 @@
     if (said.is_whole)
         whole_told_at_ = now;
     const bool is_silent = said.work.empty() && !said.is_whole;
-    if (is_silent && now - told_at_ < longest_silence)
+    if (is_silent && told_at_ && now - *told_at_ < longest_silence)
         return std::nullopt;
     told_at_ = now;
     return said;
@@ -65,7 +65,7 @@
 std::optional<wire::cell_work>
 cell_report::whole(const placement::host_group& cell) const
 {
-    if (told_at_ == core::time_point() || cell != cell_)
+    if (!told_at_ || cell != cell_)
         return std::nullopt;
     wire::cell_work said;
     said.cell = cell.value();
--- a/services/entry/src/entry_process_neighbours.cpp
+++ b/services/entry/src/entry_process_neighbours.cpp
@@ -339,34 +339,30 @@
 }
 
 // Counted each time, told once a host.
-void entry_process::check_gaps(
+std::vector<placement::server_work> entry_process::believed(
     const core::host_name& host, const std::vector<wire::server_work>& said)
 {
-    const auto refused = std::count_if(
-        said.begin(), said.end(), [](const wire::server_work& one) {
-            return !has_possible_gaps(one);
-        });
-    if (refused == 0)
-        return;
+    heard_work heard = to_ledger(said);
+    if (heard.refused_gaps == 0)
+        return std::move(heard.work);
     context_.metrics
         ->counter(
             "godwit_refused_gaps_total",
             "Gaps between events that a neighbour told and that cannot be.")
-        .Increment(static_cast<double>(refused));
-    if (!false_gaps_from_.insert(host).second)
-        return;
-    log_event(
-        log_level::warning,
-        "neighbours",
-        "gaps_refused",
-        {{"neighbour", host}, {"count", refused}});
+        .Increment(static_cast<double>(heard.refused_gaps));
+    if (false_gaps_from_.insert(host).second)
+        log_event(
+            log_level::warning,
+            "neighbours",
+            "gaps_refused",
+            {{"neighbour", host}, {"count", heard.refused_gaps}});
+    return std::move(heard.work);
 }
 
 void entry_process::hear_work(
     const wire::hello& peer, const wire::host_work& said)
 {
     const core::host_name& host = peer.host;
-    check_gaps(host, said.work);
     hear_reader(host, said);
     if (said.reads_list)
         outage_.neighbour_reads(core::monotonic_now());
@@ -374,13 +370,12 @@
     if (!neighbours_->is_cell_mate(host))
         return;
     context_.ledger.neighbour_says(
-        host, to_ledger(said.work), core::monotonic_now());
+        host, believed(host, said.work), core::monotonic_now());
 }
 
 void entry_process::hear_cell(
     const core::host_name& host, const wire::cell_work& said)
 {
-    check_gaps(host, said.work);
     const placement::host_group cell(said.cell);
     if (cell == neighbours_->cell())
         return;
@@ -388,7 +383,7 @@
         cell,
         said.is_whole ? placement::word_extent::whole
                       : placement::word_extent::changes,
-        to_ledger(said.work),
+        believed(host, said.work),
         core::monotonic_now());
 }
 
--- a/services/entry/src/entry_process_paces.cpp
+++ b/services/entry/src/entry_process_paces.cpp
@@ -5,7 +5,6 @@
 #include <godwit/telemetry/log.hpp>
 
 #include <chrono>
-#include <vector>
 
 // Which backend servers write slower than the others of their service.
 
@@ -34,12 +33,8 @@
 void entry_process::compare_paces_of(
     const routing::service& service, core::time_point now)
 {
-    std::vector<placement::server_gaps> seen;
-    for (const placement::backend_server* server :
-         context_.directory.usable(service.name)) {
-        const placement::work_size load = context_.ledger.at(server->id, now);
-        seen.push_back({server->id, load.gaps, load.unread_tokens > 0});
-    }
+    const auto seen = placement::seen_gaps(
+        context_.directory, context_.ledger, service.name, now);
     const auto changes = context_.paces.compare(seen, now);
     if (changes == placement::pace_changes())
         return;
--- a/services/entry/src/list_readers.cpp
+++ b/services/entry/src/list_readers.cpp
@@ -4,9 +4,23 @@
 
 namespace godwit::entry {
 
+namespace {
+
+bool is_fresh(core::time_point heard_at, core::time_point now)
+{
+    return now - heard_at < list_readers::word_lifetime;
+}
+
+} // namespace
+
 void list_readers::says(
     const core::host_name& host, bool reads_list, core::time_point now)
 {
+    // Hosts come and go under ever new names; who said nothing lately is as
+    // good as never heard.
+    std::erase_if(others_, [now](const auto& each) {
+        return !is_fresh(each.second, now);
+    });
     if (reads_list)
         others_[host] = now;
     else
@@ -32,7 +46,7 @@
 list_readers::first(core::time_point now) const
 {
     for (const auto& [host, heard_at] : others_) {
-        if (now - heard_at < word_lifetime)
+        if (is_fresh(heard_at, now))
             return std::pair(host, heard_at);
     }
     return std::nullopt;
@@ -44,22 +58,26 @@
     return !other || self_ < other->first;
 }
 
+bool list_readers::is_any_fresh(
+    words::const_iterator end,
+    const std::set<core::host_name>& mates,
+    core::time_point now) const
+{
+    return std::any_of(others_.begin(), end, [&mates, now](const auto& each) {
+        return mates.contains(each.first) && is_fresh(each.second, now);
+    });
+}
+
 bool list_readers::is_preceded_by(
     const std::set<core::host_name>& mates, core::time_point now) const
 {
-    return std::any_of(
-        others_.begin(), others_.lower_bound(self_), [&](const auto& each) {
-            return mates.contains(each.first) &&
-                   now - each.second < word_lifetime;
-        });
+    return is_any_fresh(others_.lower_bound(self_), mates, now);
 }
 
 bool list_readers::is_read_by(
     const std::set<core::host_name>& mates, core::time_point now) const
 {
-    return std::any_of(others_.begin(), others_.end(), [&](const auto& each) {
-        return mates.contains(each.first) && now - each.second < word_lifetime;
-    });
+    return is_any_fresh(others_.end(), mates, now);
 }
 
 } // namespace godwit::entry
--- a/services/entry/src/work_words.cpp
+++ b/services/entry/src/work_words.cpp
@@ -20,6 +20,8 @@
         work.gaps.total_ms};
 }
 
+namespace {
+
 bool has_possible_gaps(const wire::server_work& told)
 {
     constexpr auto longest_ms = static_cast<std::uint64_t>(
@@ -30,32 +32,22 @@
            told.gap_ms <= told.paced_streams * longest_ms;
 }
 
-namespace {
-
-placement::event_gaps believed_gaps(const wire::server_work& told)
-{
-    if (!has_possible_gaps(told))
-        return {};
-    return {told.paced_streams, told.gap_ms};
-}
-
 } // namespace
 
-std::vector<placement::server_work>
-to_ledger(const std::vector<wire::server_work>& said)
+heard_work to_ledger(const std::vector<wire::server_work>& said)
 {
-    std::vector<placement::server_work> word;
-    word.reserve(said.size());
-    for (const wire::server_work& one : said)
-        word.push_back(placement::server_work{
-            placement::server_id(one.server),
-            placement::work_size{
-                one.requests,
-                one.tokens,
-                one.unread_tokens,
-                one.arriving_tokens,
-                believed_gaps(one)}});
-    return word;
+    heard_work heard;
+    heard.work.reserve(said.size());
+    for (const wire::server_work& one : said) {
+        placement::work_size work{
+            one.requests, one.tokens, one.unread_tokens, one.arriving_tokens};
+        if (has_possible_gaps(one))
+            work.gaps = {one.paced_streams, one.gap_ms};
+        else
+            ++heard.refused_gaps;
+        heard.work.push_back({placement::server_id(one.server), work});
+    }
+    return heard;
 }
 
 } // namespace godwit::entry
--- a/tests/entry/work_words_test.cpp
+++ b/tests/entry/work_words_test.cpp
@@ -8,7 +8,6 @@
 namespace {
 
 using namespace godwit;
-using entry::has_possible_gaps;
 
 class work_words_test : public CppUnit::TestFixture
 {
@@ -21,7 +20,8 @@
     {
         const placement::server_id server("i-1");
         const placement::work_size work{3, 9000, 1200, 700, {2, 84}};
-        const auto heard = entry::to_ledger({entry::to_wire(server, work)});
+        const auto heard =
+            entry::to_ledger({entry::to_wire(server, work)}).work;
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, heard.size());
         CPPUNIT_ASSERT(heard.front().server == server);
         CPPUNIT_ASSERT(heard.front().work == work);
@@ -32,6 +32,11 @@
         return {"i-1", 3, 9000, 0, 0, streams, gap_ms};
     }
 
+    static bool has_possible_gaps(const wire::server_work& said)
+    {
+        return entry::to_ledger({said}).refused_gaps == 0;
+    }
+
     void test_gaps_that_cannot_be_are_not_believed()
     {
         constexpr auto most = std::numeric_limits<std::uint32_t>::max();
@@ -41,7 +46,7 @@
         CPPUNIT_ASSERT(!has_possible_gaps(told(4, 120)));
         CPPUNIT_ASSERT(!has_possible_gaps(told(most, most)));
         // The work itself is as true as before.
-        const auto heard = entry::to_ledger({told(4, 120)});
+        const auto heard = entry::to_ledger({told(4, 120)}).work;
         CPPUNIT_ASSERT(
             heard.front().work == (placement::work_size{3, 9000, 0, 0, {}}));
     }
--- a/tests/placement/server_paces_test.cpp
+++ b/tests/placement/server_paces_test.cpp
@@ -5,6 +5,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -43,7 +44,18 @@
 
     double slowness(int server, int now_ms)
     {
-        return paces_.slowness(
+        return pace(server, now_ms).slowness;
+    }
+
+    std::optional<godwit::core::time_point>
+    doubted_since(int server, int now_ms)
+    {
+        return pace(server, now_ms).doubted_since;
+    }
+
+    server_pace pace(int server, int now_ms)
+    {
+        return paces_.at(
             server_id("i-" + std::to_string(server)), at_ms(now_ms));
     }
 
@@ -137,16 +149,15 @@
         [[maybe_unused]] const auto silent =
             paces_.compare(with_last(0, 0), at_ms(1900));
         CPPUNIT_ASSERT_DOUBLES_EQUAL(3.5, slowness(4, 1900), 0.01);
-        CPPUNIT_ASSERT(!paces_.doubted_since(server_id("i-4"), at_ms(2000)));
+        CPPUNIT_ASSERT(!doubted_since(4, 2000));
         CPPUNIT_ASSERT(
             paces_.compare(with_last(0, 0), at_ms(2001)) == pace_changes());
         CPPUNIT_ASSERT_EQUAL(1.0, slowness(4, 2001));
-        CPPUNIT_ASSERT(
-            paces_.doubted_since(server_id("i-4"), at_ms(2001)) == at_ms(2000));
-        CPPUNIT_ASSERT(!paces_.doubted_since(server_id("i-1"), at_ms(2001)));
+        CPPUNIT_ASSERT(doubted_since(4, 2001) == at_ms(2000));
+        CPPUNIT_ASSERT(!doubted_since(1, 2001));
         const auto changes = paces_.compare(with_last(0, 0), at_ms(12'001));
         CPPUNIT_ASSERT(changes.recovered == std::vector{server_id("i-4")});
-        CPPUNIT_ASSERT(!paces_.doubted_since(server_id("i-4"), at_ms(12'001)));
+        CPPUNIT_ASSERT(!doubted_since(4, 12'001));
     }
 
     static event_rhythm steady(int events, int gap_ms)
