--- a/services/entry/src/entry_process_neighbours.cpp
+++ b/services/entry/src/entry_process_neighbours.cpp
@@ -363,19 +363,20 @@
     const wire::hello& peer, const wire::host_work& said)
 {
     const core::host_name& host = peer.host;
+    const auto work = believed(host, said.work);
     hear_reader(host, said);
     if (said.reads_list)
         outage_.neighbour_reads(core::monotonic_now());
     // The greeting of a host of another cell: its cell's sums hold its work.
     if (!neighbours_->is_cell_mate(host))
         return;
-    context_.ledger.neighbour_says(
-        host, believed(host, said.work), core::monotonic_now());
+    context_.ledger.neighbour_says(host, work, core::monotonic_now());
 }
 
 void entry_process::hear_cell(
     const core::host_name& host, const wire::cell_work& said)
 {
+    const auto work = believed(host, said.work);
     const placement::host_group cell(said.cell);
     if (cell == neighbours_->cell())
         return;
@@ -383,7 +384,7 @@
         cell,
         said.is_whole ? placement::word_extent::whole
                       : placement::word_extent::changes,
-        believed(host, said.work),
+        work,
         core::monotonic_now());
 }
 
