entry, platform: lines for tables that are asked for, sent and known; bytes of each topic

A burst of large route tables fills the links of small hosts for seconds, and the logs cannot tell whether neighbours or the store send them, how often, or whether they were news when they came.

--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -161,6 +161,7 @@
         const std::shared_ptr<wire::link>& from, std::uint64_t version);
     void
     hear_table(const core::host_name& host, const wire::table_document& said);
+    static void ask_for_table(wire::link& at, std::uint64_t version);
     void tell_table(wire::link& to) const;
     void
     hear_servers(const core::host_name& host, const wire::listed_servers& said);
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -176,6 +176,7 @@
         {{"version", version},
          {"before", before},
          {"source", source},
+         {"bytes", text.size()},
          {"routes", content.routes.size()},
          {"organisations", content.organisations.size()}});
     context_.routes = *routes;
--- a/services/entry/src/entry_process_neighbours.cpp
+++ b/services/entry/src/entry_process_neighbours.cpp
@@ -214,23 +214,52 @@
         return;
     const auto timer =
         std::make_shared<asio::steady_timer>(io_, table_patience);
-    timer->async_wait([has, version, from, timer](const auto& failure) {
+    timer->async_wait([this, has, version, from, timer](const auto& failure) {
         if (!failure && !has() && from->is_open())
-            from->send(wire::pull{version});
+            ask_for_table(*from, version);
     });
 }
 
+void entry_process::ask_for_table(wire::link& at, std::uint64_t version)
+{
+    log_event(
+        log_level::info,
+        "neighbours",
+        "table_asked",
+        {{"version", version}, {"neighbour", at.peer()->host}});
+    at.send(wire::pull{version});
+}
+
 void entry_process::tell_table(wire::link& to) const
 {
-    if (context_.routes)
-        to.send(wire::table_document{context_.routes->version(), table_text_});
+    if (!context_.routes)
+        return;
+    log_event(
+        log_level::info,
+        "neighbours",
+        "table_sent",
+        {{"version", context_.routes->version()},
+         {"neighbour", to.peer()->host},
+         {"bytes", table_text_.size()},
+         {"queued_bytes", to.queued()}});
+    to.send(wire::table_document{context_.routes->version(), table_text_});
 }
 
 void entry_process::hear_table(
     const core::host_name& host, const wire::table_document& said)
 {
-    if (!context_.routes || said.version > context_.routes->version())
+    if (!context_.routes || said.version > context_.routes->version()) {
         take_table(said.text, host.value());
+        return;
+    }
+    log_event(
+        log_level::info,
+        "neighbours",
+        "table_known",
+        {{"version", said.version},
+         {"in_force", context_.routes->version()},
+         {"neighbour", host},
+         {"bytes", said.text.size()}});
 }
 
 void entry_process::hear_claim(
--- a/tests/platform_adapter/store_call_counts_test.cpp
+++ b/tests/platform_adapter/store_call_counts_test.cpp
@@ -29,15 +29,17 @@
         counts.called("b");
         counts.called("a");
         counts.called("b");
+        counts.answered("b", 100);
+        counts.answered("b", 20);
         counts.failed();
         CPPUNIT_ASSERT(!counts.take_due(at_s(109)));
         const std::optional<std::string> line = counts.take_due(at_s(110));
-        CPPUNIT_ASSERT(line == "a:1,b:2");
+        CPPUNIT_ASSERT(line == "a:1:0,b:2:120");
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, counts.failed_told());
         // What was told begins anew.
         counts.called("a");
         CPPUNIT_ASSERT(!counts.take_due(at_s(119)));
-        CPPUNIT_ASSERT(counts.take_due(at_s(120)) == "a:1");
+        CPPUNIT_ASSERT(counts.take_due(at_s(120)) == "a:1:0");
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, counts.failed_told());
     }
 };
