tests: a host asks one neighbour for a table (red)

Callers got 404 for routes that had been acknowledged for four seconds. Both tests fail: eight of eight neighbours are asked.

--- /dev/null
+++ b/tests/platform_adapter/stand_in_neighbours.cpp
@@ -0,0 +1,106 @@
+#include "stand_in_neighbours.hpp"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_future.hpp>
+
+#include <algorithm>
+#include <future>
+#include <utility>
+#include <variant>
+
+namespace godwit::platform_adapter::test {
+
+namespace asio = boost::asio;
+
+stand_in_neighbours::stand_in_neighbours(
+    std::size_t count, const http::endpoint& host, answer_to_pull answer)
+    : work_(asio::make_work_guard(io_)), answer_(std::move(answer))
+{
+    const asio::ip::tcp::endpoint address(
+        asio::ip::make_address(host.address()), host.port());
+    for (std::size_t at = 0; at < count; ++at)
+        connect("n" + std::to_string(at), address);
+    thread_ = std::thread([this] { io_.run(); });
+}
+
+stand_in_neighbours::~stand_in_neighbours()
+{
+    io_.stop();
+    thread_.join();
+    for (const auto& connector : connectors_)
+        connector->stop();
+}
+
+void stand_in_neighbours::connect(
+    const std::string& name, const asio::ip::tcp::endpoint& host)
+{
+    wire::link_handlers handlers;
+    handlers.on_message = [this, name](const auto& from, wire::message said) {
+        hear(name, from, said);
+    };
+    const auto introduction = [name] {
+        return wire::hello{
+            .version = wire::protocol_version,
+            .role = wire::peer_role::entry,
+            .host = core::host_name(name),
+            .zone = core::zone_name("east"),
+            .incarnation = core::incarnation_id(name),
+            .address = "127.0.0.1:1"};
+    };
+    connectors_.push_back(wire::connector::create(
+                              io_.get_executor(),
+                              host,
+                              wire::link_options{},
+                              introduction,
+                              std::move(handlers),
+                              connectors_.size())
+                              .value());
+    connectors_.back()->start();
+}
+
+void stand_in_neighbours::hear(
+    const std::string& name,
+    const std::shared_ptr<wire::link>& from,
+    const wire::message& said)
+{
+    const auto* pull = std::get_if<wire::pull>(&said);
+    if (pull == nullptr)
+        return;
+    {
+        const std::lock_guard guard(mutex_);
+        asked_.push_back(name);
+    }
+    if (const auto answer = answer_(*pull))
+        from->send(*answer);
+}
+
+bool stand_in_neighbours::are_linked()
+{
+    return asio::post(io_, asio::use_future([this] {
+                          return std::all_of(
+                              connectors_.begin(),
+                              connectors_.end(),
+                              [](const auto& each) {
+                                  const auto link = each->current();
+                                  return link && link->is_open();
+                              });
+                      }))
+        .get();
+}
+
+void stand_in_neighbours::say(const wire::message& said)
+{
+    asio::post(io_, asio::use_future([this, &said] {
+                   for (const auto& each : connectors_)
+                       each->send(said);
+               }))
+        .get();
+}
+
+std::vector<std::string> stand_in_neighbours::asked() const
+{
+    const std::lock_guard guard(mutex_);
+    return asked_;
+}
+
+} // namespace godwit::platform_adapter::test
--- /dev/null
+++ b/tests/platform_adapter/table_questions_test.cpp
@@ -0,0 +1,100 @@
+// Operators published five versions of 1,940 routes within eight seconds, and
+// callers got 404 for routes that had been acknowledged four seconds earlier.
+// A host that did not have a version a quarter of a second after its
+// neighbours had announced it asked each of them for the whole table.
+
+#include "stand_in_neighbours.hpp"
+#include "world.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <thread>
+
+namespace {
+
+using namespace godwit;
+using platform_adapter::test::stand_in_neighbours;
+using platform_adapter::test::world;
+
+constexpr unsigned store_is_away = 503;
+constexpr std::size_t neighbours = 8;
+
+class table_questions_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(table_questions_test);
+    CPPUNIT_TEST(test_one_neighbour_sends_the_table);
+    CPPUNIT_TEST(test_another_neighbour_is_asked_when_one_is_silent);
+    CPPUNIT_TEST_SUITE_END();
+
+    static http::endpoint neighbour_address(world& tested)
+    {
+        return tested
+            .look<entry::entry_settings>([](entry::entry_process& process) {
+                return process.context().settings;
+            })
+            .neighbours;
+    }
+
+    static std::uint64_t version_of(world& tested)
+    {
+        return tested.look<std::uint64_t>([](entry::entry_process& process) {
+            return process.context().routes->version();
+        });
+    }
+
+    // Only the neighbours can bring what is newer than version 1.
+    static void begin_without_store(world& tested)
+    {
+        tested.begin();
+        tested.store().answer_with(store_is_away);
+    }
+
+    static std::optional<wire::message> table(const wire::pull& asked)
+    {
+        return wire::table_document{
+            asked.next_offset,
+            platform_adapter::test::table_text(
+                static_cast<unsigned>(asked.next_offset))};
+    }
+
+    void test_one_neighbour_sends_the_table()
+    {
+        world tested;
+        begin_without_store(tested);
+        stand_in_neighbours others(
+            neighbours, neighbour_address(tested), &table);
+        world::wait("links", [&others] { return others.are_linked(); });
+        others.say(wire::catalogue_position{2, 0});
+        world::wait("version 2", [&tested] { return version_of(tested) == 2; });
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, others.asked().size());
+    }
+
+    void test_another_neighbour_is_asked_when_one_is_silent()
+    {
+        world tested;
+        begin_without_store(tested);
+        stand_in_neighbours others(
+            neighbours, neighbour_address(tested), [](const wire::pull&) {
+                return std::nullopt;
+            });
+        world::wait("links", [&others] { return others.are_linked(); });
+        others.say(wire::catalogue_position{2, 0});
+        world::wait(
+            "a question", [&others] { return !others.asked().empty(); });
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, others.asked().size());
+        world::wait("another question", [&others] {
+            return others.asked().size() > 1;
+        });
+        const auto asked = others.asked();
+        CPPUNIT_ASSERT(asked[0] != asked[1]);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(table_questions_test);
+
+} // namespace
--- a/tests/platform_adapter/world.cpp
+++ b/tests/platform_adapter/world.cpp
@@ -33,32 +33,6 @@
     return any_port().with_port(listener.local_endpoint().port());
 }
 
-std::string
-table_text(unsigned version, const std::string& extra_key, unsigned hold_ms)
-{
-    const std::string keys =
-        extra_key.empty() ? R"(["k1"])" : R"(["k1",")" + extra_key + R"("])";
-    return R"({"version":)" + std::to_string(version) + R"(,"routes":[
-{"name":"plain","host":"a.example","path_prefix":"/plain/",
- "kind":"non_idempotent","timeout_ms":3000,"target_latency_ms":300,
- "max_attempts":1,"priority":1,"service":"lm"},
-{"name":"once","host":"a.example","path_prefix":"/once/",
- "kind":"non_idempotent","timeout_ms":3000,"target_latency_ms":300,
- "max_attempts":3,"priority":1,"service":"lm"},
-{"name":"again","host":"a.example","path_prefix":"/again/",
- "kind":"idempotent","timeout_ms":3000,"target_latency_ms":300,
- "max_attempts":2,"priority":1,"service":"lm"},
-{"name":"stream","host":"a.example","path_prefix":"/stream/",
- "kind":"streaming","timeout_ms":5000,"target_latency_ms":1000,
- "gap_aim_ms":180,"max_attempts":1,"priority":1,"service":"lm"}],
-"services":[{"name":"lm","health_check":"/health","max_connections":99,
- "engine":{"slots":4,"kv_cache_tokens":10000,"kv_token_bytes":1,
- "link_mbps":1000,"moves":true,"backups":true,"hold_ms":)" +
-           std::to_string(hold_ms) + R"(}}],
-"tenants":[{"name":"north","api_keys":)" +
-           keys + "}]}";
-}
-
 http::request request_for(
     const std::string& method,
     const std::string& path,
@@ -91,6 +65,32 @@
 
 } // namespace
 
+std::string
+table_text(unsigned version, const std::string& extra_key, unsigned hold_ms)
+{
+    const std::string keys =
+        extra_key.empty() ? R"(["k1"])" : R"(["k1",")" + extra_key + R"("])";
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[
+{"name":"plain","host":"a.example","path_prefix":"/plain/",
+ "kind":"non_idempotent","timeout_ms":3000,"target_latency_ms":300,
+ "max_attempts":1,"priority":1,"service":"lm"},
+{"name":"once","host":"a.example","path_prefix":"/once/",
+ "kind":"non_idempotent","timeout_ms":3000,"target_latency_ms":300,
+ "max_attempts":3,"priority":1,"service":"lm"},
+{"name":"again","host":"a.example","path_prefix":"/again/",
+ "kind":"idempotent","timeout_ms":3000,"target_latency_ms":300,
+ "max_attempts":2,"priority":1,"service":"lm"},
+{"name":"stream","host":"a.example","path_prefix":"/stream/",
+ "kind":"streaming","timeout_ms":5000,"target_latency_ms":1000,
+ "gap_aim_ms":180,"max_attempts":1,"priority":1,"service":"lm"}],
+"services":[{"name":"lm","health_check":"/health","max_connections":99,
+ "engine":{"slots":4,"kv_cache_tokens":10000,"kv_token_bytes":1,
+ "link_mbps":1000,"moves":true,"backups":true,"hold_ms":)" +
+           std::to_string(hold_ms) + R"(}}],
+"tenants":[{"name":"north","api_keys":)" +
+           keys + "}]}";
+}
+
 entry::entry_settings settings_on_free_ports()
 {
     return entry::entry_settings{
--- a/tests/platform_adapter/world.hpp
+++ b/tests/platform_adapter/world.hpp
@@ -20,6 +20,10 @@
 /// Settings of an entry host "h1" that is alone, at ports that are free now.
 [[nodiscard]] entry::entry_settings settings_on_free_ports();
 
+/// The table of the tests in a version, as its operator writes it.
+[[nodiscard]] std::string table_text(
+    unsigned version, const std::string& extra_key = "", unsigned hold_ms = 0);
+
 /// An entry host with a store and two servers of the service "lm", each on
 /// threads of their own: the outside on one, the entry host on another.
 class world
