--- a/libraries/routing/include/godwit/routing/route_table.hpp
+++ b/libraries/routing/include/godwit/routing/route_table.hpp
@@ -6,7 +6,9 @@
 #include <godwit/routing/route.hpp>
 #include <godwit/routing/service.hpp>
 
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -34,7 +36,8 @@
 public:
     /// Fails with `invalid_input` on a prefix that does not begin and end
     /// with a slash, a route without a service or to one that is not there,
-    /// two routes of one host and prefix, or a key of two organisations.
+    /// or a key of two organisations. Of two routes of one host and prefix the
+    /// first one is used.
     [[nodiscard]] static core::result<std::shared_ptr<const route_table>>
     create(route_table_content content);
 
@@ -76,6 +79,27 @@
     }
 
 private:
+    // Texts are looked up by parts of a request's path, without a copy.
+    struct text_hash
+    {
+        using is_transparent = void;
+
+        std::size_t operator()(std::string_view text) const noexcept
+        {
+            return std::hash<std::string_view>()(text);
+        }
+    };
+
+    template<class Value>
+    using text_map =
+        std::unordered_map<std::string, Value, text_hash, std::equal_to<>>;
+
+    struct host_routes
+    {
+        text_map<std::size_t> by_prefix;
+        std::size_t longest_prefix = 0; ///< Its length in bytes.
+    };
+
     explicit route_table(route_table_content content);
 
     [[nodiscard]] core::result<void> index();
@@ -83,7 +107,7 @@
 
     route_table_content content_;
     // Positions in the content, so that a table stays valid when moved.
-    std::unordered_map<std::string, std::vector<std::size_t>> routes_by_host_;
+    text_map<host_routes> routes_by_host_;
     std::unordered_map<core::service_name, std::size_t> services_;
     std::unordered_map<std::string, std::size_t> organisations_by_key_;
 };
--- a/libraries/routing/src/route_table.cpp
+++ b/libraries/routing/src/route_table.cpp
@@ -75,20 +75,12 @@
         const auto checked = check(one);
         if (!checked)
             return checked;
-        routes_by_host_[lower_case(one.host)].push_back(at);
-    }
-    for (auto& [host, positions] : routes_by_host_) {
-        const auto prefix = [this](std::size_t at) -> const std::string& {
-            return content_.routes[at].path_prefix;
-        };
-        // The longest first, so that the first match is the right one.
-        std::stable_sort(
-            positions.begin(),
-            positions.end(),
-            [&prefix](std::size_t left, std::size_t right) {
-                return prefix(left).size() > prefix(right).size();
-            });
+        host_routes& of_host = routes_by_host_[lower_case(one.host)];
+        of_host.by_prefix.emplace(one.path_prefix, at);
+        of_host.longest_prefix =
+            std::max(of_host.longest_prefix, one.path_prefix.size());
     }
+    organisations_by_key_.reserve(content_.organisations.size());
     for (std::size_t at = 0; at < content_.organisations.size(); ++at) {
         for (const std::string& key : content_.organisations[at].keys) {
             if (!organisations_by_key_.emplace(key, at).second)
@@ -106,12 +98,19 @@
     const auto found = routes_by_host_.find(lower_case(without_port(host)));
     if (found == routes_by_host_.end())
         return nullptr;
-    for (const std::size_t at : found->second) {
-        const route& candidate = content_.routes[at];
-        if (path.starts_with(candidate.path_prefix))
-            return &candidate;
+    // Prefixes end with a slash; a path may be much longer than any of them.
+    const host_routes& routes = found->second;
+    std::string_view prefix = path.substr(0, routes.longest_prefix);
+    while (true) {
+        const std::size_t slash = prefix.rfind('/');
+        if (slash == std::string_view::npos)
+            return nullptr;
+        prefix = prefix.substr(0, slash + 1);
+        const auto route_at = routes.by_prefix.find(prefix);
+        if (route_at != routes.by_prefix.end())
+            return &content_.routes[route_at->second];
+        prefix.remove_suffix(1);
     }
-    return nullptr;
 }
 
 const service* route_table::find_service(const core::service_name& name) const
--- a/tests/routing/route_table_test.cpp
+++ b/tests/routing/route_table_test.cpp
@@ -44,6 +44,8 @@
 {
     CPPUNIT_TEST_SUITE(route_table_test);
     CPPUNIT_TEST(test_longest_prefix_of_the_host_wins);
+    CPPUNIT_TEST(test_paths_of_any_length);
+    CPPUNIT_TEST(test_the_first_of_two_equal_routes_is_used);
     CPPUNIT_TEST(test_host_without_regard_to_case_and_port);
     CPPUNIT_TEST(test_keys_name_their_organisation);
     CPPUNIT_TEST(test_contradictions_are_refused);
@@ -68,6 +70,29 @@
         CPPUNIT_ASSERT_EQUAL(std::string("none"), routed("c.example", "/x/"));
     }
 
+    void test_paths_of_any_length()
+    {
+        const std::string slashes(100'000, '/');
+        CPPUNIT_ASSERT_EQUAL(std::string("none"), routed("a.example", ""));
+        CPPUNIT_ASSERT_EQUAL(std::string("none"), routed("a.example", "x/y/"));
+        CPPUNIT_ASSERT_EQUAL(std::string("all"), routed("a.example", "/"));
+        CPPUNIT_ASSERT_EQUAL(std::string("all"), routed("a.example", slashes));
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("deep"), routed("a.example", "/x/y/" + slashes));
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("middle"), routed("a.example", "/x/?y=/x/y/"));
+    }
+
+    void test_the_first_of_two_equal_routes_is_used()
+    {
+        auto content = sample();
+        content.routes.push_back(make_route("late", "A.example", "/x/"));
+        const auto table = route_table::create(std::move(content)).value();
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("middle"),
+            table->find_route("a.example", "/x/1")->name);
+    }
+
     void test_host_without_regard_to_case_and_port()
     {
         CPPUNIT_ASSERT_EQUAL(
