--- a/meta/soak_parts/table.py
+++ b/meta/soak_parts/table.py
@@ -11,6 +11,11 @@
             "priority": 1, "service": "lm", "gap_aim_ms": 180}
 
 
+# Each so many versions one is as large as a table that has grown for years.
+_LARGE_EACH = 3
+_LARGE_ROUTES = 1500
+
+
 def first(version):
     """The table of a quiet fleet."""
     return {
@@ -32,6 +37,10 @@
     rng.shuffle(table["routes"])
     for route in table["routes"]:
         route["priority"] = rng.randint(0, 3)
+    if version % _LARGE_EACH == 0:
+        table["routes"] += [_route(f"large{number}", f"/large{number}/",
+                                   "idempotent")
+                            for number in range(_LARGE_ROUTES)]
     keys = [f"k{rng.randint(2, 99)}" for _ in range(rng.randint(0, 5))]
     table["tenants"].append({"name": "south", "api_keys": keys})
     table["limits"] = {
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -175,6 +175,7 @@
     arrived_table table,
     const core::result<std::shared_ptr<const routing::route_table>>& routes)
 {
+    const core::host_name source(table.source);
     if (!routes)
         log_event(
             log_level::error,
@@ -183,8 +184,7 @@
             {{"source", table.source}, {"cause", routes.error().to_string()}});
     else if (put_in_force(*routes, table))
         remember(std::move(table));
-    table_inquiry_.answered(
-        core::host_name(table.source), core::monotonic_now());
+    table_inquiry_.answered(source, core::monotonic_now());
 }
 
 // Neighbours get the changes as they came here.
--- a/tests/delta/text_patch_test.cpp
+++ b/tests/delta/text_patch_test.cpp
@@ -96,8 +96,9 @@
         for (int tries = 0; tries < 2000; ++tries) {
             text_patch spoiled = sound;
             auto& bytes = spoiled.compressed;
-            bytes[random() % bytes.size()] ^=
-                static_cast<char>(1U << (random() % 8));
+            const std::size_t at = random() % bytes.size();
+            const auto byte = static_cast<unsigned char>(bytes[at]);
+            bytes[at] = static_cast<char>(byte ^ (1U << (random() % 8)));
             if (tries % 3 == 0)
                 bytes.resize(random() % bytes.size());
             const auto made = apply_patch(base, spoiled, longest);
