--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -187,6 +187,7 @@
         const std::shared_ptr<const routing::route_table>& routes,
         const arrived_table& table);
     void remember(arrived_table table);
+    void limit_callers(const routing::caller_limits& limits);
     void
     hear_servers(const core::host_name& host, const wire::listed_servers& said);
     void hear_sign(const core::host_name& host, const wire::server_sign& said);
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -40,7 +40,7 @@
 constexpr std::size_t most_body_bytes = std::size_t{64} * 1024 * 1024;
 
 http::server_limits
-caller_limits(const routing::caller_limits& limits, std::size_t connections)
+bounded(const routing::caller_limits& limits, std::size_t connections)
 {
     http::server_limits made;
     made.header_bytes = std::min(limits.header_bytes, most_header_bytes);
@@ -94,7 +94,7 @@
 {
     http::server_settings callers{
         .address = context_.settings.callers,
-        .limits = caller_limits(
+        .limits = bounded(
             routing::caller_limits(), context_.settings.caller_connections),
         .on_rejection = &make_rejection_answer,
         .on_fault = &log_connection_fault};
@@ -159,73 +159,9 @@
     return context_.routes && has_servers_ && !context_.is_stopping;
 }
 
-void entry_process::take_table(const std::string& text, std::string_view source)
+void entry_process::limit_callers(const routing::caller_limits& limits)
 {
-    intake_.add({text, std::string(source), text.size()});
-}
-
-// Of a fleet's hosts most get each version twice, from the source and from a
-// neighbour.
-bool entry_process::is_unread(const arrived_table& table) const
-{
-    return !context_.routes || table.text != tables_.text();
-}
-
-void entry_process::table_was_read(
-    arrived_table table,
-    const core::result<std::shared_ptr<const routing::route_table>>& routes)
-{
-    const core::host_name source(table.source);
-    if (!routes)
-        log_event(
-            log_level::error,
-            component,
-            "table_refused",
-            {{"source", table.source}, {"cause", routes.error().to_string()}});
-    else if (put_in_force(*routes, table))
-        remember(std::move(table));
-    table_inquiry_.answered(source, core::monotonic_now());
-}
-
-// Neighbours get the changes as they came here.
-void entry_process::remember(arrived_table table)
-{
-    const bool follows = table.changes && table.changes->base == tables_.base();
-    if (follows)
-        tables_.take_changed(std::move(table.text), *table.changes);
-    else
-        tables_.take_whole(context_.routes->version(), std::move(table.text));
-}
-
-bool entry_process::put_in_force(
-    const std::shared_ptr<const routing::route_table>& routes,
-    const arrived_table& table)
-{
-    const std::uint64_t version = routes->version();
-    const std::uint64_t before =
-        context_.routes ? context_.routes->version() : 0;
-    if (context_.routes && version <= before)
-        return false;
-    const auto& content = routes->content();
-    callers_->set_limits(
-        caller_limits(content.limits, context_.settings.caller_connections));
-    log_event(
-        log_level::info,
-        component,
-        "routes_in_force",
-        {{"version", version},
-         {"before", before},
-         {"source", table.source},
-         {"received_bytes", table.received_bytes},
-         {"bytes", table.text.size()},
-         {"routes", content.routes.size()},
-         {"organisations", content.organisations.size()}});
-    context_.routes = routes;
-    table_inquiry_.in_force(version);
-    asks_whole_table_ = false;
-    neighbours_->broadcast(wire::catalogue_position{version, 0});
-    context_.line.wake();
-    return true;
+    callers_->set_limits(bounded(limits, context_.settings.caller_connections));
 }
 
 void entry_process::server_listed(
--- a/services/entry/src/entry_process_neighbours.cpp
+++ b/services/entry/src/entry_process_neighbours.cpp
@@ -21,9 +21,6 @@
 namespace {
 
 constexpr std::string_view component = "neighbours";
-// Of a message between hosts, with room for what is said beside the table.
-constexpr std::size_t most_table_bytes =
-    wire::default_frame_limit - std::size_t{4} * 1024;
 // Neighbours forget what a host has at work after some seconds of silence.
 constexpr core::duration work_refresh = std::chrono::milliseconds(500);
 // A neighbour that dies while it holds a link holds up others no longer.
@@ -38,14 +35,6 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
 }
 
-std::size_t bytes_of(const wire::table_changes& changes)
-{
-    std::size_t bytes = 0;
-    for (const wire::table_step& step : changes.steps)
-        bytes += step.compressed.size() + step.made.size();
-    return bytes;
-}
-
 bool is_same_but_growth(
     const wire::host_work& left, const wire::host_work& right)
 {
@@ -212,156 +201,6 @@
         hear_cell(peer.host, *cell);
 }
 
-// The table itself may be large, and the source brings it to nearly every
-// host: sent to each neighbour at once it fills the links of small hosts for
-// seconds, and no further version gets through.
-void entry_process::hear_version(
-    const core::host_name& host, std::uint64_t version)
-{
-    table_inquiry_.announced(host, version, core::monotonic_now());
-}
-
-void entry_process::ask_for_table()
-{
-    // What is being read may be what is lacking.
-    if (intake_.is_busy())
-        return;
-    while (const auto question = table_inquiry_.next(core::monotonic_now())) {
-        const auto link = neighbours_->link_to(question->neighbour);
-        if (!link) {
-            table_inquiry_.lost(question->neighbour);
-            continue;
-        }
-        log_event(
-            log_level::info,
-            component,
-            "table_asked",
-            {{"version", question->version},
-             {"neighbour", question->neighbour},
-             {"whole", asks_whole_table_}});
-        link->send(wire::pull{
-            question->version,
-            asks_whole_table_ ? std::string() : tables_.base(),
-            true});
-    }
-}
-
-void entry_process::hear_pull(
-    const std::shared_ptr<wire::link>& from, const wire::pull& said)
-{
-    table_askers_.add(from, said, core::monotonic_now());
-    serve_table_askers();
-}
-
-void entry_process::serve_table_askers()
-{
-    table_askers_.serve(
-        core::monotonic_now(),
-        [this](wire::link& asker, const wire::pull& said) {
-            tell_table(asker, said);
-        });
-}
-
-void entry_process::tell_table(wire::link& to, const wire::pull& asked)
-{
-    if (!context_.routes)
-        return;
-    const std::uint64_t version = context_.routes->version();
-    // A process of an earlier release understands nothing else.
-    if (!asked.takes_changes) {
-        send_table(
-            to,
-            wire::table_document{version, tables_.text()},
-            tables_.text().size());
-        return;
-    }
-    auto changes = tables_.changes_from(asked.base);
-    if (!changes) {
-        log_event(
-            log_level::error,
-            component,
-            "table_not_sent",
-            {{"version", version}, {"cause", changes.error().to_string()}});
-        return;
-    }
-    const std::size_t bytes = bytes_of(*changes);
-    send_table(to, std::move(*changes), bytes);
-}
-
-// A message over the limit would close the link, with all that it carries.
-void entry_process::send_table(
-    wire::link& to, wire::message table, std::size_t bytes)
-{
-    const bool fits = bytes <= most_table_bytes;
-    log_event(
-        fits ? log_level::info : log_level::error,
-        component,
-        fits ? "table_sent" : "table_too_large",
-        {{"version", context_.routes->version()},
-         {"neighbour", to.peer()->host},
-         {"bytes", bytes},
-         {"queued_bytes", to.queued()}});
-    if (fits)
-        to.send(table);
-}
-
-void entry_process::hear_table(
-    const core::host_name& host, const wire::table_document& said)
-{
-    if (!is_news(host, said.version, said.text.size()))
-        return;
-    take_table(said.text, host.value());
-}
-
-void entry_process::hear_changes(
-    const core::host_name& host, const wire::table_changes& said)
-{
-    const std::size_t bytes = bytes_of(said);
-    const std::uint64_t version =
-        said.steps.empty() ? 0 : said.steps.back().version;
-    if (!is_news(host, version, bytes))
-        return;
-    auto text = tables_.apply(said);
-    if (text)
-        intake_.add({std::move(*text), host.value(), bytes, said});
-    else
-        refuse_changes(host, version, text.error());
-}
-
-// What was made of false changes, or of changes to another text, is dropped;
-// the whole table needs no other one to be right.
-void entry_process::refuse_changes(
-    const core::host_name& host, std::uint64_t version, const core::error& why)
-{
-    if (why.kind() == core::error_kind::protocol)
-        asks_whole_table_ = true;
-    log_event(
-        log_level::warning,
-        component,
-        "table_changes_refused",
-        {{"version", version},
-         {"neighbour", host},
-         {"cause", why.to_string()}});
-    table_inquiry_.answered(host, core::monotonic_now());
-}
-
-bool entry_process::is_news(
-    const core::host_name& host, std::uint64_t version, std::size_t bytes)
-{
-    if (!context_.routes || version > context_.routes->version())
-        return true;
-    log_event(
-        log_level::info,
-        component,
-        "table_known",
-        {{"version", version},
-         {"in_force", context_.routes->version()},
-         {"neighbour", host},
-         {"bytes", bytes}});
-    table_inquiry_.answered(host, core::monotonic_now());
-    return false;
-}
-
 void entry_process::hear_claim(
     const core::host_name& host, const wire::link_claim& said)
 {
--- a/tests/platform_adapter/table_changes_test.cpp
+++ b/tests/platform_adapter/table_changes_test.cpp
@@ -62,22 +62,10 @@
     CPPUNIT_TEST(test_a_host_of_an_earlier_release_gets_the_text);
     CPPUNIT_TEST_SUITE_END();
 
-    static http::endpoint neighbour_address(world& tested)
-    {
-        return tested
-            .look<entry::entry_settings>([](entry::entry_process& process) {
-                return process.context().settings;
-            })
-            .neighbours;
-    }
-
     static void await_version(world& tested, std::uint64_t version)
     {
         world::wait("the version", [&tested, version] {
-            return tested.look<std::uint64_t>(
-                       [](entry::entry_process& process) {
-                           return process.context().routes->version();
-                       }) == version;
+            return tested.table_version() == version;
         });
     }
 
@@ -94,7 +82,7 @@
         tested.begin();
         tested.store().answer_with(store_is_away);
         stand_in_neighbours others(
-            1, neighbour_address(tested), [&newer](const wire::pull& asked) {
+            1, tested.neighbours(), [&newer](const wire::pull& asked) {
                 return newer.answer(asked);
             });
         announce_version_2(others);
@@ -113,7 +101,7 @@
         tested.begin();
         tested.store().answer_with(store_is_away);
         stand_in_neighbours others(
-            1, neighbour_address(tested), [&newer](const wire::pull& asked) {
+            1, tested.neighbours(), [&newer](const wire::pull& asked) {
                 wire::table_changes changes = newer.answer(asked);
                 if (!changes.base.empty())
                     changes.steps[0].compressed[8] ^= 1;
@@ -142,7 +130,7 @@
         tested.publish(2, "k2");
         await_version(tested, 2);
         stand_in_neighbours others(
-            1, neighbour_address(tested), [](const wire::pull&) {
+            1, tested.neighbours(), [](const wire::pull&) {
                 return std::nullopt;
             });
         entry::table_history behind;
@@ -159,7 +147,7 @@
         world tested;
         tested.begin();
         stand_in_neighbours others(
-            1, neighbour_address(tested), [](const wire::pull&) {
+            1, tested.neighbours(), [](const wire::pull&) {
                 return std::nullopt;
             });
         const auto said =
--- a/tests/platform_adapter/table_questions_test.cpp
+++ b/tests/platform_adapter/table_questions_test.cpp
@@ -33,22 +33,6 @@
     CPPUNIT_TEST(test_another_neighbour_is_asked_when_one_is_silent);
     CPPUNIT_TEST_SUITE_END();
 
-    static http::endpoint neighbour_address(world& tested)
-    {
-        return tested
-            .look<entry::entry_settings>([](entry::entry_process& process) {
-                return process.context().settings;
-            })
-            .neighbours;
-    }
-
-    static std::uint64_t version_of(world& tested)
-    {
-        return tested.look<std::uint64_t>([](entry::entry_process& process) {
-            return process.context().routes->version();
-        });
-    }
-
     // Only the neighbours can bring what is newer than version 1.
     static void begin_without_store(world& tested)
     {
@@ -68,11 +52,11 @@
     {
         world tested;
         begin_without_store(tested);
-        stand_in_neighbours others(
-            neighbours, neighbour_address(tested), &table);
+        stand_in_neighbours others(neighbours, tested.neighbours(), &table);
         world::wait("links", [&others] { return others.are_linked(); });
         others.say(wire::catalogue_position{2, 0});
-        world::wait("version 2", [&tested] { return version_of(tested) == 2; });
+        world::wait(
+            "version 2", [&tested] { return tested.table_version() == 2; });
         std::this_thread::sleep_for(std::chrono::milliseconds(300));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, others.asked().size());
     }
@@ -82,7 +66,7 @@
         world tested;
         begin_without_store(tested);
         stand_in_neighbours others(
-            neighbours, neighbour_address(tested), [](const wire::pull&) {
+            neighbours, tested.neighbours(), [](const wire::pull&) {
                 return std::nullopt;
             });
         world::wait("links", [&others] { return others.are_linked(); });
--- a/tests/platform_adapter/world.cpp
+++ b/tests/platform_adapter/world.cpp
@@ -176,6 +176,19 @@
     return process_->context().settings.callers;
 }
 
+http::endpoint world::neighbours() const
+{
+    return process_->context().settings.neighbours;
+}
+
+std::uint64_t world::table_version()
+{
+    return look<std::uint64_t>([](entry::entry_process& process) {
+        const auto& routes = process.context().routes;
+        return routes ? routes->version() : 0;
+    });
+}
+
 bool world::is_ready()
 {
     return look<bool>(
--- a/tests/platform_adapter/world.hpp
+++ b/tests/platform_adapter/world.hpp
@@ -83,6 +83,12 @@
     /// Where callers connect.
     [[nodiscard]] http::endpoint callers() const;
 
+    /// Where other entry hosts connect.
+    [[nodiscard]] http::endpoint neighbours() const;
+
+    /// The version of the route table in force.
+    [[nodiscard]] std::uint64_t table_version();
+
     /// Whether the entry host says that it is ready.
     [[nodiscard]] bool is_ready();
 
