--- a/libraries/routing/src/route_table.cpp
+++ b/libraries/routing/src/route_table.cpp
@@ -1,7 +1,10 @@
 #include <godwit/routing/route_table.hpp>
 
+#include <godwit/routing/route_table_builder.hpp>
+
 #include <algorithm>
 #include <cctype>
+#include <limits>
 #include <utility>
 
 namespace godwit::routing {
@@ -40,11 +43,10 @@
 core::result<std::shared_ptr<const route_table>>
 route_table::create(route_table_content content)
 {
-    std::shared_ptr<route_table> made(new route_table(std::move(content)));
-    const auto indexed = made->index();
-    if (!indexed)
-        return tl::unexpected(indexed.error());
-    return std::shared_ptr<const route_table>(std::move(made));
+    constexpr std::size_t all = std::numeric_limits<std::size_t>::max();
+    route_table_builder builder(std::move(content));
+    [[maybe_unused]] const bool is_done = GODWIT_TRY(builder.index_on(all));
+    return builder.finish();
 }
 
 core::result<void> route_table::check(const route& checked) const
@@ -66,36 +68,33 @@
     return {};
 }
 
-core::result<void> route_table::index()
+void route_table::index_services()
 {
     for (std::size_t at = 0; at < content_.services.size(); ++at)
         services_.emplace(content_.services[at].name, at);
-    for (std::size_t at = 0; at < content_.routes.size(); ++at) {
-        const route& one = content_.routes[at];
-        const auto checked = check(one);
-        if (!checked)
-            return checked;
-        routes_by_host_[lower_case(one.host)].push_back(at);
-    }
-    for (auto& [host, positions] : routes_by_host_) {
-        const auto prefix = [this](std::size_t at) -> const std::string& {
-            return content_.routes[at].path_prefix;
-        };
-        // The longest first, so that the first match is the right one.
-        std::stable_sort(
-            positions.begin(),
-            positions.end(),
-            [&prefix](std::size_t left, std::size_t right) {
-                return prefix(left).size() > prefix(right).size();
-            });
-    }
-    for (std::size_t at = 0; at < content_.organisations.size(); ++at) {
-        for (const std::string& key : content_.organisations[at].keys) {
-            if (!organisations_by_key_.emplace(key, at).second)
-                return tl::unexpected(refusal(
-                    "organisation " + content_.organisations[at].name.value() +
-                    " holds a key of another one"));
-        }
+    organisations_by_key_.reserve(content_.organisations.size());
+}
+
+core::result<void> route_table::index_route(std::size_t at)
+{
+    const route& added = content_.routes[at];
+    const auto checked = check(added);
+    if (!checked)
+        return checked;
+    host_routes& of_host = routes_by_host_[lower_case(added.host)];
+    of_host.by_prefix.emplace(added.path_prefix, at);
+    of_host.longest_prefix =
+        std::max(of_host.longest_prefix, added.path_prefix.size());
+    return {};
+}
+
+core::result<void> route_table::index_organisation(std::size_t at)
+{
+    for (const std::string& key : content_.organisations[at].keys) {
+        if (!organisations_by_key_.emplace(key, at).second)
+            return tl::unexpected(refusal(
+                "organisation " + content_.organisations[at].name.value() +
+                " holds a key of another one"));
     }
     return {};
 }
@@ -106,12 +105,19 @@
     const auto found = routes_by_host_.find(lower_case(without_port(host)));
     if (found == routes_by_host_.end())
         return nullptr;
-    for (const std::size_t at : found->second) {
-        const route& candidate = content_.routes[at];
-        if (path.starts_with(candidate.path_prefix))
-            return &candidate;
+    // Prefixes end with a slash; a path may be much longer than any of them.
+    const host_routes& routes = found->second;
+    std::string_view prefix = path.substr(0, routes.longest_prefix);
+    while (true) {
+        const std::size_t slash = prefix.rfind('/');
+        if (slash == std::string_view::npos)
+            return nullptr;
+        prefix = prefix.substr(0, slash + 1);
+        const auto route_at = routes.by_prefix.find(prefix);
+        if (route_at != routes.by_prefix.end())
+            return &content_.routes[route_at->second];
+        prefix.remove_suffix(1);
     }
-    return nullptr;
 }
 
 const service* route_table::find_service(const core::service_name& name) const
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -40,7 +40,7 @@
 constexpr std::size_t most_body_bytes = std::size_t{64} * 1024 * 1024;
 
 http::server_limits
-caller_limits(const routing::caller_limits& limits, std::size_t connections)
+bounded(const routing::caller_limits& limits, std::size_t connections)
 {
     http::server_limits made;
     made.header_bytes = std::min(limits.header_bytes, most_header_bytes);
@@ -68,7 +68,16 @@
     asio::io_context& io, entry_settings settings, const dialect& words)
     : io_(io), context_(io.get_executor(), std::move(settings), words),
       calls_(context_), signals_(io), tick_timer_(io), stop_timer_(io),
-      table_inquiry_(context_.settings.host), readers_(context_.settings.host),
+      table_inquiry_(context_.settings.host),
+      intake_(
+          io.get_executor(),
+          table_intake::handlers{
+              context_.words.start_reading_table,
+              [this](const arrived_table& table) { return is_unread(table); },
+              [this](arrived_table table, const auto& routes) {
+                  table_was_read(std::move(table), routes);
+              }}),
+      readers_(context_.settings.host),
       reports_(context_, [this](const placement::backend_server& server) {
           placement::backend_server leaving = server;
           leaving.state = placement::server_state::leaving;
@@ -85,7 +94,7 @@
 {
     http::server_settings callers{
         .address = context_.settings.callers,
-        .limits = caller_limits(
+        .limits = bounded(
             routing::caller_limits(), context_.settings.caller_connections),
         .on_rejection = &make_rejection_answer,
         .on_fault = &log_connection_fault};
@@ -150,50 +159,9 @@
     return context_.routes && has_servers_ && !context_.is_stopping;
 }
 
-void entry_process::take_table(const std::string& text, std::string_view source)
+void entry_process::limit_callers(const routing::caller_limits& limits)
 {
-    if (put_in_force(text, {source, text.size()}))
-        tables_.take_whole(context_.routes->version(), text);
-}
-
-bool entry_process::put_in_force(
-    const std::string& text, const table_arrival& arrival)
-{
-    const auto routes = context_.words.read_table(text);
-    if (!routes) {
-        log_event(
-            log_level::error,
-            component,
-            "table_refused",
-            {{"source", arrival.source},
-             {"cause", routes.error().to_string()}});
-        return false;
-    }
-    const std::uint64_t version = (*routes)->version();
-    const std::uint64_t before =
-        context_.routes ? context_.routes->version() : 0;
-    if (context_.routes && version <= before)
-        return false;
-    const auto& content = (*routes)->content();
-    callers_->set_limits(
-        caller_limits(content.limits, context_.settings.caller_connections));
-    log_event(
-        log_level::info,
-        component,
-        "routes_in_force",
-        {{"version", version},
-         {"before", before},
-         {"source", arrival.source},
-         {"received_bytes", arrival.received_bytes},
-         {"bytes", text.size()},
-         {"routes", content.routes.size()},
-         {"organisations", content.organisations.size()}});
-    context_.routes = *routes;
-    table_inquiry_.in_force(version);
-    asks_whole_table_ = false;
-    neighbours_->broadcast(wire::catalogue_position{version, 0});
-    context_.line.wake();
-    return true;
+    callers_->set_limits(bounded(limits, context_.settings.caller_connections));
 }
 
 void entry_process::server_listed(
