soak: a start that fails leaves no process, ports come back after a thousand

A run that failed while its hosts started left two of them running: only what came after the start was followed by the end of all.

--- a/meta/soak_parts/host.py
+++ b/meta/soak_parts/host.py
@@ -1,6 +1,7 @@
 """One entry host's process."""
 
 import asyncio
+import collections
 import contextlib
 import json
 import os
@@ -15,13 +16,13 @@
 # A stop takes its grace; pauses that overlap it come on top.
 LONGEST_STOP_SECONDS = 25.0
 LOG_LINES = 8
-
-
-_given = set()
+# The ports of some hundred hosts: those of a run, and never all that are.
+GIVEN_LATELY = 1000
+_given = collections.deque(maxlen=GIVEN_LATELY)
 
 
 def free_ports(count):
-    """Ports that were free a moment ago, none of them given before: the host
+    """Ports that were free a moment ago, none of them given lately: the host
     that got it may not have bound it yet."""
     ports = []
     with contextlib.ExitStack() as taken:
@@ -32,7 +33,7 @@
             with contextlib.suppress(OSError):
                 taken.enter_context(socket.create_server(("127.0.0.1", port)))
                 ports.append(port)
-                _given.add(port)
+                _given.append(port)
     return ports
 
 
--- a/meta/soak_parts/world.py
+++ b/meta/soak_parts/world.py
@@ -52,8 +52,8 @@
             if self.arguments.logs:
                 folder = self.arguments.logs / str(self.seed)
                 folder.mkdir(parents=True, exist_ok=True)
-            await self._start(Path(folder))
             try:
+                await self._start(Path(folder))
                 await self._run(faults)
             finally:
                 await self._stop()
@@ -149,6 +149,6 @@
     async def _stop(self):
         self.is_over = True
         for host in self.hosts:
-            if host.life.is_running():
+            if host.life and host.life.is_running():
                 await host.end(signal.SIGKILL)
             host.log.close()
