--- a/services/entry/include/godwit/entry/neighbour_links.hpp
+++ b/services/entry/include/godwit/entry/neighbour_links.hpp
@@ -87,7 +87,7 @@
     link_to(const core::host_name& host) const;
 
     /// Neighbours whose links are open.
-    [[nodiscard]] std::size_t open_links() const;
+    [[nodiscard]] std::size_t open_links() const { return links().size(); }
 
 private:
     neighbour_links(
@@ -100,8 +100,8 @@
     [[nodiscard]] wire::link_handlers watch() const;
     void connect(const http::endpoint& address);
     void note_cell(const std::vector<host_cell>& cells);
-    [[nodiscard]] bool
-    is_meant(const std::shared_ptr<wire::link>& link, audience meant) const;
+    [[nodiscard]] std::vector<std::shared_ptr<wire::link>> links() const;
+    [[nodiscard]] bool is_meant(const wire::link& link, audience meant) const;
 
     boost::asio::any_io_executor executor_;
     const entry_settings& settings_;
--- a/services/entry/src/neighbour_links.cpp
+++ b/services/entry/src/neighbour_links.cpp
@@ -202,58 +202,45 @@
     return cell_.empty() || mates_.contains(host);
 }
 
-bool neighbour_links::is_meant(
-    const std::shared_ptr<wire::link>& link, audience meant) const
+// Those that are open, kept apart: a link whose peer does not read closes when
+// it is written to, and leaves the set.
+std::vector<std::shared_ptr<wire::link>> neighbour_links::links() const
+{
+    std::vector<std::shared_ptr<wire::link>> open;
+    for (const auto& link : acceptor_->links()) {
+        if (link->is_open())
+            open.push_back(link);
+    }
+    for (const auto& [address, connector] : connectors_) {
+        if (auto link = connector->current())
+            open.push_back(std::move(link));
+    }
+    return open;
+}
+
+bool neighbour_links::is_meant(const wire::link& link, audience meant) const
 {
-    if (!link || !link->is_open())
-        return false;
     if (meant == audience::everybody)
         return true;
-    const auto& peer = link->peer();
-    return peer && is_cell_mate(peer->host) == (meant == audience::cell);
+    return is_cell_mate(link.peer()->host) == (meant == audience::cell);
 }
 
 void neighbour_links::broadcast(const wire::message& said, audience meant)
 {
-    // A link whose peer does not read closes here, and leaves the set.
-    const std::set<std::shared_ptr<wire::link>> links = acceptor_->links();
-    for (const auto& link : links) {
-        if (is_meant(link, meant))
+    for (const auto& link : links()) {
+        if (is_meant(*link, meant))
             link->send(said);
     }
-    for (const auto& [address, connector] : connectors_) {
-        if (is_meant(connector->current(), meant))
-            connector->send(said);
-    }
 }
 
 std::shared_ptr<wire::link>
 neighbour_links::link_to(const core::host_name& host) const
 {
-    const auto leads_there = [&host](const std::shared_ptr<wire::link>& link) {
-        return link && link->is_open() && link->peer()->host == host;
-    };
-    for (const auto& link : acceptor_->links()) {
-        if (leads_there(link))
-            return link;
-    }
-    for (const auto& [address, connector] : connectors_) {
-        if (auto link = connector->current(); leads_there(link))
+    for (const auto& link : links()) {
+        if (link->peer()->host == host)
             return link;
     }
     return nullptr;
 }
 
-std::size_t neighbour_links::open_links() const
-{
-    std::size_t count = 0;
-    for (const auto& link : acceptor_->links())
-        count += link->is_open() ? 1 : 0;
-    for (const auto& [address, connector] : connectors_) {
-        const auto link = connector->current();
-        count += link && link->is_open() ? 1 : 0;
-    }
-    return count;
-}
-
 } // namespace godwit::entry
