--- a/services/entry/include/godwit/entry/dialect.hpp
+++ b/services/entry/include/godwit/entry/dialect.hpp
@@ -95,7 +95,7 @@
     http::request (*write_hold_release)(const std::string&);
     http::request (*write_report_request)();
     core::result<server_report> (*read_report)(const http::response&);
-    table_reading (*start_reading_table)(std::string);
+    table_reading (*start_reading_table)(std::string_view);
 
     template<wire_codec Codec>
     [[nodiscard]] static constexpr dialect of() noexcept
--- a/services/entry/include/godwit/entry/table_intake.hpp
+++ b/services/entry/include/godwit/entry/table_intake.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace godwit::entry {
 
@@ -33,8 +34,8 @@
     /// What it asks of its host, and tells it.
     struct handlers
     {
-        /// Begins to read a text.
-        std::function<table_reading(std::string)> start;
+        /// Begins to read a text, which stays until the reading's end.
+        std::function<table_reading(std::string_view)> start;
         /// Whether the text is worth reading; asked before its reading.
         std::function<bool(const arrived_table&)> is_news;
         /// It was read, or cannot be.
--- a/tests/entry/table_intake_test.cpp
+++ b/tests/entry/table_intake_test.cpp
@@ -12,6 +12,7 @@
 #include <memory>
 #include <stdexcept>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace {
@@ -43,7 +44,7 @@
     };
     table_intake tested_{
         io_.get_executor(),
-        {[](const std::string& text) { return reading(text); },
+        {[](std::string_view text) { return reading(text); },
          [this](const arrived_table& table) { return is_news_(table); },
          [this](const arrived_table& table, const auto& /*routes*/) {
              read_.push_back(table.text);
@@ -52,7 +53,7 @@
              on_read();
          }}};
 
-    static entry::table_reading reading(const std::string& text)
+    static entry::table_reading reading(std::string_view text)
     {
         if (text == "throws")
             throw std::runtime_error("no memory");
