entry: whether the whole table is asked for stands with the question

It was reset beside the inquiry at each version. A predicate that also wrote a log line and noted an answer is a predicate and an action now.

--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -176,7 +176,8 @@
         const core::host_name& host,
         std::uint64_t version,
         const core::error& why);
-    [[nodiscard]] bool is_news(
+    [[nodiscard]] bool has_version(std::uint64_t version) const;
+    void pass_over(
         const core::host_name& host, std::uint64_t version, std::size_t bytes);
     [[nodiscard]] bool is_unread(const arrived_table& table) const;
     void table_was_read(
@@ -218,8 +219,6 @@
     table_inquiry table_inquiry_;
     table_intake intake_;
     table_askers<wire::link, wire::pull> table_askers_;
-    /// Changes to the table in force could not be applied.
-    bool asks_whole_table_ = false;
     list_readers readers_;
     wire::host_work told_work_;
     core::time_point told_work_at_{};
--- a/services/entry/include/godwit/entry/table_inquiry.hpp
+++ b/services/entry/include/godwit/entry/table_inquiry.hpp
@@ -16,6 +16,7 @@
 {
     core::host_name neighbour;
     std::uint64_t version = 0;
+    bool whole = false; ///< Not only what changed since the own version.
 
     friend bool
     operator==(const table_question&, const table_question&) = default;
@@ -49,6 +50,10 @@
     /// is asked after a pause.
     void answered(const core::host_name& neighbour, core::time_point now);
 
+    /// What the neighbour said to have changed cannot be: the whole table is
+    /// asked for until a newer version is in force.
+    void changes_were_false() { asks_whole_ = true; }
+
     /// There is no link to the neighbour any more.
     void lost(const core::host_name& neighbour);
 
@@ -74,6 +79,7 @@
     std::optional<core::host_name> asked_;
     core::time_point ask_again_at_{};
     unsigned questions_in_a_row_ = 0;
+    bool asks_whole_ = false;
 };
 
 } // namespace godwit::entry
--- a/services/entry/src/entry_process_tables.cpp
+++ b/services/entry/src/entry_process_tables.cpp
@@ -69,10 +69,10 @@
     const arrived_table& table)
 {
     const std::uint64_t version = routes->version();
+    if (has_version(version))
+        return false;
     const std::uint64_t before =
         context_.routes ? context_.routes->version() : 0;
-    if (context_.routes && version <= before)
-        return false;
     const auto& content = routes->content();
     limit_callers(content.limits);
     log_event(
@@ -88,7 +88,6 @@
          {"organisations", content.organisations.size()}});
     context_.routes = routes;
     table_inquiry_.in_force(version);
-    asks_whole_table_ = false;
     neighbours_->broadcast(wire::catalogue_position{version, 0});
     context_.line.wake();
     return true;
@@ -120,10 +119,10 @@
             "table_asked",
             {{"version", question->version},
              {"neighbour", question->neighbour},
-             {"whole", asks_whole_table_}});
+             {"whole", question->whole}});
         link->send(wire::pull{
             question->version,
-            asks_whole_table_ ? std::string() : tables_.base(),
+            question->whole ? std::string() : tables_.base(),
             true});
     }
 }
@@ -190,9 +189,10 @@
 void entry_process::hear_table(
     const core::host_name& host, const wire::table_document& said)
 {
-    if (!is_news(host, said.version, said.text.size()))
-        return;
-    take_table(said.text, host.value());
+    if (has_version(said.version))
+        pass_over(host, said.version, said.text.size());
+    else
+        take_table(said.text, host.value());
 }
 
 void entry_process::hear_changes(
@@ -201,8 +201,10 @@
     const std::size_t bytes = bytes_of(said);
     const std::uint64_t version =
         said.steps.empty() ? 0 : said.steps.back().version;
-    if (!is_news(host, version, bytes))
+    if (has_version(version)) {
+        pass_over(host, version, bytes);
         return;
+    }
     auto text = tables_.apply(said);
     if (text)
         intake_.add({std::move(*text), host.value(), bytes, said});
@@ -216,7 +218,7 @@
     const core::host_name& host, std::uint64_t version, const core::error& why)
 {
     if (why.kind() == core::error_kind::protocol)
-        asks_whole_table_ = true;
+        table_inquiry_.changes_were_false();
     log_event(
         log_level::warning,
         component,
@@ -227,11 +229,15 @@
     table_inquiry_.answered(host, core::monotonic_now());
 }
 
-bool entry_process::is_news(
+bool entry_process::has_version(std::uint64_t version) const
+{
+    return context_.routes && version <= context_.routes->version();
+}
+
+// A table that is no news came over the link for nothing.
+void entry_process::pass_over(
     const core::host_name& host, std::uint64_t version, std::size_t bytes)
 {
-    if (!context_.routes || version > context_.routes->version())
-        return true;
     log_event(
         log_level::info,
         component,
@@ -241,7 +247,6 @@
          {"neighbour", host},
          {"bytes", bytes}});
     table_inquiry_.answered(host, core::monotonic_now());
-    return false;
 }
 
 } // namespace godwit::entry
--- a/services/entry/src/table_inquiry.cpp
+++ b/services/entry/src/table_inquiry.cpp
@@ -46,6 +46,7 @@
     asked_.reset();
     ask_again_at_ = {};
     questions_in_a_row_ = 0;
+    asks_whole_ = false;
 }
 
 // A neighbour whose table cannot be read here would otherwise be asked again
@@ -104,7 +105,7 @@
     asked_ = chosen->first;
     ask_again_at_ = now + limit_of(questions_in_a_row_);
     ++questions_in_a_row_;
-    return table_question{chosen->first, chosen->second.version};
+    return table_question{chosen->first, chosen->second.version, asks_whole_};
 }
 
 } // namespace godwit::entry
