--- a/libraries/delta/src/text_patch.cpp
+++ b/libraries/delta/src/text_patch.cpp
@@ -30,6 +30,14 @@
         "ask for the whole text"};
 }
 
+core::error no_memory()
+{
+    return {
+        core::error_kind::exhausted,
+        "no memory for a patch of a text",
+        "look at the process's memory"};
+}
+
 core::error unreadable(std::string what)
 {
     return {
@@ -52,10 +60,7 @@
 {
     const compressor context(ZSTD_createCCtx(), &ZSTD_freeCCtx);
     if (!context)
-        return core::fail(
-            core::error_kind::exhausted,
-            "no memory to make a patch of a text",
-            "look at the process's memory");
+        return tl::unexpected(no_memory());
     const auto set = [&context](ZSTD_cParameter parameter, int value) {
         ZSTD_CCtx_setParameter(context.get(), parameter, value);
     };
@@ -90,10 +95,7 @@
             " bytes, more than " + std::to_string(longest)));
     const decompressor context(ZSTD_createDCtx(), &ZSTD_freeDCtx);
     if (!context)
-        return core::fail(
-            core::error_kind::exhausted,
-            "no memory to apply a patch of a text",
-            "look at the process's memory");
+        return tl::unexpected(no_memory());
     if (!base.empty())
         ZSTD_DCtx_refPrefix(context.get(), base.data(), base.size());
     std::string text(patch.made_bytes, '\0');
--- a/services/entry/include/godwit/entry/table_history.hpp
+++ b/services/entry/include/godwit/entry/table_history.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <godwit/core/result.hpp>
-#include <godwit/delta/content_digest.hpp>
 #include <godwit/wire/table_changes.hpp>
 
 #include <cstddef>
@@ -40,8 +39,8 @@
     [[nodiscard]] core::result<wire::table_changes>
     changes_from(const std::string& base);
 
-    /// The digest's bytes of the text in force; empty before the first.
-    [[nodiscard]] std::string base() const;
+    /// The digest of the text in force; empty before the first.
+    [[nodiscard]] const std::string& base() const noexcept { return base_; }
 
     [[nodiscard]] const std::string& text() const noexcept { return text_; }
 
@@ -53,11 +52,11 @@
     };
 
     void add(std::string base, wire::table_step step);
-    void replace(std::string text);
+    void replace(std::uint64_t version, std::string text, std::string digest);
 
     std::string text_;
+    std::string base_; ///< The digest of it.
     std::uint64_t version_ = 0;
-    std::optional<delta::content_digest> digest_;
     std::deque<known_step> steps_; ///< Each begins where the last one ends.
     std::optional<wire::table_step> whole_; ///< Made when first asked for.
 };
--- a/services/entry/src/table_history.cpp
+++ b/services/entry/src/table_history.cpp
@@ -1,5 +1,6 @@
 #include <godwit/entry/table_history.hpp>
 
+#include <godwit/delta/content_digest.hpp>
 #include <godwit/delta/text_patch.hpp>
 
 #include <algorithm>
@@ -18,24 +19,24 @@
     std::string_view base,
     std::string_view text,
     std::uint64_t version,
-    const delta::content_digest& digest)
+    const std::string& digest)
 {
     auto patch = GODWIT_TRY(delta::make_patch(base, text));
     return wire::table_step{
-        version, digest.bytes(), patch.made_bytes, std::move(patch.compressed)};
+        version, digest, patch.made_bytes, std::move(patch.compressed)};
 }
 
 } // namespace
 
 void table_history::take_whole(std::uint64_t version, std::string text)
 {
-    const std::string former_base = base();
+    const std::string former_base = base_;
     const std::string former = std::move(text_);
-    replace(std::move(text));
-    version_ = version;
+    std::string digest = delta::content_digest(text);
+    replace(version, std::move(text), std::move(digest));
     if (former_base.empty())
         return;
-    auto step = make_step(former, text_, version, *digest_);
+    auto step = make_step(former, text_, version, base_);
     if (step)
         add(former_base, std::move(*step));
     else
@@ -45,22 +46,23 @@
 void table_history::take_changed(
     std::string text, const wire::table_changes& changes)
 {
-    const std::uint64_t version = changes.steps.back().version;
+    const wire::table_step& last = changes.steps.back();
     if (changes.base.empty()) {
-        take_whole(version, std::move(text));
+        take_whole(last.version, std::move(text));
         return;
     }
-    replace(std::move(text));
-    version_ = version;
+    replace(last.version, std::move(text), last.made);
     std::string at = changes.base;
     for (const wire::table_step& step : changes.steps)
         add(std::exchange(at, step.made), step);
 }
 
-void table_history::replace(std::string text)
+void table_history::replace(
+    std::uint64_t version, std::string text, std::string digest)
 {
+    version_ = version;
     text_ = std::move(text);
-    digest_ = delta::content_digest::of(text_);
+    base_ = std::move(digest);
     whole_.reset();
 }
 
@@ -85,7 +87,7 @@
 core::result<std::string>
 table_history::apply(const wire::table_changes& changes) const
 {
-    if (!changes.base.empty() && changes.base != base())
+    if (!changes.base.empty() && changes.base != base_)
         return core::fail(
             core::error_kind::expired,
             "the changes begin at a table that is not in force here",
@@ -99,7 +101,7 @@
     for (const wire::table_step& step : changes.steps)
         made = GODWIT_TRY(delta::apply_patch(
             made, {step.made_bytes, step.compressed}, longest_text));
-    if (delta::content_digest::of(made).bytes() != changes.steps.back().made)
+    if (delta::content_digest(made) != changes.steps.back().made)
         return core::fail(
             core::error_kind::protocol,
             "the changes lead to another table than they say",
@@ -110,7 +112,7 @@
 core::result<wire::table_changes>
 table_history::changes_from(const std::string& base)
 {
-    if (!digest_)
+    if (base_.empty())
         return core::fail(
             core::error_kind::exhausted, "no table is in force", "ask later");
     wire::table_changes made;
@@ -128,14 +130,9 @@
         return made;
     }
     if (!whole_)
-        whole_ = GODWIT_TRY(make_step("", text_, version_, *digest_));
+        whole_ = GODWIT_TRY(make_step("", text_, version_, base_));
     made.steps.push_back(*whole_);
     return made;
 }
 
-std::string table_history::base() const
-{
-    return digest_ ? digest_->bytes() : std::string();
-}
-
 } // namespace godwit::entry
--- a/tests/delta/text_patch_test.cpp
+++ b/tests/delta/text_patch_test.cpp
@@ -80,8 +80,7 @@
         other[20] = '#';
         const auto patch = make_patch(base, text).value();
         const auto made = apply_patch(other, patch, longest);
-        CPPUNIT_ASSERT(
-            !made || content_digest::of(*made) != content_digest::of(text));
+        CPPUNIT_ASSERT(!made || content_digest(*made) != content_digest(text));
     }
 
     // A byte from a neighbour may be any; the text is refused or told apart
@@ -91,7 +90,7 @@
         const std::string base = routes(50);
         const std::string text = routes(60);
         const auto sound = make_patch(base, text).value();
-        const auto wanted = content_digest::of(text);
+        const auto wanted = content_digest(text);
         std::mt19937_64 random(seed);
         for (int tries = 0; tries < 2000; ++tries) {
             text_patch spoiled = sound;
@@ -103,7 +102,7 @@
                 bytes.resize(random() % bytes.size());
             const auto made = apply_patch(base, spoiled, longest);
             CPPUNIT_ASSERT(
-                !made || *made == text || content_digest::of(*made) != wanted);
+                !made || *made == text || content_digest(*made) != wanted);
         }
     }
 
@@ -120,11 +119,14 @@
 
     void test_digests()
     {
-        const auto one = content_digest::of("abc");
-        CPPUNIT_ASSERT_EQUAL(std::string("ba7816bf"), one.short_name());
-        CPPUNIT_ASSERT(content_digest::from_bytes(one.bytes()) == one);
-        CPPUNIT_ASSERT(!content_digest::from_bytes("abc"));
-        CPPUNIT_ASSERT(one != content_digest::of("abd"));
+        // The example of the standard (FIPS 180-2, B.1).
+        const std::string of_abc(
+            "\xba\x78\x16\xbf\x8f\x01\xcf\xea\x41\x41\x40\xde\x5d\xae\x22\x23"
+            "\xb0\x03\x61\xa3\x96\x17\x7a\x9c\xb4\x10\xff\x61\xf2\x00\x15\xad",
+            32);
+        CPPUNIT_ASSERT(content_digest("abc") == of_abc);
+        CPPUNIT_ASSERT(content_digest("abd") != of_abc);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{32}, content_digest("").size());
     }
 };
 
--- a/tests/entry/table_history_test.cpp
+++ b/tests/entry/table_history_test.cpp
@@ -43,7 +43,7 @@
 
     static std::string base_of(std::uint64_t version)
     {
-        return delta::content_digest::of(text_of(version)).bytes();
+        return delta::content_digest(text_of(version));
     }
 
     void test_who_has_a_version_gets_what_changed()
--- a/tests/platform_adapter/hostile_values_test.cpp
+++ b/tests/platform_adapter/hostile_values_test.cpp
@@ -91,11 +91,8 @@
             "keyed.op",
             "config",
             R"({"version":7,"limits":{"max_body_bytes":1e15}})");
-        test::world::wait("the table", [&world] {
-            return world.look<bool>([](entry::entry_process& process) {
-                return process.context().routes->version() == 7;
-            });
-        });
+        test::world::wait(
+            "the table", [&world] { return world.table_version() == 7; });
         asio::io_context io;
         asio::ip::tcp::socket caller(io);
         caller.connect(
--- a/tests/platform_adapter/stand_in_neighbours.cpp
+++ b/tests/platform_adapter/stand_in_neighbours.cpp
@@ -1,5 +1,7 @@
 #include "stand_in_neighbours.hpp"
 
+#include "world.hpp"
+
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_future.hpp>
 
@@ -93,8 +95,14 @@
         .get();
 }
 
+void stand_in_neighbours::announce(std::uint64_t version)
+{
+    say(wire::catalogue_position{version, 0});
+}
+
 void stand_in_neighbours::say(const wire::message& said)
 {
+    world::wait("links", [this] { return are_linked(); });
     asio::post(io_, asio::use_future([this, &said] {
                    for (const auto& each : connectors_)
                        each->send(said);
--- a/tests/platform_adapter/stand_in_neighbours.hpp
+++ b/tests/platform_adapter/stand_in_neighbours.hpp
@@ -36,12 +36,12 @@
     stand_in_neighbours(const stand_in_neighbours&) = delete;
     stand_in_neighbours& operator=(const stand_in_neighbours&) = delete;
 
-    /// Whether every link is open.
-    [[nodiscard]] bool are_linked();
-
-    /// Each of them says this.
+    /// Each of them says this, once all are linked.
     void say(const wire::message& said);
 
+    /// Each of them has this version of the route table in force.
+    void announce(std::uint64_t version);
+
     /// The names of those that were asked for a table, in their order.
     [[nodiscard]] std::vector<std::string> asked() const;
 
@@ -49,6 +49,7 @@
     [[nodiscard]] std::vector<wire::message> tables() const;
 
 private:
+    [[nodiscard]] bool are_linked();
     void connect(
         const std::string& name, const boost::asio::ip::tcp::endpoint& host);
     void hear(
--- a/tests/platform_adapter/table_changes_test.cpp
+++ b/tests/platform_adapter/table_changes_test.cpp
@@ -21,7 +21,6 @@
 using platform_adapter::test::table_text;
 using platform_adapter::test::world;
 
-constexpr unsigned store_is_away = 503;
 constexpr std::size_t most_bytes_a_small_change = 1024;
 
 /// A neighbour's tables, and the questions that it got; used on its thread.
@@ -69,37 +68,28 @@
         });
     }
 
-    static void announce_version_2(stand_in_neighbours& others)
-    {
-        world::wait("links", [&others] { return others.are_linked(); });
-        others.say(wire::catalogue_position{2, 0});
-    }
-
     void test_a_host_takes_what_changed()
     {
         ahead newer;
         world tested;
-        tested.begin();
-        tested.store().answer_with(store_is_away);
+        tested.begin_without_store();
         stand_in_neighbours others(
             1, tested.neighbours(), [&newer](const wire::pull& asked) {
                 return newer.answer(asked);
             });
-        announce_version_2(others);
+        others.announce(2);
         await_version(tested, 2);
         CPPUNIT_ASSERT_EQUAL(200U, tested.call("GET", "/plain/", "k2").status);
         const auto asked = newer.asked();
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, asked.size());
-        CPPUNIT_ASSERT(
-            asked[0].base == delta::content_digest::of(table_text(1)).bytes());
+        CPPUNIT_ASSERT(asked[0].base == delta::content_digest(table_text(1)));
     }
 
     void test_false_changes_are_followed_by_the_whole_table()
     {
         ahead newer;
         world tested;
-        tested.begin();
-        tested.store().answer_with(store_is_away);
+        tested.begin_without_store();
         stand_in_neighbours others(
             1, tested.neighbours(), [&newer](const wire::pull& asked) {
                 wire::table_changes changes = newer.answer(asked);
@@ -107,7 +97,7 @@
                     changes.steps[0].compressed[8] ^= 1;
                 return changes;
             });
-        announce_version_2(others);
+        others.announce(2);
         await_version(tested, 2);
         const auto asked = newer.asked();
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, asked.size());
@@ -117,7 +107,6 @@
 
     static wire::message told(stand_in_neighbours& others, wire::pull question)
     {
-        world::wait("links", [&others] { return others.are_linked(); });
         others.say(question);
         world::wait("a table", [&others] { return !others.tables().empty(); });
         return others.tables().front();
--- a/tests/platform_adapter/table_questions_test.cpp
+++ b/tests/platform_adapter/table_questions_test.cpp
@@ -23,7 +23,6 @@
 using platform_adapter::test::stand_in_neighbours;
 using platform_adapter::test::world;
 
-constexpr unsigned store_is_away = 503;
 constexpr std::size_t neighbours = 8;
 
 class table_questions_test : public CppUnit::TestFixture
@@ -33,13 +32,6 @@
     CPPUNIT_TEST(test_another_neighbour_is_asked_when_one_is_silent);
     CPPUNIT_TEST_SUITE_END();
 
-    // Only the neighbours can bring what is newer than version 1.
-    static void begin_without_store(world& tested)
-    {
-        tested.begin();
-        tested.store().answer_with(store_is_away);
-    }
-
     static std::optional<wire::message> table(const wire::pull& asked)
     {
         return wire::table_document{
@@ -51,10 +43,9 @@
     void test_one_neighbour_sends_the_table()
     {
         world tested;
-        begin_without_store(tested);
+        tested.begin_without_store();
         stand_in_neighbours others(neighbours, tested.neighbours(), &table);
-        world::wait("links", [&others] { return others.are_linked(); });
-        others.say(wire::catalogue_position{2, 0});
+        others.announce(2);
         world::wait(
             "version 2", [&tested] { return tested.table_version() == 2; });
         std::this_thread::sleep_for(std::chrono::milliseconds(300));
@@ -64,13 +55,12 @@
     void test_another_neighbour_is_asked_when_one_is_silent()
     {
         world tested;
-        begin_without_store(tested);
+        tested.begin_without_store();
         stand_in_neighbours others(
             neighbours, tested.neighbours(), [](const wire::pull&) {
                 return std::nullopt;
             });
-        world::wait("links", [&others] { return others.are_linked(); });
-        others.say(wire::catalogue_position{2, 0});
+        others.announce(2);
         world::wait(
             "a question", [&others] { return !others.asked().empty(); });
         std::this_thread::sleep_for(std::chrono::milliseconds(300));
--- a/tests/platform_adapter/world.cpp
+++ b/tests/platform_adapter/world.cpp
@@ -161,6 +161,13 @@
     wait("readiness", [this] { return is_ready(); });
 }
 
+void world::begin_without_store()
+{
+    constexpr unsigned unavailable = 503;
+    begin();
+    store_->answer_with(unavailable);
+}
+
 std::uint64_t world::arriving_at(const stand_in_server& server)
 {
     const placement::server_id id(server.id());
--- a/tests/platform_adapter/world.hpp
+++ b/tests/platform_adapter/world.hpp
@@ -62,6 +62,10 @@
     /// Publishes version 1, lists both servers and waits until ready.
     void begin();
 
+    /// The same, and from then on only neighbours bring what is newer: the
+    /// store answers nobody.
+    void begin_without_store();
+
     /// Sends a request with the key "k1" and the id "a1".
     [[nodiscard]] http::response call(
         const std::string& method,
--- a/tests/platform_adapter/world_test.cpp
+++ b/tests/platform_adapter/world_test.cpp
@@ -243,11 +243,13 @@
         world_.begin();
         CPPUNIT_ASSERT_EQUAL(401U, world_.call("GET", "/plain/", "k2").status);
         world_.publish(5, "k2");
-        world::wait("version 5", [this] { return version() == 5; });
+        world::wait(
+            "version 5", [this] { return world_.table_version() == 5; });
         CPPUNIT_ASSERT_EQUAL(200U, world_.call("GET", "/plain/", "k2").status);
         world_.publish(4);
         world_.publish(6, "k3");
-        world::wait("version 6", [this] { return version() == 6; });
+        world::wait(
+            "version 6", [this] { return world_.table_version() == 6; });
         CPPUNIT_ASSERT_EQUAL(401U, world_.call("GET", "/plain/", "k2").status);
     }
 
@@ -258,7 +260,8 @@
         world_.store().put("keyed.op", "config", std::string(100000, '{'));
         world_.store().put("keyed.servers", "i-3", "no server");
         world_.publish(3, "k3");
-        world::wait("version 3", [this] { return version() == 3; });
+        world::wait(
+            "version 3", [this] { return world_.table_version() == 3; });
         CPPUNIT_ASSERT_EQUAL(200U, world_.call("GET", "/plain/").status);
     }
 
@@ -276,7 +279,8 @@
         }
         world_.publish(2, "k2");
         world_.store().answer_with(0);
-        world::wait("version 2", [this] { return version() == 2; });
+        world::wait(
+            "version 2", [this] { return world_.table_version() == 2; });
     }
 
     // Each call that the store turns away has its price.
@@ -290,7 +294,8 @@
         CPPUNIT_ASSERT(world_.store().calls() - before <= 18);
         world_.publish(3);
         world_.store().answer_with(0);
-        world::wait("version 3", [this] { return version() == 3; });
+        world::wait(
+            "version 3", [this] { return world_.table_version() == 3; });
     }
 
     void test_history_that_is_dropped_is_read_anew()
@@ -300,7 +305,8 @@
         world_.publish(8);
         world_.store().compact();
         world_.store().answer_with(0);
-        world::wait("version 8", [this] { return version() == 8; });
+        world::wait(
+            "version 8", [this] { return world_.table_version() == 8; });
     }
 
     void test_a_stream_arrives_whole()
@@ -514,13 +520,6 @@
         CPPUNIT_ASSERT_EQUAL(404U, world_.ask_operators("/none").status);
     }
 
-    std::uint64_t version()
-    {
-        return world_.look<std::uint64_t>([](entry::entry_process& process) {
-            return process.context().routes->version();
-        });
-    }
-
     using reading = core::result<entry::entry_settings>;
 
     /// The settings after the file says what `change` makes of them.
