soak: a run that has written all is not at work

The promise is that no two runs are at work at once; a run that was stopped or has written all is not. The check says so now, and still refuses one that can write a single event more.

--- a/meta/soak_parts/engine.py
+++ b/meta/soak_parts/engine.py
@@ -21,6 +21,11 @@
     made: int = 0
     stopped: bool = False
 
+    def is_at_work(self):
+        """Whether it may still write. One that has written all is not, though
+        its last bytes may be lost on the way."""
+        return not self.stopped and self.made < self.events
+
 
 class Engine(Service):
     """A server of the model: whole answers, streams and copies of runs."""
--- a/meta/soak_parts/ledger.py
+++ b/meta/soak_parts/ledger.py
@@ -47,7 +47,8 @@
     def resumed(self, attempt):
         """An engine goes on with a run of another one."""
         before = self.streams.get(attempt)
-        self.check("one run", before is not None and before.stopped, attempt)
+        self.check("one run", before is not None and not before.is_at_work(),
+                   f"{attempt} while {before}")
 
     def made(self, attempt, body):
         """An engine answers a request, in whatever form."""
