entry: log which request a lost run belonged to

When a backend server breaks the connection, the log names the attempt that was in progress (`cut`, `send_failed`). The caller's next attempt has another id, so the log cannot show whether servers fail under one request or under many.

The fingerprint is computed only when a run is lost.

--- a/services/entry/include/godwit/entry/call_answers.hpp
+++ b/services/entry/include/godwit/entry/call_answers.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <godwit/admission/request_fingerprint.hpp>
 #include <godwit/core/time.hpp>
 #include <godwit/entry/accepted_call.hpp>
 #include <godwit/entry/entry_context.hpp>
@@ -19,6 +20,10 @@
     const accepted_call& call,
     forward_terms terms);
 
+/// The fingerprint of the request as received from the caller.
+[[nodiscard]] admission::request_fingerprint
+fingerprint_of(const accepted_call& call);
+
 /// Answers the call from this host: logged, counted, and with when to come
 /// back where it has not run. The arguments live until it is done.
 boost::asio::awaitable<void> refuse_call(
--- a/services/entry/include/godwit/entry/call_log.hpp
+++ b/services/entry/include/godwit/entry/call_log.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <godwit/admission/request_fingerprint.hpp>
 #include <godwit/admission/waiting_plan.hpp>
 #include <godwit/core/error.hpp>
 #include <godwit/core/time.hpp>
@@ -42,6 +43,15 @@
     std::string_view fault,
     std::string_view cause);
 
+/// The connection to a backend server broke before the answer was complete.
+/// `fingerprint` is the same for all attempts at a request; `server_leaves`
+/// tells whether the server was already known to be leaving.
+void log_run_lost(
+    const accepted_call& call,
+    const placement::backend_server& server,
+    const admission::request_fingerprint& fingerprint,
+    bool server_leaves);
+
 /// A stream's answer was cut midway.
 void log_cut(
     const accepted_call& call,
--- /dev/null
+++ b/services/entry/include/godwit/entry/lost_runs.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <godwit/entry/accepted_call.hpp>
+#include <godwit/entry/entry_context.hpp>
+#include <godwit/entry/upstream.hpp>
+#include <godwit/placement/backend_server.hpp>
+
+namespace godwit::entry {
+
+/// Whether the connection broke after at least part of the request was sent.
+/// Timeouts and invalid answers do not count.
+[[nodiscard]] bool is_lost_run(const upstream_failure& failure);
+
+/// Logs that the connection to the server broke before the answer was complete.
+void record_lost_run(
+    entry_context& context,
+    const accepted_call& call,
+    const placement::backend_server& server);
+
+} // namespace godwit::entry
--- a/services/entry/src/call_answers.cpp
+++ b/services/entry/src/call_answers.cpp
@@ -25,6 +25,17 @@
         received.body};
 }
 
+admission::request_fingerprint fingerprint_of(const accepted_call& call)
+{
+    const http::request& received = call.caller.received();
+    return admission::fingerprint_of(
+        {call.organisation.value_or(core::organisation_name()),
+         received.method,
+         received.fields.find("Host").value_or(""),
+         received.target,
+         received.body});
+}
+
 boost::asio::awaitable<void> refuse_call(
     const accepted_call& call,
     telemetry::request_metrics& metrics,
--- a/services/entry/src/call_log.cpp
+++ b/services/entry/src/call_log.cpp
@@ -96,6 +96,25 @@
          {"age_ms", milliseconds(core::monotonic_now() - call.arrived)}});
 }
 
+void log_run_lost(
+    const accepted_call& call,
+    const placement::backend_server& server,
+    const admission::request_fingerprint& fingerprint,
+    bool server_leaves)
+{
+    telemetry::log_event(
+        telemetry::log_level::info,
+        component,
+        "run_lost",
+        {{"request", call.terms.attempt_id},
+         {"route", call.via.name},
+         {"fingerprint", fingerprint},
+         {"server", server.id},
+         {"server_start_ms", server.start.unix_ms},
+         {"server_leaves", server_leaves},
+         {"age_ms", milliseconds(core::monotonic_now() - call.arrived)}});
+}
+
 void log_cut(
     const accepted_call& call,
     const placement::backend_server& server,
--- a/services/entry/src/stream_call.cpp
+++ b/services/entry/src/stream_call.cpp
@@ -1,6 +1,7 @@
 #include <godwit/entry/stream_call.hpp>
 
 #include <godwit/entry/call_answers.hpp>
+#include <godwit/entry/lost_runs.hpp>
 #include <godwit/entry/server_hold.hpp>
 
 #include <algorithm>
@@ -188,6 +189,8 @@
         co_return;
     const placement::backend_server server = active_->server();
     log_send_failed(*call_, server, "no_head", why.cause.message());
+    if (is_lost_run(why))
+        record_lost_run(context_, *call_, server);
     context_.health.unreachable(server.id, core::monotonic_now());
     not_run_at(server);
     if (why.fault == upstream_fault::unreachable)
@@ -203,6 +206,8 @@
     if (caller_gone_)
         co_return;
     if (!body) {
+        if (is_lost_run(body.error()))
+            record_lost_run(context_, *call_, active_->server());
         co_await refuse(refusal_reason::answer_lost);
         co_return;
     }
@@ -256,6 +261,8 @@
             continue;
         if (caller_gone_)
             co_return;
+        if (!piece && is_lost_run(piece.error()))
+            record_lost_run(context_, *call_, active_->server());
         context_.health.unreachable(
             active_->server().id, core::monotonic_now());
         cut(piece ? "incomplete event" : piece.error().cause.message());
--- a/services/entry/src/whole_call.cpp
+++ b/services/entry/src/whole_call.cpp
@@ -2,6 +2,7 @@
 
 #include <godwit/entry/call_answers.hpp>
 #include <godwit/entry/call_log.hpp>
+#include <godwit/entry/lost_runs.hpp>
 #include <godwit/entry/reservation.hpp>
 
 #include <algorithm>
@@ -163,6 +164,8 @@
         if (caller_gone_)
             co_return result;
         log_send_failed(call_, server, name_of(why.fault), why.cause.message());
+        if (is_lost_run(why))
+            record_lost_run(context_, call_, server);
         context_.health.unreachable(server.id, now);
         result.may_have_run = why.fault != upstream_fault::unreachable;
         result.refusal = refusal_reason::answer_lost;
