--- /dev/null
+++ b/libraries/wire/include/godwit/wire/crash_reports.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <godwit/core/identifiers.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace godwit::wire {
+
+/// A backend server process that ended while it ran a request.
+struct server_crash
+{
+    std::string server;
+    std::uint64_t started_at_ms = 0; ///< 0 if unknown.
+
+    friend bool operator==(const server_crash&, const server_crash&) = default;
+};
+
+/// The server crashes that ended runs of one request.
+struct crash_report
+{
+    std::string request; ///< Fingerprint of the request.
+    core::organisation_name organisation;
+    std::vector<server_crash> crashes;
+    std::uint32_t age_ms = 0; ///< Time since the last crash.
+
+    friend bool operator==(const crash_report&, const crash_report&) = default;
+};
+
+/// Changes to the crashes recorded per request.
+struct crash_reports
+{
+    std::vector<crash_report> reports;
+    /// Fingerprints of requests with a completed run, whose earlier crashes no
+    /// longer count.
+    std::vector<std::string> completed;
+
+    friend bool
+    operator==(const crash_reports&, const crash_reports&) = default;
+};
+
+} // namespace godwit::wire
--- a/libraries/wire/include/godwit/wire/hello.hpp
+++ b/libraries/wire/include/godwit/wire/hello.hpp
@@ -20,6 +20,9 @@
     /// Where the sender is reached by others, as "IP:port"; a proxy names its
     /// callers' address, an agent its frames' address. May be empty.
     std::string address;
+    /// Number of message kinds that the sender can read; 0 from releases that
+    /// do not send this field.
+    std::uint32_t message_kinds = 0;
 
     friend bool operator==(const hello&, const hello&) = default;
 };
--- a/libraries/wire/include/godwit/wire/message.hpp
+++ b/libraries/wire/include/godwit/wire/message.hpp
@@ -12,6 +12,7 @@
 #include <godwit/wire/claim_release.hpp>
 #include <godwit/wire/claim_request.hpp>
 #include <godwit/wire/claim_withdrawal.hpp>
+#include <godwit/wire/crash_reports.hpp>
 #include <godwit/wire/digest.hpp>
 #include <godwit/wire/duty_message.hpp>
 #include <godwit/wire/heartbeat.hpp>
@@ -30,7 +31,9 @@
 
 namespace godwit::wire {
 
-/// Everything that the system's own processes say to each other.
+/// Everything that the system's own processes say to each other. New kinds are
+/// appended only: `hello::message_kinds` counts the kinds that a peer can read
+/// from the start of this list.
 using message = std::variant<
     hello,
     heartbeat,
@@ -55,7 +58,8 @@
     host_work,
     link_claim,
     cell_work,
-    table_changes>;
+    table_changes,
+    crash_reports>;
 
 /// The name of the message's type, for logs and metrics.
 [[nodiscard]] std::string_view name_of(const message& value) noexcept;
--- a/libraries/wire/src/godwit_generated.h
+++ b/libraries/wire/src/godwit_generated.h
@@ -107,6 +107,15 @@
 struct link_claim;
 struct link_claimBuilder;
 
+struct server_crash;
+struct server_crashBuilder;
+
+struct crash_report;
+struct crash_reportBuilder;
+
+struct crash_reports;
+struct crash_reportsBuilder;
+
 struct frame;
 struct frameBuilder;
 
@@ -391,11 +400,12 @@
   link_claim = 22,
   cell_work = 23,
   table_changes = 24,
+  crash_reports = 25,
   MIN = NONE,
-  MAX = table_changes
+  MAX = crash_reports
 };
 
-inline const payload (&EnumValuespayload())[25] {
+inline const payload (&EnumValuespayload())[26] {
   static const payload values[] = {
     payload::NONE,
     payload::hello,
@@ -421,13 +431,14 @@
     payload::host_work,
     payload::link_claim,
     payload::cell_work,
-    payload::table_changes
+    payload::table_changes,
+    payload::crash_reports
   };
   return values;
 }
 
 inline const char * const *EnumNamespayload() {
-  static const char * const names[26] = {
+  static const char * const names[27] = {
     "NONE",
     "hello",
     "heartbeat",
@@ -453,13 +464,14 @@
     "link_claim",
     "cell_work",
     "table_changes",
+    "crash_reports",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamepayload(payload e) {
-  if (flatbuffers::IsOutRange(e, payload::NONE, payload::table_changes)) return "";
+  if (flatbuffers::IsOutRange(e, payload::NONE, payload::crash_reports)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamespayload()[index];
 }
@@ -564,6 +576,10 @@
   static const payload enum_value = payload::table_changes;
 };
 
+template<> struct payloadTraits<godwit::wire::format::crash_reports> {
+  static const payload enum_value = payload::crash_reports;
+};
+
 bool Verifypayload(flatbuffers::Verifier &verifier, const void *obj, payload type);
 bool VerifypayloadVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<payload> *types);
 
@@ -576,7 +592,8 @@
     VT_HOST = 8,
     VT_ZONE = 10,
     VT_INCARNATION = 12,
-    VT_ADDRESS = 14
+    VT_ADDRESS = 14,
+    VT_MESSAGE_KINDS = 16
   };
   uint32_t version() const {
     return GetField<uint32_t>(VT_VERSION, 0);
@@ -596,6 +613,9 @@
   const flatbuffers::String *address() const {
     return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
   }
+  uint32_t message_kinds() const {
+    return GetField<uint32_t>(VT_MESSAGE_KINDS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_VERSION, 4) &&
@@ -608,6 +628,7 @@
            verifier.VerifyString(incarnation()) &&
            VerifyOffset(verifier, VT_ADDRESS) &&
            verifier.VerifyString(address()) &&
+           VerifyField<uint32_t>(verifier, VT_MESSAGE_KINDS, 4) &&
            verifier.EndTable();
   }
 };
@@ -634,6 +655,9 @@
   void add_address(flatbuffers::Offset<flatbuffers::String> address) {
     fbb_.AddOffset(hello::VT_ADDRESS, address);
   }
+  void add_message_kinds(uint32_t message_kinds) {
+    fbb_.AddElement<uint32_t>(hello::VT_MESSAGE_KINDS, message_kinds, 0);
+  }
   explicit helloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -652,8 +676,10 @@
     flatbuffers::Offset<flatbuffers::String> host = 0,
     flatbuffers::Offset<flatbuffers::String> zone = 0,
     flatbuffers::Offset<flatbuffers::String> incarnation = 0,
-    flatbuffers::Offset<flatbuffers::String> address = 0) {
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    uint32_t message_kinds = 0) {
   helloBuilder builder_(_fbb);
+  builder_.add_message_kinds(message_kinds);
   builder_.add_address(address);
   builder_.add_incarnation(incarnation);
   builder_.add_zone(zone);
@@ -675,7 +701,8 @@
     const char *host = nullptr,
     const char *zone = nullptr,
     const char *incarnation = nullptr,
-    const char *address = nullptr) {
+    const char *address = nullptr,
+    uint32_t message_kinds = 0) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   auto incarnation__ = incarnation ? _fbb.CreateString(incarnation) : 0;
@@ -687,7 +714,8 @@
       host__,
       zone__,
       incarnation__,
-      address__);
+      address__,
+      message_kinds);
 }
 
 struct heartbeat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3264,6 +3292,246 @@
       hold_ms);
 }
 
+struct server_crash FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef server_crashBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVER = 4,
+    VT_STARTED_AT_MS = 6
+  };
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  uint64_t started_at_ms() const {
+    return GetField<uint64_t>(VT_STARTED_AT_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           VerifyField<uint64_t>(verifier, VT_STARTED_AT_MS, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct server_crashBuilder {
+  typedef server_crash Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(server_crash::VT_SERVER, server);
+  }
+  void add_started_at_ms(uint64_t started_at_ms) {
+    fbb_.AddElement<uint64_t>(server_crash::VT_STARTED_AT_MS, started_at_ms, 0);
+  }
+  explicit server_crashBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<server_crash> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<server_crash>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<server_crash> Createserver_crash(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    uint64_t started_at_ms = 0) {
+  server_crashBuilder builder_(_fbb);
+  builder_.add_started_at_ms(started_at_ms);
+  builder_.add_server(server);
+  return builder_.Finish();
+}
+
+struct server_crash::Traits {
+  using type = server_crash;
+  static auto constexpr Create = Createserver_crash;
+};
+
+inline flatbuffers::Offset<server_crash> Createserver_crashDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *server = nullptr,
+    uint64_t started_at_ms = 0) {
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  return godwit::wire::format::Createserver_crash(
+      _fbb,
+      server__,
+      started_at_ms);
+}
+
+struct crash_report FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef crash_reportBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REQUEST = 4,
+    VT_ORGANISATION = 6,
+    VT_CRASHES = 8,
+    VT_AGE_MS = 10
+  };
+  const flatbuffers::String *request() const {
+    return GetPointer<const flatbuffers::String *>(VT_REQUEST);
+  }
+  const flatbuffers::String *organisation() const {
+    return GetPointer<const flatbuffers::String *>(VT_ORGANISATION);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::server_crash>> *crashes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::server_crash>> *>(VT_CRASHES);
+  }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_REQUEST) &&
+           verifier.VerifyString(request()) &&
+           VerifyOffset(verifier, VT_ORGANISATION) &&
+           verifier.VerifyString(organisation()) &&
+           VerifyOffset(verifier, VT_CRASHES) &&
+           verifier.VerifyVector(crashes()) &&
+           verifier.VerifyVectorOfTables(crashes()) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct crash_reportBuilder {
+  typedef crash_report Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_request(flatbuffers::Offset<flatbuffers::String> request) {
+    fbb_.AddOffset(crash_report::VT_REQUEST, request);
+  }
+  void add_organisation(flatbuffers::Offset<flatbuffers::String> organisation) {
+    fbb_.AddOffset(crash_report::VT_ORGANISATION, organisation);
+  }
+  void add_crashes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::server_crash>>> crashes) {
+    fbb_.AddOffset(crash_report::VT_CRASHES, crashes);
+  }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(crash_report::VT_AGE_MS, age_ms, 0);
+  }
+  explicit crash_reportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<crash_report> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<crash_report>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<crash_report> Createcrash_report(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> request = 0,
+    flatbuffers::Offset<flatbuffers::String> organisation = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::server_crash>>> crashes = 0,
+    uint32_t age_ms = 0) {
+  crash_reportBuilder builder_(_fbb);
+  builder_.add_age_ms(age_ms);
+  builder_.add_crashes(crashes);
+  builder_.add_organisation(organisation);
+  builder_.add_request(request);
+  return builder_.Finish();
+}
+
+struct crash_report::Traits {
+  using type = crash_report;
+  static auto constexpr Create = Createcrash_report;
+};
+
+inline flatbuffers::Offset<crash_report> Createcrash_reportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *request = nullptr,
+    const char *organisation = nullptr,
+    const std::vector<flatbuffers::Offset<godwit::wire::format::server_crash>> *crashes = nullptr,
+    uint32_t age_ms = 0) {
+  auto request__ = request ? _fbb.CreateString(request) : 0;
+  auto organisation__ = organisation ? _fbb.CreateString(organisation) : 0;
+  auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<godwit::wire::format::server_crash>>(*crashes) : 0;
+  return godwit::wire::format::Createcrash_report(
+      _fbb,
+      request__,
+      organisation__,
+      crashes__,
+      age_ms);
+}
+
+struct crash_reports FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef crash_reportsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REPORTS = 4,
+    VT_COMPLETED = 6
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::crash_report>> *reports() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::crash_report>> *>(VT_REPORTS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *completed() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_COMPLETED);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_REPORTS) &&
+           verifier.VerifyVector(reports()) &&
+           verifier.VerifyVectorOfTables(reports()) &&
+           VerifyOffset(verifier, VT_COMPLETED) &&
+           verifier.VerifyVector(completed()) &&
+           verifier.VerifyVectorOfStrings(completed()) &&
+           verifier.EndTable();
+  }
+};
+
+struct crash_reportsBuilder {
+  typedef crash_reports Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_reports(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::crash_report>>> reports) {
+    fbb_.AddOffset(crash_reports::VT_REPORTS, reports);
+  }
+  void add_completed(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> completed) {
+    fbb_.AddOffset(crash_reports::VT_COMPLETED, completed);
+  }
+  explicit crash_reportsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<crash_reports> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<crash_reports>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<crash_reports> Createcrash_reports(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::crash_report>>> reports = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> completed = 0) {
+  crash_reportsBuilder builder_(_fbb);
+  builder_.add_completed(completed);
+  builder_.add_reports(reports);
+  return builder_.Finish();
+}
+
+struct crash_reports::Traits {
+  using type = crash_reports;
+  static auto constexpr Create = Createcrash_reports;
+};
+
+inline flatbuffers::Offset<crash_reports> Createcrash_reportsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<godwit::wire::format::crash_report>> *reports = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *completed = nullptr) {
+  auto reports__ = reports ? _fbb.CreateVector<flatbuffers::Offset<godwit::wire::format::crash_report>>(*reports) : 0;
+  auto completed__ = completed ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*completed) : 0;
+  return godwit::wire::format::Createcrash_reports(
+      _fbb,
+      reports__,
+      completed__);
+}
+
 struct frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef frameBuilder Builder;
   struct Traits;
@@ -3350,6 +3618,9 @@
   const godwit::wire::format::table_changes *payload_as_table_changes() const {
     return payload_type() == godwit::wire::format::payload::table_changes ? static_cast<const godwit::wire::format::table_changes *>(payload()) : nullptr;
   }
+  const godwit::wire::format::crash_reports *payload_as_crash_reports() const {
+    return payload_type() == godwit::wire::format::payload::crash_reports ? static_cast<const godwit::wire::format::crash_reports *>(payload()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_PAYLOAD_TYPE, 1) &&
@@ -3455,6 +3726,10 @@
   return payload_as_table_changes();
 }
 
+template<> inline const godwit::wire::format::crash_reports *frame::payload_as<godwit::wire::format::crash_reports>() const {
+  return payload_as_crash_reports();
+}
+
 struct frameBuilder {
   typedef frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -3592,6 +3867,10 @@
       auto ptr = reinterpret_cast<const godwit::wire::format::table_changes *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case payload::crash_reports: {
+      auto ptr = reinterpret_cast<const godwit::wire::format::crash_reports *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/libraries/wire/src/link.cpp
+++ b/libraries/wire/src/link.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <variant>
 
 namespace godwit::wire {
 
@@ -19,6 +20,17 @@
         "none is needed; the connecting side tries again"};
 }
 
+// Number of kinds that releases without `hello::message_kinds` can read.
+constexpr std::size_t legacy_message_kinds = 24;
+
+// A peer closes the link when it receives a frame of an unknown kind.
+bool can_read(const hello& peer, const message& value)
+{
+    const std::size_t kinds =
+        std::max<std::size_t>(peer.message_kinds, legacy_message_kinds);
+    return value.index() < kinds;
+}
+
 } // namespace
 
 core::result<std::shared_ptr<link>> link::create(
@@ -30,6 +42,7 @@
     auto encoder = GODWIT_TRY(frame_encoder::create(options.frame_limit));
     auto decoder = GODWIT_TRY(frame_decoder::create(options.frame_limit));
     self.version = protocol_version;
+    self.message_kinds = std::variant_size_v<message>;
     return std::shared_ptr<link>(new link(
         std::move(socket),
         options,
@@ -70,7 +83,7 @@
 
 void link::send(const message& value)
 {
-    if (closed_)
+    if (closed_ || (peer_ && !can_read(*peer_, value)))
         return;
     const auto frame = encoder_.encode(value);
     if (!frame) {
--- a/libraries/wire/src/message.cpp
+++ b/libraries/wire/src/message.cpp
@@ -32,7 +32,8 @@
             "host_work",
             "link_claim",
             "cell_work",
-            "table_changes"};
+            "table_changes",
+            "crash_reports"};
     return names.at(value.index());
 }
 
--- a/libraries/wire/src/message_reader.cpp
+++ b/libraries/wire/src/message_reader.cpp
@@ -13,7 +13,8 @@
         .zone = reader.identifier<core::zone_name>(table.zone()),
         .incarnation =
             reader.identifier<core::incarnation_id>(table.incarnation()),
-        .address = reader.text(table.address())};
+        .address = reader.text(table.address()),
+        .message_kinds = table.message_kinds()};
 }
 
 heartbeat read(const format::heartbeat& /*table*/, frame_reader& /*reader*/)
@@ -272,4 +273,28 @@
         .steps = reader.list<table_step>(table.steps())};
 }
 
+server_crash read(const format::server_crash& table, frame_reader& reader)
+{
+    return server_crash{
+        .server = reader.text(table.server()),
+        .started_at_ms = table.started_at_ms()};
+}
+
+crash_report read(const format::crash_report& table, frame_reader& reader)
+{
+    return crash_report{
+        .request = reader.text(table.request()),
+        .organisation =
+            reader.identifier<core::organisation_name>(table.organisation()),
+        .crashes = reader.list<server_crash>(table.crashes()),
+        .age_ms = table.age_ms()};
+}
+
+crash_reports read(const format::crash_reports& table, frame_reader& reader)
+{
+    return crash_reports{
+        .reports = reader.list<crash_report>(table.reports()),
+        .completed = reader.identifiers<std::string>(table.completed())};
+}
+
 } // namespace godwit::wire
--- a/libraries/wire/src/message_reader.hpp
+++ b/libraries/wire/src/message_reader.hpp
@@ -45,5 +45,8 @@
 cell_work read(const format::cell_work& table, frame_reader& reader);
 table_step read(const format::table_step& table, frame_reader& reader);
 table_changes read(const format::table_changes& table, frame_reader& reader);
+server_crash read(const format::server_crash& table, frame_reader& reader);
+crash_report read(const format::crash_report& table, frame_reader& reader);
+crash_reports read(const format::crash_reports& table, frame_reader& reader);
 
 } // namespace godwit::wire
--- a/libraries/wire/src/message_writer.cpp
+++ b/libraries/wire/src/message_writer.cpp
@@ -64,7 +64,8 @@
         text(out, value.host),
         text(out, value.zone),
         text(out, value.incarnation),
-        text(out, value.address));
+        text(out, value.address),
+        value.message_kinds);
 }
 
 flatbuffers::Offset<format::heartbeat>
@@ -334,4 +335,31 @@
         out, bytes(out, value.base), list(out, value.steps));
 }
 
+flatbuffers::Offset<format::server_crash>
+write(builder& out, const server_crash& value)
+{
+    return format::Createserver_crash(
+        out, text(out, value.server), value.started_at_ms);
+}
+
+flatbuffers::Offset<format::crash_report>
+write(builder& out, const crash_report& value)
+{
+    return format::Createcrash_report(
+        out,
+        text(out, value.request),
+        text(out, value.organisation),
+        list(out, value.crashes),
+        value.age_ms);
+}
+
+flatbuffers::Offset<format::crash_reports>
+write(builder& out, const crash_reports& value)
+{
+    return format::Createcrash_reports(
+        out,
+        list(out, value.reports),
+        out.CreateVectorOfStrings(value.completed));
+}
+
 } // namespace godwit::wire
--- a/libraries/wire/src/message_writer.hpp
+++ b/libraries/wire/src/message_writer.hpp
@@ -67,5 +67,11 @@
 write(flatbuffers::FlatBufferBuilder& out, const table_step& value);
 flatbuffers::Offset<format::table_changes>
 write(flatbuffers::FlatBufferBuilder& out, const table_changes& value);
+flatbuffers::Offset<format::server_crash>
+write(flatbuffers::FlatBufferBuilder& out, const server_crash& value);
+flatbuffers::Offset<format::crash_report>
+write(flatbuffers::FlatBufferBuilder& out, const crash_report& value);
+flatbuffers::Offset<format::crash_reports>
+write(flatbuffers::FlatBufferBuilder& out, const crash_reports& value);
 
 } // namespace godwit::wire
--- a/services/entry/include/godwit/entry/call_log.hpp
+++ b/services/entry/include/godwit/entry/call_log.hpp
@@ -52,6 +52,14 @@
     const admission::request_fingerprint& fingerprint,
     bool server_leaves);
 
+/// The number of crashes recorded for a request changed; `source` names the
+/// host that reported the change.
+void log_crash_count(
+    std::string_view source,
+    const admission::request_fingerprint& request,
+    std::size_t crashes,
+    bool is_quarantined);
+
 /// A stream's answer was cut midway.
 void log_cut(
     const accepted_call& call,
--- a/services/entry/include/godwit/entry/entry_context.hpp
+++ b/services/entry/include/godwit/entry/entry_context.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <godwit/admission/request_quarantine.hpp>
 #include <godwit/entry/dialect.hpp>
 #include <godwit/entry/entry_settings.hpp>
 #include <godwit/entry/link_claims.hpp>
@@ -49,6 +50,7 @@
     placement::server_health health;
     placement::server_paces paces;
     placement::placer chooser;
+    admission::request_quarantine quarantine;
     retry_budgets budgets;
     waiting_line line;
     stream_register streams;
--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -195,6 +195,11 @@
     void hear_claim(const core::host_name& host, const wire::link_claim& said);
     void hear_work(const wire::hello& peer, const wire::host_work& said);
     void hear_cell(const core::host_name& host, const wire::cell_work& said);
+    [[nodiscard]] wire::crash_reports crash_reports_to_tell() const;
+    void hear_crash_reports(
+        const core::host_name& host, const wire::crash_reports& said);
+    void
+    refuse_crash_reports(const core::host_name& host, const core::error& why);
     [[nodiscard]] std::vector<placement::server_work> believed(
         const core::host_name& host,
         const std::vector<wire::server_work>& said);
@@ -231,6 +236,8 @@
     std::set<placement::server_id> changed_servers_; ///< Not told yet.
     core::time_point compared_at_{};
     std::set<core::host_name> false_gaps_from_; ///< Hosts that were logged.
+    /// Hosts whose malformed crash reports were logged.
+    std::set<core::host_name> malformed_crash_reports_from_;
     std::size_t fleet_size_ = 1;
     bool is_telling_work_ = false;
     bool has_servers_ = false;
--- a/services/entry/include/godwit/entry/whole_call.hpp
+++ b/services/entry/include/godwit/entry/whole_call.hpp
@@ -34,6 +34,8 @@
         bool is_failure = true;
     };
 
+    /// Whether the request is quarantined; `last` then holds what to answer.
+    [[nodiscard]] bool apply_quarantine(attempt_result& last) const;
     [[nodiscard]] bool may_repeat(core::time_point now);
     [[nodiscard]] core::time_point attempt_end(core::time_point now);
     boost::asio::awaitable<std::optional<placement::backend_server>> place();
--- a/services/entry/src/call_answers.cpp
+++ b/services/entry/src/call_answers.cpp
@@ -50,7 +50,8 @@
         call.routes->version(),
         now - call.arrived);
     metrics.finished(outcome_of(reason), now);
-    const bool can_come_back = outcome_of(reason) == core::outcome::not_run;
+    const bool can_come_back = outcome_of(reason) == core::outcome::not_run &&
+                               reason != refusal_reason::quarantined;
     http::response answer = make_refusal(
         reason,
         can_come_back ? std::optional<core::duration>(come_back_after)
--- a/services/entry/src/call_log.cpp
+++ b/services/entry/src/call_log.cpp
@@ -115,6 +115,22 @@
          {"age_ms", milliseconds(core::monotonic_now() - call.arrived)}});
 }
 
+void log_crash_count(
+    std::string_view source,
+    const admission::request_fingerprint& request,
+    std::size_t crashes,
+    bool is_quarantined)
+{
+    telemetry::log_event(
+        telemetry::log_level::info,
+        component,
+        "crashes_known",
+        {{"fingerprint", request},
+         {"crashes", crashes},
+         {"quarantined", is_quarantined},
+         {"source", source}});
+}
+
 void log_cut(
     const accepted_call& call,
     const placement::backend_server& server,
--- /dev/null
+++ b/services/entry/src/crash_words.cpp
@@ -0,0 +1,80 @@
+#include <godwit/entry/crash_words.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <limits>
+
+namespace godwit::entry {
+
+namespace {
+
+constexpr std::size_t fingerprint_digits = 32;
+
+core::duration age_of(const wire::crash_report& received)
+{
+    return std::chrono::milliseconds(received.age_ms);
+}
+
+std::uint32_t age_ms(core::duration age)
+{
+    constexpr std::int64_t longest = std::numeric_limits<std::uint32_t>::max();
+    const std::int64_t whole =
+        std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
+    return static_cast<std::uint32_t>(
+        std::clamp<std::int64_t>(whole, 0, longest));
+}
+
+} // namespace
+
+wire::crash_report
+to_wire(const admission::crash_report& report, core::time_point now)
+{
+    wire::crash_report converted{
+        report.request.value(),
+        report.organisation,
+        {},
+        age_ms(now - report.last_crash)};
+    for (const admission::server_crash& crash : report.crashes)
+        converted.crashes.push_back(
+            {crash.server.value(), crash.start.unix_ms});
+    return converted;
+}
+
+core::result<admission::request_fingerprint>
+to_fingerprint(const std::string& text)
+{
+    const bool is_valid =
+        text.size() == fingerprint_digits &&
+        text.find_first_not_of("0123456789abcdef") == std::string::npos;
+    if (!is_valid)
+        return core::fail(
+            core::error_kind::protocol,
+            "a request fingerprint from a neighbour is not 32 lower-case "
+            "hexadecimal digits",
+            "check that the neighbour runs this release");
+    return admission::request_fingerprint(text);
+}
+
+core::result<admission::crash_report>
+to_crash_report(const wire::crash_report& received, core::time_point now)
+{
+    admission::crash_report report;
+    report.request = GODWIT_TRY(to_fingerprint(received.request));
+    report.organisation = received.organisation;
+    report.last_crash = now - age_of(received);
+    for (const wire::server_crash& crash : received.crashes) {
+        if (crash.server.empty())
+            return core::fail(
+                core::error_kind::protocol,
+                "a crash report from a neighbour has a crash without a server "
+                "id",
+                "check that the neighbour runs this release");
+        report.crashes.push_back(
+            {placement::server_id(crash.server),
+             placement::server_start{crash.started_at_ms}});
+    }
+    return report;
+}
+
+} // namespace godwit::entry
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -293,12 +293,14 @@
     // would look full.
     if (!neighbours_->cell().empty())
         context_.ledger.keep_neighbours(neighbours_->cell_mates());
-    std::erase_if(false_gaps_from_, [&hosts](const core::host_name& host) {
+    const auto is_unknown = [&hosts](const core::host_name& host) {
         return std::none_of(
             hosts.begin(), hosts.end(), [&host](const known_host& known) {
                 return known.name == host;
             });
-    });
+    };
+    std::erase_if(false_gaps_from_, is_unknown);
+    std::erase_if(malformed_crash_reports_from_, is_unknown);
 }
 
 // New requests at a server that hangs would be lost with those that run.
@@ -335,6 +337,7 @@
 {
     for (const auto& gone : context_.directory.expire(core::monotonic_now()))
         left(gone, "lapsed");
+    context_.quarantine.expire(core::monotonic_now());
     context_.line.wake();
     tell_servers();
     tell_work();
--- /dev/null
+++ b/services/entry/src/entry_process_crashes.cpp
@@ -0,0 +1,83 @@
+#include <godwit/entry/entry_process.hpp>
+
+#include <godwit/entry/call_log.hpp>
+#include <godwit/entry/crash_words.hpp>
+
+#include <godwit/telemetry/log.hpp>
+
+// Exchange of crash reports between entry hosts.
+
+namespace godwit::entry {
+
+using telemetry::log_event;
+using telemetry::log_level;
+
+namespace {
+
+constexpr std::string_view component = "neighbours";
+
+} // namespace
+
+wire::crash_reports entry_process::crash_reports_to_tell() const
+{
+    const core::time_point now = core::monotonic_now();
+    wire::crash_reports message;
+    for (const admission::crash_report& report : context_.quarantine.reports())
+        message.reports.push_back(to_wire(report, now));
+    return message;
+}
+
+// Forwards changes, so that they reach hosts to which their source has no link.
+void entry_process::hear_crash_reports(
+    const core::host_name& host, const wire::crash_reports& said)
+{
+    const core::time_point now = core::monotonic_now();
+    wire::crash_reports changes;
+    for (const wire::crash_report& received : said.reports) {
+        const auto report = to_crash_report(received, now);
+        if (!report) {
+            refuse_crash_reports(host, report.error());
+            return;
+        }
+        if (!context_.quarantine.add(*report, now))
+            continue;
+        changes.reports.push_back(received);
+        log_crash_count(
+            host.value(),
+            report->request,
+            context_.quarantine.crash_count(report->request),
+            context_.quarantine.is_quarantined(report->request, now));
+    }
+    for (const std::string& completed : said.completed) {
+        const auto request = to_fingerprint(completed);
+        if (!request) {
+            refuse_crash_reports(host, request.error());
+            return;
+        }
+        if (!context_.quarantine.remove(*request))
+            continue;
+        changes.completed.push_back(completed);
+        log_crash_count(host.value(), *request, 0, false);
+    }
+    if (!changes.reports.empty() || !changes.completed.empty())
+        neighbours_->broadcast(changes);
+}
+
+// Counts every refused message, but logs only the first one from each host.
+void entry_process::refuse_crash_reports(
+    const core::host_name& host, const core::error& why)
+{
+    context_.metrics
+        ->counter(
+            "godwit_refused_crash_reports_total",
+            "Messages of neighbours about crashes that cannot be read.")
+        .Increment();
+    if (malformed_crash_reports_from_.insert(host).second)
+        log_event(
+            log_level::warning,
+            component,
+            "crash_report_refused",
+            {{"neighbour", host}, {"cause", why.message()}});
+}
+
+} // namespace godwit::entry
--- a/services/entry/src/entry_process_neighbours.cpp
+++ b/services/entry/src/entry_process_neighbours.cpp
@@ -66,6 +66,8 @@
     if (outage_.is_current())
         said.emplace_back(servers_to_tell());
     said.emplace_back(work_to_tell());
+    if (!context_.quarantine.empty())
+        said.emplace_back(crash_reports_to_tell());
     // Afterwards it hears what changes.
     if (!neighbours_->is_cell_mate(peer.host)) {
         if (auto sums = cell_report_.whole(neighbours_->cell()))
@@ -199,6 +201,8 @@
         hear_claim(peer.host, *claim);
     else if (const auto* cell = std::get_if<wire::cell_work>(&said))
         hear_cell(peer.host, *cell);
+    else if (const auto* crashes = std::get_if<wire::crash_reports>(&said))
+        hear_crash_reports(peer.host, *crashes);
 }
 
 void entry_process::hear_claim(
--- a/services/entry/src/entry_process_operators.cpp
+++ b/services/entry/src/entry_process_operators.cpp
@@ -52,6 +52,13 @@
     set("godwit_requests_waiting",
         "Requests that wait for room at the backend servers.",
         static_cast<double>(context_.line.size()));
+    set("godwit_requests_suspected",
+        "Requests under which backend servers crashed lately.",
+        static_cast<double>(context_.quarantine.size()));
+    set("godwit_requests_quarantined",
+        "Requests that are sent to no server, because they crash them.",
+        static_cast<double>(
+            context_.quarantine.quarantined_count(core::monotonic_now())));
     set("godwit_neighbours_linked",
         "Entry hosts with an open link.",
         static_cast<double>(neighbours_->open_links()));
--- a/services/entry/src/lost_runs.cpp
+++ b/services/entry/src/lost_runs.cpp
@@ -2,6 +2,7 @@
 
 #include <godwit/entry/call_answers.hpp>
 #include <godwit/entry/call_log.hpp>
+#include <godwit/entry/crash_words.hpp>
 
 namespace godwit::entry {
 
@@ -16,9 +17,46 @@
     const accepted_call& call,
     const placement::backend_server& server)
 {
+    const admission::request_fingerprint request = fingerprint_of(call);
     // A server may abort its runs when it leaves, so such losses are expected.
     const bool server_leaves = context.directory.left_at(server.id).has_value();
-    log_run_lost(call, server, fingerprint_of(call), server_leaves);
+    log_run_lost(call, server, request, server_leaves);
+    if (server_leaves)
+        return;
+    const core::time_point now = core::monotonic_now();
+    const admission::crash_report report{
+        request,
+        call.organisation.value_or(core::organisation_name()),
+        {{server.id, server.start}},
+        now};
+    if (!context.quarantine.add(report, now))
+        return;
+    log_crash_count(
+        context.settings.host.value(),
+        request,
+        context.quarantine.crash_count(request),
+        context.quarantine.is_quarantined(request, now));
+    if (context.tell)
+        context.tell(wire::crash_reports{{to_wire(report, now)}, {}});
+}
+
+void record_completed_run(entry_context& context, const accepted_call& call)
+{
+    if (context.quarantine.empty())
+        return;
+    const admission::request_fingerprint request = fingerprint_of(call);
+    if (!context.quarantine.remove(request))
+        return;
+    log_crash_count(context.settings.host.value(), request, 0, false);
+    if (context.tell)
+        context.tell(wire::crash_reports{{}, {request.value()}});
+}
+
+bool is_quarantined(const entry_context& context, const accepted_call& call)
+{
+    return !context.quarantine.empty() &&
+           context.quarantine.is_quarantined(
+               fingerprint_of(call), core::monotonic_now());
 }
 
 } // namespace godwit::entry
--- a/services/entry/src/stream_call.cpp
+++ b/services/entry/src/stream_call.cpp
@@ -84,6 +84,10 @@
 asio::awaitable<bool> stream_call::start()
 {
     while (!caller_gone_) {
+        if (is_quarantined(context_, *call_)) {
+            co_await refuse(refusal_reason::quarantined);
+            co_return false;
+        }
         auto room = co_await search_.next();
         if (caller_gone_)
             co_return false;
@@ -93,6 +97,10 @@
         }
         reserved_ = std::move(room->reserved);
         hold_ = std::move(room->hold);
+        if (is_quarantined(context_, *call_)) {
+            drop_hold(room->server);
+            continue;
+        }
         auto head = co_await send_to(std::move(room->server));
         if (head) {
             co_await relay(std::move(*head));
@@ -250,6 +258,7 @@
             active_->finish();
             stop_migration();
             context_.health.succeeded(active_->server().id);
+            record_completed_run(context_, *call_);
             metrics_.finished(core::outcome::completed, core::monotonic_now());
             log_stream_completed(*call_, active_->server(), pace_);
             [[maybe_unused]] const auto ended =
--- a/services/entry/src/whole_call.cpp
+++ b/services/entry/src/whole_call.cpp
@@ -61,11 +61,11 @@
     attempt_result last;
     last.refusal = refusal_reason::no_server;
     last.may_have_run = false;
-    while (!caller_gone_) {
+    while (!caller_gone_ && !apply_quarantine(last)) {
         const auto server = co_await place();
         if (caller_gone_)
             co_return;
-        if (!server)
+        if (!server || apply_quarantine(last))
             break;
         attempt_result now = co_await attempt(*server);
         // A refusal says nothing more than what is already known, and an
@@ -82,6 +82,17 @@
     co_await deliver(std::move(last));
 }
 
+// `quarantined` means not run, so it must not replace the result of an attempt
+// that a server may have run.
+bool whole_call::apply_quarantine(attempt_result& last) const
+{
+    if (!is_quarantined(context_, call_))
+        return false;
+    if (!last.may_have_run)
+        last.refusal = refusal_reason::quarantined;
+    return true;
+}
+
 void whole_call::caller_left()
 {
     metrics_.finished(core::outcome::interrupted, core::monotonic_now());
@@ -200,6 +211,7 @@
         context_.health.failed(server.id);
     else
         context_.health.succeeded(server.id);
+    record_completed_run(context_, call_);
     result.is_failure = is_error;
     result.answer = http::response{
         head->status,
--- /dev/null
+++ b/tests/platform_adapter/crashing_requests_test.cpp
@@ -0,0 +1,285 @@
+// Guards against a request that crashes servers being sent to one server after
+// another as long as its caller repeats it.
+
+#include "stand_in_neighbours.hpp"
+#include "stream_pieces.hpp"
+#include "world.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <thread>
+#include <utility>
+
+namespace {
+
+using namespace godwit;
+using namespace godwit::platform_adapter::test;
+namespace asio = boost::asio;
+
+constexpr const char* crashing_body = "crash";
+
+// Breaks the connection after the head of the answer to `crashing_body`.
+asio::awaitable<void> crash_or_answer(http::exchange& asked)
+{
+    if (asked.received().body == crashing_body) {
+        [[maybe_unused]] const auto begun = co_await asked.start_stream(
+            200, stand_in_server::signed_fields(asked));
+        asked.cut();
+        co_return;
+    }
+    http::response whole = stand_in_server::answer(asked, 200, event(1));
+    [[maybe_unused]] const auto sent = co_await asked.respond(std::move(whole));
+}
+
+class crashing_requests_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(crashing_requests_test);
+    CPPUNIT_TEST(test_a_repeated_stream_crashes_three_servers_at_most);
+    CPPUNIT_TEST(test_a_repeated_whole_call_crashes_three_servers_at_most);
+    CPPUNIT_TEST(test_automatic_retries_crash_three_servers_at_most);
+    CPPUNIT_TEST(test_a_quarantined_request_is_refused_without_retry_after);
+    CPPUNIT_TEST(test_other_requests_are_served_during_a_quarantine);
+    CPPUNIT_TEST(test_a_completed_run_between_crashes_prevents_a_quarantine);
+    CPPUNIT_TEST(test_runs_lost_at_a_leaving_server_do_not_count);
+    CPPUNIT_TEST(test_crashes_reported_by_neighbours_count);
+    CPPUNIT_TEST(test_a_new_neighbour_receives_the_known_crashes);
+    CPPUNIT_TEST(test_a_malformed_report_changes_nothing);
+    CPPUNIT_TEST_SUITE_END();
+
+    world world_;
+
+    void begin()
+    {
+        world_.first().behave(&crash_or_answer);
+        world_.second().behave(&crash_or_answer);
+        world_.begin();
+        restart_servers();
+    }
+
+    void restart_servers()
+    {
+        world_.restart(world_.first());
+        world_.restart(world_.second());
+    }
+
+    static std::optional<wire::message> no_table(const wire::pull& /*asked*/)
+    {
+        return std::nullopt;
+    }
+
+    std::uint64_t quarantined_count()
+    {
+        return world_.look<std::uint64_t>([](entry::entry_process& process) {
+            return process.context().quarantine.quarantined_count(
+                core::monotonic_now());
+        });
+    }
+
+    std::size_t crash_count()
+    {
+        std::size_t count = 0;
+        for (stand_in_server* server : {&world_.first(), &world_.second()}) {
+            const auto received = server->received();
+            count += static_cast<std::size_t>(std::count_if(
+                received.begin(), received.end(), [](const http::request& one) {
+                    return one.body == crashing_body;
+                }));
+        }
+        return count;
+    }
+
+    void repeat_crashing_request(const std::string& path)
+    {
+        constexpr int repeats = 8;
+        for (int repeat = 0; repeat < repeats; ++repeat) {
+            [[maybe_unused]] const auto answer =
+                world_.call_unless_cut(path, crashing_body);
+            restart_servers();
+        }
+    }
+
+    void test_a_repeated_stream_crashes_three_servers_at_most()
+    {
+        begin();
+        repeat_crashing_request("/stream/");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, crash_count());
+    }
+
+    void test_a_repeated_whole_call_crashes_three_servers_at_most()
+    {
+        begin();
+        repeat_crashing_request("/plain/");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, crash_count());
+    }
+
+    // The route is idempotent and allows two attempts for each call.
+    void test_automatic_retries_crash_three_servers_at_most()
+    {
+        begin();
+        repeat_crashing_request("/again/");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, crash_count());
+    }
+
+    void test_a_quarantined_request_is_refused_without_retry_after()
+    {
+        begin();
+        repeat_crashing_request("/stream/");
+        const auto answer = world_.call_unless_cut("/stream/", crashing_body);
+        CPPUNIT_ASSERT(answer);
+        CPPUNIT_ASSERT_EQUAL(503U, answer->status);
+        CPPUNIT_ASSERT(!answer->fields.find("Retry-After"));
+        CPPUNIT_ASSERT_EQUAL(
+            std::string(R"({"title":"quarantined","outcome":"not_run"})"),
+            answer->body);
+    }
+
+    void test_other_requests_are_served_during_a_quarantine()
+    {
+        begin();
+        repeat_crashing_request("/stream/");
+        for (const char* body : {"", "crasher", "other"}) {
+            const auto answer = world_.call_unless_cut("/stream/", body);
+            CPPUNIT_ASSERT(answer);
+            CPPUNIT_ASSERT_EQUAL(200U, answer->status);
+        }
+        // The same body on another route is another request.
+        [[maybe_unused]] const auto cut =
+            world_.call_unless_cut("/plain/", crashing_body);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, crash_count());
+    }
+
+    void test_a_completed_run_between_crashes_prevents_a_quarantine()
+    {
+        begin();
+        std::atomic<bool> is_crashing = false;
+        const auto behaviour =
+            [&is_crashing](http::exchange& asked) -> asio::awaitable<void> {
+            if (is_crashing && asked.received().body == "probe") {
+                asked.cut();
+                co_return;
+            }
+            http::response whole = stand_in_server::answer(asked, 200, "hello");
+            [[maybe_unused]] const auto sent =
+                co_await asked.respond(std::move(whole));
+        };
+        world_.first().behave(behaviour);
+        world_.second().behave(behaviour);
+        for (int round = 0; round < 6; ++round) {
+            is_crashing = true;
+            const auto lost = world_.call_unless_cut("/plain/", "probe");
+            CPPUNIT_ASSERT(!lost || lost->status == 502);
+            restart_servers();
+            is_crashing = false;
+            const auto answer = world_.call_unless_cut("/plain/", "probe");
+            CPPUNIT_ASSERT(answer);
+            CPPUNIT_ASSERT_EQUAL(200U, answer->status);
+        }
+    }
+
+    // A server that leaves breaks the connections of its remaining runs when it
+    // ends.
+    void test_runs_lost_at_a_leaving_server_do_not_count()
+    {
+        constexpr int restarts = 4;
+        for (int restart = 0; restart < restarts; ++restart) {
+            world_.first().behave(
+                [this](http::exchange& asked) -> asio::awaitable<void> {
+                    [[maybe_unused]] const auto begun =
+                        co_await asked.start_stream(
+                            200, stand_in_server::signed_fields(asked));
+                    [[maybe_unused]] const auto first =
+                        co_await asked.write_chunk(event(1));
+                    co_await sleep(asked, 300);
+                    asked.cut();
+                });
+            if (restart == 0)
+                world_.begin_with_first();
+            world_.restart(world_.first());
+            std::thread leaving([this] {
+                std::this_thread::sleep_for(std::chrono::milliseconds(100));
+                world_.list(world_.first(), "draining");
+            });
+            [[maybe_unused]] const auto cut =
+                world_.call_unless_cut("/stream/", "sound");
+            leaving.join();
+        }
+        CPPUNIT_ASSERT(world_.look<bool>([](entry::entry_process& process) {
+            return process.context().quarantine.empty();
+        }));
+    }
+
+    void test_crashes_reported_by_neighbours_count()
+    {
+        begin();
+        stand_in_neighbours others(2, world_.neighbours(), &no_table);
+        others.announce(1);
+        [[maybe_unused]] const auto cut =
+            world_.call_unless_cut("/stream/", crashing_body);
+        world::wait("the report", [&others] {
+            return others.crash_reports().size() >= 2;
+        });
+        wire::crash_reports message = others.crash_reports().front();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, message.reports.size());
+        message.reports.front().crashes = {{"i-8", 1}, {"i-9", 1}};
+        others.say(message);
+        world::wait(
+            "the quarantine", [this] { return quarantined_count() == 1; });
+        [[maybe_unused]] const auto refused =
+            world_.call_unless_cut("/stream/", crashing_body);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, crash_count());
+
+        message.completed = {message.reports.front().request};
+        message.reports.clear();
+        others.say(message);
+        world::wait("the end of the quarantine", [this] {
+            return quarantined_count() == 0;
+        });
+    }
+
+    void test_a_new_neighbour_receives_the_known_crashes()
+    {
+        begin();
+        repeat_crashing_request("/stream/");
+        stand_in_neighbours others(1, world_.neighbours(), &no_table);
+        world::wait("the report", [&others] {
+            return !others.crash_reports().empty();
+        });
+        const auto received = others.crash_reports().front();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, received.reports.size());
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t{3}, received.reports.front().crashes.size());
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("north"),
+            received.reports.front().organisation.value());
+    }
+
+    void test_a_malformed_report_changes_nothing()
+    {
+        begin();
+        stand_in_neighbours others(1, world_.neighbours(), &no_table);
+        others.say(wire::crash_reports{
+            {{"no fingerprint",
+              core::organisation_name("north"),
+              {{"i-1", 1}, {"i-2", 1}, {"i-3", 1}},
+              0}},
+            {"no fingerprint either"}});
+        const std::string counter = "godwit_refused_crash_reports_total 1";
+        world::wait("the refused report", [this, &counter] {
+            return world_.ask_operators("/metrics").body.find(counter) !=
+                   std::string::npos;
+        });
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, quarantined_count());
+        CPPUNIT_ASSERT_EQUAL(200U, world_.call("POST", "/plain/").status);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(crashing_requests_test);
+
+} // namespace
--- a/tests/platform_adapter/stand_in_neighbours.cpp
+++ b/tests/platform_adapter/stand_in_neighbours.cpp
@@ -68,12 +68,15 @@
     const bool is_table = std::holds_alternative<wire::table_changes>(said) ||
                           std::holds_alternative<wire::table_document>(said);
     const auto* pull = std::get_if<wire::pull>(&said);
+    const auto* crashes = std::get_if<wire::crash_reports>(&said);
     {
         const std::lock_guard guard(mutex_);
         if (is_table)
             tables_.push_back(said);
         if (pull != nullptr)
             asked_.push_back(name);
+        if (crashes != nullptr)
+            crash_reports_.push_back(*crashes);
     }
     if (pull == nullptr)
         return;
@@ -116,6 +119,12 @@
     return asked_;
 }
 
+std::vector<wire::crash_reports> stand_in_neighbours::crash_reports() const
+{
+    const std::lock_guard guard(mutex_);
+    return crash_reports_;
+}
+
 std::vector<wire::message> stand_in_neighbours::tables() const
 {
     const std::lock_guard guard(mutex_);
--- a/tests/platform_adapter/stand_in_neighbours.hpp
+++ b/tests/platform_adapter/stand_in_neighbours.hpp
@@ -45,6 +45,9 @@
     /// The names of those that were asked for a table, in their order.
     [[nodiscard]] std::vector<std::string> asked() const;
 
+    /// The crash reports that they received, in order.
+    [[nodiscard]] std::vector<wire::crash_reports> crash_reports() const;
+
     /// What they were told of tables, in its order.
     [[nodiscard]] std::vector<wire::message> tables() const;
 
@@ -65,6 +68,7 @@
     mutable std::mutex mutex_;
     std::vector<std::string> asked_;
     std::vector<wire::message> tables_;
+    std::vector<wire::crash_reports> crash_reports_;
     std::thread thread_;
 };
 
--- a/tests/platform_adapter/stand_in_server.cpp
+++ b/tests/platform_adapter/stand_in_server.cpp
@@ -59,14 +59,21 @@
         }));
 }
 
+http::header_fields stand_in_server::signed_fields(const http::exchange& asked)
+{
+    http::header_fields fields;
+    fields.set("X-Godwitworks-Replica-Signature", "signed");
+    const auto id = asked.received().fields.find("X-Godwitworks-Attempt-Id");
+    fields.set("X-Godwitworks-Attempt-Id", std::string(id.value_or("")));
+    return fields;
+}
+
 http::response stand_in_server::answer(
     const http::exchange& asked, unsigned status, std::string body)
 {
     http::response made;
     made.status = status;
-    made.fields.set("X-Godwitworks-Replica-Signature", "signed");
-    const auto id = asked.received().fields.find("X-Godwitworks-Attempt-Id");
-    made.fields.set("X-Godwitworks-Attempt-Id", std::string(id.value_or("")));
+    made.fields = signed_fields(asked);
     made.body = std::move(body);
     return made;
 }
--- a/tests/platform_adapter/stand_in_server.hpp
+++ b/tests/platform_adapter/stand_in_server.hpp
@@ -50,6 +50,10 @@
     /// How many requests were for `path`.
     [[nodiscard]] std::size_t count(const std::string& path);
 
+    /// The header fields of a signed answer to `asked`.
+    [[nodiscard]] static http::header_fields
+    signed_fields(const http::exchange& asked);
+
     /// A signed answer to `asked`.
     static http::response
     answer(const http::exchange& asked, unsigned status, std::string body);
--- a/tests/platform_adapter/world.cpp
+++ b/tests/platform_adapter/world.cpp
@@ -153,6 +153,19 @@
     });
 }
 
+void world::restart(stand_in_server& server)
+{
+    server.begin_life(++started_at_ms_);
+    list(server, "ready");
+    const placement::server_id id(server.id());
+    const placement::server_start start{started_at_ms_};
+    wait("the server's new start", [this, &id, &start] {
+        return look<bool>([&id, &start](entry::entry_process& process) {
+            return process.context().directory.find(id)->start == start;
+        });
+    });
+}
+
 void world::begin()
 {
     publish(1);
@@ -161,6 +174,13 @@
     wait("readiness", [this] { return is_ready(); });
 }
 
+void world::begin_with_first()
+{
+    publish(1);
+    list(*first_, "ready");
+    wait("readiness", [this] { return is_ready(); });
+}
+
 void world::begin_without_store()
 {
     constexpr unsigned unavailable = 503;
@@ -217,6 +237,18 @@
     }
 }
 
+std::optional<http::response> world::call_unless_cut(
+    const std::string& path, const std::string& body, const std::string& key)
+{
+    http::request request = request_for("POST", path, key, token_usage_);
+    request.body = body;
+    try {
+        return send(callers(), std::move(request));
+    } catch (const CppUnit::Exception&) {
+        return std::nullopt;
+    }
+}
+
 void world::call_and_leave(const std::string& path, int after_ms)
 {
     const http::fetch_limits limits{
--- a/tests/platform_adapter/world.hpp
+++ b/tests/platform_adapter/world.hpp
@@ -59,6 +59,10 @@
     /// Lists the server so, and waits until the entry host believes it.
     void list(stand_in_server& server, const std::string& state);
 
+    /// Lists the server with a new start time, and waits until the entry host
+    /// has it.
+    void restart(stand_in_server& server);
+
     /// Publishes version 1, lists both servers and waits until ready.
     void begin();
 
@@ -66,6 +70,9 @@
     /// store answers nobody.
     void begin_without_store();
 
+    /// As `begin`, but lists only the first server.
+    void begin_with_first();
+
     /// Sends a request with the key "k1" and the id "a1".
     [[nodiscard]] http::response call(
         const std::string& method,
@@ -75,6 +82,12 @@
     /// What a caller of the stream gets; nothing if it was cut.
     [[nodiscard]] std::optional<http::response> stream_unless_cut();
 
+    /// Sends a POST request with this body; nothing if the answer was cut.
+    [[nodiscard]] std::optional<http::response> call_unless_cut(
+        const std::string& path,
+        const std::string& body,
+        const std::string& key = "k1");
+
     /// Sends the same request and closes the connection after so long.
     void call_and_leave(const std::string& path, int after_ms);
 
@@ -121,6 +134,7 @@
     std::thread outside_thread_;
     std::thread inside_thread_;
     unsigned sequence_ = 0;
+    std::uint64_t started_at_ms_ = 0;
     unsigned hold_ms_ = 0;
     std::string token_usage_ = "100,50";
 };
--- a/tests/wire/link_test.cpp
+++ b/tests/wire/link_test.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(test_connects_again);
     CPPUNIT_TEST(test_bad_bytes_close_only_their_connection);
     CPPUNIT_TEST(test_other_version_is_refused);
+    CPPUNIT_TEST(test_a_peer_is_sent_no_kind_that_it_cannot_read);
     CPPUNIT_TEST(test_slow_reader_is_closed_at_the_bound);
     CPPUNIT_TEST(test_silent_peer_is_closed);
     CPPUNIT_TEST(test_link_limit);
@@ -205,6 +206,21 @@
         CPPUNIT_ASSERT(opened_.empty());
     }
 
+    void test_a_peer_is_sent_no_kind_that_it_cannot_read()
+    {
+        listen();
+        auto socket = raw_connection();
+        // A `hello` of an older release, without message_kinds.
+        write(socket, frame(introduce("older")));
+        wait_until([this] { return !opened_.empty(); });
+        const auto before = opened_.front()->counters().messages_sent;
+        opened_.front()->send(wire::crash_reports{{}, {"0a"}});
+        CPPUNIT_ASSERT_EQUAL(before, opened_.front()->counters().messages_sent);
+        opened_.front()->send(wire::table_changes{});
+        CPPUNIT_ASSERT_EQUAL(
+            before + 1, opened_.front()->counters().messages_sent);
+    }
+
     void test_slow_reader_is_closed_at_the_bound()
     {
         wire::link_options options;
--- a/tests/wire/sample_messages.cpp
+++ b/tests/wire/sample_messages.cpp
@@ -34,7 +34,8 @@
             host,
             core::zone_name("zone-a"),
             incarnation,
-            "127.0.0.1:1"},
+            "127.0.0.1:1",
+            25},
         heartbeat{},
         catalogue_snapshot{9, 0xfeedULL, 1, 3, "part", 4, 1700000000000},
         catalogue_change{8, 1700000000000, 0xfeedULL, std::string("\0x", 2)},
@@ -79,7 +80,14 @@
         table_changes{
             std::string("\0base", 5),
             {table_step{7, "made", 900, std::string("\x28\0", 2)},
-             table_step{8, "", 0, ""}}}};
+             table_step{8, "", 0, ""}}},
+        crash_reports{
+            {crash_report{
+                "0a1b",
+                core::organisation_name("north"),
+                {server_crash{"i-1", 1700000000000}, server_crash{"i-2", 0}},
+                1500}},
+            {"2c3d"}}};
 }
 
 } // namespace godwit::wire
