platform: store quarantines so that they survive a restart of all hosts

Hosts share crash reports only in memory. If all hosts end at the same time, or a host has no link to any other host, a request could crash three more servers on each side before it is refused.

A host that observes a crash after which a request is quarantined writes a record of it to the store. A host that observes a completed run of a quarantined request deletes the record. The records are kept in the topic of entry hosts, which every host reads at startup and follows anyway: a separate topic would cost each host another read that is open all the time.

--- a/libraries/admission/include/godwit/admission/request_quarantine.hpp
+++ b/libraries/admission/include/godwit/admission/request_quarantine.hpp
@@ -43,6 +43,10 @@
     [[nodiscard]] bool is_quarantined(
         const request_fingerprint& request, core::time_point now) const;
 
+    /// Returns the crashes recorded for the request, or null if there are none.
+    [[nodiscard]] const crash_report*
+    find(const request_fingerprint& request) const;
+
     [[nodiscard]] std::size_t
     crash_count(const request_fingerprint& request) const;
 
--- a/libraries/admission/src/request_quarantine.cpp
+++ b/libraries/admission/src/request_quarantine.cpp
@@ -100,16 +100,23 @@
 
 bool request_quarantine::is_quarantined(
     const request_fingerprint& request, core::time_point now) const
+{
+    const crash_report* report = find(request);
+    return report != nullptr && is_quarantined(*report, now);
+}
+
+const crash_report*
+request_quarantine::find(const request_fingerprint& request) const
 {
     const auto found = reports_.find(request);
-    return found != reports_.end() && is_quarantined(found->second, now);
+    return found == reports_.end() ? nullptr : &found->second;
 }
 
 std::size_t
 request_quarantine::crash_count(const request_fingerprint& request) const
 {
-    const auto found = reports_.find(request);
-    return found == reports_.end() ? 0 : found->second.crashes.size();
+    const crash_report* report = find(request);
+    return report == nullptr ? 0 : report->crashes.size();
 }
 
 std::size_t request_quarantine::quarantined_count(core::time_point now) const
--- a/services/entry/include/godwit/entry/entry_context.hpp
+++ b/services/entry/include/godwit/entry/entry_context.hpp
@@ -58,6 +58,14 @@
     placement::copy_turns copies;
     /// Tells the neighbours something; set by the process.
     std::function<void(const wire::message&)> tell;
+    /// Called on each crash recorded by this host after which the request is
+    /// quarantined, unless a neighbour or the store reported the crash; set by
+    /// the process's sources.
+    std::function<void(const admission::crash_report&)> on_quarantined;
+    /// Called when a quarantined request completes on this host; set by the
+    /// process's sources.
+    std::function<void(const admission::request_fingerprint&)>
+        on_quarantine_lifted;
     /// Work was added at a server; set by the process.
     std::function<void()> on_work_added;
     std::unique_ptr<http::connection_pool> connections;
--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -116,6 +116,15 @@
     /// The entry hosts of the fleet.
     void set_hosts(const std::vector<known_host>& hosts);
 
+    /// Adds a stored report of a request that crashed backend servers. `source`
+    /// is logged as its origin.
+    void take_crash_report(
+        const admission::crash_report& report, std::string_view source);
+
+    /// Clears the crashes of a request, which ends its quarantine.
+    void clear_crashes(
+        const admission::request_fingerprint& request, std::string_view source);
+
     /// Whether the balancer may send connections here.
     [[nodiscard]] bool is_ready() const noexcept;
 
--- a/services/entry/src/entry_process_crashes.cpp
+++ b/services/entry/src/entry_process_crashes.cpp
@@ -27,6 +27,27 @@
     return message;
 }
 
+void entry_process::take_crash_report(
+    const admission::crash_report& report, std::string_view source)
+{
+    const core::time_point now = core::monotonic_now();
+    if (!context_.quarantine.add(report, now))
+        return;
+    context_.quarantine.expire(now);
+    log_crash_count(
+        source,
+        report.request,
+        context_.quarantine.crash_count(report.request),
+        context_.quarantine.is_quarantined(report.request, now));
+}
+
+void entry_process::clear_crashes(
+    const admission::request_fingerprint& request, std::string_view source)
+{
+    if (context_.quarantine.remove(request))
+        log_crash_count(source, request, 0, false);
+}
+
 // Forwards changes, so that they reach hosts to which their source has no link.
 void entry_process::hear_crash_reports(
     const core::host_name& host, const wire::crash_reports& said)
--- a/services/entry/src/lost_runs.cpp
+++ b/services/entry/src/lost_runs.cpp
@@ -38,6 +38,9 @@
         context.quarantine.is_quarantined(request, now));
     if (context.tell)
         context.tell(wire::crash_reports{{to_wire(report, now)}, {}});
+    if (context.on_quarantined &&
+        context.quarantine.is_quarantined(request, now))
+        context.on_quarantined(*context.quarantine.find(request));
 }
 
 void record_completed_run(entry_context& context, const accepted_call& call)
@@ -45,11 +48,15 @@
     if (context.quarantine.empty())
         return;
     const admission::request_fingerprint request = fingerprint_of(call);
+    const bool was_quarantined =
+        context.quarantine.is_quarantined(request, core::monotonic_now());
     if (!context.quarantine.remove(request))
         return;
     log_crash_count(context.settings.host.value(), request, 0, false);
     if (context.tell)
         context.tell(wire::crash_reports{{}, {request.value()}});
+    if (was_quarantined && context.on_quarantine_lifted)
+        context.on_quarantine_lifted(request);
 }
 
 bool is_quarantined(const entry_context& context, const accepted_call& call)
--- a/tests/platform_adapter/crashing_requests_test.cpp
+++ b/tests/platform_adapter/crashing_requests_test.cpp
@@ -51,6 +51,8 @@
     CPPUNIT_TEST(test_crashes_reported_by_neighbours_count);
     CPPUNIT_TEST(test_a_new_neighbour_receives_the_known_crashes);
     CPPUNIT_TEST(test_a_malformed_report_changes_nothing);
+    CPPUNIT_TEST(test_a_stored_quarantine_applies_after_all_hosts_end);
+    CPPUNIT_TEST(test_deleting_the_record_ends_the_quarantine);
     CPPUNIT_TEST_SUITE_END();
 
     world world_;
@@ -74,9 +76,16 @@
         return std::nullopt;
     }
 
-    std::uint64_t quarantined_count()
+    std::optional<std::pair<std::string, std::string>> quarantine_record()
     {
-        return world_.look<std::uint64_t>([](entry::entry_process& process) {
+        return world_.store().find("keyed.hosts", "quarantine/");
+    }
+
+    std::uint64_t quarantined_count() { return quarantined_count(world_); }
+
+    static std::uint64_t quarantined_count(world& hosts)
+    {
+        return hosts.look<std::uint64_t>([](entry::entry_process& process) {
             return process.context().quarantine.quarantined_count(
                 core::monotonic_now());
         });
@@ -260,6 +269,51 @@
             received.reports.front().organisation.value());
     }
 
+    // Guards against losing a quarantine when all hosts end at the same time.
+    void test_a_stored_quarantine_applies_after_all_hosts_end()
+    {
+        begin();
+        repeat_crashing_request("/stream/");
+        world::wait("the quarantine record", [this] {
+            return quarantine_record().has_value();
+        });
+        const auto record = quarantine_record();
+        world restarted;
+        restarted.first().behave(&crash_or_answer);
+        restarted.second().behave(&crash_or_answer);
+        restarted.store().put("keyed.hosts", record->first, record->second);
+        restarted.begin();
+        world::wait("the quarantine", [&restarted] {
+            return quarantined_count(restarted) == 1;
+        });
+        const auto answer =
+            restarted.call_unless_cut("/stream/", crashing_body);
+        CPPUNIT_ASSERT(answer);
+        CPPUNIT_ASSERT_EQUAL(503U, answer->status);
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t{0},
+            restarted.first().count("/stream/") +
+                restarted.second().count("/stream/"));
+    }
+
+    void test_deleting_the_record_ends_the_quarantine()
+    {
+        begin();
+        repeat_crashing_request("/stream/");
+        world::wait("the quarantine record", [this] {
+            return quarantine_record().has_value();
+        });
+        world_.store().put(
+            "keyed.hosts", quarantine_record()->first, std::nullopt);
+        world::wait("the end of the quarantine", [this] {
+            return quarantined_count() == 0;
+        });
+        world_.store().put("keyed.hosts", "quarantine/none", "{}");
+        world_.store().put("keyed.hosts", "quarantine/", std::nullopt);
+        CPPUNIT_ASSERT_EQUAL(200U, world_.call("POST", "/plain/").status);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, quarantined_count());
+    }
+
     void test_a_malformed_report_changes_nothing()
     {
         begin();
--- a/tests/platform_adapter/stand_in_store.cpp
+++ b/tests/platform_adapter/stand_in_store.cpp
@@ -106,6 +106,18 @@
     topics_[topic].records.push_back({"", std::nullopt, true});
 }
 
+std::optional<std::pair<std::string, std::string>>
+stand_in_store::find(const std::string& topic, const std::string& key_prefix)
+{
+    const std::lock_guard lock(mutex_);
+    const auto& records = topics_[topic].records;
+    for (auto at = records.rbegin(); at != records.rend(); ++at) {
+        if (at->key.starts_with(key_prefix) && at->value)
+            return std::pair(at->key, *at->value);
+    }
+    return std::nullopt;
+}
+
 void stand_in_store::compact()
 {
     const std::lock_guard lock(mutex_);
--- a/tests/platform_adapter/stand_in_store.hpp
+++ b/tests/platform_adapter/stand_in_store.hpp
@@ -12,6 +12,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace godwit::platform_adapter::test {
@@ -43,6 +44,11 @@
     /// Forgets the records that were read; the newest of each key stay.
     void compact();
 
+    /// Returns the key and value of the newest record that has a value and
+    /// whose key starts with `key_prefix`.
+    [[nodiscard]] std::optional<std::pair<std::string, std::string>>
+    find(const std::string& topic, const std::string& key_prefix);
+
     /// Calls so far.
     [[nodiscard]] unsigned calls() const { return calls_; }
 
