core: include suspended time in the clock and in timers

CLOCK_MONOTONIC stops while a machine is suspended, and with it std::chrono::steady_clock and Asio's steady_timer. After a suspension of seconds, a host treated all its state as still fresh: messages from neighbours, servers that had left, claims on links, budget shares and the deadlines of its callers.

core::monotonic_now now reads CLOCK_BOOTTIME, which includes the time for which the machine was suspended. core::timer is Asio's timer on that clock and replaces steady_timer in libraries and services. After a suspension, timers that have expired fire with the next timer that fires, in the entry process within 50 ms.

--- a/libraries/core/include/godwit/core/time.hpp
+++ b/libraries/core/include/godwit/core/time.hpp
@@ -20,7 +20,8 @@
 /// A moment on the monotonic clock of one process, in microseconds.
 using time_point = decision_clock::time_point;
 
-/// The current moment of the process's monotonic clock; for shells only.
+/// The current moment of the process's monotonic clock, which includes the time
+/// for which the machine was suspended; for shells only.
 [[nodiscard]] time_point monotonic_now() noexcept;
 
 } // namespace godwit::core
--- a/libraries/http/src/connection.cpp
+++ b/libraries/http/src/connection.cpp
@@ -2,6 +2,8 @@
 
 #include "server_state.hpp"
 
+#include <godwit/core/timer.hpp>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
@@ -61,8 +63,8 @@
     : socket_(std::move(socket)), executor_(socket_.get_executor()),
       server_(std::move(server)), peer_(describe_peer(socket_)),
       buffer_(server_->limits().header_bytes + read_size),
-      caller_gone_signal_(executor_, asio::steady_timer::time_point::max()),
-      watch_ended_signal_(executor_, asio::steady_timer::time_point::max())
+      caller_gone_signal_(executor_, core::timer::time_point::max()),
+      watch_ended_signal_(executor_, core::timer::time_point::max())
 {}
 
 connection::~connection()
@@ -113,8 +115,7 @@
 // A caller that has just connected is about to send.
 void connection::close_unless_used_soon()
 {
-    const auto timer =
-        std::make_shared<asio::steady_timer>(executor_, drain_grace);
+    const auto timer = std::make_shared<core::timer>(executor_, drain_grace);
     timer->async_wait([kept = shared_from_this(), timer](const auto&) {
         if (kept->is_idle_ && !kept->has_unread_bytes())
             kept->close_socket();
--- a/libraries/http/src/connection.hpp
+++ b/libraries/http/src/connection.hpp
@@ -4,12 +4,12 @@
 #include "message_head.hpp"
 
 #include <godwit/core/result.hpp>
+#include <godwit/core/timer.hpp>
 #include <godwit/http/exchange.hpp>
 #include <godwit/http/rejection.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -135,8 +135,8 @@
     bool is_watching_ = false;
     bool watch_ended_ = true;
     // Both never expire; cancelling them wakes whoever waits.
-    boost::asio::steady_timer caller_gone_signal_;
-    boost::asio::steady_timer watch_ended_signal_;
+    core::timer caller_gone_signal_;
+    core::timer watch_ended_signal_;
     std::function<void()> notify_caller_gone_;
 };
 
--- a/libraries/http/src/deadline.cpp
+++ b/libraries/http/src/deadline.cpp
@@ -1,6 +1,6 @@
 #include "deadline.hpp"
 
-#include <boost/asio/steady_timer.hpp>
+#include <godwit/core/timer.hpp>
 
 namespace godwit::http {
 
@@ -13,7 +13,7 @@
         : timer(executor), socket(&guarded), action(chosen)
     {}
 
-    boost::asio::steady_timer timer;
+    core::timer timer;
     boost::asio::ip::tcp::socket* socket;
     expiry_action action;
     bool expired = false;
--- a/libraries/http/src/server_state.cpp
+++ b/libraries/http/src/server_state.cpp
@@ -2,11 +2,12 @@
 
 #include "connection.hpp"
 
+#include <godwit/core/timer.hpp>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -85,7 +86,7 @@
         }
         if (!acceptor_.is_open())
             break;
-        asio::steady_timer pause(acceptor_.get_executor(), accept_pause);
+        core::timer pause(acceptor_.get_executor(), accept_pause);
         co_await pause.async_wait(
             asio::redirect_error(asio::use_awaitable, failure));
     }
--- a/libraries/platform/include/godwit/platform/host_list_client.hpp
+++ b/libraries/platform/include/godwit/platform/host_list_client.hpp
@@ -2,6 +2,7 @@
 
 #include <godwit/core/random.hpp>
 #include <godwit/core/result.hpp>
+#include <godwit/core/timer.hpp>
 #include <godwit/http/connection_pool.hpp>
 #include <godwit/http/endpoint.hpp>
 #include <godwit/platform/host_list.hpp>
@@ -9,7 +10,6 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <memory>
@@ -49,7 +49,7 @@
     host_list_options options_;
     callback heard_;
     std::unique_ptr<http::connection_pool> pool_;
-    boost::asio::steady_timer timer_;
+    core::timer timer_;
     core::random random_;
     bool stopped_ = false;
 };
--- a/libraries/wire/include/godwit/wire/acceptor.hpp
+++ b/libraries/wire/include/godwit/wire/acceptor.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <godwit/core/result.hpp>
+#include <godwit/core/timer.hpp>
 #include <godwit/wire/link.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -66,7 +67,7 @@
     [[nodiscard]] link_handlers watch_link();
 
     boost::asio::ip::tcp::acceptor listener_;
-    boost::asio::steady_timer timer_;
+    core::timer timer_;
     boost::asio::ip::tcp::endpoint endpoint_;
     link_options options_;
     hello_source self_;
--- a/libraries/wire/include/godwit/wire/connector.hpp
+++ b/libraries/wire/include/godwit/wire/connector.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <godwit/core/result.hpp>
+#include <godwit/core/timer.hpp>
 #include <godwit/wire/backoff.hpp>
 #include <godwit/wire/link.hpp>
 
@@ -71,7 +72,7 @@
     hello_source self_;
     link_handlers handlers_;
     backoff backoff_;
-    boost::asio::steady_timer timer_;
+    core::timer timer_;
     boost::asio::ip::tcp::socket socket_;
     std::shared_ptr<link> link_;
     std::uint64_t failures_ = 0;
--- a/libraries/wire/include/godwit/wire/link.hpp
+++ b/libraries/wire/include/godwit/wire/link.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <godwit/core/result.hpp>
+#include <godwit/core/timer.hpp>
 #include <godwit/wire/frame_decoder.hpp>
 #include <godwit/wire/frame_encoder.hpp>
 #include <godwit/wire/hello.hpp>
@@ -9,7 +10,6 @@
 #include <godwit/wire/link_options.hpp>
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <array>
 #include <memory>
@@ -88,7 +88,7 @@
     void shut();
 
     socket_type socket_;
-    boost::asio::steady_timer timer_;
+    core::timer timer_;
     link_options options_;
     hello self_;
     link_handlers handlers_;
--- a/services/agent/src/agent.hpp
+++ b/services/agent/src/agent.hpp
@@ -12,13 +12,13 @@
 #include "sign_relay.hpp"
 
 #include <godwit/core/result.hpp>
+#include <godwit/core/timer.hpp>
 #include <godwit/platform/host_list_client.hpp>
 #include <godwit/platform/log_client.hpp>
 #include <godwit/telemetry/metrics.hpp>
 #include <godwit/wire/acceptor.hpp>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <memory>
@@ -123,7 +123,7 @@
     std::unique_ptr<telemetry::metrics> metrics_;
     agent_gauges gauges_;
     pause_watch pause_watch_;
-    boost::asio::steady_timer timer_;
+    core::timer timer_;
     std::shared_ptr<platform::log_client> log_;
     std::shared_ptr<platform::host_list_client> hosts_;
     std::shared_ptr<wire::acceptor> acceptor_;
--- a/services/agent/src/claims_duty.cpp
+++ b/services/agent/src/claims_duty.cpp
@@ -4,6 +4,7 @@
 #include "follow_log.hpp"
 #include "timer_wait.hpp"
 
+#include <godwit/core/timer.hpp>
 #include <godwit/telemetry/log.hpp>
 
 #include <boost/asio/post.hpp>
@@ -303,8 +304,8 @@
     proxies_.erase(links);
     // A link may break without its process; whoever is told that a holder is
     // gone gives up on the answer, so that is not said at once.
-    const auto timer = std::make_shared<boost::asio::steady_timer>(
-        executor_, settings_.proxy_grace);
+    const auto timer =
+        std::make_shared<core::timer>(executor_, settings_.proxy_grace);
     timer->async_wait([weak = weak_from_this(), incarnation, timer](
                           const boost::system::error_code& code) {
         const auto self = weak.lock();
--- a/services/agent/src/claims_duty.hpp
+++ b/services/agent/src/claims_duty.hpp
@@ -7,12 +7,12 @@
 
 #include <godwit/claims/claimer.hpp>
 #include <godwit/core/result.hpp>
+#include <godwit/core/timer.hpp>
 #include <godwit/platform/log_client.hpp>
 #include <godwit/wire/link.hpp>
 #include <godwit/wire/message.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <map>
@@ -99,7 +99,7 @@
     take(const link_pointer& proxy, const wire::claim_finished& value);
 
     boost::asio::any_io_executor executor_;
-    boost::asio::steady_timer timer_;
+    core::timer timer_;
     claims_settings settings_;
     claims::claimer claimer_;
     platform::log_client& client_;
--- a/services/agent/src/orders_duty.hpp
+++ b/services/agent/src/orders_duty.hpp
@@ -5,6 +5,7 @@
 
 #include <godwit/catalogue/state.hpp>
 #include <godwit/core/result.hpp>
+#include <godwit/core/timer.hpp>
 #include <godwit/http/connection_pool.hpp>
 #include <godwit/http/request.hpp>
 #include <godwit/http/response.hpp>
@@ -14,7 +15,6 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <cstddef>
 #include <memory>
@@ -79,7 +79,7 @@
     void spawn(boost::asio::awaitable<orders::reconciler_event> work);
 
     boost::asio::any_io_executor executor_;
-    boost::asio::steady_timer timer_;
+    core::timer timer_;
     orders_settings settings_;
     orders::reconciler reconciler_;
     platform::log_client& client_;
--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <godwit/core/result.hpp>
+#include <godwit/core/timer.hpp>
 #include <godwit/entry/call_service.hpp>
 #include <godwit/entry/cell_report.hpp>
 #include <godwit/entry/dialect.hpp>
@@ -21,7 +22,6 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <memory>
@@ -147,6 +147,7 @@
     void begin_stop();
     void watch_stop();
     void tick();
+    void log_stall();
     void
     appeared(const placement::backend_server& server, std::string_view source);
     void left(const placement::server_id& server, std::string_view source);
@@ -221,9 +222,10 @@
     std::unique_ptr<http::server> readiness_;
     std::unique_ptr<http::server> operators_;
     boost::asio::signal_set signals_;
-    boost::asio::steady_timer tick_timer_;
-    boost::asio::steady_timer stop_timer_;
+    core::timer tick_timer_;
+    core::timer stop_timer_;
     core::time_point started_at_{};
+    core::time_point last_tick_at_{};
     core::time_point stop_began_{};
     std::unique_ptr<neighbour_links> neighbours_;
     settings_reader read_settings_;
--- a/services/entry/include/godwit/entry/migrator.hpp
+++ b/services/entry/include/godwit/entry/migrator.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <godwit/core/timer.hpp>
 #include <godwit/entry/accepted_call.hpp>
 #include <godwit/entry/entry_context.hpp>
 #include <godwit/entry/migration.hpp>
@@ -7,7 +8,6 @@
 #include <godwit/entry/upstream.hpp>
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <chrono>
 #include <cstdint>
@@ -120,7 +120,7 @@
     std::optional<std::string> handle_;
     std::optional<migrated_run> copied_; ///< By a copy of the running one.
     std::optional<migrated_run> moved_;
-    boost::asio::steady_timer settled_signal_;
+    core::timer settled_signal_;
     core::time_point began_;
     bool is_broken_ = false;
     bool is_settled_ = false;
--- a/services/entry/include/godwit/entry/waiting_line.hpp
+++ b/services/entry/include/godwit/entry/waiting_line.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
 #include <godwit/core/time.hpp>
+#include <godwit/core/timer.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -42,7 +42,7 @@
 
         waiting_line& line_;
         std::pair<int, std::uint64_t> key_;
-        boost::asio::steady_timer timer_;
+        core::timer timer_;
     };
 
     /// Lets the first request try; the others follow as each leaves.
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -22,6 +22,9 @@
 constexpr std::string_view component = "entry";
 // How often waiting requests try again and lapsed servers are looked at.
 constexpr core::duration tick_span = std::chrono::milliseconds(50);
+// An interval between two ticks of at least this length is logged: the process
+// was suspended, stopped or starved of CPU time.
+constexpr core::duration stall_threshold = std::chrono::seconds(1);
 // A server gives about two seconds of notice, of which the copies need one.
 constexpr core::duration report_span = std::chrono::milliseconds(250);
 // Events come some thirty milliseconds apart; a batch that reads several
@@ -145,6 +148,7 @@
     };
     neighbours_->start();
     started_at_ = core::monotonic_now();
+    last_tick_at_ = started_at_;
     tick();
     log_event(
         log_level::info,
@@ -333,8 +337,26 @@
         reports_.poll_all();
 }
 
+// Only logs the stall: the clock and timers include it, so nothing needs to be
+// expired here.
+void entry_process::log_stall()
+{
+    const core::time_point now = core::monotonic_now();
+    const core::duration elapsed = now - std::exchange(last_tick_at_, now);
+    if (elapsed < stall_threshold)
+        return;
+    log_event(
+        log_level::warning,
+        component,
+        "process_stalled",
+        {{"stalled_ms",
+          std::chrono::duration_cast<std::chrono::milliseconds>(elapsed)
+              .count()}});
+}
+
 void entry_process::tick()
 {
+    log_stall();
     for (const auto& gone : context_.directory.expire(core::monotonic_now()))
         left(gone, "lapsed");
     context_.quarantine.expire(core::monotonic_now());
--- a/services/entry/src/migrator.cpp
+++ b/services/entry/src/migrator.cpp
@@ -1,3 +1,4 @@
+#include <godwit/core/timer.hpp>
 #include <godwit/entry/migrator.hpp>
 
 #include <godwit/entry/call_log.hpp>
@@ -67,7 +68,7 @@
       cause_(cause), settled_signal_(context.executor),
       began_(core::monotonic_now())
 {
-    settled_signal_.expires_at(asio::steady_timer::time_point::max());
+    settled_signal_.expires_at(core::timer::time_point::max());
 }
 
 void migrator::start()
--- a/services/entry/src/pause.cpp
+++ b/services/entry/src/pause.cpp
@@ -1,7 +1,7 @@
+#include <godwit/core/timer.hpp>
 #include <godwit/entry/pause.hpp>
 
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace godwit::entry {
@@ -10,7 +10,7 @@
 
 asio::awaitable<void> pause(asio::any_io_executor executor, core::duration span)
 {
-    asio::steady_timer timer(executor, span);
+    core::timer timer(executor, span);
     boost::system::error_code ended;
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ended));
 }
--- a/services/proxy/answer_writer.cpp
+++ b/services/proxy/answer_writer.cpp
@@ -1,5 +1,7 @@
 #include "answer_writer.hpp"
 
+#include <godwit/core/timer.hpp>
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -12,7 +14,7 @@
 namespace {
 
 // A timer that never fires serves as a condition: `cancel` wakes the waiter.
-asio::awaitable<void> wait_for(asio::steady_timer& condition)
+asio::awaitable<void> wait_for(core::timer& condition)
 {
     boost::system::error_code cancelled;
     co_await condition.async_wait(
@@ -22,8 +24,8 @@
 } // namespace
 
 answer_writer::answer_writer(const asio::any_io_executor& executor)
-    : wake_(executor, asio::steady_timer::time_point::max()),
-      taken_(executor, asio::steady_timer::time_point::max())
+    : wake_(executor, core::timer::time_point::max()),
+      taken_(executor, core::timer::time_point::max())
 {}
 
 void answer_writer::push(item next)
--- a/services/proxy/answer_writer.hpp
+++ b/services/proxy/answer_writer.hpp
@@ -3,13 +3,13 @@
 #include "answer_ending.hpp"
 
 #include <godwit/core/result.hpp>
+#include <godwit/core/timer.hpp>
 #include <godwit/http/exchange.hpp>
 #include <godwit/http/header_fields.hpp>
 #include <godwit/http/response.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <cstddef>
 #include <deque>
@@ -78,8 +78,8 @@
     bool abandoned_ = false;
     bool writing_ended_ = false;
     bool waiting_ = false;
-    boost::asio::steady_timer wake_;
-    boost::asio::steady_timer taken_;
+    core::timer wake_;
+    core::timer taken_;
 };
 
 } // namespace godwit::proxy
--- a/services/proxy/control_plane.hpp
+++ b/services/proxy/control_plane.hpp
@@ -11,6 +11,7 @@
 #include <godwit/core/identifiers.hpp>
 #include <godwit/core/random.hpp>
 #include <godwit/core/result.hpp>
+#include <godwit/core/timer.hpp>
 #include <godwit/dispatch/event.hpp>
 #include <godwit/dispatch/request_arrived.hpp>
 #include <godwit/dispatch/scheduler.hpp>
@@ -21,7 +22,6 @@
 #include <godwit/wire/catalogue_position.hpp>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/json/object.hpp>
 
 #include <cstdint>
@@ -154,7 +154,7 @@
     dispatch::scheduler scheduler_;
     membership::pool pool_;
     load_poller poller_;
-    boost::asio::steady_timer timer_;
+    core::timer timer_;
     core::time_point membership_due_{};
     core::time_point explore_due_{};
     /// When it is ready even if servers did not answer; none before the
--- a/services/proxy/drain.hpp
+++ b/services/proxy/drain.hpp
@@ -4,11 +4,11 @@
 #include "process_state.hpp"
 #include "session_registry.hpp"
 
+#include <godwit/core/timer.hpp>
 #include <godwit/http/server.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <cstddef>
 #include <functional>
@@ -50,9 +50,9 @@
     http::server& callers_;
     std::function<void(std::size_t)> on_end_;
     boost::asio::signal_set signals_;
-    boost::asio::steady_timer readiness_timer_;
-    boost::asio::steady_timer limit_timer_;
-    boost::asio::steady_timer watch_timer_;
+    core::timer readiness_timer_;
+    core::timer limit_timer_;
+    core::timer watch_timer_;
     std::size_t polls_after_cut_ = 0;
     bool cutting_ = false;
     bool ended_ = false;
--- a/services/proxy/operators_service.cpp
+++ b/services/proxy/operators_service.cpp
@@ -4,11 +4,11 @@
 #include "problem.hpp"
 #include "request_session.hpp"
 
+#include <godwit/core/timer.hpp>
 #include <godwit/telemetry/state_dump.hpp>
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
@@ -96,8 +96,8 @@
 operators_service::state_text(asio::any_io_executor executor)
 {
     auto control = std::make_shared<json::object>();
-    auto arrived = std::make_shared<asio::steady_timer>(
-        executor, asio::steady_timer::time_point::max());
+    auto arrived =
+        std::make_shared<core::timer>(executor, core::timer::time_point::max());
     services_.control.describe([executor, control, arrived](json::object is) {
         asio::post(executor, [control, arrived, is = std::move(is)] {
             *control = is;
--- a/services/proxy/peer_calls.cpp
+++ b/services/proxy/peer_calls.cpp
@@ -1,9 +1,9 @@
 #include "peer_calls.hpp"
 
+#include <godwit/core/timer.hpp>
 #include <godwit/http/fetch.hpp>
 
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -41,7 +41,7 @@
 
 asio::awaitable<void> pause(core::duration span)
 {
-    asio::steady_timer timer(co_await asio::this_coro::executor, span);
+    core::timer timer(co_await asio::this_coro::executor, span);
     boost::system::error_code ignored;
     co_await timer.async_wait(
         asio::redirect_error(asio::use_awaitable, ignored));
--- a/services/proxy/peers_service.cpp
+++ b/services/proxy/peers_service.cpp
@@ -2,10 +2,10 @@
 
 #include "request_session.hpp"
 
+#include <godwit/core/timer.hpp>
 #include <godwit/http/target.hpp>
 
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -110,7 +110,7 @@
     if (!question)
         co_return with_status(bad_request);
     const auto until = core::monotonic_now() + held_open;
-    asio::steady_timer timer(co_await asio::this_coro::executor);
+    core::timer timer(co_await asio::this_coro::executor);
     while (core::monotonic_now() < until) {
         const auto found = services_.answers.find(
             question->key, question->request, question->position);
--- a/services/proxy/request_session.cpp
+++ b/services/proxy/request_session.cpp
@@ -319,8 +319,7 @@
     auto& slot = timers_.at(static_cast<std::size_t>(what.which));
     if (!slot)
         slot.emplace(executor_);
-    slot->expires_at(
-        std::chrono::steady_clock::time_point(what.at.time_since_epoch()));
+    slot->expires_at(what.at);
     slot->async_wait([weak = weak_from_this(), which = what.which](
                          const boost::system::error_code& failure) {
         if (failure)
--- a/services/proxy/request_session.hpp
+++ b/services/proxy/request_session.hpp
@@ -14,6 +14,7 @@
 #include <godwit/claims/kept_answer.hpp>
 #include <godwit/core/identifiers.hpp>
 #include <godwit/core/result.hpp>
+#include <godwit/core/timer.hpp>
 #include <godwit/dispatch/end_reason.hpp>
 #include <godwit/http/exchange.hpp>
 #include <godwit/request/actions.hpp>
@@ -25,7 +26,6 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/json/object.hpp>
 
 #include <array>
@@ -204,8 +204,7 @@
     std::optional<claimed_run> claim_;
     std::optional<claimed_run> attached_;
 
-    std::array<std::optional<boost::asio::steady_timer>, request::timer_count>
-        timers_;
+    std::array<std::optional<core::timer>, request::timer_count> timers_;
 };
 
 } // namespace godwit::proxy
