entry, placement: respect the request limits that servers advertise

Observed by callers: calls to plain servers that were short of capacity failed. A server with a limit of 5.1 requests per second received 66 in four seconds, and one with a limit of 3.1 received 43; 36 and 24 are allowed.

Cause: the limit field was passed on to the caller like any other field. Nothing read it, and hosts did not know how many requests the others sent to a server.

The limit in each answer is now read. Hosts report to each other a limit that is set, changed or lifted, and each request that they send to a limited server, so that all hosts of a cell draw on one token bucket per server. Any host with requests can use it; no share is reserved for a single host. A cell, or a part of a partitioned fleet, uses the share of the limit that corresponds to the number of hosts linked in it. Every request counts where it is sent: first attempts, retries, and runs that are resumed on another server. A limited server is not asked for a hold first.

The placer skips a server whose limit is used up. A whole call that no server can accept in time is refused at once with 503, servers_limited, and the time after which a server can accept it. An answer without a limit lifts the limit only if its request was sent after the limit was known; a server that left or restarted has no limit. A bucket holds at most half a second of the limit, so that a host that was suspended does not send a burst. A server with a limit of 0 still gets one request every five seconds, since only its answers show that the limit was raised. An invalid limit is counted each time, and logged once per server.

--- a/libraries/placement/bench/main.cpp
+++ b/libraries/placement/bench/main.cpp
@@ -73,6 +73,7 @@
     load_ledger ledger;
     server_health health;
     server_paces paces;
+    const server_limits limits;
     routing::service service;
     service.name = core::service_name("lm");
     service.engine = routing::engine_profile{
@@ -99,7 +100,7 @@
             word_extent::whole,
             group_word(engines, random),
             now);
-    placer chooser(directory, ledger, health, paces, 1);
+    placer chooser(directory, ledger, health, paces, limits, 1);
     placement_request wanted;
     wanted.service = &service;
     wanted.work = work_size{1, 3000, 3000, 0};
--- a/libraries/placement/include/godwit/placement/placer.hpp
+++ b/libraries/placement/include/godwit/placement/placer.hpp
@@ -6,6 +6,7 @@
 #include <godwit/placement/load_ledger.hpp>
 #include <godwit/placement/server_directory.hpp>
 #include <godwit/placement/server_health.hpp>
+#include <godwit/placement/server_limits.hpp>
 #include <godwit/placement/server_paces.hpp>
 #include <godwit/placement/work_size.hpp>
 #include <godwit/routing/service.hpp>
@@ -49,6 +50,7 @@
 {
     no_server, ///< None is listed, or every one is excluded.
     no_room,   ///< There are servers, but all of them are full.
+    limited,   ///< Servers have room, but their limits are used up.
 };
 
 /// The server that was chosen, and why: its load as it was known.
@@ -71,6 +73,7 @@
         const load_ledger& ledger,
         const server_health& health,
         const server_paces& paces,
+        const server_limits& limits,
         std::uint64_t seed);
 
     /// The best server for the request. Servers that are avoided are taken
@@ -106,6 +109,7 @@
     const load_ledger& ledger_;
     const server_health& health_;
     const server_paces& paces_;
+    const server_limits& limits_;
     std::uint64_t seed_;
     core::random random_;
 };
--- a/libraries/placement/src/placer.cpp
+++ b/libraries/placement/src/placer.cpp
@@ -86,9 +86,10 @@
     const load_ledger& ledger,
     const server_health& health,
     const server_paces& paces,
+    const server_limits& limits,
     std::uint64_t seed)
     : directory_(directory), ledger_(ledger), health_(health), paces_(paces),
-      seed_(seed), random_(seed)
+      limits_(limits), seed_(seed), random_(seed)
 {}
 
 double placer::memory_share(placement_purpose purpose)
@@ -224,6 +225,7 @@
     std::optional<placement_choice> best;
     bool best_is_avoided = true;
     bool any = false;
+    bool is_limited = false;
     for (const backend_server* candidate :
          directory_.usable(wanted.service->name)) {
         if (!is_candidate(wanted, *candidate))
@@ -239,6 +241,10 @@
             continue;
         if (!has_room(wanted, *candidate, load, pace))
             continue;
+        if (!limits_.may_send(candidate->id, now)) {
+            is_limited = true;
+            continue;
+        }
         const bool is_avoided = health_.is_avoided(candidate->id, now);
         const double spread = wanted.purpose == placement_purpose::migration
                                   ? migration_jitter
@@ -255,6 +261,8 @@
     }
     if (best)
         return *best;
+    if (is_limited)
+        return tl::unexpected(placement_obstacle::limited);
     return tl::unexpected(
         any ? placement_obstacle::no_room : placement_obstacle::no_server);
 }
--- a/libraries/replay/src/simulated_host.cpp
+++ b/libraries/replay/src/simulated_host.cpp
@@ -21,7 +21,7 @@
 simulated_host::simulated_host(
     core::zone_name zone, const routing::service& service, std::uint64_t seed)
     : zone_(std::move(zone)), service_(service),
-      placer_(directory_, ledger_, health_, paces_, seed)
+      placer_(directory_, ledger_, health_, paces_, limits_, seed)
 {}
 
 void simulated_host::server_joins(
--- a/libraries/replay/src/simulated_host.hpp
+++ b/libraries/replay/src/simulated_host.hpp
@@ -7,6 +7,7 @@
 #include <godwit/placement/placer.hpp>
 #include <godwit/placement/server_directory.hpp>
 #include <godwit/placement/server_health.hpp>
+#include <godwit/placement/server_limits.hpp>
 #include <godwit/placement/server_paces.hpp>
 #include <godwit/replay/generation_order.hpp>
 #include <godwit/routing/service.hpp>
@@ -107,6 +108,7 @@
     placement::load_ledger ledger_;
     placement::server_health health_;
     placement::server_paces paces_;
+    placement::server_limits limits_;
     placement::placer placer_;
     std::map<std::size_t, waiting_generation> waiting_;
     std::map<std::size_t, running_generation> running_;
--- a/libraries/wire/include/godwit/wire/message.hpp
+++ b/libraries/wire/include/godwit/wire/message.hpp
@@ -22,6 +22,7 @@
 #include <godwit/wire/listed_servers.hpp>
 #include <godwit/wire/pull.hpp>
 #include <godwit/wire/records.hpp>
+#include <godwit/wire/server_limits.hpp>
 #include <godwit/wire/server_sign.hpp>
 #include <godwit/wire/table_changes.hpp>
 #include <godwit/wire/table_document.hpp>
@@ -59,7 +60,8 @@
     link_claim,
     cell_work,
     table_changes,
-    crash_reports>;
+    crash_reports,
+    server_limits>;
 
 /// The name of the message's type, for logs and metrics.
 [[nodiscard]] std::string_view name_of(const message& value) noexcept;
--- a/libraries/wire/src/codec.cpp
+++ b/libraries/wire/src/codec.cpp
@@ -109,6 +109,8 @@
         return read_payload(frame.payload_as_table_changes(), reader);
     case format::payload::crash_reports:
         return read_payload(frame.payload_as_crash_reports(), reader);
+    case format::payload::server_limits:
+        return read_payload(frame.payload_as_server_limits(), reader);
     case format::payload::NONE:
         break;
     }
--- a/libraries/wire/src/godwit_generated.h
+++ b/libraries/wire/src/godwit_generated.h
@@ -116,6 +116,12 @@
 struct crash_reports;
 struct crash_reportsBuilder;
 
+struct server_limit;
+struct server_limitBuilder;
+
+struct server_limits;
+struct server_limitsBuilder;
+
 struct frame;
 struct frameBuilder;
 
@@ -401,11 +407,12 @@
   cell_work = 23,
   table_changes = 24,
   crash_reports = 25,
+  server_limits = 26,
   MIN = NONE,
-  MAX = crash_reports
+  MAX = server_limits
 };
 
-inline const payload (&EnumValuespayload())[26] {
+inline const payload (&EnumValuespayload())[27] {
   static const payload values[] = {
     payload::NONE,
     payload::hello,
@@ -432,13 +439,14 @@
     payload::link_claim,
     payload::cell_work,
     payload::table_changes,
-    payload::crash_reports
+    payload::crash_reports,
+    payload::server_limits
   };
   return values;
 }
 
 inline const char * const *EnumNamespayload() {
-  static const char * const names[27] = {
+  static const char * const names[28] = {
     "NONE",
     "hello",
     "heartbeat",
@@ -465,13 +473,14 @@
     "cell_work",
     "table_changes",
     "crash_reports",
+    "server_limits",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamepayload(payload e) {
-  if (flatbuffers::IsOutRange(e, payload::NONE, payload::crash_reports)) return "";
+  if (flatbuffers::IsOutRange(e, payload::NONE, payload::server_limits)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamespayload()[index];
 }
@@ -580,6 +589,10 @@
   static const payload enum_value = payload::crash_reports;
 };
 
+template<> struct payloadTraits<godwit::wire::format::server_limits> {
+  static const payload enum_value = payload::server_limits;
+};
+
 bool Verifypayload(flatbuffers::Verifier &verifier, const void *obj, payload type);
 bool VerifypayloadVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<payload> *types);
 
@@ -3532,6 +3545,181 @@
       completed__);
 }
 
+struct server_limit FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef server_limitBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVER = 4,
+    VT_STARTED_AT_MS = 6,
+    VT_LIMITED = 8,
+    VT_PER_SECOND = 10,
+    VT_AGE_MS = 12,
+    VT_SENDS = 14
+  };
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  uint64_t started_at_ms() const {
+    return GetField<uint64_t>(VT_STARTED_AT_MS, 0);
+  }
+  bool limited() const {
+    return GetField<uint8_t>(VT_LIMITED, 0) != 0;
+  }
+  double per_second() const {
+    return GetField<double>(VT_PER_SECOND, 0.0);
+  }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
+  uint32_t sends() const {
+    return GetField<uint32_t>(VT_SENDS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           VerifyField<uint64_t>(verifier, VT_STARTED_AT_MS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_LIMITED, 1) &&
+           VerifyField<double>(verifier, VT_PER_SECOND, 8) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_SENDS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct server_limitBuilder {
+  typedef server_limit Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(server_limit::VT_SERVER, server);
+  }
+  void add_started_at_ms(uint64_t started_at_ms) {
+    fbb_.AddElement<uint64_t>(server_limit::VT_STARTED_AT_MS, started_at_ms, 0);
+  }
+  void add_limited(bool limited) {
+    fbb_.AddElement<uint8_t>(server_limit::VT_LIMITED, static_cast<uint8_t>(limited), 0);
+  }
+  void add_per_second(double per_second) {
+    fbb_.AddElement<double>(server_limit::VT_PER_SECOND, per_second, 0.0);
+  }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(server_limit::VT_AGE_MS, age_ms, 0);
+  }
+  void add_sends(uint32_t sends) {
+    fbb_.AddElement<uint32_t>(server_limit::VT_SENDS, sends, 0);
+  }
+  explicit server_limitBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<server_limit> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<server_limit>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<server_limit> Createserver_limit(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    uint64_t started_at_ms = 0,
+    bool limited = false,
+    double per_second = 0.0,
+    uint32_t age_ms = 0,
+    uint32_t sends = 0) {
+  server_limitBuilder builder_(_fbb);
+  builder_.add_per_second(per_second);
+  builder_.add_started_at_ms(started_at_ms);
+  builder_.add_sends(sends);
+  builder_.add_age_ms(age_ms);
+  builder_.add_server(server);
+  builder_.add_limited(limited);
+  return builder_.Finish();
+}
+
+struct server_limit::Traits {
+  using type = server_limit;
+  static auto constexpr Create = Createserver_limit;
+};
+
+inline flatbuffers::Offset<server_limit> Createserver_limitDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *server = nullptr,
+    uint64_t started_at_ms = 0,
+    bool limited = false,
+    double per_second = 0.0,
+    uint32_t age_ms = 0,
+    uint32_t sends = 0) {
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  return godwit::wire::format::Createserver_limit(
+      _fbb,
+      server__,
+      started_at_ms,
+      limited,
+      per_second,
+      age_ms,
+      sends);
+}
+
+struct server_limits FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef server_limitsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_LIMITS = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::server_limit>> *limits() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::server_limit>> *>(VT_LIMITS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_LIMITS) &&
+           verifier.VerifyVector(limits()) &&
+           verifier.VerifyVectorOfTables(limits()) &&
+           verifier.EndTable();
+  }
+};
+
+struct server_limitsBuilder {
+  typedef server_limits Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_limits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::server_limit>>> limits) {
+    fbb_.AddOffset(server_limits::VT_LIMITS, limits);
+  }
+  explicit server_limitsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<server_limits> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<server_limits>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<server_limits> Createserver_limits(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::server_limit>>> limits = 0) {
+  server_limitsBuilder builder_(_fbb);
+  builder_.add_limits(limits);
+  return builder_.Finish();
+}
+
+struct server_limits::Traits {
+  using type = server_limits;
+  static auto constexpr Create = Createserver_limits;
+};
+
+inline flatbuffers::Offset<server_limits> Createserver_limitsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<godwit::wire::format::server_limit>> *limits = nullptr) {
+  auto limits__ = limits ? _fbb.CreateVector<flatbuffers::Offset<godwit::wire::format::server_limit>>(*limits) : 0;
+  return godwit::wire::format::Createserver_limits(
+      _fbb,
+      limits__);
+}
+
 struct frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef frameBuilder Builder;
   struct Traits;
@@ -3621,6 +3809,9 @@
   const godwit::wire::format::crash_reports *payload_as_crash_reports() const {
     return payload_type() == godwit::wire::format::payload::crash_reports ? static_cast<const godwit::wire::format::crash_reports *>(payload()) : nullptr;
   }
+  const godwit::wire::format::server_limits *payload_as_server_limits() const {
+    return payload_type() == godwit::wire::format::payload::server_limits ? static_cast<const godwit::wire::format::server_limits *>(payload()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_PAYLOAD_TYPE, 1) &&
@@ -3730,6 +3921,10 @@
   return payload_as_crash_reports();
 }
 
+template<> inline const godwit::wire::format::server_limits *frame::payload_as<godwit::wire::format::server_limits>() const {
+  return payload_as_server_limits();
+}
+
 struct frameBuilder {
   typedef frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -3871,6 +4066,10 @@
       auto ptr = reinterpret_cast<const godwit::wire::format::crash_reports *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case payload::server_limits: {
+      auto ptr = reinterpret_cast<const godwit::wire::format::server_limits *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/libraries/wire/src/message.cpp
+++ b/libraries/wire/src/message.cpp
@@ -33,7 +33,8 @@
             "link_claim",
             "cell_work",
             "table_changes",
-            "crash_reports"};
+            "crash_reports",
+            "server_limits"};
     return names.at(value.index());
 }
 
--- a/libraries/wire/src/message_reader.cpp
+++ b/libraries/wire/src/message_reader.cpp
@@ -297,4 +297,20 @@
         .completed = reader.identifiers<std::string>(table.completed())};
 }
 
+server_limit read(const format::server_limit& table, frame_reader& reader)
+{
+    return server_limit{
+        .server = reader.text(table.server()),
+        .started_at_ms = table.started_at_ms(),
+        .limited = table.limited(),
+        .per_second = table.per_second(),
+        .age_ms = table.age_ms(),
+        .sends = table.sends()};
+}
+
+server_limits read(const format::server_limits& table, frame_reader& reader)
+{
+    return server_limits{.limits = reader.list<server_limit>(table.limits())};
+}
+
 } // namespace godwit::wire
--- a/libraries/wire/src/message_reader.hpp
+++ b/libraries/wire/src/message_reader.hpp
@@ -48,5 +48,7 @@
 server_crash read(const format::server_crash& table, frame_reader& reader);
 crash_report read(const format::crash_report& table, frame_reader& reader);
 crash_reports read(const format::crash_reports& table, frame_reader& reader);
+server_limit read(const format::server_limit& table, frame_reader& reader);
+server_limits read(const format::server_limits& table, frame_reader& reader);
 
 } // namespace godwit::wire
--- a/libraries/wire/src/message_writer.cpp
+++ b/libraries/wire/src/message_writer.cpp
@@ -362,4 +362,23 @@
         out.CreateVectorOfStrings(value.completed));
 }
 
+flatbuffers::Offset<format::server_limit>
+write(builder& out, const server_limit& value)
+{
+    return format::Createserver_limit(
+        out,
+        text(out, value.server),
+        value.started_at_ms,
+        value.limited,
+        value.per_second,
+        value.age_ms,
+        value.sends);
+}
+
+flatbuffers::Offset<format::server_limits>
+write(builder& out, const server_limits& value)
+{
+    return format::Createserver_limits(out, list(out, value.limits));
+}
+
 } // namespace godwit::wire
--- a/libraries/wire/src/message_writer.hpp
+++ b/libraries/wire/src/message_writer.hpp
@@ -73,5 +73,9 @@
 write(flatbuffers::FlatBufferBuilder& out, const crash_report& value);
 flatbuffers::Offset<format::crash_reports>
 write(flatbuffers::FlatBufferBuilder& out, const crash_reports& value);
+flatbuffers::Offset<format::server_limit>
+write(flatbuffers::FlatBufferBuilder& out, const server_limit& value);
+flatbuffers::Offset<format::server_limits>
+write(flatbuffers::FlatBufferBuilder& out, const server_limits& value);
 
 } // namespace godwit::wire
--- a/services/entry/include/godwit/entry/answer_terms.hpp
+++ b/services/entry/include/godwit/entry/answer_terms.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 
 namespace godwit::entry {
@@ -12,6 +13,9 @@
     /// The server did not run the request and never will.
     bool is_not_run = false;
     bool is_closing = false; ///< The connection takes no further request.
+    /// Requests per second that the server accepts from all hosts together.
+    std::optional<double> requests_per_second;
+    bool has_invalid_limit = false; ///< Invalid or repeated.
 
     friend bool operator==(const answer_terms&, const answer_terms&) = default;
 };
--- a/services/entry/include/godwit/entry/call_log.hpp
+++ b/services/entry/include/godwit/entry/call_log.hpp
@@ -8,6 +8,7 @@
 #include <godwit/entry/refusal.hpp>
 #include <godwit/placement/backend_server.hpp>
 #include <godwit/placement/placer.hpp>
+#include <godwit/placement/server_limits.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -60,6 +61,13 @@
     std::size_t crashes,
     bool is_quarantined);
 
+/// A server's request limit was set, changed or lifted; `source` names the host
+/// that received the answer or reported the change.
+void log_limit(std::string_view source, const placement::server_limit& limit);
+
+/// A server's answer has an invalid request limit.
+void log_limit_refused(const placement::server_id& server);
+
 /// A stream's answer was cut midway.
 void log_cut(
     const accepted_call& call,
--- a/services/entry/include/godwit/entry/entry_context.hpp
+++ b/services/entry/include/godwit/entry/entry_context.hpp
@@ -13,6 +13,7 @@
 #include <godwit/placement/placer.hpp>
 #include <godwit/placement/server_directory.hpp>
 #include <godwit/placement/server_health.hpp>
+#include <godwit/placement/server_limits.hpp>
 #include <godwit/placement/server_paces.hpp>
 #include <godwit/routing/route_table.hpp>
 #include <godwit/telemetry/metrics.hpp>
@@ -23,6 +24,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 
 namespace godwit::entry {
 
@@ -49,6 +51,9 @@
     placement::load_ledger ledger;
     placement::server_health health;
     placement::server_paces paces;
+    placement::server_limits limits;
+    /// Servers whose invalid limits were logged.
+    std::set<placement::server_id> invalid_limits_from;
     placement::placer chooser;
     admission::request_quarantine quarantine;
     retry_budgets budgets;
@@ -66,6 +71,9 @@
     /// process's sources.
     std::function<void(const admission::request_fingerprint&)>
         on_quarantine_lifted;
+    /// Reports a changed limit, or requests that were sent to a limited server,
+    /// to the neighbours; set by the process.
+    std::function<void(const placement::server_limit&, unsigned)> tell_limit;
     /// Work was added at a server; set by the process.
     std::function<void()> on_work_added;
     std::unique_ptr<http::connection_pool> connections;
--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -205,6 +205,13 @@
     void hear_claim(const core::host_name& host, const wire::link_claim& said);
     void hear_work(const wire::hello& peer, const wire::host_work& said);
     void hear_cell(const core::host_name& host, const wire::cell_work& said);
+    void tell_limit(const placement::server_limit& limit, unsigned sends);
+    [[nodiscard]] wire::server_limits limits_to_tell() const;
+    void
+    hear_limits(const core::host_name& host, const wire::server_limits& said);
+    void refuse_limits(const core::host_name& host, const core::error& why);
+    void update_limit_share();
+    void forget_limit(const placement::server_id& server);
     [[nodiscard]] wire::crash_reports crash_reports_to_tell() const;
     void hear_crash_reports(
         const core::host_name& host, const wire::crash_reports& said);
@@ -249,7 +256,10 @@
     std::set<core::host_name> false_gaps_from_; ///< Hosts that were logged.
     /// Hosts whose malformed crash reports were logged.
     std::set<core::host_name> malformed_crash_reports_from_;
+    /// Hosts whose malformed limits were logged.
+    std::set<core::host_name> malformed_limits_from_;
     std::size_t fleet_size_ = 1;
+    bool is_fleet_known_ = false;
     bool is_telling_work_ = false;
     bool has_servers_ = false;
     bool was_ready_ = false;
--- a/services/entry/include/godwit/entry/neighbour_links.hpp
+++ b/services/entry/include/godwit/entry/neighbour_links.hpp
@@ -86,6 +86,9 @@
     [[nodiscard]] std::shared_ptr<wire::link>
     link_to(const core::host_name& host) const;
 
+    /// Number of hosts of the own cell with an open link.
+    [[nodiscard]] std::size_t linked_cell_mates() const;
+
     /// Neighbours whose links are open.
     [[nodiscard]] std::size_t open_links() const { return links().size(); }
 
--- a/services/entry/include/godwit/entry/refusal.hpp
+++ b/services/entry/include/godwit/entry/refusal.hpp
@@ -19,6 +19,7 @@
     no_server,       ///< 503: nobody serves the service now.
     no_room,         ///< 503: every server is full.
     servers_refused, ///< 503: the servers said that they did not run it.
+    servers_limited, ///< 503: the servers' request limits are used up.
     quarantined,     ///< 503: the request crashes servers that run it.
     answer_lost,     ///< 502: a server may have run it.
     answer_spoiled,  ///< 502: a server's answer cannot be trusted.
--- a/services/entry/include/godwit/entry/upstream.hpp
+++ b/services/entry/include/godwit/entry/upstream.hpp
@@ -89,6 +89,7 @@
     placement::backend_server server_;
     core::duration connect_limit_;
     std::optional<http::client_stream> stream_;
+    core::time_point sent_at_{};
     bool is_cancelled_ = false;
 };
 
--- a/services/entry/include/godwit/entry/whole_call.hpp
+++ b/services/entry/include/godwit/entry/whole_call.hpp
@@ -36,6 +36,8 @@
 
     /// Whether the request is quarantined; `last` then holds what to answer.
     [[nodiscard]] bool apply_quarantine(attempt_result& last) const;
+    [[nodiscard]] core::duration
+    shortest_limit_wait(core::time_point now) const;
     [[nodiscard]] bool may_repeat(core::time_point now);
     [[nodiscard]] core::time_point attempt_end(core::time_point now);
     boost::asio::awaitable<std::optional<placement::backend_server>> place();
@@ -53,6 +55,8 @@
     std::shared_ptr<upstream> active_;
     waiting_line::place* waiting_ = nullptr;
     telemetry::request_metrics metrics_;
+    /// Time until a limited server accepts another request.
+    core::duration limit_wait_{};
     bool caller_gone_ = false;
 };
 
--- a/services/entry/src/call_log.cpp
+++ b/services/entry/src/call_log.cpp
@@ -131,6 +131,28 @@
          {"source", source}});
 }
 
+void log_limit(std::string_view source, const placement::server_limit& limit)
+{
+    telemetry::log_event(
+        telemetry::log_level::info,
+        component,
+        "server_limit",
+        {{"server", limit.server},
+         {"server_start_ms", limit.start.unix_ms},
+         {"limited", limit.per_second.has_value()},
+         {"per_second", limit.per_second.value_or(0)},
+         {"source", source}});
+}
+
+void log_limit_refused(const placement::server_id& server)
+{
+    telemetry::log_event(
+        telemetry::log_level::warning,
+        component,
+        "server_limit_refused",
+        {{"server", server}});
+}
+
 void log_cut(
     const accepted_call& call,
     const placement::backend_server& server,
--- a/services/entry/src/crash_words.cpp
+++ b/services/entry/src/crash_words.cpp
@@ -1,9 +1,8 @@
 #include <godwit/entry/crash_words.hpp>
 
-#include <algorithm>
+#include <godwit/entry/wire_age.hpp>
+
 #include <chrono>
-#include <cstdint>
-#include <limits>
 
 namespace godwit::entry {
 
@@ -16,15 +15,6 @@
     return std::chrono::milliseconds(received.age_ms);
 }
 
-std::uint32_t age_ms(core::duration age)
-{
-    constexpr std::int64_t longest = std::numeric_limits<std::uint32_t>::max();
-    const std::int64_t whole =
-        std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
-    return static_cast<std::uint32_t>(
-        std::clamp<std::int64_t>(whole, 0, longest));
-}
-
 } // namespace
 
 wire::crash_report
@@ -34,7 +24,7 @@
         report.request.value(),
         report.organisation,
         {},
-        age_ms(now - report.last_crash)};
+        wire_age_ms(now - report.last_crash)};
     for (const admission::server_crash& crash : report.crashes)
         converted.crashes.push_back(
             {crash.server.value(), crash.start.unix_ms});
--- a/services/entry/src/entry_context.cpp
+++ b/services/entry/src/entry_context.cpp
@@ -32,6 +32,7 @@
           ledger,
           health,
           paces,
+          limits,
           core::stable_hash(settings.host.value())),
       budgets(settings),
       connections(http::connection_pool::create(executor, pool_limits())),
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -146,6 +146,10 @@
     context_.on_work_added = [this] {
         tell_work_soon();
     };
+    context_.tell_limit =
+        [this](const placement::server_limit& limit, unsigned sends) {
+            tell_limit(limit, sends);
+        };
     neighbours_->start();
     started_at_ = core::monotonic_now();
     last_tick_at_ = started_at_;
@@ -226,9 +230,16 @@
         {{"server", server}, {"source", source}});
     context_.connections->forget(address);
     context_.health.forget(server);
+    forget_limit(server);
     context_.streams.server_restarted(server);
 }
 
+void entry_process::forget_limit(const placement::server_id& server)
+{
+    context_.limits.forget(server);
+    context_.invalid_limits_from.erase(server);
+}
+
 void entry_process::server_delisted(
     const placement::server_id& server, std::string_view source)
 {
@@ -251,6 +262,7 @@
     changed_servers_.insert(server);
     tell_servers();
     context_.health.forget(server);
+    forget_limit(server);
     context_.streams.server_leaves(server);
 }
 
@@ -291,6 +303,7 @@
 {
     context_.budgets.set_hosts(hosts.size());
     fleet_size_ = hosts.size();
+    is_fleet_known_ = true;
     neighbours_->set_hosts(hosts);
     // Hosts that join may split a cell. The work of those that are in another
     // one now would count twice, with that cell's sums, and engines with room
@@ -305,6 +318,7 @@
     };
     std::erase_if(false_gaps_from_, is_unknown);
     std::erase_if(malformed_crash_reports_from_, is_unknown);
+    std::erase_if(malformed_limits_from_, is_unknown);
 }
 
 // New requests at a server that hangs would be lost with those that run.
@@ -360,6 +374,7 @@
     for (const auto& gone : context_.directory.expire(core::monotonic_now()))
         left(gone, "lapsed");
     context_.quarantine.expire(core::monotonic_now());
+    update_limit_share();
     context_.line.wake();
     tell_servers();
     tell_work();
--- /dev/null
+++ b/services/entry/src/entry_process_limits.cpp
@@ -0,0 +1,87 @@
+#include <godwit/entry/entry_process.hpp>
+
+#include <godwit/entry/call_log.hpp>
+#include <godwit/entry/server_limit_words.hpp>
+
+#include <godwit/telemetry/log.hpp>
+
+// Exchange of the request limits of backend servers.
+
+namespace godwit::entry {
+
+using telemetry::log_event;
+using telemetry::log_level;
+
+namespace {
+
+constexpr std::string_view component = "neighbours";
+// Used until the hosts of the fleet are known.
+constexpr std::size_t assumed_fleet_size = 6;
+
+} // namespace
+
+// Reports requests to the own cell only, since each cell has its own share of
+// the limit, and changes of the limit to all neighbours.
+void entry_process::tell_limit(
+    const placement::server_limit& limit, unsigned sends)
+{
+    neighbours_->broadcast(
+        wire::server_limits{{to_wire(limit, sends, core::monotonic_now())}},
+        sends > 0 ? audience::cell : audience::everybody);
+}
+
+wire::server_limits entry_process::limits_to_tell() const
+{
+    const core::time_point now = core::monotonic_now();
+    wire::server_limits message;
+    for (const placement::server_limit& limit : context_.limits.limits())
+        message.limits.push_back(to_wire(limit, 0, now));
+    return message;
+}
+
+void entry_process::hear_limits(
+    const core::host_name& host, const wire::server_limits& said)
+{
+    const core::time_point now = core::monotonic_now();
+    for (const wire::server_limit& received : said.limits) {
+        const auto limit = to_server_limit(received, now);
+        if (!limit) {
+            refuse_limits(host, limit.error());
+            return;
+        }
+        if (context_.limits.update_from_neighbour(*limit)) {
+            log_limit(host.value(), *limit);
+            tell_limit(*limit, 0);
+        }
+        if (received.sends > 0 && neighbours_->is_cell_mate(host))
+            context_.limits.record_requests(limit->server, received.sends, now);
+    }
+}
+
+// Counts every refused message, but logs only the first one from each host.
+void entry_process::refuse_limits(
+    const core::host_name& host, const core::error& why)
+{
+    context_.metrics
+        ->counter(
+            "godwit_refused_limit_messages_total",
+            "Messages of neighbours about limits that cannot be read.")
+        .Increment();
+    if (malformed_limits_from_.insert(host).second)
+        log_event(
+            log_level::warning,
+            component,
+            "limit_message_refused",
+            {{"neighbour", host}, {"cause", why.message()}});
+}
+
+void entry_process::update_limit_share()
+{
+    if (context_.limits.empty())
+        return;
+    const std::size_t fleet_size =
+        is_fleet_known_ ? fleet_size_ : assumed_fleet_size;
+    context_.limits.set_hosts(1 + neighbours_->linked_cell_mates(), fleet_size);
+}
+
+} // namespace godwit::entry
--- a/services/entry/src/entry_process_neighbours.cpp
+++ b/services/entry/src/entry_process_neighbours.cpp
@@ -1,5 +1,6 @@
 #include <godwit/entry/entry_process.hpp>
 
+#include <godwit/entry/wire_age.hpp>
 #include <godwit/entry/work_words.hpp>
 
 #include <godwit/telemetry/log.hpp>
@@ -29,12 +30,6 @@
 // reads the list.
 constexpr core::duration linking_span = std::chrono::seconds(4);
 
-std::uint32_t age_ms(core::duration age)
-{
-    return static_cast<std::uint32_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
-}
-
 bool is_same_but_growth(
     const wire::host_work& left, const wire::host_work& right)
 {
@@ -68,6 +63,8 @@
     said.emplace_back(work_to_tell());
     if (!context_.quarantine.empty())
         said.emplace_back(crash_reports_to_tell());
+    if (!context_.limits.empty())
+        said.emplace_back(limits_to_tell());
     // Afterwards it hears what changes.
     if (!neighbours_->is_cell_mate(peer.host)) {
         if (auto sums = cell_report_.whole(neighbours_->cell()))
@@ -112,7 +109,7 @@
         reader && (!said.reads_list || reader->first < context_.settings.host);
     if (is_ahead) {
         said.reader = reader->first.value();
-        said.reader_age_ms = age_ms(now - reader->second);
+        said.reader_age_ms = wire_age_ms(now - reader->second);
     }
     return said;
 }
@@ -203,6 +200,8 @@
         hear_cell(peer.host, *cell);
     else if (const auto* crashes = std::get_if<wire::crash_reports>(&said))
         hear_crash_reports(peer.host, *crashes);
+    else if (const auto* limits = std::get_if<wire::server_limits>(&said))
+        hear_limits(peer.host, *limits);
 }
 
 void entry_process::hear_claim(
--- a/services/entry/src/entry_process_operators.cpp
+++ b/services/entry/src/entry_process_operators.cpp
@@ -59,6 +59,9 @@
         "Requests that are sent to no server, because they crash them.",
         static_cast<double>(
             context_.quarantine.quarantined_count(core::monotonic_now())));
+    set("godwit_servers_limited",
+        "Backend servers that name a limit.",
+        static_cast<double>(context_.limits.limits().size()));
     set("godwit_neighbours_linked",
         "Entry hosts with an open link.",
         static_cast<double>(neighbours_->open_links()));
--- a/services/entry/src/neighbour_links.cpp
+++ b/services/entry/src/neighbour_links.cpp
@@ -218,6 +218,16 @@
     return open;
 }
 
+std::size_t neighbour_links::linked_cell_mates() const
+{
+    std::set<core::host_name> linked;
+    for (const auto& link : links()) {
+        if (is_cell_mate(link->peer()->host))
+            linked.insert(link->peer()->host);
+    }
+    return linked.size();
+}
+
 bool neighbour_links::is_meant(const wire::link& link, audience meant) const
 {
     if (meant == audience::everybody)
--- a/services/entry/src/refusal.cpp
+++ b/services/entry/src/refusal.cpp
@@ -34,6 +34,7 @@
     case refusal_reason::no_server:
     case refusal_reason::no_room:
     case refusal_reason::servers_refused:
+    case refusal_reason::servers_limited:
     case refusal_reason::quarantined:
         return unavailable;
     }
@@ -76,6 +77,8 @@
         return "no_room";
     case refusal_reason::servers_refused:
         return "servers_refused";
+    case refusal_reason::servers_limited:
+        return "servers_limited";
     case refusal_reason::quarantined:
         return "quarantined";
     case refusal_reason::answer_lost:
--- a/services/entry/src/room_search.cpp
+++ b/services/entry/src/room_search.cpp
@@ -123,7 +123,8 @@
         choice.server,
         std::make_unique<reservation>(context_, choice.server.id, work),
         std::nullopt};
-    if (!can_hold(*call_))
+    // A hold would be one more request to a server that limits them.
+    if (!can_hold(*call_) || context_.limits.is_limited(choice.server.id))
         co_return room;
     hold_answer answer =
         co_await take_hold(context_, *call_, choice.server, work.tokens);
--- a/services/entry/src/upstream.cpp
+++ b/services/entry/src/upstream.cpp
@@ -1,5 +1,7 @@
 #include <godwit/entry/upstream.hpp>
 
+#include <godwit/entry/server_limit_words.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -82,6 +84,8 @@
                 "the caller left while a connection was made",
                 "nothing; the request was not sent")});
     }
+    sent_at_ = core::monotonic_now();
+    record_request(context_, server_.id);
     const auto sent =
         co_await stream_->send(std::move(outgoing), left_until(end));
     if (!sent)
@@ -97,8 +101,10 @@
         if (!head)
             co_return tl::unexpected(to_failure(head.error()));
         const answer_terms said = context_.words.read_answer(head->fields);
-        if (said.attempt_id.empty() || said.attempt_id == attempt_id)
+        if (said.attempt_id.empty() || said.attempt_id == attempt_id) {
+            update_limit(context_, server_, said, sent_at_);
             co_return std::move(*head);
+        }
         const auto passed_over = co_await read_all(end);
         if (!passed_over)
             co_return tl::unexpected(passed_over.error());
--- a/services/entry/src/whole_call.cpp
+++ b/services/entry/src/whole_call.cpp
@@ -65,6 +65,8 @@
         const auto server = co_await place();
         if (caller_gone_)
             co_return;
+        if (!server && limit_wait_ > core::duration() && !last.may_have_run)
+            last.refusal = refusal_reason::servers_limited;
         if (!server || apply_quarantine(last))
             break;
         attempt_result now = co_await attempt(*server);
@@ -106,8 +108,22 @@
         active_->cancel();
 }
 
+// Time until the first untried server accepts another request.
+core::duration whole_call::shortest_limit_wait(core::time_point now) const
+{
+    core::duration shortest = core::duration::max();
+    for (const placement::backend_server* server :
+         context_.directory.usable(call_.target.name)) {
+        if (std::find(tried_.begin(), tried_.end(), server->id) == tried_.end())
+            shortest =
+                std::min(shortest, context_.limits.wait_time(server->id, now));
+    }
+    return shortest;
+}
+
 asio::awaitable<std::optional<placement::backend_server>> whole_call::place()
 {
+    limit_wait_ = core::duration();
     placement::placement_request wanted;
     wanted.service = &call_.target;
     wanted.work.requests = 1;
@@ -123,6 +139,11 @@
             log_placed(call_, *found, admission::waiting_stage::timely);
             co_return found->server;
         }
+        if (found.error() == placement::placement_obstacle::limited) {
+            limit_wait_ = shortest_limit_wait(now);
+            if (now + limit_wait_ >= end)
+                co_return std::nullopt;
+        }
         if (now >= end || !tried_.empty())
             co_return std::nullopt;
         waiting_line::place waiting(
@@ -249,7 +270,8 @@
 
 asio::awaitable<void> whole_call::refuse(refusal_reason reason)
 {
-    co_await refuse_call(call_, metrics_, reason, come_back_after);
+    co_await refuse_call(
+        call_, metrics_, reason, std::max(come_back_after, limit_wait_));
 }
 
 } // namespace godwit::entry
--- a/tests/placement/placer_test.cpp
+++ b/tests/placement/placer_test.cpp
@@ -79,7 +79,8 @@
     load_ledger ledger_;
     server_health health_;
     server_paces paces_;
-    placer placer_{directory_, ledger_, health_, paces_, 1};
+    server_limits limits_;
+    placer placer_{directory_, ledger_, health_, paces_, limits_, 1};
 
     std::string choose(int now_ms = 0)
     {
@@ -195,7 +196,7 @@
         wanted_.purpose = placement_purpose::migration;
         std::set<std::string> chosen;
         for (std::uint64_t host = 0; host < 12; ++host) {
-            placer other(directory_, ledger_, health_, paces_, host);
+            placer other(directory_, ledger_, health_, paces_, limits_, host);
             chosen.insert(other.choose(wanted_, at_ms(0))->server.id.value());
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, chosen.size());
@@ -310,7 +311,7 @@
     {
         int count = 0;
         for (std::uint64_t host = 0; host < 40; ++host) {
-            placer other(directory_, ledger_, health_, paces_, host);
+            placer other(directory_, ledger_, health_, paces_, limits_, host);
             const auto chosen = other.choose(wanted_, at_ms(now_ms));
             count += chosen->server.id == server_id("i-3") ? 1 : 0;
         }
@@ -514,7 +515,7 @@
         constexpr int tried_from_ms = 2001;
         int trying = 0;
         for (std::uint64_t host = 0; host < 100; ++host) {
-            placer other(directory_, ledger_, health_, paces_, host);
+            placer other(directory_, ledger_, health_, paces_, limits_, host);
             const auto chosen = other.choose(wanted_, at_ms(tried_from_ms));
             trying += chosen->server.id == server_id("i-1") ? 1 : 0;
         }
--- a/tests/platform_adapter/stand_in_neighbours.cpp
+++ b/tests/platform_adapter/stand_in_neighbours.cpp
@@ -69,8 +69,11 @@
                           std::holds_alternative<wire::table_document>(said);
     const auto* pull = std::get_if<wire::pull>(&said);
     const auto* crashes = std::get_if<wire::crash_reports>(&said);
+    const auto* limits = std::get_if<wire::server_limits>(&said);
     {
         const std::lock_guard guard(mutex_);
+        if (limits != nullptr)
+            limits_.push_back(*limits);
         if (is_table)
             tables_.push_back(said);
         if (pull != nullptr)
@@ -125,6 +128,12 @@
     return crash_reports_;
 }
 
+std::vector<wire::server_limits> stand_in_neighbours::limits() const
+{
+    const std::lock_guard guard(mutex_);
+    return limits_;
+}
+
 std::vector<wire::message> stand_in_neighbours::tables() const
 {
     const std::lock_guard guard(mutex_);
--- a/tests/platform_adapter/stand_in_neighbours.hpp
+++ b/tests/platform_adapter/stand_in_neighbours.hpp
@@ -48,6 +48,9 @@
     /// The crash reports that they received, in order.
     [[nodiscard]] std::vector<wire::crash_reports> crash_reports() const;
 
+    /// The server limits that they received, in order.
+    [[nodiscard]] std::vector<wire::server_limits> limits() const;
+
     /// What they were told of tables, in its order.
     [[nodiscard]] std::vector<wire::message> tables() const;
 
@@ -68,6 +71,7 @@
     mutable std::mutex mutex_;
     std::vector<std::string> asked_;
     std::vector<wire::message> tables_;
+    std::vector<wire::server_limits> limits_;
     std::vector<wire::crash_reports> crash_reports_;
     std::thread thread_;
 };
--- a/tests/wire/sample_messages.cpp
+++ b/tests/wire/sample_messages.cpp
@@ -87,7 +87,8 @@
                 core::organisation_name("north"),
                 {server_crash{"i-1", 1700000000000}, server_crash{"i-2", 0}},
                 1500}},
-            {"2c3d"}}};
+            {"2c3d"}},
+        server_limits{{{"i-1", 1700000000000, true, 2.5, 40, 3}}}};
 }
 
 } // namespace godwit::wire
