entry, admission: count only ended servers as crashed, add quarantine trials

In soaks with real processes, after several engines became unreachable at the same moment, all GETs of one route with an empty body were refused as quarantined: 82 of them in 14 s, and the refusals continued.

Every broken connection counted as a crash, even if the server was healthy. A body that many callers send was on three such connections within 80 ms. A host that had not received a completed run reported older crashes again. Because a quarantined request does not run, nothing could clear it for half an hour.

A host now probes the server, once for all runs lost there: an engine by requesting its report, which also shows a restart, other servers by opening a connection. Only a server that does not answer within 250 ms, or that has restarted, counts as crashed. Each crash carries its own time, and crashes from before a completed run, or up to 5 s after it, are ignored, whichever host reports them. After 10 s, one run of a quarantined request is permitted as a trial, on the first host by rendezvous hashing, on the next one 30 s later. After failed trials, the next trial follows 10 minutes, 2 hours and 24 hours later.

The soak gains a request that crashes engines and an engine that names a limit in each of its runs, beside its other faults.

--- a/libraries/admission/include/godwit/admission/crash_report.hpp
+++ b/libraries/admission/include/godwit/admission/crash_report.hpp
@@ -5,7 +5,6 @@
 #include <godwit/core/time.hpp>
 #include <godwit/placement/backend_server.hpp>
 
-#include <compare>
 #include <vector>
 
 namespace godwit::admission {
@@ -16,9 +15,15 @@
 {
     placement::server_id server;
     placement::server_start start;
+    core::time_point at; ///< When the run was lost.
+
+    /// Whether both refer to the same server process.
+    [[nodiscard]] bool is_same_crash(const server_crash& other) const noexcept
+    {
+        return server == other.server && start == other.start;
+    }
 
     friend bool operator==(const server_crash&, const server_crash&) = default;
-    friend auto operator<=>(const server_crash&, const server_crash&) = default;
 };
 
 /// The server crashes that ended runs of one request.
@@ -26,8 +31,11 @@
 {
     request_fingerprint request;
     core::organisation_name organisation; ///< The caller's.
-    std::vector<server_crash> crashes;    ///< Sorted, without duplicates.
-    core::time_point last_crash;
+    std::vector<server_crash> crashes;    ///< Unordered, no duplicates.
+
+    /// Returns the time of the latest crash, or `core::time_point::min()` if
+    /// there are no crashes.
+    [[nodiscard]] core::time_point last_crash() const noexcept;
 
     friend bool operator==(const crash_report&, const crash_report&) = default;
 };
--- a/libraries/admission/include/godwit/admission/request_quarantine.hpp
+++ b/libraries/admission/include/godwit/admission/request_quarantine.hpp
@@ -4,6 +4,7 @@
 #include <godwit/admission/request_fingerprint.hpp>
 #include <godwit/core/time.hpp>
 
+#include <array>
 #include <chrono>
 #include <cstddef>
 #include <map>
@@ -18,30 +19,59 @@
 /// completed run in between. Requests that merely shared a server with a
 /// crashing one are cleared by their next completed run. Crashes of different
 /// servers, reported by different hosts, count together.
+///
+/// When a quarantine period ends, single runs of the request are permitted as
+/// trials, so that a request that was quarantined by mistake can be cleared.
 class request_quarantine
 {
 public:
     static constexpr std::size_t crash_limit = 3;
-    /// Duration of the first quarantine. Each crash beyond `crash_limit`
-    /// multiplies the duration by four, up to `longest_quarantine`.
-    static constexpr core::duration first_quarantine = std::chrono::minutes(30);
-    static constexpr core::duration longest_quarantine = std::chrono::hours(24);
+    /// Duration of the first quarantine period, followed by the durations after
+    /// each failed trial. The last one applies to all further trials.
+    static constexpr std::array<core::duration, 4> quarantine_durations{
+        std::chrono::seconds(10),
+        std::chrono::minutes(10),
+        std::chrono::hours(2),
+        std::chrono::hours(24)};
     /// How long crashes are kept for a request below `crash_limit`.
     static constexpr core::duration crash_retention = std::chrono::minutes(10);
+    /// How long crashes are kept for a quarantined request.
+    static constexpr core::duration quarantine_retention =
+        std::chrono::hours(48);
+    /// Crashes within this time after a completed run are ignored, because a
+    /// request that completes on one server does not crash every server.
+    static constexpr core::duration completed_run_validity =
+        std::chrono::seconds(5);
+    /// Minimum time between trials on one host, and the delay of the first
+    /// trial per host rank, so that a host can receive the result of an earlier
+    /// trial.
+    static constexpr core::duration trial_interval = std::chrono::seconds(30);
     static constexpr std::size_t max_requests = 1024;
     static constexpr std::size_t max_requests_per_organisation = 256;
     static constexpr std::size_t max_crashes_per_request = 8;
 
     /// Adds the crashes of `report`. Returns whether any of them was recorded:
     /// false if all are known already or a limit is reached.
-    bool add(const crash_report& report, core::time_point now);
+    bool add(const crash_report& report);
+
+    /// Clears the crashes of a request after a run that completed at `now`.
+    /// Earlier crashes are ignored even if they are reported later. Returns
+    /// false if no crashes were recorded.
+    bool remove(const request_fingerprint& request, core::time_point now);
 
-    /// Clears the crashes of a request after a completed run. Returns false if
-    /// there were none.
-    bool remove(const request_fingerprint& request);
+    /// Whether the request reached `crash_limit` and may run only as a trial.
+    [[nodiscard]] bool is_quarantined(const request_fingerprint& request) const;
 
-    [[nodiscard]] bool is_quarantined(
-        const request_fingerprint& request, core::time_point now) const;
+    /// Returns whether the host with this zero-based rank may run the
+    /// quarantined request as a trial. If so, this host starts no further trial
+    /// of the request until `trial_interval` has passed.
+    [[nodiscard]] bool start_trial(
+        const request_fingerprint& request,
+        std::size_t host_rank,
+        core::time_point now);
+
+    /// Whether crashes or a completed run of the request are recorded.
+    [[nodiscard]] bool is_known(const request_fingerprint& request) const;
 
     /// Returns the crashes recorded for the request, or null if there are none.
     [[nodiscard]] const crash_report*
@@ -50,12 +80,19 @@
     [[nodiscard]] std::size_t
     crash_count(const request_fingerprint& request) const;
 
+    /// Whether crashes or completed runs are recorded. If not, callers need not
+    /// compute the fingerprint of a completed run.
+    [[nodiscard]] bool is_tracking() const noexcept
+    {
+        return !reports_.empty() || !completed_at_.empty();
+    }
+
     /// Whether no crashes are recorded; callers then skip the fingerprint.
     [[nodiscard]] bool empty() const noexcept { return reports_.empty(); }
 
     [[nodiscard]] std::size_t size() const noexcept { return reports_.size(); }
 
-    [[nodiscard]] std::size_t quarantined_count(core::time_point now) const;
+    [[nodiscard]] std::size_t quarantined_count() const;
 
     /// All recorded crashes, to send to a newly linked host.
     [[nodiscard]] std::vector<crash_report> reports() const;
@@ -66,12 +103,16 @@
 private:
     [[nodiscard]] static core::duration
     quarantine_duration(const crash_report& report);
-    [[nodiscard]] static bool
-    is_quarantined(const crash_report& report, core::time_point now);
-    [[nodiscard]] bool
-    make_room(const crash_report& report, core::time_point now);
+    [[nodiscard]] static bool is_quarantined(const crash_report& report);
+    static bool record(crash_report& known, const server_crash& crash);
+    [[nodiscard]] bool is_cleared(
+        const request_fingerprint& request, const server_crash& crash) const;
+    [[nodiscard]] bool make_room(const crash_report& report);
 
     std::map<request_fingerprint, crash_report> reports_;
+    /// Time of the last completed run of each request that had crashes.
+    std::map<request_fingerprint, core::time_point> completed_at_;
+    std::map<request_fingerprint, core::time_point> trial_started_at_;
 };
 
 } // namespace godwit::admission
--- a/libraries/wire/include/godwit/wire/crash_reports.hpp
+++ b/libraries/wire/include/godwit/wire/crash_reports.hpp
@@ -13,6 +13,7 @@
 {
     std::string server;
     std::uint64_t started_at_ms = 0; ///< 0 if unknown.
+    std::uint32_t age_ms = 0;        ///< Time since the run was lost.
 
     friend bool operator==(const server_crash&, const server_crash&) = default;
 };
@@ -23,7 +24,6 @@
     std::string request; ///< Fingerprint of the request.
     core::organisation_name organisation;
     std::vector<server_crash> crashes;
-    std::uint32_t age_ms = 0; ///< Time since the last crash.
 
     friend bool operator==(const crash_report&, const crash_report&) = default;
 };
--- a/libraries/wire/src/godwit_generated.h
+++ b/libraries/wire/src/godwit_generated.h
@@ -3310,7 +3310,8 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SERVER = 4,
-    VT_STARTED_AT_MS = 6
+    VT_STARTED_AT_MS = 6,
+    VT_AGE_MS = 8
   };
   const flatbuffers::String *server() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVER);
@@ -3318,11 +3319,15 @@
   uint64_t started_at_ms() const {
     return GetField<uint64_t>(VT_STARTED_AT_MS, 0);
   }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVER) &&
            verifier.VerifyString(server()) &&
            VerifyField<uint64_t>(verifier, VT_STARTED_AT_MS, 8) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
            verifier.EndTable();
   }
 };
@@ -3337,6 +3342,9 @@
   void add_started_at_ms(uint64_t started_at_ms) {
     fbb_.AddElement<uint64_t>(server_crash::VT_STARTED_AT_MS, started_at_ms, 0);
   }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(server_crash::VT_AGE_MS, age_ms, 0);
+  }
   explicit server_crashBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3351,9 +3359,11 @@
 inline flatbuffers::Offset<server_crash> Createserver_crash(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> server = 0,
-    uint64_t started_at_ms = 0) {
+    uint64_t started_at_ms = 0,
+    uint32_t age_ms = 0) {
   server_crashBuilder builder_(_fbb);
   builder_.add_started_at_ms(started_at_ms);
+  builder_.add_age_ms(age_ms);
   builder_.add_server(server);
   return builder_.Finish();
 }
@@ -3366,12 +3376,14 @@
 inline flatbuffers::Offset<server_crash> Createserver_crashDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *server = nullptr,
-    uint64_t started_at_ms = 0) {
+    uint64_t started_at_ms = 0,
+    uint32_t age_ms = 0) {
   auto server__ = server ? _fbb.CreateString(server) : 0;
   return godwit::wire::format::Createserver_crash(
       _fbb,
       server__,
-      started_at_ms);
+      started_at_ms,
+      age_ms);
 }
 
 struct crash_report FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3380,8 +3392,7 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_REQUEST = 4,
     VT_ORGANISATION = 6,
-    VT_CRASHES = 8,
-    VT_AGE_MS = 10
+    VT_CRASHES = 8
   };
   const flatbuffers::String *request() const {
     return GetPointer<const flatbuffers::String *>(VT_REQUEST);
@@ -3392,9 +3403,6 @@
   const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::server_crash>> *crashes() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::server_crash>> *>(VT_CRASHES);
   }
-  uint32_t age_ms() const {
-    return GetField<uint32_t>(VT_AGE_MS, 0);
-  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_REQUEST) &&
@@ -3404,7 +3412,6 @@
            VerifyOffset(verifier, VT_CRASHES) &&
            verifier.VerifyVector(crashes()) &&
            verifier.VerifyVectorOfTables(crashes()) &&
-           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
            verifier.EndTable();
   }
 };
@@ -3422,9 +3429,6 @@
   void add_crashes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::server_crash>>> crashes) {
     fbb_.AddOffset(crash_report::VT_CRASHES, crashes);
   }
-  void add_age_ms(uint32_t age_ms) {
-    fbb_.AddElement<uint32_t>(crash_report::VT_AGE_MS, age_ms, 0);
-  }
   explicit crash_reportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3440,10 +3444,8 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> request = 0,
     flatbuffers::Offset<flatbuffers::String> organisation = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::server_crash>>> crashes = 0,
-    uint32_t age_ms = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::server_crash>>> crashes = 0) {
   crash_reportBuilder builder_(_fbb);
-  builder_.add_age_ms(age_ms);
   builder_.add_crashes(crashes);
   builder_.add_organisation(organisation);
   builder_.add_request(request);
@@ -3459,8 +3461,7 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *request = nullptr,
     const char *organisation = nullptr,
-    const std::vector<flatbuffers::Offset<godwit::wire::format::server_crash>> *crashes = nullptr,
-    uint32_t age_ms = 0) {
+    const std::vector<flatbuffers::Offset<godwit::wire::format::server_crash>> *crashes = nullptr) {
   auto request__ = request ? _fbb.CreateString(request) : 0;
   auto organisation__ = organisation ? _fbb.CreateString(organisation) : 0;
   auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<godwit::wire::format::server_crash>>(*crashes) : 0;
@@ -3468,8 +3469,7 @@
       _fbb,
       request__,
       organisation__,
-      crashes__,
-      age_ms);
+      crashes__);
 }
 
 struct crash_reports FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/libraries/wire/src/message_reader.cpp
+++ b/libraries/wire/src/message_reader.cpp
@@ -277,7 +277,8 @@
 {
     return server_crash{
         .server = reader.text(table.server()),
-        .started_at_ms = table.started_at_ms()};
+        .started_at_ms = table.started_at_ms(),
+        .age_ms = table.age_ms()};
 }
 
 crash_report read(const format::crash_report& table, frame_reader& reader)
@@ -286,8 +287,7 @@
         .request = reader.text(table.request()),
         .organisation =
             reader.identifier<core::organisation_name>(table.organisation()),
-        .crashes = reader.list<server_crash>(table.crashes()),
-        .age_ms = table.age_ms()};
+        .crashes = reader.list<server_crash>(table.crashes())};
 }
 
 crash_reports read(const format::crash_reports& table, frame_reader& reader)
--- a/libraries/wire/src/message_writer.cpp
+++ b/libraries/wire/src/message_writer.cpp
@@ -339,7 +339,7 @@
 write(builder& out, const server_crash& value)
 {
     return format::Createserver_crash(
-        out, text(out, value.server), value.started_at_ms);
+        out, text(out, value.server), value.started_at_ms, value.age_ms);
 }
 
 flatbuffers::Offset<format::crash_report>
@@ -349,8 +349,7 @@
         out,
         text(out, value.request),
         text(out, value.organisation),
-        list(out, value.crashes),
-        value.age_ms);
+        list(out, value.crashes));
 }
 
 flatbuffers::Offset<format::crash_reports>
--- a/meta/soak_parts/callers.py
+++ b/meta/soak_parts/callers.py
@@ -120,6 +120,7 @@
         method = self.rng.choice(METHODS[kind])
         body, framing, encoded = self._body(method)
         self.ledger.sent[attempt] = body
+        self.ledger.hosts[attempt] = self.host
         data = http11.head(f"{method} /{kind}/x HTTP/1.1", {
             "Host": "soak.example",
             "X-Godwitworks-Attempt-Id": attempt,
--- a/meta/soak_parts/engine.py
+++ b/meta/soak_parts/engine.py
@@ -39,6 +39,7 @@
         self.relay = None
         self.left_at = self.served_at = self.began_again_at = None
         self.runs = {}
+        self.limit = self.crashing = None
         self.manner = manners.Manner(rng)
         self._before = None
 
@@ -86,6 +87,11 @@
         resumed = "kv-from" in fields
         self.served_at = self.clock()
         self.ledger.arrived(self, attempt, target, body, resumed)
+        if self.limit:
+            self.limit.arrived(attempt)
+            signed |= self.limit.answers(attempt)
+        if self.crashing and body == self.crashing.body:
+            self.crashing.arrived(self, attempt)
         if target.startswith("/stream/"):
             await self._stream(attempt, signed, fields, resumed, writer)
             return
--- a/meta/soak_parts/host.py
+++ b/meta/soak_parts/host.py
@@ -78,6 +78,7 @@
         self._watcher = watcher
         self._pauses = 0
         self._paused_at = self._paused_seconds = 0.0
+        self._disturbed_at = 0.0
         self._tasks = []
 
     def write_settings(self, seeds=None, grace=4, retry=None):
@@ -156,8 +157,15 @@
         self._pauses -= 1
         if not self._pauses:
             self._paused_seconds += now() - self._paused_at
+            self._disturbed_at = now()
             self.send(signal.SIGCONT)
 
+    def calm_seconds(self):
+        """Seconds since the last start or pause; 0 unless it runs normally."""
+        if self._pauses or not self.is_up() or self.life.was_told():
+            return 0.0
+        return asyncio.get_running_loop().time() - self._disturbed_at
+
     def paused_seconds(self):
         """How long it was paused in all."""
         if not self._pauses:
@@ -176,5 +184,6 @@
                     "127.0.0.1", self.operators)
                 writer.close()
                 life.is_up = True
+                self._disturbed_at = asyncio.get_running_loop().time()
             except OSError:
                 await asyncio.sleep(0.01)
--- a/meta/soak_parts/ledger.py
+++ b/meta/soak_parts/ledger.py
@@ -17,6 +17,7 @@
         self.runs = defaultdict(list)
         self.streams = {}
         self.sent = {}
+        self.hosts = {}
         self.unfinished = set()
         self.broken = []
         self.checks = 0
--- a/meta/soak_parts/stand_ins.py
+++ b/meta/soak_parts/stand_ins.py
@@ -46,7 +46,7 @@
                 method, target, _ = line.split(" ", 2)
                 await self.respond(method, target, fields, body, writer)
                 await writer.drain()
-        except (http11.Broken, ConnectionError, ValueError,
+        except (http11.Broken, OSError, ValueError,
                 asyncio.CancelledError):
             writer.transport.abort()
         finally:
--- a/meta/soak_parts/world.py
+++ b/meta/soak_parts/world.py
@@ -13,6 +13,7 @@
 from soak_parts.faults import Faults
 from soak_parts.host import Host
 from soak_parts.ledger import Ledger
+from soak_parts.protection import CrashingRequest, NamedLimit
 from soak_parts.relay import Relay
 from soak_parts.stand_ins import Store
 
@@ -35,6 +36,8 @@
         self.engines = {}
         self.relays = []
         self.version = 0
+        self.crashing = CrashingRequest(self)
+        self.limit = NamedLimit(self)
         self.is_over = False
         self._tasks = []
 
@@ -83,7 +86,10 @@
                    for number in range(self.arguments.callers)]
         tasks = [asyncio.create_task(caller.run(self.clock))
                  for caller in callers]
-        await faults.inject(end - RECOVERY_SECONDS)
+        faults_end = end - RECOVERY_SECONDS
+        await asyncio.gather(faults.inject(faults_end),
+                             self.crashing.send(faults_end),
+                             self.limit.name(faults_end))
         for caller in callers:
             caller.is_steady = True
         quiet_from = self.clock() + RECOVERY_SECONDS / 2
@@ -142,10 +148,23 @@
             relay = await self.add_relay(engine.port)
         relay.target = engine.port
         engine.relay = relay
+        engine.crashing = self.crashing
         self.engines[name] = engine
         self.list_engine(engine, "ready")
         return engine
 
+    def engine_crashes(self, engine, rng):
+        """Stops an engine with all its runs and restarts it after a delay."""
+        del self.engines[engine.name]
+        engine.stop()
+        self._tasks.append(asyncio.create_task(
+            self._restart_engine(engine, rng.uniform(0.2, 1.0))))
+
+    async def _restart_engine(self, engine, delay):
+        await asyncio.sleep(delay)
+        if not self.is_over and engine.name not in self.engines:
+            await self.add_engine(engine.name, engine.relay)
+
     async def _stop(self):
         self.is_over = True
         for host in self.hosts:
--- a/services/entry/include/godwit/entry/call_log.hpp
+++ b/services/entry/include/godwit/entry/call_log.hpp
@@ -61,6 +61,15 @@
     std::size_t crashes,
     bool is_quarantined);
 
+/// Logs that a quarantined request is sent as a trial.
+void log_trial(
+    const accepted_call& call, const admission::request_fingerprint& request);
+
+/// Logs that a server still answers after connections to it broke, so that its
+/// lost runs do not count as crashes.
+void log_server_alive(
+    const placement::backend_server& server, std::size_t lost_runs);
+
 /// A server's request limit was set, changed or lifted; `source` names the host
 /// that received the answer or reported the change.
 void log_limit(std::string_view source, const placement::server_limit& limit);
--- a/services/entry/include/godwit/entry/entry_context.hpp
+++ b/services/entry/include/godwit/entry/entry_context.hpp
@@ -23,11 +23,20 @@
 #include <boost/asio/any_io_executor.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
+#include <string_view>
+#include <vector>
 
 namespace godwit::entry {
 
+/// Runs lost at a server, held until a probe shows whether it crashed.
+struct crash_probe
+{
+    std::vector<admission::crash_report> reports;
+};
+
 /// What the requests of one entry host share. Used on one executor, so that
 /// nothing here needs a lock.
 class entry_context
@@ -56,6 +65,7 @@
     std::set<placement::server_id> invalid_limits_from;
     placement::placer chooser;
     admission::request_quarantine quarantine;
+    std::map<placement::server_id, std::shared_ptr<crash_probe>> crash_probes;
     retry_budgets budgets;
     waiting_line line;
     stream_register streams;
@@ -74,6 +84,9 @@
     /// Reports a changed limit, or requests that were sent to a limited server,
     /// to the neighbours; set by the process.
     std::function<void(const placement::server_limit&, unsigned)> tell_limit;
+    /// Returns this host's zero-based rank among the hosts of the fleet for
+    /// `key`, by rendezvous hashing; set by the process.
+    std::function<std::size_t(std::string_view key)> host_rank;
     /// Work was added at a server; set by the process.
     std::function<void()> on_work_added;
     std::unique_ptr<http::connection_pool> connections;
--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -212,6 +212,7 @@
     void refuse_limits(const core::host_name& host, const core::error& why);
     void update_limit_share();
     void forget_limit(const placement::server_id& server);
+    [[nodiscard]] std::size_t host_rank(std::string_view key) const;
     [[nodiscard]] wire::crash_reports crash_reports_to_tell() const;
     void hear_crash_reports(
         const core::host_name& host, const wire::crash_reports& said);
@@ -258,6 +259,7 @@
     std::set<core::host_name> malformed_crash_reports_from_;
     /// Hosts whose malformed limits were logged.
     std::set<core::host_name> malformed_limits_from_;
+    std::set<core::host_name> fleet_hosts_;
     std::size_t fleet_size_ = 1;
     bool is_fleet_known_ = false;
     bool is_telling_work_ = false;
--- a/services/entry/include/godwit/entry/lost_runs.hpp
+++ b/services/entry/include/godwit/entry/lost_runs.hpp
@@ -12,8 +12,8 @@
 [[nodiscard]] bool is_lost_run(const upstream_failure& failure);
 
 /// Logs that the connection to the server broke before the answer was complete.
-/// Unless the server was known to be leaving, also records a crash for the
-/// request and reports it to the other hosts.
+/// Unless the server was known to be leaving or still answers, also records a
+/// crash for the request and reports it to the other hosts.
 void record_lost_run(
     entry_context& context,
     const accepted_call& call,
@@ -23,8 +23,4 @@
 /// after a run that the server survived.
 void record_completed_run(entry_context& context, const accepted_call& call);
 
-/// Whether the request must not be sent because it crashes servers.
-[[nodiscard]] bool
-is_quarantined(const entry_context& context, const accepted_call& call);
-
 } // namespace godwit::entry
--- a/services/entry/include/godwit/entry/stream_call.hpp
+++ b/services/entry/include/godwit/entry/stream_call.hpp
@@ -5,6 +5,7 @@
 #include <godwit/entry/entry_context.hpp>
 #include <godwit/entry/event_splitter.hpp>
 #include <godwit/entry/migrator.hpp>
+#include <godwit/entry/quarantine_gate.hpp>
 #include <godwit/entry/refusal.hpp>
 #include <godwit/entry/reservation.hpp>
 #include <godwit/entry/room_search.hpp>
@@ -81,6 +82,7 @@
     entry_context& context_;
     std::shared_ptr<const accepted_call> call_;
     std::shared_ptr<upstream> active_;
+    quarantine_gate gate_;
     room_search search_;
     std::unique_ptr<reservation> reserved_;
     std::optional<std::string> hold_;
--- a/services/entry/include/godwit/entry/whole_call.hpp
+++ b/services/entry/include/godwit/entry/whole_call.hpp
@@ -2,6 +2,7 @@
 
 #include <godwit/entry/accepted_call.hpp>
 #include <godwit/entry/entry_context.hpp>
+#include <godwit/entry/quarantine_gate.hpp>
 #include <godwit/entry/refusal.hpp>
 #include <godwit/entry/upstream.hpp>
 #include <godwit/telemetry/request_metrics.hpp>
@@ -35,7 +36,7 @@
     };
 
     /// Whether the request is quarantined; `last` then holds what to answer.
-    [[nodiscard]] bool apply_quarantine(attempt_result& last) const;
+    [[nodiscard]] bool apply_quarantine(attempt_result& last);
     [[nodiscard]] core::duration
     shortest_limit_wait(core::time_point now) const;
     [[nodiscard]] bool may_repeat(core::time_point now);
@@ -49,6 +50,7 @@
 
     entry_context& context_;
     accepted_call call_;
+    quarantine_gate gate_;
     unsigned runs_ = 0; ///< Servers that may have run the request.
     unsigned refusals_ = 0;
     std::vector<placement::server_id> tried_;
--- a/services/entry/src/call_log.cpp
+++ b/services/entry/src/call_log.cpp
@@ -131,6 +131,30 @@
          {"source", source}});
 }
 
+void log_trial(
+    const accepted_call& call, const admission::request_fingerprint& request)
+{
+    telemetry::log_event(
+        telemetry::log_level::info,
+        component,
+        "quarantine_trial",
+        {{"request", call.terms.attempt_id},
+         {"route", call.via.name},
+         {"fingerprint", request}});
+}
+
+void log_server_alive(
+    const placement::backend_server& server, std::size_t lost_runs)
+{
+    telemetry::log_event(
+        telemetry::log_level::info,
+        component,
+        "server_alive",
+        {{"server", server.id},
+         {"server_start_ms", server.start.unix_ms},
+         {"lost_runs", lost_runs}});
+}
+
 void log_limit(std::string_view source, const placement::server_limit& limit)
 {
     telemetry::log_event(
--- a/services/entry/src/crash_words.cpp
+++ b/services/entry/src/crash_words.cpp
@@ -10,24 +10,18 @@
 
 constexpr std::size_t fingerprint_digits = 32;
 
-core::duration age_of(const wire::crash_report& received)
-{
-    return std::chrono::milliseconds(received.age_ms);
-}
-
 } // namespace
 
 wire::crash_report
 to_wire(const admission::crash_report& report, core::time_point now)
 {
     wire::crash_report converted{
-        report.request.value(),
-        report.organisation,
-        {},
-        wire_age_ms(now - report.last_crash)};
+        report.request.value(), report.organisation, {}};
     for (const admission::server_crash& crash : report.crashes)
         converted.crashes.push_back(
-            {crash.server.value(), crash.start.unix_ms});
+            {crash.server.value(),
+             crash.start.unix_ms,
+             wire_age_ms(now - crash.at)});
     return converted;
 }
 
@@ -52,7 +46,6 @@
     admission::crash_report report;
     report.request = GODWIT_TRY(to_fingerprint(received.request));
     report.organisation = received.organisation;
-    report.last_crash = now - age_of(received);
     for (const wire::server_crash& crash : received.crashes) {
         if (crash.server.empty())
             return core::fail(
@@ -62,7 +55,8 @@
                 "check that the neighbour runs this release");
         report.crashes.push_back(
             {placement::server_id(crash.server),
-             placement::server_start{crash.started_at_ms}});
+             placement::server_start{crash.started_at_ms},
+             now - std::chrono::milliseconds(crash.age_ms)});
     }
     return report;
 }
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -146,6 +146,9 @@
     context_.on_work_added = [this] {
         tell_work_soon();
     };
+    context_.host_rank = [this](std::string_view key) {
+        return host_rank(key);
+    };
     context_.tell_limit =
         [this](const placement::server_limit& limit, unsigned sends) {
             tell_limit(limit, sends);
@@ -303,6 +306,9 @@
 {
     context_.budgets.set_hosts(hosts.size());
     fleet_size_ = hosts.size();
+    fleet_hosts_.clear();
+    for (const known_host& host : hosts)
+        fleet_hosts_.insert(host.name);
     is_fleet_known_ = true;
     neighbours_->set_hosts(hosts);
     // Hosts that join may split a cell. The work of those that are in another
--- a/services/entry/src/entry_process_crashes.cpp
+++ b/services/entry/src/entry_process_crashes.cpp
@@ -1,10 +1,14 @@
 #include <godwit/entry/entry_process.hpp>
 
+#include <godwit/core/hash.hpp>
 #include <godwit/entry/call_log.hpp>
 #include <godwit/entry/crash_words.hpp>
 
 #include <godwit/telemetry/log.hpp>
 
+#include <algorithm>
+#include <cstdint>
+
 // Exchange of crash reports between entry hosts.
 
 namespace godwit::entry {
@@ -30,24 +34,35 @@
 void entry_process::take_crash_report(
     const admission::crash_report& report, std::string_view source)
 {
-    const core::time_point now = core::monotonic_now();
-    if (!context_.quarantine.add(report, now))
+    if (!context_.quarantine.add(report))
         return;
-    context_.quarantine.expire(now);
+    context_.quarantine.expire(core::monotonic_now());
     log_crash_count(
         source,
         report.request,
         context_.quarantine.crash_count(report.request),
-        context_.quarantine.is_quarantined(report.request, now));
+        context_.quarantine.is_quarantined(report.request));
 }
 
 void entry_process::clear_crashes(
     const admission::request_fingerprint& request, std::string_view source)
 {
-    if (context_.quarantine.remove(request))
+    if (context_.quarantine.remove(request, core::monotonic_now()))
         log_crash_count(source, request, 0, false);
 }
 
+std::size_t entry_process::host_rank(std::string_view key) const
+{
+    const std::uint64_t own =
+        core::rendezvous_weight(key, context_.settings.host.value());
+    return static_cast<std::size_t>(std::count_if(
+        fleet_hosts_.begin(),
+        fleet_hosts_.end(),
+        [&key, own](const auto& host) {
+            return core::rendezvous_weight(key, host.value()) > own;
+        }));
+}
+
 // Forwards changes, so that they reach hosts to which their source has no link.
 void entry_process::hear_crash_reports(
     const core::host_name& host, const wire::crash_reports& said)
@@ -60,14 +75,14 @@
             refuse_crash_reports(host, report.error());
             return;
         }
-        if (!context_.quarantine.add(*report, now))
+        if (!context_.quarantine.add(*report))
             continue;
         changes.reports.push_back(received);
         log_crash_count(
             host.value(),
             report->request,
             context_.quarantine.crash_count(report->request),
-            context_.quarantine.is_quarantined(report->request, now));
+            context_.quarantine.is_quarantined(report->request));
     }
     for (const std::string& completed : said.completed) {
         const auto request = to_fingerprint(completed);
@@ -75,7 +90,7 @@
             refuse_crash_reports(host, request.error());
             return;
         }
-        if (!context_.quarantine.remove(*request))
+        if (!context_.quarantine.remove(*request, now))
             continue;
         changes.completed.push_back(completed);
         log_crash_count(host.value(), *request, 0, false);
--- a/services/entry/src/entry_process_operators.cpp
+++ b/services/entry/src/entry_process_operators.cpp
@@ -57,8 +57,7 @@
         static_cast<double>(context_.quarantine.size()));
     set("godwit_requests_quarantined",
         "Requests that are sent to no server, because they crash them.",
-        static_cast<double>(
-            context_.quarantine.quarantined_count(core::monotonic_now())));
+        static_cast<double>(context_.quarantine.quarantined_count()));
     set("godwit_servers_limited",
         "Backend servers that name a limit.",
         static_cast<double>(context_.limits.limits().size()));
--- a/services/entry/src/lost_runs.cpp
+++ b/services/entry/src/lost_runs.cpp
@@ -3,9 +3,113 @@
 #include <godwit/entry/call_answers.hpp>
 #include <godwit/entry/call_log.hpp>
 #include <godwit/entry/crash_words.hpp>
+#include <godwit/entry/spawn.hpp>
+#include <godwit/http/client_stream.hpp>
+#include <godwit/http/fetch.hpp>
+
+#include <chrono>
+#include <memory>
+#include <utility>
 
 namespace godwit::entry {
 
+namespace asio = boost::asio;
+
+namespace {
+
+// A server that does not answer within this time counts as crashed.
+constexpr core::duration probe_timeout = std::chrono::milliseconds(250);
+
+void record_crash(entry_context& context, const admission::crash_report& report)
+{
+    if (!context.quarantine.add(report))
+        return;
+    const bool is_quarantined =
+        context.quarantine.is_quarantined(report.request);
+    log_crash_count(
+        context.settings.host.value(),
+        report.request,
+        context.quarantine.crash_count(report.request),
+        is_quarantined);
+    if (context.tell)
+        context.tell(
+            wire::crash_reports{{to_wire(report, core::monotonic_now())}, {}});
+    if (is_quarantined && context.on_quarantined)
+        context.on_quarantined(*context.quarantine.find(report.request));
+}
+
+// Requests the report of an engine, which also shows whether it restarted.
+// Other servers have no inexpensive endpoint, so they are only connected to.
+asio::awaitable<bool> is_alive(
+    entry_context& context,
+    const placement::backend_server& server,
+    bool is_engine)
+{
+    if (!is_engine) {
+        auto stream = http::client_stream::create(context.executor);
+        const auto connected =
+            co_await stream.connect(server.address, probe_timeout);
+        stream.cancel();
+        co_return connected.has_value();
+    }
+    http::request outgoing = context.words.write_report_request();
+    const http::fetch_limits limits{.deadline = probe_timeout};
+    const auto answered =
+        co_await http::fetch(server.address, std::move(outgoing), limits);
+    if (!answered)
+        co_return false;
+    const auto report = context.words.read_report(*answered);
+    const bool has_restarted =
+        report && report->start.is_known() && report->start != server.start;
+    co_return !has_restarted;
+}
+
+asio::awaitable<void> probe_server(
+    entry_context& context,
+    const placement::backend_server& server,
+    bool is_engine,
+    const std::shared_ptr<crash_probe>& probe)
+{
+    const bool is_running = co_await is_alive(context, server, is_engine);
+    context.crash_probes.erase(server.id);
+    if (is_running) {
+        log_server_alive(server, probe->reports.size());
+        co_return;
+    }
+    for (const admission::crash_report& report : probe->reports)
+        record_crash(context, report);
+}
+
+// A connection may break although the server still runs. Probes the server
+// before the crash is recorded; runs lost meanwhile share the same probe.
+void confirm_crash(
+    entry_context& context,
+    const placement::backend_server& server,
+    bool is_engine,
+    admission::crash_report report)
+{
+    auto& probe = context.crash_probes[server.id];
+    if (probe) {
+        probe->reports.push_back(std::move(report));
+        return;
+    }
+    probe = std::make_shared<crash_probe>();
+    probe->reports.push_back(std::move(report));
+    spawn(
+        context.executor,
+        "crash_probe",
+        [&context, server, is_engine, probe]() -> asio::awaitable<void> {
+            co_await probe_server(context, server, is_engine, probe);
+        },
+        [&context, id = server.id, probe] {
+            const auto found = context.crash_probes.find(id);
+            if (found != context.crash_probes.end() && found->second == probe)
+                context.crash_probes.erase(found);
+        });
+}
+
+} // namespace
+
 bool is_lost_run(const upstream_failure& failure)
 {
     return failure.fault == upstream_fault::lost &&
@@ -23,34 +127,24 @@
     log_run_lost(call, server, request, server_leaves);
     if (server_leaves)
         return;
-    const core::time_point now = core::monotonic_now();
-    const admission::crash_report report{
-        request,
-        call.organisation.value_or(core::organisation_name()),
-        {{server.id, server.start}},
-        now};
-    if (!context.quarantine.add(report, now))
-        return;
-    log_crash_count(
-        context.settings.host.value(),
-        request,
-        context.quarantine.crash_count(request),
-        context.quarantine.is_quarantined(request, now));
-    if (context.tell)
-        context.tell(wire::crash_reports{{to_wire(report, now)}, {}});
-    if (context.on_quarantined &&
-        context.quarantine.is_quarantined(request, now))
-        context.on_quarantined(*context.quarantine.find(request));
+    confirm_crash(
+        context,
+        server,
+        call.target.engine.has_value(),
+        {request,
+         call.organisation.value_or(core::organisation_name()),
+         {{server.id, server.start, core::monotonic_now()}}});
 }
 
 void record_completed_run(entry_context& context, const accepted_call& call)
 {
-    if (context.quarantine.empty())
+    if (!context.quarantine.is_tracking())
         return;
     const admission::request_fingerprint request = fingerprint_of(call);
-    const bool was_quarantined =
-        context.quarantine.is_quarantined(request, core::monotonic_now());
-    if (!context.quarantine.remove(request))
+    if (!context.quarantine.is_known(request))
+        return;
+    const bool was_quarantined = context.quarantine.is_quarantined(request);
+    if (!context.quarantine.remove(request, core::monotonic_now()))
         return;
     log_crash_count(context.settings.host.value(), request, 0, false);
     if (context.tell)
@@ -59,11 +153,4 @@
         context.on_quarantine_lifted(request);
 }
 
-bool is_quarantined(const entry_context& context, const accepted_call& call)
-{
-    return !context.quarantine.empty() &&
-           context.quarantine.is_quarantined(
-               fingerprint_of(call), core::monotonic_now());
-}
-
 } // namespace godwit::entry
--- a/services/entry/src/stream_call.cpp
+++ b/services/entry/src/stream_call.cpp
@@ -26,7 +26,8 @@
 stream_call::stream_call(entry_context& context, accepted_call call)
     : context_(context),
       call_(std::make_shared<const accepted_call>(std::move(call))),
-      search_(context, call_), rebalancing_(context.settings.zone),
+      gate_(context), search_(context, call_),
+      rebalancing_(context.settings.zone),
       metrics_(
           *context.metrics,
           call_->target.name,
@@ -84,7 +85,7 @@
 asio::awaitable<bool> stream_call::start()
 {
     while (!caller_gone_) {
-        if (is_quarantined(context_, *call_)) {
+        if (gate_.refuses(*call_)) {
             co_await refuse(refusal_reason::quarantined);
             co_return false;
         }
@@ -97,7 +98,7 @@
         }
         reserved_ = std::move(room->reserved);
         hold_ = std::move(room->hold);
-        if (is_quarantined(context_, *call_)) {
+        if (gate_.refuses(*call_)) {
             drop_hold(room->server);
             continue;
         }
--- a/services/entry/src/stream_call_moves.cpp
+++ b/services/entry/src/stream_call_moves.cpp
@@ -1,7 +1,5 @@
 #include <godwit/entry/stream_call.hpp>
 
-#include <godwit/entry/lost_runs.hpp>
-
 #include <utility>
 
 // How a running stream goes on at another server.
@@ -130,7 +128,7 @@
     migration_->stream_broke();
     const core::time_point end = core::monotonic_now() + stopping_limit;
     const auto moved = co_await migration_->outcome(end);
-    if (!moved || caller_gone_ || is_quarantined(context_, *call_))
+    if (!moved || caller_gone_ || gate_.refuses(*call_))
         co_return std::nullopt;
     co_return co_await resume(*moved);
 }
--- a/services/entry/src/whole_call.cpp
+++ b/services/entry/src/whole_call.cpp
@@ -43,7 +43,7 @@
 } // namespace
 
 whole_call::whole_call(entry_context& context, accepted_call call)
-    : context_(context), call_(std::move(call)),
+    : context_(context), call_(std::move(call)), gate_(context),
       metrics_(
           *context.metrics,
           call_.target.name,
@@ -86,9 +86,9 @@
 
 // `quarantined` means not run, so it must not replace the result of an attempt
 // that a server may have run.
-bool whole_call::apply_quarantine(attempt_result& last) const
+bool whole_call::apply_quarantine(attempt_result& last)
 {
-    if (!is_quarantined(context_, call_))
+    if (!gate_.refuses(call_))
         return false;
     if (!last.may_have_run)
         last.refusal = refusal_reason::quarantined;
--- a/tests/platform_adapter/stand_in_server.cpp
+++ b/tests/platform_adapter/stand_in_server.cpp
@@ -23,6 +23,10 @@
                           const std::lock_guard lock(mutex_);
                           received_.push_back(asked.received());
                       }
+                      if (is_crashed_) {
+                          asked.cut();
+                          co_return;
+                      }
                       co_await behaviour_(asked);
                   })
                   .value();
--- a/tests/platform_adapter/stand_in_server.hpp
+++ b/tests/platform_adapter/stand_in_server.hpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -34,8 +35,12 @@
     void begin_life(std::uint64_t started_at_ms)
     {
         started_at_ms_ = started_at_ms;
+        is_crashed_ = false;
     }
 
+    /// Cuts the connection of every request until `begin_life`.
+    void crash() { is_crashed_ = true; }
+
     /// The entry under which it lists itself.
     [[nodiscard]] std::string
     entry(const std::string& state, unsigned sequence) const;
@@ -62,6 +67,7 @@
     std::string id_;
     std::string zone_ = "east";
     std::uint64_t started_at_ms_ = 0;
+    std::atomic<bool> is_crashed_ = false;
     behaviour behaviour_;
     std::mutex mutex_;
     std::vector<http::request> received_;
