entry: do not take a server listed without its start as restarted

After a connection broke, the start in an engine's report was compared with the start in the list. If the list had none, every report that named a start looked like a restart, so every broken connection counted as a crash. The engine now counts as restarted only if both starts are known and differ.

The test of a server that still answers failed before the fix because a crash was recorded.

--- a/services/entry/src/lost_runs.cpp
+++ b/services/entry/src/lost_runs.cpp
@@ -59,8 +59,11 @@
     if (!answered)
         co_return false;
     const auto report = context.words.read_report(*answered);
-    const bool has_restarted =
-        report && report->start.is_known() && report->start != server.start;
+    // The start may be unknown on either side; only two known starts that
+    // differ show a restart.
+    const bool has_restarted = report && report->start.is_known() &&
+                               server.start.is_known() &&
+                               report->start != server.start;
     co_return !has_restarted;
 }
 
--- a/tests/platform_adapter/crashing_requests_test.cpp
+++ b/tests/platform_adapter/crashing_requests_test.cpp
@@ -210,22 +210,33 @@
     // A broken connection alone is not a crash.
     void test_runs_lost_at_a_server_that_still_answers_do_not_count()
     {
-        const auto behaviour =
-            [](http::exchange& asked) -> asio::awaitable<void> {
-            if (asked.received().body == crashing_body) {
-                asked.cut();
-                co_return;
-            }
-            http::response whole =
-                stand_in_server::answer(asked, 200, R"({"state":"ready"})");
-            [[maybe_unused]] const auto sent =
-                co_await asked.respond(std::move(whole));
+        const auto behaviour = [](const std::string& report) {
+            return [report](http::exchange& asked) -> asio::awaitable<void> {
+                if (asked.received().body == crashing_body) {
+                    asked.cut();
+                    co_return;
+                }
+                http::response whole =
+                    stand_in_server::answer(asked, 200, report);
+                [[maybe_unused]] const auto sent =
+                    co_await asked.respond(std::move(whole));
+            };
         };
-        world_.first().behave(behaviour);
-        world_.second().behave(behaviour);
+        // The servers are listed without a start, so a report that contains one
+        // must not count as a restart.
+        world_.first().behave(behaviour(R"({"state":"ready","born":5})"));
+        world_.second().behave(behaviour(R"({"state":"ready","born":5})"));
         world_.begin();
+        [[maybe_unused]] const auto lost =
+            world_.call_unless_cut("/plain/", crashing_body);
+        restart_servers();
+        CPPUNIT_ASSERT(world_.look<bool>([](entry::entry_process& process) {
+            return process.context().quarantine.empty();
+        }));
+        world_.first().behave(behaviour(R"({"state":"ready"})"));
+        world_.second().behave(behaviour(R"({"state":"ready"})"));
         repeat_crashing_request("/plain/");
-        CPPUNIT_ASSERT_EQUAL(std::size_t{8}, crash_count());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{9}, crash_count());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, quarantined_count());
     }
 
