tests: a test of new hosts tries other ports when one is taken

The whole check failed once in new_host_test: an entry host could not be created. Its ports were free a moment before, and another test's process or connection got one of them. The world of the tests tries again then, and new_host_test now uses the same function. No check changed.

--- a/tests/platform_adapter/world.hpp
+++ b/tests/platform_adapter/world.hpp
@@ -14,12 +14,17 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace godwit::platform_adapter::test {
 
 /// Settings of an entry host "h1" that is alone, at ports that are free now.
 [[nodiscard]] entry::entry_settings settings_on_free_ports();
 
+/// An entry host at ports that are free, linked to `seeds`.
+[[nodiscard]] std::unique_ptr<entry::entry_process> start_process(
+    boost::asio::io_context& context, const std::vector<http::endpoint>& seeds);
+
 /// The table of the tests in a version, as its operator writes it.
 [[nodiscard]] std::string table_text(
     unsigned version, const std::string& extra_key = "", unsigned hold_ms = 0);
