platform, entry: log what the store says of its records, and what is passed over

Of a request that was refused as only an older catalogue allows, the logs of all hosts could not tell whether the store had been restored from an older copy, whether a version had come and been passed over, or whether something else than the table had refused it.

- table_known also tells of versions that the store brought.
- refused without a route or a key names what was asked for.
- rejected: answers of the HTTP server itself had no line.

No decision changes.

--- a/services/entry/include/godwit/entry/call_log.hpp
+++ b/services/entry/include/godwit/entry/call_log.hpp
@@ -6,6 +6,7 @@
 #include <godwit/core/time.hpp>
 #include <godwit/entry/accepted_call.hpp>
 #include <godwit/entry/refusal.hpp>
+#include <godwit/http/request.hpp>
 #include <godwit/placement/backend_server.hpp>
 #include <godwit/placement/placer.hpp>
 #include <godwit/placement/server_limits.hpp>
@@ -24,6 +25,14 @@
     std::uint64_t table_version,
     core::duration waited);
 
+/// A request found no route, no holder of its key or no route table.
+void log_unrouted(
+    std::string_view attempt_id,
+    std::string_view route,
+    const http::request& received,
+    refusal_reason reason,
+    std::uint64_t table_version);
+
 /// A request goes to a backend server, chosen by its load as it was known.
 void log_placed(
     const accepted_call& call,
--- a/services/entry/include/godwit/entry/call_service.hpp
+++ b/services/entry/include/godwit/entry/call_service.hpp
@@ -24,8 +24,7 @@
         http::exchange& caller,
         std::string_view attempt_id,
         std::string_view route,
-        refusal_reason reason,
-        core::time_point arrived);
+        refusal_reason reason);
 
     entry_context& context_;
 };
--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -194,9 +194,13 @@
         arrived_table table,
         const core::result<std::shared_ptr<const routing::route_table>>&
             routes);
-    [[nodiscard]] bool put_in_force(
+    void put_in_force(
         const std::shared_ptr<const routing::route_table>& routes,
-        const arrived_table& table);
+        arrived_table table);
+    void log_known(
+        std::uint64_t version,
+        std::string_view source,
+        std::size_t bytes) const;
     void remember(arrived_table table);
     void limit_callers(const routing::caller_limits& limits);
     void
--- a/services/entry/src/call_log.cpp
+++ b/services/entry/src/call_log.cpp
@@ -37,6 +37,27 @@
          {"waited_ms", milliseconds(waited)}});
 }
 
+void log_unrouted(
+    std::string_view attempt_id,
+    std::string_view route,
+    const http::request& received,
+    refusal_reason reason,
+    std::uint64_t table_version)
+{
+    telemetry::log_event(
+        telemetry::log_level::info,
+        component,
+        "refused",
+        {{"request", attempt_id},
+         {"route", route},
+         {"reason", to_string(reason)},
+         {"outcome", core::to_string(outcome_of(reason))},
+         {"table_version", table_version},
+         {"waited_ms", 0},
+         {"asked_host", received.fields.find("Host").value_or("")},
+         {"target", received.target}});
+}
+
 void log_placed(
     const accepted_call& call,
     const placement::placement_choice& choice,
--- a/services/entry/src/call_service.cpp
+++ b/services/entry/src/call_service.cpp
@@ -57,7 +57,7 @@
     const auto routes = context_.routes;
     if (!routes) {
         co_await refuse(
-            caller, terms.attempt_id, "", refusal_reason::no_routes, arrived);
+            caller, terms.attempt_id, "", refusal_reason::no_routes);
         co_return;
     }
     const auto host = received.fields.find("Host").value_or("");
@@ -65,11 +65,7 @@
         routes->find_route(host, path_of(received.target));
     if (via == nullptr) {
         co_await refuse(
-            caller,
-            terms.attempt_id,
-            "",
-            refusal_reason::no_such_route,
-            arrived);
+            caller, terms.attempt_id, "", refusal_reason::no_such_route);
         co_return;
     }
     std::optional<core::organisation_name> organisation;
@@ -82,8 +78,7 @@
                 caller,
                 terms.attempt_id,
                 via->name,
-                refusal_reason::unknown_key,
-                arrived);
+                refusal_reason::unknown_key);
             co_return;
         }
         organisation = holder->name;
@@ -117,16 +112,15 @@
     http::exchange& caller,
     std::string_view attempt_id,
     std::string_view route,
-    refusal_reason reason,
-    core::time_point arrived)
+    refusal_reason reason)
 {
     const auto routes = context_.routes;
-    log_refused(
+    log_unrouted(
         attempt_id,
         route,
+        caller.received(),
         reason,
-        routes ? routes->version() : 0,
-        core::monotonic_now() - arrived);
+        routes ? routes->version() : 0);
     context_.metrics
         ->counter(
             "godwit_unrouted_total",
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -54,6 +54,16 @@
     return made;
 }
 
+http::response reject(const http::rejection& why)
+{
+    log_event(
+        log_level::info,
+        component,
+        "rejected",
+        {{"reason", http::to_string(why.reason)}, {"status", why.status}});
+    return make_rejection_answer(why);
+}
+
 } // namespace
 
 core::result<std::unique_ptr<entry_process>> entry_process::create(
@@ -99,7 +109,7 @@
         .address = context_.settings.callers,
         .limits = bounded(
             routing::caller_limits(), context_.settings.caller_connections),
-        .on_rejection = &make_rejection_answer,
+        .on_rejection = &reject,
         .on_fault = &log_connection_fault};
     callers_ = GODWIT_TRY(http::server::create(
         io_,
--- a/services/entry/src/entry_process_tables.cpp
+++ b/services/entry/src/entry_process_tables.cpp
@@ -49,8 +49,10 @@
             component,
             "table_refused",
             {{"source", table.source}, {"cause", routes.error().to_string()}});
-    else if (put_in_force(*routes, table))
-        remember(std::move(table));
+    else if (has_version((*routes)->version()))
+        log_known((*routes)->version(), table.source, table.received_bytes);
+    else
+        put_in_force(*routes, std::move(table));
     table_inquiry_.answered(source, core::monotonic_now());
 }
 
@@ -64,13 +66,11 @@
         tables_.take_whole(context_.routes->version(), std::move(table.text));
 }
 
-bool entry_process::put_in_force(
+void entry_process::put_in_force(
     const std::shared_ptr<const routing::route_table>& routes,
-    const arrived_table& table)
+    arrived_table table)
 {
     const std::uint64_t version = routes->version();
-    if (has_version(version))
-        return false;
     const std::uint64_t before =
         context_.routes ? context_.routes->version() : 0;
     const auto& content = routes->content();
@@ -90,7 +90,7 @@
     table_inquiry_.in_force(version);
     neighbours_->broadcast(wire::catalogue_position{version, 0});
     context_.line.wake();
-    return true;
+    remember(std::move(table));
 }
 
 // The table itself may be large, and the source brings it to nearly every
@@ -237,6 +237,13 @@
 // A table that is no news came over the link for nothing.
 void entry_process::pass_over(
     const core::host_name& host, std::uint64_t version, std::size_t bytes)
+{
+    log_known(version, host.value(), bytes);
+    table_inquiry_.answered(host, core::monotonic_now());
+}
+
+void entry_process::log_known(
+    std::uint64_t version, std::string_view source, std::size_t bytes) const
 {
     log_event(
         log_level::info,
@@ -244,9 +251,8 @@
         "table_known",
         {{"version", version},
          {"in_force", context_.routes->version()},
-         {"neighbour", host},
+         {"source", source},
          {"bytes", bytes}});
-    table_inquiry_.answered(host, core::monotonic_now());
 }
 
 } // namespace godwit::entry
--- a/tests/platform_adapter/store_call_counts_test.cpp
+++ b/tests/platform_adapter/store_call_counts_test.cpp
@@ -15,6 +15,7 @@
 {
     CPPUNIT_TEST_SUITE(store_call_counts_test);
     CPPUNIT_TEST(test_calls_are_told_once_a_span);
+    CPPUNIT_TEST(test_positions_name_era_offset_and_end);
     CPPUNIT_TEST_SUITE_END();
 
     static core::time_point at_s(int seconds)
@@ -42,6 +43,17 @@
         CPPUNIT_ASSERT(counts.take_due(at_s(120)) == "a:1:0");
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, counts.failed_told());
     }
+
+    void test_positions_name_era_offset_and_end()
+    {
+        store_call_counts counts;
+        CPPUNIT_ASSERT_EQUAL(std::string(), counts.positions());
+        counts.read("b", {2, 7}, 9);
+        counts.read("a", {2, 3}, 3);
+        counts.read("b", {3, 8}, 9);
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("a:2:3:3,b:3:8:9"), counts.positions());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(store_call_counts_test);
