--- /dev/null
+++ b/tests/platform_adapter/restored_store_test.cpp
@@ -0,0 +1,132 @@
+// A store that restarts from an older copy of its records loses what came since
+// and gives its offsets out again.
+
+#include "world.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+namespace {
+
+using namespace godwit;
+using platform_adapter::test::world;
+
+class restored_store_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(restored_store_test);
+    CPPUNIT_TEST(test_a_version_at_a_reused_offset_comes_into_force);
+    CPPUNIT_TEST(test_a_shorter_log_is_noticed_without_an_era);
+    CPPUNIT_TEST(test_two_restores_within_a_second);
+    CPPUNIT_TEST(
+        test_an_accepted_version_stays_while_the_store_has_an_older_one);
+    CPPUNIT_TEST(test_an_open_read_of_another_topic_is_abandoned);
+    CPPUNIT_TEST_SUITE_END();
+
+    world world_;
+
+    void wait_for_version(unsigned version)
+    {
+        world::wait("the version", [this, version] {
+            return world_.table_version() == version;
+        });
+    }
+
+    // As many versions are written anew as were lost, so no read's offset is
+    // beyond the end.
+    void test_a_version_at_a_reused_offset_comes_into_force()
+    {
+        world_.begin();
+        world_.store().take_copy();
+        for (const unsigned version : {2U, 4U, 5U}) {
+            world_.publish(version);
+            wait_for_version(version);
+        }
+        world_.store().restore(
+            {world_.table_record(5),
+             world_.table_record(7),
+             world_.table_record(8, "k2")});
+        wait_for_version(8);
+        CPPUNIT_ASSERT_EQUAL(200U, world_.call("POST", "/plain/", "k2").status);
+    }
+
+    // One topic's shorter log shows it; the other's has the length it had.
+    void test_a_shorter_log_is_noticed_without_an_era()
+    {
+        world_.store().set_era(std::nullopt);
+        begin_registered();
+        world_.store().take_copy();
+        world_.publish(2);
+        wait_for_version(2);
+        world_.store().put("keyed.hosts", "h8", "127.0.0.1:8/east");
+        wait_for_fleet(2);
+        world_.store().restore({host("h9"), host("h8")});
+        wait_for_fleet(3);
+    }
+
+    void test_two_restores_within_a_second()
+    {
+        world_.begin();
+        world_.store().take_copy();
+        world_.publish(2);
+        wait_for_version(2);
+        world_.store().restore({world_.table_record(3)});
+        world_.store().restore({world_.table_record(5)});
+        wait_for_version(5);
+    }
+
+    void test_an_accepted_version_stays_while_the_store_has_an_older_one()
+    {
+        world_.begin();
+        world_.store().take_copy();
+        world_.publish(2, "k2");
+        wait_for_version(2);
+        const unsigned calls = world_.store().calls();
+        world_.store().restore();
+        // Every topic is read anew.
+        world::wait("reads", [this, calls] {
+            return world_.store().calls() >= calls + 6;
+        });
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, world_.table_version());
+        CPPUNIT_ASSERT_EQUAL(200U, world_.call("POST", "/plain/", "k2").status);
+    }
+
+    // A read of the hosts is held open for half a minute; the era that another
+    // topic's answer names ends it.
+    void test_an_open_read_of_another_topic_is_abandoned()
+    {
+        begin_registered();
+        world_.store().take_copy();
+        world_.store().put("keyed.hosts", "h8", "127.0.0.1:8/east");
+        wait_for_fleet(2);
+        world_.store().restore({host("h9"), host("h8")});
+        wait_for_fleet(3);
+    }
+
+    static platform_adapter::test::stand_in_store::written_again
+    host(const std::string& name)
+    {
+        return {"keyed.hosts", name, "127.0.0.1:9/east"};
+    }
+
+    void begin_registered()
+    {
+        world_.begin();
+        world::wait("registration", [this] {
+            return world_.store().find("keyed.hosts", "h1").has_value();
+        });
+    }
+
+    void wait_for_fleet(std::size_t size)
+    {
+        world::wait("the fleet", [this, size] {
+            return world_.look<std::size_t>([](auto& process) {
+                return process.fleet_size();
+            }) == size;
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(restored_store_test);
+
+} // namespace
--- a/tests/platform_adapter/stand_in_store.cpp
+++ b/tests/platform_adapter/stand_in_store.cpp
@@ -125,6 +125,41 @@
         log.first = log.records.size();
 }
 
+void stand_in_store::set_era(std::optional<std::string> era)
+{
+    const std::lock_guard lock(mutex_);
+    era_ = std::move(era);
+}
+
+void stand_in_store::take_copy()
+{
+    const std::lock_guard lock(mutex_);
+    copy_ = topics_;
+}
+
+void stand_in_store::restore(const std::vector<written_again>& records)
+{
+    const std::lock_guard lock(mutex_);
+    topics_ = copy_;
+    ++restores_;
+    if (era_)
+        era_ = std::to_string(1 + restores_);
+    for (const written_again& one : records)
+        topics_[one.topic].records.push_back({one.key, one.value});
+}
+
+asio::awaitable<void>
+stand_in_store::answer_call(http::exchange& asked, http::response answer)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        if (era_)
+            answer.fields.set("Store-Era", *era_);
+    }
+    [[maybe_unused]] const auto sent =
+        co_await asked.respond(std::move(answer));
+}
+
 asio::awaitable<void> stand_in_store::serve(http::exchange& asked)
 {
     ++calls_;
@@ -148,8 +183,7 @@
             answer.status = 404;
         }
     }
-    [[maybe_unused]] const auto sent =
-        co_await asked.respond(std::move(answer));
+    co_await answer_call(asked, std::move(answer));
 }
 
 asio::awaitable<void> stand_in_store::read(http::exchange& asked)
@@ -165,7 +199,7 @@
         {
             const std::lock_guard lock(mutex_);
             const topic_log& log = topics_[topic];
-            if (from < log.first) {
+            if (from < log.first || from > log.records.size()) {
                 answer.status = 410;
                 break;
             }
@@ -181,8 +215,7 @@
             asked.executor(), std::chrono::milliseconds(2));
         co_await pause.async_wait(asio::use_awaitable);
     }
-    [[maybe_unused]] const auto sent =
-        co_await asked.respond(std::move(answer));
+    co_await answer_call(asked, std::move(answer));
 }
 
 // A length that the record does not have stands for the key's.
--- a/tests/platform_adapter/stand_in_store.hpp
+++ b/tests/platform_adapter/stand_in_store.hpp
@@ -44,6 +44,24 @@
     /// Forgets the records that were read; the newest of each key stay.
     void compact();
 
+    /// A record that the store gets again after it was restored.
+    struct written_again
+    {
+        std::string topic;
+        std::string key;
+        std::optional<std::string> value;
+    };
+
+    /// Names an era in every answer from now on.
+    void set_era(std::optional<std::string> era);
+
+    /// Keeps a copy of all records, for `restore`.
+    void take_copy();
+
+    /// Restarts from the copy in the next era: what came since is lost, its
+    /// offsets are given out again, first to `records`. Reads stay open.
+    void restore(const std::vector<written_again>& records = {});
+
     /// Returns the key and value of the newest record that has a value and
     /// whose key starts with `key_prefix`.
     [[nodiscard]] std::optional<std::pair<std::string, std::string>>
@@ -70,6 +88,8 @@
     };
 
     boost::asio::awaitable<void> serve(http::exchange& asked);
+    boost::asio::awaitable<void>
+    answer_call(http::exchange& asked, http::response answer);
     boost::asio::awaitable<void> read(http::exchange& asked);
     [[nodiscard]] std::string
     newest(const std::string& topic, const std::string& after);
@@ -78,6 +98,9 @@
 
     std::mutex mutex_;
     std::map<std::string, topic_log> topics_;
+    std::map<std::string, topic_log> copy_;
+    std::optional<std::string> era_ = "1";
+    unsigned restores_ = 0;
     std::atomic<std::size_t> page_size_ = 500;
     std::atomic<unsigned> status_ = 0;
     std::atomic<unsigned> calls_ = 0;
--- a/tests/platform_adapter/world.cpp
+++ b/tests/platform_adapter/world.cpp
@@ -142,6 +142,12 @@
     store_->put("keyed.op", "config", table_text(version, extra_key, hold_ms_));
 }
 
+stand_in_store::written_again
+world::table_record(unsigned version, const std::string& extra_key) const
+{
+    return {"keyed.op", "config", table_text(version, extra_key, hold_ms_)};
+}
+
 void world::list(stand_in_server& server, const std::string& state)
 {
     store_->put("keyed.servers", server.id(), server.entry(state, ++sequence_));
--- a/tests/platform_adapter/world.hpp
+++ b/tests/platform_adapter/world.hpp
@@ -61,6 +61,10 @@
     /// Publishes the table of the tests as `version`.
     void publish(unsigned version, const std::string& extra_key = "");
 
+    /// The record that publishes the table as `version`.
+    [[nodiscard]] stand_in_store::written_again
+    table_record(unsigned version, const std::string& extra_key = "") const;
+
     /// Lists the server so, and waits until the entry host believes it.
     void list(stand_in_server& server, const std::string& state);
 
