platform, entry: keep servers that a restored store lacks while they list themselves

After the store had been restored from an older copy, each server that the copy did not hold yet was taken for gone, on all hosts at once, and its streams were moved away for nothing: reading anew showed it missing from a list that is read steadily.

What vanishes within four seconds of a restore may have been lost with it, as after an outage: it stays in use for two seconds, in which a living server lists itself again, and is gone afterwards. An entry that is listed again as it was, with the count that it had, now says so, too; before, it was no news, and the server was dropped two seconds later. An entry of the copy cannot bring back a server that is known to leave or to have left: it is of the same life and no newer.

--- a/libraries/placement/include/godwit/placement/server_directory.hpp
+++ b/libraries/placement/include/godwit/placement/server_directory.hpp
@@ -49,6 +49,10 @@
     /// server of the service had means that the other one is gone.
     directory_change listed(const backend_server& server, core::time_point now);
 
+    /// The source lists the server; its entry did not lapse, or is back as it
+    /// was. Says nothing of one that leaves.
+    void still_listed(const server_id& id);
+
     /// The list dropped the server.
     directory_change
     delisted(const server_id& id, source_state source, core::time_point now);
--- a/libraries/placement/src/server_directory.cpp
+++ b/libraries/placement/src/server_directory.cpp
@@ -101,6 +101,13 @@
     return was_usable ? directory_change::none : directory_change::appeared;
 }
 
+void server_directory::still_listed(const server_id& id)
+{
+    const auto found = servers_.find(id);
+    if (found != servers_.end())
+        found->second.lapsed_at.reset();
+}
+
 directory_change server_directory::delisted(
     const server_id& id, source_state source, core::time_point now)
 {
--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -70,6 +70,10 @@
 
     void server_listed(
         const placement::backend_server& server, std::string_view source);
+
+    /// The source lists the server, though perhaps with nothing new.
+    void server_is_listed(const placement::server_id& server);
+
     void server_delisted(
         const placement::server_id& server, std::string_view source);
 
@@ -80,6 +84,10 @@
     /// The list of servers was read at its source just now.
     void list_was_read();
 
+    /// The source restarted from an older copy of the list: servers that it
+    /// lacks stay in use while they may list themselves again.
+    void source_was_restored();
+
     /// The first whole list of servers was read, or a neighbour told it;
     /// `source` names who brought it, for the log.
     void servers_are_known(std::string_view source);
--- a/services/entry/include/godwit/entry/list_outage.hpp
+++ b/services/entry/include/godwit/entry/list_outage.hpp
@@ -9,8 +9,8 @@
 namespace godwit::entry {
 
 /// Tells whether entries that the list of servers dropped may have lapsed
-/// because its source was away, or only this host was cut off from it. While
-/// the source serves others it drops nobody that lives.
+/// because its source was away or lost them, or only this host was cut off from
+/// it. While the source serves others it drops nobody that lives.
 class list_outage
 {
 public:
@@ -27,6 +27,10 @@
     /// This host reads the list, or cannot.
     void set_current(bool is_current, core::time_point now);
 
+    /// The source restarted from an older copy: servers whose entries it lost
+    /// list themselves again.
+    void restored(core::time_point now);
+
     /// A neighbour said that it reads the list.
     void neighbour_reads(core::time_point now);
 
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -253,6 +253,11 @@
     context_.invalid_limits_from.erase(server);
 }
 
+void entry_process::server_is_listed(const placement::server_id& server)
+{
+    context_.directory.still_listed(server);
+}
+
 void entry_process::server_delisted(
     const placement::server_id& server, std::string_view source)
 {
@@ -299,6 +304,11 @@
     readers_.has_read(core::monotonic_now());
 }
 
+void entry_process::source_was_restored()
+{
+    outage_.restored(core::monotonic_now());
+}
+
 void entry_process::servers_are_known(std::string_view source)
 {
     if (std::exchange(has_servers_, true))
--- a/services/entry/src/list_outage.cpp
+++ b/services/entry/src/list_outage.cpp
@@ -18,6 +18,11 @@
         disturbed_until_ = now + disturbed_time;
 }
 
+void list_outage::restored(core::time_point now)
+{
+    disturbed_until_ = now + disturbed_time;
+}
+
 void list_outage::neighbour_reads(core::time_point now)
 {
     const bool proves = !is_current_ && lost_at_ && !others_served_at_ &&
--- a/tests/platform_adapter/restored_store_test.cpp
+++ b/tests/platform_adapter/restored_store_test.cpp
@@ -5,7 +5,9 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <chrono>
 #include <string>
+#include <thread>
 
 namespace {
 
@@ -21,6 +23,10 @@
     CPPUNIT_TEST(
         test_an_accepted_version_stays_while_the_store_has_an_older_one);
     CPPUNIT_TEST(test_an_open_read_of_another_topic_is_abandoned);
+    CPPUNIT_TEST(test_a_living_server_that_the_copy_lacks_stays_in_use);
+    CPPUNIT_TEST(test_a_server_that_is_not_listed_again_is_gone);
+    CPPUNIT_TEST(test_a_server_that_left_is_not_used_again);
+    CPPUNIT_TEST(test_an_entry_that_is_written_again_unchanged_counts);
     CPPUNIT_TEST_SUITE_END();
 
     world world_;
@@ -83,10 +89,7 @@
         wait_for_version(2);
         const unsigned calls = world_.store().calls();
         world_.store().restore();
-        // Every topic is read anew.
-        world::wait("reads", [this, calls] {
-            return world_.store().calls() >= calls + 6;
-        });
+        wait_for_reading_anew(calls);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, world_.table_version());
         CPPUNIT_ASSERT_EQUAL(200U, world_.call("POST", "/plain/", "k2").status);
     }
@@ -117,6 +120,92 @@
         });
     }
 
+    bool is_usable(const std::string& id)
+    {
+        return world_.look<bool>([&id](auto& process) {
+            return process.context().directory.is_usable(
+                placement::server_id(id));
+        });
+    }
+
+    /// Looks for as long as a server may take to list itself again, with some
+    /// time beyond it.
+    bool stays_usable(const std::string& id)
+    {
+        for (int count = 0; count < 150; ++count) {
+            if (!is_usable(id))
+                return false;
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        }
+        return true;
+    }
+
+    void begin_with_second_lost()
+    {
+        world_.begin_with_first();
+        world_.store().take_copy();
+        world_.list(world_.second(), "ready");
+    }
+
+    platform_adapter::test::stand_in_store::written_again second_entry()
+    {
+        const auto found = world_.store().find("keyed.servers", "i-2");
+        return {"keyed.servers", "i-2", found.value().second};
+    }
+
+    void wait_for_reading_anew(unsigned calls)
+    {
+        world::wait("reads", [this, calls] {
+            return world_.store().calls() >= calls + 6;
+        });
+    }
+
+    void test_a_living_server_that_the_copy_lacks_stays_in_use()
+    {
+        begin_with_second_lost();
+        const auto entry = second_entry();
+        const unsigned calls = world_.store().calls();
+        world_.store().restore();
+        wait_for_reading_anew(calls);
+        CPPUNIT_ASSERT(is_usable("i-2"));
+        world_.store().put(entry.topic, entry.key, entry.value);
+        CPPUNIT_ASSERT(stays_usable("i-2"));
+    }
+
+    void test_a_server_that_is_not_listed_again_is_gone()
+    {
+        begin_with_second_lost();
+        world_.store().restore();
+        world::wait("the server's end", [this] { return !is_usable("i-2"); });
+        CPPUNIT_ASSERT(is_usable("i-1"));
+    }
+
+    void test_a_server_that_left_is_not_used_again()
+    {
+        world_.begin();
+        world_.store().take_copy();
+        world_.list(world_.second(), "draining");
+        const unsigned calls = world_.store().calls();
+        // The copy shows it ready.
+        world_.store().restore();
+        wait_for_reading_anew(calls);
+        CPPUNIT_ASSERT(!is_usable("i-2"));
+        CPPUNIT_ASSERT(is_usable("i-1"));
+    }
+
+    // The first reading of the copy finds it missing, the second one lists it
+    // as it was known.
+    void test_an_entry_that_is_written_again_unchanged_counts()
+    {
+        begin_with_second_lost();
+        const auto entry = second_entry();
+        const unsigned calls = world_.store().calls();
+        world_.store().restore();
+        wait_for_reading_anew(calls);
+        world_.store().restore({entry});
+        CPPUNIT_ASSERT(stays_usable("i-2"));
+    }
+
     void wait_for_fleet(std::size_t size)
     {
         world::wait("the fleet", [this, size] {
