--- a/tests/platform_adapter/crashing_requests_test.cpp
+++ b/tests/platform_adapter/crashing_requests_test.cpp
@@ -58,6 +58,8 @@
     CPPUNIT_TEST(test_a_malformed_report_changes_nothing);
     CPPUNIT_TEST(test_a_stored_quarantine_applies_after_all_hosts_end);
     CPPUNIT_TEST(test_deleting_the_record_ends_the_quarantine);
+    CPPUNIT_TEST(test_a_quarantine_that_the_store_lost_is_written_again);
+    CPPUNIT_TEST(test_a_restored_store_does_not_bring_back_a_quarantine);
     CPPUNIT_TEST_SUITE_END();
 
     world world_;
@@ -363,6 +365,37 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, quarantined_count());
     }
 
+    void test_a_quarantine_that_the_store_lost_is_written_again()
+    {
+        begin();
+        world_.store().take_copy();
+        repeat_crashing_request("/stream/");
+        world::wait(
+            "the record", [this] { return quarantine_record().has_value(); });
+        const std::string key = quarantine_record()->first;
+        world_.store().restore();
+        world::wait("the record again", [this, &key] {
+            return world_.store().has("keyed.hosts", key);
+        });
+    }
+
+    void test_a_restored_store_does_not_bring_back_a_quarantine()
+    {
+        begin();
+        repeat_crashing_request("/stream/");
+        world::wait(
+            "the record", [this] { return quarantine_record().has_value(); });
+        const std::string key = quarantine_record()->first;
+        world_.store().take_copy();
+        world_.store().put("keyed.hosts", key, std::nullopt);
+        world::wait("its end", [this] { return quarantined_count() == 0; });
+        world_.store().restore();
+        world::wait("the record's end", [this, &key] {
+            return !world_.store().has("keyed.hosts", key);
+        });
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, quarantined_count());
+    }
+
     void test_a_malformed_report_changes_nothing()
     {
         begin();
--- a/tests/platform_adapter/restored_store_test.cpp
+++ b/tests/platform_adapter/restored_store_test.cpp
@@ -27,6 +27,8 @@
     CPPUNIT_TEST(test_a_server_that_is_not_listed_again_is_gone);
     CPPUNIT_TEST(test_a_server_that_left_is_not_used_again);
     CPPUNIT_TEST(test_an_entry_that_is_written_again_unchanged_counts);
+    CPPUNIT_TEST(test_a_hosts_own_record_is_written_again);
+    CPPUNIT_TEST(test_hosts_that_the_copy_lacks_stay_known);
     CPPUNIT_TEST_SUITE_END();
 
     world world_;
@@ -206,6 +208,29 @@
         CPPUNIT_ASSERT(stays_usable("i-2"));
     }
 
+    void test_a_hosts_own_record_is_written_again()
+    {
+        begin_registered();
+        world_.store().put("keyed.hosts", "h1", std::nullopt);
+        world_.store().take_copy();
+        world_.store().restore();
+        world::wait("the record", [this] {
+            return world_.store().has("keyed.hosts", "h1");
+        });
+    }
+
+    void test_hosts_that_the_copy_lacks_stay_known()
+    {
+        begin_registered();
+        world_.store().take_copy();
+        world_.store().put("keyed.hosts", "h8", "127.0.0.1:8/east");
+        wait_for_fleet(2);
+        const unsigned calls = world_.store().calls();
+        world_.store().restore();
+        wait_for_reading_anew(calls);
+        wait_for_fleet(2);
+    }
+
     void wait_for_fleet(std::size_t size)
     {
         world::wait("the fleet", [this, size] {
--- a/tests/platform_adapter/stand_in_store.cpp
+++ b/tests/platform_adapter/stand_in_store.cpp
@@ -118,6 +118,17 @@
     return std::nullopt;
 }
 
+bool stand_in_store::has(const std::string& topic, const std::string& key)
+{
+    const std::lock_guard lock(mutex_);
+    bool has_value = false;
+    for (const record& one : topics_[topic].records) {
+        if (one.key == key)
+            has_value = one.value && !one.value->empty();
+    }
+    return has_value;
+}
+
 void stand_in_store::compact()
 {
     const std::lock_guard lock(mutex_);
--- a/tests/platform_adapter/stand_in_store.hpp
+++ b/tests/platform_adapter/stand_in_store.hpp
@@ -67,6 +67,9 @@
     [[nodiscard]] std::optional<std::pair<std::string, std::string>>
     find(const std::string& topic, const std::string& key_prefix);
 
+    /// Whether the newest record of the key has a value.
+    [[nodiscard]] bool has(const std::string& topic, const std::string& key);
+
     /// Calls so far.
     [[nodiscard]] unsigned calls() const { return calls_; }
 
