http: deliver what was sent before a stream is cut

A caller whose stream was cut could find its connection reset before it had read a byte, though the head and events had been sent: a reset makes the caller's system drop what was not read yet.

With chunks an orderly end is as visibly no end of the answer, so the reset is kept for HTTP/1.0 alone, where the end of the connection ends the body. The new test fails on the code before ('no answer; so far: HTTP/1.1 200 OK') and passes now; test_unfinished_stream_is_visibly_cut holds as before.

--- a/libraries/http/src/connection_answer.cpp
+++ b/libraries/http/src/connection_answer.cpp
@@ -21,9 +21,11 @@
 {
     is_cut_ = true;
     keeps_alive_ = false;
-    // Without lingering, closing sends a reset.
     error_code ignored;
-    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    // Where the end of the connection ends the body, only a reset shows that
+    // the answer is not whole. Elsewhere an orderly end keeps what was sent.
+    if (!takes_chunks_)
+        socket_.set_option(asio::socket_base::linger(true, 0), ignored);
     socket_.close(ignored);
 }
 
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -10,6 +10,7 @@
 #include <future>
 #include <stdexcept>
 #include <string>
+#include <thread>
 
 namespace {
 
@@ -71,6 +72,7 @@
     CPPUNIT_TEST(test_survives_mutated_requests);
     CPPUNIT_TEST(test_streams);
     CPPUNIT_TEST(test_unfinished_stream_is_visibly_cut);
+    CPPUNIT_TEST(test_a_cut_does_not_take_back_what_was_sent);
     CPPUNIT_TEST(test_failed_handler_is_500);
     CPPUNIT_TEST(test_notices_that_caller_left);
     CPPUNIT_TEST(test_notices_that_caller_reset);
@@ -371,6 +373,26 @@
         CPPUNIT_ASSERT(!contains(answer, "\r\n0\r\n"));
     }
 
+    static boost::asio::awaitable<void> stream_one_and_cut(exchange& current)
+    {
+        auto sent = co_await current.start_stream(200, {});
+        if (sent)
+            sent = co_await current.write_chunk("one");
+        current.cut();
+    }
+
+    // A reset makes the caller's system drop what the caller has not read yet.
+    void test_a_cut_does_not_take_back_what_was_sent()
+    {
+        server_harness harness({}, &stream_one_and_cut);
+        const raw_caller caller(harness.target().address());
+        caller.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+        std::this_thread::sleep_for(milliseconds(200));
+        const std::string answer = caller.read_all();
+        CPPUNIT_ASSERT(contains(answer, "\r\n\r\n3\r\none\r\n"));
+        CPPUNIT_ASSERT(!contains(answer, "\r\n0\r\n"));
+    }
+
     static boost::asio::awaitable<void> fail(exchange&)
     {
         throw std::runtime_error("a fault");
