routing: accept a table in which an organisation names a key twice

Such a table was refused as a whole ('organisation south holds a key of another one'), so the version before stayed in force on all hosts and callers got 404 and 401 for what had been added, until the next version without the repetition. Nothing is contradictory about it. A key that two organisations name stays refused.

The new test fails on the code before and passes now.

--- a/libraries/routing/src/route_table.cpp
+++ b/libraries/routing/src/route_table.cpp
@@ -91,7 +91,8 @@
 core::result<void> route_table::index_organisation(std::size_t at)
 {
     for (const std::string& key : content_.organisations[at].keys) {
-        if (!organisations_by_key_.emplace(key, at).second)
+        const auto [holder, is_new] = organisations_by_key_.emplace(key, at);
+        if (!is_new && holder->second != at)
             return tl::unexpected(refusal(
                 "organisation " + content_.organisations[at].name.value() +
                 " holds a key of another one"));
--- a/tests/routing/route_table_test.cpp
+++ b/tests/routing/route_table_test.cpp
@@ -48,6 +48,7 @@
     CPPUNIT_TEST(test_the_first_of_two_equal_routes_is_used);
     CPPUNIT_TEST(test_host_without_regard_to_case_and_port);
     CPPUNIT_TEST(test_keys_name_their_organisation);
+    CPPUNIT_TEST(test_a_key_that_an_organisation_names_twice_is_its_own);
     CPPUNIT_TEST(test_contradictions_are_refused);
     CPPUNIT_TEST_SUITE_END();
 
@@ -109,6 +110,15 @@
         CPPUNIT_ASSERT(table->find_organisation("") == nullptr);
     }
 
+    void test_a_key_that_an_organisation_names_twice_is_its_own()
+    {
+        auto content = sample();
+        content.organisations[0].keys = {"key-1", "key-2", "key-1"};
+        const auto table = route_table::create(content);
+        CPPUNIT_ASSERT(table.has_value());
+        CPPUNIT_ASSERT((*table)->find_organisation("key-1") != nullptr);
+    }
+
     void test_contradictions_are_refused()
     {
         auto content = sample();
