entry: do not refuse a request for good while a newer table is on its way

A host that starts while the store has an older copy takes the older version; until a neighbour's newer one arrived it answered 404 and 401 for what that version allows, and so did any host for the 0.25 s and more between a neighbour's announcement and the table. Callers do not come back after these answers, though the host knew that its table was not the newest.

Such a request waits, a second at the most, while a neighbour is known to have a newer version, while a table is being read, or in the first second of a host beside others until it has heard one of them. Everything else is served at once, as before.

On the commit before, test_a_request_is_not_refused_while_a_newer_version_ comes fails (401 instead of 200); its counterpart, where the version does not come, holds before and after.

--- a/services/entry/include/godwit/entry/call_service.hpp
+++ b/services/entry/include/godwit/entry/call_service.hpp
@@ -6,6 +6,12 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <tl/expected.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
 #include <string_view>
 
 namespace godwit::entry {
@@ -20,11 +26,29 @@
     boost::asio::awaitable<void> serve(http::exchange& caller);
 
 private:
+    /// What the route table in force says of a request.
+    struct resolved_call
+    {
+        std::shared_ptr<const routing::route_table> routes;
+        const routing::route* via = nullptr;
+        std::optional<core::organisation_name> organisation;
+        int priority = 0;
+    };
+
+    struct unrouted_call
+    {
+        refusal_reason reason = refusal_reason::no_routes;
+        std::string route; ///< Empty if there is none.
+    };
+
+    [[nodiscard]] tl::expected<resolved_call, unrouted_call>
+    resolve(const http::request& received, const call_terms& terms) const;
+    boost::asio::awaitable<void>
+    wait_while(std::function<bool()> is_outdated) const;
     boost::asio::awaitable<void> refuse(
         http::exchange& caller,
         std::string_view attempt_id,
-        std::string_view route,
-        refusal_reason reason);
+        const unrouted_call& unrouted);
 
     entry_context& context_;
 };
--- a/services/entry/include/godwit/entry/entry_context.hpp
+++ b/services/entry/include/godwit/entry/entry_context.hpp
@@ -89,6 +89,9 @@
     std::function<std::size_t(std::string_view key)> host_rank;
     /// Work was added at a server; set by the process.
     std::function<void()> on_work_added;
+    /// Whether there may be a newer version of the route table, known to a
+    /// neighbour; set by the process.
+    std::function<bool()> may_lack_version;
     std::unique_ptr<http::connection_pool> connections;
     std::unique_ptr<telemetry::metrics> metrics;
     bool is_stopping = false;
--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -156,6 +156,7 @@
     void watch_stop();
     void tick();
     void log_stall();
+    [[nodiscard]] bool may_lack_version() const;
     void
     appeared(const placement::backend_server& server, std::string_view source);
     void left(const placement::server_id& server, std::string_view source);
@@ -246,6 +247,7 @@
     core::timer stop_timer_;
     core::time_point started_at_{};
     core::time_point last_tick_at_{};
+    bool has_heard_version_ = false; ///< Of the route table, from anybody.
     core::time_point stop_began_{};
     std::unique_ptr<neighbour_links> neighbours_;
     settings_reader read_settings_;
--- a/services/entry/include/godwit/entry/table_inquiry.hpp
+++ b/services/entry/include/godwit/entry/table_inquiry.hpp
@@ -57,6 +57,12 @@
     /// There is no link to the neighbour any more.
     void lost(const core::host_name& neighbour);
 
+    /// Whether a neighbour has a newer version than this host.
+    [[nodiscard]] bool lacks_version() const noexcept
+    {
+        return !announced_.empty();
+    }
+
     /// Whom to ask now; it counts as asked.
     [[nodiscard]] std::optional<table_question> next(core::time_point now);
 
--- a/services/entry/src/call_service.cpp
+++ b/services/entry/src/call_service.cpp
@@ -2,6 +2,7 @@
 
 #include <godwit/core/hash.hpp>
 #include <godwit/entry/call_log.hpp>
+#include <godwit/entry/pause.hpp>
 #include <godwit/entry/stream_call.hpp>
 #include <godwit/entry/whole_call.hpp>
 
@@ -20,6 +21,18 @@
 // When a caller that met a starting host should come back.
 constexpr core::duration start_come_back = std::chrono::milliseconds(300);
 
+// How long a request may wait for a table that this host lacks, and how often
+// it looks.
+constexpr core::duration longest_table_wait = std::chrono::seconds(1);
+constexpr core::duration table_look = std::chrono::milliseconds(10);
+
+// Callers do not come back after these.
+bool is_final(refusal_reason reason)
+{
+    return reason == refusal_reason::no_such_route ||
+           reason == refusal_reason::unknown_key;
+}
+
 std::string_view path_of(std::string_view target)
 {
     return target.substr(0, target.find('?'));
@@ -54,51 +67,32 @@
     const core::time_point arrived = core::monotonic_now();
     const http::request& received = caller.received();
     call_terms terms = context_.words.read_call(received.fields);
-    const auto routes = context_.routes;
-    if (!routes) {
-        co_await refuse(
-            caller, terms.attempt_id, "", refusal_reason::no_routes);
-        co_return;
+    auto found = resolve(received, terms);
+    if (!found && is_final(found.error().reason) &&
+        context_.may_lack_version()) {
+        co_await wait_while(context_.may_lack_version);
+        found = resolve(received, terms);
     }
-    const auto host = received.fields.find("Host").value_or("");
-    const routing::route* via =
-        routes->find_route(host, path_of(received.target));
-    if (via == nullptr) {
-        co_await refuse(
-            caller, terms.attempt_id, "", refusal_reason::no_such_route);
+    if (!found) {
+        co_await refuse(caller, terms.attempt_id, found.error());
         co_return;
     }
-    std::optional<core::organisation_name> organisation;
-    int priority = via->priority;
-    if (routes->has_organisations() && !via->is_public) {
-        const routing::organisation* holder =
-            routes->find_organisation(terms.key);
-        if (holder == nullptr) {
-            co_await refuse(
-                caller,
-                terms.attempt_id,
-                via->name,
-                refusal_reason::unknown_key);
-            co_return;
-        }
-        organisation = holder->name;
-        priority = holder->priority.value_or(priority);
-    }
+    const routing::route& via = *found->via;
     const routing::service* target =
-        pick_service(*routes, *via, terms.attempt_id);
+        pick_service(*found->routes, via, terms.attempt_id);
     const core::duration span =
-        std::min(terms.time_left.value_or(via->timeout), via->timeout);
+        std::min(terms.time_left.value_or(via.timeout), via.timeout);
     accepted_call call{
         caller,
         std::move(terms),
-        routes,
-        *via,
+        found->routes,
+        via,
         *target,
-        std::move(organisation),
-        priority,
+        std::move(found->organisation),
+        found->priority,
         arrived,
         arrived + span};
-    if (via->form == routing::answer_form::event_stream) {
+    if (via.form == routing::answer_form::event_stream) {
         const auto stream =
             std::make_shared<stream_call>(context_, std::move(call));
         co_await stream->run();
@@ -108,16 +102,48 @@
     co_await whole->run();
 }
 
+tl::expected<call_service::resolved_call, call_service::unrouted_call>
+call_service::resolve(
+    const http::request& received, const call_terms& terms) const
+{
+    const auto& routes = context_.routes;
+    if (!routes)
+        return tl::unexpected(unrouted_call{refusal_reason::no_routes, ""});
+    const auto host = received.fields.find("Host").value_or("");
+    const routing::route* via =
+        routes->find_route(host, path_of(received.target));
+    if (via == nullptr)
+        return tl::unexpected(unrouted_call{refusal_reason::no_such_route, ""});
+    resolved_call found{routes, via, std::nullopt, via->priority};
+    if (!routes->has_organisations() || via->is_public)
+        return found;
+    const routing::organisation* holder = routes->find_organisation(terms.key);
+    if (holder == nullptr)
+        return tl::unexpected(
+            unrouted_call{refusal_reason::unknown_key, via->name});
+    found.organisation = holder->name;
+    found.priority = holder->priority.value_or(via->priority);
+    return found;
+}
+
+asio::awaitable<void>
+call_service::wait_while(std::function<bool()> is_outdated) const
+{
+    const core::time_point end = core::monotonic_now() + longest_table_wait;
+    while (is_outdated() && core::monotonic_now() < end)
+        co_await pause(context_.executor, table_look);
+}
+
 asio::awaitable<void> call_service::refuse(
     http::exchange& caller,
     std::string_view attempt_id,
-    std::string_view route,
-    refusal_reason reason)
+    const unrouted_call& unrouted)
 {
+    const refusal_reason reason = unrouted.reason;
     const auto routes = context_.routes;
     log_unrouted(
         attempt_id,
-        route,
+        unrouted.route,
         caller.received(),
         reason,
         routes ? routes->version() : 0);
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -25,6 +25,8 @@
 // An interval between two ticks of at least this length is logged: the process
 // was suspended, stopped or starved of CPU time.
 constexpr core::duration stall_threshold = std::chrono::seconds(1);
+// How long a host that starts beside others may take until it has heard one.
+constexpr core::duration greeting_span = std::chrono::seconds(1);
 // A server gives about two seconds of notice, of which the copies need one.
 constexpr core::duration report_span = std::chrono::milliseconds(250);
 // Events come some thirty milliseconds apart; a batch that reads several
@@ -163,6 +165,9 @@
         [this](const placement::server_limit& limit, unsigned sends) {
             tell_limit(limit, sends);
         };
+    context_.may_lack_version = [this] {
+        return may_lack_version();
+    };
     neighbours_->start();
     started_at_ = core::monotonic_now();
     last_tick_at_ = started_at_;
@@ -394,6 +399,16 @@
               .count()}});
 }
 
+// A source that was restored may have an older version than the neighbours
+// hold, and a host that starts reads the source first.
+bool entry_process::may_lack_version() const
+{
+    const bool may_hear_one =
+        is_new_in_fleet() && !has_heard_version_ &&
+        core::monotonic_now() - started_at_ < greeting_span;
+    return may_hear_one || table_inquiry_.lacks_version() || intake_.is_busy();
+}
+
 void entry_process::tick()
 {
     log_stall();
--- a/services/entry/src/entry_process_tables.cpp
+++ b/services/entry/src/entry_process_tables.cpp
@@ -99,6 +99,7 @@
 void entry_process::hear_version(
     const core::host_name& host, std::uint64_t version)
 {
+    has_heard_version_ = true;
     table_inquiry_.announced(host, version, core::monotonic_now());
 }
 
--- a/tests/platform_adapter/table_questions_test.cpp
+++ b/tests/platform_adapter/table_questions_test.cpp
@@ -16,6 +16,7 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <utility>
 
 namespace {
 
@@ -30,6 +31,9 @@
     CPPUNIT_TEST_SUITE(table_questions_test);
     CPPUNIT_TEST(test_one_neighbour_sends_the_table);
     CPPUNIT_TEST(test_another_neighbour_is_asked_when_one_is_silent);
+    CPPUNIT_TEST(test_a_request_is_not_refused_while_a_newer_version_comes);
+    CPPUNIT_TEST(
+        test_a_request_is_refused_when_the_newer_version_does_not_come);
     CPPUNIT_TEST_SUITE_END();
 
     static std::optional<wire::message> table(const wire::pull& asked)
@@ -71,6 +75,36 @@
         const auto asked = others.asked();
         CPPUNIT_ASSERT(asked[0] != asked[1]);
     }
+
+    static unsigned
+    status_amid_announcement(stand_in_neighbours::answer_to_pull answer)
+    {
+        world tested;
+        tested.begin_without_store();
+        stand_in_neighbours others(
+            neighbours, tested.neighbours(), std::move(answer));
+        others.announce(2);
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        return tested.call("POST", "/plain/", "k2").status;
+    }
+
+    void test_a_request_is_not_refused_while_a_newer_version_comes()
+    {
+        const unsigned status =
+            status_amid_announcement([](const wire::pull& asked) {
+                return wire::table_document{
+                    asked.next_offset,
+                    platform_adapter::test::table_text(2, "k2")};
+            });
+        CPPUNIT_ASSERT_EQUAL(200U, status);
+    }
+
+    void test_a_request_is_refused_when_the_newer_version_does_not_come()
+    {
+        const unsigned status = status_amid_announcement(
+            [](const wire::pull&) { return std::nullopt; });
+        CPPUNIT_ASSERT_EQUAL(401U, status);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(table_questions_test);
