entry, platform: read the sources again before serving after a suspension

A host that had been suspended served its first requests by the table and the list of before: a key that had been dropped meanwhile still ran, one that had been added got 401, and requests went to a server that had left. The answers of the store to what was asked before the sleep come late or never; then the read had to time out, and a pause of 0.2 s followed.

When the clock shows that the process did not run for a second or longer, every topic is read anew at once, and requests wait until the table and the list were read: a second at the most, after which the host serves on by what it knows, as while its store is away. Whoever notices first, the tick or a request, begins it.

--- a/services/entry/include/godwit/entry/entry_context.hpp
+++ b/services/entry/include/godwit/entry/entry_context.hpp
@@ -89,6 +89,12 @@
     std::function<std::size_t(std::string_view key)> host_rank;
     /// Work was added at a server; set by the process.
     std::function<void()> on_work_added;
+    /// The host did not run for some time and runs again; set by the process's
+    /// sources, which read everything anew.
+    std::function<void()> on_resumed;
+    /// Whether the host ran again a moment ago and has not read its sources
+    /// since; set by the process.
+    std::function<bool()> is_refreshing;
     /// Whether there may be a newer version of the route table, known to a
     /// neighbour; set by the process.
     std::function<bool()> may_lack_version;
--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -12,6 +12,7 @@
 #include <godwit/entry/list_readers.hpp>
 #include <godwit/entry/neighbour_links.hpp>
 #include <godwit/entry/report_poller.hpp>
+#include <godwit/entry/source_refresh.hpp>
 #include <godwit/entry/table_askers.hpp>
 #include <godwit/entry/table_history.hpp>
 #include <godwit/entry/table_inquiry.hpp>
@@ -84,6 +85,12 @@
     /// The list of servers was read at its source just now.
     void list_was_read();
 
+    /// The newest route table was read at its source.
+    void table_source_was_read() { refresh_.table_was_read(); }
+
+    /// The whole list of servers was read at its source.
+    void server_source_was_read() { refresh_.servers_were_read(); }
+
     /// The source restarted from an older copy of the list: servers that it
     /// lacks stay in use while they may list themselves again.
     void source_was_restored();
@@ -155,7 +162,8 @@
     void begin_stop();
     void watch_stop();
     void tick();
-    void log_stall();
+    void notice_stall();
+    [[nodiscard]] bool is_refreshing();
     [[nodiscard]] bool may_lack_version() const;
     void
     appeared(const placement::backend_server& server, std::string_view source);
@@ -247,6 +255,7 @@
     core::timer stop_timer_;
     core::time_point started_at_{};
     core::time_point last_tick_at_{};
+    source_refresh refresh_;
     bool has_heard_version_ = false; ///< Of the route table, from anybody.
     core::time_point stop_began_{};
     std::unique_ptr<neighbour_links> neighbours_;
--- a/services/entry/src/call_service.cpp
+++ b/services/entry/src/call_service.cpp
@@ -67,6 +67,8 @@
     const core::time_point arrived = core::monotonic_now();
     const http::request& received = caller.received();
     call_terms terms = context_.words.read_call(received.fields);
+    if (context_.is_refreshing())
+        co_await wait_while(context_.is_refreshing);
     auto found = resolve(received, terms);
     if (!found && is_final(found.error().reason) &&
         context_.may_lack_version()) {
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -165,6 +165,9 @@
         [this](const placement::server_limit& limit, unsigned sends) {
             tell_limit(limit, sends);
         };
+    context_.is_refreshing = [this] {
+        return is_refreshing();
+    };
     context_.may_lack_version = [this] {
         return may_lack_version();
     };
@@ -382,14 +385,15 @@
         reports_.poll_all();
 }
 
-// Only logs the stall: the clock and timers include it, so nothing needs to be
-// expired here.
-void entry_process::log_stall()
+// The clock and timers include the stall, so nothing is expired here. What the
+// sources said meanwhile is still to be read.
+void entry_process::notice_stall()
 {
     const core::time_point now = core::monotonic_now();
-    const core::duration elapsed = now - std::exchange(last_tick_at_, now);
+    const core::duration elapsed = now - last_tick_at_;
     if (elapsed < stall_threshold)
         return;
+    last_tick_at_ = now;
     log_event(
         log_level::warning,
         component,
@@ -397,6 +401,18 @@
         {{"stalled_ms",
           std::chrono::duration_cast<std::chrono::milliseconds>(elapsed)
               .count()}});
+    if (!context_.on_resumed)
+        return;
+    refresh_.begin(now);
+    context_.on_resumed();
+}
+
+// Asked before a request is routed: its bytes may be seen before the first tick
+// after a suspension.
+bool entry_process::is_refreshing()
+{
+    notice_stall();
+    return refresh_.is_pending(core::monotonic_now());
 }
 
 // A source that was restored may have an older version than the neighbours
@@ -411,7 +427,8 @@
 
 void entry_process::tick()
 {
-    log_stall();
+    notice_stall();
+    last_tick_at_ = core::monotonic_now();
     for (const auto& gone : context_.directory.expire(core::monotonic_now()))
         left(gone, "lapsed");
     context_.quarantine.expire(core::monotonic_now());
--- a/tests/core/suspended_machine_test.cpp
+++ b/tests/core/suspended_machine_test.cpp
@@ -1,3 +1,5 @@
+#include "suspended_clock.hpp"
+
 #include <godwit/core/time.hpp>
 #include <godwit/core/timer.hpp>
 
@@ -5,11 +7,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <atomic>
 #include <chrono>
-#include <ctime>
-
-#include <dlfcn.h>
 
 namespace {
 
@@ -17,27 +15,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-std::atomic<std::time_t> suspended_seconds = 0;
-
-using clock_gettime_function = int (*)(clockid_t, timespec*);
-
-} // namespace
-
-// Replaces the C library's function to simulate a suspension, which advances
-// CLOCK_BOOTTIME and CLOCK_REALTIME but not CLOCK_MONOTONIC.
-extern "C" int clock_gettime(clockid_t clock, timespec* now) noexcept
-{
-    static const auto real_clock_gettime =
-        reinterpret_cast<clock_gettime_function>(
-            ::dlsym(RTLD_NEXT, "clock_gettime"));
-    const int result = real_clock_gettime(clock, now);
-    if (clock == CLOCK_BOOTTIME || clock == CLOCK_REALTIME)
-        now->tv_sec += suspended_seconds;
-    return result;
-}
-
-namespace {
-
 class suspended_machine_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(suspended_machine_test);
@@ -48,7 +25,7 @@
     void test_clock_includes_suspension()
     {
         const core::time_point before = core::monotonic_now();
-        suspended_seconds += 5;
+        test::suspend_for(seconds(5));
         const core::duration passed = core::monotonic_now() - before;
         CPPUNIT_ASSERT(passed >= seconds(5));
         CPPUNIT_ASSERT(passed < seconds(6));
@@ -65,7 +42,7 @@
         deadline.async_wait(
             [&has_fired](const auto& failure) { has_fired = !failure; });
         tick.async_wait([](const auto&) {});
-        suspended_seconds += 60;
+        test::suspend_for(seconds(60));
         io.run_for(seconds(5));
         CPPUNIT_ASSERT(has_fired);
     }
--- a/tests/platform_adapter/stand_in_store.cpp
+++ b/tests/platform_adapter/stand_in_store.cpp
@@ -206,8 +206,9 @@
         core::monotonic_now() +
         std::chrono::milliseconds(std::stol(parameter(target, "wait_ms")));
     http::response answer;
+    const unsigned lost_reads = lost_reads_;
     while (true) {
-        {
+        if (lost_reads == lost_reads_) {
             const std::lock_guard lock(mutex_);
             const topic_log& log = topics_[topic];
             if (from < log.first || from > log.records.size()) {
--- a/tests/platform_adapter/stand_in_store.hpp
+++ b/tests/platform_adapter/stand_in_store.hpp
@@ -62,6 +62,9 @@
     /// offsets are given out again, first to `records`. Reads stay open.
     void restore(const std::vector<written_again>& records = {});
 
+    /// Reads that are open now are never answered.
+    void lose_open_reads() { ++lost_reads_; }
+
     /// Returns the key and value of the newest record that has a value and
     /// whose key starts with `key_prefix`.
     [[nodiscard]] std::optional<std::pair<std::string, std::string>>
@@ -108,6 +111,7 @@
     std::atomic<unsigned> status_ = 0;
     std::atomic<unsigned> calls_ = 0;
     std::atomic<unsigned> appends_ = 0;
+    std::atomic<unsigned> lost_reads_ = 0;
     std::unique_ptr<http::server> server_;
 };
 
--- a/tests/platform_adapter/world.cpp
+++ b/tests/platform_adapter/world.cpp
@@ -1,5 +1,7 @@
 #include "world.hpp"
 
+#include "suspended_clock.hpp"
+
 #include <godwit/http/fetch.hpp>
 #include <godwit/platform_adapter/request_codec.hpp>
 
@@ -299,6 +301,18 @@
     }
 }
 
+// The host's one thread stands still meanwhile. The clocks jump first, since
+// the others in this process have deadlines of their own.
+void world::suspend(
+    std::chrono::seconds span, const std::function<void()>& meanwhile)
+{
+    look<bool>([span, &meanwhile](entry::entry_process&) {
+        godwit::test::suspend_for(span);
+        meanwhile();
+        return true;
+    });
+}
+
 template<class Value>
 Value world::look(const std::function<Value(entry::entry_process&)>& look)
 {
--- a/tests/platform_adapter/world.hpp
+++ b/tests/platform_adapter/world.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -115,6 +116,11 @@
     /// The version of the route table in force.
     [[nodiscard]] std::uint64_t table_version();
 
+    /// Suspends the entry host's machine for so long on its clocks, while
+    /// `meanwhile` runs.
+    void
+    suspend(std::chrono::seconds span, const std::function<void()>& meanwhile);
+
     /// Whether the entry host says that it is ready.
     [[nodiscard]] bool is_ready();
 
