soak: ask every host for what was added and dropped, restore the store, suspend hosts

Each version has a route and a key of its own, held by the next one, too. Every host is asked for them each 0.25 s: a host in touch for 3 s handles a request by no version older than one acknowledged 2 s before, and in one life none goes back. The store is restored from copies of up to 3 s ago, twice within a second at times, with reads left open or reset, and written again in any order; the last restore of a run gives as many versions back as it took. Hosts are suspended for 1 to 3 s; one is suspended while nothing else fails.

Runs side by side have port ranges of their own.

--- a/meta/soak_parts/host.py
+++ b/meta/soak_parts/host.py
@@ -3,31 +3,55 @@
 import asyncio
 import collections
 import contextlib
+import dataclasses
+import fcntl
+import functools
 import json
 import os
 import random
 import signal
 import socket
+import tempfile
 import urllib.request
+from pathlib import Path
 
 # Below the ports that the kernel gives to outgoing connections: those could
 # take a host's port while it is down.
-PORTS = range(21000, 32000)
+FIRST_PORT = 21000
+PORTS_A_RUN = 1000
+MOST_RUNS = 11
 # A stop takes its grace; pauses that overlap it come on top.
 LONGEST_STOP_SECONDS = 25.0
 LOG_LINES = 8
 # The ports of some hundred hosts: those of a run, and never all that are.
-GIVEN_LATELY = 1000
+GIVEN_LATELY = 800
 _given = collections.deque(maxlen=GIVEN_LATELY)
 
 
+@functools.cache
+def own_ports():
+    """The ports of this run, until it ends: runs side by side share none."""
+    for run in range(MOST_RUNS):
+        file = open(Path(tempfile.gettempdir()) / f"godwit-soak-{run}", "w")
+        with contextlib.suppress(BlockingIOError):
+            fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            _locks.append(file)
+            start = FIRST_PORT + run * PORTS_A_RUN
+            return range(start, start + PORTS_A_RUN)
+        file.close()
+    raise SystemExit(f"soak: {MOST_RUNS} runs have all ports")
+
+
+_locks = []
+
+
 def free_ports(count):
     """Ports that were free a moment ago, none of them given lately: the host
     that got it may not have bound it yet."""
     ports = []
     with contextlib.ExitStack() as taken:
         while len(ports) < count:
-            port = random.choice(PORTS)
+            port = random.choice(own_ports())
             if port in _given:
                 continue
             with contextlib.suppress(OSError):
@@ -37,6 +61,15 @@
     return ports
 
 
+@dataclasses.dataclass(frozen=True)
+class Suspension:
+    """When a host stood still, and since when it had run calmly before."""
+
+    began_at: float = 0.0
+    ended_at: float = 0.0
+    calm_since: float = 0.0
+
+
 class Life:
     """One process from its start to its end, and what it was told."""
 
@@ -70,6 +103,7 @@
          self.neighbours) = free_ports(4)
         self.life = None
         self.is_ending = False
+        self._suspension = Suspension()
         self.store = store
         self.settings = folder / f"{name}.json"
         self.log_file = folder / f"{name}.log"
@@ -105,6 +139,20 @@
                         asyncio.create_task(self._wait_until_up(self.life))]
         self._watcher.host_started(self, self.life)
 
+    async def suspend(self, seconds):
+        """Stands still like a suspended machine."""
+        calm_since = self._disturbed_at if self.calm_seconds() else None
+        began_at = asyncio.get_running_loop().time()
+        await self.pause(seconds)
+        if calm_since is not None:
+            self._suspension = Suspension(
+                began_at, self._disturbed_at, calm_since)
+
+    def last_suspension(self):
+        """The last disturbance, if it was a suspension and is over."""
+        is_last = self._suspension.ended_at == self._disturbed_at
+        return self._suspension if is_last and self.calm_seconds() else None
+
     def send(self, number):
         # Not by the process's own method: it looks for an end first, and an
         # exit status that it takes is lost to who waits for it.
--- a/meta/soak_parts/relay.py
+++ b/meta/soak_parts/relay.py
@@ -17,8 +17,24 @@
     def __init__(self, target, rng):
         super().__init__()
         self.target = target
-        self.mode = "pass"
+        self._mode = "pass"
         self._rng = rng
+        self._disturbed_at = 0.0
+
+    @property
+    def mode(self):
+        return self._mode
+
+    @mode.setter
+    def mode(self, mode):
+        self._mode = mode
+        self._disturbed_at = asyncio.get_running_loop().time()
+
+    def calm_seconds(self):
+        """Seconds since it last passed bytes on otherwise; 0 meanwhile."""
+        if self.mode != "pass":
+            return 0.0
+        return asyncio.get_running_loop().time() - self._disturbed_at
 
     async def _serve(self, reader, writer):
         try:
--- a/meta/soak_parts/stand_ins.py
+++ b/meta/soak_parts/stand_ins.py
@@ -56,23 +56,72 @@
 class Store(Service):
     """Keyed topics with one partition; `fault` spoils every call.
 
-    It is a status, `slow` or `lost`.
+    It is a status, `slow` or `lost`. `clock` tells the seconds.
     """
 
-    def __init__(self):
+    def __init__(self, clock):
         super().__init__()
         self.topics = defaultdict(list)
-        self.fault = ""
+        self.clock = clock
+        self.era = 1
+        self._fault = ""
+        self._is_away = False
+        self._disturbed_at = 0.0
+
+    @property
+    def fault(self):
+        return self._fault
+
+    @fault.setter
+    def fault(self, fault):
+        self._fault = fault
+        self._disturbed_at = self.clock()
+
+    @property
+    def is_away(self):
+        """Whether it refuses every call."""
+        return self._is_away
+
+    @is_away.setter
+    def is_away(self, is_away):
+        self._is_away = is_away
+        self._disturbed_at = self.clock()
+
+    def calm_seconds(self):
+        """Seconds since the last fault; 0 during one."""
+        if self.fault or self.is_away:
+            return 0.0
+        return self.clock() - self._disturbed_at
 
     def put(self, topic, key, value):
         """Appends a record; without a value, the key is dropped."""
         if isinstance(value, str):
             value = value.encode()
-        self.topics[topic].append((key, value))
+        self.topics[topic].append((key, value, self.clock()))
+
+    def restore(self, seconds):
+        """Goes back to the records of so many seconds ago, in the next era;
+        those that are lost, by topic."""
+        moment = self.clock() - seconds
+        lost = defaultdict(list)
+        for topic, records in self.topics.items():
+            kept = sum(written <= moment for _, _, written in records)
+            lost[topic] = [record[:2] for record in records[kept:]]
+            del records[kept:]
+        self.era += 1
+        self._disturbed_at = self.clock()
+        return lost
+
+    def newest_values(self, topic):
+        """The newest value of each key that has one."""
+        newest = {key: value for key, value, _ in self.topics[topic]}
+        return {key: value for key, value in newest.items() if value}
 
     async def respond(self, method, target, fields, body, writer):
+        if self.is_away:
+            raise http11.Broken("the store is away")
         if self.fault.isdigit():
-            writer.write(http11.answer(self.fault))
+            writer.write(self._answer(self.fault))
             return
         if self.fault == "slow":
             await asyncio.sleep(SLOW_SECONDS)
@@ -81,7 +130,7 @@
         topic = query.get("topic", "")
         status, answer = 200, b"{}"
         if url.path == "/api/log-read":
-            answer = await self._read(topic, query)
+            status, answer = await self._read(topic, query)
         elif url.path == "/api/log-newest":
             answer = self._newest(topic)
         elif url.path == "/api/log-append":
@@ -90,25 +139,29 @@
         else:
             status = 404
         if self.fault != "lost":
-            writer.write(http11.answer(status, answer))
+            writer.write(self._answer(status, answer))
+
+    def _answer(self, status, body=b""):
+        return http11.answer(status, body, {"Store-Era": self.era})
 
     async def _read(self, topic, query):
         start = int(query["from"])
         now = asyncio.get_running_loop().time
         end = now() + int(query.get("wait_ms", 0)) / 1000
         records = self.topics[topic]
-        while len(records) <= start and now() < end:
+        while len(records) == start and now() < end:
             await asyncio.sleep(0.01)
+        if len(records) < start:
+            return 410, b"{}"
         answer = struct.pack(">QQ", len(records), 0)
-        for key, value in records[start:]:
+        for key, value, _ in records[start:]:
             data = bytes([len(key)]) + key.encode() + (value or b"")
             answer += struct.pack(">I", len(data)) + data
-        return answer
+        return 200, answer
 
     def _newest(self, topic):
-        records = self.topics[topic]
         items = [{"key": key, "offset": 0,
                   "value": base64.b64encode(value).decode()}
-                 for key, value in dict(records).items() if value]
+                 for key, value in self.newest_values(topic).items()]
         return json.dumps({"items": items, "more": False,
-                           "end": len(records)}).encode()
+                           "end": len(self.topics[topic])}).encode()
--- a/meta/soak_parts/table.py
+++ b/meta/soak_parts/table.py
@@ -4,7 +4,8 @@
           "stream": "streaming"}
 
 
-def _route(name, prefix, kind):
+def route(name, prefix, kind):
+    """A route of the one host that callers know."""
     return {"name": name, "host": "soak.example", "path_prefix": prefix,
             "kind": kind, "timeout_ms": 9000, "target_latency_ms": 1000,
             "max_attempts": 2 if kind == "idempotent" else 1,
@@ -20,7 +21,7 @@
     """The table of a quiet fleet."""
     return {
         "version": version,
-        "routes": [_route(name, f"/{name}/", kind)
+        "routes": [route(name, f"/{name}/", kind)
                    for name, kind in _KINDS.items()],
         "services": [{"name": "lm", "engine": {
             "slots": 24, "kv_cache_tokens": 30000, "moves": True}}],
@@ -33,12 +34,12 @@
     for number in range(rng.randint(0, 20)):
         kind = rng.choice(sorted(_KINDS.values()))
         table["routes"].append(
-            _route(f"more{number}", f"/more{number}/", kind))
+            route(f"more{number}", f"/more{number}/", kind))
     rng.shuffle(table["routes"])
-    for route in table["routes"]:
-        route["priority"] = rng.randint(0, 3)
+    for each in table["routes"]:
+        each["priority"] = rng.randint(0, 3)
     if version % _LARGE_EACH == 0:
-        table["routes"] += [_route(f"large{number}", f"/large{number}/",
+        table["routes"] += [route(f"large{number}", f"/large{number}/",
                                    "idempotent")
                             for number in range(_LARGE_ROUTES)]
     keys = [f"k{rng.randint(2, 99)}" for _ in range(rng.randint(0, 5))]
--- a/meta/soak_parts/world.py
+++ b/meta/soak_parts/world.py
@@ -1,6 +1,7 @@
 """The fleet of one seed and its surroundings."""
 
 import asyncio
+import functools
 import json
 import random
 import signal
@@ -9,16 +10,22 @@
 
 from soak_parts import entries, recovery, table
 from soak_parts.callers import Caller
+from soak_parts.catalogue import Catalogue, Prober
 from soak_parts.engine import Engine, Trap
 from soak_parts.faults import Faults
 from soak_parts.host import Host
 from soak_parts.ledger import Ledger
 from soak_parts.protection import CrashingRequest, NamedLimit
 from soak_parts.relay import Relay
+from soak_parts.restores import Restores
 from soak_parts.stand_ins import Store
 
 # Without faults at the end: callers must be served again.
 RECOVERY_SECONDS = 4.0
+# As long as a version may take, with some questions after it.
+CALM_SECONDS = 2.6
+# Longer than a version may take.
+SUSPENDED_SECONDS = 3
 RESTART_SECONDS = 0.3
 
 
@@ -30,7 +37,9 @@
         self.seed = seed
         self.rng = random.Random(seed)
         self.ledger = Ledger()
-        self.store = Store()
+        self.store = Store(self.clock)
+        self.catalogue = Catalogue(self.clock)
+        self.restores = Restores(self)
         self.trap = Trap(self.ledger)
         self.hosts = []
         self.engines = {}
@@ -84,25 +93,52 @@
                           self.hosts[number % len(self.hosts)], self.ledger,
                           self.random(f"caller {number}"))
                    for number in range(self.arguments.callers)]
+        probers = [Prober(self, host) for host in self.hosts]
         tasks = [asyncio.create_task(caller.run(self.clock))
                  for caller in callers]
+        tasks += [asyncio.create_task(prober.run()) for prober in probers]
         faults_end = end - RECOVERY_SECONDS
         await asyncio.gather(faults.inject(faults_end),
                              self.crashing.send(faults_end),
-                             self.limit.name(faults_end))
+                             self.limit.name(faults_end),
+                             self.restores.run(faults_end),
+                             self._suspend_hosts(faults_end))
+        await self.restores.run_last()
         for caller in callers:
             caller.is_steady = True
         quiet_from = self.clock() + RECOVERY_SECONDS / 2
         await asyncio.sleep(RECOVERY_SECONDS)
+        await self._check_calm(probers)
         await asyncio.gather(*self._tasks)
-        for caller in callers:
-            caller.is_done = True
+        for each in (*callers, *probers):
+            each.is_done = True
         await asyncio.gather(*tasks)
         recovery.check_served(self, callers, quiet_from)
         recovery.check_engines(self)
         for host in self.hosts:
             self.ledger.check("runs on", host.life.is_running(), host.name)
 
+    async def _suspend_hosts(self, end):
+        rng = self.random("suspensions")
+        while self.clock() < end:
+            await asyncio.sleep(rng.uniform(1.0, 5.0))
+            await rng.choice(self.hosts).suspend(rng.choice((1, 2, 3)))
+
+    async def _check_calm(self, probers):
+        """Versions while nothing fails but one host, which is suspended."""
+        rng = self.random("calm")
+        suspended = asyncio.create_task(
+            rng.choice(self.hosts).suspend(SUSPENDED_SECONDS))
+        for gap in (0.0, 0.6):
+            await asyncio.sleep(gap)
+            self.publish(functools.partial(table.changed, rng=rng))
+        await suspended
+        await asyncio.sleep(CALM_SECONDS)
+        self.publish(table.first)
+        for prober in probers:
+            self.ledger.check("asked in touch", prober.checked_in_touch,
+                              prober.host.name)
+
     def host_started(self, host, life):
         """A host that started is ready soon."""
         self._tasks.append(asyncio.create_task(
@@ -127,10 +163,16 @@
     def publish(self, make):
         """A further version of the route table."""
         self.version += self.rng.randint(1, 3)
-        self.store.put("keyed.op", "config", json.dumps(make(self.version)))
+        made = make(self.version)
+        self.catalogue.extend(self.version, made)
+        self.store.put("keyed.op", "config", json.dumps(made))
 
     def list_engine(self, engine, state):
         engine.sequence += 1
+        self.write_entry(engine, state)
+
+    def write_entry(self, engine, state):
+        """What the engine says of itself, at the store."""
         self.store.put("keyed.servers", engine.name,
                        json.dumps(entries.entry(engine, state)))
 
