entry: after a suspension, wait until the table that came is in force

A host that had been suspended ran a request with a key that had been dropped meanwhile: requests waited until the newest table had been read from the store, not until it was in force, and a table is read in slices.

A table that is being read keeps requests waiting, too, within the same second. The new test, with 15,000 routes, fails on the code before (200 instead of 401) and passes now.

--- a/services/entry/include/godwit/entry/source_refresh.hpp
+++ b/services/entry/include/godwit/entry/source_refresh.hpp
@@ -3,6 +3,7 @@
 #include <godwit/core/time.hpp>
 
 #include <chrono>
+#include <optional>
 
 namespace godwit::entry {
 
@@ -23,10 +24,12 @@
     /// The whole list of servers was read at the source.
     void servers_were_read() noexcept { lacks_servers_ = false; }
 
-    [[nodiscard]] bool is_pending(core::time_point now) const;
+    /// `is_reading_table`: a table came and is not in force yet.
+    [[nodiscard]] bool
+    is_pending(bool is_reading_table, core::time_point now) const;
 
 private:
-    core::time_point began_at_{};
+    std::optional<core::time_point> began_at_;
     bool lacks_table_ = false;
     bool lacks_servers_ = false;
 };
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -412,7 +412,7 @@
 bool entry_process::is_refreshing()
 {
     notice_stall();
-    return refresh_.is_pending(core::monotonic_now());
+    return refresh_.is_pending(intake_.is_busy(), core::monotonic_now());
 }
 
 // A source that was restored may have an older version than the neighbours
--- a/services/entry/src/source_refresh.cpp
+++ b/services/entry/src/source_refresh.cpp
@@ -9,9 +9,11 @@
     lacks_servers_ = true;
 }
 
-bool source_refresh::is_pending(core::time_point now) const
+bool source_refresh::is_pending(
+    bool is_reading_table, core::time_point now) const
 {
-    return (lacks_table_ || lacks_servers_) && now - began_at_ < longest;
+    const bool lacks_any = lacks_table_ || lacks_servers_ || is_reading_table;
+    return lacks_any && began_at_ && now - *began_at_ < longest;
 }
 
 } // namespace godwit::entry
--- a/tests/entry/source_refresh_test.cpp
+++ b/tests/entry/source_refresh_test.cpp
@@ -13,6 +13,7 @@
 {
     CPPUNIT_TEST_SUITE(source_refresh_test);
     CPPUNIT_TEST(test_both_sources_have_to_be_read);
+    CPPUNIT_TEST(test_a_table_that_is_being_read_is_waited_for);
     CPPUNIT_TEST(test_it_ends_without_an_answer);
     CPPUNIT_TEST_SUITE_END();
 
@@ -24,23 +25,35 @@
     void test_both_sources_have_to_be_read()
     {
         source_refresh refresh;
-        CPPUNIT_ASSERT(!refresh.is_pending(at_ms(5000)));
+        CPPUNIT_ASSERT(!refresh.is_pending(false, at_ms(5000)));
         refresh.begin(at_ms(5000));
-        CPPUNIT_ASSERT(refresh.is_pending(at_ms(5000)));
+        CPPUNIT_ASSERT(refresh.is_pending(false, at_ms(5000)));
         refresh.table_was_read();
-        CPPUNIT_ASSERT(refresh.is_pending(at_ms(5010)));
+        CPPUNIT_ASSERT(refresh.is_pending(false, at_ms(5010)));
         refresh.servers_were_read();
-        CPPUNIT_ASSERT(!refresh.is_pending(at_ms(5020)));
+        CPPUNIT_ASSERT(!refresh.is_pending(false, at_ms(5020)));
         refresh.begin(at_ms(9000));
-        CPPUNIT_ASSERT(refresh.is_pending(at_ms(9000)));
+        CPPUNIT_ASSERT(refresh.is_pending(false, at_ms(9000)));
+    }
+
+    void test_a_table_that_is_being_read_is_waited_for()
+    {
+        source_refresh refresh;
+        CPPUNIT_ASSERT(!refresh.is_pending(true, at_ms(0)));
+        refresh.begin(at_ms(5000));
+        refresh.table_was_read();
+        refresh.servers_were_read();
+        CPPUNIT_ASSERT(refresh.is_pending(true, at_ms(5010)));
+        CPPUNIT_ASSERT(!refresh.is_pending(false, at_ms(5010)));
+        CPPUNIT_ASSERT(!refresh.is_pending(true, at_ms(6000)));
     }
 
     void test_it_ends_without_an_answer()
     {
         source_refresh refresh;
         refresh.begin(at_ms(5000));
-        CPPUNIT_ASSERT(refresh.is_pending(at_ms(5999)));
-        CPPUNIT_ASSERT(!refresh.is_pending(at_ms(6000)));
+        CPPUNIT_ASSERT(refresh.is_pending(false, at_ms(5999)));
+        CPPUNIT_ASSERT(!refresh.is_pending(false, at_ms(6000)));
     }
 };
 
--- a/tests/platform_adapter/suspended_host_test.cpp
+++ b/tests/platform_adapter/suspended_host_test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST_SUITE(suspended_host_test);
     CPPUNIT_TEST(test_a_key_that_was_dropped_meanwhile_is_unknown);
     CPPUNIT_TEST(test_a_key_that_was_added_meanwhile_is_known);
+    CPPUNIT_TEST(test_a_large_table_that_came_meanwhile_is_waited_for);
     CPPUNIT_TEST(test_a_server_that_left_meanwhile_gets_nothing);
     CPPUNIT_TEST(test_without_its_store_it_serves_on);
     CPPUNIT_TEST_SUITE_END();
@@ -68,6 +69,27 @@
         CPPUNIT_ASSERT_EQUAL(200U, status);
     }
 
+    static std::string large_table(unsigned version)
+    {
+        std::string text = platform_adapter::test::table_text(version);
+        std::string routes = "\"routes\":[";
+        for (int number = 0; number < 15000; ++number)
+            routes += R"({"name":"r","host":"b.example","path_prefix":"/)" +
+                      std::to_string(number) + R"(/","service":"lm"},)";
+        const std::string begin = "\"routes\":[";
+        return text.replace(text.find(begin), begin.size(), routes);
+    }
+
+    // It is read in slices, between which requests are looked at.
+    void test_a_large_table_that_came_meanwhile_is_waited_for()
+    {
+        begin_with_key("k2");
+        const unsigned status = status_after_suspension("k2", [this] {
+            world_.store().put("keyed.op", "config", large_table(3));
+        });
+        CPPUNIT_ASSERT_EQUAL(401U, status);
+    }
+
     void test_a_server_that_left_meanwhile_gets_nothing()
     {
         world_.begin();
