platform: after a restore, leave the list of servers to the hosts that read it

In a large fleet one host of a cell reads the list for the others. After a restore each host read it again, as many calls as there are hosts; a host that another one reads for now waits for its word, as it does otherwise. Hosts that were suspended still read for themselves.

--- a/tests/platform_adapter/topic_follower_test.cpp
+++ b/tests/platform_adapter/topic_follower_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST_SUITE(topic_follower_test);
     CPPUNIT_TEST(test_an_exception_does_not_end_the_following);
     CPPUNIT_TEST(test_it_rests_while_others_read);
+    CPPUNIT_TEST(test_it_reads_anew_only_if_nobody_reads_for_it);
     CPPUNIT_TEST(test_it_comes_back_slowly_while_turned_away);
     CPPUNIT_TEST_SUITE_END();
 
@@ -125,6 +126,41 @@
         CPPUNIT_ASSERT(seen.contains("second"));
     }
 
+    // Were each host of a large fleet to read the list again after a restore,
+    // it would cost as many calls as there are hosts.
+    void test_it_reads_anew_only_if_nobody_reads_for_it()
+    {
+        boost::asio::io_context io{1};
+        test::stand_in_store store(io);
+        store_client client(io.get_executor(), store.address());
+        bool others_read = true;
+        unsigned reads = 0;
+        topic_pace pace;
+        pace.may_rest = [&others_read] {
+            return others_read;
+        };
+        pace.longest_rest = std::chrono::seconds(60);
+        topic_handlers handlers;
+        handlers.on_whole = [](const std::vector<keyed_record>&) {
+        };
+        handlers.on_read = [&reads] {
+            ++reads;
+        };
+        topic_follower follower(io.get_executor(), client, "t", pace, handlers);
+        follower.start();
+        run_for(io, 200);
+        CPPUNIT_ASSERT_EQUAL(1U, reads);
+        follower.read_anew_after_rest();
+        run_for(io, 200);
+        CPPUNIT_ASSERT_EQUAL(1U, reads);
+        follower.read_anew();
+        run_for(io, 200);
+        CPPUNIT_ASSERT_EQUAL(2U, reads);
+        others_read = false;
+        run_for(io, 1500);
+        CPPUNIT_ASSERT(reads > 2);
+    }
+
     void test_it_comes_back_slowly_while_turned_away()
     {
         boost::asio::io_context io{1};
