entry, platform: end a quarantine on hosts that missed its end

Innocent requests of which a run had completed stayed refused as quarantined on other hosts: a write that was retried put the record back at the store after its removal, a host that started took it from there and told its neighbours, and hosts that knew of the completed run kept it to themselves.

--- a/services/entry/src/entry_process_crashes.cpp
+++ b/services/entry/src/entry_process_crashes.cpp
@@ -20,6 +20,14 @@
 
 constexpr std::string_view component = "neighbours";
 
+// Whether a completed run of the request is known and no crash after it.
+bool is_cleared(
+    const admission::request_quarantine& quarantine,
+    const admission::request_fingerprint& request)
+{
+    return quarantine.is_known(request) && quarantine.crash_count(request) == 0;
+}
+
 } // namespace
 
 wire::crash_reports entry_process::crash_reports_to_tell() const
@@ -69,14 +77,19 @@
 {
     const core::time_point now = core::monotonic_now();
     wire::crash_reports changes;
+    // Requests that completed, though the neighbour has not heard of it.
+    wire::crash_reports corrections;
     for (const wire::crash_report& received : said.reports) {
         const auto report = to_crash_report(received, now);
         if (!report) {
             refuse_crash_reports(host, report.error());
             return;
         }
-        if (!context_.quarantine.add(*report))
+        if (!context_.quarantine.add(*report)) {
+            if (is_cleared(context_.quarantine, report->request))
+                corrections.completed.push_back(received.request);
             continue;
+        }
         changes.reports.push_back(received);
         log_crash_count(
             host.value(),
@@ -97,6 +110,9 @@
     }
     if (!changes.reports.empty() || !changes.completed.empty())
         neighbours_->broadcast(changes);
+    const auto link = neighbours_->link_to(host);
+    if (link && !corrections.completed.empty())
+        link->send(corrections);
 }
 
 // Counts every refused message, but logs only the first one from each host.
--- a/tests/platform_adapter/crashing_requests_test.cpp
+++ b/tests/platform_adapter/crashing_requests_test.cpp
@@ -60,6 +60,8 @@
     CPPUNIT_TEST(test_deleting_the_record_ends_the_quarantine);
     CPPUNIT_TEST(test_a_quarantine_that_the_store_lost_is_written_again);
     CPPUNIT_TEST(test_a_restored_store_does_not_bring_back_a_quarantine);
+    CPPUNIT_TEST(test_a_record_that_is_written_after_its_end_is_removed);
+    CPPUNIT_TEST(test_a_neighbour_hears_of_a_completed_run_that_it_missed);
     CPPUNIT_TEST_SUITE_END();
 
     world world_;
@@ -396,6 +398,50 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, quarantined_count());
     }
 
+    std::pair<std::string, std::string> quarantine_and_end()
+    {
+        begin();
+        repeat_crashing_request("/stream/");
+        world::wait(
+            "the record", [this] { return quarantine_record().has_value(); });
+        auto record = quarantine_record().value();
+        world_.store().put("keyed.hosts", record.first, std::nullopt);
+        world::wait("its end", [this] { return quarantined_count() == 0; });
+        return record;
+    }
+
+    // A write that is retried may overtake the one that ends the quarantine.
+    void test_a_record_that_is_written_after_its_end_is_removed()
+    {
+        const auto [key, value] = quarantine_and_end();
+        world_.store().put("keyed.hosts", key, value);
+        world::wait("the record's end", [this, &key = key] {
+            return !world_.store().has("keyed.hosts", key);
+        });
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, quarantined_count());
+    }
+
+    void test_a_neighbour_hears_of_a_completed_run_that_it_missed()
+    {
+        stand_in_neighbours others(1, world_.neighbours(), &no_table);
+        const auto [key, value] = quarantine_and_end();
+        const auto told = others.crash_reports();
+        const auto crashes =
+            std::find_if(told.begin(), told.end(), [](const auto& each) {
+                return !each.reports.empty();
+            });
+        CPPUNIT_ASSERT(crashes != told.end());
+        others.say(*crashes);
+        world::wait("the correction", [&others, &told] {
+            const auto now_told = others.crash_reports();
+            return std::any_of(
+                now_told.begin() + static_cast<std::ptrdiff_t>(told.size()),
+                now_told.end(),
+                [](const auto& each) { return !each.completed.empty(); });
+        });
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, quarantined_count());
+    }
+
     void test_a_malformed_report_changes_nothing()
     {
         begin();
