--- a/libraries/placement/include/godwit/placement/backend_server.hpp
+++ b/libraries/placement/include/godwit/placement/backend_server.hpp
@@ -32,6 +32,8 @@
     /// Increases with each record of one incarnation, which orders them.
     std::uint64_t revision = 0;
     server_start start = {}; ///< The incarnation that the record is about.
+    /// How long the server stays cold, as of the record; zero if it is warm.
+    core::duration warm_up_remaining = {};
 
     friend bool
     operator==(const backend_server&, const backend_server&) = default;
--- a/libraries/placement/include/godwit/placement/placer.hpp
+++ b/libraries/placement/include/godwit/placement/placer.hpp
@@ -3,12 +3,14 @@
 #include <godwit/core/random.hpp>
 #include <godwit/core/time.hpp>
 #include <godwit/placement/backend_server.hpp>
+#include <godwit/placement/cold_servers.hpp>
 #include <godwit/placement/load_ledger.hpp>
 #include <godwit/placement/server_directory.hpp>
 #include <godwit/placement/server_health.hpp>
 #include <godwit/placement/server_limits.hpp>
 #include <godwit/placement/slow_server_detector.hpp>
 #include <godwit/placement/work_size.hpp>
+#include <godwit/placement/zone_evacuations.hpp>
 #include <godwit/routing/service.hpp>
 
 #include <tl/expected.hpp>
@@ -50,6 +52,7 @@
     no_server, ///< None is listed, or all are excluded.
     no_room,   ///< There are servers, but none has capacity.
     limited,   ///< Servers have capacity, but are at their request limits.
+    evacuated, ///< All servers are in evacuated availability zones.
 };
 
 /// The chosen server, with the load and cost that it was chosen by.
@@ -73,6 +76,8 @@
         const server_health& health,
         const slow_server_detector& slow_servers,
         const server_limits& limits,
+        const cold_servers& cold,
+        const zone_evacuations& evacuations,
         std::uint64_t seed);
 
     /// Returns the server with the lowest cost. Servers that are avoided are
@@ -113,6 +118,8 @@
     const server_health& health_;
     const slow_server_detector& slow_servers_;
     const server_limits& limits_;
+    const cold_servers& cold_servers_;
+    const zone_evacuations& evacuations_;
     std::uint64_t seed_;
     core::random random_;
 };
--- a/libraries/placement/include/godwit/placement/server_limits.hpp
+++ b/libraries/placement/include/godwit/placement/server_limits.hpp
@@ -2,6 +2,7 @@
 
 #include <godwit/core/time.hpp>
 #include <godwit/placement/backend_server.hpp>
+#include <godwit/placement/token_bucket.hpp>
 
 #include <chrono>
 #include <cstddef>
@@ -91,14 +92,12 @@
     struct bucket
     {
         server_limit limit;
-        double tokens = 0;
-        core::time_point refilled_at;
+        token_bucket tokens;
     };
 
+    [[nodiscard]] static bucket new_bucket(const server_limit& limit);
     bool update(const server_limit& limit);
-    [[nodiscard]] double rate(const bucket& found) const;
-    [[nodiscard]] double
-    tokens(const bucket& found, core::time_point now) const;
+    [[nodiscard]] token_bucket::limits bucket_limits(const bucket& found) const;
 
     std::map<server_id, bucket> buckets_;
     double share_ = 1.0;
--- a/libraries/placement/src/placer.cpp
+++ b/libraries/placement/src/placer.cpp
@@ -97,9 +97,12 @@
     const server_health& health,
     const slow_server_detector& slow_servers,
     const server_limits& limits,
+    const cold_servers& cold,
+    const zone_evacuations& evacuations,
     std::uint64_t seed)
     : directory_(directory), ledger_(ledger), health_(health),
-      slow_servers_(slow_servers), limits_(limits), seed_(seed), random_(seed)
+      slow_servers_(slow_servers), limits_(limits), cold_servers_(cold),
+      evacuations_(evacuations), seed_(seed), random_(seed)
 {}
 
 double placer::memory_share(placement_purpose purpose)
@@ -238,10 +241,15 @@
     bool best_is_avoided = true;
     bool has_candidate = false;
     bool is_limited = false;
+    bool is_evacuated = false;
     for (const backend_server* candidate :
          directory_.usable(request.service->name)) {
         if (!is_candidate(request, *candidate))
             continue;
+        if (evacuations_.is_evacuated(candidate->zone)) {
+            is_evacuated = true;
+            continue;
+        }
         has_candidate = true;
         // What an engine reports takes precedence over reports of other hosts.
         if (request.service->engine && (health_.is_full(candidate->id, now) ||
@@ -253,7 +261,8 @@
             continue;
         if (!has_capacity(request, *candidate, load, speed))
             continue;
-        if (!limits_.may_send(candidate->id, now)) {
+        if (!limits_.may_send(candidate->id, now) ||
+            !cold_servers_.may_send(candidate->id, now)) {
             is_limited = true;
             continue;
         }
@@ -275,6 +284,8 @@
         return *best;
     if (is_limited)
         return tl::unexpected(placement_failure::limited);
+    if (!has_candidate && is_evacuated)
+        return tl::unexpected(placement_failure::evacuated);
     return tl::unexpected(
         has_candidate ? placement_failure::no_room
                       : placement_failure::no_server);
--- a/libraries/placement/src/server_limits.cpp
+++ b/libraries/placement/src/server_limits.cpp
@@ -1,25 +1,15 @@
 #include <godwit/placement/server_limits.hpp>
 
+#include <godwit/placement/fleet_share.hpp>
+
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace godwit::placement {
 
-namespace {
-
-double seconds(core::duration time)
-{
-    return std::chrono::duration<double>(time).count();
-}
-
-} // namespace
-
 void server_limits::set_hosts(std::size_t linked, std::size_t fleet_size)
 {
-    const std::size_t all = std::max<std::size_t>({linked, fleet_size, 1});
-    share_ = static_cast<double>(std::max<std::size_t>(linked, 1)) /
-             static_cast<double>(all);
+    share_ = fleet_share(linked, fleet_size);
 }
 
 std::optional<server_limit> server_limits::update_from_answer(
@@ -51,7 +41,7 @@
     if (known == buckets_.end()) {
         if (!limit.per_second)
             return false;
-        buckets_.emplace(limit.server, bucket{limit, 0, limit.answered_at});
+        buckets_.emplace(limit.server, new_bucket(limit));
         return true;
     }
     server_limit& current = known->second.limit;
@@ -62,31 +52,27 @@
         return false;
     const bool is_changed =
         current.per_second != limit.per_second || current.start != limit.start;
-    if (is_changed && current.per_second && limit.per_second) {
-        known->second.tokens =
-            std::min(tokens(known->second, limit.answered_at), 0.0);
-        known->second.refilled_at =
-            std::max(known->second.refilled_at, limit.answered_at);
-    }
+    if (is_changed && current.per_second && limit.per_second)
+        known->second.tokens.discard_savings(
+            bucket_limits(known->second), limit.answered_at);
     if (is_changed && limit.per_second && !current.per_second)
-        known->second = bucket{limit, 0, limit.answered_at};
+        known->second = new_bucket(limit);
     // A lifted limit is kept, so that older messages do not restore it.
     current = limit;
     return is_changed;
 }
 
-double server_limits::rate(const bucket& found) const
+server_limits::bucket server_limits::new_bucket(const server_limit& limit)
 {
-    return std::max(*found.limit.per_second, min_per_second) * share_;
+    return {limit, token_bucket::create(0, limit.answered_at)};
 }
 
-double server_limits::tokens(const bucket& found, core::time_point now) const
+token_bucket::limits server_limits::bucket_limits(const bucket& found) const
 {
-    const double capacity = std::max(rate(found) * seconds(burst), 1.0);
-    const double refill =
-        seconds(std::max(now - found.refilled_at, core::duration())) *
-        rate(found);
-    return std::min(found.tokens + refill, capacity);
+    const double rate =
+        std::max(*found.limit.per_second, min_per_second) * share_;
+    const double saved = rate * std::chrono::duration<double>(burst).count();
+    return {rate, std::max(saved, 1.0)};
 }
 
 bool server_limits::record_requests(
@@ -95,9 +81,7 @@
     const auto found = buckets_.find(server);
     if (found == buckets_.end() || !found->second.limit.per_second)
         return false;
-    bucket& limited = found->second;
-    limited.tokens = tokens(limited, now) - static_cast<double>(requests);
-    limited.refilled_at = std::max(limited.refilled_at, now);
+    found->second.tokens.take(requests, bucket_limits(found->second), now);
     return true;
 }
 
@@ -107,13 +91,7 @@
     const auto found = buckets_.find(server);
     if (found == buckets_.end() || !found->second.limit.per_second)
         return core::duration::zero();
-    const double missing = 1.0 - tokens(found->second, now);
-    // Allows for rounding errors of the refill.
-    constexpr double tolerance = 1e-6;
-    if (missing <= tolerance)
-        return core::duration::zero();
-    return std::chrono::ceil<core::duration>(
-        std::chrono::duration<double>(missing / rate(found->second)));
+    return found->second.tokens.wait_time(bucket_limits(found->second), now);
 }
 
 const server_limit* server_limits::find(const server_id& server) const
--- a/libraries/replay/src/simulated_host.cpp
+++ b/libraries/replay/src/simulated_host.cpp
@@ -22,8 +22,16 @@
 
 simulated_host::simulated_host(
     core::zone_name zone, const routing::service& service, std::uint64_t seed)
-    : zone_(std::move(zone)), service_(service),
-      placer_(directory_, ledger_, health_, slow_servers_, limits_, seed)
+    : zone_(std::move(zone)), service_(service), cold_servers_(seed),
+      placer_(
+          directory_,
+          ledger_,
+          health_,
+          slow_servers_,
+          limits_,
+          cold_servers_,
+          evacuations_,
+          seed)
 {}
 
 void simulated_host::add_server(
--- a/libraries/replay/src/simulated_host.hpp
+++ b/libraries/replay/src/simulated_host.hpp
@@ -109,6 +109,8 @@
     placement::server_health health_;
     placement::slow_server_detector slow_servers_;
     placement::server_limits limits_;
+    placement::cold_servers cold_servers_;
+    placement::zone_evacuations evacuations_;
     placement::placer placer_;
     std::map<std::size_t, waiting_generation> waiting_;
     std::map<std::size_t, running_generation> running_;
--- a/libraries/routing/include/godwit/routing/service.hpp
+++ b/libraries/routing/include/godwit/routing/service.hpp
@@ -2,6 +2,7 @@
 
 #include <godwit/core/identifiers.hpp>
 #include <godwit/routing/engine_profile.hpp>
+#include <godwit/routing/warm_up_profile.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -17,6 +18,8 @@
     /// Connections that one server accepts from all hosts together.
     std::uint32_t max_connections = 0;
     std::optional<engine_profile> engine; ///< Only for a language model.
+    /// Empty if its servers need no warm-up.
+    std::optional<warm_up_profile> warm_up;
 
     friend bool operator==(const service&, const service&) = default;
 };
--- a/libraries/wire/include/godwit/wire/message.hpp
+++ b/libraries/wire/include/godwit/wire/message.hpp
@@ -12,6 +12,7 @@
 #include <godwit/wire/claim_release.hpp>
 #include <godwit/wire/claim_request.hpp>
 #include <godwit/wire/claim_withdrawal.hpp>
+#include <godwit/wire/cold_servers.hpp>
 #include <godwit/wire/crash_reports.hpp>
 #include <godwit/wire/digest.hpp>
 #include <godwit/wire/duty_message.hpp>
@@ -26,6 +27,7 @@
 #include <godwit/wire/server_sign.hpp>
 #include <godwit/wire/table_changes.hpp>
 #include <godwit/wire/table_document.hpp>
+#include <godwit/wire/zone_evacuations.hpp>
 
 #include <string_view>
 #include <variant>
@@ -60,7 +62,9 @@
     cell_work,
     table_changes,
     crash_reports,
-    server_limits>;
+    server_limits,
+    zone_evacuations,
+    cold_servers>;
 
 /// Returns the name of the message's type, for logs and metrics.
 [[nodiscard]] std::string_view name_of(const message& value) noexcept;
--- a/libraries/wire/src/codec.cpp
+++ b/libraries/wire/src/codec.cpp
@@ -111,6 +111,10 @@
         return read_payload(frame.payload_as_crash_reports(), reader);
     case format::payload::server_limits:
         return read_payload(frame.payload_as_server_limits(), reader);
+    case format::payload::zone_evacuations:
+        return read_payload(frame.payload_as_zone_evacuations(), reader);
+    case format::payload::cold_servers:
+        return read_payload(frame.payload_as_cold_servers(), reader);
     case format::payload::NONE:
         break;
     }
--- a/libraries/wire/src/godwit_generated.h
+++ b/libraries/wire/src/godwit_generated.h
@@ -122,6 +122,18 @@
 struct server_limits;
 struct server_limitsBuilder;
 
+struct zone_evacuation;
+struct zone_evacuationBuilder;
+
+struct zone_evacuations;
+struct zone_evacuationsBuilder;
+
+struct cold_server;
+struct cold_serverBuilder;
+
+struct cold_servers;
+struct cold_serversBuilder;
+
 struct frame;
 struct frameBuilder;
 
@@ -408,11 +420,13 @@
   table_changes = 24,
   crash_reports = 25,
   server_limits = 26,
+  zone_evacuations = 27,
+  cold_servers = 28,
   MIN = NONE,
-  MAX = server_limits
+  MAX = cold_servers
 };
 
-inline const payload (&EnumValuespayload())[27] {
+inline const payload (&EnumValuespayload())[29] {
   static const payload values[] = {
     payload::NONE,
     payload::hello,
@@ -440,13 +454,15 @@
     payload::cell_work,
     payload::table_changes,
     payload::crash_reports,
-    payload::server_limits
+    payload::server_limits,
+    payload::zone_evacuations,
+    payload::cold_servers
   };
   return values;
 }
 
 inline const char * const *EnumNamespayload() {
-  static const char * const names[28] = {
+  static const char * const names[30] = {
     "NONE",
     "hello",
     "heartbeat",
@@ -474,13 +490,15 @@
     "table_changes",
     "crash_reports",
     "server_limits",
+    "zone_evacuations",
+    "cold_servers",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamepayload(payload e) {
-  if (flatbuffers::IsOutRange(e, payload::NONE, payload::server_limits)) return "";
+  if (flatbuffers::IsOutRange(e, payload::NONE, payload::cold_servers)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamespayload()[index];
 }
@@ -593,6 +611,14 @@
   static const payload enum_value = payload::server_limits;
 };
 
+template<> struct payloadTraits<godwit::wire::format::zone_evacuations> {
+  static const payload enum_value = payload::zone_evacuations;
+};
+
+template<> struct payloadTraits<godwit::wire::format::cold_servers> {
+  static const payload enum_value = payload::cold_servers;
+};
+
 bool Verifypayload(flatbuffers::Verifier &verifier, const void *obj, payload type);
 bool VerifypayloadVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<payload> *types);
 
@@ -3720,6 +3746,308 @@
       limits__);
 }
 
+struct zone_evacuation FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef zone_evacuationBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ZONE = 4,
+    VT_EVACUATED = 6,
+    VT_EPOCH = 8,
+    VT_SEQUENCE = 10
+  };
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  bool evacuated() const {
+    return GetField<uint8_t>(VT_EVACUATED, 0) != 0;
+  }
+  uint64_t epoch() const {
+    return GetField<uint64_t>(VT_EPOCH, 0);
+  }
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyField<uint8_t>(verifier, VT_EVACUATED, 1) &&
+           VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct zone_evacuationBuilder {
+  typedef zone_evacuation Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(zone_evacuation::VT_ZONE, zone);
+  }
+  void add_evacuated(bool evacuated) {
+    fbb_.AddElement<uint8_t>(zone_evacuation::VT_EVACUATED, static_cast<uint8_t>(evacuated), 0);
+  }
+  void add_epoch(uint64_t epoch) {
+    fbb_.AddElement<uint64_t>(zone_evacuation::VT_EPOCH, epoch, 0);
+  }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(zone_evacuation::VT_SEQUENCE, sequence, 0);
+  }
+  explicit zone_evacuationBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<zone_evacuation> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<zone_evacuation>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<zone_evacuation> Createzone_evacuation(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    bool evacuated = false,
+    uint64_t epoch = 0,
+    uint64_t sequence = 0) {
+  zone_evacuationBuilder builder_(_fbb);
+  builder_.add_sequence(sequence);
+  builder_.add_epoch(epoch);
+  builder_.add_zone(zone);
+  builder_.add_evacuated(evacuated);
+  return builder_.Finish();
+}
+
+struct zone_evacuation::Traits {
+  using type = zone_evacuation;
+  static auto constexpr Create = Createzone_evacuation;
+};
+
+inline flatbuffers::Offset<zone_evacuation> Createzone_evacuationDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *zone = nullptr,
+    bool evacuated = false,
+    uint64_t epoch = 0,
+    uint64_t sequence = 0) {
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  return godwit::wire::format::Createzone_evacuation(
+      _fbb,
+      zone__,
+      evacuated,
+      epoch,
+      sequence);
+}
+
+struct zone_evacuations FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef zone_evacuationsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ZONES = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::zone_evacuation>> *zones() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::zone_evacuation>> *>(VT_ZONES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ZONES) &&
+           verifier.VerifyVector(zones()) &&
+           verifier.VerifyVectorOfTables(zones()) &&
+           verifier.EndTable();
+  }
+};
+
+struct zone_evacuationsBuilder {
+  typedef zone_evacuations Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_zones(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::zone_evacuation>>> zones) {
+    fbb_.AddOffset(zone_evacuations::VT_ZONES, zones);
+  }
+  explicit zone_evacuationsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<zone_evacuations> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<zone_evacuations>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<zone_evacuations> Createzone_evacuations(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::zone_evacuation>>> zones = 0) {
+  zone_evacuationsBuilder builder_(_fbb);
+  builder_.add_zones(zones);
+  return builder_.Finish();
+}
+
+struct zone_evacuations::Traits {
+  using type = zone_evacuations;
+  static auto constexpr Create = Createzone_evacuations;
+};
+
+inline flatbuffers::Offset<zone_evacuations> Createzone_evacuationsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<godwit::wire::format::zone_evacuation>> *zones = nullptr) {
+  auto zones__ = zones ? _fbb.CreateVector<flatbuffers::Offset<godwit::wire::format::zone_evacuation>>(*zones) : 0;
+  return godwit::wire::format::Createzone_evacuations(
+      _fbb,
+      zones__);
+}
+
+struct cold_server FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef cold_serverBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVER = 4,
+    VT_STARTED_AT_MS = 6,
+    VT_REMAINING_MS = 8,
+    VT_SENDS = 10
+  };
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  uint64_t started_at_ms() const {
+    return GetField<uint64_t>(VT_STARTED_AT_MS, 0);
+  }
+  uint32_t remaining_ms() const {
+    return GetField<uint32_t>(VT_REMAINING_MS, 0);
+  }
+  uint32_t sends() const {
+    return GetField<uint32_t>(VT_SENDS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           VerifyField<uint64_t>(verifier, VT_STARTED_AT_MS, 8) &&
+           VerifyField<uint32_t>(verifier, VT_REMAINING_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_SENDS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct cold_serverBuilder {
+  typedef cold_server Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(cold_server::VT_SERVER, server);
+  }
+  void add_started_at_ms(uint64_t started_at_ms) {
+    fbb_.AddElement<uint64_t>(cold_server::VT_STARTED_AT_MS, started_at_ms, 0);
+  }
+  void add_remaining_ms(uint32_t remaining_ms) {
+    fbb_.AddElement<uint32_t>(cold_server::VT_REMAINING_MS, remaining_ms, 0);
+  }
+  void add_sends(uint32_t sends) {
+    fbb_.AddElement<uint32_t>(cold_server::VT_SENDS, sends, 0);
+  }
+  explicit cold_serverBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<cold_server> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<cold_server>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<cold_server> Createcold_server(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    uint64_t started_at_ms = 0,
+    uint32_t remaining_ms = 0,
+    uint32_t sends = 0) {
+  cold_serverBuilder builder_(_fbb);
+  builder_.add_started_at_ms(started_at_ms);
+  builder_.add_sends(sends);
+  builder_.add_remaining_ms(remaining_ms);
+  builder_.add_server(server);
+  return builder_.Finish();
+}
+
+struct cold_server::Traits {
+  using type = cold_server;
+  static auto constexpr Create = Createcold_server;
+};
+
+inline flatbuffers::Offset<cold_server> Createcold_serverDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *server = nullptr,
+    uint64_t started_at_ms = 0,
+    uint32_t remaining_ms = 0,
+    uint32_t sends = 0) {
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  return godwit::wire::format::Createcold_server(
+      _fbb,
+      server__,
+      started_at_ms,
+      remaining_ms,
+      sends);
+}
+
+struct cold_servers FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef cold_serversBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVERS = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::cold_server>> *servers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::cold_server>> *>(VT_SERVERS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVERS) &&
+           verifier.VerifyVector(servers()) &&
+           verifier.VerifyVectorOfTables(servers()) &&
+           verifier.EndTable();
+  }
+};
+
+struct cold_serversBuilder {
+  typedef cold_servers Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_servers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::cold_server>>> servers) {
+    fbb_.AddOffset(cold_servers::VT_SERVERS, servers);
+  }
+  explicit cold_serversBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<cold_servers> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<cold_servers>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<cold_servers> Createcold_servers(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::cold_server>>> servers = 0) {
+  cold_serversBuilder builder_(_fbb);
+  builder_.add_servers(servers);
+  return builder_.Finish();
+}
+
+struct cold_servers::Traits {
+  using type = cold_servers;
+  static auto constexpr Create = Createcold_servers;
+};
+
+inline flatbuffers::Offset<cold_servers> Createcold_serversDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<godwit::wire::format::cold_server>> *servers = nullptr) {
+  auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<godwit::wire::format::cold_server>>(*servers) : 0;
+  return godwit::wire::format::Createcold_servers(
+      _fbb,
+      servers__);
+}
+
 struct frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef frameBuilder Builder;
   struct Traits;
@@ -3812,6 +4140,12 @@
   const godwit::wire::format::server_limits *payload_as_server_limits() const {
     return payload_type() == godwit::wire::format::payload::server_limits ? static_cast<const godwit::wire::format::server_limits *>(payload()) : nullptr;
   }
+  const godwit::wire::format::zone_evacuations *payload_as_zone_evacuations() const {
+    return payload_type() == godwit::wire::format::payload::zone_evacuations ? static_cast<const godwit::wire::format::zone_evacuations *>(payload()) : nullptr;
+  }
+  const godwit::wire::format::cold_servers *payload_as_cold_servers() const {
+    return payload_type() == godwit::wire::format::payload::cold_servers ? static_cast<const godwit::wire::format::cold_servers *>(payload()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_PAYLOAD_TYPE, 1) &&
@@ -3925,6 +4259,14 @@
   return payload_as_server_limits();
 }
 
+template<> inline const godwit::wire::format::zone_evacuations *frame::payload_as<godwit::wire::format::zone_evacuations>() const {
+  return payload_as_zone_evacuations();
+}
+
+template<> inline const godwit::wire::format::cold_servers *frame::payload_as<godwit::wire::format::cold_servers>() const {
+  return payload_as_cold_servers();
+}
+
 struct frameBuilder {
   typedef frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -4070,6 +4412,14 @@
       auto ptr = reinterpret_cast<const godwit::wire::format::server_limits *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case payload::zone_evacuations: {
+      auto ptr = reinterpret_cast<const godwit::wire::format::zone_evacuations *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case payload::cold_servers: {
+      auto ptr = reinterpret_cast<const godwit::wire::format::cold_servers *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/libraries/wire/src/message.cpp
+++ b/libraries/wire/src/message.cpp
@@ -34,7 +34,9 @@
             "cell_work",
             "table_changes",
             "crash_reports",
-            "server_limits"};
+            "server_limits",
+            "zone_evacuations",
+            "cold_servers"};
     return names.at(value.index());
 }
 
--- a/libraries/wire/src/message_reader.cpp
+++ b/libraries/wire/src/message_reader.cpp
@@ -313,4 +313,34 @@
     return server_limits{.limits = reader.list<server_limit>(table.limits())};
 }
 
+zone_evacuation read(const format::zone_evacuation& table, frame_reader& reader)
+{
+    return zone_evacuation{
+        .zone = reader.identifier<core::zone_name>(table.zone()),
+        .evacuated = table.evacuated(),
+        .epoch = table.epoch(),
+        .sequence = table.sequence()};
+}
+
+zone_evacuations
+read(const format::zone_evacuations& table, frame_reader& reader)
+{
+    return zone_evacuations{
+        .zones = reader.list<zone_evacuation>(table.zones())};
+}
+
+cold_server read(const format::cold_server& table, frame_reader& reader)
+{
+    return cold_server{
+        .server = reader.text(table.server()),
+        .started_at_ms = table.started_at_ms(),
+        .remaining_ms = table.remaining_ms(),
+        .sends = table.sends()};
+}
+
+cold_servers read(const format::cold_servers& table, frame_reader& reader)
+{
+    return cold_servers{.servers = reader.list<cold_server>(table.servers())};
+}
+
 } // namespace godwit::wire
--- a/libraries/wire/src/message_reader.hpp
+++ b/libraries/wire/src/message_reader.hpp
@@ -50,5 +50,11 @@
 crash_reports read(const format::crash_reports& table, frame_reader& reader);
 server_limit read(const format::server_limit& table, frame_reader& reader);
 server_limits read(const format::server_limits& table, frame_reader& reader);
+zone_evacuation
+read(const format::zone_evacuation& table, frame_reader& reader);
+zone_evacuations
+read(const format::zone_evacuations& table, frame_reader& reader);
+cold_server read(const format::cold_server& table, frame_reader& reader);
+cold_servers read(const format::cold_servers& table, frame_reader& reader);
 
 } // namespace godwit::wire
--- a/libraries/wire/src/message_writer.cpp
+++ b/libraries/wire/src/message_writer.cpp
@@ -380,4 +380,38 @@
     return format::Createserver_limits(out, list(out, value.limits));
 }
 
+flatbuffers::Offset<format::zone_evacuation>
+write(builder& out, const zone_evacuation& value)
+{
+    return format::Createzone_evacuation(
+        out,
+        text(out, value.zone),
+        value.evacuated,
+        value.epoch,
+        value.sequence);
+}
+
+flatbuffers::Offset<format::zone_evacuations>
+write(builder& out, const zone_evacuations& value)
+{
+    return format::Createzone_evacuations(out, list(out, value.zones));
+}
+
+flatbuffers::Offset<format::cold_server>
+write(builder& out, const cold_server& value)
+{
+    return format::Createcold_server(
+        out,
+        text(out, value.server),
+        value.started_at_ms,
+        value.remaining_ms,
+        value.sends);
+}
+
+flatbuffers::Offset<format::cold_servers>
+write(builder& out, const cold_servers& value)
+{
+    return format::Createcold_servers(out, list(out, value.servers));
+}
+
 } // namespace godwit::wire
--- a/libraries/wire/src/message_writer.hpp
+++ b/libraries/wire/src/message_writer.hpp
@@ -77,5 +77,13 @@
 write(flatbuffers::FlatBufferBuilder& out, const server_limit& value);
 flatbuffers::Offset<format::server_limits>
 write(flatbuffers::FlatBufferBuilder& out, const server_limits& value);
+flatbuffers::Offset<format::zone_evacuation>
+write(flatbuffers::FlatBufferBuilder& out, const zone_evacuation& value);
+flatbuffers::Offset<format::zone_evacuations>
+write(flatbuffers::FlatBufferBuilder& out, const zone_evacuations& value);
+flatbuffers::Offset<format::cold_server>
+write(flatbuffers::FlatBufferBuilder& out, const cold_server& value);
+flatbuffers::Offset<format::cold_servers>
+write(flatbuffers::FlatBufferBuilder& out, const cold_servers& value);
 
 } // namespace godwit::wire
--- a/services/entry/include/godwit/entry/buffered_call.hpp
+++ b/services/entry/include/godwit/entry/buffered_call.hpp
@@ -61,6 +61,8 @@
     telemetry::request_metrics metrics_;
     /// Time until a limited server accepts another request.
     core::duration limit_wait_{};
+    /// Whether every untried server is in an evacuated zone.
+    bool are_zones_evacuated_ = false;
     bool is_caller_disconnected_ = false;
 };
 
--- a/services/entry/include/godwit/entry/capacity_search.hpp
+++ b/services/entry/include/godwit/entry/capacity_search.hpp
@@ -49,6 +49,13 @@
     /// Ends the search because the caller disconnected.
     void stop();
 
+    /// Whether the last search failed because every server is in an evacuated
+    /// zone.
+    [[nodiscard]] bool are_zones_evacuated() const noexcept
+    {
+        return are_zones_evacuated_;
+    }
+
     [[nodiscard]] const admission::wait_policy& policy() const noexcept
     {
         return wait_policy_;
@@ -71,6 +78,7 @@
     std::vector<placement::server_id> excluded_;
     wait_queue::waiter* waiter_ = nullptr;
     bool is_stopped_ = false;
+    bool are_zones_evacuated_ = false;
 };
 
 /// Whether the service's servers grant holds.
--- a/services/entry/include/godwit/entry/entry_context.hpp
+++ b/services/entry/include/godwit/entry/entry_context.hpp
@@ -8,6 +8,7 @@
 #include <godwit/entry/wait_queue.hpp>
 #include <godwit/entry/wire_codec.hpp>
 #include <godwit/http/connection_pool.hpp>
+#include <godwit/placement/cold_servers.hpp>
 #include <godwit/placement/copy_queue.hpp>
 #include <godwit/placement/load_ledger.hpp>
 #include <godwit/placement/placer.hpp>
@@ -15,6 +16,7 @@
 #include <godwit/placement/server_health.hpp>
 #include <godwit/placement/server_limits.hpp>
 #include <godwit/placement/slow_server_detector.hpp>
+#include <godwit/placement/zone_evacuations.hpp>
 #include <godwit/routing/route_table.hpp>
 #include <godwit/telemetry/metrics.hpp>
 
@@ -62,6 +64,8 @@
     placement::server_health health;
     placement::slow_server_detector slow_servers;
     placement::server_limits limits;
+    placement::cold_servers cold_servers;
+    placement::zone_evacuations evacuations;
     /// Servers whose invalid request limits were already logged.
     std::set<placement::server_id> servers_with_invalid_limit;
     placement::placer placer;
@@ -88,6 +92,10 @@
     /// server, to the neighbours; set by the process.
     std::function<void(const placement::server_limit&, unsigned)>
         broadcast_limit;
+    /// Sends the number of requests sent to a cold server, or that a server is
+    /// cold, to the neighbours; set by the process.
+    std::function<void(const placement::server_id&, unsigned)>
+        broadcast_cold_server;
     /// Returns this host's zero-based rank among the hosts of the fleet for
     /// `key`, by rendezvous hashing; set by the process.
     std::function<std::size_t(std::string_view key)> host_rank;
--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -147,6 +147,16 @@
     void clear_crashes(
         const admission::request_fingerprint& request, std::string_view source);
 
+    /// Applies a change of a zone's evacuation that was read from the source.
+    void update_evacuation(
+        const placement::zone_evacuation& change, std::string_view source);
+
+    /// Applies the source's complete list of evacuations as of `revision`.
+    void apply_evacuations(
+        const std::vector<placement::zone_evacuation>& listed,
+        placement::evacuation_revision revision,
+        std::string_view source);
+
     /// Returns whether the load balancer may send connections to this host.
     [[nodiscard]] bool is_ready() const noexcept;
 
@@ -248,6 +258,17 @@
         const core::host_name& host, const wire::server_limits& message);
     void reject_limits(const core::host_name& host, const core::error& why);
     void update_limit_share();
+    void
+    broadcast_cold_server(const placement::server_id& server, unsigned sends);
+    void handle_cold_servers(
+        const core::host_name& host, const wire::cold_servers& message);
+    void presume_cold_zone(const core::zone_name& zone);
+    void on_evacuations_changed(
+        const std::vector<placement::zone_evacuation>& changes,
+        std::string_view source);
+    void expire_evacuations();
+    void handle_evacuations(
+        const core::host_name& host, const wire::zone_evacuations& message);
     void forget_limit(const placement::server_id& server);
     [[nodiscard]] std::size_t host_rank(std::string_view key) const;
     [[nodiscard]] wire::crash_reports crash_reports_message() const;
--- a/services/entry/include/godwit/entry/refusal.hpp
+++ b/services/entry/include/godwit/entry/refusal.hpp
@@ -20,6 +20,7 @@
     no_room,         ///< 503: every server is full.
     servers_refused, ///< 503: the servers reported that they did not run it.
     servers_limited, ///< 503: the servers' request limits are used up.
+    zones_evacuated, ///< 503: every server is in an evacuated zone.
     quarantined,     ///< 503: the request crashes servers that run it.
     answer_lost,     ///< 502: a server may have run it.
     answer_spoiled,  ///< 502: a server's response cannot be trusted.
--- a/services/entry/include/godwit/entry/server_limit_exchange.hpp
+++ b/services/entry/include/godwit/entry/server_limit_exchange.hpp
@@ -21,7 +21,7 @@
 to_server_limit(const wire::server_limit& received, core::time_point now);
 
 /// Counts a request to the server, and reports it to the neighbours if the
-/// server is limited.
+/// server is limited or cold.
 void record_request(entry_context& context, const placement::server_id& server);
 
 /// Applies the limit in the response to a request that was sent at `sent_at`,
--- a/services/entry/src/buffered_call.cpp
+++ b/services/entry/src/buffered_call.cpp
@@ -68,6 +68,8 @@
             co_return;
         if (!server && limit_wait_ > core::duration() && !last.may_have_run)
             last.refusal = refusal_reason::servers_limited;
+        if (!server && are_zones_evacuated_ && !last.may_have_run)
+            last.refusal = refusal_reason::zones_evacuated;
         if (!server || apply_quarantine(last))
             break;
         attempt_result current = co_await attempt(*server);
@@ -109,15 +111,21 @@
         active_->cancel();
 }
 
-// Returns the time until the first untried server accepts another request.
+// Returns the time until the first untried server accepts another request:
+// until then each is at its limit or cold.
 core::duration buffered_call::shortest_limit_wait(core::time_point now) const
 {
     core::duration shortest = core::duration::max();
     for (const placement::backend_server* server :
          context_.directory.usable(call_.service.name)) {
-        if (std::find(tried_.begin(), tried_.end(), server->id) == tried_.end())
-            shortest =
-                std::min(shortest, context_.limits.wait_time(server->id, now));
+        const bool is_tried =
+            std::find(tried_.begin(), tried_.end(), server->id) != tried_.end();
+        if (is_tried || context_.evacuations.is_evacuated(server->zone))
+            continue;
+        const core::duration wait = std::max(
+            context_.limits.wait_time(server->id, now),
+            context_.cold_servers.wait_time(server->id, now));
+        shortest = std::min(shortest, wait);
     }
     return shortest;
 }
@@ -126,6 +134,7 @@
 buffered_call::choose_server()
 {
     limit_wait_ = core::duration();
+    are_zones_evacuated_ = false;
     placement::placement_request request;
     request.service = &call_.service;
     request.work.requests = 1;
@@ -147,7 +156,9 @@
             if (now + limit_wait_ >= end)
                 co_return std::nullopt;
         }
-        if (now >= end || !tried_.empty())
+        are_zones_evacuated_ =
+            found.error() == placement::placement_failure::evacuated;
+        if (now >= end || !tried_.empty() || are_zones_evacuated_)
             co_return std::nullopt;
         wait_queue::waiter waiter(
             context_.queue, context_.executor, call_.priority);
--- a/services/entry/src/capacity_search.cpp
+++ b/services/entry/src/capacity_search.cpp
@@ -69,7 +69,7 @@
 capacity_search::choose_server()
 {
     auto choice = co_await choose_server_in_stage(wait_stage::timely);
-    if (!choice && !is_stopped_)
+    if (!choice && !is_stopped_ && !are_zones_evacuated_)
         choice = co_await choose_server_in_stage(wait_stage::late);
     co_return choice;
 }
@@ -102,6 +102,10 @@
                 log_placed(*call_, *found, stage);
                 co_return std::move(*found);
             }
+            are_zones_evacuated_ =
+                found.error() == placement::placement_failure::evacuated;
+            if (are_zones_evacuated_)
+                co_return std::nullopt;
         }
         if (now >= end)
             co_return std::nullopt;
--- a/services/entry/src/entry_context.cpp
+++ b/services/entry/src/entry_context.cpp
@@ -29,12 +29,15 @@
     const codec_functions& wire_codec_functions)
     : executor(io_executor), settings(std::move(initial_settings)),
       codec(wire_codec_functions),
+      cold_servers(core::stable_hash(settings.host.value())),
       placer(
           directory,
           ledger,
           health,
           slow_servers,
           limits,
+          cold_servers,
+          evacuations,
           core::stable_hash(settings.host.value())),
       budgets(settings),
       connections(http::connection_pool::create(executor, pool_limits())),
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -1,5 +1,6 @@
 #include <godwit/entry/entry_process.hpp>
 
+#include <godwit/entry/cold_server_exchange.hpp>
 #include <godwit/entry/server_id_list.hpp>
 
 #include <godwit/telemetry/log.hpp>
@@ -176,6 +177,10 @@
         [this](const placement::server_limit& limit, unsigned sends) {
             broadcast_limit(limit, sends);
         };
+    context_.broadcast_cold_server =
+        [this](const placement::server_id& server, unsigned sends) {
+            broadcast_cold_server(server, sends);
+        };
     context_.is_refreshing = [this] {
         return is_refreshing();
     };
@@ -211,7 +216,11 @@
     const placement::backend_server* known = context_.directory.find(server.id);
     const http::endpoint previous_address =
         known != nullptr ? known->address : server.address;
-    switch (context_.directory.update(server, core::monotonic_now())) {
+    const auto change =
+        context_.directory.update(server, core::monotonic_now());
+    if (server.warm_up_remaining > core::duration::zero())
+        record_cold_server(context_, server, server.warm_up_remaining);
+    switch (change) {
     case placement::directory_change::none:
         return;
     case placement::directory_change::left:
@@ -235,9 +244,11 @@
     unsent_servers_.insert(server.id);
     context_.connections->forget(server.address);
     context_.queue.wake_first();
-    // The servers of the first list are logged together.
+    // The servers of the first list are logged together. Those that appear
+    // later have just started or returned.
     if (!has_servers_)
         return;
+    presume_cold(context_, server);
     log_event(
         log_level::info,
         component,
@@ -302,6 +313,7 @@
     broadcast_changed_servers();
     context_.health.forget(server);
     forget_limit(server);
+    context_.cold_servers.forget(server);
     context_.streams.notify_draining(server);
 }
 
@@ -456,6 +468,8 @@
     for (const auto& expired : context_.directory.expire(core::monotonic_now()))
         on_server_draining(expired, "lapsed");
     context_.quarantine.expire(core::monotonic_now());
+    expire_evacuations();
+    context_.cold_servers.expire(core::monotonic_now());
     update_limit_share();
     context_.queue.wake_first();
     broadcast_changed_servers();
--- a/services/entry/src/entry_process_limits.cpp
+++ b/services/entry/src/entry_process_limits.cpp
@@ -77,11 +77,13 @@
 
 void entry_process::update_limit_share()
 {
-    if (context_.limits.empty())
+    if (context_.limits.empty() && context_.cold_servers.size() == 0)
         return;
     const std::size_t fleet_size =
         is_fleet_known_ ? fleet_size_ : assumed_fleet_size;
-    context_.limits.set_hosts(1 + neighbours_->linked_cell_peers(), fleet_size);
+    const std::size_t linked = 1 + neighbours_->linked_cell_peers();
+    context_.limits.set_hosts(linked, fleet_size);
+    context_.cold_servers.set_hosts(linked, fleet_size);
 }
 
 } // namespace godwit::entry
--- a/services/entry/src/entry_process_neighbours.cpp
+++ b/services/entry/src/entry_process_neighbours.cpp
@@ -1,5 +1,6 @@
 #include <godwit/entry/entry_process.hpp>
 
+#include <godwit/entry/evacuation_conversion.hpp>
 #include <godwit/entry/load_conversion.hpp>
 #include <godwit/entry/wire_age.hpp>
 
@@ -66,6 +67,9 @@
         messages.emplace_back(crash_reports_message());
     if (!context_.limits.empty())
         messages.emplace_back(limits_message());
+    const auto evacuations = context_.evacuations.changes();
+    if (!evacuations.empty())
+        messages.emplace_back(to_wire(evacuations));
     // A link to another cell begins with all load sums of this cell, because
     // later reports contain only the changes.
     if (!neighbours_->is_cell_peer(peer.host)) {
@@ -208,6 +212,10 @@
         handle_crash_reports(peer.host, *crashes);
     else if (const auto* limits = std::get_if<wire::server_limits>(&message))
         handle_limits(peer.host, *limits);
+    else if (const auto* zones = std::get_if<wire::zone_evacuations>(&message))
+        handle_evacuations(peer.host, *zones);
+    else if (const auto* cold = std::get_if<wire::cold_servers>(&message))
+        handle_cold_servers(peer.host, *cold);
 }
 
 void entry_process::handle_link_claim(
--- a/services/entry/src/entry_process_operators.cpp
+++ b/services/entry/src/entry_process_operators.cpp
@@ -2,6 +2,7 @@
 
 #include <godwit/telemetry/log.hpp>
 
+#include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
@@ -61,6 +62,9 @@
     set("godwit_servers_limited",
         "Backend servers that name a limit.",
         static_cast<double>(context_.limits.limits().size()));
+    set("godwit_zones_evacuated",
+        "Availability zones whose servers get no requests.",
+        static_cast<double>(context_.evacuations.count()));
     set("godwit_neighbours_linked",
         "Entry hosts with an open link.",
         static_cast<double>(neighbours_->open_links()));
@@ -77,6 +81,13 @@
     state["stopping"] = context_.is_stopping;
     state["table_version"] = context_.routes ? context_.routes->version() : 0;
     state["servers"] = context_.directory.size();
+    boost::json::array evacuated;
+    for (const placement::zone_evacuation& each :
+         context_.evacuations.changes()) {
+        if (each.is_evacuated)
+            evacuated.emplace_back(each.zone.value());
+    }
+    state["evacuated_zones"] = std::move(evacuated);
     state["streams"] = context_.streams.size();
     state["waiting"] = context_.queue.size();
     state["connections"] = callers_->open_connections();
--- a/services/entry/src/migrator.cpp
+++ b/services/entry/src/migrator.cpp
@@ -239,6 +239,10 @@
 {
     int failures = 0;
     for (int copies = 0; copies < max_pre_copies && !is_stopped_;) {
+        if (context_.evacuations.is_evacuated(destination_->zone)) {
+            excluded_.push_back(destination_->id);
+            co_return pre_copy_result::no_capacity;
+        }
         // The first copy is long, so it must not start on links that other
         // hosts have claimed. The later, short copies claim the links for
         // this migration.
@@ -292,8 +296,13 @@
     }
     if (response.status == copy_status::refused && response.handle) {
         // The generation stopped, and its KV cache stayed at the source
-        // server.
+        // server. If that server may get no requests any more, the destination
+        // prefills again what was generated after the last pre-copy.
+        const bool may_stay = context_.evacuations.may_resume(
+            source_->server().zone, core::monotonic_now());
         migrated_ = migrated_run{source_->server(), *response.handle};
+        if (!may_stay && pre_copied_)
+            migrated_ = pre_copied_;
         co_return;
     }
     // The generation or its source server is gone, so that only the pre-copies
--- a/services/entry/src/refusal.cpp
+++ b/services/entry/src/refusal.cpp
@@ -35,6 +35,7 @@
     case refusal_reason::no_room:
     case refusal_reason::servers_refused:
     case refusal_reason::servers_limited:
+    case refusal_reason::zones_evacuated:
     case refusal_reason::quarantined:
         return unavailable;
     }
@@ -79,6 +80,8 @@
         return "servers_refused";
     case refusal_reason::servers_limited:
         return "servers_limited";
+    case refusal_reason::zones_evacuated:
+        return "zones_evacuated";
     case refusal_reason::quarantined:
         return "quarantined";
     case refusal_reason::answer_lost:
--- a/services/entry/src/server_limit_exchange.cpp
+++ b/services/entry/src/server_limit_exchange.cpp
@@ -1,6 +1,7 @@
 #include <godwit/entry/server_limit_exchange.hpp>
 
 #include <godwit/entry/call_log.hpp>
+#include <godwit/entry/cold_server_exchange.hpp>
 #include <godwit/entry/wire_age.hpp>
 #include <godwit/telemetry/log.hpp>
 
@@ -59,6 +60,7 @@
     if (context.limits.record_requests(server, 1, now) &&
         context.broadcast_limit)
         context.broadcast_limit(*context.limits.find(server), 1);
+    record_request_to_cold_server(context, server);
 }
 
 void update_limit(
--- a/services/entry/src/stream_call.cpp
+++ b/services/entry/src/stream_call.cpp
@@ -96,7 +96,9 @@
         if (is_caller_disconnected_)
             co_return false;
         if (!found) {
-            co_await refuse(refusal_reason::no_room);
+            co_await refuse(
+                search_.are_zones_evacuated() ? refusal_reason::zones_evacuated
+                                              : refusal_reason::no_room);
             co_return false;
         }
         reserved_ = std::move(found->reserved);
--- a/services/entry/src/stream_call_migration.cpp
+++ b/services/entry/src/stream_call_migration.cpp
@@ -136,6 +136,10 @@
     const auto migrated = co_await migration_->outcome(end);
     if (!migrated || is_caller_disconnected_ || gate_.refuses(*call_))
         co_return std::nullopt;
+    // The zone may have been evacuated since the destination was chosen.
+    if (!context_.evacuations.may_resume(
+            migrated->destination.zone, core::monotonic_now()))
+        co_return std::nullopt;
     co_return co_await resume_at(*migrated);
 }
 
--- a/tests/placement/placer_test.cpp
+++ b/tests/placement/placer_test.cpp
@@ -58,6 +58,8 @@
     CPPUNIT_TEST(test_a_slow_server_gets_no_prompt_that_would_be_late);
     CPPUNIT_TEST(test_a_slow_server_takes_runs_without_prefill);
     CPPUNIT_TEST(test_a_server_on_probation_gets_one_request_at_a_time);
+    CPPUNIT_TEST(test_an_evacuated_zone_gets_nothing);
+    CPPUNIT_TEST(test_a_cold_server_gets_no_more_than_its_rate);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -80,7 +82,17 @@
     server_health health_;
     slow_server_detector slow_servers_;
     server_limits limits_;
-    placer placer_{directory_, ledger_, health_, slow_servers_, limits_, 1};
+    cold_servers cold_servers_{1};
+    zone_evacuations evacuations_;
+    placer placer_{
+        directory_,
+        ledger_,
+        health_,
+        slow_servers_,
+        limits_,
+        cold_servers_,
+        evacuations_,
+        1};
 
     std::string choose(int now_ms = 0)
     {
@@ -197,7 +209,14 @@
         std::set<std::string> chosen;
         for (std::uint64_t host = 0; host < 12; ++host) {
             placer other(
-                directory_, ledger_, health_, slow_servers_, limits_, host);
+                directory_,
+                ledger_,
+                health_,
+                slow_servers_,
+                limits_,
+                cold_servers_,
+                evacuations_,
+                host);
             chosen.insert(other.choose(request_, at_ms(0))->server.id.value());
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, chosen.size());
@@ -314,7 +333,14 @@
         int count = 0;
         for (std::uint64_t host = 0; host < 40; ++host) {
             placer other(
-                directory_, ledger_, health_, slow_servers_, limits_, host);
+                directory_,
+                ledger_,
+                health_,
+                slow_servers_,
+                limits_,
+                cold_servers_,
+                evacuations_,
+                host);
             const auto chosen = other.choose(request_, at_ms(now_ms));
             count += chosen->server.id == server_id("i-3") ? 1 : 0;
         }
@@ -519,7 +545,14 @@
         int trying = 0;
         for (std::uint64_t host = 0; host < 100; ++host) {
             placer other(
-                directory_, ledger_, health_, slow_servers_, limits_, host);
+                directory_,
+                ledger_,
+                health_,
+                slow_servers_,
+                limits_,
+                cold_servers_,
+                evacuations_,
+                host);
             const auto chosen = other.choose(request_, at_ms(tried_from_ms));
             trying += chosen->server.id == server_id("i-1") ? 1 : 0;
         }
@@ -529,6 +562,51 @@
         ledger_.add(server_id("i-1"), {1, 100, 0});
         CPPUNIT_ASSERT_EQUAL(std::string("i-2"), choose(12'000));
     }
+
+    void test_an_evacuated_zone_gets_nothing()
+    {
+        directory_.update(sample_server(3, "west"), at_ms(0));
+        evacuations_.update({zone_name("east"), true, {1, 1}}, at_ms(0));
+        request_.work.unread_tokens = 0;
+        for (const placement_purpose purpose :
+             {placement_purpose::start,
+              placement_purpose::short_start,
+              placement_purpose::late_start,
+              placement_purpose::migration,
+              placement_purpose::rebalance}) {
+            request_.purpose = purpose;
+            for (int attempt = 0; attempt < 20; ++attempt)
+                CPPUNIT_ASSERT_EQUAL(std::string("i-3"), choose());
+        }
+        evacuations_.update({zone_name("west"), true, {1, 2}}, at_ms(0));
+        const auto chosen = placer_.choose(request_, at_ms(0));
+        CPPUNIT_ASSERT(placement_failure::evacuated == chosen.error());
+        evacuations_.update({zone_name("east"), false, {1, 3}}, at_ms(0));
+        CPPUNIT_ASSERT(choose() != "i-3");
+    }
+
+    void test_a_cold_server_gets_no_more_than_its_rate()
+    {
+        service_.engine.reset();
+        const godwit::routing::warm_up_profile profile{
+            std::chrono::seconds(2), 10.0};
+        for (const char* id : {"i-1", "i-2"})
+            cold_servers_.record(
+                server_id(id), profile, profile.duration, at_ms(0));
+        int sent = 0;
+        for (int now = 0; now < 2000; ++now) {
+            const auto chosen = placer_.choose(request_, at_ms(now));
+            if (!chosen) {
+                CPPUNIT_ASSERT(placement_failure::limited == chosen.error());
+                continue;
+            }
+            cold_servers_.record_own_request(chosen->server.id, at_ms(now));
+            ++sent;
+        }
+        CPPUNIT_ASSERT(sent > 20);
+        CPPUNIT_ASSERT(sent <= 42);
+        CPPUNIT_ASSERT(choose(2000) != "no room");
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(placer_test);
--- a/tests/platform_adapter/fake_neighbours.cpp
+++ b/tests/platform_adapter/fake_neighbours.cpp
@@ -72,10 +72,13 @@
     const auto* pull = std::get_if<wire::pull>(&message);
     const auto* crashes = std::get_if<wire::crash_reports>(&message);
     const auto* limits = std::get_if<wire::server_limits>(&message);
+    const auto* zones = std::get_if<wire::zone_evacuations>(&message);
     {
         const std::lock_guard guard(mutex_);
         if (limits != nullptr)
             limits_.push_back(*limits);
+        if (zones != nullptr)
+            evacuations_.push_back(*zones);
         if (is_table)
             table_messages_.push_back(message);
         if (pull != nullptr)
@@ -136,6 +139,12 @@
     return limits_;
 }
 
+std::vector<wire::zone_evacuations> fake_neighbours::evacuations() const
+{
+    const std::lock_guard guard(mutex_);
+    return evacuations_;
+}
+
 std::vector<wire::message> fake_neighbours::table_messages() const
 {
     const std::lock_guard guard(mutex_);
--- a/tests/platform_adapter/fake_neighbours.hpp
+++ b/tests/platform_adapter/fake_neighbours.hpp
@@ -51,6 +51,9 @@
     /// Returns the received server limits, in order.
     [[nodiscard]] std::vector<wire::server_limits> limits() const;
 
+    /// Returns the received evacuations, in order.
+    [[nodiscard]] std::vector<wire::zone_evacuations> evacuations() const;
+
     /// Returns the received messages with tables or changes, in order.
     [[nodiscard]] std::vector<wire::message> table_messages() const;
 
@@ -72,6 +75,7 @@
     std::vector<std::string> pull_receivers_;
     std::vector<wire::message> table_messages_;
     std::vector<wire::server_limits> limits_;
+    std::vector<wire::zone_evacuations> evacuations_;
     std::vector<wire::crash_reports> crash_reports_;
     std::thread thread_;
 };
--- a/tests/wire/sample_messages.cpp
+++ b/tests/wire/sample_messages.cpp
@@ -88,7 +88,9 @@
                 {server_crash{"i-1", 1700000000000, 1500},
                  server_crash{"i-2", 0, 0}}}},
             {"2c3d"}},
-        server_limits{{{"i-1", 1700000000000, true, 2.5, 40, 3}}}};
+        server_limits{{{"i-1", 1700000000000, true, 2.5, 40, 3}}},
+        zone_evacuations{{{core::zone_name("east"), true, 3, 17}}},
+        cold_servers{{{"i-1", 1700000000000, 900, 2}}}};
 }
 
 } // namespace godwit::wire
