placement: migrations do not wait for a cold server's bucket

Cause: on the shifted deployment 14 engines join every 3.3 s and are presumed cold; runs of leaving engines waited for a time slot there and found fuller engines instead.

Change: a migration reaches its destination no faster than the link receives KV caches, one after the other, so it does not wait; it still counts.

--- a/libraries/placement/src/placer.cpp
+++ b/libraries/placement/src/placer.cpp
@@ -70,6 +70,15 @@
 // time when a server drains, and copies to one destination wait for each other.
 constexpr double migration_jitter = 0.4;
 
+// Returns whether requests of this purpose reach a server no faster than its
+// network link receives their KV caches, one after the other: a few per second.
+// They count as requests to a cold server, but need not wait for others.
+bool is_paced_by_copies(placement_purpose purpose)
+{
+    return purpose == placement_purpose::migration ||
+           purpose == placement_purpose::rebalance;
+}
+
 // Returns how long a copy of the work's KV cache takes, including the copies to
 // the same server that are in progress.
 double copy_seconds(
@@ -262,7 +271,8 @@
         if (!has_capacity(request, *candidate, load, speed))
             continue;
         if (!limits_.may_send(candidate->id, now) ||
-            !cold_servers_.may_send(candidate->id, now)) {
+            (!is_paced_by_copies(request.purpose) &&
+             !cold_servers_.may_send(candidate->id, now))) {
             is_limited = true;
             continue;
         }
--- a/tests/placement/placer_test.cpp
+++ b/tests/placement/placer_test.cpp
@@ -60,6 +60,7 @@
     CPPUNIT_TEST(test_a_server_on_probation_gets_one_request_at_a_time);
     CPPUNIT_TEST(test_an_evacuated_zone_gets_nothing);
     CPPUNIT_TEST(test_a_cold_server_gets_no_more_than_its_rate);
+    CPPUNIT_TEST(test_migrations_do_not_wait_for_a_cold_server);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -607,6 +608,23 @@
         CPPUNIT_ASSERT(sent <= 42);
         CPPUNIT_ASSERT(choose(2000) != "no room");
     }
+
+    // Their copies pace them, and their servers end soon.
+    void test_migrations_do_not_wait_for_a_cold_server()
+    {
+        const godwit::routing::warm_up_profile profile{
+            std::chrono::seconds(2), 10.0};
+        for (const char* id : {"i-1", "i-2"}) {
+            cold_servers_.record(
+                server_id(id), profile, profile.duration, at_ms(0));
+            cold_servers_.record_requests(server_id(id), 20, at_ms(0));
+        }
+        CPPUNIT_ASSERT(
+            placement_failure::limited ==
+            placer_.choose(request_, at_ms(1)).error());
+        request_.purpose = placement_purpose::migration;
+        CPPUNIT_ASSERT(placer_.choose(request_, at_ms(1)));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(placer_test);
