placement: starts keep room for the largest recent wave of departures

Load: servers that leave in waves while the others are full. Starts filled 0.95 of each server's memory whatever happens; a wave of 14% of the servers needs 0.17 of the memory of the others, so its generations found no room, and long prompts waited longest.

Change: the share for starts is what migrations may fill (1.05) less what the largest wave of the last 15 s needs, between 0.8 and 0.95. Without departures nothing changes.

--- a/libraries/placement/include/godwit/placement/placer.hpp
+++ b/libraries/placement/include/godwit/placement/placer.hpp
@@ -15,6 +15,7 @@
 
 #include <tl/expected.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <limits>
 #include <vector>
@@ -86,14 +87,21 @@
     choose(const placement_request& request, core::time_point now);
 
 private:
-    [[nodiscard]] static double memory_share(placement_purpose purpose);
+    /// Returns the share of a server's memory that starts may use.
+    [[nodiscard]] double start_share(
+        const placement_request& request,
+        std::size_t usable,
+        core::time_point now) const;
+    [[nodiscard]] static double
+    memory_share(placement_purpose purpose, double start_share);
     [[nodiscard]] static bool is_candidate(
         const placement_request& request, const backend_server& server);
     [[nodiscard]] bool has_capacity(
         const placement_request& request,
         const backend_server& server,
         const work_size& load,
-        const server_speed& speed) const;
+        const server_speed& speed,
+        double start_share) const;
     /// Whether the server joined so recently that this host does not use it
     /// yet.
     [[nodiscard]] bool is_joining(
--- a/libraries/placement/include/godwit/placement/server_directory.hpp
+++ b/libraries/placement/include/godwit/placement/server_directory.hpp
@@ -48,6 +48,9 @@
     static constexpr core::duration departed_retention =
         std::chrono::seconds(60);
 
+    static constexpr core::duration departure_span = std::chrono::seconds(1);
+    static constexpr core::duration departure_memory = std::chrono::seconds(15);
+
     /// Applies a record of the server. Records that are older than the known
     /// one, or of a former incarnation, are ignored. If another server of the
     /// service has the same address, its process must have ended, and it is
@@ -80,6 +83,12 @@
     [[nodiscard]] std::optional<core::time_point>
     last_departure(const core::service_name& service) const;
 
+    /// Returns the largest number of servers of the service that started to
+    /// drain together, within `departure_span`, in the last
+    /// `departure_memory`.
+    [[nodiscard]] std::size_t largest_departure(
+        const core::service_name& service, core::time_point now) const;
+
     /// When the server joined; empty if it was in the initial list of this
     /// host.
     [[nodiscard]] std::optional<core::time_point>
@@ -103,6 +112,17 @@
         std::optional<core::time_point> joined_at;
     };
 
+    /// The departures of one service.
+    struct departures
+    {
+        core::time_point span_start; ///< Of the latest departures.
+        std::size_t count = 0;       ///< In the latest span.
+        core::time_point largest_at;
+        std::size_t largest = 0;
+    };
+
+    void
+    record_departure(const core::service_name& service, core::time_point now);
     directory_change add(const backend_server& server, core::time_point now);
     directory_change
     restart(entry& known, const backend_server& server, core::time_point now);
@@ -110,6 +130,7 @@
     void drain_same_address(const backend_server& server, core::time_point now);
 
     std::map<server_id, entry> servers_;
+    std::map<core::service_name, departures> departures_;
     std::optional<core::time_point> first_listed_at_;
 };
 
--- a/libraries/placement/src/placer.cpp
+++ b/libraries/placement/src/placer.cpp
@@ -10,9 +10,10 @@
 
 namespace {
 
-// The share of a server's memory that starts may use. The rest is reserved for
-// generations that are migrated from draining servers.
+// The largest and the smallest share of a server's memory that starts may use.
+// The rest is reserved for generations that are migrated from draining servers.
 constexpr double start_memory_share = 0.95;
+constexpr double min_start_memory_share = 0.8;
 // Short generations may use the reserve as well, since they free their memory
 // before it is needed.
 constexpr double short_start_memory_share = 1.0;
@@ -114,11 +115,30 @@
       evacuations_(evacuations), seed_(seed), random_(seed)
 {}
 
-double placer::memory_share(placement_purpose purpose)
+// Answers the load of servers that leave in waves: their generations have to
+// fit into the memory of the servers that stay.
+double placer::start_share(
+    const placement_request& request,
+    std::size_t usable,
+    core::time_point now) const
+{
+    const bool can_migrate =
+        request.service->engine && request.service->engine->can_migrate;
+    if (!can_migrate || usable == 0)
+        return start_memory_share;
+    const auto leaving = static_cast<double>(
+        directory_.largest_departure(request.service->name, now));
+    return std::clamp(
+        migration_memory_share - leaving / static_cast<double>(usable),
+        min_start_memory_share,
+        start_memory_share);
+}
+
+double placer::memory_share(placement_purpose purpose, double start_share)
 {
     switch (purpose) {
     case placement_purpose::start:
-        return start_memory_share;
+        return start_share;
     case placement_purpose::short_start:
         return short_start_memory_share;
     case placement_purpose::late_start:
@@ -128,7 +148,7 @@
     case placement_purpose::rebalance:
         return rebalance_memory_share;
     }
-    return start_memory_share;
+    return start_share;
 }
 
 bool placer::is_candidate(
@@ -146,13 +166,14 @@
     const placement_request& request,
     const backend_server& server,
     const work_size& load,
-    const server_speed& speed) const
+    const server_speed& speed,
+    double start_share) const
 {
     if (!request.service->engine)
         return true;
     const routing::engine_profile& engine = *request.service->engine;
     const auto capacity = static_cast<std::uint64_t>(
-        memory_share(request.purpose) *
+        memory_share(request.purpose, start_share) *
         static_cast<double>(engine.memory_tokens));
     // The copy of a rebalanced run would delay more urgent copies.
     if (request.purpose == placement_purpose::rebalance &&
@@ -251,8 +272,9 @@
     bool has_candidate = false;
     bool is_limited = false;
     bool is_evacuated = false;
-    for (const backend_server* candidate :
-         directory_.usable(request.service->name)) {
+    const auto usable = directory_.usable(request.service->name);
+    const double share = start_share(request, usable.size(), now);
+    for (const backend_server* candidate : usable) {
         if (!is_candidate(request, *candidate))
             continue;
         if (evacuations_.is_evacuated(candidate->zone)) {
@@ -268,7 +290,7 @@
         const server_speed speed = slow_servers_.at(candidate->id, now);
         if (is_tried_by_others(*candidate, load, speed, now))
             continue;
-        if (!has_capacity(request, *candidate, load, speed))
+        if (!has_capacity(request, *candidate, load, speed, share))
             continue;
         if (!limits_.may_send(candidate->id, now) ||
             (!is_paced_by_copies(request.purpose) &&
--- a/libraries/placement/src/server_directory.cpp
+++ b/libraries/placement/src/server_directory.cpp
@@ -32,9 +32,36 @@
     if (target.left_at)
         return directory_change::none;
     target.left_at = now;
+    record_departure(target.server.service, now);
     return directory_change::left;
 }
 
+void server_directory::record_departure(
+    const core::service_name& service, core::time_point now)
+{
+    departures& known = departures_[service];
+    if (known.count == 0 || now - known.span_start > departure_span) {
+        known.span_start = now;
+        known.count = 0;
+    }
+    ++known.count;
+    const bool is_largest = known.count >= known.largest ||
+                            now - known.largest_at > departure_memory;
+    if (!is_largest)
+        return;
+    known.largest = known.count;
+    known.largest_at = now;
+}
+
+std::size_t server_directory::largest_departure(
+    const core::service_name& service, core::time_point now) const
+{
+    const auto known = departures_.find(service);
+    const bool is_recent = known != departures_.end() &&
+                           now - known->second.largest_at <= departure_memory;
+    return is_recent ? known->second.largest : 0;
+}
+
 // Two running servers cannot share an address. The list may contain records
 // that no server wrote; one of another service must not remove a running
 // server, and if it is genuine, the record of the former server is removed as
--- a/tests/placement/placer_test.cpp
+++ b/tests/placement/placer_test.cpp
@@ -61,6 +61,8 @@
     CPPUNIT_TEST(test_an_evacuated_zone_gets_nothing);
     CPPUNIT_TEST(test_a_cold_server_gets_no_more_than_its_rate);
     CPPUNIT_TEST(test_migrations_do_not_wait_for_a_cold_server);
+    CPPUNIT_TEST(test_room_for_a_wave_of_leaving_servers_is_kept);
+    CPPUNIT_TEST(test_a_wave_of_leaving_servers_is_forgotten);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -625,6 +627,72 @@
         request_.purpose = placement_purpose::migration;
         CPPUNIT_ASSERT(placer_.choose(request_, at_ms(1)));
     }
+
+    // Starts fill servers as far as they may; then two of twelve leave, with
+    // what runs there. Returns how many of their generations find no room.
+    std::size_t lost_in_wave(bool has_left_before)
+    {
+        server_directory directory;
+        load_ledger ledger;
+        placer chooser(
+            directory,
+            ledger,
+            health_,
+            slow_servers_,
+            limits_,
+            cold_servers_,
+            evacuations_,
+            1);
+        for (int number = 1; number <= 14; ++number) {
+            backend_server server = sample_server(number);
+            server.slots = 100;
+            directory.update(server, at_ms(0));
+        }
+        if (has_left_before) {
+            directory.update(draining(sample_server(13)), at_ms(100));
+            directory.update(draining(sample_server(14)), at_ms(110));
+        }
+        placement_request request = request_;
+        request.work = {1, 500, 0};
+        service_.engine->can_migrate = true;
+        std::map<server_id, std::size_t> running;
+        while (const auto chosen = chooser.choose(request, at_ms(5000))) {
+            ledger.add(chosen->server.id, request.work);
+            ++running[chosen->server.id];
+            CPPUNIT_ASSERT(running.size() <= 14);
+        }
+        directory.update(draining(sample_server(1)), at_ms(5000));
+        directory.update(draining(sample_server(2)), at_ms(5000));
+        request.purpose = placement_purpose::migration;
+        std::size_t lost = 0;
+        for (const char* id : {"i-1", "i-2"}) {
+            for (; running[server_id(id)] > 0; --running[server_id(id)]) {
+                const auto chosen = chooser.choose(request, at_ms(5000));
+                if (chosen)
+                    ledger.add(chosen->server.id, request.work);
+                else
+                    ++lost;
+            }
+        }
+        return lost;
+    }
+
+    void test_room_for_a_wave_of_leaving_servers_is_kept()
+    {
+        CPPUNIT_ASSERT(lost_in_wave(false) > 5);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, lost_in_wave(true));
+    }
+
+    void test_a_wave_of_leaving_servers_is_forgotten()
+    {
+        service_.engine->can_migrate = true;
+        directory_.update(sample_server(3), at_ms(0));
+        directory_.update(draining(sample_server(3)), at_ms(0));
+        ledger_.add(server_id("i-1"), {1, 8000, 0});
+        ledger_.add(server_id("i-2"), {1, 8000, 0});
+        CPPUNIT_ASSERT_EQUAL(std::string("no room"), choose(1000));
+        CPPUNIT_ASSERT(choose(16'000) != "no room");
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(placer_test);
