--- a/libraries/admission/src/wait_policy.cpp
+++ b/libraries/admission/src/wait_policy.cpp
@@ -22,9 +22,6 @@
 // Prefill rate of a busy engine. An engine prefills 14 tokens per millisecond,
 // but alternates with decoding steps of 7 ms for its running generations, which
 // take about as long as the prefill between them and so halve the rate.
-//
-// The rate is a constant because deriving it from the times of first events
-// made no difference to callers.
 constexpr double prefill_tokens_per_ms = 7.0;
 // Capacity that becomes free goes to requests of any host that can start in
 // time: these try to get it at once, late requests only at this interval.
--- a/libraries/placement/src/placer.cpp
+++ b/libraries/placement/src/placer.cpp
@@ -30,9 +30,8 @@
 // with planned work, and a healthy idle server in the preferred zone costs 0.
 
 // Unread prompt tokens that cost as much as a full memory: about two seconds of
-// prefill next to running generations. At a quarter of this, requests went to
-// other zones to avoid short waits, and 1.8% fewer long streams were in time
-// (15 simulated days with faults).
+// prefill next to running generations. With a lower value, requests go to other
+// zones to avoid short waits.
 constexpr double unread_tokens_weight = 14000.0;
 // Another zone adds a hop to each event, traffic between zones is charged for,
 // and a stream stalls while a partition separates it from its engine's zone.
@@ -59,9 +58,8 @@
 constexpr double probation_cost = 0.35;
 // Time over which hosts gradually start to use a new server. They all see the
 // empty server at the same time, and learn only later what other hosts sent.
-// If all used it at once, each would send its waiting requests: up to thirteen
-// prompts arrived within a millisecond, of which the last started 5 s later.
-// The prefill of one such prompt takes about 200 ms.
+// If all used it at once, each would send its waiting requests, and the last of
+// their prompts would be prefilled seconds later.
 constexpr core::duration joining_window = std::chrono::milliseconds(600);
 // Upper bound of the random cost that is added to each candidate server, so
 // that hosts with the same information choose different servers.
--- a/services/entry/src/entry_process_neighbours.cpp
+++ b/services/entry/src/entry_process_neighbours.cpp
@@ -279,8 +279,8 @@
 
 // The primary reader is the first by name of the hosts that read the list now.
 // When its reports stop, the next one takes over. A host without any reports
-// yet would take itself for the primary one: 295 hosts that started at once
-// polled each engine for its report, 95,000 times.
+// yet would take itself for the primary one, and each host of a fleet that
+// starts would poll every engine for its report.
 bool entry_process::is_primary_list_reader() const
 {
     return !is_joining_fleet() && readers_.is_primary(core::monotonic_now());
--- a/services/entry/src/stream_call.cpp
+++ b/services/entry/src/stream_call.cpp
@@ -75,8 +75,7 @@
     // Holds already settle the order of requests, so that a server with holds
     // is sent no priority. With a priority, an urgent request would preempt the
     // newest other generations when the server's memory runs out, and their
-    // prompts would be processed again: three times as many prompts were
-    // processed in vain.
+    // prompts would be processed again.
     if (call_->service.engine && !supports_holds(*call_))
         forwarding.priority = call_->priority;
     if (!resume_from)
