entry: shares of limits are known before a server is limited

Cause: the share was set at the next tick after the first limit or cold server; until then, up to 50 ms, each host took itself for the whole fleet and could use a cold server alone. Found by reading. Change: the share is set at each tick.

--- a/services/entry/src/entry_process_limits.cpp
+++ b/services/entry/src/entry_process_limits.cpp
@@ -77,8 +77,6 @@
 
 void entry_process::update_limit_share()
 {
-    if (context_.limits.empty() && context_.cold_servers.size() == 0)
-        return;
     const std::size_t fleet_size =
         is_fleet_known_ ? fleet_size_ : assumed_fleet_size;
     const std::size_t linked = 1 + neighbours_->linked_cell_peers();
