--- a/services/entry/include/godwit/entry/cold_server_exchange.hpp
+++ b/services/entry/include/godwit/entry/cold_server_exchange.hpp
@@ -13,8 +13,8 @@
     const placement::backend_server& server,
     core::duration remaining);
 
-/// Presumes that the server has just become cold: it started, became reachable
-/// again, or its zone was evacuated. Every host notices this by itself.
+/// Presumes that the server has just become cold: it started, or the evacuation
+/// of its zone ended. Every host notices this by itself.
 void presume_cold(
     entry_context& context, const placement::backend_server& server);
 
--- a/tests/platform_adapter/codec_test.cpp
+++ b/tests/platform_adapter/codec_test.cpp
@@ -1,3 +1,4 @@
+#include <godwit/platform_adapter/evacuation_codec.hpp>
 #include <godwit/platform_adapter/request_codec.hpp>
 #include <godwit/platform_adapter/server_codec.hpp>
 #include <godwit/platform_adapter/store_codec.hpp>
@@ -33,6 +34,8 @@
     CPPUNIT_TEST_SUITE(codec_test);
     CPPUNIT_TEST(test_a_table_is_read);
     CPPUNIT_TEST(test_malformed_tables_are_refused);
+    CPPUNIT_TEST(test_the_warm_up_of_a_service_is_read);
+    CPPUNIT_TEST(test_keys_of_evacuations);
     CPPUNIT_TEST(test_a_server_is_read);
     CPPUNIT_TEST(test_malformed_servers_are_refused);
     CPPUNIT_TEST(test_truncated_records_are_refused);
@@ -79,6 +82,38 @@
         CPPUNIT_ASSERT(!read_table(std::string(1 << 20, '[')));
     }
 
+    void test_the_warm_up_of_a_service_is_read()
+    {
+        const auto warm_up = [](const std::string& fields) {
+            const auto table = read_table(
+                R"({"version":1,"services":[{"name":"lm")" + fields + "}]}");
+            return table.value()->content().services.front().warm_up;
+        };
+        const auto read = warm_up(R"(,"warmup_s":1.5,"warmup_per_s":25.0)");
+        CPPUNIT_ASSERT(std::chrono::milliseconds(1500) == read->duration);
+        CPPUNIT_ASSERT_EQUAL(25.0, read->requests_per_second);
+        for (const char* fields :
+             {"",
+              R"(,"warmup_s":1)",
+              R"(,"warmup_per_s":25)",
+              R"(,"warmup_s":0,"warmup_per_s":25)",
+              R"(,"warmup_s":1,"warmup_per_s":0)",
+              R"(,"warmup_s":-1,"warmup_per_s":25)",
+              R"(,"warmup_s":1,"warmup_per_s":"x")"})
+            CPPUNIT_ASSERT_MESSAGE(fields, !warm_up(fields));
+    }
+
+    void test_keys_of_evacuations()
+    {
+        CPPUNIT_ASSERT(is_evacuation_key("evacuate/e"));
+        CPPUNIT_ASSERT(!is_evacuation_key("evacuate"));
+        CPPUNIT_ASSERT(!is_evacuation_key("config"));
+        CPPUNIT_ASSERT(
+            core::zone_name("e") == read_evacuation_key("evacuate/e").value());
+        for (const char* key : {"evacuate/", "evacuate/a b", "evacuate/\xff"})
+            CPPUNIT_ASSERT(!read_evacuation_key(key));
+    }
+
     void test_a_server_is_read()
     {
         const auto server = read_server(
--- a/tests/platform_adapter/record_parsing_test.cpp
+++ b/tests/platform_adapter/record_parsing_test.cpp
@@ -10,6 +10,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <chrono>
 #include <limits>
 #include <string>
 #include <string_view>
@@ -83,6 +84,7 @@
     CPPUNIT_TEST(test_a_record_with_a_missing_field_is_refused);
     CPPUNIT_TEST(test_a_field_of_another_type_is_refused);
     CPPUNIT_TEST(test_numbers_out_of_range_are_refused);
+    CPPUNIT_TEST(test_the_remaining_warm_up_is_read);
     CPPUNIT_TEST(test_unknown_states_are_refused);
     CPPUNIT_TEST(test_ids_must_be_valid_in_header_fields);
     CPPUNIT_TEST(test_a_malformed_record_does_not_hide_others);
@@ -179,6 +181,24 @@
         CPPUNIT_ASSERT(!read_with("service", ""));
     }
 
+    void test_the_remaining_warm_up_is_read()
+    {
+        using std::chrono::milliseconds;
+        const auto remaining = [](boost::json::value value) {
+            return read_with("warmup_left_ms", std::move(value))
+                ->warm_up_remaining;
+        };
+        CPPUNIT_ASSERT(core::duration::zero() == remaining(0));
+        CPPUNIT_ASSERT(milliseconds(1200) == remaining(1200));
+        CPPUNIT_ASSERT(core::duration(1500) == remaining(1.5));
+        CPPUNIT_ASSERT(core::duration::zero() == remaining(-5));
+        CPPUNIT_ASSERT(milliseconds(60'000) == remaining(1e300));
+        boost::json::object record = sample_record();
+        record.erase("warmup_left_ms");
+        CPPUNIT_ASSERT(
+            core::duration::zero() == parse_record(record)->warm_up_remaining);
+    }
+
     void test_unknown_states_are_refused()
     {
         CPPUNIT_ASSERT(
