--- a/tests/platform_adapter/migration_test.cpp
+++ b/tests/platform_adapter/migration_test.cpp
@@ -114,6 +114,8 @@
     CPPUNIT_TEST(test_a_returning_stream_survives_the_draining_of_its_server);
     CPPUNIT_TEST(test_a_return_continues_as_migration_when_the_server_drains);
     CPPUNIT_TEST(test_a_stream_stays_when_its_home_zone_refuses_it);
+    CPPUNIT_TEST(test_a_run_does_not_migrate_into_an_evacuated_zone);
+    CPPUNIT_TEST(test_a_stopped_run_does_not_resume_in_an_evacuated_zone);
     CPPUNIT_TEST(test_a_draining_server_is_detected_during_a_store_outage);
     CPPUNIT_TEST(test_a_draining_server_is_detected_before_its_record);
     CPPUNIT_TEST_SUITE_END();
@@ -338,6 +340,48 @@
             std::size_t{0}, testbed_.second_server().count("/stream/"));
     }
 
+    // The zone is evacuated during the first copy.
+    void test_a_run_does_not_migrate_into_an_evacuated_zone()
+    {
+        migrating_server source;
+        migrating_server destination;
+        testbed_.second_server().set_zone("west");
+        source.events = 400;
+        source.slow_copies = 1;
+        source.slow_copy_ms = 300;
+        source.on_running_copy = [this](int /*number*/) {
+            testbed_.store().put("keyed.op", "evacuate/west", "{}");
+        };
+        migrate_while_streaming(source, destination);
+        CPPUNIT_ASSERT_EQUAL(200U, response_.status);
+        CPPUNIT_ASSERT_EQUAL(events_until(400), response_.body);
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t{0}, testbed_.second_server().count("/stream/"));
+    }
+
+    // The source's zone is evacuated for longer than a stopped run may resume
+    // there, and the destination has no room for the last copy.
+    void test_a_stopped_run_does_not_resume_in_an_evacuated_zone()
+    {
+        migrating_server source;
+        migrating_server destination;
+        testbed_.second_server().set_zone("west");
+        source.last_copy_status = 503;
+        source.slow_copies = 1;
+        source.slow_copy_ms = 1200;
+        source.on_running_copy = [this](int number) {
+            if (number == 1)
+                testbed_.store().put("keyed.op", "evacuate/east", "{}");
+        };
+        migrate_while_streaming(source, destination);
+        CPPUNIT_ASSERT_EQUAL(200U, response_.status);
+        CPPUNIT_ASSERT_EQUAL(events_until(destination.sent), response_.body);
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t{1}, testbed_.first_server().count("/stream/"));
+        CPPUNIT_ASSERT_EQUAL(
+            testbed_.first_server().address() + "/c7", resumed_from());
+    }
+
     void test_a_draining_server_is_detected_during_a_store_outage()
     {
         drain_without_record(true);
