--- a/libraries/placement/include/godwit/placement/zone_evacuations.hpp
+++ b/libraries/placement/include/godwit/placement/zone_evacuations.hpp
@@ -22,8 +22,12 @@
     /// epoch.
     std::uint64_t sequence = 0;
 
+    // clang-tidy 14 takes the comparison with 0 inside a defaulted <=> for a
+    // null pointer.
+    // NOLINTBEGIN(modernize-use-nullptr)
     friend auto operator<=>(
         const evacuation_revision&, const evacuation_revision&) = default;
+    // NOLINTEND(modernize-use-nullptr)
 };
 
 /// Whether an availability zone is evacuated: its servers get no requests.
@@ -100,6 +104,9 @@
     };
 
     bool apply(const zone_evacuation& change, core::time_point now);
+    /// Ends the zone's evacuation and returns the change.
+    static zone_evacuation
+    end(entry& known, evacuation_revision revision, core::time_point now);
     void discard_oldest_ended();
 
     std::map<core::zone_name, entry> zones_;
--- a/libraries/placement/src/zone_evacuations.cpp
+++ b/libraries/placement/src/zone_evacuations.cpp
@@ -4,6 +4,19 @@
 
 namespace godwit::placement {
 
+namespace {
+
+bool contains(
+    const std::vector<zone_evacuation>& listed, const core::zone_name& zone)
+{
+    return std::any_of(
+        listed.begin(), listed.end(), [&zone](const zone_evacuation& each) {
+            return each.zone == zone;
+        });
+}
+
+} // namespace
+
 bool zone_evacuations::update(
     const zone_evacuation& change, core::time_point now)
 {
@@ -83,42 +96,37 @@
             changed.push_back(each);
     }
     for (auto& [zone, known] : zones_) {
-        const bool is_listed = std::any_of(
-            listed.begin(), listed.end(), [&zone](const auto& each) {
-                return each.zone == zone;
-            });
-        if (is_listed) {
+        if (contains(listed, zone))
             known.missing_since.reset();
-            continue;
-        }
-        if (!known.last.is_evacuated)
-            continue;
-        if (is_restored || known.missing_since ||
-            known.last.revision.epoch != revision.epoch) {
+        else if (known.last.is_evacuated) {
+            if (is_restored || known.last.revision.epoch != revision.epoch)
+                known.missing_since = known.missing_since.value_or(now);
             if (!known.missing_since)
-                known.missing_since = now;
-            continue;
+                changed.push_back(end(known, revision, now));
         }
-        known.last = zone_evacuation{zone, false, revision};
-        known.changed_at = now;
-        known.missing_since.reset();
-        changed.push_back(known.last);
     }
     read_up_to_ = revision;
     return changed;
 }
 
+zone_evacuation zone_evacuations::end(
+    entry& known, evacuation_revision revision, core::time_point now)
+{
+    known.last.is_evacuated = false;
+    known.last.revision = revision;
+    known.changed_at = now;
+    known.missing_since.reset();
+    return known.last;
+}
+
 std::vector<zone_evacuation> zone_evacuations::expire(core::time_point now)
 {
     std::vector<zone_evacuation> ended;
     for (auto& [zone, known] : zones_) {
         if (!known.missing_since || now - *known.missing_since < restore_grace)
             continue;
-        known.last = zone_evacuation{
-            zone, false, std::max(known.last.revision, read_up_to_)};
-        known.changed_at = now;
-        known.missing_since.reset();
-        ended.push_back(known.last);
+        ended.push_back(
+            end(known, std::max(known.last.revision, read_up_to_), now));
     }
     return ended;
 }
