--- a/libraries/placement/bench/main.cpp
+++ b/libraries/placement/bench/main.cpp
@@ -101,7 +101,10 @@
             report_extent::full,
             group_report(engines, random),
             now);
-    placer chooser(directory, ledger, health, slow_servers, limits, 1);
+    const cold_servers cold(1);
+    const zone_evacuations evacuations;
+    placer chooser(
+        directory, ledger, health, slow_servers, limits, cold, evacuations, 1);
     placement_request request;
     request.service = &service;
     request.work = work_size{1, 3000, 3000, 0};
--- a/tests/routing/route_table_test.cpp
+++ b/tests/routing/route_table_test.cpp
@@ -29,7 +29,8 @@
 {
     route_table_content content;
     content.version = 7;
-    content.services.push_back({core::service_name("lm"), "/health", 8, {}});
+    content.services.push_back(
+        {core::service_name("lm"), "/health", 8, {}, {}});
     content.routes = {
         make_route("all", "a.example", "/"),
         make_route("deep", "a.example", "/x/y/"),
