entry: servers that appear cold are not announced one by one

Cause: each host that reads the list of servers sent a message to each of its neighbours for each server that joined with a warm-up, though every host presumes a server that appears cold by itself. With 3,000 servers of which 17% are replaced at a time that is hundreds of messages a neighbour in a moment.

Change: only a server that becomes cold while it stays listed is announced. Measured: nothing yet.

--- a/services/entry/include/godwit/entry/cold_server_exchange.hpp
+++ b/services/entry/include/godwit/entry/cold_server_exchange.hpp
@@ -6,9 +6,9 @@
 
 namespace godwit::entry {
 
-/// Records that the server is cold for `remaining`, and reports it to the
-/// neighbours if it is news. Has no effect if the service needs no warm-up.
-void record_cold_server(
+/// Records that the server is cold for `remaining`. Returns whether this is
+/// news; false if the service needs no warm-up.
+[[nodiscard]] bool record_cold_server(
     entry_context& context,
     const placement::backend_server& server,
     core::duration remaining);
--- a/services/entry/src/cold_server_exchange.cpp
+++ b/services/entry/src/cold_server_exchange.cpp
@@ -18,18 +18,15 @@
 
 } // namespace
 
-void record_cold_server(
+bool record_cold_server(
     entry_context& context,
     const placement::backend_server& server,
     core::duration remaining)
 {
     const auto profile = find_warm_up(context, server.service);
-    if (!profile)
-        return;
-    const bool is_news = context.cold_servers.record(
-        server.id, *profile, remaining, core::monotonic_now());
-    if (is_news && context.broadcast_cold_server)
-        context.broadcast_cold_server(server.id, 0);
+    return profile &&
+           context.cold_servers.record(
+               server.id, *profile, remaining, core::monotonic_now());
 }
 
 void presume_cold(
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -218,8 +218,12 @@
         known != nullptr ? known->address : server.address;
     const auto change =
         context_.directory.update(server, core::monotonic_now());
-    if (server.warm_up_remaining > core::duration::zero())
+    const bool is_cold_news =
+        server.warm_up_remaining > core::duration::zero() &&
         record_cold_server(context_, server, server.warm_up_remaining);
+    // Every host presumes by itself that a server which appears is cold.
+    if (is_cold_news && change == placement::directory_change::none)
+        broadcast_cold_server(server.id, 0);
     switch (change) {
     case placement::directory_change::none:
         return;
