platform_adapter tests: the host knows that the server drains before it cuts

The test's server cut its connections 200 ms after its record of draining was written, whether or not the host had read the record. Change: the server cuts 50 ms after the host has applied the record. The four restarts and the assertions stay.

--- a/services/entry/src/entry_process_cold_servers.cpp
+++ b/services/entry/src/entry_process_cold_servers.cpp
@@ -48,11 +48,10 @@
             known != nullptr && known->start.unix_ms == received.started_at_ms;
         if (!is_current)
             continue;
-        record_cold_server(
-            context_,
-            *known,
-            std::min<core::duration>(
-                std::chrono::milliseconds(received.remaining_ms), max_warm_up));
+        const core::duration remaining = std::min<core::duration>(
+            std::chrono::milliseconds(received.remaining_ms), max_warm_up);
+        if (record_cold_server(context_, *known, remaining))
+            broadcast_cold_server(id, 0);
         if (neighbours_->is_cell_peer(host))
             context_.cold_servers.record_requests(
                 id, std::min(received.sends, max_sends), now);
--- a/tests/platform_adapter/crashing_requests_test.cpp
+++ b/tests/platform_adapter/crashing_requests_test.cpp
@@ -264,23 +264,29 @@
     {
         constexpr int restarts = 4;
         for (int restart = 0; restart < restarts; ++restart) {
+            // Whether the entry host knows that the server drains.
+            std::atomic<bool> is_draining_known = false;
             testbed_.first_server().set_handler(
-                [this](http::exchange& exchange) -> asio::awaitable<void> {
+                [this, &is_draining_known](
+                    http::exchange& exchange) -> asio::awaitable<void> {
                     [[maybe_unused]] const auto started =
                         co_await exchange.start_stream(
                             200, fake_server::signed_fields(exchange));
                     [[maybe_unused]] const auto first =
                         co_await exchange.write_chunk(event(1));
-                    co_await sleep(exchange, 300);
+                    while (!is_draining_known)
+                        co_await sleep(exchange, 5);
+                    co_await sleep(exchange, 50);
                     testbed_.first_server().crash();
                     exchange.cut();
                 });
             if (restart == 0)
                 testbed_.start_with_first_server();
             testbed_.restart(testbed_.first_server());
-            std::thread leaving([this] {
+            std::thread leaving([this, &is_draining_known] {
                 std::this_thread::sleep_for(std::chrono::milliseconds(100));
                 testbed_.register_server(testbed_.first_server(), "draining");
+                is_draining_known = true;
             });
             [[maybe_unused]] const auto cut =
                 testbed_.try_call("/stream/", "sound");
