--- a/libraries/core/include/godwit/core/identifiers.hpp
+++ b/libraries/core/include/godwit/core/identifiers.hpp
@@ -19,6 +19,9 @@
 /// An availability zone.
 using zone_name = identifier<struct zone_name_tag>;
 
+/// A region, which consists of availability zones.
+using region_name = identifier<struct region_name_tag>;
+
 /// An entry host, as its settings name it.
 using host_name = identifier<struct host_name_tag>;
 
--- a/libraries/routing/include/godwit/routing/organisation.hpp
+++ b/libraries/routing/include/godwit/routing/organisation.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <godwit/core/identifiers.hpp>
+#include <godwit/routing/region_set.hpp>
 
 #include <optional>
 #include <string>
@@ -14,6 +15,8 @@
     core::organisation_name name;
     std::vector<std::string> keys;
     std::optional<int> priority; ///< Overrides the route's.
+    /// Where its requests may be processed; the route's regions apply as well.
+    region_set allowed_regions = region_set::all();
 
     friend bool operator==(const organisation&, const organisation&) = default;
 };
--- a/libraries/routing/include/godwit/routing/route.hpp
+++ b/libraries/routing/include/godwit/routing/route.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <godwit/core/time.hpp>
+#include <godwit/routing/region_set.hpp>
 #include <godwit/routing/response_mode.hpp>
 #include <godwit/routing/retry_semantics.hpp>
 #include <godwit/routing/weighted_service.hpp>
@@ -31,6 +32,8 @@
     int priority = 0;                       ///< 0 is the most urgent.
     bool is_public = false;                 ///< Requires no key.
     std::vector<weighted_service> services; ///< At least one.
+    /// Where its requests may be processed.
+    region_set allowed_regions = region_set::all();
 
     friend bool operator==(const route&, const route&) = default;
 };
