placement: servers outside a request's regions are not chosen

Nothing knew regions: a request with allowed regions was placed anywhere. A server in a zone without a known region is only used if all regions are allowed. outside_regions tells that servers are listed, but none where the request may go, so that it is refused at once.

--- a/libraries/placement/include/godwit/placement/placer.hpp
+++ b/libraries/placement/include/godwit/placement/placer.hpp
@@ -11,7 +11,9 @@
 #include <godwit/placement/slow_server_detector.hpp>
 #include <godwit/placement/work_size.hpp>
 #include <godwit/placement/zone_evacuations.hpp>
+#include <godwit/routing/region_set.hpp>
 #include <godwit/routing/service.hpp>
+#include <godwit/routing/zone_regions.hpp>
 
 #include <tl/expected.hpp>
 
@@ -45,6 +47,11 @@
     /// Excludes servers of other zones.
     bool requires_preferred_zone = false;
     std::vector<server_id> excluded;
+    /// Excludes servers of other regions. A server whose region is unknown is
+    /// only used if all regions are allowed.
+    routing::region_set allowed_regions = routing::region_set::all();
+    /// The regions of the zones; null if they are unknown.
+    const routing::zone_regions* regions = nullptr;
 };
 
 /// Why no server was chosen.
@@ -54,6 +61,8 @@
     no_room,   ///< There are servers, but none has capacity.
     limited,   ///< Servers have capacity, but are at their request limits.
     evacuated, ///< All servers are in evacuated availability zones.
+    /// Servers are listed, but none in a region that the request may use.
+    outside_regions,
 };
 
 /// The chosen server, with the load and cost that it was chosen by.
@@ -94,6 +103,8 @@
         core::time_point now) const;
     [[nodiscard]] static double
     memory_share(placement_purpose purpose, double start_share);
+    [[nodiscard]] static bool is_in_allowed_region(
+        const placement_request& request, const backend_server& server);
     [[nodiscard]] static bool is_candidate(
         const placement_request& request, const backend_server& server);
     [[nodiscard]] bool has_capacity(
--- a/libraries/placement/src/placer.cpp
+++ b/libraries/placement/src/placer.cpp
@@ -149,6 +149,15 @@
     return start_share;
 }
 
+bool placer::is_in_allowed_region(
+    const placement_request& request, const backend_server& server)
+{
+    if (request.allowed_regions.is_unrestricted())
+        return true;
+    return request.regions != nullptr &&
+           request.regions->is_in(server.zone, request.allowed_regions);
+}
+
 bool placer::is_candidate(
     const placement_request& request, const backend_server& server)
 {
@@ -270,9 +279,13 @@
     bool has_candidate = false;
     bool is_limited = false;
     bool is_evacuated = false;
+    bool has_allowed = false;
     const auto usable = directory_.usable(request.service->name);
     const double share = start_share(request, usable.size(), now);
     for (const backend_server* candidate : usable) {
+        if (!is_in_allowed_region(request, *candidate))
+            continue;
+        has_allowed = true;
         if (!is_candidate(request, *candidate))
             continue;
         if (evacuations_.is_evacuated(candidate->zone)) {
@@ -316,6 +329,8 @@
         return tl::unexpected(placement_failure::limited);
     if (!has_candidate && is_evacuated)
         return tl::unexpected(placement_failure::evacuated);
+    if (!has_allowed && !usable.empty())
+        return tl::unexpected(placement_failure::outside_regions);
     return tl::unexpected(
         has_candidate ? placement_failure::no_room
                       : placement_failure::no_server);
