entry: requests stay in the regions of their route and organisation

The adapter reads allowed_regions of routes and organisations; a list that cannot be read allows no region. The zones' regions come with the settings. Starts, retries, holds, migrations and resumed runs go only to servers where the regions on arrival and those of the table in force both allow it.

A region that is withdrawn gets nothing more, also no resumption. A running generation leaves it by a migration; weighed: it stays until its end (the prompt was already processed there, but the rest of the answer would be, too), and it is cut (an answer lost, and nothing undone). If no server of an allowed region takes it, it ends where it is.

--- a/libraries/settings/include/godwit/settings/reader.hpp
+++ b/libraries/settings/include/godwit/settings/reader.hpp
@@ -102,6 +102,9 @@
     /// required.
     core::result<boost::json::value> get_value(std::string_view key);
 
+    /// Returns the keys of the object, for objects whose keys are names.
+    [[nodiscard]] std::vector<std::string> keys() const;
+
     /// Whether the key is present.
     [[nodiscard]] bool has(std::string_view key) const;
 
--- a/libraries/settings/src/reader.cpp
+++ b/libraries/settings/src/reader.cpp
@@ -124,6 +124,15 @@
     return path_ + "." + std::string(key);
 }
 
+std::vector<std::string> reader::keys() const
+{
+    std::vector<std::string> found;
+    found.reserve(object_->size());
+    for (const auto& member : *object_)
+        found.emplace_back(member.key());
+    return found;
+}
+
 bool reader::has(std::string_view key) const
 {
     return object_->if_contains(key) != nullptr;
--- a/services/entry/include/godwit/entry/buffered_call.hpp
+++ b/services/entry/include/godwit/entry/buffered_call.hpp
@@ -63,6 +63,8 @@
     core::duration limit_wait_{};
     /// Whether every untried server is in an evacuated zone.
     bool are_zones_evacuated_ = false;
+    /// Whether no server is in a region that the request may use.
+    bool are_regions_empty_ = false;
     bool is_caller_disconnected_ = false;
 };
 
--- a/services/entry/include/godwit/entry/call_dispatcher.hpp
+++ b/services/entry/include/godwit/entry/call_dispatcher.hpp
@@ -8,6 +8,7 @@
 
 #include <tl/expected.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -34,6 +35,7 @@
         const routing::route* route = nullptr;
         std::optional<core::organisation_name> organisation;
         int priority = 0;
+        routing::region_set allowed_regions = routing::region_set::all();
     };
 
     struct unrouted_call
@@ -48,12 +50,18 @@
     /// outdated, but only for a limited time.
     boost::asio::awaitable<void>
     wait_while(std::function<bool()> is_outdated) const;
+    /// Logs that no zone is in an allowed region, once for each version of the
+    /// route table.
+    void log_no_allowed_region(const resolved_call& found);
     boost::asio::awaitable<void> refuse(
         http::exchange& exchange,
         std::string_view attempt_id,
         const unrouted_call& unrouted);
 
     entry_context& context_;
+    /// The last version of the route table that was logged to allow a request
+    /// in no region.
+    std::uint64_t region_logged_version_ = 0;
 };
 
 } // namespace godwit::entry
--- a/services/entry/include/godwit/entry/capacity_search.hpp
+++ b/services/entry/include/godwit/entry/capacity_search.hpp
@@ -3,6 +3,7 @@
 #include <godwit/admission/generation_size.hpp>
 #include <godwit/admission/wait_policy.hpp>
 #include <godwit/entry/entry_context.hpp>
+#include <godwit/entry/refusal.hpp>
 #include <godwit/entry/reservation.hpp>
 #include <godwit/entry/routed_call.hpp>
 #include <godwit/entry/wait_queue.hpp>
@@ -49,11 +50,10 @@
     /// Ends the search because the caller disconnected.
     void stop();
 
-    /// Whether the last search failed because every server is in an evacuated
-    /// zone.
-    [[nodiscard]] bool are_zones_evacuated() const noexcept
+    /// Returns why the last search failed.
+    [[nodiscard]] refusal_reason failure() const noexcept
     {
-        return are_zones_evacuated_;
+        return final_failure_.value_or(refusal_reason::no_room);
     }
 
     [[nodiscard]] const admission::wait_policy& policy() const noexcept
@@ -78,7 +78,7 @@
     std::vector<placement::server_id> excluded_;
     wait_queue::waiter* waiter_ = nullptr;
     bool is_stopped_ = false;
-    bool are_zones_evacuated_ = false;
+    std::optional<refusal_reason> final_failure_; ///< That no wait avoids.
 };
 
 /// Whether the service's servers grant holds.
--- a/services/entry/include/godwit/entry/entry_settings.hpp
+++ b/services/entry/include/godwit/entry/entry_settings.hpp
@@ -4,6 +4,7 @@
 #include <godwit/core/result.hpp>
 #include <godwit/core/time.hpp>
 #include <godwit/http/endpoint.hpp>
+#include <godwit/routing/zone_regions.hpp>
 #include <godwit/settings/reader.hpp>
 #include <godwit/telemetry/log_level.hpp>
 
@@ -18,6 +19,7 @@
 {
     core::host_name host;
     core::zone_name zone;
+    routing::zone_regions regions = {}; ///< Of all zones of the deployment.
     telemetry::log_level log_level = telemetry::log_level::info;
     http::endpoint callers;    ///< Where callers connect.
     http::endpoint readiness;  ///< Where the load balancer probes.
@@ -39,8 +41,8 @@
     operator==(const entry_settings&, const entry_settings&) = default;
 
     /// Returns these settings with the values of `newer` for those that a
-    /// running process can change: seeds, grace and retries. Listeners, names
-    /// and the log stay as they are until the next start.
+    /// running process can change: seeds, regions, grace and retries.
+    /// Listeners, names and the log stay as they are until the next start.
     [[nodiscard]] entry_settings
     with_reloadable_settings(const entry_settings& newer) const;
 
--- a/services/entry/include/godwit/entry/migrator.hpp
+++ b/services/entry/include/godwit/entry/migrator.hpp
@@ -30,6 +30,8 @@
 {
     /// The generation would be lost, so any server with capacity will do.
     server_draining,
+    /// The generation must not run in its server's region any more.
+    region_withdrawn,
     /// The generation is better off in its host's zone, if a server there has
     /// capacity.
     rebalance,
@@ -51,9 +53,9 @@
     /// Starts the migration.
     void start();
 
-    /// Called when the source server starts to drain. The generation must then
-    /// migrate, whatever the migration was started for.
-    void on_server_draining();
+    /// Called when the generation must leave its server, whatever the migration
+    /// was started for.
+    void require_migration();
 
     /// Ends the migration and frees the copies, because the caller disconnected
     /// or the generation ended.
@@ -106,11 +108,14 @@
 
     [[nodiscard]] bool must_migrate() const noexcept
     {
-        return cause_ == migration_cause::server_draining;
+        return cause_ != migration_cause::rebalance;
     }
 
     [[nodiscard]] placement::placement_request destination_request() const;
     [[nodiscard]] bool choose_destination();
+    /// Whether neither an evacuation nor a change of the route table forbids
+    /// the destination.
+    [[nodiscard]] bool may_copy_to_destination() const;
     void finish();
     void release();
 
--- a/services/entry/include/godwit/entry/refusal.hpp
+++ b/services/entry/include/godwit/entry/refusal.hpp
@@ -21,6 +21,10 @@
     servers_refused, ///< 503: the servers reported that they did not run it.
     servers_limited, ///< 503: the servers' request limits are used up.
     zones_evacuated, ///< 503: every server is in an evacuated zone.
+    /// 503: the route and the organisation allow no region in common, or none
+    /// that the deployment has.
+    no_allowed_region,
+    regions_without_server, ///< 503: no server is in an allowed region now.
     quarantined,     ///< 503: the request crashes servers that run it.
     answer_lost,     ///< 502: a server may have run it.
     answer_spoiled,  ///< 502: a server's response cannot be trusted.
--- a/services/entry/include/godwit/entry/routed_call.hpp
+++ b/services/entry/include/godwit/entry/routed_call.hpp
@@ -26,6 +26,8 @@
     core::time_point arrival_time;
     /// The caller's deadline or the route's timeout, whichever is first.
     core::time_point deadline;
+    /// Where the route and the organisation allowed processing on arrival.
+    routing::region_set allowed_regions = routing::region_set::all();
 };
 
 } // namespace godwit::entry
--- a/services/entry/include/godwit/entry/running_stream.hpp
+++ b/services/entry/include/godwit/entry/running_stream.hpp
@@ -17,6 +17,9 @@
     /// Called when the server restarted, so that the generation is lost there.
     virtual void on_server_restarted() = 0;
 
+    /// Called when another version of the route table is in force.
+    virtual void on_routes_changed() = 0;
+
     /// How long the server has sent nothing, beyond the time that it may take
     /// to the first event.
     [[nodiscard]] virtual core::duration
--- a/services/entry/include/godwit/entry/stream_call.hpp
+++ b/services/entry/include/godwit/entry/stream_call.hpp
@@ -44,6 +44,8 @@
 
     void on_server_restarted() override;
 
+    void on_routes_changed() override;
+
     [[nodiscard]] core::duration idle_time(core::time_point now) const override;
 
 private:
--- a/services/entry/include/godwit/entry/stream_registry.hpp
+++ b/services/entry/include/godwit/entry/stream_registry.hpp
@@ -24,6 +24,10 @@
     /// Notifies each stream at the server that the server restarted.
     void notify_restarted(const placement::server_id& server);
 
+    /// Notifies each stream that another version of the route table is in
+    /// force.
+    void notify_routes_changed();
+
     /// Returns the servers from which no stream of this host has received
     /// anything for `idle_limit`: they hang or cannot be reached, even if they
     /// are still listed. A server with one idle stream among active ones is not
--- a/services/entry/src/buffered_call.cpp
+++ b/services/entry/src/buffered_call.cpp
@@ -2,6 +2,7 @@
 
 #include <godwit/entry/call_log.hpp>
 #include <godwit/entry/call_messages.hpp>
+#include <godwit/entry/call_regions.hpp>
 #include <godwit/entry/lost_runs.hpp>
 #include <godwit/entry/reservation.hpp>
 
@@ -70,6 +71,8 @@
             last.refusal = refusal_reason::servers_limited;
         if (!server && are_zones_evacuated_ && !last.may_have_run)
             last.refusal = refusal_reason::zones_evacuated;
+        if (!server && are_regions_empty_ && !last.may_have_run)
+            last.refusal = refusal_reason::regions_without_server;
         if (!server || apply_quarantine(last))
             break;
         attempt_result current = co_await attempt(*server);
@@ -116,11 +119,13 @@
 core::duration buffered_call::shortest_limit_wait(core::time_point now) const
 {
     core::duration shortest = core::duration::max();
+    const routing::region_set allowed = allowed_regions_of(context_, call_);
     for (const placement::backend_server* server :
          context_.directory.usable(call_.service.name)) {
         const bool is_tried =
             std::find(tried_.begin(), tried_.end(), server->id) != tried_.end();
-        if (is_tried || context_.evacuations.is_evacuated(server->zone))
+        if (is_tried || context_.evacuations.is_evacuated(server->zone) ||
+            !context_.settings.regions.is_in(server->zone, allowed))
             continue;
         const core::duration wait = std::max(
             context_.limits.wait_time(server->id, now),
@@ -135,6 +140,7 @@
 {
     limit_wait_ = core::duration();
     are_zones_evacuated_ = false;
+    are_regions_empty_ = false;
     placement::placement_request request;
     request.service = &call_.service;
     request.work.requests = 1;
@@ -146,6 +152,7 @@
         std::min(call_.arrival_time + max_wait, call_.deadline);
     while (!is_caller_disconnected_) {
         const core::time_point now = core::monotonic_now();
+        restrict_to_allowed_regions(context_, call_, request);
         const auto found = context_.placer.choose(request, now);
         if (found) {
             log_placed(call_, *found, admission::wait_stage::timely);
@@ -158,7 +165,10 @@
         }
         are_zones_evacuated_ =
             found.error() == placement::placement_failure::evacuated;
-        if (now >= end || !tried_.empty() || are_zones_evacuated_)
+        are_regions_empty_ =
+            found.error() == placement::placement_failure::outside_regions;
+        if (now >= end || !tried_.empty() || are_zones_evacuated_ ||
+            are_regions_empty_)
             co_return std::nullopt;
         wait_queue::waiter waiter(
             context_.queue, context_.executor, call_.priority);
--- a/services/entry/src/call_dispatcher.cpp
+++ b/services/entry/src/call_dispatcher.cpp
@@ -4,7 +4,9 @@
 #include <godwit/entry/async_sleep.hpp>
 #include <godwit/entry/buffered_call.hpp>
 #include <godwit/entry/call_log.hpp>
+#include <godwit/entry/find_route.hpp>
 #include <godwit/entry/stream_call.hpp>
+#include <godwit/telemetry/log.hpp>
 
 #include <algorithm>
 #include <limits>
@@ -33,11 +35,6 @@
            reason == refusal_reason::unknown_key;
 }
 
-std::string_view path_of(std::string_view target)
-{
-    return target.substr(0, target.find('?'));
-}
-
 // Chooses one of a route's services in proportion to their weights. The same
 // attempt always gets the same service.
 const routing::service* choose_service(
@@ -81,6 +78,13 @@
         co_return;
     }
     const routing::route& route = *found->route;
+    if (!context_.settings.regions.has_zone_in(found->allowed_regions)) {
+        log_no_allowed_region(*found);
+        const unrouted_call rejected{
+            refusal_reason::no_allowed_region, route.name};
+        co_await refuse(exchange, metadata.attempt_id, rejected);
+        co_return;
+    }
     const routing::service* service =
         choose_service(*found->routes, route, metadata.attempt_id);
     const core::duration timeout =
@@ -94,7 +98,8 @@
         std::move(found->organisation),
         found->priority,
         arrival_time,
-        arrival_time + timeout};
+        arrival_time + timeout,
+        std::move(found->allowed_regions)};
     if (route.mode == routing::response_mode::event_stream) {
         const auto stream =
             std::make_shared<stream_call>(context_, std::move(call));
@@ -113,12 +118,11 @@
     const auto& routes = context_.routes;
     if (!routes)
         return tl::unexpected(unrouted_call{refusal_reason::no_routes, ""});
-    const auto host = received.fields.find("Host").value_or("");
-    const routing::route* route =
-        routes->find_route(host, path_of(received.target));
+    const routing::route* route = find_route(*routes, received);
     if (route == nullptr)
         return tl::unexpected(unrouted_call{refusal_reason::no_such_route, ""});
-    resolved_call found{routes, route, std::nullopt, route->priority};
+    resolved_call found{
+        routes, route, std::nullopt, route->priority, route->allowed_regions};
     if (!routes->has_organisations() || route->is_public)
         return found;
     const routing::organisation* organisation =
@@ -128,9 +132,27 @@
             unrouted_call{refusal_reason::unknown_key, route->name});
     found.organisation = organisation->name;
     found.priority = organisation->priority.value_or(route->priority);
+    found.allowed_regions =
+        route->allowed_regions.intersection(organisation->allowed_regions);
     return found;
 }
 
+void call_dispatcher::log_no_allowed_region(const resolved_call& found)
+{
+    const std::uint64_t version = found.routes->version();
+    if (region_logged_version_ == version)
+        return;
+    region_logged_version_ = version;
+    telemetry::log_event(
+        telemetry::log_level::warning,
+        "entry",
+        "no_allowed_region",
+        {{"version", version},
+         {"route", found.route->name},
+         {"organisation",
+          found.organisation.value_or(core::organisation_name())}});
+}
+
 asio::awaitable<void>
 call_dispatcher::wait_while(std::function<bool()> is_outdated) const
 {
--- a/services/entry/src/capacity_search.cpp
+++ b/services/entry/src/capacity_search.cpp
@@ -2,6 +2,7 @@
 
 #include <godwit/admission/make_placement_request.hpp>
 #include <godwit/entry/call_log.hpp>
+#include <godwit/entry/call_regions.hpp>
 #include <godwit/entry/server_hold.hpp>
 
 #include <utility>
@@ -21,6 +22,23 @@
     return admission::generation_size::create(*metadata.generation, 0);
 }
 
+// Returns the reason for a refusal that no wait will avoid.
+std::optional<refusal_reason>
+final_failure_of(placement::placement_failure failure)
+{
+    switch (failure) {
+    case placement::placement_failure::evacuated:
+        return refusal_reason::zones_evacuated;
+    case placement::placement_failure::outside_regions:
+        return refusal_reason::regions_without_server;
+    case placement::placement_failure::no_server:
+    case placement::placement_failure::no_room:
+    case placement::placement_failure::limited:
+        return std::nullopt;
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 bool supports_holds(const routed_call& call)
@@ -69,7 +87,7 @@
 capacity_search::choose_server()
 {
     auto choice = co_await choose_server_in_stage(wait_stage::timely);
-    if (!choice && !is_stopped_ && !are_zones_evacuated_)
+    if (!choice && !is_stopped_ && !final_failure_)
         choice = co_await choose_server_in_stage(wait_stage::late);
     co_return choice;
 }
@@ -81,6 +99,7 @@
         call_->service, size_, wait_policy_, stage);
     request.preferred_zone = context_.settings.zone;
     request.excluded = excluded_;
+    restrict_to_allowed_regions(context_, *call_, request);
     return request;
 }
 
@@ -102,9 +121,8 @@
                 log_placed(*call_, *found, stage);
                 co_return std::move(*found);
             }
-            are_zones_evacuated_ =
-                found.error() == placement::placement_failure::evacuated;
-            if (are_zones_evacuated_)
+            final_failure_ = final_failure_of(found.error());
+            if (final_failure_)
                 co_return std::nullopt;
         }
         if (now >= end)
--- a/services/entry/src/entry_process_tables.cpp
+++ b/services/entry/src/entry_process_tables.cpp
@@ -90,6 +90,7 @@
          {"routes", content.routes.size()},
          {"organisations", content.organisations.size()}});
     context_.routes = routes;
+    context_.streams.notify_routes_changed();
     table_fetches_.set_own_version(version);
     neighbours_->broadcast(wire::catalogue_position{version, 0});
     context_.queue.wake_first();
--- a/services/entry/src/entry_settings.cpp
+++ b/services/entry/src/entry_settings.cpp
@@ -3,6 +3,8 @@
 #include <godwit/settings/read_values.hpp>
 #include <godwit/telemetry/read_log_level.hpp>
 
+#include <map>
+#include <string>
 #include <utility>
 
 namespace godwit::entry {
@@ -41,6 +43,18 @@
     return seeds;
 }
 
+core::result<routing::zone_regions> read_regions(settings::reader& from)
+{
+    auto zones = GODWIT_TRY(from.get_object("zones"));
+    std::map<core::zone_name, core::region_name> regions;
+    for (const std::string& zone : zones.keys()) {
+        auto region =
+            GODWIT_TRY(settings::read_name<core::region_name>(zones, zone));
+        regions.emplace(core::zone_name(zone), std::move(region));
+    }
+    return routing::zone_regions(std::move(regions));
+}
+
 } // namespace
 
 entry_settings
@@ -48,6 +62,7 @@
 {
     entry_settings result = *this;
     result.seeds = newer.seeds;
+    result.regions = newer.regions;
     result.stop_grace = newer.stop_grace;
     result.retry_share = newer.retry_share;
     result.retry_allowance = newer.retry_allowance;
@@ -65,6 +80,7 @@
         GODWIT_TRY(settings::read_name<core::host_name>(source, "host"));
     const auto zone =
         GODWIT_TRY(settings::read_name<core::zone_name>(source, "zone"));
+    const auto regions = GODWIT_TRY(read_regions(source));
     const auto log_level = GODWIT_TRY(telemetry::read_log_level(source));
     const auto callers = GODWIT_TRY(read_endpoint(listen, "callers"));
     const auto readiness = GODWIT_TRY(read_endpoint(listen, "readiness"));
@@ -74,6 +90,7 @@
     entry_settings read{
         .host = host,
         .zone = zone,
+        .regions = regions,
         .log_level = log_level,
         .callers = callers,
         .readiness = readiness,
--- a/services/entry/src/migrator.cpp
+++ b/services/entry/src/migrator.cpp
@@ -3,6 +3,7 @@
 
 #include <godwit/entry/async_sleep.hpp>
 #include <godwit/entry/call_log.hpp>
+#include <godwit/entry/call_regions.hpp>
 #include <godwit/entry/spawn.hpp>
 #include <godwit/http/fetch.hpp>
 #include <godwit/placement/zone_rebalancer.hpp>
@@ -62,6 +63,19 @@
     return "failed";
 }
 
+std::string_view name_of(migration_cause cause)
+{
+    switch (cause) {
+    case migration_cause::server_draining:
+        return "server_leaves";
+    case migration_cause::region_withdrawn:
+        return "region_withdrawn";
+    case migration_cause::rebalance:
+        return "rebalance";
+    }
+    return "rebalance";
+}
+
 } // namespace
 
 migrator::migrator(
@@ -95,7 +109,7 @@
         });
 }
 
-void migrator::on_server_draining()
+void migrator::require_migration()
 {
     cause_ = migration_cause::server_draining;
     started_at_ = core::monotonic_now();
@@ -154,7 +168,9 @@
             continue;
         }
         const pre_copy_result result = co_await pre_copy();
-        if (result == pre_copy_result::converged && !is_stopped_) {
+        const bool is_ready = result == pre_copy_result::converged &&
+                              may_copy_to_destination();
+        if (is_ready && !is_stopped_) {
             claim_links(link_claim_duration);
             co_await stop_and_copy();
             claim_links(core::duration::zero());
@@ -214,6 +230,7 @@
 bool migrator::choose_destination()
 {
     placement::placement_request request = destination_request();
+    restrict_to_allowed_regions(context_, *call_, request);
     request.excluded = excluded_;
     request.excluded.push_back(source_->server().id);
     const auto found = context_.placer.choose(request, core::monotonic_now());
@@ -226,7 +243,7 @@
         *call_,
         source_->server(),
         *found,
-        must_migrate() ? "server_leaves" : "rebalance");
+        name_of(cause_));
     destination_ = found->server;
     reserved_.reset();
     placement::work_size arriving = work_;
@@ -235,11 +252,17 @@
     return true;
 }
 
+bool migrator::may_copy_to_destination() const
+{
+    return !context_.evacuations.is_evacuated(destination_->zone) &&
+           may_process_in(context_, *call_, destination_->zone);
+}
+
 asio::awaitable<migrator::pre_copy_result> migrator::pre_copy()
 {
     int failures = 0;
     for (int copies = 0; copies < max_pre_copies && !is_stopped_;) {
-        if (context_.evacuations.is_evacuated(destination_->zone)) {
+        if (!may_copy_to_destination()) {
             excluded_.push_back(destination_->id);
             co_return pre_copy_result::no_capacity;
         }
@@ -298,8 +321,10 @@
         // The generation stopped, and its KV cache stayed at the source
         // server. If that server may get no requests any more, the destination
         // prefills again what was generated after the last pre-copy.
+        const core::zone_name& zone = source_->server().zone;
         const bool may_stay = context_.evacuations.may_resume(
-            source_->server().zone, core::monotonic_now());
+                                  zone, core::monotonic_now()) &&
+                              may_process_in(context_, *call_, zone);
         migrated_ = migrated_run{source_->server(), *response.handle};
         if (!may_stay && pre_copied_)
             migrated_ = pre_copied_;
--- a/services/entry/src/refusal.cpp
+++ b/services/entry/src/refusal.cpp
@@ -36,6 +36,8 @@
     case refusal_reason::servers_refused:
     case refusal_reason::servers_limited:
     case refusal_reason::zones_evacuated:
+    case refusal_reason::no_allowed_region:
+    case refusal_reason::regions_without_server:
     case refusal_reason::quarantined:
         return unavailable;
     }
@@ -82,6 +84,10 @@
         return "servers_limited";
     case refusal_reason::zones_evacuated:
         return "zones_evacuated";
+    case refusal_reason::no_allowed_region:
+        return "no_allowed_region";
+    case refusal_reason::regions_without_server:
+        return "regions_without_server";
     case refusal_reason::quarantined:
         return "quarantined";
     case refusal_reason::answer_lost:
--- a/services/entry/src/stream_call.cpp
+++ b/services/entry/src/stream_call.cpp
@@ -1,6 +1,7 @@
 #include <godwit/entry/stream_call.hpp>
 
 #include <godwit/entry/call_messages.hpp>
+#include <godwit/entry/call_regions.hpp>
 #include <godwit/entry/lost_runs.hpp>
 #include <godwit/entry/server_hold.hpp>
 
@@ -95,14 +96,16 @@
         if (is_caller_disconnected_)
             co_return false;
         if (!found) {
-            co_await refuse(
-                search_.are_zones_evacuated() ? refusal_reason::zones_evacuated
-                                              : refusal_reason::no_room);
+            co_await refuse(search_.failure());
             co_return false;
         }
         reserved_ = std::move(found->reserved);
         hold_ = std::move(found->hold);
-        if (gate_.refuses(*call_)) {
+        // The table may have changed while the hold was requested.
+        const bool may_send =
+            !gate_.refuses(*call_) &&
+            may_process_in(context_, *call_, found->server.zone);
+        if (!may_send) {
             release_unused_hold(found->server);
             continue;
         }
--- a/services/entry/src/stream_call_migration.cpp
+++ b/services/entry/src/stream_call_migration.cpp
@@ -1,5 +1,7 @@
 #include <godwit/entry/stream_call.hpp>
 
+#include <godwit/entry/call_regions.hpp>
+
 #include <utility>
 
 // How a running stream resumes at another server.
@@ -70,7 +72,7 @@
 {
     discard_failed_migration();
     if (migration_)
-        migration_->on_server_draining();
+        migration_->require_migration();
     else
         migrate(migration_cause::server_draining);
 }
@@ -86,6 +88,17 @@
         migration_->on_stream_broken();
 }
 
+void stream_call::on_routes_changed()
+{
+    if (may_process_in(context_, *call_, active_->server().zone))
+        return;
+    discard_failed_migration();
+    if (migration_)
+        migration_->require_migration();
+    else
+        migrate(migration_cause::region_withdrawn);
+}
+
 // A migration that ended with the generation still at its source server must
 // not prevent another migration.
 void stream_call::discard_failed_migration()
@@ -121,7 +134,8 @@
         return;
     rebalancer_.record_attempt(now);
     discard_failed_migration();
-    const auto request = rebalancer_.make_request(call_->service, run.work);
+    auto request = rebalancer_.make_request(call_->service, run.work);
+    restrict_to_allowed_regions(context_, *call_, request);
     if (context_.placer.choose(request, now))
         migrate(migration_cause::rebalance);
 }
@@ -137,8 +151,11 @@
     if (!migrated || is_caller_disconnected_ || gate_.refuses(*call_))
         co_return std::nullopt;
     // The zone may have been evacuated since the destination was chosen.
-    if (!context_.evacuations.may_resume(
-            migrated->destination.zone, core::monotonic_now()))
+    const core::zone_name& zone = migrated->destination.zone;
+    if (!context_.evacuations.may_resume(zone, core::monotonic_now()))
+        co_return std::nullopt;
+    // Likewise, the region may have been withdrawn.
+    if (!may_process_in(context_, *call_, zone))
         co_return std::nullopt;
     co_return co_await resume_at(*migrated);
 }
--- a/services/entry/src/stream_registry.cpp
+++ b/services/entry/src/stream_registry.cpp
@@ -42,6 +42,14 @@
         stream->on_server_restarted();
 }
 
+void stream_registry::notify_routes_changed()
+{
+    for (const placement::server_id& server : servers()) {
+        for (running_stream* stream : streams_at(server))
+            stream->on_routes_changed();
+    }
+}
+
 std::vector<placement::server_id> stream_registry::unresponsive_servers(
     core::duration idle_limit, core::time_point now) const
 {
--- a/tests/entry/entry_settings_test.cpp
+++ b/tests/entry/entry_settings_test.cpp
@@ -19,6 +19,7 @@
 {
     CPPUNIT_TEST_SUITE(entry_settings_test);
     CPPUNIT_TEST(test_a_rejected_file_leaks_no_memory);
+    CPPUNIT_TEST(test_zones_name_their_regions);
     CPPUNIT_TEST_SUITE_END();
 
     static bool is_refused(const std::string& text)
@@ -40,6 +41,31 @@
         // Under a sanitizer, which has its own allocator, both are zero.
         CPPUNIT_ASSERT(::mallinfo2().uordblks < before + times);
     }
+
+    static core::result<entry::entry_settings>
+    read_with_zones(const std::string& zones)
+    {
+        return entry::entry_settings::read(
+            settings::reader::parse(
+                R"({"host":"h","zone":"a","zones":)" + zones +
+                R"(,"listen":{"callers":"127.0.0.1:1",)"
+                R"("readiness":"127.0.0.1:2","operators":"127.0.0.1:3",)"
+                R"("neighbours":"127.0.0.1:4"}})")
+                .value());
+    }
+
+    void test_zones_name_their_regions()
+    {
+        const auto read = read_with_zones(R"({"a":"north","b":"south"})");
+        CPPUNIT_ASSERT(
+            read->regions ==
+            routing::zone_regions(
+                {{core::zone_name("a"), core::region_name("north")},
+                 {core::zone_name("b"), core::region_name("south")}}));
+        const auto wrong = read_with_zones(R"({"a":7})");
+        CPPUNIT_ASSERT(
+            wrong.error().to_string().find("zones.a") != std::string::npos);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(entry_settings_test);
--- a/tests/entry/report_poller_test.cpp
+++ b/tests/entry/report_poller_test.cpp
@@ -33,6 +33,8 @@
 {
     void on_server_draining() override {}
 
+    void on_routes_changed() override {}
+
     void on_server_restarted() override {}
 
     [[nodiscard]] core::duration idle_time(core::time_point) const override
--- a/tests/platform_adapter/codec_test.cpp
+++ b/tests/platform_adapter/codec_test.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST_SUITE(codec_test);
     CPPUNIT_TEST(test_a_table_is_read);
     CPPUNIT_TEST(test_malformed_tables_are_refused);
+    CPPUNIT_TEST(test_allowed_regions_are_read);
     CPPUNIT_TEST(test_the_warm_up_of_a_service_is_read);
     CPPUNIT_TEST(test_keys_of_evacuations);
     CPPUNIT_TEST(test_a_server_is_read);
@@ -82,6 +83,41 @@
         CPPUNIT_ASSERT(!read_table(std::string(1 << 20, '[')));
     }
 
+    // A list that cannot be read must not open the request to every region.
+    void test_allowed_regions_are_read()
+    {
+        using routing::region_set;
+        const auto regions = [](const std::string& fields) {
+            const auto table = read_table(
+                R"({"version":1,"services":[{"name":"lm"}],"routes":[)"
+                R"({"host":"a","path_prefix":"/","service":"lm")" +
+                fields + R"(}],"tenants":[{"name":"t","api_keys":["k"])" +
+                fields + "}]}");
+            const routing::route& route =
+                table.value()->content().routes.front();
+            const routing::organisation& organisation =
+                table.value()->content().organisations.front();
+            CPPUNIT_ASSERT(
+                route.allowed_regions == organisation.allowed_regions);
+            return route.allowed_regions;
+        };
+        for (const char* unrestricted : {"", R"(,"allowed_regions":[])"})
+            CPPUNIT_ASSERT(regions(unrestricted) == region_set::all());
+        CPPUNIT_ASSERT(
+            regions(R"(,"allowed_regions":["n","s"])") ==
+            region_set::only({core::region_name("n"), core::region_name("s")}));
+        CPPUNIT_ASSERT(
+            regions(R"(,"allowed_regions":["n",7])") ==
+            region_set::only({core::region_name("n")}));
+        for (const char* malformed :
+             {R"(,"allowed_regions":[7])",
+              R"(,"allowed_regions":"n")",
+              R"(,"allowed_regions":null)",
+              R"(,"allowed_regions":{})"})
+            CPPUNIT_ASSERT_MESSAGE(
+                malformed, regions(malformed) == region_set::only({}));
+    }
+
     void test_the_warm_up_of_a_service_is_read()
     {
         const auto warm_up = [](const std::string& fields) {
--- a/tests/platform_adapter/migration_test.cpp
+++ b/tests/platform_adapter/migration_test.cpp
@@ -116,6 +116,8 @@
     CPPUNIT_TEST(test_a_stream_stays_when_its_home_zone_refuses_it);
     CPPUNIT_TEST(test_a_run_does_not_migrate_into_an_evacuated_zone);
     CPPUNIT_TEST(test_a_stopped_run_does_not_resume_in_an_evacuated_zone);
+    CPPUNIT_TEST(test_a_run_leaves_a_region_that_is_withdrawn);
+    CPPUNIT_TEST(test_a_run_does_not_migrate_to_a_region_that_is_not_allowed);
     CPPUNIT_TEST(test_a_draining_server_is_detected_during_a_store_outage);
     CPPUNIT_TEST(test_a_draining_server_is_detected_before_its_record);
     CPPUNIT_TEST_SUITE_END();
@@ -157,6 +159,9 @@
             testbed_.second_server().set_zone("south");
             testbed_.register_server(testbed_.second_server(), "ready");
         }
+        if (!regions_then_.empty())
+            testbed_.store().put(
+                "keyed.op", "config", table_with_regions(2, regions_then_));
         if (source_drains_ || source_drains_later_)
             testbed_.register_server(testbed_.first_server(), "draining");
         caller.join();
@@ -165,7 +170,21 @@
         response_ = response.value_or(http::response());
     }
 
+    /// Returns the table whose organisation has these allowed regions.
+    static std::string
+    table_with_regions(unsigned version, const std::string& regions)
+    {
+        const std::string organisation = R"("name":"north")";
+        std::string table = table_text(version);
+        return table.replace(
+            table.find(organisation),
+            organisation.size(),
+            organisation + R"(,"allowed_regions":)" + regions);
+    }
+
     http::response response_;
+    /// The organisation's allowed regions after the stream started.
+    std::string regions_then_;
     bool source_drains_ = true;
     bool source_drains_later_ = false;
     bool destination_leaves_zone_ =
@@ -382,6 +401,36 @@
             testbed_.first_server().address() + "/c7", resumed_from());
     }
 
+    void test_a_run_leaves_a_region_that_is_withdrawn()
+    {
+        migrating_server source;
+        migrating_server destination;
+        source_drains_ = false;
+        regions_then_ = R"(["far"])";
+        testbed_.second_server().set_zone("west");
+        migrate_while_streaming(source, destination);
+        CPPUNIT_ASSERT_EQUAL(events_until(destination.sent), response_.body);
+        CPPUNIT_ASSERT_EQUAL(
+            testbed_.first_server().address() + "/c7", resumed_from());
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t{1}, testbed_.first_server().count("/stream/"));
+    }
+
+    // The answer ends at the draining server rather than in another region.
+    void test_a_run_does_not_migrate_to_a_region_that_is_not_allowed()
+    {
+        migrating_server source;
+        migrating_server destination;
+        source.events = 200;
+        regions_then_ = R"(["near"])";
+        testbed_.second_server().set_zone("west");
+        migrate_while_streaming(source, destination);
+        CPPUNIT_ASSERT_EQUAL(events_until(source.events), response_.body);
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t{0}, testbed_.second_server().count("/stream/"));
+        CPPUNIT_ASSERT_EQUAL(0, source.copies_before_last.load());
+    }
+
     void test_a_draining_server_is_detected_during_a_store_outage()
     {
         drain_without_record(true);
--- a/tests/platform_adapter/testbed.cpp
+++ b/tests/platform_adapter/testbed.cpp
@@ -82,6 +82,9 @@
     return entry::entry_settings{
         .host = core::host_name("h1"),
         .zone = core::zone_name("east"),
+        .regions = routing::zone_regions(
+            {{core::zone_name("east"), core::region_name("near")},
+             {core::zone_name("west"), core::region_name("far")}}),
         .log_level = telemetry::log_level::error,
         .callers = free_port(),
         .readiness = free_port(),
--- a/tests/platform_adapter/testbed.hpp
+++ b/tests/platform_adapter/testbed.hpp
@@ -19,7 +19,8 @@
 
 namespace godwit::platform_adapter::test {
 
-/// Returns settings of a single entry host "h1" at ports that are free now.
+/// Returns settings of a single entry host "h1" at ports that are free now. Its
+/// zone "east" is in the region "near", "west" in "far"; others have no region.
 [[nodiscard]] entry::entry_settings settings_on_free_ports();
 
 /// Creates an entry host at free ports, linked to `seeds`.
