wire: messages of rollouts, versions of listed servers

A rollout is passed on from host to host, and the responses that hosts counted since the order travel as load reports do: a host's own to its cell, a cell's sums to the others. Servers are listed with their software's version.

--- a/libraries/wire/include/godwit/wire/listed_servers.hpp
+++ b/libraries/wire/include/godwit/wire/listed_servers.hpp
@@ -22,6 +22,7 @@
     std::uint64_t revision = 0; ///< Rises with each report until a restart.
     /// Start time in Unix milliseconds; 0 if unknown.
     std::uint64_t started_at_ms = 0;
+    std::string version; ///< Of its software; empty if unknown.
 
     friend bool
     operator==(const listed_server&, const listed_server&) = default;
--- a/libraries/wire/include/godwit/wire/message.hpp
+++ b/libraries/wire/include/godwit/wire/message.hpp
@@ -23,6 +23,7 @@
 #include <godwit/wire/listed_servers.hpp>
 #include <godwit/wire/pull.hpp>
 #include <godwit/wire/records.hpp>
+#include <godwit/wire/rollout_reports.hpp>
 #include <godwit/wire/server_limits.hpp>
 #include <godwit/wire/server_sign.hpp>
 #include <godwit/wire/table_changes.hpp>
@@ -64,7 +65,9 @@
     crash_reports,
     server_limits,
     zone_evacuations,
-    cold_servers>;
+    cold_servers,
+    rollout_reports,
+    rollout_responses>;
 
 /// Returns the name of the message's type, for logs and metrics.
 [[nodiscard]] std::string_view name_of(const message& value) noexcept;
--- a/libraries/wire/src/codec.cpp
+++ b/libraries/wire/src/codec.cpp
@@ -115,6 +115,10 @@
         return read_payload(frame.payload_as_zone_evacuations(), reader);
     case format::payload::cold_servers:
         return read_payload(frame.payload_as_cold_servers(), reader);
+    case format::payload::rollout_reports:
+        return read_payload(frame.payload_as_rollout_reports(), reader);
+    case format::payload::rollout_responses:
+        return read_payload(frame.payload_as_rollout_responses(), reader);
     case format::payload::NONE:
         break;
     }
--- a/libraries/wire/src/frame_reader.hpp
+++ b/libraries/wire/src/frame_reader.hpp
@@ -6,6 +6,7 @@
 #include <flatbuffers/flatbuffers.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -64,6 +65,14 @@
         return {reinterpret_cast<const char*>(value->data()), value->size()};
     }
 
+    [[nodiscard]] std::vector<std::uint64_t>
+    numbers(const flatbuffers::Vector<std::uint64_t>* values)
+    {
+        if (values == nullptr || !take(values->size() * sizeof(std::uint64_t)))
+            return {};
+        return {values->begin(), values->end()};
+    }
+
     /// Reads a nested table; a missing one gives a value-initialised result.
     template<class Value, class Table>
     [[nodiscard]] Value table(const Table* nested)
--- a/libraries/wire/src/godwit_generated.h
+++ b/libraries/wire/src/godwit_generated.h
@@ -134,6 +134,18 @@
 struct cold_servers;
 struct cold_serversBuilder;
 
+struct rollout;
+struct rolloutBuilder;
+
+struct rollout_reports;
+struct rollout_reportsBuilder;
+
+struct version_responses;
+struct version_responsesBuilder;
+
+struct rollout_responses;
+struct rollout_responsesBuilder;
+
 struct frame;
 struct frameBuilder;
 
@@ -392,6 +404,39 @@
   return EnumNamesoutcome()[index];
 }
 
+enum class rollout_state : uint8_t {
+  running = 0,
+  rolled_back = 1,
+  completed = 2,
+  MIN = running,
+  MAX = completed
+};
+
+inline const rollout_state (&EnumValuesrollout_state())[3] {
+  static const rollout_state values[] = {
+    rollout_state::running,
+    rollout_state::rolled_back,
+    rollout_state::completed
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesrollout_state() {
+  static const char * const names[4] = {
+    "running",
+    "rolled_back",
+    "completed",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNamerollout_state(rollout_state e) {
+  if (flatbuffers::IsOutRange(e, rollout_state::running, rollout_state::completed)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesrollout_state()[index];
+}
+
 enum class payload : uint8_t {
   NONE = 0,
   hello = 1,
@@ -422,11 +467,13 @@
   server_limits = 26,
   zone_evacuations = 27,
   cold_servers = 28,
+  rollout_reports = 29,
+  rollout_responses = 30,
   MIN = NONE,
-  MAX = cold_servers
+  MAX = rollout_responses
 };
 
-inline const payload (&EnumValuespayload())[29] {
+inline const payload (&EnumValuespayload())[31] {
   static const payload values[] = {
     payload::NONE,
     payload::hello,
@@ -456,13 +503,15 @@
     payload::crash_reports,
     payload::server_limits,
     payload::zone_evacuations,
-    payload::cold_servers
+    payload::cold_servers,
+    payload::rollout_reports,
+    payload::rollout_responses
   };
   return values;
 }
 
 inline const char * const *EnumNamespayload() {
-  static const char * const names[30] = {
+  static const char * const names[32] = {
     "NONE",
     "hello",
     "heartbeat",
@@ -492,13 +541,15 @@
     "server_limits",
     "zone_evacuations",
     "cold_servers",
+    "rollout_reports",
+    "rollout_responses",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamepayload(payload e) {
-  if (flatbuffers::IsOutRange(e, payload::NONE, payload::cold_servers)) return "";
+  if (flatbuffers::IsOutRange(e, payload::NONE, payload::rollout_responses)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamespayload()[index];
 }
@@ -619,6 +670,14 @@
   static const payload enum_value = payload::cold_servers;
 };
 
+template<> struct payloadTraits<godwit::wire::format::rollout_reports> {
+  static const payload enum_value = payload::rollout_reports;
+};
+
+template<> struct payloadTraits<godwit::wire::format::rollout_responses> {
+  static const payload enum_value = payload::rollout_responses;
+};
+
 bool Verifypayload(flatbuffers::Verifier &verifier, const void *obj, payload type);
 bool VerifypayloadVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<payload> *types);
 
@@ -2758,7 +2817,8 @@
     VT_SLOTS = 12,
     VT_STATE = 14,
     VT_REVISION = 16,
-    VT_STARTED_AT_MS = 18
+    VT_STARTED_AT_MS = 18,
+    VT_VERSION = 20
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -2784,6 +2844,9 @@
   uint64_t started_at_ms() const {
     return GetField<uint64_t>(VT_STARTED_AT_MS, 0);
   }
+  const flatbuffers::String *version() const {
+    return GetPointer<const flatbuffers::String *>(VT_VERSION);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -2798,6 +2861,8 @@
            VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
            VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
            VerifyField<uint64_t>(verifier, VT_STARTED_AT_MS, 8) &&
+           VerifyOffset(verifier, VT_VERSION) &&
+           verifier.VerifyString(version()) &&
            verifier.EndTable();
   }
 };
@@ -2830,6 +2895,9 @@
   void add_started_at_ms(uint64_t started_at_ms) {
     fbb_.AddElement<uint64_t>(listed_server::VT_STARTED_AT_MS, started_at_ms, 0);
   }
+  void add_version(flatbuffers::Offset<flatbuffers::String> version) {
+    fbb_.AddOffset(listed_server::VT_VERSION, version);
+  }
   explicit listed_serverBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2850,10 +2918,12 @@
     uint32_t slots = 0,
     godwit::wire::format::server_state state = godwit::wire::format::server_state::live,
     uint64_t revision = 0,
-    uint64_t started_at_ms = 0) {
+    uint64_t started_at_ms = 0,
+    flatbuffers::Offset<flatbuffers::String> version = 0) {
   listed_serverBuilder builder_(_fbb);
   builder_.add_started_at_ms(started_at_ms);
   builder_.add_revision(revision);
+  builder_.add_version(version);
   builder_.add_slots(slots);
   builder_.add_service(service);
   builder_.add_zone(zone);
@@ -2877,11 +2947,13 @@
     uint32_t slots = 0,
     godwit::wire::format::server_state state = godwit::wire::format::server_state::live,
     uint64_t revision = 0,
-    uint64_t started_at_ms = 0) {
+    uint64_t started_at_ms = 0,
+    const char *version = nullptr) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto version__ = version ? _fbb.CreateString(version) : 0;
   return godwit::wire::format::Createlisted_server(
       _fbb,
       id__,
@@ -2891,7 +2963,8 @@
       slots,
       state,
       revision,
-      started_at_ms);
+      started_at_ms,
+      version__);
 }
 
 struct listed_servers FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4048,6 +4121,438 @@
       servers__);
 }
 
+struct rollout FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef rolloutBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_TARGET = 6,
+    VT_DURATION_MS = 8,
+    VT_AGE_MS = 10,
+    VT_EPOCH = 12,
+    VT_SEQUENCE = 14,
+    VT_STATE = 16,
+    VT_RECORDED = 18
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *target() const {
+    return GetPointer<const flatbuffers::String *>(VT_TARGET);
+  }
+  uint64_t duration_ms() const {
+    return GetField<uint64_t>(VT_DURATION_MS, 0);
+  }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
+  uint64_t epoch() const {
+    return GetField<uint64_t>(VT_EPOCH, 0);
+  }
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  godwit::wire::format::rollout_state state() const {
+    return static_cast<godwit::wire::format::rollout_state>(GetField<uint8_t>(VT_STATE, 0));
+  }
+  bool recorded() const {
+    return GetField<uint8_t>(VT_RECORDED, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_TARGET) &&
+           verifier.VerifyString(target()) &&
+           VerifyField<uint64_t>(verifier, VT_DURATION_MS, 8) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
+           VerifyField<uint8_t>(verifier, VT_RECORDED, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct rolloutBuilder {
+  typedef rollout Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(rollout::VT_SERVICE, service);
+  }
+  void add_target(flatbuffers::Offset<flatbuffers::String> target) {
+    fbb_.AddOffset(rollout::VT_TARGET, target);
+  }
+  void add_duration_ms(uint64_t duration_ms) {
+    fbb_.AddElement<uint64_t>(rollout::VT_DURATION_MS, duration_ms, 0);
+  }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(rollout::VT_AGE_MS, age_ms, 0);
+  }
+  void add_epoch(uint64_t epoch) {
+    fbb_.AddElement<uint64_t>(rollout::VT_EPOCH, epoch, 0);
+  }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(rollout::VT_SEQUENCE, sequence, 0);
+  }
+  void add_state(godwit::wire::format::rollout_state state) {
+    fbb_.AddElement<uint8_t>(rollout::VT_STATE, static_cast<uint8_t>(state), 0);
+  }
+  void add_recorded(bool recorded) {
+    fbb_.AddElement<uint8_t>(rollout::VT_RECORDED, static_cast<uint8_t>(recorded), 0);
+  }
+  explicit rolloutBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<rollout> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<rollout>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<rollout> Createrollout(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> target = 0,
+    uint64_t duration_ms = 0,
+    uint32_t age_ms = 0,
+    uint64_t epoch = 0,
+    uint64_t sequence = 0,
+    godwit::wire::format::rollout_state state = godwit::wire::format::rollout_state::running,
+    bool recorded = false) {
+  rolloutBuilder builder_(_fbb);
+  builder_.add_sequence(sequence);
+  builder_.add_epoch(epoch);
+  builder_.add_duration_ms(duration_ms);
+  builder_.add_age_ms(age_ms);
+  builder_.add_target(target);
+  builder_.add_service(service);
+  builder_.add_recorded(recorded);
+  builder_.add_state(state);
+  return builder_.Finish();
+}
+
+struct rollout::Traits {
+  using type = rollout;
+  static auto constexpr Create = Createrollout;
+};
+
+inline flatbuffers::Offset<rollout> CreaterolloutDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    const char *target = nullptr,
+    uint64_t duration_ms = 0,
+    uint32_t age_ms = 0,
+    uint64_t epoch = 0,
+    uint64_t sequence = 0,
+    godwit::wire::format::rollout_state state = godwit::wire::format::rollout_state::running,
+    bool recorded = false) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto target__ = target ? _fbb.CreateString(target) : 0;
+  return godwit::wire::format::Createrollout(
+      _fbb,
+      service__,
+      target__,
+      duration_ms,
+      age_ms,
+      epoch,
+      sequence,
+      state,
+      recorded);
+}
+
+struct rollout_reports FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef rollout_reportsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ROLLOUTS = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::rollout>> *rollouts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::rollout>> *>(VT_ROLLOUTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ROLLOUTS) &&
+           verifier.VerifyVector(rollouts()) &&
+           verifier.VerifyVectorOfTables(rollouts()) &&
+           verifier.EndTable();
+  }
+};
+
+struct rollout_reportsBuilder {
+  typedef rollout_reports Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_rollouts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::rollout>>> rollouts) {
+    fbb_.AddOffset(rollout_reports::VT_ROLLOUTS, rollouts);
+  }
+  explicit rollout_reportsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<rollout_reports> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<rollout_reports>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<rollout_reports> Createrollout_reports(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::rollout>>> rollouts = 0) {
+  rollout_reportsBuilder builder_(_fbb);
+  builder_.add_rollouts(rollouts);
+  return builder_.Finish();
+}
+
+struct rollout_reports::Traits {
+  using type = rollout_reports;
+  static auto constexpr Create = Createrollout_reports;
+};
+
+inline flatbuffers::Offset<rollout_reports> Createrollout_reportsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<godwit::wire::format::rollout>> *rollouts = nullptr) {
+  auto rollouts__ = rollouts ? _fbb.CreateVector<flatbuffers::Offset<godwit::wire::format::rollout>>(*rollouts) : 0;
+  return godwit::wire::format::Createrollout_reports(
+      _fbb,
+      rollouts__);
+}
+
+struct version_responses FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef version_responsesBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ROUTE = 4,
+    VT_ZONE = 6,
+    VT_TARGET = 8,
+    VT_TOTAL = 10,
+    VT_FAILED = 12,
+    VT_LATENCIES = 14
+  };
+  const flatbuffers::String *route() const {
+    return GetPointer<const flatbuffers::String *>(VT_ROUTE);
+  }
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  bool target() const {
+    return GetField<uint8_t>(VT_TARGET, 0) != 0;
+  }
+  uint64_t total() const {
+    return GetField<uint64_t>(VT_TOTAL, 0);
+  }
+  uint64_t failed() const {
+    return GetField<uint64_t>(VT_FAILED, 0);
+  }
+  const flatbuffers::Vector<uint64_t> *latencies() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_LATENCIES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ROUTE) &&
+           verifier.VerifyString(route()) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyField<uint8_t>(verifier, VT_TARGET, 1) &&
+           VerifyField<uint64_t>(verifier, VT_TOTAL, 8) &&
+           VerifyField<uint64_t>(verifier, VT_FAILED, 8) &&
+           VerifyOffset(verifier, VT_LATENCIES) &&
+           verifier.VerifyVector(latencies()) &&
+           verifier.EndTable();
+  }
+};
+
+struct version_responsesBuilder {
+  typedef version_responses Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_route(flatbuffers::Offset<flatbuffers::String> route) {
+    fbb_.AddOffset(version_responses::VT_ROUTE, route);
+  }
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(version_responses::VT_ZONE, zone);
+  }
+  void add_target(bool target) {
+    fbb_.AddElement<uint8_t>(version_responses::VT_TARGET, static_cast<uint8_t>(target), 0);
+  }
+  void add_total(uint64_t total) {
+    fbb_.AddElement<uint64_t>(version_responses::VT_TOTAL, total, 0);
+  }
+  void add_failed(uint64_t failed) {
+    fbb_.AddElement<uint64_t>(version_responses::VT_FAILED, failed, 0);
+  }
+  void add_latencies(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> latencies) {
+    fbb_.AddOffset(version_responses::VT_LATENCIES, latencies);
+  }
+  explicit version_responsesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<version_responses> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<version_responses>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<version_responses> Createversion_responses(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> route = 0,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    bool target = false,
+    uint64_t total = 0,
+    uint64_t failed = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> latencies = 0) {
+  version_responsesBuilder builder_(_fbb);
+  builder_.add_failed(failed);
+  builder_.add_total(total);
+  builder_.add_latencies(latencies);
+  builder_.add_zone(zone);
+  builder_.add_route(route);
+  builder_.add_target(target);
+  return builder_.Finish();
+}
+
+struct version_responses::Traits {
+  using type = version_responses;
+  static auto constexpr Create = Createversion_responses;
+};
+
+inline flatbuffers::Offset<version_responses> Createversion_responsesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *route = nullptr,
+    const char *zone = nullptr,
+    bool target = false,
+    uint64_t total = 0,
+    uint64_t failed = 0,
+    const std::vector<uint64_t> *latencies = nullptr) {
+  auto route__ = route ? _fbb.CreateString(route) : 0;
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  auto latencies__ = latencies ? _fbb.CreateVector<uint64_t>(*latencies) : 0;
+  return godwit::wire::format::Createversion_responses(
+      _fbb,
+      route__,
+      zone__,
+      target,
+      total,
+      failed,
+      latencies__);
+}
+
+struct rollout_responses FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef rollout_responsesBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_EPOCH = 6,
+    VT_SEQUENCE = 8,
+    VT_CELL = 10,
+    VT_RESPONSES = 12
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  uint64_t epoch() const {
+    return GetField<uint64_t>(VT_EPOCH, 0);
+  }
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  const flatbuffers::String *cell() const {
+    return GetPointer<const flatbuffers::String *>(VT_CELL);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::version_responses>> *responses() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::version_responses>> *>(VT_RESPONSES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyOffset(verifier, VT_CELL) &&
+           verifier.VerifyString(cell()) &&
+           VerifyOffset(verifier, VT_RESPONSES) &&
+           verifier.VerifyVector(responses()) &&
+           verifier.VerifyVectorOfTables(responses()) &&
+           verifier.EndTable();
+  }
+};
+
+struct rollout_responsesBuilder {
+  typedef rollout_responses Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(rollout_responses::VT_SERVICE, service);
+  }
+  void add_epoch(uint64_t epoch) {
+    fbb_.AddElement<uint64_t>(rollout_responses::VT_EPOCH, epoch, 0);
+  }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(rollout_responses::VT_SEQUENCE, sequence, 0);
+  }
+  void add_cell(flatbuffers::Offset<flatbuffers::String> cell) {
+    fbb_.AddOffset(rollout_responses::VT_CELL, cell);
+  }
+  void add_responses(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::version_responses>>> responses) {
+    fbb_.AddOffset(rollout_responses::VT_RESPONSES, responses);
+  }
+  explicit rollout_responsesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<rollout_responses> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<rollout_responses>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<rollout_responses> Createrollout_responses(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    uint64_t epoch = 0,
+    uint64_t sequence = 0,
+    flatbuffers::Offset<flatbuffers::String> cell = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::version_responses>>> responses = 0) {
+  rollout_responsesBuilder builder_(_fbb);
+  builder_.add_sequence(sequence);
+  builder_.add_epoch(epoch);
+  builder_.add_responses(responses);
+  builder_.add_cell(cell);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+struct rollout_responses::Traits {
+  using type = rollout_responses;
+  static auto constexpr Create = Createrollout_responses;
+};
+
+inline flatbuffers::Offset<rollout_responses> Createrollout_responsesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    uint64_t epoch = 0,
+    uint64_t sequence = 0,
+    const char *cell = nullptr,
+    const std::vector<flatbuffers::Offset<godwit::wire::format::version_responses>> *responses = nullptr) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto cell__ = cell ? _fbb.CreateString(cell) : 0;
+  auto responses__ = responses ? _fbb.CreateVector<flatbuffers::Offset<godwit::wire::format::version_responses>>(*responses) : 0;
+  return godwit::wire::format::Createrollout_responses(
+      _fbb,
+      service__,
+      epoch,
+      sequence,
+      cell__,
+      responses__);
+}
+
 struct frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef frameBuilder Builder;
   struct Traits;
@@ -4146,6 +4651,12 @@
   const godwit::wire::format::cold_servers *payload_as_cold_servers() const {
     return payload_type() == godwit::wire::format::payload::cold_servers ? static_cast<const godwit::wire::format::cold_servers *>(payload()) : nullptr;
   }
+  const godwit::wire::format::rollout_reports *payload_as_rollout_reports() const {
+    return payload_type() == godwit::wire::format::payload::rollout_reports ? static_cast<const godwit::wire::format::rollout_reports *>(payload()) : nullptr;
+  }
+  const godwit::wire::format::rollout_responses *payload_as_rollout_responses() const {
+    return payload_type() == godwit::wire::format::payload::rollout_responses ? static_cast<const godwit::wire::format::rollout_responses *>(payload()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_PAYLOAD_TYPE, 1) &&
@@ -4267,6 +4778,14 @@
   return payload_as_cold_servers();
 }
 
+template<> inline const godwit::wire::format::rollout_reports *frame::payload_as<godwit::wire::format::rollout_reports>() const {
+  return payload_as_rollout_reports();
+}
+
+template<> inline const godwit::wire::format::rollout_responses *frame::payload_as<godwit::wire::format::rollout_responses>() const {
+  return payload_as_rollout_responses();
+}
+
 struct frameBuilder {
   typedef frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -4420,6 +4939,14 @@
       auto ptr = reinterpret_cast<const godwit::wire::format::cold_servers *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case payload::rollout_reports: {
+      auto ptr = reinterpret_cast<const godwit::wire::format::rollout_reports *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case payload::rollout_responses: {
+      auto ptr = reinterpret_cast<const godwit::wire::format::rollout_responses *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/libraries/wire/src/message.cpp
+++ b/libraries/wire/src/message.cpp
@@ -36,7 +36,9 @@
             "crash_reports",
             "server_limits",
             "zone_evacuations",
-            "cold_servers"};
+            "cold_servers",
+            "rollout_reports",
+            "rollout_responses"};
     return names.at(value.index());
 }
 
--- a/libraries/wire/src/message_reader.cpp
+++ b/libraries/wire/src/message_reader.cpp
@@ -212,7 +212,8 @@
         .slots = table.slots(),
         .state = reader.enumerator<server_state>(table.state()),
         .revision = table.revision(),
-        .started_at_ms = table.started_at_ms()};
+        .started_at_ms = table.started_at_ms(),
+        .version = reader.text(table.version())};
 }
 
 listed_servers read(const format::listed_servers& table, frame_reader& reader)
@@ -343,4 +344,45 @@
     return cold_servers{.servers = reader.list<cold_server>(table.servers())};
 }
 
+rollout read(const format::rollout& table, frame_reader& reader)
+{
+    return rollout{
+        .service = reader.identifier<core::service_name>(table.service()),
+        .target = reader.text(table.target()),
+        .duration_ms = table.duration_ms(),
+        .age_ms = table.age_ms(),
+        .epoch = table.epoch(),
+        .sequence = table.sequence(),
+        .state = reader.enumerator<rollout_state>(table.state()),
+        .recorded = table.recorded()};
+}
+
+rollout_reports read(const format::rollout_reports& table, frame_reader& reader)
+{
+    return rollout_reports{.rollouts = reader.list<rollout>(table.rollouts())};
+}
+
+version_responses
+read(const format::version_responses& table, frame_reader& reader)
+{
+    return version_responses{
+        .route = reader.text(table.route()),
+        .zone = reader.identifier<core::zone_name>(table.zone()),
+        .target = table.target(),
+        .total = table.total(),
+        .failed = table.failed(),
+        .latencies = reader.numbers(table.latencies())};
+}
+
+rollout_responses
+read(const format::rollout_responses& table, frame_reader& reader)
+{
+    return rollout_responses{
+        .service = reader.identifier<core::service_name>(table.service()),
+        .epoch = table.epoch(),
+        .sequence = table.sequence(),
+        .cell = reader.text(table.cell()),
+        .responses = reader.list<version_responses>(table.responses())};
+}
+
 } // namespace godwit::wire
--- a/libraries/wire/src/message_reader.hpp
+++ b/libraries/wire/src/message_reader.hpp
@@ -56,5 +56,12 @@
 read(const format::zone_evacuations& table, frame_reader& reader);
 cold_server read(const format::cold_server& table, frame_reader& reader);
 cold_servers read(const format::cold_servers& table, frame_reader& reader);
+rollout read(const format::rollout& table, frame_reader& reader);
+rollout_reports
+read(const format::rollout_reports& table, frame_reader& reader);
+version_responses
+read(const format::version_responses& table, frame_reader& reader);
+rollout_responses
+read(const format::rollout_responses& table, frame_reader& reader);
 
 } // namespace godwit::wire
--- a/libraries/wire/src/message_writer.cpp
+++ b/libraries/wire/src/message_writer.cpp
@@ -269,7 +269,8 @@
         value.slots,
         enumerator<format::server_state>(value.state),
         value.revision,
-        value.started_at_ms);
+        value.started_at_ms,
+        text(out, value.version));
 }
 
 flatbuffers::Offset<format::listed_servers>
@@ -414,4 +415,49 @@
     return format::Createcold_servers(out, list(out, value.servers));
 }
 
+flatbuffers::Offset<format::rollout> write(builder& out, const rollout& value)
+{
+    return format::Createrollout(
+        out,
+        text(out, value.service),
+        text(out, value.target),
+        value.duration_ms,
+        value.age_ms,
+        value.epoch,
+        value.sequence,
+        enumerator<format::rollout_state>(value.state),
+        value.recorded);
+}
+
+flatbuffers::Offset<format::rollout_reports>
+write(builder& out, const rollout_reports& value)
+{
+    return format::Createrollout_reports(out, list(out, value.rollouts));
+}
+
+flatbuffers::Offset<format::version_responses>
+write(builder& out, const version_responses& value)
+{
+    return format::Createversion_responses(
+        out,
+        text(out, value.route),
+        text(out, value.zone),
+        value.target,
+        value.total,
+        value.failed,
+        out.CreateVector(value.latencies));
+}
+
+flatbuffers::Offset<format::rollout_responses>
+write(builder& out, const rollout_responses& value)
+{
+    return format::Createrollout_responses(
+        out,
+        text(out, value.service),
+        value.epoch,
+        value.sequence,
+        text(out, value.cell),
+        list(out, value.responses));
+}
+
 } // namespace godwit::wire
--- a/libraries/wire/src/message_writer.hpp
+++ b/libraries/wire/src/message_writer.hpp
@@ -85,5 +85,13 @@
 write(flatbuffers::FlatBufferBuilder& out, const cold_server& value);
 flatbuffers::Offset<format::cold_servers>
 write(flatbuffers::FlatBufferBuilder& out, const cold_servers& value);
+flatbuffers::Offset<format::rollout>
+write(flatbuffers::FlatBufferBuilder& out, const rollout& value);
+flatbuffers::Offset<format::rollout_reports>
+write(flatbuffers::FlatBufferBuilder& out, const rollout_reports& value);
+flatbuffers::Offset<format::version_responses>
+write(flatbuffers::FlatBufferBuilder& out, const version_responses& value);
+flatbuffers::Offset<format::rollout_responses>
+write(flatbuffers::FlatBufferBuilder& out, const rollout_responses& value);
 
 } // namespace godwit::wire
--- a/tests/wire/sample_messages.cpp
+++ b/tests/wire/sample_messages.cpp
@@ -71,7 +71,8 @@
             24,
             server_state::leaving,
             77,
-            1700000000000}}},
+            1700000000000,
+            "v2"}}},
         host_work{
             {server_work{"i-1", 3, 9000, 1200, 700, 2, 84}}, true, "h1", 40},
         link_claim{{"i-1", "i-2"}, 200},
@@ -90,7 +91,22 @@
             {"2c3d"}},
         server_limits{{{"i-1", 1700000000000, true, 2.5, 40, 3}}},
         zone_evacuations{{{core::zone_name("east"), true, 3, 17}}},
-        cold_servers{{{"i-1", 1700000000000, 900, 2}}}};
+        cold_servers{{{"i-1", 1700000000000, 900, 2}}},
+        rollout_reports{
+            {{core::service_name("lm"),
+              "v2",
+              60000,
+              900,
+              1,
+              70,
+              rollout_state::rolled_back,
+              true}}},
+        rollout_responses{
+            core::service_name("lm"),
+            1,
+            70,
+            "east/0",
+            {{"r", core::zone_name("east"), true, 9, 2, {0, 3, 4}}}}};
 }
 
 } // namespace godwit::wire
