--- a/libraries/placement/include/godwit/placement/backend_server.hpp
+++ b/libraries/placement/include/godwit/placement/backend_server.hpp
@@ -13,6 +13,9 @@
 /// `server_start` distinguishes the incarnations.
 using server_id = core::identifier<struct server_id_tag>;
 
+/// The version of a backend server's software.
+using server_version = core::identifier<struct server_version_tag>;
+
 /// The state that a backend server reports of itself.
 enum class server_state
 {
@@ -34,6 +37,7 @@
     server_start start = {}; ///< The incarnation that the record is about.
     /// How long the server stays cold, as of the record; zero if it is warm.
     core::duration warm_up_remaining = {};
+    server_version version = {}; ///< Empty if unknown.
 
     friend bool
     operator==(const backend_server&, const backend_server&) = default;
--- a/libraries/placement/include/godwit/placement/placer.hpp
+++ b/libraries/placement/include/godwit/placement/placer.hpp
@@ -9,6 +9,7 @@
 #include <godwit/placement/server_health.hpp>
 #include <godwit/placement/server_limits.hpp>
 #include <godwit/placement/slow_server_detector.hpp>
+#include <godwit/placement/version_filter.hpp>
 #include <godwit/placement/work_size.hpp>
 #include <godwit/placement/zone_evacuations.hpp>
 #include <godwit/routing/region_set.hpp>
@@ -52,6 +53,7 @@
     routing::region_set allowed_regions = routing::region_set::all();
     /// The regions of the zones; null if they are unknown.
     const routing::zone_regions* regions = nullptr;
+    version_filter versions;
 };
 
 /// Why no server was chosen.
--- a/libraries/placement/src/placer.cpp
+++ b/libraries/placement/src/placer.cpp
@@ -164,6 +164,8 @@
     if (request.requires_preferred_zone &&
         server.zone != request.preferred_zone)
         return false;
+    if (!request.versions.allows(server.version))
+        return false;
     return std::find(
                request.excluded.begin(), request.excluded.end(), server.id) ==
            request.excluded.end();
