entry, platform: carry out the operator's rollouts

The orders are read from the operator's topic. A small share of the requests, by the hash of their ids, tries the target version; a repeated attempt and a host that hears no other use the former one. Responses are counted with their route, zone and latency. The state is recorded by the first host in rank, only if the topic has not changed since it was read. Before a rollout is completed, the former servers have to be idle for a second, since they stop at once.

Runs move only between servers of one version while the service has an order.

--- a/services/entry/include/godwit/entry/entry_context.hpp
+++ b/services/entry/include/godwit/entry/entry_context.hpp
@@ -17,6 +17,7 @@
 #include <godwit/placement/server_limits.hpp>
 #include <godwit/placement/slow_server_detector.hpp>
 #include <godwit/placement/zone_evacuations.hpp>
+#include <godwit/rollout/rollouts.hpp>
 #include <godwit/routing/route_table.hpp>
 #include <godwit/telemetry/metrics.hpp>
 
@@ -68,6 +69,9 @@
     placement::zone_evacuations evacuations;
     /// Servers whose invalid request limits were already logged.
     std::set<placement::server_id> servers_with_invalid_limit;
+    rollout::rollouts rollouts;
+    /// When each server was last counted to have lost its runs.
+    std::map<placement::server_id, core::time_point> counted_losses;
     placement::placer placer;
     admission::request_quarantine quarantine;
     std::map<placement::server_id, std::shared_ptr<crash_probe>> crash_probes;
@@ -99,6 +103,15 @@
     /// Returns this host's zero-based rank among the hosts of the fleet for
     /// `key`, by rendezvous hashing; set by the process.
     std::function<std::size_t(std::string_view key)> host_rank;
+    /// Whether this host hears of the other hosts' responses; set by the
+    /// process.
+    std::function<bool()> is_fleet_heard;
+    /// Called when the state of a rollout has to be recorded at its source; set
+    /// by the platform.
+    std::function<void(const rollout::rollout_status&)> on_rollout_changed;
+    /// Called repeatedly while a rollout may be recorded as completed; set by
+    /// the platform.
+    std::function<void(const rollout::rollout_status&)> on_rollout_completable;
     /// Called when work was added at a server; set by the process.
     std::function<void()> on_work_added;
     /// Called when the host runs again after it was suspended; set by the
--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -157,6 +157,20 @@
         placement::evacuation_revision revision,
         std::string_view source);
 
+    /// Applies a rollout that was read from the source.
+    void update_rollout(
+        const rollout::rollout_status& reported, std::string_view source);
+
+    /// Applies that the operator withdrew an order.
+    void withdraw_rollout(
+        const core::service_name& service,
+        const rollout::order_revision& revision,
+        std::string_view source);
+
+    /// Returns whether the rollout may be recorded as completed: its target
+    /// serves every request, and no request is left at the former servers.
+    [[nodiscard]] bool may_complete(const rollout::rollout_status& status) const;
+
     /// Returns whether the load balancer may send connections to this host.
     [[nodiscard]] bool is_ready() const noexcept;
 
@@ -269,6 +283,22 @@
     void expire_evacuations();
     void handle_evacuations(
         const core::host_name& host, const wire::zone_evacuations& message);
+    void publish_rollout(
+        const core::service_name& service, std::string_view source);
+    void request_rollout_record(const core::service_name& service);
+    void handle_rollouts(
+        const core::host_name& host, const wire::rollout_reports& message);
+    void handle_rollout_responses(
+        const core::host_name& host, const wire::rollout_responses& message);
+    [[nodiscard]] bool is_fleet_heard() const;
+    void advance_rollouts();
+    void on_rolled_back(const rollout::rollback& ended);
+    void broadcast_responses();
+    [[nodiscard]] bool
+    is_target_sufficient(const rollout::rollout_status& status) const;
+    [[nodiscard]] bool
+    is_former_version_busy(const rollout::rollout_status& status) const;
+    void end_rollout(const rollout::rollout_status& status);
     void forget_limit(const placement::server_id& server);
     [[nodiscard]] std::size_t host_rank(std::string_view key) const;
     [[nodiscard]] wire::crash_reports crash_reports_message() const;
@@ -321,6 +351,10 @@
     std::set<core::host_name> malformed_crash_reports_from_;
     /// Hosts whose malformed limits were logged.
     std::set<core::host_name> malformed_limits_from_;
+    core::time_point rollouts_judged_at_{};
+    core::time_point responses_sent_at_{};
+    /// When a former version was last seen to have requests in a final phase.
+    core::time_point former_busy_at_{};
     std::set<core::host_name> fleet_hosts_;
     std::size_t fleet_size_ = 1;
     bool is_fleet_known_ = false;
--- a/services/entry/include/godwit/entry/entry_settings.hpp
+++ b/services/entry/include/godwit/entry/entry_settings.hpp
@@ -36,13 +36,16 @@
     /// in one window.
     double retry_allowance = 50;
     core::duration retry_window = std::chrono::seconds(10);
+    /// The largest share of a service's requests until the deadline of a
+    /// rollout that a bad version may get.
+    double max_rollout_exposure = 0.05;
 
     friend bool
     operator==(const entry_settings&, const entry_settings&) = default;
 
     /// Returns these settings with the values of `newer` for those that a
-    /// running process can change: seeds, regions, grace and retries.
-    /// Listeners, names and the log stay as they are until the next start.
+    /// running process can change: seeds, regions, grace, retries and
+    /// the exposure of rollouts. Listeners, names and the log stay as they are until the next start.
     [[nodiscard]] entry_settings
     with_reloadable_settings(const entry_settings& newer) const;
 
--- a/services/entry/src/buffered_call.cpp
+++ b/services/entry/src/buffered_call.cpp
@@ -5,6 +5,8 @@
 #include <godwit/entry/call_regions.hpp>
 #include <godwit/entry/lost_runs.hpp>
 #include <godwit/entry/reservation.hpp>
+#include <godwit/entry/version_choice.hpp>
+#include <godwit/entry/version_responses.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -153,7 +155,7 @@
     while (!is_caller_disconnected_) {
         const core::time_point now = core::monotonic_now();
         restrict_to_allowed_regions(context_, call_, request);
-        const auto found = context_.placer.choose(request, now);
+        const auto found = choose_by_version(context_, call_, request, now);
         if (found) {
             log_placed(call_, *found, admission::wait_stage::timely);
             co_return found->server;
@@ -202,7 +204,8 @@
     const auto exchange = std::make_shared<upstream>(
         context_, server, call_.route.latency_objective);
     active_ = exchange;
-    const core::time_point end = attempt_end(core::monotonic_now());
+    const core::time_point sent_at = core::monotonic_now();
+    const core::time_point end = attempt_end(sent_at);
 
     attempt_result result;
     forwarding_metadata forwarding;
@@ -225,6 +228,15 @@
         if (is_lost_run(failure))
             record_lost_run(context_, call_, server);
         context_.health.record_unreachable(server.id, now);
+        if (failure.fault != upstream_fault::unreachable)
+            record_version_response(
+                context_,
+                call_,
+                server,
+                failure.fault == upstream_fault::lost
+                    ? response_verdict::lost
+                    : response_verdict::failed,
+                now - sent_at);
         result.may_have_run = failure.fault != upstream_fault::unreachable;
         result.refusal = refusal_reason::answer_lost;
         if (!result.may_have_run)
@@ -247,6 +259,13 @@
     }
     ++runs_;
     const bool is_error = head->status >= min_server_error_status;
+    record_version_response(
+        context_,
+        call_,
+        server,
+        is_error || !response.is_signed ? response_verdict::failed
+                                        : response_verdict::good,
+        now - sent_at);
     if (!is_error && !response.is_signed) {
         // A response without the server's signature must not be delivered.
         context_.health.record_failure(server.id);
--- a/services/entry/src/capacity_search.cpp
+++ b/services/entry/src/capacity_search.cpp
@@ -4,6 +4,7 @@
 #include <godwit/entry/call_log.hpp>
 #include <godwit/entry/call_regions.hpp>
 #include <godwit/entry/server_hold.hpp>
+#include <godwit/entry/version_choice.hpp>
 
 #include <utility>
 
@@ -115,8 +116,8 @@
         const core::time_point now = core::monotonic_now();
         if (may_try && now >= next_attempt) {
             next_attempt = wait_policy_.next_attempt(stage, now);
-            auto found =
-                context_.placer.choose(placement_request_in(stage), now);
+            auto found = choose_by_version(
+                context_, *call_, placement_request_in(stage), now);
             if (found) {
                 log_placed(*call_, *found, stage);
                 co_return std::move(*found);
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -184,6 +184,9 @@
     context_.is_refreshing = [this] {
         return is_refreshing();
     };
+    context_.is_fleet_heard = [this] {
+        return is_fleet_heard();
+    };
     context_.may_have_stale_routes = [this] {
         return may_have_stale_routes();
     };
@@ -473,6 +476,7 @@
         on_server_draining(expired, "lapsed");
     context_.quarantine.expire(core::monotonic_now());
     expire_evacuations();
+    advance_rollouts();
     context_.cold_servers.expire(core::monotonic_now());
     update_limit_share();
     context_.queue.wake_first();
--- a/services/entry/src/entry_process_neighbours.cpp
+++ b/services/entry/src/entry_process_neighbours.cpp
@@ -2,6 +2,7 @@
 
 #include <godwit/entry/evacuation_conversion.hpp>
 #include <godwit/entry/load_conversion.hpp>
+#include <godwit/entry/rollout_conversion.hpp>
 #include <godwit/entry/wire_age.hpp>
 
 #include <godwit/telemetry/log.hpp>
@@ -70,6 +71,9 @@
     const auto evacuations = context_.evacuations.changes();
     if (!evacuations.empty())
         messages.emplace_back(to_wire(evacuations));
+    const auto rollouts = context_.rollouts.all();
+    if (!rollouts.empty())
+        messages.emplace_back(to_wire(rollouts, core::monotonic_now()));
     // A link to another cell begins with all load sums of this cell, because
     // later reports contain only the changes.
     if (!neighbours_->is_cell_peer(peer.host)) {
@@ -100,7 +104,8 @@
         known.slots,
         is_draining ? wire::server_state::leaving : wire::server_state::live,
         known.revision,
-        known.start.unix_ms};
+        known.start.unix_ms,
+        known.version.value()};
 }
 
 wire::host_work entry_process::load_message() const
@@ -216,6 +221,11 @@
         handle_evacuations(peer.host, *zones);
     else if (const auto* cold = std::get_if<wire::cold_servers>(&message))
         handle_cold_servers(peer.host, *cold);
+    else if (const auto* all = std::get_if<wire::rollout_reports>(&message))
+        handle_rollouts(peer.host, *all);
+    else if (
+        const auto* counts = std::get_if<wire::rollout_responses>(&message))
+        handle_rollout_responses(peer.host, *counts);
 }
 
 void entry_process::handle_link_claim(
@@ -271,7 +281,9 @@
                 is_draining ? placement::server_state::draining
                             : placement::server_state::ready,
                 listed.revision,
-                placement::server_start{listed.started_at_ms}},
+                placement::server_start{listed.started_at_ms},
+                {},
+                placement::server_version(listed.version)},
             host.value());
     }
     mark_servers_known(host.value());
--- a/services/entry/src/entry_process_operators.cpp
+++ b/services/entry/src/entry_process_operators.cpp
@@ -65,6 +65,9 @@
     set("godwit_zones_evacuated",
         "Availability zones whose servers get no requests.",
         static_cast<double>(context_.evacuations.count()));
+    set("godwit_rollouts_running",
+        "Services that move to another version of their servers.",
+        static_cast<double>(context_.rollouts.running().size()));
     set("godwit_neighbours_linked",
         "Entry hosts with an open link.",
         static_cast<double>(neighbours_->open_links()));
@@ -88,6 +91,14 @@
             evacuated.emplace_back(each.zone.value());
     }
     state["evacuated_zones"] = std::move(evacuated);
+    boost::json::array rollouts;
+    for (const rollout::rollout_status& each : context_.rollouts.all())
+        rollouts.push_back(boost::json::object{
+            {"service", each.order.service.value()},
+            {"to", each.order.target.value()},
+            {"state", rollout::to_string(each.state)},
+            {"recorded", each.is_recorded}});
+    state["rollouts"] = std::move(rollouts);
     state["streams"] = context_.streams.size();
     state["waiting"] = context_.queue.size();
     state["connections"] = callers_->open_connections();
--- a/services/entry/src/entry_settings.cpp
+++ b/services/entry/src/entry_settings.cpp
@@ -67,6 +67,7 @@
     result.retry_share = newer.retry_share;
     result.retry_allowance = newer.retry_allowance;
     result.retry_window = newer.retry_window;
+    result.max_rollout_exposure = newer.max_rollout_exposure;
     return result;
 }
 
@@ -111,6 +112,8 @@
     read.retry_window =
         GODWIT_TRY(read_seconds(retry, "window_s", read.retry_window));
     GODWIT_TRY(retry.finish(true));
+    read.max_rollout_exposure = GODWIT_TRY(source.get_number(
+        "max_rollout_exposure", {0.0, 1.0}, read.max_rollout_exposure));
     return source.finish(std::move(read));
 }
 
--- a/services/entry/src/migrator.cpp
+++ b/services/entry/src/migrator.cpp
@@ -5,6 +5,7 @@
 #include <godwit/entry/call_log.hpp>
 #include <godwit/entry/call_regions.hpp>
 #include <godwit/entry/spawn.hpp>
+#include <godwit/entry/version_choice.hpp>
 #include <godwit/http/fetch.hpp>
 #include <godwit/placement/zone_rebalancer.hpp>
 
@@ -231,6 +232,7 @@
 {
     placement::placement_request request = destination_request();
     restrict_to_allowed_regions(context_, *call_, request);
+    keep_version(context_, source_->server(), request);
     request.excluded = excluded_;
     request.excluded.push_back(source_->server().id);
     const auto found = context_.placer.choose(request, core::monotonic_now());
--- a/services/entry/src/stream_call.cpp
+++ b/services/entry/src/stream_call.cpp
@@ -4,6 +4,7 @@
 #include <godwit/entry/call_regions.hpp>
 #include <godwit/entry/lost_runs.hpp>
 #include <godwit/entry/server_hold.hpp>
+#include <godwit/entry/version_responses.hpp>
 
 #include <algorithm>
 #include <chrono>
@@ -179,6 +180,11 @@
         exclude_server(server);
         co_return std::nullopt;
     }
+    const bool is_good =
+        head.status < min_failure_status && response.is_signed;
+    if (!is_good)
+        record_version_response(
+            context_, *call_, server, response_verdict::failed, {});
     if (head.status >= min_failure_status) {
         context_.health.record_failure(server.id);
         co_await forward_failure(std::move(head));
@@ -207,6 +213,14 @@
         co_return;
     const placement::backend_server server = active_->server();
     log_send_failed(*call_, server, "no_head", failure.cause.message());
+    if (failure.fault != upstream_fault::unreachable)
+        record_version_response(
+            context_,
+            *call_,
+            server,
+            is_lost_run(failure) ? response_verdict::lost
+                                 : response_verdict::failed,
+            {});
     if (is_lost_run(failure))
         record_lost_run(context_, *call_, server);
     context_.health.record_unreachable(server.id, core::monotonic_now());
@@ -280,8 +294,15 @@
             continue;
         if (is_caller_disconnected_)
             co_return;
-        if (!chunk && is_lost_run(chunk.error()))
+        if (!chunk && is_lost_run(chunk.error())) {
             record_lost_run(context_, *call_, active_->server());
+            record_version_response(
+                context_,
+                *call_,
+                active_->server(),
+                response_verdict::lost,
+                {});
+        }
         context_.health.record_unreachable(
             active_->server().id, core::monotonic_now());
         interrupt(chunk ? "incomplete event" : chunk.error().cause.message());
@@ -340,9 +361,15 @@
         now - last_relayed_.value_or(call_->arrival_time);
     const core::duration objective =
         is_first ? call_->route.latency_objective : call_->route.gap_objective;
-    if (is_first)
+    if (is_first) {
         timing_.first_event_latency = gap;
-    else
+        record_version_response(
+            context_,
+            *call_,
+            active_->server(),
+            response_verdict::good,
+            now - sent_at_);
+    } else
         timing_.longest_gap = std::max(timing_.longest_gap, gap);
     last_relayed_ = now;
     metrics_.tokens_arrived(now);
--- a/tests/platform_adapter/fake_server.hpp
+++ b/tests/platform_adapter/fake_server.hpp
@@ -30,6 +30,9 @@
     /// Sets the zone; the default is "east".
     void set_zone(std::string zone) { zone_ = std::move(zone); }
 
+    /// Sets the version of its software; the default is "v1".
+    void set_version(std::string version) { version_ = std::move(version); }
+
     /// Ends a crash and sets the start time of later records; they have none if
     /// this is not called.
     void restart(std::uint64_t started_at_ms)
@@ -66,6 +69,7 @@
 private:
     std::string id_;
     std::string zone_ = "east";
+    std::string version_ = "v1";
     std::uint64_t started_at_ms_ = 0;
     std::atomic<bool> is_crashed_ = false;
     request_handler handler_;
--- a/tests/platform_adapter/fake_store.cpp
+++ b/tests/platform_adapter/fake_store.cpp
@@ -188,7 +188,10 @@
             answer.body =
                 newest(topic, percent_decoded(parameter(target, "after")));
         } else if (target.starts_with("/api/log-append")) {
-            append(topic, exchange.received().body);
+            const std::string only_at = parameter(target, "&at");
+            const bool is_appended =
+                append(topic, exchange.received().body, only_at);
+            answer.status = is_appended ? 200 : 412;
             answer.body = "{}";
         } else {
             answer.status = 404;
@@ -269,15 +272,24 @@
         {"end", topics_[topic].records.size()}});
 }
 
-void fake_store::append(const std::string& topic, const std::string& body)
+bool fake_store::append(
+    const std::string& topic,
+    const std::string& body,
+    const std::string& only_at)
 {
     ++appends_;
+    if (!only_at.empty()) {
+        const std::lock_guard lock(mutex_);
+        if (topics_[topic].records.size() != std::stoul(only_at))
+            return false;
+    }
     const auto page =
         read_records(big_endian_bytes(1000000) + big_endian_bytes(0) + body, 0);
     if (!page)
-        return;
+        return false;
     for (const keyed_record& one : page->records)
         put(topic, one.key, one.value);
+    return true;
 }
 
 } // namespace godwit::platform_adapter::test
--- a/tests/platform_adapter/fake_store.hpp
+++ b/tests/platform_adapter/fake_store.hpp
@@ -100,7 +100,12 @@
     [[nodiscard]] std::string
     newest(const std::string& topic, const std::string& after);
     [[nodiscard]] static std::string serialize(const record& one);
-    void append(const std::string& topic, const std::string& body);
+    /// Returns whether the records were appended: if `only_at` is not empty,
+    /// the topic has to end there.
+    bool append(
+        const std::string& topic,
+        const std::string& body,
+        const std::string& only_at);
 
     std::mutex mutex_;
     std::map<std::string, topic_log> topics_;
--- a/tests/platform_adapter/testbed.cpp
+++ b/tests/platform_adapter/testbed.cpp
@@ -39,11 +39,12 @@
     const std::string& method,
     const std::string& path,
     const std::string& key,
-    const std::string& usage)
+    const std::string& usage,
+    const std::string& attempt_id)
 {
     http::request request{method, path, {}, {}};
     request.fields.set("Host", "a.example");
-    request.fields.set("X-Godwitworks-Attempt-Id", "a1");
+    request.fields.set("X-Godwitworks-Attempt-Id", attempt_id);
     request.fields.set("X-Godwitworks-Token-Usage", usage);
     request.fields.set("Authorization", "Bearer " + key);
     return request;
@@ -241,7 +242,7 @@
 http::response testbed::call(
     const std::string& method, const std::string& path, const std::string& key)
 {
-    return send(callers(), request_for(method, path, key, token_usage_));
+    return send(callers(), request_for(method, path, key, token_usage_, attempt_id_));
 }
 
 std::optional<http::response> testbed::try_stream()
@@ -256,7 +257,7 @@
 std::optional<http::response> testbed::try_call(
     const std::string& path, const std::string& body, const std::string& key)
 {
-    http::request request = request_for("POST", path, key, token_usage_);
+    http::request request = request_for("POST", path, key, token_usage_, attempt_id_);
     request.body = body;
     try {
         return send(callers(), std::move(request));
@@ -272,7 +273,7 @@
     auto answered = asio::co_spawn(
         platform_context_,
         http::fetch(
-            callers(), request_for("POST", path, "k1", token_usage_), limits),
+            callers(), request_for("POST", path, "k1", token_usage_, attempt_id_), limits),
         asio::use_future);
     CPPUNIT_ASSERT(!answered.get());
 }
--- a/tests/platform_adapter/testbed.hpp
+++ b/tests/platform_adapter/testbed.hpp
@@ -60,6 +60,9 @@
     /// tokens".
     void set_token_usage(std::string usage) { token_usage_ = std::move(usage); }
 
+    /// Sets the id of later requests; the default is "a1".
+    void set_attempt_id(std::string id) { attempt_id_ = std::move(id); }
+
     /// Publishes the tests' route table as `version`.
     void publish(unsigned version, const std::string& extra_key = "");
 
@@ -85,7 +88,7 @@
     /// Like `start`, but registers only the first server.
     void start_with_first_server();
 
-    /// Sends a request with the key "k1" and the id "a1".
+    /// Sends a request with the key "k1".
     [[nodiscard]] http::response call(
         const std::string& method,
         const std::string& path,
@@ -157,6 +160,7 @@
     std::uint64_t started_at_ms_ = 0;
     unsigned hold_ms_ = 0;
     std::string token_usage_ = "100,50";
+    std::string attempt_id_ = "a1";
 };
 
 } // namespace godwit::platform_adapter::test
