--- a/libraries/rollout/include/godwit/rollout/response_counts.hpp
+++ b/libraries/rollout/include/godwit/rollout/response_counts.hpp
@@ -46,8 +46,7 @@
 
     /// Returns the responses that did not fail and are in `bucket` or a later
     /// one.
-    [[nodiscard]] std::uint64_t
-    count_from(std::size_t bucket) const noexcept;
+    [[nodiscard]] std::uint64_t count_from(std::size_t bucket) const noexcept;
 
     response_counts& operator+=(const response_counts& other) noexcept;
 
--- a/libraries/rollout/include/godwit/rollout/rollout_order.hpp
+++ b/libraries/rollout/include/godwit/rollout/rollout_order.hpp
@@ -34,7 +34,8 @@
     core::duration duration{}; ///< From the order to its deadline.
     order_revision revision;
 
-    friend bool operator==(const rollout_order&, const rollout_order&) = default;
+    friend bool
+    operator==(const rollout_order&, const rollout_order&) = default;
 };
 
 /// How far a rollout is.
--- a/libraries/rollout/include/godwit/rollout/rollouts.hpp
+++ b/libraries/rollout/include/godwit/rollout/rollouts.hpp
@@ -95,8 +95,8 @@
         const response_counts& one);
 
     /// Returns the counts of the running rollout of the service, or null.
-    [[nodiscard]] fleet_counts* counts(
-        const core::service_name& service, const order_revision& revision);
+    [[nodiscard]] fleet_counts*
+    counts(const core::service_name& service, const order_revision& revision);
 
     /// Judges the target versions; returns those that were rolled back by it.
     [[nodiscard]] std::vector<rollback> judge();
@@ -119,10 +119,9 @@
     [[nodiscard]] static bool
     is_repeated(const rollout_order& known, const rollout_order& reported);
     void begin(service_rollouts& target, const rollout_status& reported);
-    static bool
-    merge(service_rollouts& known, const rollout_status& reported);
-    static void reject(
-        service_rollouts& target, const placement::server_version& version);
+    static bool merge(service_rollouts& known, const rollout_status& reported);
+    static void
+    reject(service_rollouts& target, const placement::server_version& version);
     static void apply_state(service_rollouts& target, rollout_state state);
 
     double max_exposure_;
--- a/libraries/rollout/src/version_comparison.cpp
+++ b/libraries/rollout/src/version_comparison.cpp
@@ -34,7 +34,8 @@
     // A rate that is multiplied stays below 1.
     constexpr double max_rate = 0.95;
     for (std::size_t at = 0; at < rate_ratios.size(); ++at) {
-        const double rate = std::min(former_rate * rate_ratios.at(at), max_rate);
+        const double rate =
+            std::min(former_rate * rate_ratios.at(at), max_rate);
         if (rate <= former_rate)
             continue;
         const auto good = static_cast<double>(target.total - target.bad);
--- a/libraries/rollout/src/version_judge.cpp
+++ b/libraries/rollout/src/version_judge.cpp
@@ -23,7 +23,8 @@
 {
     constexpr double deviations = 5.0;
     const auto bad = static_cast<double>(seen.bad);
-    const auto total = static_cast<double>(std::max<std::uint64_t>(seen.total, 1));
+    const auto total =
+        static_cast<double>(std::max<std::uint64_t>(seen.total, 1));
     return std::min(
         (bad + deviations * std::sqrt(bad + 1.0)) / total, max_slow_part * 3);
 }
@@ -35,8 +36,9 @@
 
 bad_share slow_of(const response_counts& counts, std::size_t bucket)
 {
-    return {counts.total - std::min(counts.failed, counts.total),
-            counts.count_from(bucket)};
+    return {
+        counts.total - std::min(counts.failed, counts.total),
+        counts.count_from(bucket)};
 }
 
 } // namespace
@@ -128,8 +130,7 @@
             slow_of(target, *bucket + 1));
 }
 
-std::optional<judgement>
-version_judge::compare(const stratified_counts& totals)
+std::optional<judgement> version_judge::compare(const stratified_counts& totals)
 {
     std::optional<judgement> worse;
     for (const auto& [name, added] : add_by_zone(totals)) {
--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -169,7 +169,8 @@
 
     /// Returns whether the rollout may be recorded as completed: its target
     /// serves every request, and no request is left at the former servers.
-    [[nodiscard]] bool may_complete(const rollout::rollout_status& status) const;
+    [[nodiscard]] bool
+    may_complete(const rollout::rollout_status& status) const;
 
     /// Returns whether the load balancer may send connections to this host.
     [[nodiscard]] bool is_ready() const noexcept;
@@ -283,8 +284,8 @@
     void expire_evacuations();
     void handle_evacuations(
         const core::host_name& host, const wire::zone_evacuations& message);
-    void publish_rollout(
-        const core::service_name& service, std::string_view source);
+    void
+    publish_rollout(const core::service_name& service, std::string_view source);
     void request_rollout_record(const core::service_name& service);
     void handle_rollouts(
         const core::host_name& host, const wire::rollout_reports& message);
--- a/services/entry/include/godwit/entry/refusal.hpp
+++ b/services/entry/include/godwit/entry/refusal.hpp
@@ -25,10 +25,10 @@
     /// that the deployment has.
     no_allowed_region,
     regions_without_server, ///< 503: no server is in an allowed region now.
-    quarantined,     ///< 503: the request crashes servers that run it.
-    answer_lost,     ///< 502: a server may have run it.
-    answer_spoiled,  ///< 502: a server's response cannot be trusted.
-    out_of_time,     ///< 504: a server may have run it.
+    quarantined,            ///< 503: the request crashes servers that run it.
+    answer_lost,            ///< 502: a server may have run it.
+    answer_spoiled,         ///< 502: a server's response cannot be trusted.
+    out_of_time,            ///< 504: a server may have run it.
 };
 
 /// The name of `reason` as it appears in logs and responses.
--- a/services/entry/src/entry_context.cpp
+++ b/services/entry/src/entry_context.cpp
@@ -30,7 +30,8 @@
     : executor(io_executor), settings(std::move(initial_settings)),
       codec(wire_codec_functions),
       cold_servers(core::stable_hash(settings.host.value())),
-      rollouts(settings.max_rollout_exposure), placer(
+      rollouts(settings.max_rollout_exposure),
+      placer(
           directory,
           ledger,
           health,
--- a/services/entry/src/entry_process_rollouts.cpp
+++ b/services/entry/src/entry_process_rollouts.cpp
@@ -169,8 +169,8 @@
 void entry_process::broadcast_responses()
 {
     for (const rollout_status& each : context_.rollouts.running()) {
-        rollout::fleet_counts* counts = context_.rollouts.counts(
-            each.order.service, each.order.revision);
+        rollout::fleet_counts* counts =
+            context_.rollouts.counts(each.order.service, each.order.revision);
         neighbours_->broadcast(
             to_wire(each.order, placement::host_group(), counts->own()),
             audience::cell);
@@ -234,10 +234,8 @@
 bool entry_process::may_complete(const rollout_status& status) const
 {
     const core::time_point now = core::monotonic_now();
-    const rollout_status* known =
-        context_.rollouts.find(status.order.service);
-    return known != nullptr &&
-           known->order.revision == status.order.revision &&
+    const rollout_status* known = context_.rollouts.find(status.order.service);
+    return known != nullptr && known->order.revision == status.order.revision &&
            context_.rollouts.is_final(status.order.service, now) &&
            is_fleet_heard() && is_target_sufficient(status) &&
            !is_former_version_busy(status);
--- a/services/entry/src/find_route.cpp
+++ b/services/entry/src/find_route.cpp
@@ -4,8 +4,8 @@
 
 namespace godwit::entry {
 
-const routing::route* find_route(
-    const routing::route_table& routes, const http::request& received)
+const routing::route*
+find_route(const routing::route_table& routes, const http::request& received)
 {
     const std::string_view target = received.target;
     return routes.find_route(
--- a/services/entry/src/migrator.cpp
+++ b/services/entry/src/migrator.cpp
@@ -169,8 +169,8 @@
             continue;
         }
         const pre_copy_result result = co_await pre_copy();
-        const bool is_ready = result == pre_copy_result::converged &&
-                              may_copy_to_destination();
+        const bool is_ready =
+            result == pre_copy_result::converged && may_copy_to_destination();
         if (is_ready && !is_stopped_) {
             claim_links(link_claim_duration);
             co_await stop_and_copy();
@@ -241,11 +241,7 @@
         excluded_.clear();
         return false;
     }
-    log_migration_chosen(
-        *call_,
-        source_->server(),
-        *found,
-        name_of(cause_));
+    log_migration_chosen(*call_, source_->server(), *found, name_of(cause_));
     destination_ = found->server;
     reserved_.reset();
     placement::work_size arriving = work_;
@@ -324,9 +320,9 @@
         // server. If that server may get no requests any more, the destination
         // prefills again what was generated after the last pre-copy.
         const core::zone_name& zone = source_->server().zone;
-        const bool may_stay = context_.evacuations.may_resume(
-                                  zone, core::monotonic_now()) &&
-                              may_process_in(context_, *call_, zone);
+        const bool may_stay =
+            context_.evacuations.may_resume(zone, core::monotonic_now()) &&
+            may_process_in(context_, *call_, zone);
         migrated_ = migrated_run{source_->server(), *response.handle};
         if (!may_stay && pre_copied_)
             migrated_ = pre_copied_;
--- a/services/entry/src/rollout_conversion.cpp
+++ b/services/entry/src/rollout_conversion.cpp
@@ -117,8 +117,7 @@
     for (const wire::version_responses& received : message.responses) {
         const auto side = received.target ? rollout::version_side::target
                                           : rollout::version_side::former;
-        counts[{received.route, received.zone}].of(side) +=
-            from_wire(received);
+        counts[{received.route, received.zone}].of(side) += from_wire(received);
     }
     return counts;
 }
--- a/services/entry/src/stream_call.cpp
+++ b/services/entry/src/stream_call.cpp
@@ -180,8 +180,7 @@
         exclude_server(server);
         co_return std::nullopt;
     }
-    const bool is_good =
-        head.status < min_failure_status && response.is_signed;
+    const bool is_good = head.status < min_failure_status && response.is_signed;
     if (!is_good)
         record_version_response(
             context_, *call_, server, response_verdict::failed, {});
--- a/tests/platform_adapter/fake_server.cpp
+++ b/tests/platform_adapter/fake_server.cpp
@@ -39,9 +39,8 @@
         started_at_ms_ == 0 ? std::string()
                             : R"(,"born":)" + std::to_string(started_at_ms_);
     return R"({"service":"lm","address":")" + address() + R"(","zone":")" +
-           zone_ + R"(","version":")" + version_ +
-           R"(","slots":4,"state":")" + state + R"(","sequence":)" +
-           std::to_string(sequence) + born + "}";
+           zone_ + R"(","version":")" + version_ + R"(","slots":4,"state":")" +
+           state + R"(","sequence":)" + std::to_string(sequence) + born + "}";
 }
 
 std::string fake_server::address() const
--- a/tests/platform_adapter/rollout_test.cpp
+++ b/tests/platform_adapter/rollout_test.cpp
@@ -161,8 +161,7 @@
                 R"("state":"completed","recorded":true)") != std::string::npos);
         testbed_.register_server(testbed_.first_server(), "draining");
         CPPUNIT_ASSERT_EQUAL(200U, testbed_.call("POST", "/again/").status);
-        CPPUNIT_ASSERT(
-            testbed_.first_server().count("/again/") <= before + 20);
+        CPPUNIT_ASSERT(testbed_.first_server().count("/again/") <= before + 20);
     }
 
     void test_a_bad_version_is_rolled_back()
@@ -242,8 +241,8 @@
         testbed_.register_server(testbed_.second_server(), "ready");
         testbed::wait_until("the end", [this] {
             return testbed_.run_on_host<bool>([](auto& process) {
-                const auto* known = process.context().rollouts.find(
-                    core::service_name("lm"));
+                const auto* known =
+                    process.context().rollouts.find(core::service_name("lm"));
                 return known != nullptr &&
                        known->state == rollout::rollout_state::rolled_back;
             });
@@ -258,10 +257,9 @@
         start();
         testbed_.register_server(testbed_.second_server(), "ready");
         testbed_.store().set_status(503);
-        fake_neighbours others(
-            1, testbed_.neighbours(), [](const wire::pull&) {
-                return std::optional<wire::message>();
-            });
+        fake_neighbours others(1, testbed_.neighbours(), [](const wire::pull&) {
+            return std::optional<wire::message>();
+        });
         others.announce_table_version(1);
         wire::rollout told{core::service_name("lm"), "v2", 60000, 0, 1, 70};
         told.state = wire::rollout_state::rolled_back;
--- a/tests/platform_adapter/testbed.cpp
+++ b/tests/platform_adapter/testbed.cpp
@@ -242,7 +242,8 @@
 http::response testbed::call(
     const std::string& method, const std::string& path, const std::string& key)
 {
-    return send(callers(), request_for(method, path, key, token_usage_, attempt_id_));
+    return send(
+        callers(), request_for(method, path, key, token_usage_, attempt_id_));
 }
 
 std::optional<http::response> testbed::try_stream()
@@ -257,7 +258,8 @@
 std::optional<http::response> testbed::try_call(
     const std::string& path, const std::string& body, const std::string& key)
 {
-    http::request request = request_for("POST", path, key, token_usage_, attempt_id_);
+    http::request request =
+        request_for("POST", path, key, token_usage_, attempt_id_);
     request.body = body;
     try {
         return send(callers(), std::move(request));
@@ -273,7 +275,9 @@
     auto answered = asio::co_spawn(
         platform_context_,
         http::fetch(
-            callers(), request_for("POST", path, "k1", token_usage_, attempt_id_), limits),
+            callers(),
+            request_for("POST", path, "k1", token_usage_, attempt_id_),
+            limits),
         asio::use_future);
     CPPUNIT_ASSERT(!answered.get());
 }
--- a/tests/rollout/fleet_exposure_test.cpp
+++ b/tests/rollout/fleet_exposure_test.cpp
@@ -26,7 +26,7 @@
 
 struct bad_version
 {
-    double fails = 0;   ///< Share of its responses that fail.
+    double fails = 0; ///< Share of its responses that fail.
     double slowdown = 1;
     int from_ms = 0; ///< When it becomes bad.
 };
@@ -232,11 +232,10 @@
                   bad_version{0.9, 1, 39'000}}) {
                 simulated_fleet fleet(hosts, hosts + 1);
                 const exposure seen = fleet.play(bad, 220);
-                const auto most =
-                    static_cast<std::uint64_t>(
-                        simulated_fleet::permitted *
-                        static_cast<double>(seen.requests)) +
-                    slack;
+                const auto most = static_cast<std::uint64_t>(
+                                      simulated_fleet::permitted *
+                                      static_cast<double>(seen.requests)) +
+                                  slack;
                 CPPUNIT_ASSERT(seen.in_target <= most);
                 if (seen.fiftieth_bad_ms >= 0)
                     CPPUNIT_ASSERT(
--- a/tests/rollout/rollouts_test.cpp
+++ b/tests/rollout/rollouts_test.cpp
@@ -36,8 +36,8 @@
         at_seconds(at)};
 }
 
-rollout_status in_state(
-    rollout_status status, rollout_state state, bool is_recorded = false)
+rollout_status
+in_state(rollout_status status, rollout_state state, bool is_recorded = false)
 {
     status.state = state;
     status.is_recorded = is_recorded;
@@ -95,9 +95,9 @@
                     const double load = 1.0 + 0.3 * part;
                     all += load;
                     target +=
-                        load *
-                        plan.share_at(std::chrono::duration_cast<core::duration>(
-                            seconds(duration_s) * part));
+                        load * plan.share_at(
+                                   std::chrono::duration_cast<core::duration>(
+                                       seconds(duration_s) * part));
                 }
                 CPPUNIT_ASSERT(target / all <= permitted);
             }
@@ -135,8 +135,8 @@
     {
         rollouts_.update(ordered("v2", 1));
         rollouts_.update(ordered("v3", 2));
-        CPPUNIT_ASSERT(!rollouts_.former_versions(lm).allows(
-            server_version("v2")));
+        CPPUNIT_ASSERT(
+            !rollouts_.former_versions(lm).allows(server_version("v2")));
         CPPUNIT_ASSERT(
             rollouts_.former_versions(lm).allows(server_version("v1")));
         // An order for a version that was rejected before gives it another try.
@@ -169,7 +169,8 @@
     void test_an_unrecorded_end_yields_to_a_recorded_one()
     {
         rollouts_.update(ordered("v2", 1));
-        rollouts_.update(in_state(ordered("v2", 1), rollout_state::rolled_back));
+        rollouts_.update(
+            in_state(ordered("v2", 1), rollout_state::rolled_back));
         CPPUNIT_ASSERT(!rollouts_.update(
             in_state(ordered("v2", 1), rollout_state::completed)));
         CPPUNIT_ASSERT(rollouts_.update(
--- a/tests/rollout/version_comparison_test.cpp
+++ b/tests/rollout/version_comparison_test.cpp
@@ -91,8 +91,8 @@
 
     /// Adds responses of which a share fails and the others take `ms`, spread
     /// by a factor of up to four.
-    static void add(
-        response_counts& counts,
+    static void
+    add(response_counts& counts,
         core::random& random,
         std::uint64_t count,
         double failure_rate,
