--- a/libraries/placement/include/godwit/placement/load_ledger.hpp
+++ b/libraries/placement/include/godwit/placement/load_ledger.hpp
@@ -74,6 +74,17 @@
     /// Returns this host's work at each server that has some.
     [[nodiscard]] std::vector<server_work> own() const;
 
+    /// Returns the known work of all hosts at each server that has some.
+    [[nodiscard]] std::vector<server_work> all(core::time_point now) const;
+
+    /// Whether a neighbour that precedes `self` by name, or a group that
+    /// precedes `own_group`, reports work at the server.
+    [[nodiscard]] bool has_earlier_report(
+        const server_id& server,
+        const core::host_name& self,
+        const host_group& own_group,
+        core::time_point now) const;
+
     /// Returns the work of this host and its neighbours at each server that has
     /// some.
     [[nodiscard]] std::vector<server_work>
--- a/libraries/placement/include/godwit/placement/server_directory.hpp
+++ b/libraries/placement/include/godwit/placement/server_directory.hpp
@@ -2,10 +2,13 @@
 
 #include <godwit/core/time.hpp>
 #include <godwit/placement/backend_server.hpp>
+#include <godwit/placement/server_list_digest.hpp>
 
 #include <chrono>
+#include <cstddef>
 #include <map>
 #include <optional>
+#include <unordered_map>
 #include <vector>
 
 namespace godwit::placement {
@@ -98,6 +101,16 @@
     [[nodiscard]] std::vector<const backend_server*>
     usable(const core::service_name& service) const;
 
+    /// Returns the usable servers at the address.
+    [[nodiscard]] std::vector<const backend_server*>
+    usable_at(const http::endpoint& address) const;
+
+    /// Returns the digest of the usable servers.
+    [[nodiscard]] const server_list_digest& digest() const noexcept
+    {
+        return digest_;
+    }
+
     /// Returns the ids of all known servers.
     [[nodiscard]] std::vector<server_id> ids() const;
 
@@ -119,6 +132,7 @@
         std::size_t count = 0;       ///< In the latest span.
         core::time_point largest_at;
         std::size_t largest = 0;
+        core::time_point last_at;
     };
 
     void
@@ -128,8 +142,27 @@
     restart(entry& known, const backend_server& server, core::time_point now);
     directory_change mark_draining(entry& target, core::time_point now);
     void drain_same_address(const backend_server& server, core::time_point now);
-
-    std::map<server_id, entry> servers_;
+    void add_usable(const entry& added);
+    void remove_usable(const entry& removed);
+
+    using entries = std::map<server_id, entry>;
+
+    void expire_one(
+        const server_id& id,
+        std::vector<server_id>& departed,
+        core::time_point now);
+
+    entries servers_;
+    /// The usable servers of each service. The records stay where they are in
+    /// `servers_` until they are erased.
+    std::map<core::service_name, std::map<server_id, const backend_server*>>
+        usable_;
+    /// The usable servers by the hash of their address.
+    std::unordered_multimap<std::size_t, const backend_server*> by_address_;
+    server_list_digest digest_;
+    /// When a server may have to be marked as draining, or to be erased. A
+    /// server whose state changed meanwhile is passed over.
+    std::multimap<core::time_point, server_id> deadlines_;
     std::map<core::service_name, departures> departures_;
     std::optional<core::time_point> first_listed_at_;
 };
--- a/libraries/placement/include/godwit/placement/slow_server_detector.hpp
+++ b/libraries/placement/include/godwit/placement/slow_server_detector.hpp
@@ -28,8 +28,8 @@
     friend bool operator==(const server_gaps&, const server_gaps&) = default;
 };
 
-/// Returns the gaps at each usable server of the service, as reported to the
-/// ledger.
+/// Returns the gaps at each usable server of the service that has work, as
+/// reported to the ledger.
 [[nodiscard]] std::vector<server_gaps> observed_gaps(
     const server_directory& directory,
     const load_ledger& ledger,
--- a/libraries/placement/src/load_ledger.cpp
+++ b/libraries/placement/src/load_ledger.cpp
@@ -137,6 +137,34 @@
     return sum;
 }
 
+std::vector<server_work> load_ledger::all(core::time_point now) const
+{
+    uncount_expired(now);
+    std::map<server_id, work_size> sums = own_;
+    for (const auto& [server, work] : others_total_)
+        sums[server] += work;
+    std::vector<server_work> found;
+    found.reserve(sums.size());
+    for (const auto& [server, work] : sums)
+        found.push_back(server_work{server, work});
+    return found;
+}
+
+bool load_ledger::has_earlier_report(
+    const server_id& server,
+    const core::host_name& self,
+    const host_group& own_group,
+    core::time_point now) const
+{
+    const auto reports_work = [&server, now](const auto& each) {
+        return each.second.is_fresh(now) && each.second.work.contains(server);
+    };
+    return std::any_of(
+               neighbours_.begin(), neighbours_.lower_bound(self), reports_work) ||
+           std::any_of(
+               groups_.begin(), groups_.lower_bound(own_group), reports_work);
+}
+
 std::vector<server_work>
 load_ledger::own_and_neighbours(core::time_point now) const
 {
--- a/libraries/placement/src/server_directory.cpp
+++ b/libraries/placement/src/server_directory.cpp
@@ -1,6 +1,8 @@
 #include <godwit/placement/server_directory.hpp>
 
+#include <algorithm>
 #include <compare>
+#include <functional>
 #include <tuple>
 
 namespace godwit::placement {
@@ -22,6 +24,12 @@
     return known.start.is_known() && server.start > known.start;
 }
 
+std::size_t hash_of(const http::endpoint& address)
+{
+    return std::hash<std::string>()(address.address()) ^
+           (static_cast<std::size_t>(address.port()) << 20U);
+}
+
 } // namespace
 
 directory_change
@@ -31,7 +39,9 @@
     target.server.state = server_state::draining;
     if (target.left_at)
         return directory_change::none;
+    remove_usable(target);
     target.left_at = now;
+    deadlines_.emplace(now + departed_retention, target.server.id);
     record_departure(target.server.service, now);
     return directory_change::left;
 }
@@ -40,6 +50,7 @@
     const core::service_name& service, core::time_point now)
 {
     departures& known = departures_[service];
+    known.last_at = now;
     if (known.count == 0 || now - known.span_start > departure_span) {
         known.span_start = now;
         known.count = 0;
@@ -62,6 +73,42 @@
     return is_recent ? known->second.largest : 0;
 }
 
+void server_directory::add_usable(const entry& added)
+{
+    const backend_server& server = added.server;
+    usable_[server.service].emplace(server.id, &server);
+    by_address_.emplace(hash_of(server.address), &server);
+    digest_.toggle(server.id, server.start);
+}
+
+void server_directory::remove_usable(const entry& removed)
+{
+    const backend_server& server = removed.server;
+    digest_.toggle(server.id, server.start);
+    const auto service = usable_.find(server.service);
+    service->second.erase(server.id);
+    if (service->second.empty())
+        usable_.erase(service);
+    const auto [first, last] = by_address_.equal_range(hash_of(server.address));
+    const auto found = std::find_if(first, last, [&server](const auto& each) {
+        return each.second == &server;
+    });
+    if (found != last)
+        by_address_.erase(found);
+}
+
+std::vector<const backend_server*>
+server_directory::usable_at(const http::endpoint& address) const
+{
+    std::vector<const backend_server*> found;
+    const auto [first, last] = by_address_.equal_range(hash_of(address));
+    for (auto at = first; at != last; ++at) {
+        if (at->second->address == address)
+            found.push_back(at->second);
+    }
+    return found;
+}
+
 // Two running servers cannot share an address. The list may contain records
 // that no server wrote; one of another service must not remove a running
 // server, and if it is genuine, the record of the former server is removed as
@@ -69,12 +116,11 @@
 void server_directory::drain_same_address(
     const backend_server& server, core::time_point now)
 {
-    for (auto& [id, other] : servers_) {
-        const bool is_replaced = id != server.id &&
-                                 other.server.service == server.service &&
-                                 other.server.address == server.address;
+    for (const backend_server* other : usable_at(server.address)) {
+        const bool is_replaced =
+            other->id != server.id && other->service == server.service;
         if (is_replaced)
-            mark_draining(other, now);
+            mark_draining(servers_.at(other->id), now);
     }
 }
 
@@ -88,9 +134,12 @@
         first_listed_at_ = now;
     if (now - *first_listed_at_ > initial_view_window)
         added.joined_at = now;
-    if (server.state == server_state::ready)
+    if (server.state == server_state::ready) {
+        add_usable(added);
         return directory_change::appeared;
+    }
     added.left_at = now;
+    deadlines_.emplace(now + departed_retention, server.id);
     return directory_change::none;
 }
 
@@ -100,9 +149,15 @@
     entry& known, const backend_server& server, core::time_point now)
 {
     drain_same_address(server, now);
+    if (!known.left_at)
+        remove_usable(known);
     known = entry{server, {}, {}, now};
-    if (server.state == server_state::draining)
-        known.left_at = now;
+    if (server.state == server_state::ready) {
+        add_usable(known);
+        return directory_change::restarted;
+    }
+    known.left_at = now;
+    deadlines_.emplace(now + departed_retention, server.id);
     return directory_change::restarted;
 }
 
@@ -122,12 +177,17 @@
         return directory_change::none;
     if (is_restart(known.server, server))
         return restart(known, server, now);
+    const bool was_usable = !known.left_at;
+    if (was_usable)
+        remove_usable(known);
     if (server.state == server_state::draining) {
         known.server = server;
+        if (was_usable)
+            add_usable(known);
         return mark_draining(known, now);
     }
-    const bool was_usable = !known.left_at;
     known = entry{server, {}, {}, known.joined_at};
+    add_usable(known);
     return was_usable ? directory_change::none : directory_change::appeared;
 }
 
@@ -149,28 +209,41 @@
         return directory_change::none;
     if (source == source_state::steady)
         return mark_draining(known, now);
-    if (!known.missing_since)
+    if (!known.missing_since) {
         known.missing_since = now;
+        deadlines_.emplace(now + expiry_grace, id);
+    }
     return directory_change::none;
 }
 
 std::vector<server_id> server_directory::expire(core::time_point now)
 {
     std::vector<server_id> departed;
-    for (auto at = servers_.begin(); at != servers_.end();) {
-        entry& known = at->second;
-        if (known.missing_since && now - *known.missing_since >= expiry_grace) {
-            mark_draining(known, now);
-            departed.push_back(at->first);
-        }
-        if (known.left_at && now - *known.left_at >= departed_retention)
-            at = servers_.erase(at);
-        else
-            ++at;
+    while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
+        const server_id id = deadlines_.begin()->second;
+        deadlines_.erase(deadlines_.begin());
+        expire_one(id, departed, now);
     }
     return departed;
 }
 
+void server_directory::expire_one(
+    const server_id& id,
+    std::vector<server_id>& departed,
+    core::time_point now)
+{
+    const auto found = servers_.find(id);
+    if (found == servers_.end())
+        return;
+    entry& known = found->second;
+    if (known.missing_since && now - *known.missing_since >= expiry_grace) {
+        mark_draining(known, now);
+        departed.push_back(id);
+    }
+    if (known.left_at && now - *known.left_at >= departed_retention)
+        servers_.erase(found);
+}
+
 const backend_server* server_directory::find(const server_id& id) const
 {
     const auto found = servers_.find(id);
@@ -193,12 +266,10 @@
 std::optional<core::time_point>
 server_directory::last_departure(const core::service_name& service) const
 {
-    std::optional<core::time_point> last;
-    for (const auto& [id, one] : servers_) {
-        if (one.server.service == service && one.left_at > last)
-            last = one.left_at;
-    }
-    return last;
+    const auto known = departures_.find(service);
+    if (known == departures_.end())
+        return std::nullopt;
+    return known->second.last_at;
 }
 
 std::optional<core::time_point>
@@ -212,10 +283,12 @@
 server_directory::usable(const core::service_name& service) const
 {
     std::vector<const backend_server*> found;
-    for (const auto& [id, known] : servers_) {
-        if (!known.left_at && known.server.service == service)
-            found.push_back(&known.server);
-    }
+    const auto known = usable_.find(service);
+    if (known == usable_.end())
+        return found;
+    found.reserve(known->second.size());
+    for (const auto& [id, server] : known->second)
+        found.push_back(server);
     return found;
 }
 
--- a/libraries/placement/src/slow_server_detector.cpp
+++ b/libraries/placement/src/slow_server_detector.cpp
@@ -40,9 +40,14 @@
     core::time_point now)
 {
     std::vector<server_gaps> observed;
-    for (const backend_server* server : directory.usable(service)) {
-        const work_size load = ledger.at(server->id, now);
-        observed.push_back({server->id, load.gaps, load.unread_tokens > 0});
+    for (const server_work& each : ledger.all(now)) {
+        const backend_server* server = directory.find(each.server);
+        const bool is_observed = server != nullptr &&
+                                 server->service == service &&
+                                 directory.is_usable(each.server);
+        if (is_observed)
+            observed.push_back(
+                {each.server, each.work.gaps, each.work.unread_tokens > 0});
     }
     return observed;
 }
--- a/libraries/wire/include/godwit/wire/message.hpp
+++ b/libraries/wire/include/godwit/wire/message.hpp
@@ -25,6 +25,7 @@
 #include <godwit/wire/records.hpp>
 #include <godwit/wire/rollout_reports.hpp>
 #include <godwit/wire/server_limits.hpp>
+#include <godwit/wire/server_list_exchange.hpp>
 #include <godwit/wire/server_sign.hpp>
 #include <godwit/wire/table_changes.hpp>
 #include <godwit/wire/table_document.hpp>
@@ -67,7 +68,10 @@
     zone_evacuations,
     cold_servers,
     rollout_reports,
-    rollout_responses>;
+    rollout_responses,
+    server_list_offer,
+    server_list_request,
+    server_list_part>;
 
 /// Returns the name of the message's type, for logs and metrics.
 [[nodiscard]] std::string_view name_of(const message& value) noexcept;
--- a/libraries/wire/src/codec.cpp
+++ b/libraries/wire/src/codec.cpp
@@ -119,6 +119,12 @@
         return read_payload(frame.payload_as_rollout_reports(), reader);
     case format::payload::rollout_responses:
         return read_payload(frame.payload_as_rollout_responses(), reader);
+    case format::payload::server_list_offer:
+        return read_payload(frame.payload_as_server_list_offer(), reader);
+    case format::payload::server_list_request:
+        return read_payload(frame.payload_as_server_list_request(), reader);
+    case format::payload::server_list_part:
+        return read_payload(frame.payload_as_server_list_part(), reader);
     case format::payload::NONE:
         break;
     }
--- a/libraries/wire/src/godwit_generated.h
+++ b/libraries/wire/src/godwit_generated.h
@@ -146,6 +146,15 @@
 struct rollout_responses;
 struct rollout_responsesBuilder;
 
+struct server_list_offer;
+struct server_list_offerBuilder;
+
+struct server_list_request;
+struct server_list_requestBuilder;
+
+struct server_list_part;
+struct server_list_partBuilder;
+
 struct frame;
 struct frameBuilder;
 
@@ -469,11 +478,14 @@
   cold_servers = 28,
   rollout_reports = 29,
   rollout_responses = 30,
+  server_list_offer = 31,
+  server_list_request = 32,
+  server_list_part = 33,
   MIN = NONE,
-  MAX = rollout_responses
+  MAX = server_list_part
 };
 
-inline const payload (&EnumValuespayload())[31] {
+inline const payload (&EnumValuespayload())[34] {
   static const payload values[] = {
     payload::NONE,
     payload::hello,
@@ -505,13 +517,16 @@
     payload::zone_evacuations,
     payload::cold_servers,
     payload::rollout_reports,
-    payload::rollout_responses
+    payload::rollout_responses,
+    payload::server_list_offer,
+    payload::server_list_request,
+    payload::server_list_part
   };
   return values;
 }
 
 inline const char * const *EnumNamespayload() {
-  static const char * const names[32] = {
+  static const char * const names[35] = {
     "NONE",
     "hello",
     "heartbeat",
@@ -543,13 +558,16 @@
     "cold_servers",
     "rollout_reports",
     "rollout_responses",
+    "server_list_offer",
+    "server_list_request",
+    "server_list_part",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamepayload(payload e) {
-  if (flatbuffers::IsOutRange(e, payload::NONE, payload::rollout_responses)) return "";
+  if (flatbuffers::IsOutRange(e, payload::NONE, payload::server_list_part)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamespayload()[index];
 }
@@ -678,6 +696,18 @@
   static const payload enum_value = payload::rollout_responses;
 };
 
+template<> struct payloadTraits<godwit::wire::format::server_list_offer> {
+  static const payload enum_value = payload::server_list_offer;
+};
+
+template<> struct payloadTraits<godwit::wire::format::server_list_request> {
+  static const payload enum_value = payload::server_list_request;
+};
+
+template<> struct payloadTraits<godwit::wire::format::server_list_part> {
+  static const payload enum_value = payload::server_list_part;
+};
+
 bool Verifypayload(flatbuffers::Verifier &verifier, const void *obj, payload type);
 bool VerifypayloadVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<payload> *types);
 
@@ -4553,6 +4583,191 @@
       responses__);
 }
 
+struct server_list_offer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef server_list_offerBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_BUCKETS = 4
+  };
+  const flatbuffers::Vector<uint64_t> *buckets() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_BUCKETS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_BUCKETS) &&
+           verifier.VerifyVector(buckets()) &&
+           verifier.EndTable();
+  }
+};
+
+struct server_list_offerBuilder {
+  typedef server_list_offer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_buckets(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> buckets) {
+    fbb_.AddOffset(server_list_offer::VT_BUCKETS, buckets);
+  }
+  explicit server_list_offerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<server_list_offer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<server_list_offer>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<server_list_offer> Createserver_list_offer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> buckets = 0) {
+  server_list_offerBuilder builder_(_fbb);
+  builder_.add_buckets(buckets);
+  return builder_.Finish();
+}
+
+struct server_list_offer::Traits {
+  using type = server_list_offer;
+  static auto constexpr Create = Createserver_list_offer;
+};
+
+inline flatbuffers::Offset<server_list_offer> Createserver_list_offerDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<uint64_t> *buckets = nullptr) {
+  auto buckets__ = buckets ? _fbb.CreateVector<uint64_t>(*buckets) : 0;
+  return godwit::wire::format::Createserver_list_offer(
+      _fbb,
+      buckets__);
+}
+
+struct server_list_request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef server_list_requestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_BUCKETS = 4
+  };
+  uint64_t buckets() const {
+    return GetField<uint64_t>(VT_BUCKETS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_BUCKETS, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct server_list_requestBuilder {
+  typedef server_list_request Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_buckets(uint64_t buckets) {
+    fbb_.AddElement<uint64_t>(server_list_request::VT_BUCKETS, buckets, 0);
+  }
+  explicit server_list_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<server_list_request> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<server_list_request>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<server_list_request> Createserver_list_request(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t buckets = 0) {
+  server_list_requestBuilder builder_(_fbb);
+  builder_.add_buckets(buckets);
+  return builder_.Finish();
+}
+
+struct server_list_request::Traits {
+  using type = server_list_request;
+  static auto constexpr Create = Createserver_list_request;
+};
+
+struct server_list_part FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef server_list_partBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_COMPRESSED = 4,
+    VT_CONTENT_BYTES = 6,
+    VT_LAST = 8
+  };
+  const flatbuffers::Vector<uint8_t> *compressed() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_COMPRESSED);
+  }
+  uint64_t content_bytes() const {
+    return GetField<uint64_t>(VT_CONTENT_BYTES, 0);
+  }
+  bool last() const {
+    return GetField<uint8_t>(VT_LAST, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_COMPRESSED) &&
+           verifier.VerifyVector(compressed()) &&
+           VerifyField<uint64_t>(verifier, VT_CONTENT_BYTES, 8) &&
+           VerifyField<uint8_t>(verifier, VT_LAST, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct server_list_partBuilder {
+  typedef server_list_part Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_compressed(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> compressed) {
+    fbb_.AddOffset(server_list_part::VT_COMPRESSED, compressed);
+  }
+  void add_content_bytes(uint64_t content_bytes) {
+    fbb_.AddElement<uint64_t>(server_list_part::VT_CONTENT_BYTES, content_bytes, 0);
+  }
+  void add_last(bool last) {
+    fbb_.AddElement<uint8_t>(server_list_part::VT_LAST, static_cast<uint8_t>(last), 0);
+  }
+  explicit server_list_partBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<server_list_part> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<server_list_part>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<server_list_part> Createserver_list_part(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> compressed = 0,
+    uint64_t content_bytes = 0,
+    bool last = false) {
+  server_list_partBuilder builder_(_fbb);
+  builder_.add_content_bytes(content_bytes);
+  builder_.add_compressed(compressed);
+  builder_.add_last(last);
+  return builder_.Finish();
+}
+
+struct server_list_part::Traits {
+  using type = server_list_part;
+  static auto constexpr Create = Createserver_list_part;
+};
+
+inline flatbuffers::Offset<server_list_part> Createserver_list_partDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<uint8_t> *compressed = nullptr,
+    uint64_t content_bytes = 0,
+    bool last = false) {
+  auto compressed__ = compressed ? _fbb.CreateVector<uint8_t>(*compressed) : 0;
+  return godwit::wire::format::Createserver_list_part(
+      _fbb,
+      compressed__,
+      content_bytes,
+      last);
+}
+
 struct frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef frameBuilder Builder;
   struct Traits;
@@ -4657,6 +4872,15 @@
   const godwit::wire::format::rollout_responses *payload_as_rollout_responses() const {
     return payload_type() == godwit::wire::format::payload::rollout_responses ? static_cast<const godwit::wire::format::rollout_responses *>(payload()) : nullptr;
   }
+  const godwit::wire::format::server_list_offer *payload_as_server_list_offer() const {
+    return payload_type() == godwit::wire::format::payload::server_list_offer ? static_cast<const godwit::wire::format::server_list_offer *>(payload()) : nullptr;
+  }
+  const godwit::wire::format::server_list_request *payload_as_server_list_request() const {
+    return payload_type() == godwit::wire::format::payload::server_list_request ? static_cast<const godwit::wire::format::server_list_request *>(payload()) : nullptr;
+  }
+  const godwit::wire::format::server_list_part *payload_as_server_list_part() const {
+    return payload_type() == godwit::wire::format::payload::server_list_part ? static_cast<const godwit::wire::format::server_list_part *>(payload()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_PAYLOAD_TYPE, 1) &&
@@ -4786,6 +5010,18 @@
   return payload_as_rollout_responses();
 }
 
+template<> inline const godwit::wire::format::server_list_offer *frame::payload_as<godwit::wire::format::server_list_offer>() const {
+  return payload_as_server_list_offer();
+}
+
+template<> inline const godwit::wire::format::server_list_request *frame::payload_as<godwit::wire::format::server_list_request>() const {
+  return payload_as_server_list_request();
+}
+
+template<> inline const godwit::wire::format::server_list_part *frame::payload_as<godwit::wire::format::server_list_part>() const {
+  return payload_as_server_list_part();
+}
+
 struct frameBuilder {
   typedef frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -4947,6 +5183,18 @@
       auto ptr = reinterpret_cast<const godwit::wire::format::rollout_responses *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case payload::server_list_offer: {
+      auto ptr = reinterpret_cast<const godwit::wire::format::server_list_offer *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case payload::server_list_request: {
+      auto ptr = reinterpret_cast<const godwit::wire::format::server_list_request *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case payload::server_list_part: {
+      auto ptr = reinterpret_cast<const godwit::wire::format::server_list_part *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/libraries/wire/src/message.cpp
+++ b/libraries/wire/src/message.cpp
@@ -38,7 +38,10 @@
             "zone_evacuations",
             "cold_servers",
             "rollout_reports",
-            "rollout_responses"};
+            "rollout_responses",
+            "server_list_offer",
+            "server_list_request",
+            "server_list_part"};
     return names.at(value.index());
 }
 
--- a/libraries/wire/src/message_reader.cpp
+++ b/libraries/wire/src/message_reader.cpp
@@ -385,4 +385,25 @@
         .responses = reader.list<version_responses>(table.responses())};
 }
 
+server_list_offer
+read(const format::server_list_offer& table, frame_reader& reader)
+{
+    return server_list_offer{.buckets = reader.numbers(table.buckets())};
+}
+
+server_list_request
+read(const format::server_list_request& table, frame_reader& /*reader*/)
+{
+    return server_list_request{.buckets = table.buckets()};
+}
+
+server_list_part
+read(const format::server_list_part& table, frame_reader& reader)
+{
+    return server_list_part{
+        .compressed = reader.bytes(table.compressed()),
+        .content_bytes = table.content_bytes(),
+        .is_last = table.last()};
+}
+
 } // namespace godwit::wire
--- a/libraries/wire/src/message_reader.hpp
+++ b/libraries/wire/src/message_reader.hpp
@@ -63,5 +63,11 @@
 read(const format::version_responses& table, frame_reader& reader);
 rollout_responses
 read(const format::rollout_responses& table, frame_reader& reader);
+server_list_offer
+read(const format::server_list_offer& table, frame_reader& reader);
+server_list_request
+read(const format::server_list_request& table, frame_reader& reader);
+server_list_part
+read(const format::server_list_part& table, frame_reader& reader);
 
 } // namespace godwit::wire
--- a/libraries/wire/src/message_writer.cpp
+++ b/libraries/wire/src/message_writer.cpp
@@ -460,4 +460,24 @@
         list(out, value.responses));
 }
 
+flatbuffers::Offset<format::server_list_offer>
+write(builder& out, const server_list_offer& value)
+{
+    return format::Createserver_list_offer(
+        out, out.CreateVector(value.buckets));
+}
+
+flatbuffers::Offset<format::server_list_request>
+write(builder& out, const server_list_request& value)
+{
+    return format::Createserver_list_request(out, value.buckets);
+}
+
+flatbuffers::Offset<format::server_list_part>
+write(builder& out, const server_list_part& value)
+{
+    return format::Createserver_list_part(
+        out, bytes(out, value.compressed), value.content_bytes, value.is_last);
+}
+
 } // namespace godwit::wire
--- a/libraries/wire/src/message_writer.hpp
+++ b/libraries/wire/src/message_writer.hpp
@@ -93,5 +93,11 @@
 write(flatbuffers::FlatBufferBuilder& out, const version_responses& value);
 flatbuffers::Offset<format::rollout_responses>
 write(flatbuffers::FlatBufferBuilder& out, const rollout_responses& value);
+flatbuffers::Offset<format::server_list_offer>
+write(flatbuffers::FlatBufferBuilder& out, const server_list_offer& value);
+flatbuffers::Offset<format::server_list_request>
+write(flatbuffers::FlatBufferBuilder& out, const server_list_request& value);
+flatbuffers::Offset<format::server_list_part>
+write(flatbuffers::FlatBufferBuilder& out, const server_list_part& value);
 
 } // namespace godwit::wire
--- a/services/entry/include/godwit/entry/cell_load_reporter.hpp
+++ b/services/entry/include/godwit/entry/cell_load_reporter.hpp
@@ -16,11 +16,20 @@
 class cell_load_reporter
 {
 public:
-    /// Interval between two reports. It is short compared with the prefill of a
-    /// prompt, some 400 ms, because outdated loads lead to a poor choice of
-    /// engine.
-    static constexpr core::duration report_interval =
+    /// Shortest interval between two reports. It is short compared with the
+    /// prefill of a prompt, some 400 ms, because outdated loads lead to a poor
+    /// choice of engine.
+    static constexpr core::duration min_report_interval =
         std::chrono::milliseconds(100);
+    /// Number of other cells to which a host reports at that interval. Beyond,
+    /// the interval grows with the number of cells, so that what a host sends
+    /// and receives does not.
+    static constexpr std::size_t fast_reported_cells = 8;
+
+    /// Returns the interval between two reports in a fleet of so many cells.
+    [[nodiscard]] static core::duration
+    report_interval(std::size_t cells) noexcept;
+
     /// Interval between two full reports. A new link begins with a full report
     /// and loses no later one; the periodic ones correct the sums when two
     /// hosts of the cell report the same server in a different order. Sent each
--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -25,6 +25,7 @@
 #include <boost/asio/signal_set.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -110,11 +111,15 @@
     [[nodiscard]] bool is_primary_list_reader() const;
 
     /// Returns whether this host may rely on another host of its cell to read
-    /// the server list, whose messages reach this host at once. While this
-    /// host's own reads fail, any reader will do; otherwise the reader has to
-    /// precede this host by name.
+    /// the server list and the route table, whose messages reach this host at
+    /// once. While this host reads them itself, the other reader has to precede
+    /// it by name; otherwise any reader will do.
     [[nodiscard]] bool may_rely_on_other_readers() const;
 
+    /// Returns whether this host started a moment ago and lacks the server list
+    /// or the route table, which a neighbour may still send.
+    [[nodiscard]] bool is_awaiting_neighbours() const;
+
     /// Returns whether this host started a moment ago in a fleet with other
     /// hosts and may not have received their messages yet.
     [[nodiscard]] bool is_joining_fleet() const;
@@ -213,8 +218,28 @@
     void broadcast_load();
     void schedule_load_broadcast();
     void broadcast_cell_load();
+    void queue_server_change(
+        const placement::server_id& server, std::string_view source);
     void broadcast_changed_servers();
-    [[nodiscard]] wire::listed_servers servers_message() const;
+    [[nodiscard]] wire::listed_servers
+    servers_message(const std::set<placement::server_id>& ids) const;
+    [[nodiscard]] wire::server_list_offer server_list_offer() const;
+    void handle_server_list_offer(
+        const core::host_name& host, const wire::server_list_offer& offer);
+    using server_list_offers =
+        std::map<core::host_name, placement::server_list_digest>;
+
+    void offer_server_list();
+    void request_server_list();
+    [[nodiscard]] server_list_offers::const_iterator
+    any_server_list_offer() const;
+    void serve_server_lists();
+    void send_server_list(
+        wire::link& to, const wire::server_list_request& wanted);
+    [[nodiscard]] std::vector<wire::server_list_part> encode_server_list(
+        const placement::server_list_digest::bucket_set& buckets) const;
+    void handle_server_list_part(
+        const core::host_name& host, const wire::server_list_part& part);
     [[nodiscard]] wire::listed_server
     server_entry(const placement::server_id& id) const;
     [[nodiscard]] wire::host_work load_message() const;
@@ -256,6 +281,8 @@
         std::size_t bytes) const;
     void add_to_history(received_table table);
     void apply_caller_limits(const routing::caller_limits& limits);
+    void handle_changed_servers(
+        const wire::hello& peer, const wire::listed_servers& message);
     void handle_servers(
         const core::host_name& host, const wire::listed_servers& message);
     /// Handles a neighbour's notice about a server, a `wire::server_sign`.
@@ -310,6 +337,8 @@
     [[nodiscard]] std::vector<placement::server_work> valid_load(
         const core::host_name& host,
         const std::vector<wire::server_work>& loads);
+    [[nodiscard]] bool is_takeover_of_others(core::time_point now) const;
+    void observe_readers();
     void update_list_readers(
         const core::host_name& host, const wire::host_work& message);
 
@@ -337,6 +366,20 @@
     table_loader loader_;
     table_request_queue<wire::link, wire::pull> table_requests_;
     server_list_readers readers_;
+    /// When another host of the cell was last known to read the list.
+    core::time_point reader_heard_at_{};
+    /// Offers of neighbours that were not looked at yet.
+    server_list_offers server_list_offers_;
+    /// The neighbour that was asked for its list.
+    std::optional<core::host_name> server_list_source_;
+    core::time_point server_list_requested_at_{};
+    core::host_name server_list_offered_to_;
+    core::time_point server_list_offered_at_{};
+    table_request_queue<wire::link, wire::server_list_request>
+        server_list_requests_;
+    /// The whole list as it was last sent, and its digest.
+    std::vector<wire::server_list_part> whole_list_;
+    placement::server_list_digest whole_list_digest_;
     wire::host_work last_sent_load_;
     core::time_point load_sent_at_{};
     cell_load_reporter load_reporter_;
@@ -345,7 +388,10 @@
     report_poller reports_;
     core::time_point polled_at_{};
     server_list_outage outage_;
-    std::set<placement::server_id> unsent_servers_; ///< Not broadcast yet.
+    /// Servers whose changes were not sent yet: to all neighbours, and to this
+    /// host's cell.
+    std::set<placement::server_id> unsent_servers_;
+    std::set<placement::server_id> unsent_to_cell_;
     core::time_point slow_servers_checked_at_{};
     std::set<core::host_name> invalid_gaps_from_; ///< Hosts that were logged.
     /// Hosts whose malformed crash reports were logged.
--- a/services/entry/include/godwit/entry/neighbour_links.hpp
+++ b/services/entry/include/godwit/entry/neighbour_links.hpp
@@ -85,6 +85,12 @@
         return cell_peers_;
     }
 
+    /// Returns the number of cells of the fleet; 0 until the hosts are known.
+    [[nodiscard]] std::size_t cell_count() const noexcept
+    {
+        return cell_count_;
+    }
+
     /// Returns an open link to the host, or null.
     [[nodiscard]] std::shared_ptr<wire::link>
     link_to(const core::host_name& host) const;
@@ -118,6 +124,7 @@
     std::map<http::endpoint, std::shared_ptr<wire::connector>> connectors_;
     placement::host_group cell_;
     std::set<core::host_name> cell_peers_;
+    std::size_t cell_count_ = 0;
 };
 
 } // namespace godwit::entry
--- a/services/entry/include/godwit/entry/report_poller.hpp
+++ b/services/entry/include/godwit/entry/report_poller.hpp
@@ -10,10 +10,9 @@
 
 namespace godwit::entry {
 
-/// Polls servers for whether they are draining: those that run this host's
-/// streams while the server list cannot be read, or every usable engine.
-/// Without the polls, every stream whose server ends during an outage of the
-/// list would be lost.
+/// Polls the servers that run this host's streams for whether they are
+/// draining. Without the polls, every stream whose server ends during an outage
+/// of the list would be lost.
 class report_poller
 {
 public:
@@ -28,8 +27,10 @@
     /// Polls each server that runs streams and has no poll pending.
     void poll_servers_in_use();
 
-    /// Polls every usable engine that has no poll pending.
-    void poll_all_engines();
+    /// Does the same, except for servers that another host polls: the first one
+    /// by name of the first group of hosts that reports work there.
+    void
+    poll_own_share(const placement::host_group& cell, core::time_point now);
 
 private:
     void start_poll(const placement::server_id& id);
--- a/services/entry/src/cell_load_reporter.cpp
+++ b/services/entry/src/cell_load_reporter.cpp
@@ -2,6 +2,7 @@
 
 #include <godwit/entry/load_conversion.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace godwit::entry {
@@ -24,6 +25,15 @@
 
 } // namespace
 
+core::duration cell_load_reporter::report_interval(std::size_t cells) noexcept
+{
+    const std::size_t others = std::max<std::size_t>(cells, 1) - 1;
+    const auto interval =
+        min_report_interval * std::max(others, fast_reported_cells) /
+        fast_reported_cells;
+    return std::min<core::duration>(interval, max_report_interval);
+}
+
 std::optional<wire::cell_work> cell_load_reporter::next(
     const placement::host_group& cell,
     const std::vector<placement::server_work>& sums,
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -248,13 +248,14 @@
 void entry_process::on_server_added(
     const placement::backend_server& server, std::string_view source)
 {
-    unsent_servers_.insert(server.id);
     context_.connections->forget(server.address);
     context_.queue.wake_first();
-    // The servers of the first list are logged together. Those that appear
-    // later have just started or returned.
+    // The servers of the first list are logged together, and neighbours that
+    // lack them ask for them. Those that appear later have just started or
+    // returned.
     if (!has_servers_)
         return;
+    queue_server_change(server.id, source);
     presume_cold(context_, server);
     log_event(
         log_level::info,
@@ -314,9 +315,8 @@
         component,
         "server_left",
         {{"server", server}, {"source", source}});
-    // The change is broadcast at once and forwarded from host to host, because
-    // the server gives short notice.
-    unsent_servers_.insert(server);
+    // The change is sent at once, because the server gives short notice.
+    queue_server_change(server, source);
     broadcast_changed_servers();
     context_.health.forget(server);
     forget_limit(server);
@@ -353,6 +353,7 @@
 {
     if (std::exchange(has_servers_, true))
         return;
+    neighbours_->broadcast(server_list_offer());
     log_event(
         log_level::info,
         component,
@@ -402,24 +403,22 @@
     }
 }
 
-// While no host in the cell can read the server list, each host polls the
-// servers of its own streams, at the shorter interval. While this host can read
-// the list, only the primary reader polls, every engine and for all hosts, at
-// the regular interval: the list's source sends data only when an entry
-// changes, so that a source that is stuck cannot be told from one without
-// changes.
+// The list's source sends data only when an entry changes, so that a source that
+// is stuck cannot be told from one without changes: hosts poll the servers that
+// run their streams, each of which is polled by one host. While no host in the
+// cell can read the list, each host polls for itself, at the shorter interval.
 void entry_process::poll_reports()
 {
     const core::time_point now = core::monotonic_now();
-    const bool is_current = outage_.is_current();
+    const bool is_informed = outage_.is_current() || may_rely_on_other_readers();
     if (now - polled_at_ <
-        (is_current ? regular_poll_interval : outage_poll_interval))
+        (is_informed ? regular_poll_interval : outage_poll_interval))
         return;
     polled_at_ = now;
-    if (!is_current && !may_rely_on_other_readers())
+    if (is_informed)
+        reports_.poll_own_share(neighbours_->cell(), now);
+    else
         reports_.poll_servers_in_use();
-    else if (is_current && is_primary_list_reader())
-        reports_.poll_all_engines();
 }
 
 // Detects that the process did not run for a while. Nothing has to be expired
@@ -485,6 +484,10 @@
     broadcast_cell_load();
     request_table();
     serve_table_requests();
+    observe_readers();
+    offer_server_list();
+    request_server_list();
+    serve_server_lists();
     avoid_unresponsive_servers();
     detect_slow_servers();
     poll_reports();
--- a/services/entry/src/entry_process_neighbours.cpp
+++ b/services/entry/src/entry_process_neighbours.cpp
@@ -7,6 +7,9 @@
 
 #include <godwit/telemetry/log.hpp>
 
+#include <godwit/core/hash.hpp>
+#include <godwit/core/random.hpp>
+
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
@@ -33,6 +36,16 @@
 // and their reports of who reads the list.
 constexpr core::duration joining_duration = std::chrono::seconds(4);
 
+// How long a host that starts waits for the server list and the route table of
+// a neighbour before it reads them at their source: a time that is enough for
+// a small host to receive both, and a random one in addition.
+constexpr core::duration min_neighbour_wait = std::chrono::milliseconds(2500);
+constexpr core::duration neighbour_wait_spread = std::chrono::seconds(3);
+
+// Delay between the hosts of a cell that take over from its reader. A host that
+// reads the list says so in less.
+constexpr core::duration takeover_delay = std::chrono::milliseconds(400);
+
 bool differs_only_in_growth(
     const wire::host_work& left, const wire::host_work& right)
 {
@@ -61,8 +74,8 @@
     if (context_.routes)
         messages.emplace_back(
             wire::catalogue_position{context_.routes->version(), 0});
-    if (outage_.is_current())
-        messages.emplace_back(servers_message());
+    if (has_servers_)
+        messages.emplace_back(server_list_offer());
     messages.emplace_back(load_message());
     if (!context_.quarantine.empty())
         messages.emplace_back(crash_reports_message());
@@ -83,14 +96,6 @@
     return messages;
 }
 
-wire::listed_servers entry_process::servers_message() const
-{
-    wire::listed_servers message;
-    for (const auto& id : context_.directory.ids())
-        message.servers.push_back(server_entry(id));
-    return message;
-}
-
 wire::listed_server
 entry_process::server_entry(const placement::server_id& id) const
 {
@@ -126,16 +131,44 @@
     return message;
 }
 
-void entry_process::broadcast_changed_servers()
+// Each host learns of a change once: the primary reader tells its neighbours,
+// of which those in other cells tell their own cells. Each cell also has a
+// reader of its own, which tells its cell if no other cell did. If every host
+// told all of its neighbours, a change would take as many messages as the fleet
+// has links.
+void entry_process::queue_server_change(
+    const placement::server_id& server, std::string_view source)
 {
-    if (unsent_servers_.empty())
+    const core::host_name host{std::string(source)};
+    const bool is_from_neighbour = neighbours_->link_to(host) != nullptr;
+    if (is_from_neighbour && neighbours_->is_cell_peer(host))
         return;
+    if (is_from_neighbour || !is_primary_list_reader())
+        unsent_to_cell_.insert(server);
+    else
+        unsent_servers_.insert(server);
+}
+
+wire::listed_servers entry_process::servers_message(
+    const std::set<placement::server_id>& ids) const
+{
     wire::listed_servers message;
-    for (const auto& id : std::exchange(unsent_servers_, {})) {
+    for (const auto& id : ids) {
         if (context_.directory.find(id) != nullptr)
             message.servers.push_back(server_entry(id));
     }
-    neighbours_->broadcast(message);
+    return message;
+}
+
+void entry_process::broadcast_changed_servers()
+{
+    if (!unsent_servers_.empty())
+        neighbours_->broadcast(
+            servers_message(std::exchange(unsent_servers_, {})));
+    if (!unsent_to_cell_.empty())
+        neighbours_->broadcast(
+            servers_message(std::exchange(unsent_to_cell_, {})),
+            audience::cell);
 }
 
 void entry_process::broadcast_load()
@@ -166,7 +199,8 @@
         neighbours_->broadcast(message, audience::other_cells);
     }
     const bool is_due =
-        now - cell_load_sent_at_ >= cell_load_reporter::report_interval;
+        now - cell_load_sent_at_ >=
+        cell_load_reporter::report_interval(neighbours_->cell_count());
     if (!is_due || neighbours_->cell().empty() ||
         2 * context_.ledger.active_neighbours(now) <
             neighbours_->cell_peers().size())
@@ -204,7 +238,7 @@
     else if (const auto* changes = std::get_if<wire::table_changes>(&message))
         handle_table_changes(peer.host, *changes);
     else if (const auto* servers = std::get_if<wire::listed_servers>(&message))
-        handle_servers(peer.host, *servers);
+        handle_changed_servers(peer, *servers);
     else if (const auto* work = std::get_if<wire::host_work>(&message))
         handle_host_load(peer, *work);
     else if (const auto* notice = std::get_if<wire::server_sign>(&message))
@@ -221,6 +255,14 @@
         handle_evacuations(peer.host, *zones);
     else if (const auto* cold = std::get_if<wire::cold_servers>(&message))
         handle_cold_servers(peer.host, *cold);
+    else if (
+        const auto* offer = std::get_if<wire::server_list_offer>(&message))
+        handle_server_list_offer(peer.host, *offer);
+    else if (
+        const auto* wanted = std::get_if<wire::server_list_request>(&message))
+        server_list_requests_.add(from, *wanted, core::monotonic_now());
+    else if (const auto* part = std::get_if<wire::server_list_part>(&message))
+        handle_server_list_part(peer.host, *part);
     else if (const auto* all = std::get_if<wire::rollout_reports>(&message))
         handle_rollouts(peer.host, *all);
     else if (
@@ -248,21 +290,33 @@
 {
     if (message.kind != wire::sign_kind::leaving)
         return;
-    for (const auto& id : context_.directory.ids()) {
-        placement::backend_server known = *context_.directory.find(id);
-        const placement::server_start start{message.started_at_ms};
+    const auto address = http::endpoint::parse(message.address.value());
+    if (!address)
+        return;
+    const placement::server_start start{message.started_at_ms};
+    for (const placement::backend_server* server :
+         context_.directory.usable_at(*address)) {
         const bool is_current_process =
-            !start.is_known() || start == known.start;
-        const bool matches =
-            is_current_process && context_.directory.is_usable(id) &&
-            known.address.to_string() == message.address.value();
-        if (!matches)
+            !start.is_known() || start == server->start;
+        if (!is_current_process)
             continue;
-        known.state = placement::server_state::draining;
-        add_or_update_server(known, host.value());
+        placement::backend_server draining = *server;
+        draining.state = placement::server_state::draining;
+        add_or_update_server(draining, host.value());
     }
 }
 
+// A process of an earlier release sends its whole list when the link opens.
+void entry_process::handle_changed_servers(
+    const wire::hello& peer, const wire::listed_servers& message)
+{
+    handle_servers(peer.host, message);
+    const std::size_t first_exchange_kind =
+        wire::message(wire::server_list_offer()).index();
+    if (peer.message_kinds <= first_exchange_kind)
+        mark_servers_known(peer.host.value());
+}
+
 void entry_process::handle_servers(
     const core::host_name& host, const wire::listed_servers& message)
 {
@@ -286,7 +340,6 @@
                 placement::server_version(listed.version)},
             host.value());
     }
-    mark_servers_known(host.value());
 }
 
 // The primary reader is the first by name of the hosts that read the list now.
@@ -317,14 +370,55 @@
         peers.begin(), peers.lower_bound(context_.settings.host)));
 }
 
+// Hosts that start together would each read the whole list and table at the
+// source. Those that others look for first read them, and their neighbours get
+// both from them; a host that hears nothing reads for itself, not all at once.
+bool entry_process::is_awaiting_neighbours() const
+{
+    const auto& settings = context_.settings;
+    const bool is_seed = std::find(
+                             settings.seeds.begin(),
+                             settings.seeds.end(),
+                             settings.neighbours) != settings.seeds.end();
+    const bool is_complete = has_servers_ && context_.routes;
+    if (is_seed || settings.seeds.empty() || is_complete)
+        return false;
+    core::random host_random(core::stable_hash(settings.host.value()));
+    const auto wait =
+        min_neighbour_wait + std::chrono::duration_cast<core::duration>(
+                                 neighbour_wait_spread * host_random.unit());
+    return core::monotonic_now() - started_at_ < wait;
+}
+
 bool entry_process::may_rely_on_other_readers() const
 {
+    if (is_awaiting_neighbours())
+        return true;
     const core::time_point now = core::monotonic_now();
     const auto& peers = neighbours_->cell_peers();
     if (!is_large_fleet())
         return false;
-    return outage_.is_current() ? readers_.has_earlier_reader(peers, now)
-                                : readers_.has_reader(peers, now);
+    if (readers_.is_reader(now))
+        return readers_.has_earlier_reader(peers, now);
+    return readers_.has_reader(peers, now) || is_takeover_of_others(now);
+}
+
+// When the reader of a cell stops, the hosts of the cell take its place one
+// after the other by name, since each reads the whole list first.
+bool entry_process::is_takeover_of_others(core::time_point now) const
+{
+    return now - reader_heard_at_ <
+           takeover_delay * static_cast<std::int64_t>(rank_in_cell());
+}
+
+void entry_process::observe_readers()
+{
+    const core::time_point now = core::monotonic_now();
+    const bool is_heard =
+        is_awaiting_neighbours() ||
+        readers_.has_reader(neighbours_->cell_peers(), now);
+    if (is_heard || reader_heard_at_ == core::time_point())
+        reader_heard_at_ = now;
 }
 
 void entry_process::update_list_readers(
--- a/services/entry/src/neighbour_links.cpp
+++ b/services/entry/src/neighbour_links.cpp
@@ -187,6 +187,7 @@
 {
     cell_ = placement::host_group();
     cell_peers_.clear();
+    cell_count_ = cells.size();
     for (const host_cell& each : cells) {
         std::set<core::host_name> names;
         for (const known_host& member : each.members)
--- a/services/entry/src/report_poller.cpp
+++ b/services/entry/src/report_poller.cpp
@@ -42,12 +42,12 @@
         start_poll(id);
 }
 
-void report_poller::poll_all_engines()
+void report_poller::poll_own_share(
+    const placement::host_group& cell, core::time_point now)
 {
-    if (!context_.routes)
-        return;
-    for (const auto& id : context_.directory.ids()) {
-        if (context_.routes->has_engines(context_.directory.find(id)->service))
+    for (const auto& id : context_.streams.servers()) {
+        if (!context_.ledger.has_earlier_report(
+                id, context_.settings.host, cell, now))
             start_poll(id);
     }
 }
--- a/tests/platform_adapter/fake_neighbours.cpp
+++ b/tests/platform_adapter/fake_neighbours.cpp
@@ -75,6 +75,7 @@
     const auto* zones = std::get_if<wire::zone_evacuations>(&message);
     {
         const std::lock_guard guard(mutex_);
+        received_.emplace_back(name, message);
         if (limits != nullptr)
             limits_.push_back(*limits);
         if (zones != nullptr)
@@ -121,6 +122,16 @@
         .get();
 }
 
+void fake_neighbours::send_from(
+    std::size_t neighbour, const wire::message& message)
+{
+    testbed::wait_until("links", [this] { return are_linked(); });
+    asio::post(io_, asio::use_future([this, neighbour, &message] {
+                   connectors_[neighbour]->send(message);
+               }))
+        .get();
+}
+
 std::vector<std::string> fake_neighbours::pull_receivers() const
 {
     const std::lock_guard guard(mutex_);
--- a/tests/platform_adapter/fake_neighbours.hpp
+++ b/tests/platform_adapter/fake_neighbours.hpp
@@ -15,6 +15,8 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <utility>
+#include <variant>
 #include <vector>
 
 namespace godwit::platform_adapter::test {
@@ -54,11 +56,21 @@
     /// Returns the received evacuations, in order.
     [[nodiscard]] std::vector<wire::zone_evacuations> evacuations() const;
 
+    /// Returns the received messages of this type, with their receivers, in
+    /// order.
+    template<class Message>
+    [[nodiscard]] std::vector<std::pair<std::string, Message>> received() const;
+
+    /// Sends the message from one neighbour, once all are linked.
+    void send_from(std::size_t neighbour, const wire::message& message);
+
+    /// Returns whether each neighbour's link is open.
+    [[nodiscard]] bool are_linked();
+
     /// Returns the received messages with tables or changes, in order.
     [[nodiscard]] std::vector<wire::message> table_messages() const;
 
 private:
-    [[nodiscard]] bool are_linked();
     void connect(
         const std::string& name, const boost::asio::ip::tcp::endpoint& host);
     void receive(
@@ -72,6 +84,7 @@
     pull_handler pull_handler_;
     std::vector<std::shared_ptr<wire::connector>> connectors_;
     mutable std::mutex mutex_;
+    std::vector<std::pair<std::string, wire::message>> received_;
     std::vector<std::string> pull_receivers_;
     std::vector<wire::message> table_messages_;
     std::vector<wire::server_limits> limits_;
@@ -80,4 +93,16 @@
     std::thread thread_;
 };
 
+template<class Message>
+std::vector<std::pair<std::string, Message>> fake_neighbours::received() const
+{
+    const std::lock_guard guard(mutex_);
+    std::vector<std::pair<std::string, Message>> found;
+    for (const auto& [receiver, message] : received_) {
+        if (const auto* one = std::get_if<Message>(&message))
+            found.emplace_back(receiver, *one);
+    }
+    return found;
+}
+
 } // namespace godwit::platform_adapter::test
--- /dev/null
+++ b/tests/platform_adapter/server_list_exchange_test.cpp
@@ -0,0 +1,228 @@
+// Guards against work and messages that grow with the server list although
+// nothing changed: a list that exceeds the size of a message closed every link,
+// every engine was polled, and every host forwarded each change to all of its
+// neighbours.
+
+#include "fake_neighbours.hpp"
+#include "testbed.hpp"
+
+#include <godwit/delta/text_patch.hpp>
+#include <godwit/wire/codec.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <optional>
+#include <set>
+#include <string>
+#include <thread>
+#include <variant>
+
+namespace {
+
+using namespace godwit;
+using namespace godwit::platform_adapter::test;
+using std::chrono::milliseconds;
+
+std::string server_record(const std::string& address, const std::string& state)
+{
+    return R"({"service":"lm","address":")" + address +
+           R"(","zone":"east","version":"v1","slots":4,"state":")" + state +
+           R"(","sequence":1})";
+}
+
+class server_list_exchange_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(server_list_exchange_test);
+    CPPUNIT_TEST(test_a_list_larger_than_a_message_keeps_the_links_open);
+    CPPUNIT_TEST(test_only_differing_buckets_are_requested);
+    CPPUNIT_TEST(test_a_list_is_taken_from_a_neighbour);
+    CPPUNIT_TEST(test_malformed_parts_and_offers_change_nothing);
+    CPPUNIT_TEST(test_idle_engines_are_not_polled);
+    CPPUNIT_TEST(test_a_change_of_a_cell_peer_is_not_forwarded);
+    CPPUNIT_TEST_SUITE_END();
+
+    testbed testbed_;
+
+    static std::optional<wire::message> no_table(const wire::pull& /*pull*/)
+    {
+        return std::nullopt;
+    }
+
+    static std::string address_of(int number)
+    {
+        return "10.1." + std::to_string(number / 250) + "." +
+               std::to_string(1 + number % 250) + ":80";
+    }
+
+    void put_servers(int count)
+    {
+        for (int number = 0; number < count; ++number)
+            testbed_.store().put(
+                "keyed.servers",
+                "far-" + std::to_string(number),
+                server_record(address_of(number), "ready"));
+    }
+
+    std::size_t known_servers()
+    {
+        return testbed_.run_on_host<std::size_t>([](auto& process) {
+            return process.context().directory.size();
+        });
+    }
+
+    static std::set<std::string>
+    servers_in(const fake_neighbours& others, const std::string& receiver)
+    {
+        std::set<std::string> ids;
+        for (const auto& [name, part] :
+             others.received<wire::server_list_part>()) {
+            if (name != receiver)
+                continue;
+            const auto content = delta::apply_patch(
+                "", {part.content_bytes, part.compressed}, 1U << 20U);
+            const auto message = wire::decode(*content);
+            for (const auto& each :
+                 std::get<wire::listed_servers>(*message).servers)
+                ids.insert(each.id);
+        }
+        return ids;
+    }
+
+    void test_a_list_larger_than_a_message_keeps_the_links_open()
+    {
+        constexpr int count = 12000;
+        put_servers(count);
+        testbed_.publish(1);
+        testbed::wait_until(
+            "the list", [this] { return known_servers() == count; });
+        fake_neighbours others(1, testbed_.neighbours(), &no_table);
+        testbed::wait_until("the offer", [&others] {
+            return !others.received<wire::server_list_offer>().empty();
+        });
+        others.send_from(0, wire::server_list_request{~std::uint64_t{0}});
+        testbed::wait_until("the list at the neighbour", [&others] {
+            return servers_in(others, "n0").size() == count;
+        });
+        CPPUNIT_ASSERT(others.are_linked());
+        std::size_t bytes = 0;
+        for (const auto& [name, part] :
+             others.received<wire::server_list_part>())
+            bytes += part.compressed.size();
+        constexpr std::size_t max_bytes_per_server = 40;
+        CPPUNIT_ASSERT(bytes < max_bytes_per_server * count);
+    }
+
+    void test_only_differing_buckets_are_requested()
+    {
+        testbed_.start();
+        fake_neighbours others(1, testbed_.neighbours(), &no_table);
+        testbed::wait_until("the offer", [&others] {
+            return !others.received<wire::server_list_offer>().empty();
+        });
+        auto offer =
+            others.received<wire::server_list_offer>().front().second;
+        others.send_from(0, offer);
+        offer.buckets[5] ^= 1;
+        others.send_from(0, offer);
+        testbed::wait_until("the request", [&others] {
+            return !others.received<wire::server_list_request>().empty();
+        });
+        CPPUNIT_ASSERT_EQUAL(
+            std::uint64_t{1} << 5U,
+            others.received<wire::server_list_request>()
+                .front()
+                .second.buckets);
+    }
+
+    void test_a_list_is_taken_from_a_neighbour()
+    {
+        testbed_.store().set_status(503);
+        fake_neighbours others(1, testbed_.neighbours(), &no_table);
+        wire::server_list_offer offer;
+        offer.buckets.assign(64, 9);
+        others.send_from(0, offer);
+        testbed::wait_until("the request", [&others] {
+            return !others.received<wire::server_list_request>().empty();
+        });
+        wire::listed_servers listed;
+        listed.servers.push_back(
+            {"far-1",
+             core::server_address(address_of(1)),
+             core::zone_name("east"),
+             core::service_name("lm"),
+             4,
+             wire::server_state::live,
+             1,
+             0,
+             "v1"});
+        const std::string content = wire::encode(listed);
+        const auto patch = delta::make_patch("", content);
+        others.send_from(
+            0, wire::server_list_part{patch->compressed, content.size(), true});
+        testbed::wait_until(
+            "the server", [this] { return known_servers() == 1; });
+    }
+
+    void test_malformed_parts_and_offers_change_nothing()
+    {
+        testbed_.start();
+        fake_neighbours others(1, testbed_.neighbours(), &no_table);
+        others.send_from(0, wire::server_list_offer{{1, 2}});
+        others.send_from(0, wire::server_list_part{"not zstd", 90, true});
+        const auto patch = delta::make_patch("", "not a frame");
+        others.send_from(
+            0, wire::server_list_part{patch->compressed, 11, true});
+        std::this_thread::sleep_for(milliseconds(200));
+        CPPUNIT_ASSERT(others.are_linked());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, known_servers());
+        CPPUNIT_ASSERT_EQUAL(200U, testbed_.call("POST", "/plain/").status);
+    }
+
+    void test_idle_engines_are_not_polled()
+    {
+        testbed_.start();
+        std::this_thread::sleep_for(milliseconds(1500));
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t{0}, testbed_.first_server().count("/api/report"));
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t{0}, testbed_.second_server().count("/api/report"));
+    }
+
+    void test_a_change_of_a_cell_peer_is_not_forwarded()
+    {
+        testbed_.start();
+        fake_neighbours others(3, testbed_.neighbours(), &no_table);
+        wire::listed_servers changed;
+        changed.servers.push_back(
+            {"far-1",
+             core::server_address(address_of(1)),
+             core::zone_name("east"),
+             core::service_name("lm"),
+             4,
+             wire::server_state::live,
+             1,
+             0,
+             "v1"});
+        others.send_from(0, changed);
+        testbed::wait_until(
+            "the server", [this] { return known_servers() == 3; });
+        std::this_thread::sleep_for(milliseconds(200));
+        for (const auto& [name, message] :
+             others.received<wire::listed_servers>()) {
+            for (const auto& each : message.servers)
+                CPPUNIT_ASSERT(each.id != "far-1");
+        }
+        const std::size_t before =
+            others.received<wire::listed_servers>().size();
+        // What this host learns by itself, it tells every neighbour.
+        testbed_.register_server(testbed_.second_server(), "draining");
+        testbed::wait_until("the change", [&others, before] {
+            return others.received<wire::listed_servers>().size() == before + 3;
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(server_list_exchange_test);
+
+} // namespace
