entry: hosts without work tell less

Cause: each host repeated that it has no work, and who reads the list, each 0.5 s to each of its 61 neighbours, and the sums of its cell each 0.1 s to each other cell, so that messages grew with the cells.

--- a/libraries/placement/include/godwit/placement/server_list_digest.hpp
+++ b/libraries/placement/include/godwit/placement/server_list_digest.hpp
@@ -32,8 +32,7 @@
     void toggle(const server_id& id, const server_start& start);
 
     /// Returns the buckets whose contents differ.
-    [[nodiscard]] bucket_set
-    differences(const server_list_digest& other) const;
+    [[nodiscard]] bucket_set differences(const server_list_digest& other) const;
 
     [[nodiscard]] const bucket_values& values() const noexcept
     {
--- a/libraries/placement/src/load_ledger.cpp
+++ b/libraries/placement/src/load_ledger.cpp
@@ -160,7 +160,9 @@
         return each.second.is_fresh(now) && each.second.work.contains(server);
     };
     return std::any_of(
-               neighbours_.begin(), neighbours_.lower_bound(self), reports_work) ||
+               neighbours_.begin(),
+               neighbours_.lower_bound(self),
+               reports_work) ||
            std::any_of(
                groups_.begin(), groups_.lower_bound(own_group), reports_work);
 }
--- a/libraries/placement/src/server_directory.cpp
+++ b/libraries/placement/src/server_directory.cpp
@@ -228,9 +228,7 @@
 }
 
 void server_directory::expire_one(
-    const server_id& id,
-    std::vector<server_id>& departed,
-    core::time_point now)
+    const server_id& id, std::vector<server_id>& departed, core::time_point now)
 {
     const auto found = servers_.find(id);
     if (found == servers_.end())
--- a/services/entry/include/godwit/entry/cell_load_reporter.hpp
+++ b/services/entry/include/godwit/entry/cell_load_reporter.hpp
@@ -38,9 +38,10 @@
     static constexpr core::duration full_report_interval =
         std::chrono::seconds(10);
     /// Longest interval without a report, even if nothing changed, so that
-    /// missing reports mean that the cell cannot be reached.
+    /// missing reports mean that the cell cannot be reached. A cell without
+    /// load reports nothing.
     static constexpr core::duration max_report_interval =
-        std::chrono::milliseconds(500);
+        std::chrono::seconds(1);
     /// Smallest change of a server's KV cache that is reported, in tokens: a
     /// tenth of the KV cache of a usual generation. Smaller changes are
     /// reported once they add up to it.
@@ -61,6 +62,7 @@
 private:
     placement::host_group cell_; ///< The cell of the last report.
     std::map<placement::server_id, placement::work_size> reported_;
+    bool was_empty_ = false; ///< Whether the last report said so.
     core::time_point full_report_at_{};
     std::optional<core::time_point> last_report_at_; ///< Of either kind.
 };
--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -234,8 +234,8 @@
     [[nodiscard]] server_list_offers::const_iterator
     any_server_list_offer() const;
     void serve_server_lists();
-    void send_server_list(
-        wire::link& to, const wire::server_list_request& wanted);
+    void
+    send_server_list(wire::link& to, const wire::server_list_request& wanted);
     [[nodiscard]] std::vector<wire::server_list_part> encode_server_list(
         const placement::server_list_digest::bucket_set& buckets) const;
     void handle_server_list_part(
--- a/services/entry/src/cell_load_reporter.cpp
+++ b/services/entry/src/cell_load_reporter.cpp
@@ -28,9 +28,9 @@
 core::duration cell_load_reporter::report_interval(std::size_t cells) noexcept
 {
     const std::size_t others = std::max<std::size_t>(cells, 1) - 1;
-    const auto interval =
-        min_report_interval * std::max(others, fast_reported_cells) /
-        fast_reported_cells;
+    const auto interval = min_report_interval *
+                          std::max(others, fast_reported_cells) /
+                          fast_reported_cells;
     return std::min<core::duration>(interval, max_report_interval);
 }
 
@@ -67,6 +67,9 @@
     reported_ = std::move(kept);
     if (report.is_whole)
         full_report_at_ = now;
+    if (report.work.empty() && reported_.empty() && was_empty_)
+        return std::nullopt;
+    was_empty_ = reported_.empty();
     const bool is_unchanged = report.work.empty() && !report.is_whole;
     if (is_unchanged && last_report_at_ &&
         now - *last_report_at_ < max_report_interval)
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -403,14 +403,16 @@
     }
 }
 
-// The list's source sends data only when an entry changes, so that a source that
-// is stuck cannot be told from one without changes: hosts poll the servers that
-// run their streams, each of which is polled by one host. While no host in the
-// cell can read the list, each host polls for itself, at the shorter interval.
+// The list's source sends data only when an entry changes, so that a source
+// that is stuck cannot be told from one without changes: hosts poll the servers
+// that run their streams, each of which is polled by one host. While no host in
+// the cell can read the list, each host polls for itself, at the shorter
+// interval.
 void entry_process::poll_reports()
 {
     const core::time_point now = core::monotonic_now();
-    const bool is_informed = outage_.is_current() || may_rely_on_other_readers();
+    const bool is_informed =
+        outage_.is_current() || may_rely_on_other_readers();
     if (now - polled_at_ <
         (is_informed ? regular_poll_interval : outage_poll_interval))
         return;
--- a/services/entry/src/entry_process_neighbours.cpp
+++ b/services/entry/src/entry_process_neighbours.cpp
@@ -27,8 +27,10 @@
 namespace {
 
 constexpr std::string_view component = "neighbours";
-// Neighbours drop a host's load report after a few seconds without a new one.
+// Neighbours drop a host's load report after three seconds without a new one,
+// and its report that it reads the list after two.
 constexpr core::duration load_refresh_interval = std::chrono::milliseconds(500);
+constexpr core::duration idle_refresh_interval = std::chrono::seconds(1);
 // Maximum duration of a claim to a server's network link. It bounds how long a
 // host that fails during its claim holds up the migrations of other hosts.
 constexpr core::duration max_link_claim = std::chrono::milliseconds(500);
@@ -149,8 +151,8 @@
         unsent_servers_.insert(server);
 }
 
-wire::listed_servers entry_process::servers_message(
-    const std::set<placement::server_id>& ids) const
+wire::listed_servers
+entry_process::servers_message(const std::set<placement::server_id>& ids) const
 {
     wire::listed_servers message;
     for (const auto& id : ids) {
@@ -177,8 +179,11 @@
     wire::host_work message = load_message();
     // Generations grow with each event, so that growth alone is not broadcast
     // at once but at the next refresh.
+    const bool is_idle = message.work.empty() && !message.reads_list;
+    const core::duration interval =
+        is_idle ? idle_refresh_interval : load_refresh_interval;
     if (differs_only_in_growth(message, last_sent_load_) &&
-        now - load_sent_at_ < load_refresh_interval)
+        now - load_sent_at_ < interval)
         return;
     neighbours_->broadcast(message, audience::cell);
     last_sent_load_ = std::move(message);
@@ -192,7 +197,12 @@
 void entry_process::broadcast_cell_load()
 {
     const core::time_point now = core::monotonic_now();
-    if (now - reader_state_sent_at_ >= load_refresh_interval) {
+    // The other cells need to know which hosts read the list; the hosts of a
+    // cell tell each other what they hear of them.
+    const bool tells_reader_state =
+        readers_.is_reader(now) || neighbours_->cell_count() <= 1;
+    if (tells_reader_state &&
+        now - reader_state_sent_at_ >= load_refresh_interval) {
         reader_state_sent_at_ = now;
         wire::host_work message = load_message();
         message.work.clear();
@@ -255,8 +265,7 @@
         handle_evacuations(peer.host, *zones);
     else if (const auto* cold = std::get_if<wire::cold_servers>(&message))
         handle_cold_servers(peer.host, *cold);
-    else if (
-        const auto* offer = std::get_if<wire::server_list_offer>(&message))
+    else if (const auto* offer = std::get_if<wire::server_list_offer>(&message))
         handle_server_list_offer(peer.host, *offer);
     else if (
         const auto* wanted = std::get_if<wire::server_list_request>(&message))
@@ -414,9 +423,8 @@
 void entry_process::observe_readers()
 {
     const core::time_point now = core::monotonic_now();
-    const bool is_heard =
-        is_awaiting_neighbours() ||
-        readers_.has_reader(neighbours_->cell_peers(), now);
+    const bool is_heard = is_awaiting_neighbours() ||
+                          readers_.has_reader(neighbours_->cell_peers(), now);
     if (is_heard || reader_heard_at_ == core::time_point())
         reader_heard_at_ = now;
 }
--- a/services/entry/src/entry_process_server_list.cpp
+++ b/services/entry/src/entry_process_server_list.cpp
@@ -53,8 +53,8 @@
     return wire::server_list_offer{{values.begin(), values.end()}};
 }
 
-// Changes that a neighbour missed, or that this host missed, show in the digest.
-// The neighbours are compared with one after the other.
+// Changes that a neighbour missed, or that this host missed, show in the
+// digest. The neighbours are compared with one after the other.
 void entry_process::offer_server_list()
 {
     const core::time_point now = core::monotonic_now();
@@ -189,9 +189,11 @@
     const core::host_name& host, const wire::server_list_part& part)
 {
     const auto content = delta::apply_patch(
-        std::string_view(), {part.content_bytes, part.compressed}, max_part_bytes);
-    auto decoded = content ? wire::decode(*content)
-                           : tl::unexpected(content.error());
+        std::string_view(),
+        {part.content_bytes, part.compressed},
+        max_part_bytes);
+    auto decoded =
+        content ? wire::decode(*content) : tl::unexpected(content.error());
     const auto* servers =
         decoded ? std::get_if<wire::listed_servers>(&*decoded) : nullptr;
     if (servers == nullptr) {
