platform: a read in pages removes no server that was reported meanwhile

Cause: the pages of a list are read one after the other, and what was not listed was taken for gone. A host that started marked 3,818 servers as draining that its neighbours had reported since it read their page, and told its cell. Any list of more than one page (500 servers) is concerned.

A server that became known after the read began stays; its record comes with the next read. Changes of more than 16 servers in a tick are logged as a number, since each line is written by every host.

--- a/libraries/placement/include/godwit/placement/server_directory.hpp
+++ b/libraries/placement/include/godwit/placement/server_directory.hpp
@@ -92,6 +92,10 @@
     [[nodiscard]] std::size_t largest_departure(
         const core::service_name& service, core::time_point now) const;
 
+    /// When this incarnation of the server became known; empty if it is not.
+    [[nodiscard]] std::optional<core::time_point>
+    known_since(const server_id& id) const;
+
     /// When the server joined; empty if it was in the initial list of this
     /// host.
     [[nodiscard]] std::optional<core::time_point>
@@ -123,6 +127,7 @@
         std::optional<core::time_point> left_at;
         std::optional<core::time_point> missing_since;
         std::optional<core::time_point> joined_at;
+        core::time_point known_since;
     };
 
     /// The departures of one service.
--- a/libraries/placement/src/server_directory.cpp
+++ b/libraries/placement/src/server_directory.cpp
@@ -128,8 +128,8 @@
 server_directory::add(const backend_server& server, core::time_point now)
 {
     drain_same_address(server, now);
-    entry& added =
-        servers_.emplace(server.id, entry{server, {}, {}, {}}).first->second;
+    entry& added = servers_.emplace(server.id, entry{server, {}, {}, {}, now})
+                       .first->second;
     if (!first_listed_at_)
         first_listed_at_ = now;
     if (now - *first_listed_at_ > initial_view_window)
@@ -151,7 +151,7 @@
     drain_same_address(server, now);
     if (!known.left_at)
         remove_usable(known);
-    known = entry{server, {}, {}, now};
+    known = entry{server, {}, {}, now, now};
     if (server.state == server_state::ready) {
         add_usable(known);
         return directory_change::restarted;
@@ -186,7 +186,8 @@
             add_usable(known);
         return mark_draining(known, now);
     }
-    known = entry{server, {}, {}, known.joined_at};
+    known = entry{
+        server, {}, {}, known.joined_at, was_usable ? known.known_since : now};
     add_usable(known);
     return was_usable ? directory_change::none : directory_change::appeared;
 }
@@ -270,6 +271,15 @@
     return known->second.last_at;
 }
 
+std::optional<core::time_point>
+server_directory::known_since(const server_id& id) const
+{
+    const auto found = servers_.find(id);
+    if (found == servers_.end())
+        return std::nullopt;
+    return found->second.known_since;
+}
+
 std::optional<core::time_point>
 server_directory::joined_at(const server_id& id) const
 {
--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -210,6 +210,8 @@
         const placement::server_id& server,
         const http::endpoint& address,
         std::string_view source);
+    [[nodiscard]] bool may_log_server_change();
+    void log_further_server_changes();
     void avoid_unresponsive_servers();
     void detect_slow_servers();
     void detect_slow_servers_of(
@@ -392,6 +394,7 @@
     /// host's cell.
     std::set<placement::server_id> unsent_servers_;
     std::set<placement::server_id> unsent_to_cell_;
+    std::size_t server_changes_ = 0; ///< In this tick.
     core::time_point slow_servers_checked_at_{};
     std::set<core::host_name> invalid_gaps_from_; ///< Hosts that were logged.
     /// Hosts whose malformed crash reports were logged.
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -43,6 +43,8 @@
 // that is left of a server's notice of about two seconds, of which the copies
 // need one.
 constexpr core::duration regular_poll_interval = std::chrono::milliseconds(600);
+// Servers whose changes are logged one by one in a tick.
+constexpr std::size_t max_logged_server_changes = 16;
 // Interval at which the settings file is read again, because it may change
 // without a signal.
 constexpr core::duration reload_interval = std::chrono::seconds(5);
@@ -257,6 +259,8 @@
         return;
     queue_server_change(server.id, source);
     presume_cold(context_, server);
+    if (!may_log_server_change())
+        return;
     log_event(
         log_level::info,
         component,
@@ -267,6 +271,24 @@
          {"source", source}});
 }
 
+// A fleet changes thousands of servers at a time when a zone returns. The first
+// changes of a tick are logged one by one, and the others are counted.
+bool entry_process::may_log_server_change()
+{
+    return ++server_changes_ <= max_logged_server_changes;
+}
+
+void entry_process::log_further_server_changes()
+{
+    const std::size_t changes = std::exchange(server_changes_, 0);
+    if (changes > max_logged_server_changes)
+        log_event(
+            log_level::info,
+            component,
+            "further_server_changes",
+            {{"count", changes - max_logged_server_changes}});
+}
+
 // Connections, failures and generations belong to the server's previous
 // process. Reservations end with the streams that hold them: each stream still
 // waits for its own connection to report how it ended.
@@ -310,11 +332,12 @@
 void entry_process::on_server_draining(
     const placement::server_id& server, std::string_view source)
 {
-    log_event(
-        log_level::info,
-        component,
-        "server_left",
-        {{"server", server}, {"source", source}});
+    if (may_log_server_change())
+        log_event(
+            log_level::info,
+            component,
+            "server_left",
+            {{"server", server}, {"source", source}});
     // The change is sent at once, because the server gives short notice.
     queue_server_change(server, source);
     broadcast_changed_servers();
@@ -482,6 +505,7 @@
     update_limit_share();
     context_.queue.wake_first();
     broadcast_changed_servers();
+    log_further_server_changes();
     broadcast_load();
     broadcast_cell_load();
     request_table();
--- a/tests/platform_adapter/fake_store.cpp
+++ b/tests/platform_adapter/fake_store.cpp
@@ -11,6 +11,7 @@
 #include <boost/json/serialize.hpp>
 
 #include <chrono>
+#include <utility>
 
 namespace godwit::platform_adapter::test {
 
@@ -100,6 +101,23 @@
     topics_[topic].records.push_back({key, std::move(value)});
 }
 
+void fake_store::on_second_page(
+    std::string topic, std::function<void()> function)
+{
+    const std::lock_guard lock(mutex_);
+    page_topic_ = std::move(topic);
+    page_function_ = std::move(function);
+}
+
+std::function<void()> fake_store::take_page_function(
+    const std::string& topic, const std::string& after)
+{
+    const std::lock_guard lock(mutex_);
+    if (after.empty() || topic != page_topic_)
+        return {};
+    return std::exchange(page_function_, {});
+}
+
 void fake_store::put_unreadable(const std::string& topic)
 {
     const std::lock_guard lock(mutex_);
@@ -185,8 +203,11 @@
         answer.status = 200;
         const std::string topic = parameter(target, "topic");
         if (target.starts_with("/api/log-newest")) {
-            answer.body =
-                newest(topic, percent_decoded(parameter(target, "after")));
+            const std::string after =
+                percent_decoded(parameter(target, "after"));
+            if (const auto function = take_page_function(topic, after))
+                function();
+            answer.body = newest(topic, after);
         } else if (target.starts_with("/api/log-append")) {
             const std::string only_at = parameter(target, "&at");
             const bool is_appended =
--- a/tests/platform_adapter/fake_store.hpp
+++ b/tests/platform_adapter/fake_store.hpp
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -38,6 +39,10 @@
     /// Limits the number of records in a page of newest records.
     void set_page_size(std::size_t items) { page_size_ = items; }
 
+    /// Calls `function` once, before the second page of newest records of a
+    /// topic is sent.
+    void on_second_page(std::string topic, std::function<void()> function);
+
     /// Answers every call with this status; 0 restores normal operation.
     void set_status(unsigned status) { status_ = status; }
 
@@ -107,7 +112,12 @@
         const std::string& body,
         const std::string& only_at);
 
+    [[nodiscard]] std::function<void()>
+    take_page_function(const std::string& topic, const std::string& after);
+
     std::mutex mutex_;
+    std::string page_topic_;
+    std::function<void()> page_function_;
     std::map<std::string, topic_log> topics_;
     std::map<std::string, topic_log> backup_;
     std::optional<std::string> epoch_ = "1";
--- a/tests/platform_adapter/server_list_exchange_test.cpp
+++ b/tests/platform_adapter/server_list_exchange_test.cpp
@@ -11,6 +11,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <atomic>
 #include <chrono>
 #include <optional>
 #include <set>
@@ -38,6 +39,7 @@
     CPPUNIT_TEST(test_only_differing_buckets_are_requested);
     CPPUNIT_TEST(test_a_list_is_taken_from_a_neighbour);
     CPPUNIT_TEST(test_malformed_parts_and_offers_change_nothing);
+    CPPUNIT_TEST(test_a_server_reported_while_the_list_is_read_stays);
     CPPUNIT_TEST(test_idle_engines_are_not_polled);
     CPPUNIT_TEST(test_a_change_of_a_cell_peer_is_not_forwarded);
     CPPUNIT_TEST_SUITE_END();
@@ -143,18 +145,7 @@
         testbed::wait_until("the request", [&others] {
             return !others.received<wire::server_list_request>().empty();
         });
-        wire::listed_servers listed;
-        listed.servers.push_back(
-            {"far-1",
-             core::server_address(address_of(1)),
-             core::zone_name("east"),
-             core::service_name("lm"),
-             4,
-             wire::server_state::live,
-             1,
-             0,
-             "v1"});
-        const std::string content = wire::encode(listed);
+        const std::string content = wire::encode(change_of("far-1", 1));
         const auto patch = delta::make_patch("", content);
         others.send_from(
             0, wire::server_list_part{patch->compressed, content.size(), true});
@@ -177,24 +168,36 @@
         CPPUNIT_ASSERT_EQUAL(200U, testbed_.call("POST", "/plain/").status);
     }
 
-    void test_idle_engines_are_not_polled()
+    // The pages of a long list are read one after the other, and the servers of
+    // a fleet that starts register meanwhile.
+    void test_a_server_reported_while_the_list_is_read_stays()
     {
         testbed_.start();
-        std::this_thread::sleep_for(milliseconds(1500));
-        CPPUNIT_ASSERT_EQUAL(
-            std::size_t{0}, testbed_.first_server().count("/api/report"));
-        CPPUNIT_ASSERT_EQUAL(
-            std::size_t{0}, testbed_.second_server().count("/api/report"));
+        fake_neighbours others(1, testbed_.neighbours(), &no_table);
+        std::atomic<bool> is_reported = false;
+        testbed_.store().set_page_size(1);
+        testbed_.store().on_second_page("keyed.servers", [&] {
+            others.send_from(0, change_of("a-first", 1));
+            testbed::wait_until(
+                "the server", [this] { return known_servers() == 3; });
+            is_reported = true;
+        });
+        testbed_.restart_sources();
+        testbed::wait_until("the report", [&] { return is_reported.load(); });
+        std::this_thread::sleep_for(milliseconds(300));
+        CPPUNIT_ASSERT(
+            testbed_.run_on_host<bool>([](entry::entry_process& process) {
+                return process.context().directory.is_usable(
+                    placement::server_id("a-first"));
+            }));
     }
 
-    void test_a_change_of_a_cell_peer_is_not_forwarded()
+    static wire::listed_servers change_of(const std::string& id, int number)
     {
-        testbed_.start();
-        fake_neighbours others(3, testbed_.neighbours(), &no_table);
         wire::listed_servers changed;
         changed.servers.push_back(
-            {"far-1",
-             core::server_address(address_of(1)),
+            {id,
+             core::server_address(address_of(number)),
              core::zone_name("east"),
              core::service_name("lm"),
              4,
@@ -202,7 +205,24 @@
              1,
              0,
              "v1"});
-        others.send_from(0, changed);
+        return changed;
+    }
+
+    void test_idle_engines_are_not_polled()
+    {
+        testbed_.start();
+        std::this_thread::sleep_for(milliseconds(1500));
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t{0}, testbed_.first_server().count("/api/report"));
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t{0}, testbed_.second_server().count("/api/report"));
+    }
+
+    void test_a_change_of_a_cell_peer_is_not_forwarded()
+    {
+        testbed_.start();
+        fake_neighbours others(3, testbed_.neighbours(), &no_table);
+        others.send_from(0, change_of("far-1", 1));
         testbed::wait_until(
             "the server", [this] { return known_servers() == 3; });
         std::this_thread::sleep_for(milliseconds(200));
