entry: one host of a cell begins to read the list

Cause: a host counts as reader once it has read the list, which takes seconds for 10,000 servers; meanwhile the next hosts of its cell began as well, about three a cell.

The first one announces that it begins, once in its life and only if nobody else reads.

--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -90,6 +90,11 @@
     /// Records that the server list was read from the store just now.
     void record_list_read();
 
+    /// Records that this host begins to read the whole server list for the
+    /// first time. If no other host of its cell reads it, the others need not
+    /// begin as well: a long list takes seconds.
+    void announce_list_read();
+
     /// Records that the newest route table was read from the store.
     void record_table_source_read() { refresh_.record_table_read(); }
 
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -367,6 +367,13 @@
     readers_.record_own_read(core::monotonic_now());
 }
 
+void entry_process::announce_list_read()
+{
+    const core::time_point now = core::monotonic_now();
+    if (!readers_.has_reader(neighbours_->cell_peers(), now))
+        readers_.record_own_read(now);
+}
+
 void entry_process::record_source_restore()
 {
     outage_.record_restore(core::monotonic_now());
