entry: a migration does not use the exchange of a call that has ended

Cause: the regions of a call are looked up again when the table has changed, and the look-up read the request in the caller's exchange.

The route is found by that of the request's arrival, which the call keeps alive, and a stopped migration looks up nothing.

The new case of migration_test plays a migration that outlives its caller and its table. It passes on the code before as well, since freed memory is rarely unreadable: it shows the path, not the fault.

--- a/services/entry/src/call_dispatcher.cpp
+++ b/services/entry/src/call_dispatcher.cpp
@@ -4,7 +4,6 @@
 #include <godwit/entry/async_sleep.hpp>
 #include <godwit/entry/buffered_call.hpp>
 #include <godwit/entry/call_log.hpp>
-#include <godwit/entry/find_route.hpp>
 #include <godwit/entry/stream_call.hpp>
 #include <godwit/telemetry/log.hpp>
 
@@ -35,6 +34,11 @@
            reason == refusal_reason::unknown_key;
 }
 
+std::string_view path_of(std::string_view target)
+{
+    return target.substr(0, target.find('?'));
+}
+
 // Chooses one of a route's services in proportion to their weights. The same
 // attempt always gets the same service.
 const routing::service* choose_service(
@@ -118,7 +122,9 @@
     const auto& routes = context_.routes;
     if (!routes)
         return tl::unexpected(unrouted_call{refusal_reason::no_routes, ""});
-    const routing::route* route = find_route(*routes, received);
+    const auto host = received.fields.find("Host").value_or("");
+    const routing::route* route =
+        routes->find_route(host, path_of(received.target));
     if (route == nullptr)
         return tl::unexpected(unrouted_call{refusal_reason::no_such_route, ""});
     resolved_call found{
--- a/services/entry/src/call_regions.cpp
+++ b/services/entry/src/call_regions.cpp
@@ -1,18 +1,19 @@
 #include <godwit/entry/call_regions.hpp>
 
-#include <godwit/entry/find_route.hpp>
-
 namespace godwit::entry {
 
 namespace {
 
 // Routes and organisations that the table in force no longer has say nothing
-// about a request that was accepted before.
+// about a request that was accepted before. A migration may outlive the
+// exchange of its call, so that the route is found by that of the request's
+// arrival.
 routing::region_set
 regions_in_force(const routing::route_table& routes, const routed_call& call)
 {
     routing::region_set allowed = routing::region_set::all();
-    const routing::route* route = find_route(routes, call.exchange.received());
+    const routing::route* route =
+        routes.find_route(call.route.host, call.route.path_prefix);
     if (route != nullptr)
         allowed = allowed.intersection(route->allowed_regions);
     const routing::organisation* organisation =
--- a/services/entry/src/migrator.cpp
+++ b/services/entry/src/migrator.cpp
@@ -169,9 +169,10 @@
             continue;
         }
         const pre_copy_result result = co_await pre_copy();
-        const bool is_ready =
-            result == pre_copy_result::converged && may_copy_to_destination();
-        if (is_ready && !is_stopped_) {
+        const bool is_ready = !is_stopped_ &&
+                              result == pre_copy_result::converged &&
+                              may_copy_to_destination();
+        if (is_ready) {
             claim_links(link_claim_duration);
             co_await stop_and_copy();
             claim_links(core::duration::zero());
--- a/tests/platform_adapter/migration_test.cpp
+++ b/tests/platform_adapter/migration_test.cpp
@@ -117,6 +117,7 @@
     CPPUNIT_TEST(test_a_run_does_not_migrate_into_an_evacuated_zone);
     CPPUNIT_TEST(test_a_stopped_run_does_not_resume_in_an_evacuated_zone);
     CPPUNIT_TEST(test_a_run_leaves_a_region_that_is_withdrawn);
+    CPPUNIT_TEST(test_a_migration_outlives_its_caller_and_its_table);
     CPPUNIT_TEST(test_a_run_does_not_migrate_to_a_region_that_is_not_allowed);
     CPPUNIT_TEST(test_a_draining_server_is_detected_during_a_store_outage);
     CPPUNIT_TEST(test_a_draining_server_is_detected_before_its_record);
@@ -416,6 +417,34 @@
             std::size_t{1}, testbed_.first_server().count("/stream/"));
     }
 
+    // The migration uses its call after the caller's exchange has ended.
+    void test_a_migration_outlives_its_caller_and_its_table()
+    {
+        constexpr int caller_patience_ms = 300;
+        migrating_server source;
+        source.slow_copies = 1;
+        source.slow_copy_ms = 2 * caller_patience_ms;
+        testbed_.first_server().set_handler(
+            [&source](http::exchange& exchange) -> asio::awaitable<void> {
+                co_await source(exchange);
+            });
+        testbed_.start_with_first_server();
+        std::thread caller([this] {
+            testbed_.call_and_disconnect("/stream/", caller_patience_ms);
+        });
+        testbed::wait_until("events", [&source] { return source.sent > 3; });
+        testbed_.register_server(testbed_.second_server(), "ready");
+        testbed_.register_server(testbed_.first_server(), "draining");
+        testbed::wait_until(
+            "a copy", [&source] { return source.copies_before_last > 0; });
+        testbed_.publish(2);
+        caller.join();
+        std::this_thread::sleep_for(
+            std::chrono::milliseconds(2 * source.slow_copy_ms));
+        CPPUNIT_ASSERT(testbed_.is_ready());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, testbed_.table_version());
+    }
+
     // The answer ends at the draining server rather than in another region.
     void test_a_run_does_not_migrate_to_a_region_that_is_not_allowed()
     {
