--- a/libraries/placement/include/godwit/placement/server_directory.hpp
+++ b/libraries/placement/include/godwit/placement/server_directory.hpp
@@ -120,6 +120,12 @@
 
     [[nodiscard]] std::size_t size() const noexcept { return servers_.size(); }
 
+    /// Returns the number of known servers whose start is known.
+    [[nodiscard]] std::size_t count_with_start() const noexcept
+    {
+        return with_start_;
+    }
+
 private:
     struct entry
     {
@@ -147,6 +153,7 @@
     restart(entry& known, const backend_server& server, core::time_point now);
     directory_change mark_draining(entry& target, core::time_point now);
     void drain_same_address(const backend_server& server, core::time_point now);
+    void replace(entry& known, entry replacement);
     void add_usable(const entry& added);
     void remove_usable(const entry& removed);
 
@@ -165,6 +172,7 @@
     /// The usable servers by the hash of their address.
     std::unordered_multimap<std::size_t, const backend_server*> by_address_;
     server_list_digest digest_;
+    std::size_t with_start_ = 0;
     /// When a server may have to be marked as draining, or to be erased. A
     /// server whose state changed meanwhile is passed over.
     std::multimap<core::time_point, server_id> deadlines_;
--- a/libraries/placement/src/server_directory.cpp
+++ b/libraries/placement/src/server_directory.cpp
@@ -4,6 +4,7 @@
 #include <compare>
 #include <functional>
 #include <tuple>
+#include <utility>
 
 namespace godwit::placement {
 
@@ -73,6 +74,13 @@
     return is_recent ? known->second.largest : 0;
 }
 
+void server_directory::replace(entry& known, entry replacement)
+{
+    with_start_ -= known.server.start.is_known() ? 1 : 0;
+    with_start_ += replacement.server.start.is_known() ? 1 : 0;
+    known = std::move(replacement);
+}
+
 void server_directory::add_usable(const entry& added)
 {
     const backend_server& server = added.server;
@@ -130,6 +138,7 @@
     drain_same_address(server, now);
     entry& added = servers_.emplace(server.id, entry{server, {}, {}, {}, now})
                        .first->second;
+    with_start_ += server.start.is_known() ? 1 : 0;
     if (!first_listed_at_)
         first_listed_at_ = now;
     if (now - *first_listed_at_ > initial_view_window)
@@ -151,7 +160,7 @@
     drain_same_address(server, now);
     if (!known.left_at)
         remove_usable(known);
-    known = entry{server, {}, {}, now, now};
+    replace(known, entry{server, {}, {}, now, now});
     if (server.state == server_state::ready) {
         add_usable(known);
         return directory_change::restarted;
@@ -181,13 +190,15 @@
     if (was_usable)
         remove_usable(known);
     if (server.state == server_state::draining) {
-        known.server = server;
+        entry draining = known;
+        draining.server = server;
+        replace(known, std::move(draining));
         if (was_usable)
             add_usable(known);
         return mark_draining(known, now);
     }
-    known = entry{
-        server, {}, {}, known.joined_at, was_usable ? known.known_since : now};
+    const core::time_point known_since = was_usable ? known.known_since : now;
+    replace(known, entry{server, {}, {}, known.joined_at, known_since});
     add_usable(known);
     return was_usable ? directory_change::none : directory_change::appeared;
 }
@@ -239,8 +250,12 @@
         mark_draining(known, now);
         departed.push_back(id);
     }
-    if (known.left_at && now - *known.left_at >= departed_retention)
-        servers_.erase(found);
+    const bool is_over =
+        known.left_at && now - *known.left_at >= departed_retention;
+    if (!is_over)
+        return;
+    with_start_ -= known.server.start.is_known() ? 1 : 0;
+    servers_.erase(found);
 }
 
 const backend_server* server_directory::find(const server_id& id) const
