platform: each host reads the route table itself again, but for its start

Cause: with tables taken from the reader of a cell, a reader that is short of processor time held up its whole cell.

--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -116,9 +116,9 @@
     [[nodiscard]] bool is_primary_list_reader() const;
 
     /// Returns whether this host may rely on another host of its cell to read
-    /// the server list and the route table, whose messages reach this host at
-    /// once. While this host reads them itself, the other reader has to precede
-    /// it by name; otherwise any reader will do.
+    /// the server list, whose messages reach this host at once. While this host
+    /// reads it itself, the other reader has to precede it by name; otherwise
+    /// any reader will do.
     [[nodiscard]] bool may_rely_on_other_readers() const;
 
     /// Returns whether this host started a moment ago and lacks the server list
@@ -227,6 +227,7 @@
     void broadcast_cell_load();
     void queue_server_change(
         const placement::server_id& server, std::string_view source);
+    void schedule_change_broadcast();
     void broadcast_changed_servers();
     [[nodiscard]] wire::listed_servers
     servers_message(const std::set<placement::server_id>& ids) const;
@@ -414,6 +415,7 @@
     std::size_t fleet_size_ = 1;
     bool is_fleet_known_ = false;
     bool is_load_broadcast_scheduled_ = false;
+    bool is_change_broadcast_scheduled_ = false;
     bool has_servers_ = false;
     bool was_ready_ = false;
 };
