entry: servers that leave together are sent in one message

Cause: each server that left was sent to each neighbour by itself.

The changes of one read go in one message to each neighbour, as soon as the read is handled. test_servers_that_leave_together_are_sent_together: 200 servers, under 20 messages (200 before).

--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -340,7 +340,7 @@
             {{"server", server}, {"source", source}});
     // The change is sent at once, because the server gives short notice.
     queue_server_change(server, source);
-    broadcast_changed_servers();
+    schedule_change_broadcast();
     context_.health.forget(server);
     forget_limit(server);
     context_.cold_servers.forget(server);
--- a/services/entry/src/entry_process_neighbours.cpp
+++ b/services/entry/src/entry_process_neighbours.cpp
@@ -162,6 +162,18 @@
     return message;
 }
 
+// Servers that leave together are in one read of the list, and are sent in one
+// message: one for each server would keep a small host busy for seconds.
+void entry_process::schedule_change_broadcast()
+{
+    if (std::exchange(is_change_broadcast_scheduled_, true))
+        return;
+    asio::post(io_, [this] {
+        is_change_broadcast_scheduled_ = false;
+        broadcast_changed_servers();
+    });
+}
+
 void entry_process::broadcast_changed_servers()
 {
     if (!unsent_servers_.empty())
--- a/tests/platform_adapter/server_list_exchange_test.cpp
+++ b/tests/platform_adapter/server_list_exchange_test.cpp
@@ -42,6 +42,7 @@
     CPPUNIT_TEST(test_a_server_reported_while_the_list_is_read_stays);
     CPPUNIT_TEST(test_idle_engines_are_not_polled);
     CPPUNIT_TEST(test_a_change_of_a_cell_peer_is_not_forwarded);
+    CPPUNIT_TEST(test_servers_that_leave_together_are_sent_together);
     CPPUNIT_TEST_SUITE_END();
 
     testbed testbed_;
@@ -239,6 +240,35 @@
             return others.received<wire::listed_servers>().size() == before + 3;
         });
     }
+
+    void test_servers_that_leave_together_are_sent_together()
+    {
+        constexpr int count = 200;
+        put_servers(count);
+        testbed_.publish(1);
+        testbed::wait_until(
+            "the list", [this] { return known_servers() == count; });
+        fake_neighbours others(1, testbed_.neighbours(), &no_table);
+        testbed::wait_until("the offer", [&others] {
+            return !others.received<wire::server_list_offer>().empty();
+        });
+        for (int number = 0; number < count; ++number)
+            testbed_.store().put(
+                "keyed.servers", "far-" + std::to_string(number), std::nullopt);
+        const auto sent = [&others] {
+            std::set<std::string> ids;
+            for (const auto& [name, message] :
+                 others.received<wire::listed_servers>()) {
+                for (const auto& each : message.servers)
+                    ids.insert(each.id);
+            }
+            return ids.size();
+        };
+        testbed::wait_until("the changes", [&sent] { return sent() == count; });
+        // The store may be read a few times while the records are written.
+        CPPUNIT_ASSERT(
+            others.received<wire::listed_servers>().size() < count / 10);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(server_list_exchange_test);
