--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -244,6 +244,8 @@
     void serve_server_lists();
     void
     send_server_list(wire::link& to, const wire::server_list_request& wanted);
+    [[nodiscard]] const std::vector<wire::server_list_part>&
+    whole_server_list();
     [[nodiscard]] std::vector<wire::server_list_part> encode_server_list(
         const placement::server_list_digest::bucket_set& buckets) const;
     void handle_server_list_part(
--- a/services/entry/src/entry_process_server_list.cpp
+++ b/services/entry/src/entry_process_server_list.cpp
@@ -135,23 +135,18 @@
         });
 }
 
-// Hosts that start together request the whole list, which is encoded once.
 void entry_process::send_server_list(
     wire::link& to, const wire::server_list_request& wanted)
 {
     const server_list_digest::bucket_set buckets(wanted.buckets);
-    const bool is_cached = buckets.all() && !whole_list_.empty() &&
-                           whole_list_digest_ == context_.directory.digest();
-    std::vector<wire::server_list_part> parts;
-    if (!is_cached)
-        parts = encode_server_list(buckets);
-    if (!is_cached && buckets.all()) {
-        whole_list_ = std::move(parts);
-        whole_list_digest_ = context_.directory.digest();
-    }
-    for (const wire::server_list_part& part :
-         buckets.all() ? whole_list_ : parts)
-        to.send(part);
+    const auto send = [&to](const std::vector<wire::server_list_part>& parts) {
+        for (const wire::server_list_part& part : parts)
+            to.send(part);
+    };
+    if (buckets.all())
+        send(whole_server_list());
+    else
+        send(encode_server_list(buckets));
     log_event(
         log_level::info,
         component,
@@ -159,6 +154,18 @@
         {{"neighbour", to.peer()->host}, {"buckets", buckets.count()}});
 }
 
+// Hosts that start together request the whole list, which is encoded once.
+const std::vector<wire::server_list_part>& entry_process::whole_server_list()
+{
+    const server_list_digest& digest = context_.directory.digest();
+    if (whole_list_.empty() || whole_list_digest_ != digest) {
+        whole_list_ =
+            encode_server_list(server_list_digest::bucket_set().set());
+        whole_list_digest_ = digest;
+    }
+    return whole_list_;
+}
+
 std::vector<wire::server_list_part> entry_process::encode_server_list(
     const server_list_digest::bucket_set& buckets) const
 {
