rollout: versions are chosen, and a rollout ends, by decisions of the library

The choice of a version for a request and the decision when a rollout is completed or given up were written in the entry service, between its links and timers, and had tests by whole hosts only. They are functions and a class of libraries/rollout now; the service passes in what it knows.

--- a/libraries/rollout/include/godwit/rollout/rollouts.hpp
+++ b/libraries/rollout/include/godwit/rollout/rollouts.hpp
@@ -74,8 +74,8 @@
 
     /// Returns the versions that a request may use. The same request always
     /// gets the same versions while the shares do not change. `is_informed`
-    /// tells whether this host hears of other hosts' responses; without that it
-    /// sends nothing to the target.
+    /// tells whether this host receives reports of other hosts' responses;
+    /// without them it sends nothing to the target.
     [[nodiscard]] placement::version_filter versions_for(
         const core::service_name& service,
         std::string_view request_id,
--- a/services/entry/include/godwit/entry/entry_context.hpp
+++ b/services/entry/include/godwit/entry/entry_context.hpp
@@ -103,9 +103,9 @@
     /// Returns this host's zero-based rank among the hosts of the fleet for
     /// `key`, by rendezvous hashing; set by the process.
     std::function<std::size_t(std::string_view key)> host_rank;
-    /// Whether this host hears of the other hosts' responses; set by the
-    /// process.
-    std::function<bool()> is_fleet_heard;
+    /// Whether this host receives reports of the other hosts' responses; set by
+    /// the process.
+    std::function<bool()> has_fleet_reports;
     /// Called when the state of a rollout has to be recorded at its source; set
     /// by the platform.
     std::function<void(const rollout::rollout_status&)> on_rollout_changed;
--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -19,6 +19,8 @@
 #include <godwit/entry/wire_codec.hpp>
 #include <godwit/http/server.hpp>
 #include <godwit/placement/server_directory.hpp>
+#include <godwit/rollout/completion_check.hpp>
+#include <godwit/rollout/version_capacity.hpp>
 #include <godwit/routing/route_table.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -328,15 +330,13 @@
         const core::host_name& host, const wire::rollout_reports& message);
     void handle_rollout_responses(
         const core::host_name& host, const wire::rollout_responses& message);
-    [[nodiscard]] bool is_fleet_heard() const;
+    [[nodiscard]] bool has_fleet_reports() const;
     void advance_rollouts();
     void on_rolled_back(const rollout::rollback& ended);
     void broadcast_responses();
-    [[nodiscard]] bool
-    is_target_sufficient(const rollout::rollout_status& status) const;
-    [[nodiscard]] bool
-    is_former_version_busy(const rollout::rollout_status& status) const;
-    void end_rollout(const rollout::rollout_status& status);
+    [[nodiscard]] rollout::version_capacity
+    capacity_of(const rollout::rollout_status& status) const;
+    void check_completion(const rollout::rollout_status& status);
     void forget_limit(const placement::server_id& server);
     [[nodiscard]] std::size_t host_rank(std::string_view key) const;
     [[nodiscard]] wire::crash_reports crash_reports_message() const;
@@ -411,8 +411,7 @@
     std::set<core::host_name> malformed_limits_from_;
     core::time_point rollouts_judged_at_{};
     core::time_point responses_sent_at_{};
-    /// When a former version was last seen to have requests in a final phase.
-    core::time_point former_busy_at_{};
+    rollout::completion_check completion_check_;
     std::set<core::host_name> fleet_hosts_;
     std::size_t fleet_size_ = 1;
     bool is_fleet_known_ = false;
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -186,8 +186,8 @@
     context_.is_refreshing = [this] {
         return is_refreshing();
     };
-    context_.is_fleet_heard = [this] {
-        return is_fleet_heard();
+    context_.has_fleet_reports = [this] {
+        return has_fleet_reports();
     };
     context_.may_have_stale_routes = [this] {
         return may_have_stale_routes();
--- a/services/entry/src/entry_process_rollouts.cpp
+++ b/services/entry/src/entry_process_rollouts.cpp
@@ -25,13 +25,6 @@
 // Interval between two reports of the responses. A rollout takes a minute or
 // longer, and a report has some kilobytes.
 constexpr core::duration responses_interval = std::chrono::seconds(1);
-// Time for which the servers of the former version have to be idle before a
-// rollout is completed. A host's report of a request that it sent there takes
-// less.
-constexpr core::duration idle_before_completion = std::chrono::seconds(1);
-// The smallest number of slots of the target version that may replace those of
-// the former one.
-constexpr double min_capacity_ratio = 0.8;
 
 } // namespace
 
@@ -114,9 +107,8 @@
         counts->update_from_group(cell, from_wire(message));
 }
 
-// A host that does not hear the other hosts would not learn that the target is
-// bad.
-bool entry_process::is_fleet_heard() const
+// A host without reports of the others would not learn that the target is bad.
+bool entry_process::has_fleet_reports() const
 {
     if (fleet_size_ <= 1)
         return !is_joining_fleet();
@@ -139,12 +131,8 @@
     context_.rollouts.set_host_count(fleet_size_);
     for (const rollout::rollback& each : context_.rollouts.judge())
         on_rolled_back(each);
-    for (const rollout_status& each : context_.rollouts.running()) {
-        const bool is_due = is_target_sufficient(each) ||
-                            now - each.ordered_at >= each.order.duration;
-        if (context_.rollouts.is_final(each.order.service, now) && is_due)
-            end_rollout(each);
-    }
+    for (const rollout_status& each : context_.rollouts.running())
+        check_completion(each);
 }
 
 void entry_process::on_rolled_back(const rollout::rollback& ended)
@@ -184,61 +172,44 @@
     }
 }
 
-// Whether the target's servers can take over the requests of the former ones.
-bool entry_process::is_target_sufficient(const rollout_status& status) const
+rollout::version_capacity
+entry_process::capacity_of(const rollout_status& status) const
 {
-    std::uint64_t target_slots = 0;
-    std::uint64_t former_slots = 0;
-    for (const placement::backend_server* server :
-         context_.directory.usable(status.order.service)) {
-        const bool is_target = server->version == status.order.target;
-        (is_target ? target_slots : former_slots) += server->slots;
-    }
-    return target_slots > 0 &&
-           static_cast<double>(target_slots) >=
-               min_capacity_ratio * static_cast<double>(former_slots);
+    return rollout::capacity_of(
+        context_.rollouts,
+        status.order,
+        context_.directory,
+        context_.ledger,
+        core::monotonic_now());
 }
 
-// The former servers stop at once when the rollout is recorded as completed, so
-// that their runs have to end first. A target that has too few servers at the
-// deadline cannot replace them.
-void entry_process::end_rollout(const rollout_status& status)
+void entry_process::check_completion(const rollout_status& status)
 {
-    if (!is_target_sufficient(status)) {
-        withdraw_rollout(
-            status.order.service, status.order.revision, "too_few_servers");
-        return;
-    }
     const core::time_point now = core::monotonic_now();
-    if (is_former_version_busy(status)) {
-        former_busy_at_ = now;
-        return;
-    }
-    if (now - former_busy_at_ >= idle_before_completion &&
+    const core::service_name& service = status.order.service;
+    const auto decision = completion_check_.decide(
+        status,
+        context_.rollouts.is_final(service, now),
+        capacity_of(status),
+        now);
+    if (decision == rollout::completion::give_up)
+        withdraw_rollout(service, status.order.revision, "too_few_servers");
+    else if (
+        decision == rollout::completion::complete &&
         context_.on_rollout_completable)
         context_.on_rollout_completable(status);
 }
 
-bool entry_process::is_former_version_busy(const rollout_status& status) const
-{
-    const core::time_point now = core::monotonic_now();
-    for (const placement::backend_server* server :
-         context_.directory.usable(status.order.service)) {
-        if (server->version != status.order.target &&
-            context_.ledger.at(server->id, now).requests > 0)
-            return true;
-    }
-    return false;
-}
-
 bool entry_process::may_complete(const rollout_status& status) const
 {
-    const core::time_point now = core::monotonic_now();
-    const rollout_status* known = context_.rollouts.find(status.order.service);
-    return known != nullptr && known->order.revision == status.order.revision &&
-           context_.rollouts.is_final(status.order.service, now) &&
-           is_fleet_heard() && is_target_sufficient(status) &&
-           !is_former_version_busy(status);
+    const core::service_name& service = status.order.service;
+    const rollout_status* known = context_.rollouts.find(service);
+    if (known == nullptr || known->order.revision != status.order.revision ||
+        !context_.rollouts.is_final(service, core::monotonic_now()))
+        return false;
+    const rollout::version_capacity capacity = capacity_of(status);
+    return has_fleet_reports() && capacity.is_target_sufficient() &&
+           capacity.is_former_idle();
 }
 
 } // namespace godwit::entry
--- a/services/entry/src/migrator.cpp
+++ b/services/entry/src/migrator.cpp
@@ -5,9 +5,9 @@
 #include <godwit/entry/call_log.hpp>
 #include <godwit/entry/call_regions.hpp>
 #include <godwit/entry/spawn.hpp>
-#include <godwit/entry/version_choice.hpp>
 #include <godwit/http/fetch.hpp>
 #include <godwit/placement/zone_rebalancer.hpp>
+#include <godwit/rollout/version_choice.hpp>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -233,7 +233,7 @@
 {
     placement::placement_request request = destination_request();
     restrict_to_allowed_regions(context_, *call_, request);
-    keep_version(context_, source_->server(), request);
+    rollout::keep_version(context_.rollouts, source_->server(), request);
     request.excluded = excluded_;
     request.excluded.push_back(source_->server().id);
     const auto found = context_.placer.choose(request, core::monotonic_now());
--- a/services/entry/src/stream_call_migration.cpp
+++ b/services/entry/src/stream_call_migration.cpp
@@ -1,7 +1,7 @@
 #include <godwit/entry/stream_call.hpp>
 
 #include <godwit/entry/call_regions.hpp>
-#include <godwit/entry/version_choice.hpp>
+#include <godwit/rollout/version_choice.hpp>
 
 #include <utility>
 
@@ -137,7 +137,7 @@
     discard_failed_migration();
     auto request = rebalancer_.make_request(call_->service, run.work);
     restrict_to_allowed_regions(context_, *call_, request);
-    keep_version(context_, active_->server(), request);
+    rollout::keep_version(context_.rollouts, active_->server(), request);
     if (context_.placer.choose(request, now))
         migrate(migration_cause::rebalance);
 }
--- a/tests/platform_adapter/rollout_test.cpp
+++ b/tests/platform_adapter/rollout_test.cpp
@@ -261,9 +261,9 @@
             return std::optional<wire::message>();
         });
         others.announce_table_version(1);
-        wire::rollout told{core::service_name("lm"), "v2", 60000, 0, 1, 70};
-        told.state = wire::rollout_state::rolled_back;
-        others.broadcast(wire::rollout_reports{{told}});
+        wire::rollout reported{core::service_name("lm"), "v2", 60000, 0, 1, 70};
+        reported.state = wire::rollout_state::rolled_back;
+        others.broadcast(wire::rollout_reports{{reported}});
         testbed::wait_until("the rollback", [this] {
             return testbed_.run_on_host<bool>([](auto& process) {
                 return process.context().rollouts.find(
--- a/tests/rollout/fleet_exposure_test.cpp
+++ b/tests/rollout/fleet_exposure_test.cpp
@@ -1,5 +1,5 @@
-// Plays rollouts of bad versions in fleets whose hosts hear of each other's
-// responses late. Guards against a bad version that gets more than its share of
+// Plays rollouts of bad versions in fleets whose hosts receive each other's
+// reports late. Guards against a bad version that gets more than its share of
 // the requests, or requests long after it was seen to be bad.
 
 #include <godwit/core/random.hpp>
@@ -40,8 +40,8 @@
     bool is_rolled_back = false;
 };
 
-/// A fleet of cells, of which each host hears its cell and the sums of the
-/// others after `report_delay_ms`.
+/// A fleet of cells, of which each host receives the reports of its cell and
+/// the sums of the others after `report_delay_ms`.
 class simulated_fleet
 {
 public:
@@ -124,7 +124,7 @@
             seen_.fiftieth_bad_ms = now_ms_;
     }
 
-    /// What every host tells at one moment.
+    /// The reports of all hosts at one moment.
     struct reports
     {
         int at_ms = 0;
@@ -139,19 +139,19 @@
 
     void report()
     {
-        reports told;
-        told.at_ms = now_ms_;
+        reports sent;
+        sent.at_ms = now_ms_;
         for (std::size_t host = 0; host < hosts_.size(); ++host) {
             fleet_counts* counts = counts_of(host);
-            told.hosts.push_back(
+            sent.hosts.push_back(
                 counts == nullptr ? stratified_counts() : counts->own());
             const bool is_first = host % cell_hosts == 0;
             if (is_first)
-                told.cells.push_back(
+                sent.cells.push_back(
                     counts == nullptr ? stratified_counts()
                                       : counts->own_and_neighbours());
         }
-        on_the_way_.push_back(std::move(told));
+        on_the_way_.push_back(std::move(sent));
     }
 
     void deliver()
@@ -164,7 +164,7 @@
         }
     }
 
-    void deliver_to(std::size_t host, const reports& told)
+    void deliver_to(std::size_t host, const reports& sent)
     {
         fleet_counts* counts = counts_of(host);
         if (counts == nullptr)
@@ -175,13 +175,13 @@
         for (std::size_t peer = first; peer < end; ++peer) {
             if (peer != host)
                 counts->update_from_neighbour(
-                    core::host_name(std::to_string(peer)), told.hosts[peer]);
+                    core::host_name(std::to_string(peer)), sent.hosts[peer]);
         }
-        for (std::size_t cell = 0; cell < told.cells.size(); ++cell) {
+        for (std::size_t cell = 0; cell < sent.cells.size(); ++cell) {
             if (cell != own_cell)
                 counts->update_from_group(
                     placement::host_group(std::to_string(cell)),
-                    told.cells[cell]);
+                    sent.cells[cell]);
         }
     }
 
--- a/tests/rollout/rollouts_test.cpp
+++ b/tests/rollout/rollouts_test.cpp
@@ -49,7 +49,7 @@
     CPPUNIT_TEST_SUITE(rollouts_test);
     CPPUNIT_TEST(test_the_exposure_until_the_deadline_is_bounded);
     CPPUNIT_TEST(test_a_share_of_the_requests_tries_the_target);
-    CPPUNIT_TEST(test_a_host_that_hears_no_other_tries_nothing);
+    CPPUNIT_TEST(test_a_host_without_reports_tries_nothing);
     CPPUNIT_TEST(test_a_rolled_back_version_gets_nothing);
     CPPUNIT_TEST(test_a_replaced_order_does_not_accept_its_target);
     CPPUNIT_TEST(test_older_orders_are_ignored);
@@ -113,7 +113,7 @@
         CPPUNIT_ASSERT(!rollouts_.is_final(lm, at_seconds(50)));
     }
 
-    void test_a_host_that_hears_no_other_tries_nothing()
+    void test_a_host_without_reports_tries_nothing()
     {
         rollouts_.update(ordered("v2", 1));
         CPPUNIT_ASSERT_EQUAL(0.0, target_share(1, false));
