placement: decide apart from the links when server lists are compared

With which neighbour a host compares its list, from which one it requests what differs and when was spread over six members of entry_process. Behaviour as before.

--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -19,6 +19,7 @@
 #include <godwit/entry/wire_codec.hpp>
 #include <godwit/http/server.hpp>
 #include <godwit/placement/server_directory.hpp>
+#include <godwit/placement/server_list_comparison.hpp>
 #include <godwit/rollout/completion_check.hpp>
 #include <godwit/rollout/version_capacity.hpp>
 #include <godwit/routing/route_table.hpp>
@@ -27,7 +28,6 @@
 #include <boost/asio/signal_set.hpp>
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -236,13 +236,8 @@
     [[nodiscard]] wire::server_list_offer server_list_offer() const;
     void handle_server_list_offer(
         const core::host_name& host, const wire::server_list_offer& offer);
-    using server_list_offers =
-        std::map<core::host_name, placement::server_list_digest>;
-
     void offer_server_list();
     void request_server_list();
-    [[nodiscard]] server_list_offers::const_iterator
-    any_server_list_offer() const;
     void serve_server_lists();
     void
     send_server_list(wire::link& to, const wire::server_list_request& wanted);
@@ -378,13 +373,7 @@
     server_list_readers readers_;
     /// When another host of the cell was last known to read the list.
     core::time_point reader_heard_at_{};
-    /// Offers of neighbours that were not looked at yet.
-    server_list_offers server_list_offers_;
-    /// The neighbour that was asked for its list.
-    std::optional<core::host_name> server_list_source_;
-    core::time_point server_list_requested_at_{};
-    core::host_name server_list_offered_to_;
-    core::time_point server_list_offered_at_{};
+    placement::server_list_comparison list_comparison_;
     table_request_queue<wire::link, wire::server_list_request>
         server_list_requests_;
     /// The whole list as it was last sent, and its digest.
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -106,6 +106,7 @@
                   on_table_parsed(std::move(table), routes);
               }}),
       readers_(context_.settings.host),
+      list_comparison_(context_.settings.host),
       reports_(context_, [this](const placement::backend_server& server) {
           placement::backend_server draining = server;
           draining.state = placement::server_state::draining;
--- a/services/entry/src/entry_process_server_list.cpp
+++ b/services/entry/src/entry_process_server_list.cpp
@@ -1,19 +1,15 @@
 #include <godwit/entry/entry_process.hpp>
 
-#include <godwit/telemetry/log.hpp>
-
-#include <godwit/core/hash.hpp>
 #include <godwit/delta/text_patch.hpp>
+#include <godwit/telemetry/log.hpp>
 #include <godwit/wire/codec.hpp>
 
-#include <chrono>
 #include <cstddef>
-#include <iterator>
 #include <utility>
 #include <variant>
 #include <vector>
 
-// Exchange of the server list between neighbours. A host tells a neighbour the
+// Exchange of the server list between neighbours. A host sends a neighbour the
 // digest of its list when their link opens, and the neighbour requests the
 // buckets in which its own list differs. Later changes are broadcast.
 
@@ -31,11 +27,6 @@
 constexpr std::size_t servers_per_part = 400;
 // The largest content of a part that is accepted from a neighbour.
 constexpr std::size_t max_part_bytes = wire::default_frame_limit;
-// Time after which a list is requested from another neighbour.
-constexpr core::duration list_timeout = std::chrono::milliseconds(1500);
-
-// Interval between two comparisons of the list with a neighbour's.
-constexpr core::duration comparison_interval = std::chrono::seconds(5);
 
 server_list_digest digest_of(const wire::server_list_offer& offer)
 {
@@ -54,21 +45,15 @@
 }
 
 // Changes that a neighbour missed, or that this host missed, show in the
-// digest. The neighbours are compared with one after the other.
+// digest.
 void entry_process::offer_server_list()
 {
-    const core::time_point now = core::monotonic_now();
-    if (!has_servers_ || now - server_list_offered_at_ < comparison_interval)
-        return;
-    server_list_offered_at_ = now;
-    const auto& peers = neighbours_->cell_peers();
-    auto next = peers.upper_bound(server_list_offered_to_);
-    if (next == peers.end())
-        next = peers.begin();
-    if (next == peers.end())
+    if (!has_servers_)
         return;
-    server_list_offered_to_ = *next;
-    if (const auto link = neighbours_->link_to(*next))
+    const auto recipient = list_comparison_.next_recipient(
+        neighbours_->cell_peers(), core::monotonic_now());
+    const auto link = recipient ? neighbours_->link_to(*recipient) : nullptr;
+    if (link)
         link->send(server_list_offer());
 }
 
@@ -83,49 +68,23 @@
             {{"neighbour", host}, {"buckets", offer.buckets.size()}});
         return;
     }
-    server_list_offers_.insert_or_assign(host, digest_of(offer));
+    list_comparison_.record_digest(host, digest_of(offer));
     request_server_list();
 }
 
-// A list is requested from one neighbour at a time. A host that has a list
-// requests differences now and then only, since changes that are on their way
-// look like differences.
 void entry_process::request_server_list()
 {
-    const core::time_point now = core::monotonic_now();
-    const core::duration pause =
-        has_servers_ ? comparison_interval : list_timeout;
-    const bool is_waiting = server_list_requested_at_ != core::time_point() &&
-                            now - server_list_requested_at_ < pause;
-    if (has_servers_ && is_waiting)
-        server_list_offers_.clear();
-    while (!is_waiting && !server_list_offers_.empty()) {
-        const auto offer = any_server_list_offer();
-        const auto differing =
-            context_.directory.digest().differences(offer->second);
-        const core::host_name host = offer->first;
-        const auto link = neighbours_->link_to(host);
-        server_list_offers_.erase(offer);
-        if (!link || differing.none())
-            continue;
-        link->send(wire::server_list_request{differing.to_ullong()});
-        server_list_source_ = host;
-        server_list_requested_at_ = now;
-        return;
+    while (
+        const auto fetch = list_comparison_.next_fetch(
+            context_.directory.digest(), has_servers_, core::monotonic_now())) {
+        if (const auto link = neighbours_->link_to(fetch->neighbour)) {
+            link->send(wire::server_list_request{fetch->buckets.to_ullong()});
+            return;
+        }
+        list_comparison_.cancel_fetch();
     }
 }
 
-// Hosts that start together must not all request the list of the same host.
-entry_process::server_list_offers::const_iterator
-entry_process::any_server_list_offer() const
-{
-    const std::uint64_t number = core::stable_hash(
-        context_.settings.host.value(), server_list_offers_.size());
-    return std::next(
-        server_list_offers_.begin(),
-        static_cast<std::ptrdiff_t>(number % server_list_offers_.size()));
-}
-
 void entry_process::serve_server_lists()
 {
     server_list_requests_.serve(
@@ -215,10 +174,8 @@
         return;
     }
     handle_servers(host, *servers);
-    if (!part.is_last || server_list_source_ != host)
-        return;
-    server_list_source_.reset();
-    mark_servers_known(host.value());
+    if (part.is_last && list_comparison_.complete(host))
+        mark_servers_known(host.value());
 }
 
 } // namespace godwit::entry
