--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -4,6 +4,7 @@
 #include <godwit/core/timer.hpp>
 #include <godwit/entry/call_dispatcher.hpp>
 #include <godwit/entry/cell_load_reporter.hpp>
+#include <godwit/entry/change_audience.hpp>
 #include <godwit/entry/entry_context.hpp>
 #include <godwit/entry/entry_settings.hpp>
 #include <godwit/entry/host_cell.hpp>
@@ -227,6 +228,7 @@
     void broadcast_load();
     void schedule_load_broadcast();
     void broadcast_cell_load();
+    [[nodiscard]] change_origin origin_of(std::string_view source) const;
     void queue_server_change(
         const placement::server_id& server, std::string_view source);
     void schedule_change_broadcast();
@@ -342,8 +344,6 @@
     [[nodiscard]] std::vector<placement::server_work> valid_load(
         const core::host_name& host,
         const std::vector<wire::server_work>& loads);
-    [[nodiscard]] bool is_takeover_of_others(core::time_point now) const;
-    void observe_readers();
     void update_list_readers(
         const core::host_name& host, const wire::host_work& message);
 
@@ -371,8 +371,6 @@
     table_loader loader_;
     table_request_queue<wire::link, wire::pull> table_requests_;
     server_list_readers readers_;
-    /// When another host of the cell was last known to read the list.
-    core::time_point reader_heard_at_{};
     placement::server_list_comparison list_comparison_;
     table_request_queue<wire::link, wire::server_list_request>
         server_list_requests_;
--- a/services/entry/include/godwit/entry/server_list_readers.hpp
+++ b/services/entry/include/godwit/entry/server_list_readers.hpp
@@ -31,6 +31,11 @@
     static constexpr core::duration reader_lifetime =
         std::chrono::milliseconds(3500);
 
+    /// Delay between the hosts of a cell that take over from its reader. A host
+    /// that reads the list reports it in less.
+    static constexpr core::duration takeover_delay =
+        std::chrono::milliseconds(400);
+
     explicit server_list_readers(core::host_name self) : self_(std::move(self))
     {}
 
@@ -67,6 +72,21 @@
     [[nodiscard]] bool has_earlier_reader(
         const std::set<core::host_name>& peers, core::time_point now) const;
 
+    /// Returns whether this host may leave it to one of these hosts to read the
+    /// list: to any that reads it, but while this host reads it, only to one
+    /// that precedes it by name. When the last reader stops, the hosts take
+    /// over one after the other by name, since each reads the whole list first.
+    [[nodiscard]] bool may_rely_on(
+        const std::set<core::host_name>& peers, core::time_point now) const;
+
+    /// Records whether any of these hosts reads the list, for the order in
+    /// which hosts take over. `is_waiting` postpones the take-over. Called
+    /// regularly.
+    void observe(
+        const std::set<core::host_name>& peers,
+        bool is_waiting,
+        core::time_point now);
+
     /// Returns whether any of these hosts reads the list.
     [[nodiscard]] bool has_reader(
         const std::set<core::host_name>& peers, core::time_point now) const;
@@ -82,6 +102,8 @@
     core::host_name self_;
     std::optional<core::time_point> last_own_read_at_;
     reports last_reports_; ///< By reader, its latest report.
+    /// When another host was last observed to read the list.
+    std::optional<core::time_point> observed_at_;
 };
 
 } // namespace godwit::entry
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -254,7 +254,7 @@
     context_.connections->forget(server.address);
     context_.queue.wake_first();
     // The servers of the first list are logged together, and neighbours that
-    // lack them ask for them. Those that appear later have just started or
+    // lack them request them. Those that appear later have just started or
     // returned.
     if (!has_servers_)
         return;
@@ -518,7 +518,10 @@
     broadcast_cell_load();
     request_table();
     serve_table_requests();
-    observe_readers();
+    readers_.observe(
+        neighbours_->cell_peers(),
+        is_awaiting_neighbours(),
+        core::monotonic_now());
     offer_server_list();
     request_server_list();
     serve_server_lists();
--- a/services/entry/src/entry_process_neighbours.cpp
+++ b/services/entry/src/entry_process_neighbours.cpp
@@ -1,5 +1,6 @@
 #include <godwit/entry/entry_process.hpp>
 
+#include <godwit/entry/change_audience.hpp>
 #include <godwit/entry/evacuation_conversion.hpp>
 #include <godwit/entry/load_conversion.hpp>
 #include <godwit/entry/rollout_conversion.hpp>
@@ -44,10 +45,6 @@
 constexpr core::duration min_neighbour_wait = std::chrono::milliseconds(2500);
 constexpr core::duration neighbour_wait_spread = std::chrono::seconds(3);
 
-// Delay between the hosts of a cell that take over from its reader. A host that
-// reads the list says so in less.
-constexpr core::duration takeover_delay = std::chrono::milliseconds(400);
-
 bool differs_only_in_growth(
     const wire::host_work& left, const wire::host_work& right)
 {
@@ -133,22 +130,24 @@
     return message;
 }
 
-// Each host learns of a change once: the primary reader tells its neighbours,
-// of which those in other cells tell their own cells. Each cell also has a
-// reader of its own, which tells its cell if no other cell did. If every host
-// told all of its neighbours, a change would take as many messages as the fleet
-// has links.
 void entry_process::queue_server_change(
     const placement::server_id& server, std::string_view source)
 {
-    const core::host_name host{std::string(source)};
-    const bool is_from_neighbour = neighbours_->link_to(host) != nullptr;
-    if (is_from_neighbour && neighbours_->is_cell_peer(host))
-        return;
-    if (is_from_neighbour || !is_primary_list_reader())
-        unsent_to_cell_.insert(server);
-    else
+    const auto recipients =
+        change_audience(origin_of(source), is_primary_list_reader());
+    if (recipients == audience::all)
         unsent_servers_.insert(server);
+    else if (recipients == audience::cell)
+        unsent_to_cell_.insert(server);
+}
+
+change_origin entry_process::origin_of(std::string_view source) const
+{
+    const core::host_name host{std::string(source)};
+    if (!neighbours_->link_to(host))
+        return change_origin::own;
+    return neighbours_->is_cell_peer(host) ? change_origin::own_cell
+                                           : change_origin::other_cell;
 }
 
 wire::listed_servers
@@ -210,10 +209,10 @@
 {
     const core::time_point now = core::monotonic_now();
     // The other cells need to know which hosts read the list; the hosts of a
-    // cell tell each other what they hear of them.
-    const bool tells_reader_state =
+    // cell relay that to each other.
+    const bool reports_reader_state =
         readers_.is_reader(now) || neighbours_->cell_count() <= 1;
-    if (tells_reader_state &&
+    if (reports_reader_state &&
         now - reader_state_sent_at_ >= load_refresh_interval) {
         reader_state_sent_at_ = now;
         wire::host_work message = load_message();
@@ -392,8 +391,8 @@
 }
 
 // Hosts that start together would each read the whole list and table at the
-// source. Those that others look for first read them, and their neighbours get
-// both from them; a host that hears nothing reads for itself, not all at once.
+// source. The seeds read them, and the others get both from their neighbours; a
+// host that receives nothing reads for itself, not all at once.
 bool entry_process::is_awaiting_neighbours() const
 {
     const auto& settings = context_.settings;
@@ -415,30 +414,9 @@
 {
     if (is_awaiting_neighbours())
         return true;
-    const core::time_point now = core::monotonic_now();
-    const auto& peers = neighbours_->cell_peers();
-    if (!is_large_fleet())
-        return false;
-    if (readers_.is_reader(now))
-        return readers_.has_earlier_reader(peers, now);
-    return readers_.has_reader(peers, now) || is_takeover_of_others(now);
-}
-
-// When the reader of a cell stops, the hosts of the cell take its place one
-// after the other by name, since each reads the whole list first.
-bool entry_process::is_takeover_of_others(core::time_point now) const
-{
-    return now - reader_heard_at_ <
-           takeover_delay * static_cast<std::int64_t>(rank_in_cell());
-}
-
-void entry_process::observe_readers()
-{
-    const core::time_point now = core::monotonic_now();
-    const bool is_heard = is_awaiting_neighbours() ||
-                          readers_.has_reader(neighbours_->cell_peers(), now);
-    if (is_heard || reader_heard_at_ == core::time_point())
-        reader_heard_at_ = now;
+    return is_large_fleet() &&
+           readers_.may_rely_on(
+               neighbours_->cell_peers(), core::monotonic_now());
 }
 
 void entry_process::update_list_readers(
--- a/services/entry/src/server_list_readers.cpp
+++ b/services/entry/src/server_list_readers.cpp
@@ -1,6 +1,7 @@
 #include <godwit/entry/server_list_readers.hpp>
 
 #include <algorithm>
+#include <iterator>
 
 namespace godwit::entry {
 
@@ -81,4 +82,24 @@
     return has_fresh_report(last_reports_.end(), peers, now);
 }
 
+bool server_list_readers::may_rely_on(
+    const std::set<core::host_name>& peers, core::time_point now) const
+{
+    if (is_reader(now))
+        return has_earlier_reader(peers, now);
+    const auto rank = std::distance(peers.begin(), peers.lower_bound(self_));
+    const bool is_turn_of_others =
+        observed_at_ && now - *observed_at_ < takeover_delay * rank;
+    return has_reader(peers, now) || is_turn_of_others;
+}
+
+void server_list_readers::observe(
+    const std::set<core::host_name>& peers,
+    bool is_waiting,
+    core::time_point now)
+{
+    if (is_waiting || !observed_at_ || has_reader(peers, now))
+        observed_at_ = now;
+}
+
 } // namespace godwit::entry
--- a/tests/entry/server_list_readers_test.cpp
+++ b/tests/entry/server_list_readers_test.cpp
@@ -29,6 +29,9 @@
     CPPUNIT_TEST(test_a_host_without_recent_reads_is_no_reader);
     CPPUNIT_TEST(test_only_readers_in_the_same_cell_are_relied_on);
     CPPUNIT_TEST(test_an_older_relayed_report_is_ignored);
+    CPPUNIT_TEST(test_hosts_take_over_one_after_the_other);
+    CPPUNIT_TEST(test_a_reader_rests_only_for_an_earlier_one);
+    CPPUNIT_TEST(test_a_waiting_host_postpones_the_take_over);
     CPPUNIT_TEST_SUITE_END();
 
     const std::set<core::host_name> peers_{host("a"), host("c"), host("d")};
@@ -102,6 +105,44 @@
         CPPUNIT_ASSERT(
             readers_.first_other_reader(at_ms(1500))->first == host("a"));
     }
+
+    // This host is the second one by name.
+    void test_hosts_take_over_one_after_the_other()
+    {
+        server_list_readers first(host("a"));
+        server_list_readers third(host("c"));
+        const std::set<core::host_name> others_of_first{host("b"), host("c")};
+        const std::set<core::host_name> others_of_third{host("a"), host("b")};
+        for (server_list_readers* each : {&first, &readers_, &third}) {
+            each->record_report(host("e"), true, at_ms(0));
+            each->observe({host("e")}, false, at_ms(0));
+        }
+        CPPUNIT_ASSERT(!first.may_rely_on(others_of_first, at_ms(0)));
+        CPPUNIT_ASSERT(readers_.may_rely_on(peers_, at_ms(399)));
+        CPPUNIT_ASSERT(!readers_.may_rely_on(peers_, at_ms(400)));
+        CPPUNIT_ASSERT(third.may_rely_on(others_of_third, at_ms(799)));
+        CPPUNIT_ASSERT(!third.may_rely_on(others_of_third, at_ms(800)));
+        third.record_report(host("b"), true, at_ms(700));
+        CPPUNIT_ASSERT(third.may_rely_on(others_of_third, at_ms(800)));
+    }
+
+    void test_a_reader_rests_only_for_an_earlier_one()
+    {
+        readers_.record_own_read(at_ms(0));
+        readers_.record_report(host("c"), true, at_ms(0));
+        CPPUNIT_ASSERT(!readers_.may_rely_on(peers_, at_ms(0)));
+        readers_.record_report(host("a"), true, at_ms(0));
+        CPPUNIT_ASSERT(readers_.may_rely_on(peers_, at_ms(0)));
+    }
+
+    void test_a_waiting_host_postpones_the_take_over()
+    {
+        readers_.observe(peers_, true, at_ms(0));
+        readers_.observe(peers_, true, at_ms(3000));
+        CPPUNIT_ASSERT(readers_.may_rely_on(peers_, at_ms(3399)));
+        readers_.observe(peers_, false, at_ms(3200));
+        CPPUNIT_ASSERT(!readers_.may_rely_on(peers_, at_ms(3400)));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(server_list_readers_test);
