--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -239,6 +239,8 @@
     void handle_server_list_offer(
         const core::host_name& host, const wire::server_list_offer& offer);
     void offer_server_list();
+    void
+    reject_server_list(const core::host_name& host, std::string_view cause);
     void request_server_list();
     void serve_server_lists();
     void
@@ -396,6 +398,8 @@
     std::set<core::host_name> malformed_crash_reports_from_;
     /// Hosts whose malformed limits were logged.
     std::set<core::host_name> malformed_limits_from_;
+    /// Hosts whose malformed server lists were logged.
+    std::set<core::host_name> malformed_lists_from_;
     core::time_point rollouts_judged_at_{};
     core::time_point responses_sent_at_{};
     rollout::completion_check completion_check_;
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -417,6 +417,7 @@
     std::erase_if(invalid_gaps_from_, is_unknown);
     std::erase_if(malformed_crash_reports_from_, is_unknown);
     std::erase_if(malformed_limits_from_, is_unknown);
+    std::erase_if(malformed_lists_from_, is_unknown);
 }
 
 // Avoids servers that hang: new requests there would be lost together with the
--- a/services/entry/src/entry_process_server_list.cpp
+++ b/services/entry/src/entry_process_server_list.cpp
@@ -5,6 +5,8 @@
 #include <godwit/wire/codec.hpp>
 
 #include <cstddef>
+#include <string>
+#include <string_view>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -61,17 +63,33 @@
     const core::host_name& host, const wire::server_list_offer& offer)
 {
     if (offer.buckets.size() != server_list_digest::bucket_count) {
-        log_event(
-            log_level::warning,
-            component,
-            "server_list_offer_refused",
-            {{"neighbour", host}, {"buckets", offer.buckets.size()}});
+        reject_server_list(
+            host,
+            "the digest has " + std::to_string(offer.buckets.size()) +
+                " buckets");
         return;
     }
     list_comparison_.record_digest(host, digest_of(offer));
     request_server_list();
 }
 
+// Counts every malformed message, but logs only the first one of each host.
+void entry_process::reject_server_list(
+    const core::host_name& host, std::string_view cause)
+{
+    context_.metrics
+        ->counter(
+            "godwit_refused_server_lists_total",
+            "Parts or digests of server lists that cannot be read.")
+        .Increment();
+    if (malformed_lists_from_.insert(host).second)
+        log_event(
+            log_level::warning,
+            component,
+            "server_list_refused",
+            {{"neighbour", host}, {"cause", cause}});
+}
+
 void entry_process::request_server_list()
 {
     while (
@@ -163,14 +181,9 @@
     const auto* servers =
         decoded ? std::get_if<wire::listed_servers>(&*decoded) : nullptr;
     if (servers == nullptr) {
-        log_event(
-            log_level::warning,
-            component,
-            "server_list_refused",
-            {{"neighbour", host},
-             {"cause",
-              decoded ? std::string("it has no servers")
-                      : decoded.error().to_string()}});
+        reject_server_list(
+            host,
+            decoded ? "the part has no servers" : decoded.error().to_string());
         return;
     }
     handle_servers(host, *servers);
--- a/tests/platform_adapter/crashing_requests_test.cpp
+++ b/tests/platform_adapter/crashing_requests_test.cpp
@@ -37,10 +37,7 @@
             exchange.cut();
             co_return;
         }
-        http::response response =
-            fake_server::signed_response(exchange, 200, event(1));
-        [[maybe_unused]] const auto sent =
-            co_await exchange.respond(std::move(response));
+        co_await respond_with_event(exchange);
     };
 }
 
--- a/tests/platform_adapter/evacuation_test.cpp
+++ b/tests/platform_adapter/evacuation_test.cpp
@@ -58,13 +58,9 @@
         testbed_.second_server().set_zone("west");
         for (fake_server* server :
              {&testbed_.first_server(), &testbed_.second_server()})
-            server->set_handler(
-                [](http::exchange& exchange) -> asio::awaitable<void> {
-                    http::response response =
-                        fake_server::signed_response(exchange, 200, event(1));
-                    [[maybe_unused]] const auto sent =
-                        co_await exchange.respond(std::move(response));
-                });
+            server->set_handler([](http::exchange& exchange) {
+                return respond_with_event(exchange);
+            });
     }
 
     void evacuate(const std::string& zone)
--- a/tests/platform_adapter/rollout_test.cpp
+++ b/tests/platform_adapter/rollout_test.cpp
@@ -90,20 +90,12 @@
     {
         testbed_.first_server().set_version("v1");
         testbed_.second_server().set_version("v2");
-        testbed_.first_server().set_handler(
-            [](http::exchange& exchange) -> asio::awaitable<void> {
-                http::response response =
-                    fake_server::signed_response(exchange, 200, event(1));
-                [[maybe_unused]] const auto sent =
-                    co_await exchange.respond(std::move(response));
-            });
-        testbed_.second_server().set_handler(
-            [this](http::exchange& exchange) -> asio::awaitable<void> {
-                http::response response = fake_server::signed_response(
-                    exchange, is_target_bad_ ? 500 : 200, event(1));
-                [[maybe_unused]] const auto sent =
-                    co_await exchange.respond(std::move(response));
-            });
+        testbed_.first_server().set_handler([](http::exchange& exchange) {
+            return respond_with_event(exchange);
+        });
+        testbed_.second_server().set_handler([this](http::exchange& exchange) {
+            return respond_with_event(exchange, is_target_bad_ ? 500 : 200);
+        });
         testbed_.publish(1);
         testbed_.register_server(testbed_.first_server(), "ready");
         testbed::wait_until(
--- a/tests/platform_adapter/server_list_exchange_test.cpp
+++ b/tests/platform_adapter/server_list_exchange_test.cpp
@@ -67,6 +67,22 @@
                 server_record(address_of(number), "ready"));
     }
 
+    void start_with_list(int count)
+    {
+        put_servers(count);
+        testbed_.publish(1);
+        testbed::wait_until("the list", [this, count] {
+            return known_servers() == static_cast<std::size_t>(count);
+        });
+    }
+
+    static void wait_for_offer(const fake_neighbours& others)
+    {
+        testbed::wait_until("the offer", [&others] {
+            return !others.received<wire::server_list_offer>().empty();
+        });
+    }
+
     std::size_t known_servers()
     {
         return testbed_.run_on_host<std::size_t>(
@@ -94,14 +110,9 @@
     void test_a_list_larger_than_a_message_keeps_the_links_open()
     {
         constexpr int count = 8000;
-        put_servers(count);
-        testbed_.publish(1);
-        testbed::wait_until(
-            "the list", [this] { return known_servers() == count; });
+        start_with_list(count);
         fake_neighbours others(1, testbed_.neighbours(), &no_table);
-        testbed::wait_until("the offer", [&others] {
-            return !others.received<wire::server_list_offer>().empty();
-        });
+        wait_for_offer(others);
         others.send_from(0, wire::server_list_request{~std::uint64_t{0}});
         testbed::wait_until("the list at the neighbour", [&others] {
             return servers_in(others, "n0").size() == count;
@@ -119,9 +130,7 @@
     {
         testbed_.start();
         fake_neighbours others(1, testbed_.neighbours(), &no_table);
-        testbed::wait_until("the offer", [&others] {
-            return !others.received<wire::server_list_offer>().empty();
-        });
+        wait_for_offer(others);
         auto offer = others.received<wire::server_list_offer>().front().second;
         others.send_from(0, offer);
         offer.buckets[5] ^= 1;
@@ -244,14 +253,9 @@
     void test_servers_that_leave_together_are_sent_together()
     {
         constexpr int count = 200;
-        put_servers(count);
-        testbed_.publish(1);
-        testbed::wait_until(
-            "the list", [this] { return known_servers() == count; });
+        start_with_list(count);
         fake_neighbours others(1, testbed_.neighbours(), &no_table);
-        testbed::wait_until("the offer", [&others] {
-            return !others.received<wire::server_list_offer>().empty();
-        });
+        wait_for_offer(others);
         for (int number = 0; number < count; ++number)
             testbed_.store().put(
                 "keyed.servers", "far-" + std::to_string(number), std::nullopt);
--- a/tests/platform_adapter/stream_helpers.hpp
+++ b/tests/platform_adapter/stream_helpers.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "fake_server.hpp"
+
 #include <godwit/http/exchange.hpp>
 
 #include <boost/asio/awaitable.hpp>
@@ -8,6 +10,7 @@
 
 #include <chrono>
 #include <string>
+#include <utility>
 
 namespace godwit::platform_adapter::test {
 
@@ -17,6 +20,16 @@
     return "id: " + std::to_string(id) + "\ndata: t\n\n";
 }
 
+/// Responds to a request with one event, signed as by a server.
+inline boost::asio::awaitable<void>
+respond_with_event(http::exchange& exchange, unsigned status = 200)
+{
+    http::response response =
+        fake_server::signed_response(exchange, status, event(1));
+    [[maybe_unused]] const auto sent =
+        co_await exchange.respond(std::move(response));
+}
+
 /// Delays the response of a fake server.
 inline boost::asio::awaitable<void>
 sleep(http::exchange& exchange, int milliseconds)
