--- a/tests/placement/server_list_comparison_test.cpp
+++ b/tests/placement/server_list_comparison_test.cpp
@@ -39,7 +39,7 @@
 
     const host_name a_{"a"};
     const host_name b_{"b"};
-    const server_list_digest none_;
+    const server_list_digest none_{};
     server_list_comparison comparison_{host_name("self")};
 
     void test_equal_lists_are_not_requested()
