--- a/libraries/placement/include/godwit/placement/load_ledger.hpp
+++ b/libraries/placement/include/godwit/placement/load_ledger.hpp
@@ -38,8 +38,7 @@
 /// hosts further away.
 ///
 /// Totals are updated with each report, so that the cost of a lookup does not
-/// depend on the number of reporting hosts: choosing among 128 servers with 40
-/// reports took 233 us when each lookup added them up (godwit-placement-bench).
+/// depend on the number of reporting hosts.
 class load_ledger
 {
 public:
--- a/services/entry/include/godwit/entry/cell_load_reporter.hpp
+++ b/services/entry/include/godwit/entry/cell_load_reporter.hpp
@@ -32,9 +32,7 @@
 
     /// Interval between two full reports. A new link begins with a full report
     /// and loses no later one; the periodic ones correct the sums when two
-    /// hosts of the cell report the same server in a different order. Sent each
-    /// second, they were 8% of the bytes between the zones of 295 hosts (0.87
-    /// GB in 48 s).
+    /// hosts of the cell report the same server in a different order.
     static constexpr core::duration full_report_interval =
         std::chrono::seconds(10);
     /// Longest interval without a report, even if nothing changed, so that
