rollout: servers in evacuated zones do not count as capacity

Cause: the capacity of a version counted its servers in evacuated availability zones. A rollout whose target has servers there only was completed, so that its former servers stop, and the service has no server until the evacuation ends. In the last phase a request found no server and was refused, though the former version still had some. Change: such servers have no slots, and a target without any server that the request may use (also for its regions) leads to the former version. The reverse does not hold: the target may be bad, so that an evacuated former version does not open it.

--- a/libraries/rollout/include/godwit/rollout/version_capacity.hpp
+++ b/libraries/rollout/include/godwit/rollout/version_capacity.hpp
@@ -3,6 +3,7 @@
 #include <godwit/core/time.hpp>
 #include <godwit/placement/load_ledger.hpp>
 #include <godwit/placement/server_directory.hpp>
+#include <godwit/placement/zone_evacuations.hpp>
 #include <godwit/rollout/rollouts.hpp>
 
 #include <cstdint>
@@ -33,12 +34,14 @@
 };
 
 /// Returns the capacity of the versions of the rollout. Servers of versions
-/// that get no requests do not count.
+/// that get no requests do not count, and those in evacuated availability zones
+/// have no slots.
 [[nodiscard]] version_capacity capacity_of(
     const rollouts& known,
     const rollout_order& order,
     const placement::server_directory& directory,
     const placement::load_ledger& ledger,
+    const placement::zone_evacuations& evacuations,
     core::time_point now);
 
 } // namespace godwit::rollout
--- a/libraries/rollout/src/version_capacity.cpp
+++ b/libraries/rollout/src/version_capacity.cpp
@@ -14,16 +14,19 @@
     const rollout_order& order,
     const placement::server_directory& directory,
     const placement::load_ledger& ledger,
+    const placement::zone_evacuations& evacuations,
     core::time_point now)
 {
     const auto former = known.former_versions(order.service);
     version_capacity sums;
     for (const placement::backend_server* server :
          directory.usable(order.service)) {
+        const std::uint64_t slots =
+            evacuations.is_evacuated(server->zone) ? 0 : server->slots;
         if (server->version == order.target) {
-            sums.target_slots += server->slots;
+            sums.target_slots += slots;
         } else if (former.allows(server->version)) {
-            sums.former_slots += server->slots;
+            sums.former_slots += slots;
             sums.former_requests += ledger.at(server->id, now).requests;
         }
     }
--- a/libraries/rollout/src/version_choice.cpp
+++ b/libraries/rollout/src/version_choice.cpp
@@ -4,9 +4,13 @@
 
 namespace {
 
+// Returns whether the version has no server that the request may use, whatever
+// their load.
 bool is_missing(placement::placement_failure failure)
 {
-    return failure == placement::placement_failure::no_server;
+    return failure == placement::placement_failure::no_server ||
+           failure == placement::placement_failure::evacuated ||
+           failure == placement::placement_failure::outside_regions;
 }
 
 } // namespace
@@ -15,7 +19,8 @@
 // has no capacity, uses the former version. Once every request goes to the
 // target, the former servers must become idle, so that only a missing target
 // leads back to them. Where the former version has no servers at all, the
-// rollout was completed before this host knew of it.
+// rollout was completed before this host knew of it; servers in an evacuated
+// availability zone do not show that.
 tl::expected<placement::placement_choice, placement::placement_failure>
 choose_by_version(
     placement::placer& placer,
@@ -42,9 +47,9 @@
         request.versions = known.former_versions(service);
         return placer.choose(request, now);
     }
-    const bool may_use_target = status->state == rollout_state::running &&
-                                request.excluded.empty() &&
-                                is_missing(found.error());
+    const bool may_use_target =
+        status->state == rollout_state::running && request.excluded.empty() &&
+        found.error() == placement::placement_failure::no_server;
     if (tries_target || !may_use_target)
         return found;
     request.versions = {status->order.target, {}};
--- a/services/entry/src/entry_process_rollouts.cpp
+++ b/services/entry/src/entry_process_rollouts.cpp
@@ -180,6 +180,7 @@
         status.order,
         context_.directory,
         context_.ledger,
+        context_.evacuations,
         core::monotonic_now());
 }
 
--- a/tests/rollout/version_choice_test.cpp
+++ b/tests/rollout/version_choice_test.cpp
@@ -38,6 +38,9 @@
     CPPUNIT_TEST(test_a_rolled_back_version_is_never_used);
     CPPUNIT_TEST(test_a_run_keeps_the_version_of_its_server);
     CPPUNIT_TEST(test_servers_of_rejected_versions_have_no_capacity);
+    CPPUNIT_TEST(test_an_evacuated_target_leads_to_the_former_version);
+    CPPUNIT_TEST(test_an_evacuated_former_version_does_not_open_the_target);
+    CPPUNIT_TEST(test_servers_in_evacuated_zones_have_no_capacity);
     CPPUNIT_TEST(test_a_rollout_is_completed_when_the_former_servers_are_idle);
     CPPUNIT_TEST(test_a_target_with_too_few_servers_is_given_up);
     CPPUNIT_TEST_SUITE_END();
@@ -74,14 +77,17 @@
     rollouts rollouts_{0.1};
     completion_check completion_;
 
-    void add(int number, const std::string& version)
+    void
+    add(int number,
+        const std::string& version,
+        const core::zone_name& zone = core::zone_name("east"))
     {
         backend_server server{
             server_id("i-" + std::to_string(number)),
             lm,
             http::endpoint::parse("127.0.0.1:" + std::to_string(9000 + number))
                 .value(),
-            core::zone_name("east"),
+            zone,
             4,
             server_state::ready,
             1};
@@ -97,6 +103,11 @@
             ordered_at);
     }
 
+    void evacuate(const core::zone_name& zone)
+    {
+        evacuations_.update({zone, true, {1, 1}}, ordered_at);
+    }
+
     void fill(int number)
     {
         ledger_.add(server_id("i-" + std::to_string(number)), {4, 9900, 0});
@@ -227,7 +238,12 @@
     version_capacity capacity(const rollout_status& status)
     {
         return capacity_of(
-            rollouts_, status.order, directory_, ledger_, observing);
+            rollouts_,
+            status.order,
+            directory_,
+            ledger_,
+            evacuations_,
+            observing);
     }
 
     void test_servers_of_rejected_versions_have_no_capacity()
@@ -243,6 +259,41 @@
         CPPUNIT_ASSERT(!capacity(status).is_target_sufficient());
     }
 
+    // The last servers of a version move to the zone that is evacuated.
+    void move_to_west(int first, const std::string& version)
+    {
+        for (const int number : {first, first + 1}) {
+            remove(number);
+            add(number + 10, version, core::zone_name("west"));
+        }
+        evacuate(core::zone_name("west"));
+    }
+
+    void test_an_evacuated_target_leads_to_the_former_version()
+    {
+        order();
+        move_to_west(3, "v2");
+        CPPUNIT_ASSERT_EQUAL(std::string("v1"), choose(1, finally));
+    }
+
+    // The target may turn out to be bad.
+    void test_an_evacuated_former_version_does_not_open_the_target()
+    {
+        order();
+        move_to_west(1, "v1");
+        const int in_target = count_target(observing);
+        CPPUNIT_ASSERT(in_target > 10 && in_target < 60);
+    }
+
+    void test_servers_in_evacuated_zones_have_no_capacity()
+    {
+        const rollout_status status = order();
+        move_to_west(3, "v2");
+        fill(13);
+        CPPUNIT_ASSERT(capacity(status) == (version_capacity{0, 8, 0}));
+        CPPUNIT_ASSERT(!capacity(status).is_target_sufficient());
+    }
+
     void test_a_rollout_is_completed_when_the_former_servers_are_idle()
     {
         const rollout_status status = order();
