rollout: a state that a restored store lost is recorded again

Cause: hosts remembered that the end of a rollout was recorded, also after the store had restarted from a copy without the record. Change: an order that is listed again in a later epoch has an unrecorded end; the first host in rank records it under the order's new position. Reports of hosts that have not noticed the restore name the earlier revision and do not count. A completed rollout is recorded again, too.

--- a/libraries/rollout/src/rollouts.cpp
+++ b/libraries/rollout/src/rollouts.cpp
@@ -83,6 +83,8 @@
     service_rollouts& known = found->second;
     if (is_repeated(known.newest.order, reported.order)) {
         known.newest.order.revision = reported.order.revision;
+        // The restored source may lack the recorded state.
+        known.newest.is_recorded = false;
         merge(known, reported);
         return true;
     }
--- a/tests/platform_adapter/rollout_test.cpp
+++ b/tests/platform_adapter/rollout_test.cpp
@@ -35,6 +35,9 @@
     CPPUNIT_TEST(test_an_order_of_a_missing_service_changes_nothing);
     CPPUNIT_TEST(test_a_recorded_end_is_adopted_by_a_host_that_starts);
     CPPUNIT_TEST(test_neighbours_report_a_rollback_without_the_store);
+    CPPUNIT_TEST(test_a_state_that_a_restored_store_lost_is_recorded_again);
+    CPPUNIT_TEST(test_a_rollout_ends_while_a_zone_is_evacuated);
+    CPPUNIT_TEST(test_a_target_whose_servers_drain_is_not_completed);
     CPPUNIT_TEST_SUITE_END();
 
     testbed testbed_;
@@ -267,6 +270,59 @@
             CPPUNIT_ASSERT_EQUAL(200U, testbed_.call("POST", "/again/").status);
         CPPUNIT_ASSERT_EQUAL(before, requests_at_target());
     }
+
+    void test_a_state_that_a_restored_store_lost_is_recorded_again()
+    {
+        start();
+        testbed_.register_server(testbed_.second_server(), "ready");
+        testbed_.store().back_up();
+        order("1");
+        wait_for_state("completed");
+        testbed_.store().restore(
+            {{"keyed.op",
+              "rollout/lm",
+              R"({"service":"lm","to":"v2","duration_s":1})"}});
+        CPPUNIT_ASSERT(!testbed_.store().has("keyed.status", "rollout/lm"));
+        wait_for_state("completed");
+        const std::size_t before = testbed_.first_server().count("/again/");
+        testbed_.register_server(testbed_.first_server(), "draining");
+        CPPUNIT_ASSERT_EQUAL(200U, testbed_.call("POST", "/again/").status);
+        CPPUNIT_ASSERT_EQUAL(before, testbed_.first_server().count("/again/"));
+    }
+
+    // The target has servers in the evacuated zone only.
+    void test_a_rollout_ends_while_a_zone_is_evacuated()
+    {
+        testbed_.second_server().set_zone("west");
+        start();
+        testbed_.register_server(testbed_.second_server(), "ready");
+        order("1");
+        testbed_.store().put("keyed.op", "evacuate/west", "{}");
+        testbed::wait_until("the evacuation", [this] {
+            return testbed_.run_on_host<bool>([](auto& process) {
+                return process.context().evacuations.is_evacuated(
+                    core::zone_name("west"));
+            });
+        });
+        const std::size_t before = requests_at_target();
+        call_until([] { return false; }, 60);
+        CPPUNIT_ASSERT_EQUAL(before, requests_at_target());
+        wait_for_state("rolled_back");
+        CPPUNIT_ASSERT_EQUAL(200U, testbed_.call("POST", "/again/").status);
+    }
+
+    void test_a_target_whose_servers_drain_is_not_completed()
+    {
+        start();
+        testbed_.register_server(testbed_.second_server(), "ready");
+        order("1");
+        testbed_.register_server(testbed_.second_server(), "draining");
+        const std::size_t before = requests_at_target();
+        call_until([] { return false; }, 40);
+        CPPUNIT_ASSERT_EQUAL(before, requests_at_target());
+        wait_for_state("rolled_back");
+        CPPUNIT_ASSERT_EQUAL(200U, testbed_.call("POST", "/again/").status);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(rollout_test);
--- a/tests/rollout/rollouts_test.cpp
+++ b/tests/rollout/rollouts_test.cpp
@@ -56,6 +56,7 @@
     CPPUNIT_TEST(test_a_recorded_end_is_not_replaced);
     CPPUNIT_TEST(test_an_unrecorded_end_yields_to_a_recorded_one);
     CPPUNIT_TEST(test_an_order_listed_again_after_a_restore_is_not_new);
+    CPPUNIT_TEST(test_a_restore_makes_an_end_unrecorded);
     CPPUNIT_TEST(test_a_withdrawn_order_rolls_back);
     CPPUNIT_TEST(test_a_completed_version_gets_every_request);
     CPPUNIT_TEST_SUITE_END();
@@ -192,6 +193,23 @@
         CPPUNIT_ASSERT(!rollouts_.update(ordered("v2", 9)));
     }
 
+    void test_a_restore_makes_an_end_unrecorded()
+    {
+        rollouts_.update(ordered("v2", 9));
+        rollouts_.update(
+            in_state(ordered("v2", 9), rollout_state::completed, true));
+        CPPUNIT_ASSERT(rollouts_.update(ordered("v2", 4, 2)));
+        CPPUNIT_ASSERT(!rollouts_.find(lm)->is_recorded);
+        CPPUNIT_ASSERT(rollouts_.find(lm)->state == rollout_state::completed);
+        // What hosts that have not noticed the restore report does not count.
+        rollouts_.update(
+            in_state(ordered("v2", 9), rollout_state::completed, true));
+        CPPUNIT_ASSERT(!rollouts_.find(lm)->is_recorded);
+        rollouts_.update(
+            in_state(ordered("v2", 4, 2), rollout_state::completed, true));
+        CPPUNIT_ASSERT(rollouts_.find(lm)->is_recorded);
+    }
+
     void test_a_withdrawn_order_rolls_back()
     {
         rollouts_.update(ordered("v2", 5));
