rollout tests: hosts that restart together in the middle of a rollout

55% of 6, 89 and 986 hosts lose what they counted, 0.5 s, 3 s and 38 s into the rollout of a bad version: it stays within its share, and gets nothing 5 s after its 50th bad answer.

--- a/tests/rollout/fleet_exposure_test.cpp
+++ b/tests/rollout/fleet_exposure_test.cpp
@@ -40,6 +40,14 @@
     bool is_rolled_back = false;
 };
 
+/// Hosts that restart together in the middle of a rollout, without what they
+/// had counted.
+struct restart_of_hosts
+{
+    double share = 0;
+    int at_ms = -1;
+};
+
 /// A fleet of cells, of which each host receives the reports of its cell and
 /// the sums of the others after `report_delay_ms`.
 class simulated_fleet
@@ -61,11 +69,17 @@
             hosts_.back()->set_host_count(hosts);
             hosts_.back()->update(order);
         }
+        uninformed_until_ms_.resize(hosts);
     }
 
-    exposure play(const bad_version& bad, double requests_per_second)
+    exposure play(
+        const bad_version& bad,
+        double requests_per_second,
+        const restart_of_hosts& restarts = {})
     {
         for (now_ms_ = 0; now_ms_ < duration_ms; now_ms_ += step_ms) {
+            if (now_ms_ == restarts.at_ms)
+                restart(restarts.share);
             serve(bad, requests_per_second);
             if (now_ms_ % report_ms == 0)
                 report();
@@ -82,14 +96,34 @@
         return core::time_point(milliseconds(1'000'000 + ms));
     }
 
+    // A host that restarts learns the state from another host, and sends
+    // nothing to the target at first.
+    void restart(double share)
+    {
+        constexpr int joining_ms = 4000;
+        const rollout_status known = *hosts_.back()->find(lm);
+        const auto count = static_cast<std::size_t>(
+            share * static_cast<double>(hosts_.size()));
+        for (std::size_t host = 0; host < count; ++host) {
+            hosts_[host] = std::make_unique<rollouts>(permitted);
+            hosts_[host]->set_host_count(hosts_.size());
+            hosts_[host]->update(known);
+            uninformed_until_ms_[host] = now_ms_ + joining_ms;
+        }
+    }
+
     void serve(const bad_version& bad, double requests_per_second)
     {
         const auto requests = static_cast<std::size_t>(
             requests_per_second * step_ms / 1000 + random_.unit());
         for (std::size_t number = 0; number < requests; ++number) {
-            rollouts& host = *hosts_[random_.below(hosts_.size())];
+            const std::size_t index = random_.below(hosts_.size());
+            rollouts& host = *hosts_[index];
             const auto versions = host.versions_for(
-                lm, std::to_string(random_.next()), true, at(now_ms_));
+                lm,
+                std::to_string(random_.next()),
+                now_ms_ >= uninformed_until_ms_[index],
+                at(now_ms_));
             ++seen_.requests;
             respond(host, versions.only.has_value(), bad);
         }
@@ -206,6 +240,7 @@
 
     core::random random_;
     std::vector<std::unique_ptr<rollouts>> hosts_;
+    std::vector<int> uninformed_until_ms_; ///< By host.
     std::deque<reports> on_the_way_;
     exposure seen_;
     int now_ms_ = 0;
@@ -217,6 +252,7 @@
 {
     CPPUNIT_TEST_SUITE(fleet_exposure_test);
     CPPUNIT_TEST(test_a_bad_version_stays_within_its_share);
+    CPPUNIT_TEST(test_hosts_that_restart_do_not_extend_the_exposure);
     CPPUNIT_TEST(test_a_good_version_is_not_rolled_back);
     CPPUNIT_TEST_SUITE_END();
 
@@ -247,6 +283,29 @@
         }
     }
 
+    void test_hosts_that_restart_do_not_extend_the_exposure()
+    {
+        constexpr std::uint64_t slack = 50;
+        constexpr int rollback_ms = 5000;
+        for (const std::size_t hosts : {6U, 89U, 986U}) {
+            for (const int at_ms : {500, 3000, 38'000}) {
+                simulated_fleet fleet(hosts, hosts + 1);
+                const exposure seen =
+                    fleet.play({0.5, 1, 0}, 220, {0.55, at_ms});
+                CPPUNIT_ASSERT(
+                    seen.in_target <= static_cast<std::uint64_t>(
+                                          simulated_fleet::permitted *
+                                          static_cast<double>(seen.requests)) +
+                                          slack);
+                if (seen.fiftieth_bad_ms >= 0)
+                    CPPUNIT_ASSERT(
+                        seen.last_send_ms <=
+                        seen.fiftieth_bad_ms + rollback_ms);
+                CPPUNIT_ASSERT(seen.is_rolled_back);
+            }
+        }
+    }
+
     void test_a_good_version_is_not_rolled_back()
     {
         for (const std::size_t hosts : {6U, 89U}) {
