entry, platform: hosts that know as much as a reader read nothing again

Cause: each host read each version of the route table at the store (83 KB and a call for each of 986 hosts, 110 KB at their start), kept a read of the list of hosts open that every join ends, and each reader of a cell read the whole list of servers (2.4 MB, 14 calls) before it could follow it: on a small host that takes longer than the others wait for it, so that the next ones began as well. Calls and bytes grew as H times the size of the tables. Change: hosts that read report their positions, with the version and the digest of what they have in force. A host with the same contents takes the position over, and continues from it when its turn to read comes. Tables are read by at least eight hosts of the fleet, one in each cell; the others hear of a version from their neighbours, and read it themselves if they do not get it within 1.5 s or no host of their cell reads. The list of hosts is read when a reader has found something. Readers of cells read less often the more cells there are.

--- a/libraries/placement/include/godwit/placement/server_directory.hpp
+++ b/libraries/placement/include/godwit/placement/server_directory.hpp
@@ -72,6 +72,13 @@
     /// removes servers that left longer than `departed_retention` ago.
     [[nodiscard]] std::vector<server_id> expire(core::time_point now);
 
+    /// Returns whether a server that is missing from the list may still be
+    /// usable here.
+    [[nodiscard]] bool has_missing(core::time_point now) const
+    {
+        return last_missing_at_ && now - *last_missing_at_ < 2 * expiry_grace;
+    }
+
     /// Returns the server, also if it is draining; null if it is unknown.
     [[nodiscard]] const backend_server* find(const server_id& id) const;
 
@@ -178,6 +185,7 @@
     std::multimap<core::time_point, server_id> deadlines_;
     std::map<core::service_name, departures> departures_;
     std::optional<core::time_point> first_listed_at_;
+    std::optional<core::time_point> last_missing_at_;
 };
 
 } // namespace godwit::placement
--- a/libraries/placement/include/godwit/placement/server_list_digest.hpp
+++ b/libraries/placement/include/godwit/placement/server_list_digest.hpp
@@ -34,6 +34,9 @@
     /// Returns the buckets whose contents differ.
     [[nodiscard]] bucket_set differences(const server_list_digest& other) const;
 
+    /// Returns one value for all buckets.
+    [[nodiscard]] std::uint64_t combined() const noexcept;
+
     [[nodiscard]] const bucket_values& values() const noexcept
     {
         return values_;
--- a/libraries/placement/src/server_directory.cpp
+++ b/libraries/placement/src/server_directory.cpp
@@ -223,6 +223,7 @@
         return mark_draining(known, now);
     if (!known.missing_since) {
         known.missing_since = now;
+        last_missing_at_ = now;
         deadlines_.emplace(now + expiry_grace, id);
     }
     return directory_change::none;
--- a/libraries/placement/src/server_list_digest.cpp
+++ b/libraries/placement/src/server_list_digest.cpp
@@ -17,6 +17,15 @@
         core::stable_hash(id.value(), start.unix_ms + 1);
 }
 
+// Each server is in one bucket, so that no two values cancel each other.
+std::uint64_t server_list_digest::combined() const noexcept
+{
+    std::uint64_t all = 0;
+    for (const std::uint64_t value : values_)
+        all ^= value;
+    return all;
+}
+
 server_list_digest::bucket_set
 server_list_digest::differences(const server_list_digest& other) const
 {
--- a/libraries/wire/include/godwit/wire/message.hpp
+++ b/libraries/wire/include/godwit/wire/message.hpp
@@ -27,6 +27,7 @@
 #include <godwit/wire/server_limits.hpp>
 #include <godwit/wire/server_list_exchange.hpp>
 #include <godwit/wire/server_sign.hpp>
+#include <godwit/wire/source_positions.hpp>
 #include <godwit/wire/table_changes.hpp>
 #include <godwit/wire/table_document.hpp>
 #include <godwit/wire/zone_evacuations.hpp>
@@ -71,7 +72,8 @@
     rollout_responses,
     server_list_offer,
     server_list_request,
-    server_list_part>;
+    server_list_part,
+    source_positions>;
 
 /// Returns the name of the message's type, for logs and metrics.
 [[nodiscard]] std::string_view name_of(const message& value) noexcept;
--- a/libraries/wire/include/godwit/wire/server_list_exchange.hpp
+++ b/libraries/wire/include/godwit/wire/server_list_exchange.hpp
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <godwit/wire/source_positions.hpp>
+
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,6 +33,9 @@
     std::string compressed;          ///< A Zstandard frame.
     std::uint64_t content_bytes = 0; ///< Of the encoded `listed_servers`.
     bool is_last = false;
+    /// Of the last part: the list includes everything before this position of
+    /// its source; empty if that is not known.
+    std::optional<source_position> position = {};
 
     friend bool
     operator==(const server_list_part&, const server_list_part&) = default;
--- a/libraries/wire/src/godwit_generated.h
+++ b/libraries/wire/src/godwit_generated.h
@@ -152,6 +152,12 @@
 struct server_list_request;
 struct server_list_requestBuilder;
 
+struct source_position;
+struct source_positionBuilder;
+
+struct source_positions;
+struct source_positionsBuilder;
+
 struct server_list_part;
 struct server_list_partBuilder;
 
@@ -481,11 +487,12 @@
   server_list_offer = 31,
   server_list_request = 32,
   server_list_part = 33,
+  source_positions = 34,
   MIN = NONE,
-  MAX = server_list_part
+  MAX = source_positions
 };
 
-inline const payload (&EnumValuespayload())[34] {
+inline const payload (&EnumValuespayload())[35] {
   static const payload values[] = {
     payload::NONE,
     payload::hello,
@@ -520,13 +527,14 @@
     payload::rollout_responses,
     payload::server_list_offer,
     payload::server_list_request,
-    payload::server_list_part
+    payload::server_list_part,
+    payload::source_positions
   };
   return values;
 }
 
 inline const char * const *EnumNamespayload() {
-  static const char * const names[35] = {
+  static const char * const names[36] = {
     "NONE",
     "hello",
     "heartbeat",
@@ -561,13 +569,14 @@
     "server_list_offer",
     "server_list_request",
     "server_list_part",
+    "source_positions",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamepayload(payload e) {
-  if (flatbuffers::IsOutRange(e, payload::NONE, payload::server_list_part)) return "";
+  if (flatbuffers::IsOutRange(e, payload::NONE, payload::source_positions)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamespayload()[index];
 }
@@ -708,6 +717,10 @@
   static const payload enum_value = payload::server_list_part;
 };
 
+template<> struct payloadTraits<godwit::wire::format::source_positions> {
+  static const payload enum_value = payload::source_positions;
+};
+
 bool Verifypayload(flatbuffers::Verifier &verifier, const void *obj, payload type);
 bool VerifypayloadVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<payload> *types);
 
@@ -4687,13 +4700,161 @@
   static auto constexpr Create = Createserver_list_request;
 };
 
+struct source_position FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef source_positionBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_EPOCH = 4,
+    VT_OFFSET = 6
+  };
+  uint64_t epoch() const {
+    return GetField<uint64_t>(VT_EPOCH, 0);
+  }
+  uint64_t offset() const {
+    return GetField<uint64_t>(VT_OFFSET, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
+           VerifyField<uint64_t>(verifier, VT_OFFSET, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct source_positionBuilder {
+  typedef source_position Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_epoch(uint64_t epoch) {
+    fbb_.AddElement<uint64_t>(source_position::VT_EPOCH, epoch, 0);
+  }
+  void add_offset(uint64_t offset) {
+    fbb_.AddElement<uint64_t>(source_position::VT_OFFSET, offset, 0);
+  }
+  explicit source_positionBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<source_position> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<source_position>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<source_position> Createsource_position(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t epoch = 0,
+    uint64_t offset = 0) {
+  source_positionBuilder builder_(_fbb);
+  builder_.add_offset(offset);
+  builder_.add_epoch(epoch);
+  return builder_.Finish();
+}
+
+struct source_position::Traits {
+  using type = source_position;
+  static auto constexpr Create = Createsource_position;
+};
+
+struct source_positions FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef source_positionsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TABLES = 4,
+    VT_TABLE_VERSION = 6,
+    VT_SERVERS = 8,
+    VT_SERVER_DIGEST = 10,
+    VT_HOSTS = 12
+  };
+  const godwit::wire::format::source_position *tables() const {
+    return GetPointer<const godwit::wire::format::source_position *>(VT_TABLES);
+  }
+  uint64_t table_version() const {
+    return GetField<uint64_t>(VT_TABLE_VERSION, 0);
+  }
+  const godwit::wire::format::source_position *servers() const {
+    return GetPointer<const godwit::wire::format::source_position *>(VT_SERVERS);
+  }
+  uint64_t server_digest() const {
+    return GetField<uint64_t>(VT_SERVER_DIGEST, 0);
+  }
+  const godwit::wire::format::source_position *hosts() const {
+    return GetPointer<const godwit::wire::format::source_position *>(VT_HOSTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_TABLES) &&
+           verifier.VerifyTable(tables()) &&
+           VerifyField<uint64_t>(verifier, VT_TABLE_VERSION, 8) &&
+           VerifyOffset(verifier, VT_SERVERS) &&
+           verifier.VerifyTable(servers()) &&
+           VerifyField<uint64_t>(verifier, VT_SERVER_DIGEST, 8) &&
+           VerifyOffset(verifier, VT_HOSTS) &&
+           verifier.VerifyTable(hosts()) &&
+           verifier.EndTable();
+  }
+};
+
+struct source_positionsBuilder {
+  typedef source_positions Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_tables(flatbuffers::Offset<godwit::wire::format::source_position> tables) {
+    fbb_.AddOffset(source_positions::VT_TABLES, tables);
+  }
+  void add_table_version(uint64_t table_version) {
+    fbb_.AddElement<uint64_t>(source_positions::VT_TABLE_VERSION, table_version, 0);
+  }
+  void add_servers(flatbuffers::Offset<godwit::wire::format::source_position> servers) {
+    fbb_.AddOffset(source_positions::VT_SERVERS, servers);
+  }
+  void add_server_digest(uint64_t server_digest) {
+    fbb_.AddElement<uint64_t>(source_positions::VT_SERVER_DIGEST, server_digest, 0);
+  }
+  void add_hosts(flatbuffers::Offset<godwit::wire::format::source_position> hosts) {
+    fbb_.AddOffset(source_positions::VT_HOSTS, hosts);
+  }
+  explicit source_positionsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<source_positions> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<source_positions>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<source_positions> Createsource_positions(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<godwit::wire::format::source_position> tables = 0,
+    uint64_t table_version = 0,
+    flatbuffers::Offset<godwit::wire::format::source_position> servers = 0,
+    uint64_t server_digest = 0,
+    flatbuffers::Offset<godwit::wire::format::source_position> hosts = 0) {
+  source_positionsBuilder builder_(_fbb);
+  builder_.add_server_digest(server_digest);
+  builder_.add_table_version(table_version);
+  builder_.add_hosts(hosts);
+  builder_.add_servers(servers);
+  builder_.add_tables(tables);
+  return builder_.Finish();
+}
+
+struct source_positions::Traits {
+  using type = source_positions;
+  static auto constexpr Create = Createsource_positions;
+};
+
 struct server_list_part FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef server_list_partBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_COMPRESSED = 4,
     VT_CONTENT_BYTES = 6,
-    VT_LAST = 8
+    VT_LAST = 8,
+    VT_POSITION = 10
   };
   const flatbuffers::Vector<uint8_t> *compressed() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_COMPRESSED);
@@ -4704,12 +4865,17 @@
   bool last() const {
     return GetField<uint8_t>(VT_LAST, 0) != 0;
   }
+  const godwit::wire::format::source_position *position() const {
+    return GetPointer<const godwit::wire::format::source_position *>(VT_POSITION);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_COMPRESSED) &&
            verifier.VerifyVector(compressed()) &&
            VerifyField<uint64_t>(verifier, VT_CONTENT_BYTES, 8) &&
            VerifyField<uint8_t>(verifier, VT_LAST, 1) &&
+           VerifyOffset(verifier, VT_POSITION) &&
+           verifier.VerifyTable(position()) &&
            verifier.EndTable();
   }
 };
@@ -4727,6 +4893,9 @@
   void add_last(bool last) {
     fbb_.AddElement<uint8_t>(server_list_part::VT_LAST, static_cast<uint8_t>(last), 0);
   }
+  void add_position(flatbuffers::Offset<godwit::wire::format::source_position> position) {
+    fbb_.AddOffset(server_list_part::VT_POSITION, position);
+  }
   explicit server_list_partBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4742,9 +4911,11 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> compressed = 0,
     uint64_t content_bytes = 0,
-    bool last = false) {
+    bool last = false,
+    flatbuffers::Offset<godwit::wire::format::source_position> position = 0) {
   server_list_partBuilder builder_(_fbb);
   builder_.add_content_bytes(content_bytes);
+  builder_.add_position(position);
   builder_.add_compressed(compressed);
   builder_.add_last(last);
   return builder_.Finish();
@@ -4759,13 +4930,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<uint8_t> *compressed = nullptr,
     uint64_t content_bytes = 0,
-    bool last = false) {
+    bool last = false,
+    flatbuffers::Offset<godwit::wire::format::source_position> position = 0) {
   auto compressed__ = compressed ? _fbb.CreateVector<uint8_t>(*compressed) : 0;
   return godwit::wire::format::Createserver_list_part(
       _fbb,
       compressed__,
       content_bytes,
-      last);
+      last,
+      position);
 }
 
 struct frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4881,6 +5054,9 @@
   const godwit::wire::format::server_list_part *payload_as_server_list_part() const {
     return payload_type() == godwit::wire::format::payload::server_list_part ? static_cast<const godwit::wire::format::server_list_part *>(payload()) : nullptr;
   }
+  const godwit::wire::format::source_positions *payload_as_source_positions() const {
+    return payload_type() == godwit::wire::format::payload::source_positions ? static_cast<const godwit::wire::format::source_positions *>(payload()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_PAYLOAD_TYPE, 1) &&
@@ -5022,6 +5198,10 @@
   return payload_as_server_list_part();
 }
 
+template<> inline const godwit::wire::format::source_positions *frame::payload_as<godwit::wire::format::source_positions>() const {
+  return payload_as_source_positions();
+}
+
 struct frameBuilder {
   typedef frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -5195,6 +5375,10 @@
       auto ptr = reinterpret_cast<const godwit::wire::format::server_list_part *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case payload::source_positions: {
+      auto ptr = reinterpret_cast<const godwit::wire::format::source_positions *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/libraries/wire/src/message.cpp
+++ b/libraries/wire/src/message.cpp
@@ -41,7 +41,8 @@
             "rollout_responses",
             "server_list_offer",
             "server_list_request",
-            "server_list_part"};
+            "server_list_part",
+            "source_positions"};
     return names.at(value.index());
 }
 
--- a/libraries/wire/src/message_reader.cpp
+++ b/libraries/wire/src/message_reader.cpp
@@ -4,6 +4,17 @@
 
 namespace godwit::wire {
 
+namespace {
+
+std::optional<source_position> position(const format::source_position* table)
+{
+    if (table == nullptr)
+        return std::nullopt;
+    return source_position{table->epoch(), table->offset()};
+}
+
+} // namespace
+
 hello read(const format::hello& table, frame_reader& reader)
 {
     return hello{
@@ -403,7 +414,19 @@
     return server_list_part{
         .compressed = reader.bytes(table.compressed()),
         .content_bytes = table.content_bytes(),
-        .is_last = table.last()};
+        .is_last = table.last(),
+        .position = position(table.position())};
+}
+
+source_positions
+read(const format::source_positions& table, frame_reader& /*reader*/)
+{
+    return source_positions{
+        .tables = position(table.tables()),
+        .table_version = table.table_version(),
+        .servers = position(table.servers()),
+        .server_digest = table.server_digest(),
+        .hosts = position(table.hosts())};
 }
 
 } // namespace godwit::wire
--- a/libraries/wire/src/message_reader.hpp
+++ b/libraries/wire/src/message_reader.hpp
@@ -70,4 +70,7 @@
 server_list_part
 read(const format::server_list_part& table, frame_reader& reader);
 
+[[nodiscard]] source_positions
+read(const format::source_positions& table, frame_reader& reader);
+
 } // namespace godwit::wire
--- a/libraries/wire/src/message_writer.cpp
+++ b/libraries/wire/src/message_writer.cpp
@@ -26,6 +26,14 @@
         reinterpret_cast<const std::uint8_t*>(value.data()), value.size());
 }
 
+flatbuffers::Offset<format::source_position>
+position(builder& out, const std::optional<source_position>& value)
+{
+    if (!value)
+        return {};
+    return format::Createsource_position(out, value->epoch, value->offset);
+}
+
 template<class Format, class Value>
 Format enumerator(Value value)
 {
@@ -476,8 +484,20 @@
 flatbuffers::Offset<format::server_list_part>
 write(builder& out, const server_list_part& value)
 {
+    const auto compressed = bytes(out, value.compressed);
+    const auto end = position(out, value.position);
     return format::Createserver_list_part(
-        out, bytes(out, value.compressed), value.content_bytes, value.is_last);
+        out, compressed, value.content_bytes, value.is_last, end);
+}
+
+flatbuffers::Offset<format::source_positions>
+write(builder& out, const source_positions& value)
+{
+    const auto tables = position(out, value.tables);
+    const auto servers = position(out, value.servers);
+    const auto hosts = position(out, value.hosts);
+    return format::Createsource_positions(
+        out, tables, value.table_version, servers, value.server_digest, hosts);
 }
 
 } // namespace godwit::wire
--- a/libraries/wire/src/message_writer.hpp
+++ b/libraries/wire/src/message_writer.hpp
@@ -100,4 +100,7 @@
 flatbuffers::Offset<format::server_list_part>
 write(flatbuffers::FlatBufferBuilder& out, const server_list_part& value);
 
+[[nodiscard]] flatbuffers::Offset<format::source_positions>
+write(flatbuffers::FlatBufferBuilder& out, const source_positions& value);
+
 } // namespace godwit::wire
--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -2,6 +2,7 @@
 
 #include <godwit/core/result.hpp>
 #include <godwit/core/timer.hpp>
+#include <godwit/dissemination/relayed_sources.hpp>
 #include <godwit/entry/call_dispatcher.hpp>
 #include <godwit/entry/cell_load_reporter.hpp>
 #include <godwit/entry/change_audience.hpp>
@@ -98,6 +99,30 @@
     /// begin as well: a long list takes seconds.
     void announce_list_read();
 
+    /// Records that this host has read and applied everything before `position`
+    /// of the topic.
+    void record_source_read(
+        dissemination::source_topic topic,
+        const dissemination::source_position& position);
+
+    /// Records that this host cannot read the topic.
+    void record_source_loss(dissemination::source_topic topic)
+    {
+        sources_.record_loss(topic);
+    }
+
+    /// Returns the position of the topic up to which this host knows
+    /// everything, by itself or from other hosts.
+    [[nodiscard]] const std::optional<dissemination::source_position>&
+    source_position(dissemination::source_topic topic) const
+    {
+        return sources_.position(topic);
+    }
+
+    /// Forgets what other hosts have read, which after a suspension may be
+    /// outdated.
+    void forget_source_positions() { sources_.clear(); }
+
     /// Records that the newest route table was read from the store.
     void record_table_source_read() { refresh_.record_table_read(); }
 
@@ -124,6 +149,17 @@
     /// any reader will do.
     [[nodiscard]] bool may_rely_on_other_readers() const;
 
+    /// Returns whether this host may rely on other hosts of its cell to read
+    /// the route table, whose versions reach this host as announcements.
+    [[nodiscard]] bool may_rely_on_table_readers();
+
+    /// Returns whether another host of the cell reads the list of hosts and has
+    /// found nothing that this host has not read.
+    [[nodiscard]] bool may_rely_on_host_readers() const;
+
+    /// Returns the number of cells in the fleet, at least one.
+    [[nodiscard]] std::size_t cell_count() const;
+
     /// Returns whether this host started a moment ago and lacks the server list
     /// or the route table, which a neighbour may still send.
     [[nodiscard]] bool is_awaiting_neighbours() const;
@@ -239,6 +275,13 @@
     void handle_server_list_offer(
         const core::host_name& host, const wire::server_list_offer& offer);
     void offer_server_list();
+    [[nodiscard]] std::size_t permanent_readers_in_cell() const;
+    [[nodiscard]] dissemination::known_contents known_contents() const;
+    [[nodiscard]] std::optional<dissemination::source_position>
+    server_list_position() const;
+    void broadcast_source_positions();
+    void handle_source_positions(
+        const core::host_name& host, const wire::source_positions& message);
     void
     reject_server_list(const core::host_name& host, std::string_view cause);
     void request_server_list();
@@ -379,6 +422,9 @@
     /// The whole list as it was last sent, and its digest.
     std::vector<wire::server_list_part> whole_list_;
     placement::server_list_digest whole_list_digest_;
+    bool is_fetching_first_list_ = false;
+    dissemination::relayed_sources sources_;
+    core::time_point source_positions_sent_at_{};
     wire::host_work last_sent_load_;
     core::time_point load_sent_at_{};
     cell_load_reporter load_reporter_;
--- a/services/entry/include/godwit/entry/table_fetch_scheduler.hpp
+++ b/services/entry/include/godwit/entry/table_fetch_scheduler.hpp
@@ -39,6 +39,11 @@
     /// request.
     static constexpr core::duration initial_timeout = std::chrono::seconds(1);
 
+    /// Time after which a host that has not received a newer version from any
+    /// neighbour reads it at its source.
+    static constexpr core::duration overdue_time =
+        std::chrono::milliseconds(1500);
+
     explicit table_fetch_scheduler(core::host_name self)
         : self_(std::move(self))
     {}
@@ -50,7 +55,7 @@
         core::time_point now);
 
     /// Records that this version is active at this host.
-    void set_own_version(std::uint64_t version);
+    void set_own_version(std::uint64_t version, core::time_point now);
 
     /// Records the neighbour's response. If it brought no newer version,
     /// another neighbour is asked after a pause.
@@ -70,6 +75,13 @@
         return !newer_versions_.empty();
     }
 
+    /// Returns whether neighbours have had a newer version for a while, and
+    /// this host has not advanced.
+    [[nodiscard]] bool is_overdue(core::time_point now) const
+    {
+        return behind_since_ && now - *behind_since_ >= overdue_time;
+    }
+
     /// Returns the request to send now, if any, and counts it as sent.
     [[nodiscard]] std::optional<table_fetch> next(core::time_point now);
 
@@ -89,6 +101,8 @@
     core::host_name self_;
     std::uint64_t version_ = 0;
     announcements newer_versions_; ///< Newer than `version_`.
+    /// When this host last advanced, or first learned of a newer version.
+    std::optional<core::time_point> behind_since_;
     std::optional<core::host_name> pending_neighbour_;
     core::time_point next_request_at_{};
     unsigned consecutive_requests_ = 0;
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -375,6 +375,7 @@
     offer_server_list();
     request_server_list();
     serve_server_lists();
+    broadcast_source_positions();
     avoid_unresponsive_servers();
     detect_slow_servers();
     poll_reports();
--- a/services/entry/src/entry_process_neighbours.cpp
+++ b/services/entry/src/entry_process_neighbours.cpp
@@ -288,6 +288,9 @@
     else if (
         const auto* counts = std::get_if<wire::rollout_responses>(&message))
         handle_rollout_responses(peer.host, *counts);
+    else if (
+        const auto* positions = std::get_if<wire::source_positions>(&message))
+        handle_source_positions(peer.host, *positions);
 }
 
 void entry_process::handle_link_claim(
--- a/services/entry/src/entry_process_server_list.cpp
+++ b/services/entry/src/entry_process_server_list.cpp
@@ -1,5 +1,7 @@
 #include <godwit/entry/entry_process.hpp>
 
+#include <godwit/entry/source_position_conversion.hpp>
+
 #include <godwit/delta/text_patch.hpp>
 #include <godwit/telemetry/log.hpp>
 #include <godwit/wire/codec.hpp>
@@ -96,7 +98,12 @@
         const auto fetch = list_comparison_.next_fetch(
             context_.directory.digest(), has_servers_, core::monotonic_now())) {
         if (const auto link = neighbours_->link_to(fetch->neighbour)) {
-            link->send(wire::server_list_request{fetch->buckets.to_ullong()});
+            // A host without a list requests the whole one, whose position at
+            // its source is known.
+            is_fetching_first_list_ = !has_servers_;
+            const auto all = server_list_digest::bucket_set().set();
+            const auto& wanted = has_servers_ ? fetch->buckets : all;
+            link->send(wire::server_list_request{wanted.to_ullong()});
             return;
         }
         list_comparison_.cancel_fetch();
@@ -138,6 +145,8 @@
     if (whole_list_.empty() || whole_list_digest_ != digest) {
         whole_list_ =
             encode_server_list(server_list_digest::bucket_set().set());
+        if (!whole_list_.empty())
+            whole_list_.back().position = to_wire(server_list_position());
         whole_list_digest_ = digest;
     }
     return whole_list_;
@@ -187,8 +196,13 @@
         return;
     }
     handle_servers(host, *servers);
-    if (part.is_last && list_comparison_.complete(host))
-        mark_servers_known(host.value());
+    if (!part.is_last || !list_comparison_.complete(host))
+        return;
+    // A host that had servers before may have some that the neighbour removed.
+    const auto position = from_wire(part.position);
+    if (std::exchange(is_fetching_first_list_, false) && position)
+        sources_.record_list_fetch(*position);
+    mark_servers_known(host.value());
 }
 
 } // namespace godwit::entry
--- a/services/entry/src/entry_process_tables.cpp
+++ b/services/entry/src/entry_process_tables.cpp
@@ -91,7 +91,7 @@
          {"organisations", content.organisations.size()}});
     context_.routes = routes;
     context_.streams.notify_routes_changed();
-    table_fetches_.set_own_version(version);
+    table_fetches_.set_own_version(version, core::monotonic_now());
     neighbours_->broadcast(wire::catalogue_position{version, 0});
     context_.queue.wake_first();
     add_to_history(std::move(table));
--- a/services/entry/src/table_fetch_scheduler.cpp
+++ b/services/entry/src/table_fetch_scheduler.cpp
@@ -28,6 +28,8 @@
 {
     if (version <= version_)
         return;
+    if (!behind_since_)
+        behind_since_ = now;
     const auto [known, is_new] =
         newer_versions_.try_emplace(neighbour, announcement{version, now});
     if (is_new || known->second.version >= version)
@@ -36,12 +38,16 @@
     known->second.received_at = now;
 }
 
-void table_fetch_scheduler::set_own_version(std::uint64_t version)
+void table_fetch_scheduler::set_own_version(
+    std::uint64_t version, core::time_point now)
 {
     version_ = version;
     std::erase_if(newer_versions_, [version](const auto& each) {
         return each.second.version <= version;
     });
+    behind_since_.reset();
+    if (!newer_versions_.empty())
+        behind_since_ = now;
     for (auto& [neighbour, announced] : newer_versions_)
         announced.requests = 0;
     pending_neighbour_.reset();
@@ -65,6 +71,8 @@
 void table_fetch_scheduler::remove_neighbour(const core::host_name& neighbour)
 {
     newer_versions_.erase(neighbour);
+    if (newer_versions_.empty())
+        behind_since_.reset();
     if (pending_neighbour_ != neighbour)
         return;
     pending_neighbour_.reset();
--- a/tests/entry/table_fetch_scheduler_test.cpp
+++ b/tests/entry/table_fetch_scheduler_test.cpp
@@ -23,8 +23,30 @@
     CPPUNIT_TEST(test_a_lost_neighbour_is_not_waited_for);
     CPPUNIT_TEST(test_timeouts_double_for_unresponsive_neighbours);
     CPPUNIT_TEST(test_hosts_start_with_different_neighbours);
+    CPPUNIT_TEST(test_a_host_that_gets_no_newer_version_is_overdue);
     CPPUNIT_TEST_SUITE_END();
 
+    // Versions that follow each other quickly do not count as progress unless
+    // this host gets one of them.
+    void test_a_host_that_gets_no_newer_version_is_overdue()
+    {
+        table_fetch_scheduler tested = lacking(5);
+        for (int now = 0; now < 1500; now += 300) {
+            CPPUNIT_ASSERT(!tested.is_overdue(at_ms(now)));
+            tested.record_version(
+                host("a"), 6 + static_cast<std::uint64_t>(now), at_ms(now));
+        }
+        CPPUNIT_ASSERT(tested.is_overdue(at_ms(1500)));
+        tested.set_own_version(6, at_ms(1600));
+        CPPUNIT_ASSERT(!tested.is_overdue(at_ms(3099)));
+        CPPUNIT_ASSERT(tested.is_overdue(at_ms(3100)));
+        tested.set_own_version(9000, at_ms(3200));
+        CPPUNIT_ASSERT(!tested.is_overdue(at_ms(9000)));
+        tested.record_version(host("a"), 9001, at_ms(9000));
+        tested.remove_neighbour(host("a"));
+        CPPUNIT_ASSERT(!tested.is_overdue(at_ms(19000)));
+    }
+
     static core::time_point at_ms(int milliseconds)
     {
         return core::time_point(std::chrono::milliseconds(milliseconds));
@@ -38,7 +60,7 @@
     static table_fetch_scheduler lacking(std::uint64_t version)
     {
         table_fetch_scheduler scheduler(host("self"));
-        scheduler.set_own_version(version - 1);
+        scheduler.set_own_version(version - 1, at_ms(0));
         for (const char* name : {"a", "b", "c"})
             scheduler.record_version(host(name), version, at_ms(0));
         return scheduler;
@@ -73,7 +95,7 @@
     void test_the_active_version_is_not_requested()
     {
         table_fetch_scheduler tested = lacking(5);
-        tested.set_own_version(5);
+        tested.set_own_version(5, at_ms(5));
         tested.record_version(host("d"), 5, at_ms(10));
         tested.record_version(host("e"), 4, at_ms(10));
         CPPUNIT_ASSERT(!tested.next(at_ms(5000)));
@@ -87,7 +109,7 @@
         CPPUNIT_ASSERT(tested.next(at_ms(250)));
         tested.record_version(host("a"), 6, at_ms(260));
         CPPUNIT_ASSERT(!tested.next(at_ms(600)));
-        tested.set_own_version(5);
+        tested.set_own_version(5, at_ms(600));
         const entry::table_fetch wanted{host("a"), 6};
         CPPUNIT_ASSERT(tested.next(at_ms(601)) == wanted);
     }
--- a/tests/entry/table_fleet_test.cpp
+++ b/tests/entry/table_fleet_test.cpp
@@ -136,7 +136,7 @@
         if (version <= receiver.version)
             return;
         receiver.version = version;
-        receiver.fetches.set_own_version(version);
+        receiver.fetches.set_own_version(version, now_);
         const core::host_name name("h" + std::to_string(at));
         for (std::size_t other = 0; other < hosts; ++other) {
             if (!are_linked(at, other))
--- a/tests/platform_adapter/topic_follower_test.cpp
+++ b/tests/platform_adapter/topic_follower_test.cpp
@@ -25,6 +25,9 @@
     CPPUNIT_TEST(test_it_pauses_while_the_topic_is_relayed);
     CPPUNIT_TEST(test_it_resyncs_only_if_the_topic_is_not_relayed);
     CPPUNIT_TEST(test_retries_back_off_while_calls_are_rejected);
+    CPPUNIT_TEST(test_it_does_not_read_again_what_was_relayed);
+    CPPUNIT_TEST(test_a_relayed_position_that_the_store_lost_is_not_used);
+    CPPUNIT_TEST(test_a_resync_reads_what_was_relayed);
     CPPUNIT_TEST_SUITE_END();
 
     static void fail_once(bool& has_failed)
@@ -75,6 +78,73 @@
         CPPUNIT_ASSERT(has_failed_on_snapshot && has_failed_on_record);
     }
 
+    /// A follower of a topic with the records "first" and "second", the first
+    /// of which was relayed.
+    struct relayed_topic
+    {
+        boost::asio::io_context io{1};
+        test::fake_store store{io};
+        store_client client{io.get_executor(), store.address()};
+        std::multiset<std::string> seen;
+        std::optional<store_position> position;
+        std::optional<topic_follower> follower;
+
+        relayed_topic()
+        {
+            store.put("t", "first", "1");
+            store.put("t", "second", "2");
+            topic_poll_policy policy;
+            policy.relayed_position = [] {
+                return store_position{0, 1};
+            };
+            topic_handlers handlers;
+            handlers.on_snapshot =
+                [this](const std::vector<keyed_record>& records) {
+                    for (const keyed_record& record : records)
+                        seen.insert(record.key);
+                };
+            handlers.on_record = [this](const keyed_record& record) {
+                seen.insert(record.key);
+            };
+            handlers.on_position = [this](const store_position& read) {
+                position = read;
+            };
+            follower.emplace(io.get_executor(), client, "t", policy, handlers);
+        }
+    };
+
+    void test_it_does_not_read_again_what_was_relayed()
+    {
+        relayed_topic topic;
+        topic.store.set_epoch(std::nullopt);
+        topic.follower->start_unless_relayed();
+        run_for(topic.io, 300);
+        CPPUNIT_ASSERT(topic.seen == std::multiset<std::string>{"second"});
+        CPPUNIT_ASSERT(topic.position == (store_position{0, 2}));
+    }
+
+    void test_a_relayed_position_that_the_store_lost_is_not_used()
+    {
+        relayed_topic topic;
+        topic.store.set_epoch(std::nullopt);
+        topic.store.compact();
+        topic.follower->start_unless_relayed();
+        run_for(topic.io, 600);
+        CPPUNIT_ASSERT(
+            (topic.seen == std::multiset<std::string>{"first", "second"}));
+    }
+
+    // What was relayed before a suspension may be outdated.
+    void test_a_resync_reads_what_was_relayed()
+    {
+        relayed_topic topic;
+        topic.store.set_epoch(std::nullopt);
+        topic.follower->resync();
+        run_for(topic.io, 300);
+        CPPUNIT_ASSERT(
+            (topic.seen == std::multiset<std::string>{"first", "second"}));
+    }
+
     static void run_for(boost::asio::io_context& io, int milliseconds)
     {
         const auto end = std::chrono::steady_clock::now() +
--- a/tests/wire/sample_messages.cpp
+++ b/tests/wire/sample_messages.cpp
@@ -109,7 +109,14 @@
             {{"r", core::zone_name("east"), true, 9, 2, {0, 3, 4}}}},
         server_list_offer{{7, 0, 9}},
         server_list_request{5},
-        server_list_part{std::string("\0z", 2), 90, true}};
+        server_list_part{
+            std::string("\0z", 2), 90, true, source_position{3, 70}},
+        source_positions{
+            source_position{3, 70},
+            12,
+            std::nullopt,
+            0xfeedULL,
+            source_position{0, 1}}};
 }
 
 } // namespace godwit::wire
