--- a/libraries/dissemination/include/godwit/dissemination/relayed_sources.hpp
+++ b/libraries/dissemination/include/godwit/dissemination/relayed_sources.hpp
@@ -30,7 +30,7 @@
         std::chrono::milliseconds(2500);
     /// Time for which a host's read shows that it reads a source: the longest
     /// time for which the source may hold the next read open, and its timeout.
-    static constexpr core::duration read_lifetime = std::chrono::seconds(8);
+    static constexpr core::duration read_lifetime = std::chrono::seconds(13);
     /// Hosts whose reader stopped read for themselves after this time for each
     /// host before them, since the first ones will report to the others, but
     /// not later than `max_takeover_delay`.
