placement: a host prefers the same servers among equally loaded ones

Cause: among equally loaded servers the choice was random. Change: the random cost of a start depends on host and server only (rendezvous), so that each host has its own order of servers, the hosts together use all of them alike, and a server that leaves moves only its own share.

--- a/libraries/placement/include/godwit/placement/placer.hpp
+++ b/libraries/placement/include/godwit/placement/placer.hpp
@@ -128,6 +128,9 @@
         const work_size& load,
         const server_speed& speed,
         core::time_point now) const;
+    /// Returns a number in [0, 1) that is the same for each choice of this
+    /// host; servers with a smaller one are preferred.
+    [[nodiscard]] double preference_against(const server_id& server) const;
     [[nodiscard]] double cost(
         const placement_request& request,
         const backend_server& server,
--- a/libraries/placement/src/placer.cpp
+++ b/libraries/placement/src/placer.cpp
@@ -61,12 +61,13 @@
 // If all used it at once, each would send its waiting requests, and the last of
 // their prompts would be prefilled seconds later.
 constexpr core::duration joining_window = std::chrono::milliseconds(600);
-// Upper bound of the random cost that is added to each candidate server, so
+// Upper bound of the cost by which a host prefers some servers to others, so
 // that hosts with the same information choose different servers.
-constexpr double jitter = 0.05;
+constexpr double preference_spread = 0.05;
 // Upper bound of the random cost that is added to each candidate server of a
-// migration. It is larger than `jitter`, because all hosts choose at the same
-// time when a server drains, and copies to one destination wait for each other.
+// migration. It is larger than `preference_spread`, because all hosts choose at
+// the same time when a server drains, and copies to one destination wait for
+// each other.
 constexpr double migration_jitter = 0.4;
 
 // Returns whether requests of this purpose reach a server no faster than its
@@ -245,6 +246,16 @@
                    slow_server_detector::probation * host_random.unit());
 }
 
+// Answers fleets with many more servers than a host has requests: a host that
+// chose at random would rarely meet a server to which it has a connection or
+// that has its prompts in the cache. The order differs from host to host and
+// does not change, so that the hosts together use all servers alike, and one
+// that leaves moves only its own share.
+double placer::preference_against(const server_id& server) const
+{
+    return core::random(core::stable_hash(server.value(), seed_)).unit();
+}
+
 double placer::cost(
     const placement_request& request,
     const backend_server& server,
@@ -312,11 +323,12 @@
             continue;
         }
         const bool is_avoided = health_.is_avoided(candidate->id, now);
-        const double spread = request.purpose == placement_purpose::migration
-                                  ? migration_jitter
-                                  : jitter;
+        const double spread =
+            request.purpose == placement_purpose::migration
+                ? migration_jitter * random_.unit()
+                : preference_spread * preference_against(candidate->id);
         const double candidate_cost =
-            cost(request, *candidate, load, speed) + spread * random_.unit();
+            cost(request, *candidate, load, speed) + spread;
         const bool is_better = !best || (best_is_avoided != is_avoided
                                              ? best_is_avoided
                                              : candidate_cost < best->cost);
--- a/tests/placement/placer_test.cpp
+++ b/tests/placement/placer_test.cpp
@@ -53,6 +53,8 @@
     CPPUNIT_TEST(test_a_run_is_not_rebalanced_over_a_busy_link);
     CPPUNIT_TEST(test_migrations_avoid_a_busy_link);
     CPPUNIT_TEST(test_a_burst_of_migrations_spreads_over_links);
+    CPPUNIT_TEST(test_a_host_returns_to_its_preferred_servers);
+    CPPUNIT_TEST(test_preferences_of_hosts_use_all_servers_alike);
     CPPUNIT_TEST(test_a_slow_server_is_chosen_last);
     CPPUNIT_TEST(test_a_slow_server_prefills_one_prompt_at_a_time);
     CPPUNIT_TEST(test_a_slow_server_gets_no_prompt_that_would_be_late);
@@ -498,6 +500,58 @@
 
     void exclude_the_second() { request_.excluded = {server_id("i-2")}; }
 
+    // Each new server would cost a connection, and prompts are cached where
+    // they were before.
+    void test_a_host_returns_to_its_preferred_servers()
+    {
+        for (int number = 3; number <= 200; ++number)
+            directory_.update(sample_server(number), at_ms(0));
+        const std::string first = choose();
+        for (int count = 0; count < 100; ++count)
+            CPPUNIT_ASSERT_EQUAL(first, choose());
+        // A busy server is not waited for, and the next one is preferred then.
+        ledger_.add(server_id(first), {1, 1000, 0});
+        const std::string second = choose();
+        CPPUNIT_ASSERT(first != second);
+        CPPUNIT_ASSERT_EQUAL(second, choose());
+        ledger_.remove(server_id(first), {1, 1000, 0});
+        CPPUNIT_ASSERT_EQUAL(first, choose());
+    }
+
+    // Also after a server left, which moves only its own share.
+    void test_preferences_of_hosts_use_all_servers_alike()
+    {
+        constexpr int servers = 50;
+        constexpr std::uint64_t hosts = 2000;
+        for (int number = 3; number <= servers; ++number)
+            directory_.update(sample_server(number), at_ms(0));
+        std::map<std::uint64_t, std::string> before;
+        std::map<std::string, int> counts;
+        const auto choose_as = [this](std::uint64_t host) {
+            placer of_host{
+                directory_,
+                ledger_,
+                health_,
+                slow_servers_,
+                limits_,
+                cold_servers_,
+                evacuations_,
+                host};
+            return of_host.choose(request_, at_ms(0))->server.id.value();
+        };
+        for (std::uint64_t host = 1; host <= hosts; ++host)
+            ++counts[before[host] = choose_as(host)];
+        CPPUNIT_ASSERT_EQUAL(std::size_t{servers}, counts.size());
+        for (const auto& [server, count] : counts)
+            CPPUNIT_ASSERT(count < 80); // Twice the mean.
+        const std::string left = counts.begin()->first;
+        directory_.remove(server_id(left), source_state::steady, at_ms(0));
+        for (const auto& [host, server] : before) {
+            if (server != left)
+                CPPUNIT_ASSERT_EQUAL(server, choose_as(host));
+        }
+    }
+
     void test_a_slow_server_is_chosen_last()
     {
         ledger_.add(server_id("i-2"), {2, 8000, 0});
