entry: hosts of other zones hear of servers only once they are loaded

The load at servers of other zones is always reported. Cells of the same zone get everything, as before.

--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -264,6 +264,8 @@
     void broadcast_load();
     void schedule_load_broadcast();
     void broadcast_cell_load();
+    [[nodiscard]] std::vector<placement::server_work> significant_elsewhere(
+        const std::vector<placement::server_work>& sums) const;
     [[nodiscard]] change_origin origin_of(std::string_view source) const;
     void queue_server_change(
         const placement::server_id& server, std::string_view source);
@@ -427,7 +429,8 @@
     core::time_point source_positions_sent_at_{};
     wire::host_work last_sent_load_;
     core::time_point load_sent_at_{};
-    cell_load_reporter load_reporter_;
+    cell_load_reporter load_reporter_;        ///< To other cells in the zone.
+    cell_load_reporter remote_load_reporter_; ///< To other zones.
     core::time_point cell_load_sent_at_{};
     core::time_point reader_state_sent_at_{};
     report_poller reports_;
--- a/services/entry/include/godwit/entry/neighbour_links.hpp
+++ b/services/entry/include/godwit/entry/neighbour_links.hpp
@@ -37,6 +37,8 @@
     all,
     cell,        ///< The hosts of this host's cell.
     other_cells, ///< The hosts of other cells.
+    zone_cells,  ///< The hosts of other cells in this host's zone.
+    other_zones, ///< The hosts of other availability zones.
 };
 
 /// The links to some other entry hosts. Each is independent: a neighbour that
--- a/services/entry/src/entry_process_neighbours.cpp
+++ b/services/entry/src/entry_process_neighbours.cpp
@@ -6,6 +6,8 @@
 #include <godwit/entry/rollout_conversion.hpp>
 #include <godwit/entry/wire_age.hpp>
 
+#include <godwit/placement/load_significance.hpp>
+
 #include <godwit/telemetry/log.hpp>
 
 #include <godwit/core/hash.hpp>
@@ -89,7 +91,10 @@
     // A link to another cell begins with all load sums of this cell, because
     // later reports contain only the changes.
     if (!neighbours_->is_cell_peer(peer.host)) {
-        if (auto sums = load_reporter_.full(neighbours_->cell()))
+        const bool is_in_zone = peer.zone == context_.settings.zone;
+        const auto& reporter =
+            is_in_zone ? load_reporter_ : remote_load_reporter_;
+        if (auto sums = reporter.full(neighbours_->cell()))
             messages.emplace_back(std::move(*sums));
     }
     return messages;
@@ -227,10 +232,38 @@
             neighbours_->cell_peers().size())
         return;
     cell_load_sent_at_ = now;
-    const auto message = load_reporter_.next(
-        neighbours_->cell(), context_.ledger.own_and_neighbours(now), now);
+    const auto sums = context_.ledger.own_and_neighbours(now);
+    const placement::host_group& cell = neighbours_->cell();
+    if (const auto message = load_reporter_.next(cell, sums, now))
+        neighbours_->broadcast(*message, audience::zone_cells);
+    const auto message =
+        remote_load_reporter_.next(cell, significant_elsewhere(sums), now);
     if (message)
-        neighbours_->broadcast(*message, audience::other_cells);
+        neighbours_->broadcast(*message, audience::other_zones);
+}
+
+// Hosts of other zones need all load at their own zones' servers, and of the
+// servers here what may change a choice. The sums of one cell say little about
+// that, so that the load of all hosts decides.
+std::vector<placement::server_work> entry_process::significant_elsewhere(
+    const std::vector<placement::server_work>& sums) const
+{
+    std::vector<placement::server_work> significant;
+    const core::time_point now = core::monotonic_now();
+    for (const placement::server_work& each : sums) {
+        const auto* server = context_.directory.find(each.server);
+        const auto* service =
+            server != nullptr && context_.routes
+                ? context_.routes->find_service(server->service)
+                : nullptr;
+        const bool is_insignificant =
+            service != nullptr && server->zone == context_.settings.zone &&
+            !placement::is_significant_elsewhere(
+                *server, *service, context_.ledger.at(each.server, now));
+        if (!is_insignificant)
+            significant.push_back(each);
+    }
+    return significant;
 }
 
 // Broadcasts new load as soon as possible, so that hosts which place requests
--- a/services/entry/src/neighbour_links.cpp
+++ b/services/entry/src/neighbour_links.cpp
@@ -233,9 +233,21 @@
 bool neighbour_links::is_in_audience(
     const wire::link& link, audience recipients) const
 {
-    if (recipients == audience::all)
+    const bool is_in_cell = is_cell_peer(link.peer()->host);
+    const bool is_in_zone = link.peer()->zone == settings_.zone;
+    switch (recipients) {
+    case audience::all:
         return true;
-    return is_cell_peer(link.peer()->host) == (recipients == audience::cell);
+    case audience::cell:
+        return is_in_cell;
+    case audience::other_cells:
+        return !is_in_cell;
+    case audience::zone_cells:
+        return !is_in_cell && is_in_zone;
+    case audience::other_zones:
+        return !is_in_cell && !is_in_zone;
+    }
+    return false;
 }
 
 void neighbour_links::broadcast(
