--- a/libraries/dissemination/include/godwit/dissemination/relayed_sources.hpp
+++ b/libraries/dissemination/include/godwit/dissemination/relayed_sources.hpp
@@ -14,6 +14,18 @@
 
 namespace godwit::dissemination {
 
+/// Hosts of a fleet that read the route table whatever others report, so that
+/// no single one of them can delay a version.
+inline constexpr std::size_t permanent_readers = 8;
+
+/// Returns how many of these hosts are in each of so many groups of hosts; at
+/// least one.
+[[nodiscard]] constexpr std::size_t permanent_readers_of(std::size_t groups)
+{
+    const std::size_t divisor = groups == 0 ? 1 : groups;
+    return (permanent_readers + divisor - 1) / divisor;
+}
+
 /// Tracks up to which position of each source this host knows everything, from
 /// its own reads and from the reports of other hosts, and which sources others
 /// read for it.
--- a/services/entry/src/entry_process_sources.cpp
+++ b/services/entry/src/entry_process_sources.cpp
@@ -16,9 +16,6 @@
 
 // Interval between two reports of a host that reads.
 constexpr core::duration report_interval = std::chrono::seconds(1);
-// Hosts of a fleet that read the route table whatever others report, so that
-// no single one of them can delay a version. Each cell has at least one.
-constexpr std::size_t permanent_readers = 8;
 
 } // namespace
 
@@ -35,7 +32,7 @@
 
 std::size_t entry_process::permanent_readers_in_cell() const
 {
-    return (permanent_readers + cell_count() - 1) / cell_count();
+    return dissemination::permanent_readers_of(cell_count());
 }
 
 // A host that is not in the list of hosts yet knows no cell.
