wire: a broadcast is encoded once

Cause: a message to all neighbours was encoded for each link, 61 times on a host of the fleet; a read in which 500 servers leave is a message of 50 KB, on a host with an eighth of a core. Change: the links of a broadcast share the frame.

--- a/libraries/wire/include/godwit/wire/link.hpp
+++ b/libraries/wire/include/godwit/wire/link.hpp
@@ -43,6 +43,12 @@
     /// does one whose peer cannot read this kind of message.
     void send(const message& value);
 
+    /// Queues a message that goes to several links with the same frame limit:
+    /// `encoded` is empty before the first of them and keeps its frame.
+    void send(
+        const message& value,
+        std::optional<core::result<std::string>>& encoded);
+
     /// Closes the link and calls `on_close` with `reason`. Drops queued
     /// messages.
     void close(const core::error& reason);
--- a/libraries/wire/src/link.cpp
+++ b/libraries/wire/src/link.cpp
@@ -84,10 +84,19 @@
 }
 
 void link::send(const message& value)
+{
+    std::optional<core::result<std::string>> encoded;
+    send(value, encoded);
+}
+
+void link::send(
+    const message& value, std::optional<core::result<std::string>>& encoded)
 {
     if (closed_ || (peer_ && !can_read(*peer_, value)))
         return;
-    const auto frame = encoder_.encode(value);
+    if (!encoded)
+        encoded = encoder_.encode(value);
+    const core::result<std::string>& frame = *encoded;
     if (!frame) {
         close(frame.error());
         return;
--- a/services/entry/src/neighbour_links.cpp
+++ b/services/entry/src/neighbour_links.cpp
@@ -253,9 +253,10 @@
 void neighbour_links::broadcast(
     const wire::message& message, audience recipients)
 {
+    std::optional<core::result<std::string>> encoded;
     for (const auto& link : links()) {
         if (is_in_audience(*link, recipients))
-            link->send(message);
+            link->send(message, encoded);
     }
 }
 
--- a/tests/wire/link_test.cpp
+++ b/tests/wire/link_test.cpp
@@ -35,6 +35,7 @@
 {
     CPPUNIT_TEST_SUITE(link_test);
     CPPUNIT_TEST(test_messages_in_both_directions);
+    CPPUNIT_TEST(test_a_broadcast_is_encoded_once);
     CPPUNIT_TEST(test_connector_reconnects);
     CPPUNIT_TEST(test_bad_bytes_close_only_their_connection);
     CPPUNIT_TEST(test_different_protocol_version_is_refused);
@@ -160,6 +161,23 @@
             opened_.front()->counters().bytes_received);
     }
 
+    void test_a_broadcast_is_encoded_once()
+    {
+        listen();
+        connect();
+        wait_until([this] { return client_opened_ == 1; });
+        const auto& sample = wire::sample_messages().back();
+        std::optional<core::result<std::string>> encoded;
+        connector_->current()->send(sample, encoded);
+        CPPUNIT_ASSERT_EQUAL(frame(sample), encoded->value());
+        // A further link uses the frame as it is.
+        encoded = frame(wire::sample_messages()[5]);
+        connector_->current()->send(sample, encoded);
+        wait_until([this] { return client_received_ == 2; });
+        CPPUNIT_ASSERT(received_[0] == sample);
+        CPPUNIT_ASSERT(received_[1] == wire::sample_messages()[5]);
+    }
+
     void test_connector_reconnects()
     {
         listen();
