--- a/tests/wire/link_test.cpp
+++ b/tests/wire/link_test.cpp
@@ -166,7 +166,7 @@
         listen();
         connect();
         wait_until([this] { return client_opened_ == 1; });
-        const auto& sample = wire::sample_messages().back();
+        const wire::message sample = wire::sample_messages().back();
         std::optional<core::result<std::string>> encoded;
         connector_->current()->send(sample, encoded);
         CPPUNIT_ASSERT_EQUAL(frame(sample), encoded->value());
