entry: log what is sent to neighbours, by kind and zone; positions go to the cell

One of the reasons is found by reading: hosts that do not rely on others reported their positions to each of their 61 neighbours each second; only their own cell uses them.

--- a/libraries/wire/include/godwit/wire/link_handlers.hpp
+++ b/libraries/wire/include/godwit/wire/link_handlers.hpp
@@ -4,8 +4,10 @@
 #include <godwit/wire/hello.hpp>
 #include <godwit/wire/message.hpp>
 
+#include <cstddef>
 #include <functional>
 #include <memory>
+#include <string_view>
 
 namespace godwit::wire {
 
@@ -24,6 +26,10 @@
     /// link that never opened.
     std::function<void(const std::shared_ptr<link>&, const core::error&)>
         on_close;
+
+    /// A message was queued, of so many bytes with its frame.
+    std::function<void(const link&, std::string_view kind, std::size_t bytes)>
+        on_sent = {};
 };
 
 } // namespace godwit::wire
--- a/libraries/wire/src/link.cpp
+++ b/libraries/wire/src/link.cpp
@@ -113,6 +113,8 @@
     last_sent_ = core::monotonic_now();
     ++counters_.messages_sent;
     counters_.bytes_sent += frame->size();
+    if (handlers_.on_sent)
+        handlers_.on_sent(*this, name_of(value), frame->size());
     write();
 }
 
--- a/services/entry/include/godwit/entry/neighbour_links.hpp
+++ b/services/entry/include/godwit/entry/neighbour_links.hpp
@@ -3,6 +3,7 @@
 #include <godwit/core/result.hpp>
 #include <godwit/entry/entry_settings.hpp>
 #include <godwit/entry/neighbour_selection.hpp>
+#include <godwit/entry/neighbour_traffic.hpp>
 #include <godwit/wire/acceptor.hpp>
 #include <godwit/wire/connector.hpp>
 #include <godwit/wire/message.hpp>
@@ -71,6 +72,9 @@
     void broadcast(
         const wire::message& message, audience recipients = audience::all);
 
+    /// Logs what was sent, if that is due.
+    void log_traffic(core::time_point now);
+
     /// Returns the name of this host's cell; empty until the hosts are known.
     [[nodiscard]] const placement::host_group& cell() const noexcept
     {
@@ -111,7 +115,7 @@
 
     [[nodiscard]] core::result<void> listen();
     [[nodiscard]] wire::hello own_hello() const;
-    [[nodiscard]] wire::link_handlers link_callbacks() const;
+    [[nodiscard]] wire::link_handlers link_callbacks();
     void connect(const http::endpoint& address);
     void update_cell(const std::vector<host_cell>& cells);
     [[nodiscard]] std::vector<std::shared_ptr<wire::link>> links() const;
@@ -127,6 +131,7 @@
     placement::host_group cell_;
     std::set<core::host_name> cell_peers_;
     std::size_t cell_count_ = 0;
+    neighbour_traffic traffic_;
 };
 
 } // namespace godwit::entry
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -376,6 +376,7 @@
     request_server_list();
     serve_server_lists();
     broadcast_source_positions();
+    neighbours_->log_traffic(core::monotonic_now());
     avoid_unresponsive_servers();
     detect_slow_servers();
     poll_reports();
--- a/services/entry/src/entry_process_sources.cpp
+++ b/services/entry/src/entry_process_sources.cpp
@@ -100,7 +100,7 @@
     if (may_rely_on_host_readers())
         report.hosts.reset();
     if (report.tables || report.servers || report.hosts)
-        neighbours_->broadcast(to_wire(report));
+        neighbours_->broadcast(to_wire(report), audience::cell);
 }
 
 void entry_process::handle_source_positions(
--- a/services/entry/src/neighbour_links.cpp
+++ b/services/entry/src/neighbour_links.cpp
@@ -98,7 +98,7 @@
         .address = settings_.neighbours.to_string()};
 }
 
-wire::link_handlers neighbour_links::link_callbacks() const
+wire::link_handlers neighbour_links::link_callbacks()
 {
     wire::link_handlers handlers;
     handlers.on_open = [this](const auto& link, const wire::hello& peer) {
@@ -122,9 +122,28 @@
             "neighbour_lost",
             {{"neighbour", link->peer()->host}, {"cause", why.message()}});
     };
+    handlers.on_sent =
+        [this](
+            const wire::link& link, std::string_view kind, std::size_t bytes) {
+            const bool is_other_zone =
+                link.peer() && link.peer()->zone != settings_.zone;
+            traffic_.record(kind, is_other_zone, bytes);
+        };
     return handlers;
 }
 
+void neighbour_links::log_traffic(core::time_point now)
+{
+    const auto line = traffic_.take_due(now);
+    if (!line)
+        return;
+    log_event(
+        log_level::info,
+        component,
+        "neighbour_traffic",
+        {{"same_zone", line->same_zone}, {"other_zones", line->other_zones}});
+}
+
 void neighbour_links::start()
 {
     acceptor_->start();
