--- a/libraries/wire/src/acceptor.cpp
+++ b/libraries/wire/src/acceptor.cpp
@@ -156,6 +156,13 @@
                 self->links_.erase(closed);
                 if (self->handlers_.on_close)
                     self->handlers_.on_close(closed, reason);
+            },
+        .on_sent =
+            [weak](
+                const link& sender, std::string_view kind, std::size_t bytes) {
+                const auto self = weak.lock();
+                if (self && self->handlers_.on_sent)
+                    self->handlers_.on_sent(sender, kind, bytes);
             }};
 }
 
--- a/libraries/wire/src/connector.cpp
+++ b/libraries/wire/src/connector.cpp
@@ -145,6 +145,13 @@
                     self->handlers_.on_close(closed, reason);
                 if (!self->stopped_)
                     self->retry();
+            },
+        .on_sent =
+            [weak](
+                const link& sender, std::string_view kind, std::size_t bytes) {
+                const auto self = weak.lock();
+                if (self && self->handlers_.on_sent)
+                    self->handlers_.on_sent(sender, kind, bytes);
             }};
 }
 
--- a/tests/wire/link_test.cpp
+++ b/tests/wire/link_test.cpp
@@ -9,7 +9,9 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 using namespace godwit;
@@ -36,6 +38,7 @@
     CPPUNIT_TEST_SUITE(link_test);
     CPPUNIT_TEST(test_messages_in_both_directions);
     CPPUNIT_TEST(test_a_broadcast_is_encoded_once);
+    CPPUNIT_TEST(test_what_is_sent_is_counted_on_both_sides);
     CPPUNIT_TEST(test_connector_reconnects);
     CPPUNIT_TEST(test_bad_bytes_close_only_their_connection);
     CPPUNIT_TEST(test_different_protocol_version_is_refused);
@@ -54,6 +57,8 @@
     std::vector<std::shared_ptr<wire::link>> opened_;
     int client_opened_ = 0;
     std::size_t client_received_ = 0;
+    std::map<std::string, std::size_t> sent_; ///< Bytes by kind.
+    std::map<std::string, std::size_t> client_sent_;
 
     void listen(
         const wire::link_options& options = {},
@@ -71,6 +76,9 @@
         handlers.on_close = [this](const auto&, const auto& reason) {
             closed_.push_back(reason);
         };
+        handlers.on_sent = [this](const auto&, auto kind, auto bytes) {
+            sent_[std::string(kind)] += bytes;
+        };
         acceptor_ = wire::acceptor::create(
                         context_.get_executor(),
                         endpoint,
@@ -92,6 +100,9 @@
         handlers.on_message = [this](const auto&, const auto&) {
             ++client_received_;
         };
+        handlers.on_sent = [this](const auto&, auto kind, auto bytes) {
+            client_sent_[std::string(kind)] += bytes;
+        };
         connector_ = wire::connector::create(
                          context_.get_executor(),
                          acceptor_->endpoint(),
@@ -178,6 +189,21 @@
         CPPUNIT_ASSERT(received_[1] == wire::sample_messages()[5]);
     }
 
+    // The acceptor echoes what the connector sends.
+    void test_what_is_sent_is_counted_on_both_sides()
+    {
+        listen();
+        connect();
+        wait_until([this] { return client_opened_ == 1; });
+        const wire::message sample = wire::sample_messages()[5];
+        connector_->send(sample);
+        wait_until([this] { return client_received_ == 1; });
+        const std::string kind(wire::name_of(sample));
+        CPPUNIT_ASSERT_EQUAL(frame(sample).size(), client_sent_[kind]);
+        CPPUNIT_ASSERT_EQUAL(frame(sample).size(), sent_[kind]);
+        CPPUNIT_ASSERT(client_sent_["hello"] > 0);
+    }
+
     void test_connector_reconnects()
     {
         listen();
