rollout: a replaced version gets nothing while its servers stop

Cause: when a rollout is completed the former servers stop at once, before the list shows it; requests went to both versions until then. Change: for 10 s after this host learns of the end, requests use the target as long as it has a server.

--- a/libraries/rollout/include/godwit/rollout/rollouts.hpp
+++ b/libraries/rollout/include/godwit/rollout/rollouts.hpp
@@ -8,6 +8,7 @@
 #include <godwit/rollout/rollout_order.hpp>
 #include <godwit/rollout/version_judge.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <map>
 #include <optional>
@@ -39,6 +40,8 @@
     /// Versions of a service that were rolled back or replaced by a newer
     /// order; the oldest one is forgotten beyond.
     static constexpr std::size_t max_rejected = 64;
+    /// Time in which the servers of a replaced version have left the list.
+    static constexpr core::duration former_stop_time = std::chrono::seconds(10);
 
     /// See `exposure_plan`.
     explicit rollouts(double max_exposure) noexcept
@@ -62,6 +65,12 @@
     bool
     withdraw(const core::service_name& service, const order_revision& revision);
 
+    /// Records that this host learned now that the rollout was completed: the
+    /// servers of the former version stop at once, before the list of servers
+    /// shows it, so that requests avoid them for `former_stop_time`.
+    void
+    record_completion(const core::service_name& service, core::time_point now);
+
     /// Returns the service's newest rollout, or null.
     [[nodiscard]] const rollout_status*
     find(const core::service_name& service) const;
@@ -113,7 +122,8 @@
         /// Targets that were never accepted, in the order of rejection.
         std::vector<placement::server_version> rejected;
         fleet_counts counts;
-        std::optional<version_judge> judge; ///< While it is running.
+        std::optional<version_judge> judge;           ///< While it is running.
+        std::optional<core::time_point> completed_at; ///< As this host knows.
     };
 
     [[nodiscard]] static bool
--- a/libraries/rollout/src/rollouts.cpp
+++ b/libraries/rollout/src/rollouts.cpp
@@ -41,6 +41,7 @@
         reject(target, before.order.target);
     std::erase(target.rejected, reported.order.target);
     target.newest = reported;
+    target.completed_at.reset();
     target.counts = fleet_counts();
     target.judge.emplace(hosts_);
     apply_state(target, reported.state);
@@ -133,6 +134,17 @@
     return true;
 }
 
+void rollouts::record_completion(
+    const core::service_name& service, core::time_point now)
+{
+    const auto found = services_.find(service);
+    const bool is_news = found != services_.end() &&
+                         !found->second.completed_at &&
+                         found->second.newest.state == rollout_state::completed;
+    if (is_news)
+        found->second.completed_at = now;
+}
+
 const rollout_status* rollouts::find(const core::service_name& service) const
 {
     const auto found = services_.find(service);
@@ -160,8 +172,14 @@
     bool is_informed,
     core::time_point now) const
 {
-    const rollout_status* known = find(service);
-    if (known == nullptr || known->state != rollout_state::running)
+    const auto found = services_.find(service);
+    if (found == services_.end())
+        return {};
+    const rollout_status* known = &found->second.newest;
+    const auto& completed_at = found->second.completed_at;
+    if (completed_at && now - *completed_at < former_stop_time)
+        return {known->order.target, {}};
+    if (known->state != rollout_state::running)
         return former_versions(service);
     const exposure_plan plan(known->order.duration, max_exposure_);
     const double share =
--- a/services/entry/src/entry_process_rollouts.cpp
+++ b/services/entry/src/entry_process_rollouts.cpp
@@ -33,6 +33,8 @@
 {
     if (!context_.rollouts.update(reported))
         return;
+    context_.rollouts.record_completion(
+        reported.order.service, core::monotonic_now());
     publish_rollout(reported.order.service, source);
     if (!reported.is_recorded)
         request_rollout_record(reported.order.service);
--- a/tests/rollout/version_choice_test.cpp
+++ b/tests/rollout/version_choice_test.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(test_in_the_final_phase_a_full_target_is_waited_for);
     CPPUNIT_TEST(test_a_missing_target_leads_to_the_former_version);
     CPPUNIT_TEST(test_without_former_servers_the_target_is_used);
+    CPPUNIT_TEST(test_a_replaced_version_is_avoided_while_it_stops);
     CPPUNIT_TEST(test_a_rolled_back_version_is_never_used);
     CPPUNIT_TEST(test_a_run_keeps_the_version_of_its_server);
     CPPUNIT_TEST(test_servers_of_rejected_versions_have_no_capacity);
@@ -236,6 +237,24 @@
         CPPUNIT_ASSERT_EQUAL(1000, count_target(observing, false));
     }
 
+    // Its servers stop before the list of servers shows it.
+    void test_a_replaced_version_is_avoided_while_it_stops()
+    {
+        rollout_status status = order();
+        status.state = rollout_state::completed;
+        rollouts_.update(status);
+        rollouts_.record_completion(lm, over);
+        CPPUNIT_ASSERT_EQUAL(1000, count_target(over));
+        CPPUNIT_ASSERT_EQUAL(1000, count_target(over + milliseconds(9999)));
+        rollouts_.record_completion(lm, over + seconds(9));
+        const auto filter = rollouts_.versions_for(
+            lm, "1", true, over + rollouts::former_stop_time);
+        CPPUNIT_ASSERT(filter == version_filter());
+        remove(3);
+        remove(4);
+        CPPUNIT_ASSERT_EQUAL(std::string("v1"), choose(1, over));
+    }
+
     void test_a_rolled_back_version_is_never_used()
     {
         roll_back(order());
