platform_adapter tests: both servers get requests; a restart knows no positions

test_an_answer_without_a_limit_lifts_it relied on the random choice between idle servers; six requests overlap now, so that both servers get some. The assertion is the same. restart_sources stands for a restart of the host, which knows no positions of other hosts; otherwise the list in pages would not be read at all in test_a_server_reported_while_the_list_is_read_stays.

--- a/tests/platform_adapter/server_limits_test.cpp
+++ b/tests/platform_adapter/server_limits_test.cpp
@@ -5,14 +5,18 @@
 #include "stream_helpers.hpp"
 #include "testbed.hpp"
 
+#include <godwit/entry/async_sleep.hpp>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <atomic>
 #include <chrono>
 #include <cstddef>
+#include <future>
 #include <optional>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace {
 
@@ -70,6 +74,17 @@
             };
     }
 
+    /// Answers without a limit, so late that other requests come meanwhile.
+    static fake_server::request_handler answer_slowly()
+    {
+        return [](http::exchange& exchange) -> asio::awaitable<void> {
+            co_await entry::async_sleep(
+                co_await asio::this_coro::executor, milliseconds(30));
+            [[maybe_unused]] const auto sent = co_await exchange.respond(
+                fake_server::signed_response(exchange, 200, event(1)));
+        };
+    }
+
     bool is_limited(fake_server& server)
     {
         const placement::server_id id(server.id());
@@ -238,11 +253,18 @@
             return is_limited(testbed_.first_server()) &&
                    is_limited(testbed_.second_server());
         });
-        testbed_.first_server().set_handler(answer_with_limit(""));
-        testbed_.second_server().set_handler(answer_with_limit(""));
+        testbed_.first_server().set_handler(answer_slowly());
+        testbed_.second_server().set_handler(answer_slowly());
+        // While one server is busy the host uses the other one.
         testbed::wait_until("the lifting of both limits", [this] {
-            [[maybe_unused]] const auto answer =
-                testbed_.call("POST", "/plain/");
+            const auto call = [this] {
+                return testbed_.call("POST", "/plain/").status;
+            };
+            std::vector<std::future<unsigned>> calls;
+            for (int count = 0; count < 6; ++count)
+                calls.push_back(std::async(std::launch::async, call));
+            for (auto& each : calls)
+                each.get();
             return !is_limited(testbed_.first_server()) &&
                    !is_limited(testbed_.second_server());
         });
--- a/tests/platform_adapter/testbed.cpp
+++ b/tests/platform_adapter/testbed.cpp
@@ -139,6 +139,7 @@
 void testbed::restart_sources()
 {
     run_on_host<bool>([this](entry::entry_process& process) {
+        process.forget_source_positions();
         restarted_sources_ = std::make_unique<platform_sources>(
             host_context_.get_executor(), store_->address(), process);
         restarted_sources_->start();
