--- a/tests/placement/load_significance_test.cpp
+++ b/tests/placement/load_significance_test.cpp
@@ -1,5 +1,5 @@
-// Guards against hosts of other zones that are told of servers which they do not
-// need, and against full servers that look empty from there.
+// Guards against hosts of other zones that are told of servers which they do
+// not need, and against full servers that look empty from there.
 
 #include "samples.hpp"
 
@@ -28,8 +28,7 @@
     void setUp() override
     {
         server_.slots = 24;
-        service_.engine =
-            routing::engine_profile{24, 10000, 1, 1, true, false};
+        service_.engine = routing::engine_profile{24, 10000, 1, 1, true, false};
     }
 
 private:
--- a/tests/platform_adapter/server_limits_test.cpp
+++ b/tests/platform_adapter/server_limits_test.cpp
@@ -260,8 +260,10 @@
             const auto call = [this] {
                 return testbed_.call("POST", "/plain/").status;
             };
+            constexpr std::size_t overlapping = 6;
             std::vector<std::future<unsigned>> calls;
-            for (int count = 0; count < 6; ++count)
+            calls.reserve(overlapping);
+            while (calls.size() < overlapping)
                 calls.push_back(std::async(std::launch::async, call));
             for (auto& each : calls)
                 each.get();
