--- a/libraries/dissemination/include/godwit/dissemination/relayed_sources.hpp
+++ b/libraries/dissemination/include/godwit/dissemination/relayed_sources.hpp
@@ -30,10 +30,10 @@
 /// its own reads and from the reports of other hosts, and which sources others
 /// read for it.
 ///
-/// Reads at a source are priced by call and by byte, so that what all hosts
-/// read grows with the square of a fleet that grows together with its tables
-/// and lists. A host that knows as much as one that reads need not read it
-/// again: it continues from that host's position.
+/// If each host read each source, the bytes read would grow with the square of
+/// a fleet whose tables and lists grow with it. A host that knows as much as
+/// one that reads need not read it again: it continues from that host's
+/// position.
 class relayed_sources
 {
 public:
