--- /dev/null
+++ b/tests/platform_adapter/silent_store_test.cpp
@@ -0,0 +1,85 @@
+// Guards against a host that misses what the store has, because its open reads
+// hang on connections that fell silent.
+
+#include "testbed.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <string>
+#include <thread>
+
+namespace {
+
+using namespace godwit;
+using platform_adapter::test::testbed;
+
+class silent_store_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(silent_store_test);
+    CPPUNIT_TEST(test_a_version_is_in_force_while_open_reads_hang);
+    CPPUNIT_TEST(
+        test_a_version_is_in_force_while_open_reads_hang_in_a_large_fleet);
+    CPPUNIT_TEST_SUITE_END();
+
+    /// The shortest time from a disruption until a version has to be in force:
+    /// 3 s until the hosts count as undisturbed and 2 s for the version.
+    static constexpr std::chrono::seconds in_force_bound{5};
+
+    testbed testbed_;
+
+    void add_hosts(unsigned count)
+    {
+        for (unsigned number = 0; number < count; ++number)
+            testbed_.store().put(
+                "keyed.hosts",
+                "other" + std::to_string(number),
+                "127.0.0.1:" + std::to_string(number + 1) + "/east");
+        testbed::wait_until("the fleet", [this, count] {
+            return testbed_.run_on_host<bool>(
+                [count](entry::entry_process& process) {
+                    return process.fleet_size() > count;
+                });
+        });
+    }
+
+    bool has_version_in_time(unsigned version)
+    {
+        const auto end = std::chrono::steady_clock::now() + in_force_bound;
+        while (std::chrono::steady_clock::now() < end) {
+            if (testbed_.table_version() == version)
+                return true;
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        }
+        return false;
+    }
+
+    void check_version_after_silence()
+    {
+        testbed_.publish(2);
+        testbed::wait_until(
+            "version 2", [this] { return testbed_.table_version() == 2; });
+        // Until the next reads are open.
+        std::this_thread::sleep_for(std::chrono::milliseconds(1200));
+        testbed_.store().drop_open_reads();
+        testbed_.publish(3);
+        CPPUNIT_ASSERT(has_version_in_time(3));
+    }
+
+    void test_a_version_is_in_force_while_open_reads_hang()
+    {
+        testbed_.start();
+        check_version_after_silence();
+    }
+
+    void test_a_version_is_in_force_while_open_reads_hang_in_a_large_fleet()
+    {
+        testbed_.start();
+        add_hosts(12);
+        check_version_after_silence();
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(silent_store_test);
+
+} // namespace
