--- /dev/null
+++ b/tests/platform_adapter/partitioned_host_test.cpp
@@ -0,0 +1,138 @@
+// Guards against a host that refuses requests after it lost its links to all
+// backend servers, although a neighbour reaches them.
+
+#include "network_partition.hpp"
+#include "testbed.hpp"
+
+#include <godwit/platform_adapter/request_codec.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace {
+
+using namespace godwit;
+using platform_adapter::platform_sources;
+using platform_adapter::test::fake_server;
+using platform_adapter::test::testbed;
+using test::partition_mode;
+
+/// A second entry host, linked to the one of the testbed and with its sources.
+class second_host
+{
+public:
+    explicit second_host(testbed& first)
+    {
+        entry::entry_settings settings =
+            platform_adapter::test::settings_on_free_ports();
+        settings.host = core::host_name("h2");
+        settings.seeds = {first.neighbours()};
+        auto process = entry::entry_process::create(
+            context_,
+            std::move(settings),
+            entry::codec_functions::of<platform_adapter::request_codec>());
+        CPPUNIT_ASSERT(process.has_value());
+        process_ = std::move(*process);
+        sources_ = std::make_unique<platform_sources>(
+            context_.get_executor(), first.store().address(), *process_);
+        process_->start();
+        sources_->start();
+        thread_ = std::thread([this] { context_.run(); });
+    }
+
+    ~second_host()
+    {
+        context_.stop();
+        thread_.join();
+    }
+
+    second_host(const second_host&) = delete;
+    second_host& operator=(const second_host&) = delete;
+
+private:
+    boost::asio::io_context context_{1};
+    std::unique_ptr<entry::entry_process> process_;
+    std::unique_ptr<platform_sources> sources_;
+    std::thread thread_;
+};
+
+class partitioned_host_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(partitioned_host_test);
+    CPPUNIT_TEST(test_a_host_without_links_to_servers_serves);
+    CPPUNIT_TEST(test_a_host_whose_connections_hang_serves);
+    CPPUNIT_TEST_SUITE_END();
+
+    /// From a disruption on, the time after which requests have to be served.
+    static constexpr std::chrono::seconds detection_bound{3};
+    static constexpr std::chrono::milliseconds call_interval{50};
+
+    testbed testbed_;
+    std::unique_ptr<second_host> second_;
+
+    void partition(partition_mode mode)
+    {
+        std::set<std::uint16_t> ports;
+        for (const fake_server* server :
+             {&testbed_.first_server(), &testbed_.second_server()})
+            ports.insert(
+                http::endpoint::parse(server->address()).value().port());
+        testbed_.run_on_host<bool>([&](entry::entry_process&) {
+            test::partition_from(ports, mode);
+            return true;
+        });
+    }
+
+    /// Returns how many of the requests within a second are served.
+    std::pair<unsigned, unsigned> serve_for_a_second(const std::string& path)
+    {
+        const auto end =
+            std::chrono::steady_clock::now() + std::chrono::seconds(1);
+        unsigned served = 0;
+        unsigned sent = 0;
+        while (std::chrono::steady_clock::now() < end) {
+            testbed_.set_attempt_id("a" + std::to_string(++sent));
+            served += testbed_.call("POST", path).status == 200 ? 1 : 0;
+            std::this_thread::sleep_for(call_interval);
+        }
+        return {served, sent};
+    }
+
+    void check_requests_are_served(partition_mode mode)
+    {
+        testbed_.start();
+        second_ = std::make_unique<second_host>(testbed_);
+        testbed::wait_until("a neighbour", [this] {
+            return testbed_.run_on_host<bool>(
+                [](entry::entry_process& process) {
+                    return process.fleet_size() > 1;
+                });
+        });
+        partition(mode);
+        const auto cut_at = std::chrono::steady_clock::now();
+        while (std::chrono::steady_clock::now() - cut_at < detection_bound)
+            serve_for_a_second("/again/");
+        for (const std::string path : {"/again/", "/plain/", "/stream/"}) {
+            const auto [served, sent] = serve_for_a_second(path);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(path, sent, served);
+        }
+    }
+
+    void test_a_host_without_links_to_servers_serves()
+    {
+        check_requests_are_served(partition_mode::refuse);
+    }
+
+    void test_a_host_whose_connections_hang_serves()
+    {
+        check_requests_are_served(partition_mode::hang);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(partitioned_host_test);
+
+} // namespace
