http: TCP keepalive on the connections to the store

Reads of the store wait up to 30 s in silence, so a connection that a partition or a middlebox has dropped looks like one without news: the list of hosts could be behind by up to 31.5 s (the wait and the call's timeout), a table by 11.5 s. Keepalive ends such a connection after 3 s (1 s idle, 2 probes); no TCP_USER_TIMEOUT is set, which would decide instead. Links between hosts have heartbeats; connections to backend servers are not changed.

--- a/libraries/http/include/godwit/http/client_stream.hpp
+++ b/libraries/http/include/godwit/http/client_stream.hpp
@@ -37,6 +37,11 @@
     boost::asio::awaitable<client_result<void>>
     connect(endpoint server, core::duration timeout);
 
+    /// Makes operations on the open connection fail some seconds after the
+    /// server can no longer be reached, also while nothing is sent. Fails with
+    /// `unavailable`.
+    [[nodiscard]] client_result<void> enable_keepalive();
+
     /// Writes the whole request. Fails with `unavailable` or `timeout`.
     boost::asio::awaitable<client_result<void>>
     send(request outgoing, core::duration timeout);
--- a/libraries/http/include/godwit/http/connection_pool.hpp
+++ b/libraries/http/include/godwit/http/connection_pool.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <godwit/core/time.hpp>
+#include <godwit/http/client_error.hpp>
 #include <godwit/http/client_stream.hpp>
 #include <godwit/http/connection_pool_limits.hpp>
 #include <godwit/http/endpoint.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
 
 #include <cstddef>
 #include <list>
@@ -36,6 +38,10 @@
     /// An idle connection to `server` that its end still keeps open.
     [[nodiscard]] std::optional<client_stream> take(const endpoint& server);
 
+    /// Connects to `server`. Fails with `unavailable` or `timeout`.
+    boost::asio::awaitable<client_result<client_stream>>
+    open(endpoint server, core::duration timeout);
+
     /// Keeps `finished` if it can be reused; closes it otherwise. At a bound
     /// the connection that has been idle longest is closed.
     void give_back(const endpoint& server, client_stream finished);
--- a/libraries/http/src/client_stream.cpp
+++ b/libraries/http/src/client_stream.cpp
@@ -13,9 +13,11 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <array>
+#include <cerrno>
 #include <utility>
 
 namespace godwit::http {
@@ -39,6 +41,17 @@
 // read and more than ten times the longest generation.
 constexpr std::uint64_t body_limit = std::uint64_t{64} * 1024 * 1024;
 
+// A peer behind a partition is detected after the idle time and all probes.
+constexpr int keepalive_idle_seconds = 1;
+constexpr int keepalive_interval_seconds = 1;
+constexpr int keepalive_probes = 2;
+
+bool set_option(tcp::socket& socket, int level, int name, int value)
+{
+    return ::setsockopt(
+               socket.native_handle(), level, name, &value, sizeof(value)) == 0;
+}
+
 client_error failed(
     const error_code& failure,
     const deadline& guard,
@@ -157,6 +170,27 @@
     co_return client_result<void>();
 }
 
+client_result<void> client_stream::enable_keepalive()
+{
+    tcp::socket& socket = held_->socket;
+    const bool is_enabled =
+        set_option(
+            socket, IPPROTO_TCP, TCP_KEEPIDLE, keepalive_idle_seconds) &&
+        set_option(
+            socket, IPPROTO_TCP, TCP_KEEPINTVL, keepalive_interval_seconds) &&
+        set_option(socket, IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes) &&
+        set_option(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+    if (is_enabled)
+        return {};
+    return tl::unexpected(client_error{
+        core::error(
+            core::error_kind::unavailable,
+            "enabling keepalive to " + held_->server + ": " +
+                error_code(errno, boost::system::system_category()).message(),
+            "check that the operating system supports TCP keepalive"),
+        bytes_handed_over::none});
+}
+
 asio::awaitable<client_result<void>>
 client_stream::send(request outgoing, core::duration timeout)
 {
--- a/libraries/http/src/connection_pool.cpp
+++ b/libraries/http/src/connection_pool.cpp
@@ -34,6 +34,22 @@
     return std::nullopt;
 }
 
+boost::asio::awaitable<client_result<client_stream>>
+connection_pool::open(endpoint server, core::duration timeout)
+{
+    client_stream stream = client_stream::create(executor_);
+    const client_result<void> connected =
+        co_await stream.connect(std::move(server), timeout);
+    if (!connected)
+        co_return tl::unexpected(connected.error());
+    if (limits_.uses_keepalive) {
+        const client_result<void> enabled = stream.enable_keepalive();
+        if (!enabled)
+            co_return tl::unexpected(enabled.error());
+    }
+    co_return stream;
+}
+
 void connection_pool::give_back(const endpoint& server, client_stream finished)
 {
     if (!finished.is_reusable())
--- a/libraries/http/src/fetch.cpp
+++ b/libraries/http/src/fetch.cpp
@@ -70,11 +70,11 @@
     const core::time_point end = core::monotonic_now() + limits.deadline;
     std::optional<client_stream> stream = pool.take(server);
     if (!stream) {
-        stream = client_stream::create(pool.executor());
-        const client_result<void> connected =
-            co_await stream->connect(server, left_until(end));
-        if (!connected)
-            co_return tl::unexpected(connected.error());
+        client_result<client_stream> opened =
+            co_await pool.open(server, left_until(end));
+        if (!opened)
+            co_return tl::unexpected(opened.error());
+        stream = std::move(*opened);
     }
     client_result<response> answer = co_await exchange_on(
         *stream, server, std::move(outgoing), end, limits.body_bytes);
--- a/tests/http/client_stream_test.cpp
+++ b/tests/http/client_stream_test.cpp
@@ -11,9 +11,12 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -68,8 +71,61 @@
     CPPUNIT_TEST(test_cancelled_before_connect);
     CPPUNIT_TEST(test_fetch_reuses_whole_exchanges_only);
     CPPUNIT_TEST(test_fetch_bounds);
+    CPPUNIT_TEST(test_a_connection_with_keepalive_probes_a_silent_server);
     CPPUNIT_TEST_SUITE_END();
 
+    /// Returns the seconds after which a silent connection to `server` ends, or
+    /// nothing if none of this process's connections to it has keepalive.
+    static std::optional<int> seconds_until_dead(const endpoint& server)
+    {
+        constexpr int max_descriptors = 256;
+        for (int socket = 0; socket < max_descriptors; ++socket) {
+            sockaddr_in peer{};
+            socklen_t size = sizeof(peer);
+            const bool is_connected =
+                ::getpeername(
+                    socket, reinterpret_cast<sockaddr*>(&peer), &size) == 0 &&
+                ntohs(peer.sin_port) == server.port();
+            if (is_connected && option(socket, SOL_SOCKET, SO_KEEPALIVE) != 0)
+                return option(socket, IPPROTO_TCP, TCP_KEEPIDLE) +
+                       option(socket, IPPROTO_TCP, TCP_KEEPINTVL) *
+                           option(socket, IPPROTO_TCP, TCP_KEEPCNT);
+        }
+        return std::nullopt;
+    }
+
+    static int option(int socket, int level, int name)
+    {
+        int value = 0;
+        socklen_t size = sizeof(value);
+        ::getsockopt(socket, level, name, &value, &size);
+        return value;
+    }
+
+    void test_a_connection_with_keepalive_probes_a_silent_server()
+    {
+        server_harness harness({}, behave);
+        connection_pool_limits limits;
+        const endpoint server = harness.target().address();
+        for (const bool uses_keepalive : {false, true}) {
+            limits.uses_keepalive = uses_keepalive;
+            const auto pool = connection_pool::create(
+                harness.context().get_executor(), limits);
+            const auto fetched = run(
+                harness,
+                fetch(
+                    *pool,
+                    server,
+                    {"GET", "/plain", {}, {}},
+                    {.deadline = seconds(5)}));
+            CPPUNIT_ASSERT(fetched.has_value());
+            const auto limit = seconds_until_dead(server);
+            CPPUNIT_ASSERT_EQUAL(uses_keepalive, limit.has_value());
+            // The shortest time after which hosts count as undisturbed.
+            CPPUNIT_ASSERT(!limit || *limit <= 3);
+        }
+    }
+
     /// Runs a coroutine on the harness's thread and waits for its result.
     template<class Value>
     static Value run(server_harness& harness, asio::awaitable<Value> task)
