entry: hosts that lost their links to all servers reach them through neighbours

Cause: a host had one way to a server, its own connection. Whether that way or the server failed was not told apart either: each request tried three servers and was refused with no_server.

Change: failures at two servers within 2 s cause a probe of three others (server_reachability); if none accepts a connection the links count as lost and all connections to servers go through a tunnel (CONNECT) of a neighbour that has them (server_connector, tunnel_server) until a probe, repeated each 0.5 s, succeeds. Neighbours name their tunnel address in their hello; zones whose hosts opened no tunnel come last, since hosts of a zone lose their links together. All decisions stay at the host that got the request. Only addresses of listed servers are reached; a stopping host opens no new tunnels and ends when the open ones have. Before a broken run counts as a crash, a neighbour confirms that the server cannot be reached: a host whose links are reset would quarantine innocent requests.

Ruled out: failing readiness. The balancer uses a zone's hosts all the same when under half of them are in rotation, and open connections stay.

--- a/libraries/http/include/godwit/http/client_stream.hpp
+++ b/libraries/http/include/godwit/http/client_stream.hpp
@@ -5,10 +5,13 @@
 #include <godwit/http/endpoint.hpp>
 #include <godwit/http/request.hpp>
 #include <godwit/http/response_head.hpp>
+#include <godwit/http/tunnel_error.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
+#include <tl/expected.hpp>
+
 #include <memory>
 #include <optional>
 #include <string>
@@ -37,6 +40,11 @@
     boost::asio::awaitable<client_result<void>>
     connect(endpoint server, core::duration timeout);
 
+    /// Connects to `server` through the tunnel of an HTTP proxy (CONNECT). The
+    /// connection carries one exchange.
+    boost::asio::awaitable<tl::expected<void, tunnel_error>>
+    connect_through(endpoint proxy, endpoint server, core::duration timeout);
+
     /// Makes operations on the open connection fail some seconds after the
     /// server can no longer be reached, also while nothing is sent. Fails with
     /// `unavailable`.
--- a/libraries/http/include/godwit/http/connection_pool.hpp
+++ b/libraries/http/include/godwit/http/connection_pool.hpp
@@ -10,10 +10,11 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <cstddef>
+#include <functional>
 #include <list>
 #include <memory>
 #include <optional>
-#include <string>
+#include <utility>
 
 namespace godwit::http {
 
@@ -38,6 +39,13 @@
     /// An idle connection to `server` that its end still keeps open.
     [[nodiscard]] std::optional<client_stream> take(const endpoint& server);
 
+    using opener =
+        std::function<boost::asio::awaitable<client_result<client_stream>>(
+            endpoint server, core::duration timeout)>;
+
+    /// Sets how `open` connects; directly if it is not called.
+    void set_opener(opener chosen) { opener_ = std::move(chosen); }
+
     /// Connects to `server`. Fails with `unavailable` or `timeout`.
     boost::asio::awaitable<client_result<client_stream>>
     open(endpoint server, core::duration timeout);
@@ -49,6 +57,9 @@
     /// Closes the idle connections to `server`.
     void forget(const endpoint& server);
 
+    /// Closes all idle connections.
+    void clear() { idle_.clear(); }
+
     [[nodiscard]] std::size_t idle() const noexcept { return idle_.size(); }
 
 private:
@@ -68,6 +79,7 @@
 
     boost::asio::any_io_executor executor_;
     connection_pool_limits limits_;
+    opener opener_;
     std::list<idle_connection> idle_; // The longest idle first.
 };
 
--- a/libraries/http/include/godwit/http/fetch.hpp
+++ b/libraries/http/include/godwit/http/fetch.hpp
@@ -24,4 +24,11 @@
 boost::asio::awaitable<client_result<response>>
 fetch(endpoint server, request outgoing, fetch_limits limits);
 
+/// The same on an open connection.
+boost::asio::awaitable<client_result<response>> fetch(
+    client_stream& connected,
+    endpoint server,
+    request outgoing,
+    fetch_limits limits);
+
 } // namespace godwit::http
--- a/libraries/http/src/client_stream.cpp
+++ b/libraries/http/src/client_stream.cpp
@@ -16,6 +16,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <utility>
@@ -34,6 +35,8 @@
 constexpr std::uint32_t head_limit = 64 * 1024;
 constexpr unsigned first_status = 100;
 constexpr unsigned first_final_status = 200;
+constexpr unsigned tunnel_opened_status = 200;
+constexpr unsigned server_unreachable_status = 502;
 constexpr std::size_t read_size = std::size_t{16} * 1024;
 constexpr std::size_t buffer_limit = std::size_t{128} * 1024;
 // Of one answer, a stream's chunks added up. The parser reserves memory for
@@ -123,6 +126,7 @@
     bytes_handed_over handed_over = bytes_handed_over::none;
     bool is_cancelled = false;
     bool is_whole = false;
+    bool is_tunnel = false;
     bool asked_head = false;
 };
 
@@ -170,12 +174,54 @@
     co_return client_result<void>();
 }
 
+asio::awaitable<tl::expected<void, tunnel_error>>
+client_stream::connect_through(
+    endpoint proxy, endpoint server, core::duration timeout)
+{
+    const core::time_point end = core::monotonic_now() + timeout;
+    const auto remaining = [end] {
+        return std::max(end - core::monotonic_now(), core::duration::zero());
+    };
+    const auto proxy_failed = [](client_error error) {
+        error.handed_over = bytes_handed_over::none;
+        return tl::unexpected(
+            tunnel_error{tunnel_fault::proxy, std::move(error)});
+    };
+    implementation& held = *held_;
+    const auto connected = co_await connect(proxy, timeout);
+    if (!connected)
+        co_return proxy_failed(connected.error());
+    held.server = server.to_string() + " through " + proxy.to_string();
+    request outgoing{"CONNECT", server.to_string(), {}, {}};
+    const auto sent = co_await send(std::move(outgoing), remaining());
+    if (!sent)
+        co_return proxy_failed(sent.error());
+    const auto head = co_await read_head(remaining());
+    if (!head)
+        co_return proxy_failed(head.error());
+    held.parser.reset();
+    held.handed_over = bytes_handed_over::none;
+    held.is_tunnel = true;
+    if (head->status == tunnel_opened_status)
+        co_return tl::expected<void, tunnel_error>();
+    const bool is_server_unreachable =
+        head->status == server_unreachable_status;
+    co_return tl::unexpected(tunnel_error{
+        is_server_unreachable ? tunnel_fault::server : tunnel_fault::proxy,
+        client_error{
+            core::error(
+                core::error_kind::unavailable,
+                "connecting to " + held.server + ": status " +
+                    std::to_string(head->status),
+                "check that the server is running and can be reached"),
+            bytes_handed_over::none}});
+}
+
 client_result<void> client_stream::enable_keepalive()
 {
     tcp::socket& socket = held_->socket;
     const bool is_enabled =
-        set_option(
-            socket, IPPROTO_TCP, TCP_KEEPIDLE, keepalive_idle_seconds) &&
+        set_option(socket, IPPROTO_TCP, TCP_KEEPIDLE, keepalive_idle_seconds) &&
         set_option(
             socket, IPPROTO_TCP, TCP_KEEPINTVL, keepalive_interval_seconds) &&
         set_option(socket, IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes) &&
@@ -315,8 +361,9 @@
 
 bool client_stream::is_reusable() const noexcept
 {
-    return held_->is_whole && !held_->is_cancelled && held_->parser &&
-           held_->parser->keep_alive() && held_->buffer.size() == 0;
+    return held_->is_whole && !held_->is_tunnel && !held_->is_cancelled &&
+           held_->parser && held_->parser->keep_alive() &&
+           held_->buffer.size() == 0;
 }
 
 bool client_stream::is_open() const noexcept
--- a/libraries/http/src/connection_pool.cpp
+++ b/libraries/http/src/connection_pool.cpp
@@ -37,6 +37,8 @@
 boost::asio::awaitable<client_result<client_stream>>
 connection_pool::open(endpoint server, core::duration timeout)
 {
+    if (opener_)
+        co_return co_await opener_(std::move(server), timeout);
     client_stream stream = client_stream::create(executor_);
     const client_result<void> connected =
         co_await stream.connect(std::move(server), timeout);
--- a/libraries/http/src/fetch.cpp
+++ b/libraries/http/src/fetch.cpp
@@ -83,6 +83,20 @@
     co_return answer;
 }
 
+asio::awaitable<client_result<response>> fetch(
+    client_stream& connected,
+    endpoint server,
+    request outgoing,
+    fetch_limits limits)
+{
+    co_return co_await exchange_on(
+        connected,
+        server,
+        std::move(outgoing),
+        core::monotonic_now() + limits.deadline,
+        limits.body_bytes);
+}
+
 asio::awaitable<client_result<response>>
 fetch(endpoint server, request outgoing, fetch_limits limits)
 {
--- a/libraries/placement/include/godwit/placement/server_directory.hpp
+++ b/libraries/placement/include/godwit/placement/server_directory.hpp
@@ -116,6 +116,9 @@
     [[nodiscard]] std::vector<const backend_server*>
     usable_at(const http::endpoint& address) const;
 
+    /// Returns whether a server, also a draining one, is known at the address.
+    [[nodiscard]] bool has_server_at(const http::endpoint& address) const;
+
     /// Returns the digest of the usable servers.
     [[nodiscard]] const server_list_digest& digest() const noexcept
     {
--- a/libraries/placement/src/server_directory.cpp
+++ b/libraries/placement/src/server_directory.cpp
@@ -117,6 +117,15 @@
     return found;
 }
 
+bool server_directory::has_server_at(const http::endpoint& address) const
+{
+    return !usable_at(address).empty() ||
+           std::any_of(
+               servers_.begin(), servers_.end(), [&address](const auto& each) {
+                   return each.second.server.address == address;
+               });
+}
+
 // Two running servers cannot share an address. The list may contain records
 // that no server wrote; one of another service must not remove a running
 // server, and if it is genuine, the record of the former server is removed as
--- a/libraries/wire/include/godwit/wire/hello.hpp
+++ b/libraries/wire/include/godwit/wire/hello.hpp
@@ -23,6 +23,9 @@
     /// Number of message kinds that the sender can read; 0 from releases that
     /// do not send this field.
     std::uint32_t message_kinds = 0;
+    /// Where the sender opens tunnels to backend servers, as "IP:port"; empty
+    /// if it opens none.
+    std::string tunnel_address = {};
 
     friend bool operator==(const hello&, const hello&) = default;
 };
--- a/libraries/wire/src/godwit_generated.h
+++ b/libraries/wire/src/godwit_generated.h
@@ -734,7 +734,8 @@
     VT_ZONE = 10,
     VT_INCARNATION = 12,
     VT_ADDRESS = 14,
-    VT_MESSAGE_KINDS = 16
+    VT_MESSAGE_KINDS = 16,
+    VT_TUNNEL_ADDRESS = 18
   };
   uint32_t version() const {
     return GetField<uint32_t>(VT_VERSION, 0);
@@ -757,6 +758,9 @@
   uint32_t message_kinds() const {
     return GetField<uint32_t>(VT_MESSAGE_KINDS, 0);
   }
+  const flatbuffers::String *tunnel_address() const {
+    return GetPointer<const flatbuffers::String *>(VT_TUNNEL_ADDRESS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_VERSION, 4) &&
@@ -770,6 +774,8 @@
            VerifyOffset(verifier, VT_ADDRESS) &&
            verifier.VerifyString(address()) &&
            VerifyField<uint32_t>(verifier, VT_MESSAGE_KINDS, 4) &&
+           VerifyOffset(verifier, VT_TUNNEL_ADDRESS) &&
+           verifier.VerifyString(tunnel_address()) &&
            verifier.EndTable();
   }
 };
@@ -799,6 +805,9 @@
   void add_message_kinds(uint32_t message_kinds) {
     fbb_.AddElement<uint32_t>(hello::VT_MESSAGE_KINDS, message_kinds, 0);
   }
+  void add_tunnel_address(flatbuffers::Offset<flatbuffers::String> tunnel_address) {
+    fbb_.AddOffset(hello::VT_TUNNEL_ADDRESS, tunnel_address);
+  }
   explicit helloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -818,8 +827,10 @@
     flatbuffers::Offset<flatbuffers::String> zone = 0,
     flatbuffers::Offset<flatbuffers::String> incarnation = 0,
     flatbuffers::Offset<flatbuffers::String> address = 0,
-    uint32_t message_kinds = 0) {
+    uint32_t message_kinds = 0,
+    flatbuffers::Offset<flatbuffers::String> tunnel_address = 0) {
   helloBuilder builder_(_fbb);
+  builder_.add_tunnel_address(tunnel_address);
   builder_.add_message_kinds(message_kinds);
   builder_.add_address(address);
   builder_.add_incarnation(incarnation);
@@ -843,11 +854,13 @@
     const char *zone = nullptr,
     const char *incarnation = nullptr,
     const char *address = nullptr,
-    uint32_t message_kinds = 0) {
+    uint32_t message_kinds = 0,
+    const char *tunnel_address = nullptr) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   auto incarnation__ = incarnation ? _fbb.CreateString(incarnation) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto tunnel_address__ = tunnel_address ? _fbb.CreateString(tunnel_address) : 0;
   return godwit::wire::format::Createhello(
       _fbb,
       version,
@@ -856,7 +869,8 @@
       zone__,
       incarnation__,
       address__,
-      message_kinds);
+      message_kinds,
+      tunnel_address__);
 }
 
 struct heartbeat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/libraries/wire/src/message_reader.cpp
+++ b/libraries/wire/src/message_reader.cpp
@@ -25,7 +25,8 @@
         .incarnation =
             reader.identifier<core::incarnation_id>(table.incarnation()),
         .address = reader.text(table.address()),
-        .message_kinds = table.message_kinds()};
+        .message_kinds = table.message_kinds(),
+        .tunnel_address = reader.text(table.tunnel_address())};
 }
 
 heartbeat read(const format::heartbeat& /*table*/, frame_reader& /*reader*/)
--- a/libraries/wire/src/message_writer.cpp
+++ b/libraries/wire/src/message_writer.cpp
@@ -73,7 +73,8 @@
         text(out, value.zone),
         text(out, value.incarnation),
         text(out, value.address),
-        value.message_kinds);
+        value.message_kinds,
+        text(out, value.tunnel_address));
 }
 
 flatbuffers::Offset<format::heartbeat>
--- a/services/entry/include/godwit/entry/entry_context.hpp
+++ b/services/entry/include/godwit/entry/entry_context.hpp
@@ -4,6 +4,7 @@
 #include <godwit/entry/entry_settings.hpp>
 #include <godwit/entry/link_claims.hpp>
 #include <godwit/entry/retry_budgets.hpp>
+#include <godwit/entry/server_connector.hpp>
 #include <godwit/entry/stream_registry.hpp>
 #include <godwit/entry/wait_queue.hpp>
 #include <godwit/entry/wire_codec.hpp>
@@ -54,6 +55,10 @@
     entry_context(const entry_context&) = delete;
     entry_context& operator=(const entry_context&) = delete;
 
+    /// Records that a request got no connection to the server, no response or
+    /// an incomplete one.
+    void record_unreachable(const placement::server_id& server);
+
     const boost::asio::any_io_executor executor;
     /// Changes only when the process reloads a changed settings file.
     entry_settings settings;
@@ -125,6 +130,7 @@
     /// Whether a neighbour may have a newer version of the route table; set by
     /// the process.
     std::function<bool()> may_have_stale_routes;
+    server_connector connector;
     std::unique_ptr<http::connection_pool> connections;
     std::unique_ptr<telemetry::metrics> metrics;
     bool is_stopping = false;
--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -18,6 +18,7 @@
 #include <godwit/entry/table_history.hpp>
 #include <godwit/entry/table_loader.hpp>
 #include <godwit/entry/table_request_queue.hpp>
+#include <godwit/entry/tunnel_server.hpp>
 #include <godwit/entry/wire_codec.hpp>
 #include <godwit/http/server.hpp>
 #include <godwit/placement/server_directory.hpp>
@@ -111,6 +112,12 @@
         sources_.record_loss(topic);
     }
 
+    /// Returns where other entry hosts open tunnels to backend servers.
+    [[nodiscard]] const http::endpoint& tunnel_address() const noexcept
+    {
+        return tunnels_->address();
+    }
+
     /// Returns the position of the topic up to which this host knows
     /// everything, by itself or from other hosts.
     [[nodiscard]] const std::optional<dissemination::source_position>&
@@ -243,6 +250,8 @@
     void begin_stop();
     void check_stop();
     void tick();
+    [[nodiscard]] core::result<void> listen_for_tunnels();
+    [[nodiscard]] tunnel_verdict judge_tunnel(const http::endpoint& to) const;
     void detect_stall();
     [[nodiscard]] bool is_refreshing();
     [[nodiscard]] bool may_have_stale_routes() const;
@@ -409,6 +418,7 @@
     bool has_received_version_ = false; ///< Of the route table, from any host.
     core::time_point stop_started_at_{};
     std::unique_ptr<neighbour_links> neighbours_;
+    std::unique_ptr<tunnel_server> tunnels_;
     settings_reader read_settings_;
     /// As read from the file.
     std::optional<entry_settings> last_read_settings_;
--- a/services/entry/include/godwit/entry/entry_settings.hpp
+++ b/services/entry/include/godwit/entry/entry_settings.hpp
@@ -10,6 +10,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <optional>
 #include <vector>
 
 namespace godwit::entry {
@@ -25,6 +26,9 @@
     http::endpoint readiness;  ///< Where the load balancer probes.
     http::endpoint operators;  ///< Serves metrics and the state dump.
     http::endpoint neighbours; ///< Where other entry hosts connect.
+    /// Where other entry hosts open tunnels to backend servers; if empty, any
+    /// free port of the neighbours' address.
+    std::optional<http::endpoint> tunnels = {};
     /// Addresses at which some other entry hosts may be found.
     std::vector<http::endpoint> seeds;
     std::size_t caller_connections = 3000;
--- a/services/entry/include/godwit/entry/neighbour_links.hpp
+++ b/services/entry/include/godwit/entry/neighbour_links.hpp
@@ -4,6 +4,7 @@
 #include <godwit/entry/entry_settings.hpp>
 #include <godwit/entry/neighbour_selection.hpp>
 #include <godwit/entry/neighbour_traffic.hpp>
+#include <godwit/entry/server_connector.hpp>
 #include <godwit/wire/acceptor.hpp>
 #include <godwit/wire/connector.hpp>
 #include <godwit/wire/message.hpp>
@@ -59,6 +60,16 @@
 
     ~neighbour_links();
 
+    /// Sets where this host opens tunnels to backend servers, which links that
+    /// open later announce.
+    void set_tunnel_address(const http::endpoint& address)
+    {
+        tunnel_address_ = address.to_string();
+    }
+
+    /// Returns the neighbours with an open link that open tunnels.
+    [[nodiscard]] std::vector<tunnel_proxy> tunnel_proxies() const;
+
     /// Starts to accept links and to connect to the settings' seeds.
     void start();
 
@@ -126,6 +137,7 @@
     const entry_settings& settings_;
     neighbour_handlers handlers_;
     std::string incarnation_;
+    std::string tunnel_address_;
     std::shared_ptr<wire::acceptor> acceptor_;
     std::map<http::endpoint, std::shared_ptr<wire::connector>> connectors_;
     placement::host_group cell_;
--- /dev/null
+++ b/services/entry/include/godwit/entry/server_connector.hpp
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <godwit/core/identifiers.hpp>
+#include <godwit/core/random.hpp>
+#include <godwit/core/time.hpp>
+#include <godwit/http/client_stream.hpp>
+#include <godwit/http/endpoint.hpp>
+#include <godwit/placement/server_directory.hpp>
+#include <godwit/placement/server_reachability.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace godwit::entry {
+
+/// A neighbour that opens tunnels to backend servers.
+struct tunnel_proxy
+{
+    core::host_name host;
+    core::zone_name zone;
+    http::endpoint address;
+
+    friend bool operator==(const tunnel_proxy&, const tunnel_proxy&) = default;
+};
+
+/// Opens connections to backend servers: directly, or through neighbours while
+/// this host has lost its links to all servers. Used on one executor.
+class server_connector
+{
+public:
+    server_connector(
+        const boost::asio::any_io_executor& executor,
+        const placement::server_directory& directory,
+        core::zone_name zone,
+        std::uint64_t seed);
+
+    server_connector(const server_connector&) = delete;
+    server_connector& operator=(const server_connector&) = delete;
+
+    /// Sets how the neighbours are found that open tunnels.
+    void set_proxies(std::function<std::vector<tunnel_proxy>()> proxies)
+    {
+        proxies_ = std::move(proxies);
+    }
+
+    /// Sets what is called when the links are lost or restored.
+    void on_change(std::function<void(bool are_lost)> notify)
+    {
+        on_change_ = std::move(notify);
+    }
+
+    /// Connects to a backend server. Fails with `unavailable` or `timeout`.
+    boost::asio::awaitable<http::client_result<http::client_stream>>
+    open(http::endpoint server, core::duration timeout);
+
+    /// Connects to a backend server, also through a neighbour if the direct
+    /// connection fails. Its failure shows that the server cannot be reached.
+    boost::asio::awaitable<http::client_result<http::client_stream>>
+    open_any_way(http::endpoint server, core::duration timeout);
+
+    /// Records that a request got no connection to the server or no response.
+    void record_failure(const placement::server_id& server);
+
+    /// Probes servers when that is due. Called often.
+    void tick();
+
+    [[nodiscard]] bool are_links_lost() const noexcept
+    {
+        return reachability_.are_links_lost();
+    }
+
+private:
+    struct probe;
+
+    boost::asio::awaitable<http::client_result<http::client_stream>>
+    open_directly(http::endpoint server, core::duration timeout);
+    /// Returns nothing if no neighbour could be used.
+    boost::asio::awaitable<
+        std::optional<http::client_result<http::client_stream>>>
+    open_through_neighbour(http::endpoint server, core::time_point end);
+    [[nodiscard]] std::optional<tunnel_proxy> choose_proxy();
+    [[nodiscard]] std::vector<http::endpoint> choose_probed_servers();
+    boost::asio::awaitable<void>
+    probe_server(http::endpoint server, std::shared_ptr<probe> round);
+    void end_probe(const probe& round);
+
+    boost::asio::any_io_executor executor_;
+    const placement::server_directory& directory_;
+    core::zone_name zone_;
+    core::random random_;
+    placement::server_reachability reachability_;
+    std::function<std::vector<tunnel_proxy>()> proxies_;
+    std::function<void(bool)> on_change_;
+    /// Until when neighbours that opened no tunnel are passed over.
+    std::map<core::host_name, core::time_point> unusable_proxies_;
+};
+
+} // namespace godwit::entry
--- a/services/entry/src/buffered_call.cpp
+++ b/services/entry/src/buffered_call.cpp
@@ -227,7 +227,7 @@
             call_, server, name_of(failure.fault), failure.cause.message());
         if (is_lost_run(failure))
             record_lost_run(context_, call_, server);
-        context_.health.record_unreachable(server.id, now);
+        context_.record_unreachable(server.id);
         if (failure.fault != upstream_fault::unreachable)
             record_version_response(
                 context_,
--- a/services/entry/src/capacity_search.cpp
+++ b/services/entry/src/capacity_search.cpp
@@ -168,7 +168,7 @@
     if (response.status == hold_status::refused)
         context_.health.record_full(choice.server.id, now);
     if (response.status == hold_status::unreachable) {
-        context_.health.record_unreachable(choice.server.id, now);
+        context_.record_unreachable(choice.server.id);
         exclude(choice.server.id);
     }
     // A server that does not understand hold requests gets the request itself.
--- a/services/entry/src/entry_context.cpp
+++ b/services/entry/src/entry_context.cpp
@@ -40,9 +40,29 @@
           cold_servers,
           evacuations,
           core::stable_hash(settings.host.value())),
-      budgets(settings),
+      budgets(settings), connector(
+                             executor,
+                             directory,
+                             settings.zone,
+                             core::stable_hash(settings.host.value())),
       connections(http::connection_pool::create(executor, pool_limits())),
       metrics(telemetry::metrics::create())
-{}
+{
+    connections->set_opener(
+        [this](http::endpoint server, core::duration timeout) {
+            return connector.open(std::move(server), timeout);
+        });
+    // Idle connections may hang, and each would fail a request.
+    connector.on_change([this](bool are_links_lost) {
+        if (are_links_lost)
+            connections->clear();
+    });
+}
+
+void entry_context::record_unreachable(const placement::server_id& server)
+{
+    health.record_unreachable(server, core::monotonic_now());
+    connector.record_failure(server);
+}
 
 } // namespace godwit::entry
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -152,9 +152,31 @@
                 wire::message message) {
                 handle_message(from, std::move(message));
             }}));
+    return listen_for_tunnels();
+}
+
+core::result<void> entry_process::listen_for_tunnels()
+{
+    const auto& settings = context_.settings;
+    tunnels_ = GODWIT_TRY(tunnel_server::create(
+        io_.get_executor(),
+        settings.tunnels.value_or(settings.neighbours.with_port(0)),
+        [this](const http::endpoint& server) { return judge_tunnel(server); }));
+    neighbours_->set_tunnel_address(tunnels_->address());
+    context_.connector.set_proxies(
+        [this] { return neighbours_->tunnel_proxies(); });
     return {};
 }
 
+tunnel_verdict entry_process::judge_tunnel(const http::endpoint& to) const
+{
+    if (context_.is_stopping || context_.connector.are_links_lost())
+        return tunnel_verdict::unavailable;
+    return context_.directory.has_server_at(to)
+               ? tunnel_verdict::allowed
+               : tunnel_verdict::unknown_server;
+}
+
 void entry_process::start()
 {
     boost::system::error_code ignored;
@@ -188,6 +210,7 @@
     context_.may_have_stale_routes = [this] {
         return may_have_stale_routes();
     };
+    tunnels_->start();
     neighbours_->start();
     started_at_ = core::monotonic_now();
     last_tick_at_ = started_at_;
@@ -278,7 +301,7 @@
          context_.streams.unresponsive_servers(unresponsive_threshold, now)) {
         if (context_.health.is_avoided(id, now))
             continue;
-        context_.health.record_unreachable(id, now);
+        context_.record_unreachable(id);
         log_event(
             log_level::info, component, "server_silent", {{"server", id}});
     }
@@ -378,6 +401,7 @@
     broadcast_source_positions();
     neighbours_->log_traffic(core::monotonic_now());
     avoid_unresponsive_servers();
+    context_.connector.tick();
     detect_slow_servers();
     poll_reports();
     if (core::monotonic_now() - reloaded_at_ >= reload_interval)
--- a/services/entry/src/entry_process_stop.cpp
+++ b/services/entry/src/entry_process_stop.cpp
@@ -66,13 +66,15 @@
     if (since >= accept_duration_after_stop)
         callers_->stop_accepting();
     const bool is_idle = since >= accept_duration_after_stop &&
-                         callers_->open_connections() == 0;
+                         callers_->open_connections() == 0 &&
+                         tunnels_->open_tunnels() == 0;
     if (is_idle || since >= context_.settings.stop_grace - exit_margin) {
         log_event(
             log_level::info,
             component,
             "end",
-            {{"requests_cut", callers_->active_exchanges()}});
+            {{"requests_cut", callers_->active_exchanges()},
+             {"tunnels_cut", tunnels_->open_tunnels()}});
         io_.stop();
         return;
     }
--- a/services/entry/src/entry_settings.cpp
+++ b/services/entry/src/entry_settings.cpp
@@ -3,6 +3,7 @@
 #include <godwit/settings/read_values.hpp>
 #include <godwit/telemetry/read_log_level.hpp>
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <utility>
@@ -20,6 +21,15 @@
     return http::endpoint::parse(address.to_string());
 }
 
+core::result<std::optional<http::endpoint>>
+read_optional_endpoint(settings::reader& from, std::string_view key)
+{
+    const auto keys = from.keys();
+    if (std::find(keys.begin(), keys.end(), key) == keys.end())
+        return std::optional<http::endpoint>();
+    return GODWIT_TRY(read_endpoint(from, key));
+}
+
 core::result<core::duration> read_seconds(
     settings::reader& from, std::string_view key, core::duration absent)
 {
@@ -87,6 +97,7 @@
     const auto readiness = GODWIT_TRY(read_endpoint(listen, "readiness"));
     const auto operators = GODWIT_TRY(read_endpoint(listen, "operators"));
     const auto neighbours = GODWIT_TRY(read_endpoint(listen, "neighbours"));
+    const auto tunnels = GODWIT_TRY(read_optional_endpoint(listen, "tunnels"));
     const auto seeds = GODWIT_TRY(read_seeds(source));
     entry_settings read{
         .host = host,
@@ -97,6 +108,7 @@
         .readiness = readiness,
         .operators = operators,
         .neighbours = neighbours,
+        .tunnels = tunnels,
         .seeds = seeds,
     };
     GODWIT_TRY(listen.finish(true));
--- a/services/entry/src/lost_runs.cpp
+++ b/services/entry/src/lost_runs.cpp
@@ -46,17 +46,15 @@
     const placement::backend_server& server,
     bool is_engine)
 {
-    if (!is_engine) {
-        auto stream = http::client_stream::create(context.executor);
-        const auto connected =
-            co_await stream.connect(server.address, probe_timeout);
-        stream.cancel();
-        co_return connected.has_value();
-    }
+    // A neighbour confirms that the server, not this host, is cut off.
+    auto opened =
+        co_await context.connector.open_any_way(server.address, probe_timeout);
+    if (!opened || !is_engine)
+        co_return opened.has_value();
     http::request outgoing = context.codec.write_report_request();
     const http::fetch_limits limits{.deadline = probe_timeout};
-    const auto fetched =
-        co_await http::fetch(server.address, std::move(outgoing), limits);
+    const auto fetched = co_await http::fetch(
+        *opened, server.address, std::move(outgoing), limits);
     if (!fetched)
         co_return false;
     const auto report = context.codec.read_report(*fetched);
--- a/services/entry/src/neighbour_links.cpp
+++ b/services/entry/src/neighbour_links.cpp
@@ -95,7 +95,8 @@
         .host = settings_.host,
         .zone = settings_.zone,
         .incarnation = core::incarnation_id(incarnation_),
-        .address = settings_.neighbours.to_string()};
+        .address = settings_.neighbours.to_string(),
+        .tunnel_address = tunnel_address_};
 }
 
 wire::link_handlers neighbour_links::link_callbacks()
@@ -239,6 +240,18 @@
     return open;
 }
 
+std::vector<tunnel_proxy> neighbour_links::tunnel_proxies() const
+{
+    std::vector<tunnel_proxy> proxies;
+    for (const auto& link : links()) {
+        const wire::hello& peer = *link->peer();
+        auto address = http::endpoint::parse(peer.tunnel_address);
+        if (address)
+            proxies.push_back({peer.host, peer.zone, std::move(*address)});
+    }
+    return proxies;
+}
+
 std::size_t neighbour_links::linked_cell_peers() const
 {
     std::set<core::host_name> linked;
--- /dev/null
+++ b/services/entry/src/server_connector.cpp
@@ -0,0 +1,216 @@
+#include <godwit/entry/server_connector.hpp>
+
+#include <godwit/entry/spawn.hpp>
+#include <godwit/telemetry/log.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <memory>
+#include <tuple>
+#include <utility>
+
+namespace godwit::entry {
+
+namespace asio = boost::asio;
+using http::client_result;
+using http::client_stream;
+
+namespace {
+
+// Number of servers that are probed at once. Some of them may have crashed.
+constexpr std::size_t probed_servers = 3;
+constexpr core::duration probe_timeout = std::chrono::milliseconds(250);
+// Number of neighbours that are asked for one tunnel.
+constexpr int max_proxies = 6;
+// A neighbour that does not respond must leave time for another one.
+constexpr int proxy_timeout_divisor = 2;
+constexpr core::duration unusable_duration = std::chrono::milliseconds(500);
+
+} // namespace
+
+/// Servers that are probed together.
+struct server_connector::probe
+{
+    std::size_t servers = 0;
+    std::size_t pending = 0;
+    std::size_t connected = 0;
+};
+
+server_connector::server_connector(
+    const asio::any_io_executor& executor,
+    const placement::server_directory& directory,
+    core::zone_name zone,
+    std::uint64_t seed)
+    : executor_(executor), directory_(directory), zone_(std::move(zone)),
+      random_(seed)
+{}
+
+asio::awaitable<client_result<client_stream>>
+server_connector::open(http::endpoint server, core::duration timeout)
+{
+    const core::time_point end = core::monotonic_now() + timeout;
+    if (are_links_lost()) {
+        auto opened = co_await open_through_neighbour(server, end);
+        if (opened)
+            co_return std::move(*opened);
+    }
+    co_return co_await open_directly(
+        std::move(server), end - core::monotonic_now());
+}
+
+asio::awaitable<client_result<client_stream>>
+server_connector::open_any_way(http::endpoint server, core::duration timeout)
+{
+    auto direct = co_await open_directly(server, timeout);
+    if (direct)
+        co_return direct;
+    auto tunnelled = co_await open_through_neighbour(
+        std::move(server), core::monotonic_now() + timeout);
+    if (tunnelled)
+        co_return std::move(*tunnelled);
+    co_return direct;
+}
+
+asio::awaitable<client_result<client_stream>>
+server_connector::open_directly(http::endpoint server, core::duration timeout)
+{
+    client_stream stream = client_stream::create(executor_);
+    const auto connected = co_await stream.connect(
+        std::move(server), std::max(timeout, core::duration::zero()));
+    if (!connected)
+        co_return tl::unexpected(connected.error());
+    co_return stream;
+}
+
+asio::awaitable<std::optional<client_result<client_stream>>>
+server_connector::open_through_neighbour(
+    http::endpoint server, core::time_point end)
+{
+    for (int count = 0; count < max_proxies; ++count) {
+        const core::duration left = end - core::monotonic_now();
+        const auto proxy = choose_proxy();
+        if (!proxy || left <= core::duration::zero())
+            break;
+        client_stream stream = client_stream::create(executor_);
+        const auto connected = co_await stream.connect_through(
+            proxy->address, server, left / proxy_timeout_divisor);
+        if (connected)
+            co_return client_result<client_stream>(std::move(stream));
+        if (connected.error().fault == http::tunnel_fault::server)
+            co_return client_result<client_stream>(
+                tl::unexpected(connected.error().error));
+        unusable_proxies_[proxy->host] =
+            core::monotonic_now() + unusable_duration;
+    }
+    co_return std::nullopt;
+}
+
+// Hosts of one zone often lose their links together, so that a zone whose hosts
+// opened no tunnel comes last.
+std::optional<tunnel_proxy> server_connector::choose_proxy()
+{
+    const core::time_point now = core::monotonic_now();
+    std::erase_if(unusable_proxies_, [now](const auto& each) {
+        return each.second <= now;
+    });
+    const std::vector<tunnel_proxy> proxies =
+        proxies_ ? proxies_() : std::vector<tunnel_proxy>();
+    std::map<core::zone_name, std::size_t> unusable_in_zone;
+    for (const tunnel_proxy& each : proxies)
+        unusable_in_zone[each.zone] += unusable_proxies_.count(each.host);
+    std::optional<tunnel_proxy> best;
+    std::tuple<std::size_t, bool, std::uint64_t> best_rank;
+    for (const tunnel_proxy& each : proxies) {
+        if (unusable_proxies_.contains(each.host))
+            continue;
+        const std::tuple rank(
+            unusable_in_zone[each.zone], each.zone != zone_, random_.next());
+        if (best && best_rank <= rank)
+            continue;
+        best = each;
+        best_rank = rank;
+    }
+    return best;
+}
+
+void server_connector::record_failure(const placement::server_id& server)
+{
+    reachability_.record_failure(server, core::monotonic_now());
+}
+
+void server_connector::tick()
+{
+    const core::time_point now = core::monotonic_now();
+    if (!reachability_.should_probe(directory_.size(), now))
+        return;
+    const std::vector<http::endpoint> chosen = choose_probed_servers();
+    if (chosen.empty())
+        return;
+    reachability_.begin_probe(now);
+    const auto round = std::make_shared<probe>();
+    round->servers = chosen.size();
+    round->pending = chosen.size();
+    for (const http::endpoint& server : chosen)
+        spawn(
+            executor_,
+            "server_probe",
+            [this, server, round]() -> asio::awaitable<void> {
+                co_await probe_server(server, round);
+            },
+            [this, round] {
+                if (--round->pending == 0)
+                    end_probe(*round);
+            });
+}
+
+// Servers of this host's zone come first: while a zone is cut off from the
+// others, its own servers still serve.
+std::vector<http::endpoint> server_connector::choose_probed_servers()
+{
+    std::vector<std::pair<std::uint64_t, http::endpoint>> ranked;
+    for (const placement::server_id& id : directory_.ids()) {
+        if (!directory_.is_usable(id))
+            continue;
+        const placement::backend_server& server = *directory_.find(id);
+        constexpr unsigned zone_bit = 63;
+        const std::uint64_t zone_rank = server.zone == zone_ ? 0 : 1;
+        ranked.emplace_back(
+            (zone_rank << zone_bit) | (random_.next() >> 1), server.address);
+    }
+    const std::size_t count = std::min(ranked.size(), probed_servers);
+    std::partial_sort(
+        ranked.begin(),
+        ranked.begin() + static_cast<std::ptrdiff_t>(count),
+        ranked.end());
+    std::vector<http::endpoint> chosen;
+    for (std::size_t index = 0; index < count; ++index)
+        chosen.push_back(ranked[index].second);
+    return chosen;
+}
+
+asio::awaitable<void> server_connector::probe_server(
+    http::endpoint server, std::shared_ptr<probe> round)
+{
+    const auto opened =
+        co_await open_directly(std::move(server), probe_timeout);
+    if (opened)
+        ++round->connected;
+}
+
+void server_connector::end_probe(const probe& round)
+{
+    if (!reachability_.end_probe(round.connected))
+        return;
+    const bool are_lost = are_links_lost();
+    telemetry::log_event(
+        are_lost ? telemetry::log_level::warning : telemetry::log_level::info,
+        "entry",
+        are_lost ? "server_links_lost" : "server_links_restored",
+        {{"probed", round.servers},
+         {"connected", round.connected},
+         {"neighbours", proxies_ ? proxies_().size() : 0}});
+    if (on_change_)
+        on_change_(are_lost);
+}
+
+} // namespace godwit::entry
--- a/services/entry/src/stream_call.cpp
+++ b/services/entry/src/stream_call.cpp
@@ -222,7 +222,7 @@
             {});
     if (is_lost_run(failure))
         record_lost_run(context_, *call_, server);
-    context_.health.record_unreachable(server.id, core::monotonic_now());
+    context_.record_unreachable(server.id);
     exclude_server(server);
     if (failure.fault == upstream_fault::unreachable)
         co_return;
@@ -302,8 +302,7 @@
                 response_verdict::lost,
                 {});
         }
-        context_.health.record_unreachable(
-            active_->server().id, core::monotonic_now());
+        context_.record_unreachable(active_->server().id);
         interrupt(chunk ? "incomplete event" : chunk.error().cause.message());
         co_return;
     }
--- /dev/null
+++ b/services/entry/src/tunnel_server.cpp
@@ -0,0 +1,313 @@
+#include <godwit/entry/tunnel_server.hpp>
+
+#include <godwit/core/timer.hpp>
+#include <godwit/entry/async_sleep.hpp>
+#include <godwit/entry/spawn.hpp>
+#include <godwit/http/connect_request.hpp>
+#include <godwit/telemetry/log.hpp>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <chrono>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace godwit::entry {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+using telemetry::log_event;
+using telemetry::log_level;
+
+namespace {
+
+constexpr std::string_view component = "tunnels";
+constexpr std::size_t max_tunnels = 400;
+constexpr std::size_t buffer_bytes = std::size_t{8} * 1024;
+constexpr core::duration head_timeout = std::chrono::seconds(2);
+constexpr core::duration connect_timeout = std::chrono::milliseconds(400);
+constexpr core::duration accept_retry_delay = std::chrono::milliseconds(100);
+
+constexpr std::string_view opened = "HTTP/1.1 200 Connection Established";
+constexpr std::string_view bad_request = "HTTP/1.1 400 Bad Request";
+constexpr std::string_view forbidden = "HTTP/1.1 403 Forbidden";
+constexpr std::string_view bad_gateway = "HTTP/1.1 502 Bad Gateway";
+constexpr std::string_view unavailable = "HTTP/1.1 503 Service Unavailable";
+
+tcp::endpoint to_tcp(const http::endpoint& address)
+{
+    return {asio::ip::make_address(address.address()), address.port()};
+}
+
+/// Closes a socket unless it is destroyed before the time is over.
+class socket_timeout
+{
+public:
+    socket_timeout(tcp::socket& socket, core::duration timeout)
+        : timer_(socket.get_executor(), timeout)
+    {
+        timer_.async_wait([&socket](const error_code& failure) {
+            error_code ignored;
+            if (!failure)
+                socket.close(ignored);
+        });
+    }
+
+private:
+    core::timer timer_;
+};
+
+/// Both connections of a tunnel.
+struct tunnel
+{
+    explicit tunnel(tcp::socket accepted)
+        : host(std::move(accepted)), server(host.get_executor())
+    {}
+
+    void close()
+    {
+        error_code ignored;
+        host.close(ignored);
+        server.close(ignored);
+    }
+
+    tcp::socket host; ///< To the entry host that opened the tunnel.
+    tcp::socket server;
+};
+
+/// Forwards bytes until either connection ends. Returns how the source ended.
+asio::awaitable<error_code> forward(tcp::socket& from, tcp::socket& to)
+{
+    std::array<char, buffer_bytes> buffer{};
+    while (true) {
+        error_code failure;
+        const std::size_t size = co_await from.async_read_some(
+            asio::buffer(buffer),
+            asio::redirect_error(asio::use_awaitable, failure));
+        if (failure)
+            co_return failure;
+        co_await asio::async_write(
+            to,
+            asio::buffer(buffer.data(), size),
+            asio::redirect_error(asio::use_awaitable, failure));
+        if (failure)
+            co_return failure;
+    }
+}
+
+// A response without a length ends with its connection, so that the end of the
+// server's connection is forwarded as it was: a reset must not look like a
+// complete response.
+asio::awaitable<void> forward_responses(std::shared_ptr<tunnel> open)
+{
+    const error_code end = co_await forward(open->server, open->host);
+    error_code ignored;
+    if (end == asio::error::eof) {
+        open->host.shutdown(tcp::socket::shutdown_send, ignored);
+        co_return;
+    }
+    open->host.set_option(asio::socket_base::linger(true, 0), ignored);
+    open->close();
+}
+
+} // namespace
+
+class tunnel_server::state : public std::enable_shared_from_this<state>
+{
+public:
+    state(const asio::any_io_executor& executor, tunnel_policy policy)
+        : executor_(executor), listener_(executor), policy_(std::move(policy)),
+          address_(http::endpoint::parse("0.0.0.0:0").value())
+    {}
+
+    core::result<void> listen(const http::endpoint& address)
+    {
+        error_code failure;
+        const tcp::endpoint wanted = to_tcp(address);
+        listener_.open(wanted.protocol(), failure);
+        if (!failure)
+            listener_.set_option(tcp::acceptor::reuse_address(true), failure);
+        if (!failure)
+            listener_.bind(wanted, failure);
+        if (!failure)
+            listener_.listen(
+                asio::socket_base::max_listen_connections, failure);
+        if (failure)
+            return core::fail(
+                core::error_kind::unavailable,
+                "cannot listen on " + address.to_string() + ": " +
+                    failure.message(),
+                "set an address of this host whose port is free, or port 0");
+        address_ = address.with_port(listener_.local_endpoint().port());
+        return {};
+    }
+
+    void start()
+    {
+        spawn_with_restart(
+            executor_,
+            "tunnel_server",
+            [kept = shared_from_this()]() -> asio::awaitable<void> {
+                co_await kept->accept();
+            });
+    }
+
+    void close()
+    {
+        error_code ignored;
+        listener_.close(ignored);
+    }
+
+    [[nodiscard]] const http::endpoint& address() const noexcept
+    {
+        return address_;
+    }
+
+    [[nodiscard]] std::size_t open_tunnels() const noexcept
+    {
+        return open_tunnels_;
+    }
+
+private:
+    asio::awaitable<void> accept()
+    {
+        while (listener_.is_open()) {
+            error_code failure;
+            tcp::socket accepted = co_await listener_.async_accept(
+                asio::redirect_error(asio::use_awaitable, failure));
+            if (failure && listener_.is_open())
+                co_await async_sleep(executor_, accept_retry_delay);
+            if (!failure)
+                serve(std::make_shared<tunnel>(std::move(accepted)));
+        }
+    }
+
+    void serve(const std::shared_ptr<tunnel>& accepted)
+    {
+        ++open_tunnels_;
+        spawn(
+            executor_,
+            "tunnel",
+            [kept = shared_from_this(), accepted]() -> asio::awaitable<void> {
+                co_await kept->run(accepted);
+            },
+            [kept = shared_from_this(), accepted] {
+                accepted->close();
+                --kept->open_tunnels_;
+            });
+    }
+
+    asio::awaitable<void> run(std::shared_ptr<tunnel> accepted)
+    {
+        const std::string_view status = co_await open(*accepted);
+        const std::string head = std::string(status) + "\r\n\r\n";
+        error_code failure;
+        co_await asio::async_write(
+            accepted->host,
+            asio::buffer(head),
+            asio::redirect_error(asio::use_awaitable, failure));
+        if (failure || status != opened)
+            co_return;
+        spawn(
+            executor_,
+            "tunnel_responses",
+            [accepted]() -> asio::awaitable<void> {
+                co_await forward_responses(accepted);
+            });
+        // The entry host closes its connection to abort a request, which the
+        // server has to notice.
+        co_await forward(accepted->host, accepted->server);
+    }
+
+    /// Returns the status line to respond with.
+    asio::awaitable<std::string_view> open(tunnel& accepted)
+    {
+        error_code failure;
+        accepted.host.set_option(tcp::no_delay(true), failure);
+        accepted.host.set_option(asio::socket_base::keep_alive(true), failure);
+        const auto server =
+            co_await http::read_connect_target(accepted.host, head_timeout);
+        if (!server)
+            co_return bad_request;
+        const tunnel_verdict verdict = open_tunnels_ > max_tunnels
+                                           ? tunnel_verdict::unavailable
+                                           : policy_(*server);
+        if (verdict == tunnel_verdict::unavailable)
+            co_return unavailable;
+        if (verdict == tunnel_verdict::unknown_server) {
+            log_refused(*server, "the address is not one of a backend server");
+            co_return forbidden;
+        }
+        const socket_timeout timeout(accepted.server, connect_timeout);
+        co_await accepted.server.async_connect(
+            to_tcp(*server),
+            asio::redirect_error(asio::use_awaitable, failure));
+        if (!failure)
+            accepted.server.set_option(tcp::no_delay(true), failure);
+        if (!failure)
+            co_return opened;
+        log_refused(*server, failure.message());
+        co_return bad_gateway;
+    }
+
+    static void
+    log_refused(const http::endpoint& server, std::string_view cause)
+    {
+        log_event(
+            log_level::info,
+            component,
+            "tunnel_refused",
+            {{"server", server.to_string()}, {"cause", cause}});
+    }
+
+    asio::any_io_executor executor_;
+    tcp::acceptor listener_;
+    tunnel_policy policy_;
+    http::endpoint address_;
+    std::size_t open_tunnels_ = 0;
+};
+
+core::result<std::unique_ptr<tunnel_server>> tunnel_server::create(
+    const asio::any_io_executor& executor,
+    const http::endpoint& address,
+    tunnel_policy policy)
+{
+    auto shared = std::make_shared<state>(executor, std::move(policy));
+    const auto listening = shared->listen(address);
+    if (!listening)
+        return tl::unexpected(listening.error());
+    return std::unique_ptr<tunnel_server>(new tunnel_server(std::move(shared)));
+}
+
+tunnel_server::tunnel_server(std::shared_ptr<state> shared)
+    : state_(std::move(shared))
+{}
+
+tunnel_server::~tunnel_server()
+{
+    state_->close();
+}
+
+void tunnel_server::start()
+{
+    state_->start();
+}
+
+const http::endpoint& tunnel_server::address() const noexcept
+{
+    return state_->address();
+}
+
+std::size_t tunnel_server::open_tunnels() const noexcept
+{
+    return state_->open_tunnels();
+}
+
+} // namespace godwit::entry
--- a/services/entry/src/upstream.cpp
+++ b/services/entry/src/upstream.cpp
@@ -64,11 +64,11 @@
     stream_ = context_.connections->take(server_.address);
     if (stream_)
         co_return upstream_result<void>();
-    stream_ = http::client_stream::create(context_.executor);
-    const auto connected = co_await stream_->connect(
+    auto opened = co_await context_.connections->open(
         server_.address, std::min(time_until(end), connect_timeout_));
-    if (!connected)
-        co_return tl::unexpected(to_failure(connected.error()));
+    if (!opened)
+        co_return tl::unexpected(to_failure(opened.error()));
+    stream_ = std::move(*opened);
     co_return upstream_result<void>();
 }
 
--- /dev/null
+++ b/tests/placement/server_reachability_test.cpp
@@ -0,0 +1,103 @@
+// Guards against a host that takes crashed servers for lost links, or that does
+// not notice that its links are back.
+
+#include <godwit/placement/server_reachability.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+
+namespace {
+
+using godwit::core::time_point;
+using godwit::placement::server_id;
+using godwit::placement::server_reachability;
+
+class server_reachability_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(server_reachability_test);
+    CPPUNIT_TEST(test_a_single_failed_server_causes_no_probe);
+    CPPUNIT_TEST(test_the_only_server_causes_a_probe);
+    CPPUNIT_TEST(test_failures_expire);
+    CPPUNIT_TEST(test_links_are_lost_if_no_probed_server_is_reached);
+    CPPUNIT_TEST(test_one_reached_server_is_enough);
+    CPPUNIT_TEST(test_probes_go_on_until_the_links_are_restored);
+    CPPUNIT_TEST_SUITE_END();
+
+    server_reachability links_;
+
+    static time_point at_ms(int milliseconds)
+    {
+        return time_point(std::chrono::milliseconds(10000 + milliseconds));
+    }
+
+    void fail_two_servers()
+    {
+        links_.record_failure(server_id("i-1"), at_ms(0));
+        links_.record_failure(server_id("i-2"), at_ms(0));
+    }
+
+    void lose_links()
+    {
+        fail_two_servers();
+        links_.begin_probe(at_ms(0));
+        CPPUNIT_ASSERT(links_.end_probe(0));
+    }
+
+    void test_a_single_failed_server_causes_no_probe()
+    {
+        links_.record_failure(server_id("i-1"), at_ms(0));
+        links_.record_failure(server_id("i-1"), at_ms(10));
+        CPPUNIT_ASSERT(!links_.should_probe(17, at_ms(20)));
+        links_.record_failure(server_id("i-2"), at_ms(20));
+        CPPUNIT_ASSERT(links_.should_probe(17, at_ms(30)));
+    }
+
+    void test_the_only_server_causes_a_probe()
+    {
+        links_.record_failure(server_id("i-1"), at_ms(0));
+        CPPUNIT_ASSERT(links_.should_probe(1, at_ms(10)));
+        CPPUNIT_ASSERT(!links_.should_probe(0, at_ms(10)));
+    }
+
+    void test_failures_expire()
+    {
+        fail_two_servers();
+        CPPUNIT_ASSERT(links_.should_probe(17, at_ms(1999)));
+        CPPUNIT_ASSERT(!links_.should_probe(17, at_ms(2000)));
+    }
+
+    void test_links_are_lost_if_no_probed_server_is_reached()
+    {
+        fail_two_servers();
+        links_.begin_probe(at_ms(0));
+        CPPUNIT_ASSERT(!links_.should_probe(17, at_ms(600)));
+        CPPUNIT_ASSERT(!links_.are_links_lost());
+        CPPUNIT_ASSERT(links_.end_probe(0));
+        CPPUNIT_ASSERT(links_.are_links_lost());
+    }
+
+    void test_one_reached_server_is_enough()
+    {
+        fail_two_servers();
+        links_.begin_probe(at_ms(0));
+        CPPUNIT_ASSERT(!links_.end_probe(1));
+        CPPUNIT_ASSERT(!links_.are_links_lost());
+        CPPUNIT_ASSERT(!links_.should_probe(17, at_ms(600)));
+    }
+
+    void test_probes_go_on_until_the_links_are_restored()
+    {
+        lose_links();
+        CPPUNIT_ASSERT(!links_.should_probe(17, at_ms(499)));
+        CPPUNIT_ASSERT(links_.should_probe(17, at_ms(60000)));
+        links_.begin_probe(at_ms(60000));
+        CPPUNIT_ASSERT(links_.end_probe(3));
+        CPPUNIT_ASSERT(!links_.are_links_lost());
+        CPPUNIT_ASSERT(!links_.should_probe(17, at_ms(61000)));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(server_reachability_test);
+
+} // namespace
--- a/tests/platform_adapter/partitioned_host_test.cpp
+++ b/tests/platform_adapter/partitioned_host_test.cpp
@@ -2,10 +2,15 @@
 // backend servers, although a neighbour reaches them.
 
 #include "network_partition.hpp"
+#include "stream_helpers.hpp"
 #include "testbed.hpp"
 
 #include <godwit/platform_adapter/request_codec.hpp>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_future.hpp>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <chrono>
@@ -53,6 +58,14 @@
     second_host(const second_host&) = delete;
     second_host& operator=(const second_host&) = delete;
 
+    [[nodiscard]] bool is_ready()
+    {
+        return boost::asio::post(context_, boost::asio::use_future([this] {
+                                     return process_->is_ready();
+                                 }))
+            .get();
+    }
+
 private:
     boost::asio::io_context context_{1};
     std::unique_ptr<entry::entry_process> process_;
@@ -65,6 +78,7 @@
     CPPUNIT_TEST_SUITE(partitioned_host_test);
     CPPUNIT_TEST(test_a_host_without_links_to_servers_serves);
     CPPUNIT_TEST(test_a_host_whose_connections_hang_serves);
+    CPPUNIT_TEST(test_restored_links_are_used_again);
     CPPUNIT_TEST_SUITE_END();
 
     /// From a disruption on, the time after which requests have to be served.
@@ -104,13 +118,19 @@
 
     void check_requests_are_served(partition_mode mode)
     {
+        for (fake_server* server :
+             {&testbed_.first_server(), &testbed_.second_server()})
+            server->set_handler([](http::exchange& exchange) {
+                return platform_adapter::test::respond_with_event(exchange);
+            });
         testbed_.start();
         second_ = std::make_unique<second_host>(testbed_);
         testbed::wait_until("a neighbour", [this] {
-            return testbed_.run_on_host<bool>(
-                [](entry::entry_process& process) {
+            const bool is_known =
+                testbed_.run_on_host<bool>([](entry::entry_process& process) {
                     return process.fleet_size() > 1;
                 });
+            return is_known && second_->is_ready();
         });
         partition(mode);
         const auto cut_at = std::chrono::steady_clock::now();
@@ -131,6 +151,28 @@
     {
         check_requests_are_served(partition_mode::hang);
     }
+
+    bool are_links_lost()
+    {
+        return testbed_.run_on_host<bool>([](entry::entry_process& process) {
+            return process.context().connector.are_links_lost();
+        });
+    }
+
+    void test_restored_links_are_used_again()
+    {
+        check_requests_are_served(partition_mode::refuse);
+        CPPUNIT_ASSERT(are_links_lost());
+        testbed_.run_on_host<bool>([](entry::entry_process&) {
+            test::heal_partition();
+            return true;
+        });
+        testbed::wait_until(
+            "restored links", [this] { return !are_links_lost(); });
+        second_.reset();
+        const auto [served, sent] = serve_for_a_second("/plain/");
+        CPPUNIT_ASSERT_EQUAL(sent, served);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(partitioned_host_test);
