entry: detours to single servers that cannot be reached

The same cause where a host loses some of its links: with the servers of one service out of reach and another's in reach the links do not count as lost, and all requests of the first service were refused with no_server.

--- a/libraries/placement/src/server_reachability.cpp
+++ b/libraries/placement/src/server_reachability.cpp
@@ -5,6 +5,43 @@
 
 namespace godwit::placement {
 
+void server_reachability::record_connect_failure(
+    const http::endpoint& server, core::time_point now)
+{
+    detours_.insert_or_assign(server, detour{now, now});
+}
+
+void server_reachability::record_connected(const http::endpoint& server)
+{
+    detours_.erase(server);
+}
+
+bool server_reachability::needs_detour(
+    const http::endpoint& server, core::time_point now) const
+{
+    if (are_links_lost_)
+        return true;
+    const auto found = detours_.find(server);
+    return found != detours_.end() &&
+           now - found->second.failed_at < detour_lifetime;
+}
+
+std::vector<http::endpoint>
+server_reachability::take_due_detours(core::time_point now)
+{
+    std::erase_if(detours_, [now](const auto& each) {
+        return now - each.second.failed_at >= detour_lifetime;
+    });
+    std::vector<http::endpoint> due;
+    for (auto& [server, known] : detours_) {
+        if (now - known.probed_at < detour_probe_interval)
+            continue;
+        known.probed_at = now;
+        due.push_back(server);
+    }
+    return due;
+}
+
 void server_reachability::record_failure(
     const server_id& server, core::time_point now)
 {
--- a/services/entry/include/godwit/entry/server_connector.hpp
+++ b/services/entry/include/godwit/entry/server_connector.hpp
@@ -28,8 +28,8 @@
     friend bool operator==(const tunnel_proxy&, const tunnel_proxy&) = default;
 };
 
-/// Opens connections to backend servers: directly, or through neighbours while
-/// this host has lost its links to all servers. Used on one executor.
+/// Opens connections to backend servers: directly, or through neighbours to
+/// those servers to which this host has lost its link. Used on one executor.
 class server_connector
 {
 public:
@@ -69,6 +69,13 @@
     /// Probes servers when that is due. Called often.
     void tick();
 
+    /// Returns whether connections to the server go through neighbours.
+    [[nodiscard]] bool needs_detour(const http::endpoint& server) const
+    {
+        return reachability_.needs_detour(server, core::monotonic_now());
+    }
+
+    /// Returns whether this host has lost its links to all servers.
     [[nodiscard]] bool are_links_lost() const noexcept
     {
         return reachability_.are_links_lost();
@@ -84,6 +91,7 @@
         std::optional<http::client_result<http::client_stream>>>
     open_through_neighbour(http::endpoint server, core::time_point end);
     [[nodiscard]] std::optional<tunnel_proxy> choose_proxy();
+    void probe_detours(core::time_point now);
     [[nodiscard]] std::vector<http::endpoint> choose_probed_servers();
     boost::asio::awaitable<void>
     probe_server(http::endpoint server, std::shared_ptr<probe> round);
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -170,7 +170,7 @@
 
 tunnel_verdict entry_process::judge_tunnel(const http::endpoint& to) const
 {
-    if (context_.is_stopping || context_.connector.are_links_lost())
+    if (context_.is_stopping || context_.connector.needs_detour(to))
         return tunnel_verdict::unavailable;
     return context_.directory.has_server_at(to)
                ? tunnel_verdict::allowed
--- a/services/entry/src/server_connector.cpp
+++ b/services/entry/src/server_connector.cpp
@@ -49,7 +49,7 @@
 server_connector::open(http::endpoint server, core::duration timeout)
 {
     const core::time_point end = core::monotonic_now() + timeout;
-    if (are_links_lost()) {
+    if (needs_detour(server)) {
         auto opened = co_await open_through_neighbour(server, end);
         if (opened)
             co_return std::move(*opened);
@@ -76,9 +76,12 @@
 {
     client_stream stream = client_stream::create(executor_);
     const auto connected = co_await stream.connect(
-        std::move(server), std::max(timeout, core::duration::zero()));
-    if (!connected)
+        server, std::max(timeout, core::duration::zero()));
+    if (!connected) {
+        reachability_.record_connect_failure(server, core::monotonic_now());
         co_return tl::unexpected(connected.error());
+    }
+    reachability_.record_connected(server);
     co_return stream;
 }
 
@@ -141,6 +144,7 @@
 void server_connector::tick()
 {
     const core::time_point now = core::monotonic_now();
+    probe_detours(now);
     if (!reachability_.should_probe(directory_.size(), now))
         return;
     const std::vector<http::endpoint> chosen = choose_probed_servers();
@@ -163,6 +167,31 @@
             });
 }
 
+// Direct connections are used again as soon as possible, since each through a
+// neighbour is used for one request only.
+void server_connector::probe_detours(core::time_point now)
+{
+    // The probes of `tick` cover lost links.
+    if (are_links_lost())
+        return;
+    for (const http::endpoint& server : reachability_.take_due_detours(now)) {
+        if (directory_.usable_at(server).empty()) {
+            reachability_.record_connected(server);
+            continue;
+        }
+        spawn(
+            executor_,
+            "detour_probe",
+            [this, server]() -> asio::awaitable<void> {
+                auto stream = client_stream::create(executor_);
+                const auto connected =
+                    co_await stream.connect(server, probe_timeout);
+                if (connected)
+                    reachability_.record_connected(server);
+            });
+    }
+}
+
 // Servers of this host's zone come first: while a zone is cut off from the
 // others, its own servers still serve.
 std::vector<http::endpoint> server_connector::choose_probed_servers()
--- a/tests/platform_adapter/partitioned_host_test.cpp
+++ b/tests/platform_adapter/partitioned_host_test.cpp
@@ -79,6 +79,7 @@
     CPPUNIT_TEST(test_a_host_without_links_to_servers_serves);
     CPPUNIT_TEST(test_a_host_whose_connections_hang_serves);
     CPPUNIT_TEST(test_restored_links_are_used_again);
+    CPPUNIT_TEST(test_a_host_without_links_to_one_service_serves);
     CPPUNIT_TEST_SUITE_END();
 
     /// From a disruption on, the time after which requests have to be served.
@@ -159,6 +160,29 @@
         });
     }
 
+    /// Registers reachable servers of another service.
+    void add_other_service()
+    {
+        unsigned number = 0;
+        for (const http::endpoint& address :
+             {testbed_.store().address(),
+              testbed_.callers(),
+              testbed_.neighbours()})
+            testbed_.store().put(
+                "keyed.servers",
+                "other-" + std::to_string(++number),
+                R"({"service":"other","address":")" + address.to_string() +
+                    R"(","zone":"east","version":"v1","slots":4,)"
+                    R"("state":"ready","sequence":1})");
+    }
+
+    void test_a_host_without_links_to_one_service_serves()
+    {
+        add_other_service();
+        check_requests_are_served(partition_mode::hang);
+        CPPUNIT_ASSERT(!are_links_lost());
+    }
+
     void test_restored_links_are_used_again()
     {
         check_requests_are_served(partition_mode::refuse);
