--- a/services/entry/include/godwit/entry/server_connector.hpp
+++ b/services/entry/include/godwit/entry/server_connector.hpp
@@ -63,6 +63,9 @@
     boost::asio::awaitable<http::client_result<http::client_stream>>
     open_any_way(http::endpoint server, core::duration timeout);
 
+    /// Records that a direct connection to the server failed.
+    void record_connect_failure(const http::endpoint& server);
+
     /// Records that a request got no connection to the server or no response.
     void record_failure(const placement::server_id& server);
 
--- a/services/entry/include/godwit/entry/tunnel_server.hpp
+++ b/services/entry/include/godwit/entry/tunnel_server.hpp
@@ -24,14 +24,20 @@
 class tunnel_server
 {
 public:
-    using tunnel_policy = std::function<tunnel_verdict(const http::endpoint&)>;
-
-    /// Binds and listens; port 0 lets the operating system choose. `policy` is
-    /// asked before each tunnel. Fails with `unavailable`.
+    struct handlers
+    {
+        /// Called before each tunnel.
+        std::function<tunnel_verdict(const http::endpoint& server)> judge;
+        /// Called when a server could not be reached.
+        std::function<void(const http::endpoint& server)> on_unreachable;
+    };
+
+    /// Binds and listens; port 0 lets the operating system choose. Fails with
+    /// `unavailable`.
     [[nodiscard]] static core::result<std::unique_ptr<tunnel_server>> create(
         const boost::asio::any_io_executor& executor,
         const http::endpoint& address,
-        tunnel_policy policy);
+        handlers callbacks);
 
     tunnel_server(const tunnel_server&) = delete;
     tunnel_server& operator=(const tunnel_server&) = delete;
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -161,7 +161,13 @@
     tunnels_ = GODWIT_TRY(tunnel_server::create(
         io_.get_executor(),
         settings.tunnels.value_or(settings.neighbours.with_port(0)),
-        [this](const http::endpoint& server) { return judge_tunnel(server); }));
+        tunnel_server::handlers{
+            [this](const http::endpoint& server) {
+                return judge_tunnel(server);
+            },
+            [this](const http::endpoint& server) {
+                context_.connector.record_connect_failure(server);
+            }}));
     neighbours_->set_tunnel_address(tunnels_->address());
     context_.connector.set_proxies(
         [this] { return neighbours_->tunnel_proxies(); });
--- a/services/entry/src/server_connector.cpp
+++ b/services/entry/src/server_connector.cpp
@@ -78,7 +78,7 @@
     const auto connected = co_await stream.connect(
         server, std::max(timeout, core::duration::zero()));
     if (!connected) {
-        reachability_.record_connect_failure(server, core::monotonic_now());
+        record_connect_failure(server);
         co_return tl::unexpected(connected.error());
     }
     reachability_.record_connected(server);
@@ -136,6 +136,11 @@
     return best;
 }
 
+void server_connector::record_connect_failure(const http::endpoint& server)
+{
+    reachability_.record_connect_failure(server, core::monotonic_now());
+}
+
 void server_connector::record_failure(const placement::server_id& server)
 {
     reachability_.record_failure(server, core::monotonic_now());
--- a/services/entry/src/tunnel_server.cpp
+++ b/services/entry/src/tunnel_server.cpp
@@ -122,8 +122,9 @@
 class tunnel_server::state : public std::enable_shared_from_this<state>
 {
 public:
-    state(const asio::any_io_executor& executor, tunnel_policy policy)
-        : executor_(executor), listener_(executor), policy_(std::move(policy)),
+    state(const asio::any_io_executor& executor, handlers callbacks)
+        : executor_(executor), listener_(executor),
+          handlers_(std::move(callbacks)),
           address_(http::endpoint::parse("0.0.0.0:0").value())
     {}
 
@@ -238,7 +239,7 @@
             co_return bad_request;
         const tunnel_verdict verdict = open_tunnels_ > max_tunnels
                                            ? tunnel_verdict::unavailable
-                                           : policy_(*server);
+                                           : handlers_.judge(*server);
         if (verdict == tunnel_verdict::unavailable)
             co_return unavailable;
         if (verdict == tunnel_verdict::unknown_server) {
@@ -253,7 +254,10 @@
             accepted.server.set_option(tcp::no_delay(true), failure);
         if (!failure)
             co_return opened;
-        log_refused(*server, failure.message());
+        const bool is_late = failure == asio::error::operation_aborted;
+        log_refused(
+            *server, is_late ? "no response in time" : failure.message());
+        handlers_.on_unreachable(*server);
         co_return bad_gateway;
     }
 
@@ -269,7 +273,7 @@
 
     asio::any_io_executor executor_;
     tcp::acceptor listener_;
-    tunnel_policy policy_;
+    handlers handlers_;
     http::endpoint address_;
     std::size_t open_tunnels_ = 0;
 };
@@ -277,9 +281,9 @@
 core::result<std::unique_ptr<tunnel_server>> tunnel_server::create(
     const asio::any_io_executor& executor,
     const http::endpoint& address,
-    tunnel_policy policy)
+    handlers callbacks)
 {
-    auto shared = std::make_shared<state>(executor, std::move(policy));
+    auto shared = std::make_shared<state>(executor, std::move(callbacks));
     const auto listening = shared->listen(address);
     if (!listening)
         return tl::unexpected(listening.error());
