--- a/tests/http/client_stream_test.cpp
+++ b/tests/http/client_stream_test.cpp
@@ -111,13 +111,13 @@
             limits.uses_keepalive = uses_keepalive;
             const auto pool = connection_pool::create(
                 harness.context().get_executor(), limits);
-            const auto fetched = run(
-                harness,
-                fetch(
-                    *pool,
-                    server,
-                    {"GET", "/plain", {}, {}},
-                    {.deadline = seconds(5)}));
+            const auto fetched =
+                run(harness,
+                    fetch(
+                        *pool,
+                        server,
+                        {"GET", "/plain", {}, {}},
+                        {.deadline = seconds(5)}));
             CPPUNIT_ASSERT(fetched.has_value());
             const auto limit = seconds_until_dead(server);
             CPPUNIT_ASSERT_EQUAL(uses_keepalive, limit.has_value());
--- a/tests/support/network_partition.cpp
+++ b/tests/support/network_partition.cpp
@@ -32,13 +32,13 @@
         socklen_t size = sizeof(made);
         const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
         auto* address = reinterpret_cast<sockaddr*>(&made);
-        ::bind(listener, address, size);
-        ::listen(listener, 0);
-        ::getsockname(listener, address, &size);
-        for (int queued = 0; queued < 2; ++queued) {
+        const bool is_listening = ::bind(listener, address, size) == 0 &&
+                                  ::listen(listener, 0) == 0 &&
+                                  ::getsockname(listener, address, &size) == 0;
+        for (int queued = 0; is_listening && queued < 2; ++queued) {
             const int filler =
                 ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-            connect_directly(filler, address, size);
+            static_cast<void>(connect_directly(filler, address, size));
         }
         return made;
     }();
