tunnels: keepalive towards the host that opened one; a deadline that cannot outlive it

A neighbour that lost power left its tunnel, and the server's request, open for two hours (the system's default). The options are now set at one place for the store's connections and for tunnels. The timer of a tunnel's connection attempt referred to the socket alone; a handler that was queued already could have run after its end (by reading).

--- a/libraries/http/src/client_stream.cpp
+++ b/libraries/http/src/client_stream.cpp
@@ -1,5 +1,7 @@
 #include <godwit/http/client_stream.hpp>
 
+#include <godwit/http/keepalive.hpp>
+
 #include "deadline.hpp"
 #include "message_head.hpp"
 
@@ -13,12 +15,10 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
-#include <cerrno>
 #include <utility>
 
 namespace godwit::http {
@@ -44,17 +44,6 @@
 // read and more than ten times the longest generation.
 constexpr std::uint64_t body_limit = std::uint64_t{64} * 1024 * 1024;
 
-// A peer behind a partition is detected after the idle time and all probes.
-constexpr int keepalive_idle_seconds = 1;
-constexpr int keepalive_interval_seconds = 1;
-constexpr int keepalive_probes = 2;
-
-bool set_option(tcp::socket& socket, int level, int name, int value)
-{
-    return ::setsockopt(
-               socket.native_handle(), level, name, &value, sizeof(value)) == 0;
-}
-
 client_error failed(
     const error_code& failure,
     const deadline& guard,
@@ -219,20 +208,13 @@
 
 client_result<void> client_stream::enable_keepalive()
 {
-    tcp::socket& socket = held_->socket;
-    const bool is_enabled =
-        set_option(socket, IPPROTO_TCP, TCP_KEEPIDLE, keepalive_idle_seconds) &&
-        set_option(
-            socket, IPPROTO_TCP, TCP_KEEPINTVL, keepalive_interval_seconds) &&
-        set_option(socket, IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes) &&
-        set_option(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
-    if (is_enabled)
+    const error_code failure = http::enable_keepalive(held_->socket);
+    if (!failure)
         return {};
     return tl::unexpected(client_error{
         core::error(
             core::error_kind::unavailable,
-            "enabling keepalive to " + held_->server + ": " +
-                error_code(errno, boost::system::system_category()).message(),
+            "enabling keepalive to " + held_->server + ": " + failure.message(),
             "check that the operating system supports TCP keepalive"),
         bytes_handed_over::none});
 }
--- a/services/entry/src/tunnel_server.cpp
+++ b/services/entry/src/tunnel_server.cpp
@@ -4,6 +4,7 @@
 #include <godwit/entry/async_sleep.hpp>
 #include <godwit/entry/spawn.hpp>
 #include <godwit/http/connect_request.hpp>
+#include <godwit/http/keepalive.hpp>
 #include <godwit/telemetry/log.hpp>
 
 #include <boost/asio/buffer.hpp>
@@ -46,24 +47,6 @@
     return {asio::ip::make_address(address.address()), address.port()};
 }
 
-/// Closes a socket unless it is destroyed before the time is over.
-class socket_timeout
-{
-public:
-    socket_timeout(tcp::socket& socket, core::duration timeout)
-        : timer_(socket.get_executor(), timeout)
-    {
-        timer_.async_wait([&socket](const error_code& failure) {
-            error_code ignored;
-            if (!failure)
-                socket.close(ignored);
-        });
-    }
-
-private:
-    core::timer timer_;
-};
-
 /// Both connections of a tunnel.
 struct tunnel
 {
@@ -82,6 +65,33 @@
     tcp::socket server;
 };
 
+/// Closes a tunnel's connection to the server after a time, unless it is
+/// destroyed before.
+class connect_deadline
+{
+public:
+    connect_deadline(std::shared_ptr<tunnel> guarded, core::duration timeout)
+        : timer_(guarded->server.get_executor(), timeout)
+    {
+        timer_.async_wait([guarded = std::move(guarded),
+                           active = active_](const error_code& failure) {
+            error_code ignored;
+            if (!failure && *active)
+                guarded->server.close(ignored);
+        });
+    }
+
+    ~connect_deadline() { *active_ = false; }
+
+    connect_deadline(const connect_deadline&) = delete;
+    connect_deadline& operator=(const connect_deadline&) = delete;
+
+private:
+    // A handler that is already queued runs although the timer is cancelled.
+    std::shared_ptr<bool> active_ = std::make_shared<bool>(true);
+    core::timer timer_;
+};
+
 /// Forwards bytes until either connection ends. Returns how the source ended.
 asio::awaitable<error_code> forward(tcp::socket& from, tcp::socket& to)
 {
@@ -207,7 +217,7 @@
 
     asio::awaitable<void> run(std::shared_ptr<tunnel> accepted)
     {
-        const std::string_view status = co_await open(*accepted);
+        const std::string_view status = co_await open(accepted);
         const std::string head = std::string(status) + "\r\n\r\n";
         error_code failure;
         co_await asio::async_write(
@@ -228,13 +238,16 @@
     }
 
     /// Returns the status line to respond with.
-    asio::awaitable<std::string_view> open(tunnel& accepted)
+    asio::awaitable<std::string_view> open(std::shared_ptr<tunnel> accepted)
     {
         error_code failure;
-        accepted.host.set_option(tcp::no_delay(true), failure);
-        accepted.host.set_option(asio::socket_base::keep_alive(true), failure);
+        accepted->host.set_option(tcp::no_delay(true), failure);
+        if (!failure)
+            failure = http::enable_keepalive(accepted->host);
+        if (failure)
+            co_return unavailable;
         const auto server =
-            co_await http::read_connect_target(accepted.host, head_timeout);
+            co_await http::read_connect_target(accepted->host, head_timeout);
         if (!server)
             co_return bad_request;
         const tunnel_verdict verdict = open_tunnels_ > max_tunnels
@@ -246,12 +259,12 @@
             log_refused(*server, "the address is not one of a backend server");
             co_return forbidden;
         }
-        const socket_timeout timeout(accepted.server, connect_timeout);
-        co_await accepted.server.async_connect(
+        const connect_deadline timeout(accepted, connect_timeout);
+        co_await accepted->server.async_connect(
             to_tcp(*server),
             asio::redirect_error(asio::use_awaitable, failure));
         if (!failure)
-            accepted.server.set_option(tcp::no_delay(true), failure);
+            accepted->server.set_option(tcp::no_delay(true), failure);
         if (!failure)
             co_return opened;
         const bool is_late = failure == asio::error::operation_aborted;
