partitioned_host_test: callers that leave, requests that break in a tunnel; findings

A server notices within 0.5 s that a caller behind a tunnel left; a request that may run once and breaks in a tunnel reached one server, once.

--- a/tests/platform_adapter/partitioned_host_test.cpp
+++ b/tests/platform_adapter/partitioned_host_test.cpp
@@ -13,7 +13,9 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <atomic>
 #include <chrono>
+#include <cstddef>
 #include <memory>
 #include <string>
 #include <thread>
@@ -80,6 +82,8 @@
     CPPUNIT_TEST(test_a_host_whose_connections_hang_serves);
     CPPUNIT_TEST(test_restored_links_are_used_again);
     CPPUNIT_TEST(test_a_host_without_links_to_one_service_serves);
+    CPPUNIT_TEST(test_a_server_notices_that_a_caller_left_behind_a_tunnel);
+    CPPUNIT_TEST(test_a_request_that_breaks_in_a_tunnel_is_not_sent_again);
     CPPUNIT_TEST_SUITE_END();
 
     /// From a disruption on, the time after which requests have to be served.
@@ -119,11 +123,9 @@
 
     void check_requests_are_served(partition_mode mode)
     {
-        for (fake_server* server :
-             {&testbed_.first_server(), &testbed_.second_server()})
-            server->set_handler([](http::exchange& exchange) {
-                return platform_adapter::test::respond_with_event(exchange);
-            });
+        handle_with([](http::exchange& exchange) {
+            return platform_adapter::test::respond_with_event(exchange);
+        });
         testbed_.start();
         second_ = std::make_unique<second_host>(testbed_);
         testbed::wait_until("a neighbour", [this] {
@@ -183,6 +185,50 @@
         CPPUNIT_ASSERT(!are_links_lost());
     }
 
+    /// Sets the handler of both servers.
+    void handle_with(const fake_server::request_handler& handler)
+    {
+        for (fake_server* server :
+             {&testbed_.first_server(), &testbed_.second_server()})
+            server->set_handler(handler);
+    }
+
+    void test_a_server_notices_that_a_caller_left_behind_a_tunnel()
+    {
+        check_requests_are_served(partition_mode::refuse);
+        std::atomic<unsigned> noticed = 0;
+        handle_with(
+            [&noticed](
+                http::exchange& exchange) -> boost::asio::awaitable<void> {
+                co_await exchange.caller_gone();
+                ++noticed;
+            });
+        constexpr int leave_after_ms = 300;
+        testbed_.call_and_disconnect("/plain/", leave_after_ms);
+        const auto left_at = std::chrono::steady_clock::now();
+        testbed::wait_until(
+            "notice", [&noticed] { return noticed.load() > 0; });
+        CPPUNIT_ASSERT(
+            std::chrono::steady_clock::now() - left_at <
+            std::chrono::milliseconds(500));
+    }
+
+    void test_a_request_that_breaks_in_a_tunnel_is_not_sent_again()
+    {
+        check_requests_are_served(partition_mode::refuse);
+        handle_with(
+            [](http::exchange& exchange) -> boost::asio::awaitable<void> {
+                exchange.cut();
+                co_return;
+            });
+        const auto count = [this] {
+            return testbed_.first_server().count("/once/") +
+                   testbed_.second_server().count("/once/");
+        };
+        CPPUNIT_ASSERT(testbed_.call("POST", "/once/").status != 200);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count());
+    }
+
     void test_restored_links_are_used_again()
     {
         check_requests_are_served(partition_mode::refuse);
