request_quarantine_test: a crash beside the third is no failed trial (red)

The log shows four crashes of an innocent body at four engines within 0.83 s, each beside a crashing request; the fourth run had begun before the third ended. quarantine_duration counts every crash beyond the third as a failed trial, so the body is refused for 10 minutes.

--- a/tests/admission/request_quarantine_test.cpp
+++ b/tests/admission/request_quarantine_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(test_crashes_from_before_a_completed_run_do_not_count);
     CPPUNIT_TEST(test_crashes_right_after_a_completed_run_do_not_count);
     CPPUNIT_TEST(test_failed_trials_extend_a_quarantine);
+    CPPUNIT_TEST(test_a_crash_beside_the_third_is_no_failed_trial);
     CPPUNIT_TEST(test_hosts_take_turns_with_trials);
     CPPUNIT_TEST(test_a_completed_trial_ends_the_quarantine);
     CPPUNIT_TEST(test_a_request_that_is_not_quarantined_needs_no_trial);
@@ -130,6 +131,16 @@
         CPPUNIT_ASSERT(!quarantine_.is_quarantined(request_fingerprint("c")));
     }
 
+    // Runs that began before the quarantine may still crash after it.
+    void test_a_crash_beside_the_third_is_no_failed_trial()
+    {
+        crash_three_servers(start_);
+        const core::time_point fourth = start_ + std::chrono::milliseconds(300);
+        quarantine_.add(report("a", "i-4", fourth));
+        CPPUNIT_ASSERT(
+            quarantine_.start_trial(request_, 0, fourth + seconds(10)));
+    }
+
     void test_failed_trials_extend_a_quarantine()
     {
         crash_three_servers(start_);
