placement: the choice of neighbours and probed servers, out of the connector

Which neighbour opens a tunnel, how long one that opened none is passed over and which servers are probed were decided beside sockets.

--- a/services/entry/include/godwit/entry/neighbour_links.hpp
+++ b/services/entry/include/godwit/entry/neighbour_links.hpp
@@ -4,7 +4,7 @@
 #include <godwit/entry/entry_settings.hpp>
 #include <godwit/entry/neighbour_selection.hpp>
 #include <godwit/entry/neighbour_traffic.hpp>
-#include <godwit/entry/server_connector.hpp>
+#include <godwit/placement/tunnel_proxy_selector.hpp>
 #include <godwit/wire/acceptor.hpp>
 #include <godwit/wire/connector.hpp>
 #include <godwit/wire/message.hpp>
@@ -68,7 +68,7 @@
     }
 
     /// Returns the neighbours with an open link that open tunnels.
-    [[nodiscard]] std::vector<tunnel_proxy> tunnel_proxies() const;
+    [[nodiscard]] std::vector<placement::tunnel_proxy> tunnel_proxies() const;
 
     /// Starts to accept links and to connect to the settings' seeds.
     void start();
--- a/services/entry/include/godwit/entry/server_connector.hpp
+++ b/services/entry/include/godwit/entry/server_connector.hpp
@@ -7,27 +7,19 @@
 #include <godwit/http/endpoint.hpp>
 #include <godwit/placement/server_directory.hpp>
 #include <godwit/placement/server_reachability.hpp>
+#include <godwit/placement/tunnel_proxy_selector.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
+#include <cstdint>
 #include <functional>
-#include <map>
+#include <memory>
 #include <optional>
 #include <vector>
 
 namespace godwit::entry {
 
-/// A neighbour that opens tunnels to backend servers.
-struct tunnel_proxy
-{
-    core::host_name host;
-    core::zone_name zone;
-    http::endpoint address;
-
-    friend bool operator==(const tunnel_proxy&, const tunnel_proxy&) = default;
-};
-
 /// Opens connections to backend servers: directly, or through neighbours to
 /// those servers to which this host has lost its link. Used on one executor.
 class server_connector
@@ -43,7 +35,8 @@
     server_connector& operator=(const server_connector&) = delete;
 
     /// Sets how the neighbours are found that open tunnels.
-    void set_proxies(std::function<std::vector<tunnel_proxy>()> proxies)
+    void
+    set_proxies(std::function<std::vector<placement::tunnel_proxy>()> proxies)
     {
         proxies_ = std::move(proxies);
     }
@@ -93,9 +86,7 @@
     boost::asio::awaitable<
         std::optional<http::client_result<http::client_stream>>>
     open_through_neighbour(http::endpoint server, core::time_point end);
-    [[nodiscard]] std::optional<tunnel_proxy> choose_proxy();
     void probe_detours(core::time_point now);
-    [[nodiscard]] std::vector<http::endpoint> choose_probed_servers();
     boost::asio::awaitable<void>
     probe_server(http::endpoint server, std::shared_ptr<probe> round);
     void end_probe(const probe& round);
@@ -105,10 +96,9 @@
     core::zone_name zone_;
     core::random random_;
     placement::server_reachability reachability_;
-    std::function<std::vector<tunnel_proxy>()> proxies_;
+    placement::tunnel_proxy_selector selector_;
+    std::function<std::vector<placement::tunnel_proxy>()> proxies_;
     std::function<void(bool)> on_change_;
-    /// Until when neighbours that opened no tunnel are passed over.
-    std::map<core::host_name, core::time_point> unusable_proxies_;
 };
 
 } // namespace godwit::entry
--- a/services/entry/src/neighbour_links.cpp
+++ b/services/entry/src/neighbour_links.cpp
@@ -240,9 +240,9 @@
     return open;
 }
 
-std::vector<tunnel_proxy> neighbour_links::tunnel_proxies() const
+std::vector<placement::tunnel_proxy> neighbour_links::tunnel_proxies() const
 {
-    std::vector<tunnel_proxy> proxies;
+    std::vector<placement::tunnel_proxy> proxies;
     for (const auto& link : links()) {
         const wire::hello& peer = *link->peer();
         auto address = http::endpoint::parse(peer.tunnel_address);
--- a/services/entry/src/server_connector.cpp
+++ b/services/entry/src/server_connector.cpp
@@ -1,12 +1,12 @@
 #include <godwit/entry/server_connector.hpp>
 
 #include <godwit/entry/spawn.hpp>
+#include <godwit/placement/probed_servers.hpp>
 #include <godwit/telemetry/log.hpp>
 
 #include <algorithm>
 #include <chrono>
 #include <memory>
-#include <tuple>
 #include <utility>
 
 namespace godwit::entry {
@@ -24,7 +24,6 @@
 constexpr int max_proxies = 6;
 // A neighbour that does not respond must leave time for another one.
 constexpr int proxy_timeout_divisor = 2;
-constexpr core::duration unusable_duration = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -42,7 +41,7 @@
     core::zone_name zone,
     std::uint64_t seed)
     : executor_(executor), directory_(directory), zone_(std::move(zone)),
-      random_(seed)
+      random_(seed), selector_(zone_, seed)
 {}
 
 asio::awaitable<client_result<client_stream>>
@@ -91,8 +90,12 @@
 {
     for (int count = 0; count < max_proxies; ++count) {
         const core::duration left = end - core::monotonic_now();
-        const auto proxy = choose_proxy();
-        if (!proxy || left <= core::duration::zero())
+        if (left <= core::duration::zero())
+            break;
+        const auto proxy = selector_.choose(
+            proxies_ ? proxies_() : std::vector<placement::tunnel_proxy>(),
+            core::monotonic_now());
+        if (!proxy)
             break;
         client_stream stream = client_stream::create(executor_);
         const auto connected = co_await stream.connect_through(
@@ -102,40 +105,11 @@
         if (connected.error().fault == http::tunnel_fault::server)
             co_return client_result<client_stream>(
                 tl::unexpected(connected.error().error));
-        unusable_proxies_[proxy->host] =
-            core::monotonic_now() + unusable_duration;
+        selector_.record_unusable(proxy->host, core::monotonic_now());
     }
     co_return std::nullopt;
 }
 
-// Hosts of one zone often lose their links together, so that a zone whose hosts
-// opened no tunnel comes last.
-std::optional<tunnel_proxy> server_connector::choose_proxy()
-{
-    const core::time_point now = core::monotonic_now();
-    std::erase_if(unusable_proxies_, [now](const auto& each) {
-        return each.second <= now;
-    });
-    const std::vector<tunnel_proxy> proxies =
-        proxies_ ? proxies_() : std::vector<tunnel_proxy>();
-    std::map<core::zone_name, std::size_t> unusable_in_zone;
-    for (const tunnel_proxy& each : proxies)
-        unusable_in_zone[each.zone] += unusable_proxies_.count(each.host);
-    std::optional<tunnel_proxy> best;
-    std::tuple<std::size_t, bool, std::uint64_t> best_rank;
-    for (const tunnel_proxy& each : proxies) {
-        if (unusable_proxies_.contains(each.host))
-            continue;
-        const std::tuple rank(
-            unusable_in_zone[each.zone], each.zone != zone_, random_.next());
-        if (best && best_rank <= rank)
-            continue;
-        best = each;
-        best_rank = rank;
-    }
-    return best;
-}
-
 void server_connector::record_connect_failure(const http::endpoint& server)
 {
     reachability_.record_connect_failure(server, core::monotonic_now());
@@ -152,7 +126,8 @@
     probe_detours(now);
     if (!reachability_.should_probe(directory_.size(), now))
         return;
-    const std::vector<http::endpoint> chosen = choose_probed_servers();
+    const std::vector<http::endpoint> chosen = placement::choose_probed_servers(
+        directory_, zone_, probed_servers, random_);
     if (chosen.empty())
         return;
     reachability_.begin_probe(now);
@@ -197,31 +172,6 @@
     }
 }
 
-// Servers of this host's zone come first: while a zone is cut off from the
-// others, its own servers still serve.
-std::vector<http::endpoint> server_connector::choose_probed_servers()
-{
-    std::vector<std::pair<std::uint64_t, http::endpoint>> ranked;
-    for (const placement::server_id& id : directory_.ids()) {
-        if (!directory_.is_usable(id))
-            continue;
-        const placement::backend_server& server = *directory_.find(id);
-        constexpr unsigned zone_bit = 63;
-        const std::uint64_t zone_rank = server.zone == zone_ ? 0 : 1;
-        ranked.emplace_back(
-            (zone_rank << zone_bit) | (random_.next() >> 1), server.address);
-    }
-    const std::size_t count = std::min(ranked.size(), probed_servers);
-    std::partial_sort(
-        ranked.begin(),
-        ranked.begin() + static_cast<std::ptrdiff_t>(count),
-        ranked.end());
-    std::vector<http::endpoint> chosen;
-    for (std::size_t index = 0; index < count; ++index)
-        chosen.push_back(ranked[index].second);
-    return chosen;
-}
-
 asio::awaitable<void> server_connector::probe_server(
     http::endpoint server, std::shared_ptr<probe> round)
 {
