--- a/libraries/placement/include/godwit/placement/server_directory.hpp
+++ b/libraries/placement/include/godwit/placement/server_directory.hpp
@@ -116,8 +116,10 @@
     [[nodiscard]] std::vector<const backend_server*>
     usable_at(const http::endpoint& address) const;
 
-    /// Returns whether a server, also a draining one, is known at the address.
-    [[nodiscard]] bool has_server_at(const http::endpoint& address) const;
+    /// Returns a server at the address, if possible one that is usable; null if
+    /// none is known.
+    [[nodiscard]] const backend_server*
+    find_at(const http::endpoint& address) const;
 
     /// Returns the digest of the usable servers.
     [[nodiscard]] const server_list_digest& digest() const noexcept
--- a/libraries/placement/include/godwit/placement/tunnel_proxy_selector.hpp
+++ b/libraries/placement/include/godwit/placement/tunnel_proxy_selector.hpp
@@ -4,6 +4,7 @@
 #include <godwit/core/random.hpp>
 #include <godwit/core/time.hpp>
 #include <godwit/http/endpoint.hpp>
+#include <godwit/routing/zone_regions.hpp>
 
 #include <chrono>
 #include <cstdint>
@@ -34,9 +35,14 @@
     /// `zone` is that of this host.
     tunnel_proxy_selector(core::zone_name zone, std::uint64_t seed);
 
-    /// Returns one of the neighbours, or nothing if all are passed over.
-    [[nodiscard]] std::optional<tunnel_proxy>
-    choose(const std::vector<tunnel_proxy>& neighbours, core::time_point now);
+    /// Returns one of the neighbours for a connection to a server of this zone,
+    /// or nothing if all are passed over. What is sent passes through no region
+    /// but those of this host and of the server.
+    [[nodiscard]] std::optional<tunnel_proxy> choose(
+        const std::vector<tunnel_proxy>& neighbours,
+        const core::zone_name& server_zone,
+        const routing::zone_regions& regions,
+        core::time_point now);
 
     /// Records that the neighbour opened no tunnel.
     void record_unusable(const core::host_name& host, core::time_point now);
--- a/libraries/placement/src/server_directory.cpp
+++ b/libraries/placement/src/server_directory.cpp
@@ -117,13 +117,17 @@
     return found;
 }
 
-bool server_directory::has_server_at(const http::endpoint& address) const
+const backend_server*
+server_directory::find_at(const http::endpoint& address) const
 {
-    return !usable_at(address).empty() ||
-           std::any_of(
-               servers_.begin(), servers_.end(), [&address](const auto& each) {
-                   return each.second.server.address == address;
-               });
+    const auto usable = usable_at(address);
+    if (!usable.empty())
+        return usable.front();
+    const auto draining = std::find_if(
+        servers_.begin(), servers_.end(), [&address](const auto& each) {
+            return each.second.server.address == address;
+        });
+    return draining == servers_.end() ? nullptr : &draining->second.server;
 }
 
 // Two running servers cannot share an address. The list may contain records
--- a/libraries/placement/src/tunnel_proxy_selector.cpp
+++ b/libraries/placement/src/tunnel_proxy_selector.cpp
@@ -14,7 +14,10 @@
 // Hosts of one zone often lose their links together, so that a zone whose hosts
 // opened no tunnel comes last.
 std::optional<tunnel_proxy> tunnel_proxy_selector::choose(
-    const std::vector<tunnel_proxy>& neighbours, core::time_point now)
+    const std::vector<tunnel_proxy>& neighbours,
+    const core::zone_name& server_zone,
+    const routing::zone_regions& regions,
+    core::time_point now)
 {
     std::erase_if(unusable_until_, [now](const auto& each) {
         return each.second <= now;
@@ -25,7 +28,10 @@
     std::optional<tunnel_proxy> best;
     std::tuple<std::size_t, bool, std::uint64_t> best_rank;
     for (const tunnel_proxy& each : neighbours) {
-        if (unusable_until_.contains(each.host))
+        const bool is_in_third_region =
+            regions.are_in_different_regions(each.zone, zone_) &&
+            regions.are_in_different_regions(each.zone, server_zone);
+        if (is_in_third_region || unusable_until_.contains(each.host))
             continue;
         const std::tuple rank(
             unusable_in_zone[each.zone], each.zone != zone_, random_.next());
--- a/services/entry/include/godwit/entry/server_connector.hpp
+++ b/services/entry/include/godwit/entry/server_connector.hpp
@@ -8,6 +8,7 @@
 #include <godwit/placement/server_directory.hpp>
 #include <godwit/placement/server_reachability.hpp>
 #include <godwit/placement/tunnel_proxy_selector.hpp>
+#include <godwit/routing/zone_regions.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -29,6 +30,7 @@
         const boost::asio::any_io_executor& executor,
         const placement::server_directory& directory,
         core::zone_name zone,
+        const routing::zone_regions& regions,
         std::uint64_t seed);
 
     server_connector(const server_connector&) = delete;
@@ -86,6 +88,8 @@
     boost::asio::awaitable<
         std::optional<http::client_result<http::client_stream>>>
     open_through_neighbour(http::endpoint server, core::time_point end);
+    [[nodiscard]] std::optional<placement::tunnel_proxy>
+    choose_proxy(const http::endpoint& server);
     void probe_detours(core::time_point now);
     boost::asio::awaitable<void>
     probe_server(http::endpoint server, std::shared_ptr<probe> round);
@@ -94,6 +98,7 @@
     boost::asio::any_io_executor executor_;
     const placement::server_directory& directory_;
     core::zone_name zone_;
+    const routing::zone_regions& regions_;
     core::random random_;
     placement::server_reachability reachability_;
     placement::tunnel_proxy_selector selector_;
--- a/services/entry/src/entry_context.cpp
+++ b/services/entry/src/entry_context.cpp
@@ -44,6 +44,7 @@
                              executor,
                              directory,
                              settings.zone,
+                             settings.regions,
                              core::stable_hash(settings.host.value())),
       connections(http::connection_pool::create(executor, pool_limits())),
       metrics(telemetry::metrics::create())
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -178,9 +178,9 @@
 {
     if (context_.is_stopping || context_.connector.needs_detour(to))
         return tunnel_verdict::unavailable;
-    return context_.directory.has_server_at(to)
-               ? tunnel_verdict::allowed
-               : tunnel_verdict::unknown_server;
+    return context_.directory.find_at(to) == nullptr
+               ? tunnel_verdict::unknown_server
+               : tunnel_verdict::allowed;
 }
 
 void entry_process::start()
--- a/services/entry/src/server_connector.cpp
+++ b/services/entry/src/server_connector.cpp
@@ -39,9 +39,10 @@
     const asio::any_io_executor& executor,
     const placement::server_directory& directory,
     core::zone_name zone,
+    const routing::zone_regions& regions,
     std::uint64_t seed)
     : executor_(executor), directory_(directory), zone_(std::move(zone)),
-      random_(seed), selector_(zone_, seed)
+      regions_(regions), random_(seed), selector_(zone_, seed)
 {}
 
 asio::awaitable<client_result<client_stream>>
@@ -92,9 +93,7 @@
         const core::duration left = end - core::monotonic_now();
         if (left <= core::duration::zero())
             break;
-        const auto proxy = selector_.choose(
-            proxies_ ? proxies_() : std::vector<placement::tunnel_proxy>(),
-            core::monotonic_now());
+        const auto proxy = choose_proxy(server);
         if (!proxy)
             break;
         client_stream stream = client_stream::create(executor_);
@@ -110,6 +109,19 @@
     co_return std::nullopt;
 }
 
+std::optional<placement::tunnel_proxy>
+server_connector::choose_proxy(const http::endpoint& server)
+{
+    if (!proxies_)
+        return std::nullopt;
+    const placement::backend_server* known = directory_.find_at(server);
+    return selector_.choose(
+        proxies_(),
+        known == nullptr ? zone_ : known->zone,
+        regions_,
+        core::monotonic_now());
+}
+
 void server_connector::record_connect_failure(const http::endpoint& server)
 {
     reachability_.record_connect_failure(server, core::monotonic_now());
