http: one listener, one conversion of addresses

The tunnel server bound its address by a copy of the HTTP server's code, and four sources converted addresses for sockets.

--- a/libraries/http/src/client_stream.cpp
+++ b/libraries/http/src/client_stream.cpp
@@ -1,6 +1,7 @@
 #include <godwit/http/client_stream.hpp>
 
 #include <godwit/http/keepalive.hpp>
+#include <godwit/http/listen.hpp>
 
 #include "deadline.hpp"
 #include "message_head.hpp"
@@ -138,8 +139,7 @@
     implementation& held = *held_;
     held.server = server.to_string();
     const auto executor = co_await asio::this_coro::executor;
-    const tcp::endpoint address(
-        asio::ip::make_address(server.address()), server.port());
+    const tcp::endpoint address = to_tcp(server);
     error_code failure;
     if (held.is_cancelled)
         failure = asio::error::operation_aborted;
--- a/libraries/http/src/server_state.cpp
+++ b/libraries/http/src/server_state.cpp
@@ -3,6 +3,7 @@
 #include "connection.hpp"
 
 #include <godwit/core/timer.hpp>
+#include <godwit/http/listen.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -43,23 +44,7 @@
 
 core::result<void> server_state::listen()
 {
-    const endpoint& wanted = settings_.address;
-    const tcp::endpoint address(
-        asio::ip::make_address(wanted.address()), wanted.port());
-    boost::system::error_code failure;
-    acceptor_.open(address.protocol(), failure);
-    if (!failure)
-        acceptor_.set_option(tcp::acceptor::reuse_address(true), failure);
-    if (!failure)
-        acceptor_.bind(address, failure);
-    if (!failure)
-        acceptor_.listen(asio::socket_base::max_listen_connections, failure);
-    if (failure)
-        return core::fail(
-            core::error_kind::unavailable,
-            "cannot listen on " + wanted.to_string() + ": " + failure.message(),
-            "choose an address of this host and a port that is free");
-    settings_.address = wanted.with_port(acceptor_.local_endpoint().port());
+    settings_.address = GODWIT_TRY(http::listen(acceptor_, settings_.address));
     return {};
 }
 
--- a/services/entry/include/godwit/entry/tunnel_server.hpp
+++ b/services/entry/include/godwit/entry/tunnel_server.hpp
@@ -47,7 +47,7 @@
 
     void start();
 
-    /// Returns the address in use, with the port that was chosen.
+    /// Returns the address in use; its port is never 0.
     [[nodiscard]] const http::endpoint& address() const noexcept;
 
     [[nodiscard]] std::size_t open_tunnels() const noexcept;
--- a/services/entry/src/neighbour_links.cpp
+++ b/services/entry/src/neighbour_links.cpp
@@ -1,10 +1,9 @@
 #include <godwit/entry/neighbour_links.hpp>
 
 #include <godwit/core/hash.hpp>
+#include <godwit/http/listen.hpp>
 #include <godwit/telemetry/log.hpp>
 
-#include <boost/asio/ip/tcp.hpp>
-
 #include <chrono>
 #include <random>
 #include <set>
@@ -13,7 +12,6 @@
 namespace godwit::entry {
 
 namespace asio = boost::asio;
-using asio::ip::tcp;
 using telemetry::log_event;
 using telemetry::log_level;
 
@@ -21,11 +19,6 @@
 
 constexpr std::string_view component = "neighbours";
 
-tcp::endpoint to_tcp(const http::endpoint& address)
-{
-    return {asio::ip::make_address(address.address()), address.port()};
-}
-
 // Returns the options that limit the effect of a failing neighbour: messages
 // that a frozen neighbour does not read must not take up memory without bound,
 // and the reports of a neighbour that failed must not be used for long.
@@ -80,7 +73,7 @@
 {
     acceptor_ = GODWIT_TRY(wire::acceptor::create(
         executor_,
-        to_tcp(settings_.neighbours),
+        http::to_tcp(settings_.neighbours),
         link_options(),
         [this] { return own_hello(); },
         link_callbacks()));
@@ -165,7 +158,7 @@
         return;
     auto created = wire::connector::create(
         executor_,
-        to_tcp(address),
+        http::to_tcp(address),
         link_options(),
         [this] { return own_hello(); },
         link_callbacks(),
--- a/services/entry/src/tunnel_server.cpp
+++ b/services/entry/src/tunnel_server.cpp
@@ -5,6 +5,7 @@
 #include <godwit/entry/spawn.hpp>
 #include <godwit/http/connect_request.hpp>
 #include <godwit/http/keepalive.hpp>
+#include <godwit/http/listen.hpp>
 #include <godwit/telemetry/log.hpp>
 
 #include <boost/asio/buffer.hpp>
@@ -42,11 +43,6 @@
 constexpr std::string_view bad_gateway = "HTTP/1.1 502 Bad Gateway";
 constexpr std::string_view unavailable = "HTTP/1.1 503 Service Unavailable";
 
-tcp::endpoint to_tcp(const http::endpoint& address)
-{
-    return {asio::ip::make_address(address.address()), address.port()};
-}
-
 /// Both connections of a tunnel.
 struct tunnel
 {
@@ -140,23 +136,7 @@
 
     core::result<void> listen(const http::endpoint& address)
     {
-        error_code failure;
-        const tcp::endpoint wanted = to_tcp(address);
-        listener_.open(wanted.protocol(), failure);
-        if (!failure)
-            listener_.set_option(tcp::acceptor::reuse_address(true), failure);
-        if (!failure)
-            listener_.bind(wanted, failure);
-        if (!failure)
-            listener_.listen(
-                asio::socket_base::max_listen_connections, failure);
-        if (failure)
-            return core::fail(
-                core::error_kind::unavailable,
-                "cannot listen on " + address.to_string() + ": " +
-                    failure.message(),
-                "set an address of this host whose port is free, or port 0");
-        address_ = address.with_port(listener_.local_endpoint().port());
+        address_ = GODWIT_TRY(http::listen(listener_, address));
         return {};
     }
 
@@ -261,7 +241,7 @@
         }
         const connect_deadline timeout(accepted, connect_timeout);
         co_await accepted->server.async_connect(
-            to_tcp(*server),
+            http::to_tcp(*server),
             asio::redirect_error(asio::use_awaitable, failure));
         if (!failure)
             accepted->server.set_option(tcp::no_delay(true), failure);
