server_connector: no direct attempt once the neighbours have used up the time

If the neighbours that were asked for a tunnel took all of the time, a direct connection with no time left was tried, failed, and counted as a failed connection to the server for another 10 s.

--- a/services/entry/src/server_connector.cpp
+++ b/services/entry/src/server_connector.cpp
@@ -25,6 +25,17 @@
 // A neighbour that does not respond must leave time for another one.
 constexpr int proxy_timeout_divisor = 2;
 
+http::client_error no_time_left(const http::endpoint& server)
+{
+    return {
+        core::error(
+            core::error_kind::timeout,
+            "connecting to " + server.to_string() +
+                ": the neighbours that were asked opened no tunnel in time",
+            "check the links between entry hosts"),
+        http::bytes_handed_over::none};
+}
+
 } // namespace
 
 /// Servers that are probed together.
@@ -54,8 +65,10 @@
         if (opened)
             co_return std::move(*opened);
     }
-    co_return co_await open_directly(
-        std::move(server), end - core::monotonic_now());
+    const core::duration left = end - core::monotonic_now();
+    if (left <= core::duration::zero())
+        co_return tl::unexpected(no_time_left(server));
+    co_return co_await open_directly(std::move(server), left);
 }
 
 asio::awaitable<client_result<client_stream>>
@@ -75,8 +88,7 @@
 server_connector::open_directly(http::endpoint server, core::duration timeout)
 {
     client_stream stream = client_stream::create(executor_);
-    const auto connected = co_await stream.connect(
-        server, std::max(timeout, core::duration::zero()));
+    const auto connected = co_await stream.connect(server, timeout);
     if (!connected) {
         record_connect_failure(server);
         co_return tl::unexpected(connected.error());
