request_quarantine: a crash beside the third is no failed trial

Cause: each crash beyond the third counted as a failed trial, also those of runs that had begun before the quarantine. Now only crashes from the time of the first possible trial on count.

--- a/libraries/admission/src/request_quarantine.cpp
+++ b/libraries/admission/src/request_quarantine.cpp
@@ -8,7 +8,18 @@
 core::duration
 request_quarantine::quarantine_duration(const crash_report& report)
 {
-    const std::size_t failed_trials = report.crashes.size() - crash_limit;
+    std::vector<core::time_point> times;
+    for (const server_crash& crash : report.crashes)
+        times.push_back(crash.at);
+    std::sort(times.begin(), times.end());
+    // Runs that began before the quarantine may crash after it began; the first
+    // trial is later.
+    const core::time_point first_trial =
+        times.at(crash_limit - 1) + quarantine_durations.front();
+    const auto failed_trials = static_cast<std::size_t>(std::count_if(
+        times.begin(), times.end(), [first_trial](core::time_point at) {
+            return at >= first_trial;
+        }));
     return quarantine_durations.at(
         std::min(failed_trials, quarantine_durations.size() - 1));
 }
