--- a/libraries/admission/include/godwit/admission/request_fingerprint.hpp
+++ b/libraries/admission/include/godwit/admission/request_fingerprint.hpp
@@ -18,11 +18,15 @@
     std::string_view body;
 };
 
-/// A hash of a request's content as 32 hexadecimal digits. Equal content gives
-/// the same value on every host.
+/// A hash of a request's content, or of one part of its prompt, as 32
+/// hexadecimal digits. Equal content gives the same value on every host.
 using request_fingerprint = core::identifier<struct request_fingerprint_tag>;
 
 [[nodiscard]] request_fingerprint
 fingerprint_of(const request_content& content);
 
+/// Returns the fingerprint of the part of a prompt that callers name by `id`.
+[[nodiscard]] request_fingerprint
+fingerprint_of_prompt_part(std::string_view id);
+
 } // namespace godwit::admission
--- a/libraries/admission/src/request_fingerprint.cpp
+++ b/libraries/admission/src/request_fingerprint.cpp
@@ -26,6 +26,12 @@
     return text;
 }
 
+request_fingerprint to_fingerprint(std::string_view digest)
+{
+    return request_fingerprint(
+        to_hexadecimal(digest.substr(0, fingerprint_bytes)));
+}
+
 } // namespace
 
 request_fingerprint fingerprint_of(const request_content& content)
@@ -40,9 +46,13 @@
           content.target,
           content.body})
         part_digests += delta::content_digest(part);
-    const std::string digest = delta::content_digest(part_digests);
-    return request_fingerprint(
-        to_hexadecimal(std::string_view(digest).substr(0, fingerprint_bytes)));
+    return to_fingerprint(delta::content_digest(part_digests));
+}
+
+request_fingerprint fingerprint_of_prompt_part(std::string_view id)
+{
+    return to_fingerprint(
+        delta::content_digest("prompt part:" + std::string(id)));
 }
 
 } // namespace godwit::admission
--- a/services/entry/include/godwit/entry/call_log.hpp
+++ b/services/entry/include/godwit/entry/call_log.hpp
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <optional>
 #include <string_view>
+#include <vector>
 
 namespace godwit::entry {
 
@@ -57,13 +58,14 @@
     std::string_view cause);
 
 /// Logs that the connection to a backend server broke before the response was
-/// complete. `fingerprint` is the same for all attempts at a request;
-/// `is_server_draining` tells whether the server was already known to be
-/// leaving.
+/// complete. `fingerprint` is the same for all attempts at a request and
+/// `prompt_parts` are those of its prompt's parts; `is_server_draining` tells
+/// whether the server was already known to be leaving.
 void log_run_lost(
     const routed_call& call,
     const placement::backend_server& server,
     const admission::request_fingerprint& fingerprint,
+    const std::vector<admission::request_fingerprint>& prompt_parts,
     bool is_server_draining);
 
 /// Logs that the number of crashes recorded for a request changed; `source`
--- a/services/entry/include/godwit/entry/call_messages.hpp
+++ b/services/entry/include/godwit/entry/call_messages.hpp
@@ -11,6 +11,8 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <vector>
+
 namespace godwit::entry {
 
 /// Returns the caller's request as it is sent to a backend server. Fills in the
@@ -24,6 +26,11 @@
 [[nodiscard]] admission::request_fingerprint
 fingerprint_of(const routed_call& call);
 
+/// Returns the fingerprints of the parts of the request's prompt that other
+/// requests may have too, in order.
+[[nodiscard]] std::vector<admission::request_fingerprint>
+prompt_part_fingerprints(const entry_context& context, const routed_call& call);
+
 /// Responds to the call with this host's own error, logs and counts it. The
 /// response has a Retry-After field if the request has not run. The arguments
 /// must outlive the coroutine.
--- a/services/entry/include/godwit/entry/wire_codec.hpp
+++ b/services/entry/include/godwit/entry/wire_codec.hpp
@@ -16,6 +16,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace godwit::entry {
 
@@ -34,6 +35,11 @@
     {
         Codec::read_request_metadata(fields)
         } -> std::same_as<request_metadata>;
+    // Returns the ids of the parts of the prompt that other requests may have
+    // too, in order: all parts but the last.
+    {
+        Codec::read_shared_prompt_parts(fields)
+        } -> std::same_as<std::vector<std::string>>;
     // Returns the header fields of a request to a backend server.
     {
         Codec::request_fields(fields, forwarding)
@@ -85,6 +91,8 @@
 struct codec_functions
 {
     request_metadata (*read_request_metadata)(const http::header_fields&);
+    std::vector<std::string> (*read_shared_prompt_parts)(
+        const http::header_fields&);
     http::header_fields (*request_fields)(
         const http::header_fields&, const forwarding_metadata&);
     response_metadata (*read_response_metadata)(const http::header_fields&);
@@ -104,6 +112,7 @@
     {
         return codec_functions{
             &Codec::read_request_metadata,
+            &Codec::read_shared_prompt_parts,
             &Codec::request_fields,
             &Codec::read_response_metadata,
             &Codec::response_fields,
--- a/services/entry/src/call_log.cpp
+++ b/services/entry/src/call_log.cpp
@@ -17,6 +17,18 @@
         .count();
 }
 
+std::string
+joined(const std::vector<admission::request_fingerprint>& fingerprints)
+{
+    std::string list;
+    for (const admission::request_fingerprint& one : fingerprints) {
+        if (!list.empty())
+            list += ',';
+        list += one.value();
+    }
+    return list;
+}
+
 } // namespace
 
 void log_refused(
@@ -123,6 +135,7 @@
     const routed_call& call,
     const placement::backend_server& server,
     const admission::request_fingerprint& fingerprint,
+    const std::vector<admission::request_fingerprint>& prompt_parts,
     bool is_server_draining)
 {
     telemetry::log_event(
@@ -132,6 +145,7 @@
         {{"request", call.metadata.attempt_id},
          {"route", call.route.name},
          {"fingerprint", fingerprint},
+         {"prompt_parts", joined(prompt_parts)},
          {"server", server.id},
          {"server_start_ms", server.start.unix_ms},
          {"server_leaves", is_server_draining},
--- a/services/entry/src/call_messages.cpp
+++ b/services/entry/src/call_messages.cpp
@@ -36,6 +36,16 @@
          received.body});
 }
 
+std::vector<admission::request_fingerprint>
+prompt_part_fingerprints(const entry_context& context, const routed_call& call)
+{
+    std::vector<admission::request_fingerprint> fingerprints;
+    for (const std::string& id : context.codec.read_shared_prompt_parts(
+             call.exchange.received().fields))
+        fingerprints.push_back(admission::fingerprint_of_prompt_part(id));
+    return fingerprints;
+}
+
 boost::asio::awaitable<void> refuse_call(
     const routed_call& call,
     telemetry::request_metrics& metrics,
--- a/services/entry/src/lost_runs.cpp
+++ b/services/entry/src/lost_runs.cpp
@@ -127,7 +127,12 @@
     // A draining server may abort its runs, so such losses are expected.
     const bool is_server_draining =
         context.directory.left_at(server.id).has_value();
-    log_run_lost(call, server, request, is_server_draining);
+    log_run_lost(
+        call,
+        server,
+        request,
+        prompt_part_fingerprints(context, call),
+        is_server_draining);
     if (is_server_draining)
         return;
     confirm_crash(
--- a/tests/admission/request_fingerprint_test.cpp
+++ b/tests/admission/request_fingerprint_test.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(test_equal_contents_have_equal_fingerprints);
     CPPUNIT_TEST(test_each_part_changes_the_fingerprint);
     CPPUNIT_TEST(test_part_boundaries_change_the_fingerprint);
+    CPPUNIT_TEST(test_prompt_parts_differ_from_each_other_and_from_contents);
     CPPUNIT_TEST_SUITE_END();
 
     const request_content content_{
@@ -61,6 +62,17 @@
         shifted.body = "?bbody";
         CPPUNIT_ASSERT(fingerprint_of(content_) != fingerprint_of(shifted));
     }
+
+    void test_prompt_parts_differ_from_each_other_and_from_contents()
+    {
+        const std::set<request_fingerprint> seen{
+            fingerprint_of(content_),
+            fingerprint_of_prompt_part("a1"),
+            fingerprint_of_prompt_part("a10")};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, seen.size());
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t{32}, fingerprint_of_prompt_part("a1").value().size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(request_fingerprint_test);
--- a/tests/platform_adapter/codec_test.cpp
+++ b/tests/platform_adapter/codec_test.cpp
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <string>
+#include <vector>
 
 namespace {
 
@@ -42,6 +43,8 @@
     CPPUNIT_TEST(test_truncated_records_are_refused);
     CPPUNIT_TEST(test_newest_pages);
     CPPUNIT_TEST(test_request_metadata);
+    CPPUNIT_TEST(test_shared_prompt_parts);
+    CPPUNIT_TEST(test_malformed_prompt_parts_are_ignored);
     CPPUNIT_TEST(test_forged_system_fields_are_dropped);
     CPPUNIT_TEST(test_hop_by_hop_fields_are_not_forwarded);
     CPPUNIT_TEST(test_copy_responses);
@@ -235,6 +238,44 @@
         }
     }
 
+    static std::vector<std::string>
+    shared_prompt_parts(const std::string& value)
+    {
+        http::header_fields fields;
+        fields.add("X-Godwitworks-Prompt-Prefix", value);
+        return request_codec::read_shared_prompt_parts(fields);
+    }
+
+    void test_shared_prompt_parts()
+    {
+        using ids = std::vector<std::string>;
+        CPPUNIT_ASSERT(
+            (ids{"5c1e07a2", "91bd3f06"}) ==
+            shared_prompt_parts("5c1e07a2:800, 91BD3F06:410,e4402b7d:250"));
+        CPPUNIT_ASSERT(ids() == shared_prompt_parts("5c1e07a2:800"));
+        CPPUNIT_ASSERT(ids() == request_codec::read_shared_prompt_parts({}));
+        // A repeated field is one list.
+        http::header_fields fields;
+        fields.add("X-Godwitworks-Prompt-Prefix", "a:1");
+        fields.add("x-godwitworks-prompt-prefix", "b:1");
+        CPPUNIT_ASSERT(
+            ids{"a"} == request_codec::read_shared_prompt_parts(fields));
+    }
+
+    void test_malformed_prompt_parts_are_ignored()
+    {
+        using ids = std::vector<std::string>;
+        CPPUNIT_ASSERT(
+            ids{"a"} ==
+            shared_prompt_parts(",:5,xyz:1,b,c:,d:-1,e:1x,a:1,f:1"));
+        for (const char* empty : {"", ",", ",,,,", ":", ":,:"})
+            CPPUNIT_ASSERT(ids() == shared_prompt_parts(empty));
+        std::string many;
+        for (int part = 0; part < 5000; ++part)
+            many += "a:1,";
+        CPPUNIT_ASSERT_EQUAL(std::size_t{64}, shared_prompt_parts(many).size());
+    }
+
     void test_forged_system_fields_are_dropped()
     {
         const http::header_fields received{
