--- a/tests/platform_adapter/testbed.cpp
+++ b/tests/platform_adapter/testbed.cpp
@@ -35,21 +35,6 @@
     return any_port().with_port(listener.local_endpoint().port());
 }
 
-http::request request_for(
-    const std::string& method,
-    const std::string& path,
-    const std::string& key,
-    const std::string& usage,
-    const std::string& attempt_id)
-{
-    http::request request{method, path, {}, {}};
-    request.fields.set("Host", "a.example");
-    request.fields.set("X-Godwitworks-Attempt-Id", attempt_id);
-    request.fields.set("X-Godwitworks-Token-Usage", usage);
-    request.fields.set("Authorization", "Bearer " + key);
-    return request;
-}
-
 } // namespace
 
 std::string
@@ -243,8 +228,22 @@
 http::response testbed::call(
     const std::string& method, const std::string& path, const std::string& key)
 {
-    return send(
-        callers(), request_for(method, path, key, token_usage_, attempt_id_));
+    return send(callers(), request_for(method, path, key));
+}
+
+http::request testbed::request_for(
+    const std::string& method,
+    const std::string& path,
+    const std::string& key) const
+{
+    http::request request{method, path, {}, {}};
+    request.fields.set("Host", "a.example");
+    request.fields.set("X-Godwitworks-Attempt-Id", attempt_id_);
+    request.fields.set("X-Godwitworks-Token-Usage", token_usage_);
+    request.fields.set("Authorization", "Bearer " + key);
+    if (!prompt_parts_.empty())
+        request.fields.set("X-Godwitworks-Prompt-Prefix", prompt_parts_);
+    return request;
 }
 
 std::optional<http::response> testbed::try_stream()
@@ -259,8 +258,7 @@
 std::optional<http::response> testbed::try_call(
     const std::string& path, const std::string& body, const std::string& key)
 {
-    http::request request =
-        request_for("POST", path, key, token_usage_, attempt_id_);
+    http::request request = request_for("POST", path, key);
     request.body = body;
     try {
         return send(callers(), std::move(request));
@@ -275,10 +273,7 @@
         .deadline = std::chrono::milliseconds(after_ms)};
     auto answered = asio::co_spawn(
         platform_context_,
-        http::fetch(
-            callers(),
-            request_for("POST", path, "k1", token_usage_, attempt_id_),
-            limits),
+        http::fetch(callers(), request_for("POST", path, "k1"), limits),
         asio::use_future);
     CPPUNIT_ASSERT(!answered.get());
 }
--- a/tests/platform_adapter/testbed.hpp
+++ b/tests/platform_adapter/testbed.hpp
@@ -63,6 +63,13 @@
     /// Sets the id of later requests; the default is "a1".
     void set_attempt_id(std::string id) { attempt_id_ = std::move(id); }
 
+    /// Sets the parts of the prompt of later requests, as a list of "id:tokens"
+    /// entries; they have none if this is not called.
+    void set_prompt_parts(std::string parts)
+    {
+        prompt_parts_ = std::move(parts);
+    }
+
     /// Publishes the tests' route table as `version`.
     void publish(unsigned version, const std::string& extra_key = "");
 
@@ -143,6 +150,10 @@
 private:
     [[nodiscard]] http::response
     send(const http::endpoint& to, http::request request);
+    [[nodiscard]] http::request request_for(
+        const std::string& method,
+        const std::string& path,
+        const std::string& key) const;
 
     boost::asio::io_context platform_context_{1};
     boost::asio::io_context host_context_{1};
@@ -161,6 +172,7 @@
     unsigned hold_ms_ = 0;
     std::string token_usage_ = "100,50";
     std::string attempt_id_ = "a1";
+    std::string prompt_parts_;
 };
 
 } // namespace godwit::platform_adapter::test
