stream_call: a stream that its server breaks off is a lost run

Callers of a stream without a length and chunks, whose server ended before its first event, got a complete, empty answer; where it ended inside an event the caller's stream was broken off, but the crash of the server was not counted.

Cause: the end of the connection ends such a response, so that a crash looks like a completion, or like bytes that make no sense. Class: the end of a connection is taken for what usually causes it.

Change: a stream without a delimiter is whole only if it ends with an event; if not, the run counts as lost like one whose connection was reset. The server is asked whether it still works, as for every lost run.

--- a/libraries/http/include/godwit/http/client_stream.hpp
+++ b/libraries/http/include/godwit/http/client_stream.hpp
@@ -71,6 +71,10 @@
     /// Whether any byte of the current request was handed to the socket.
     [[nodiscard]] bytes_handed_over handed_over() const noexcept;
 
+    /// Whether the answer's head says where its body ends. If not, the end of
+    /// the connection ends it, also if the server ended before it was done.
+    [[nodiscard]] bool is_body_delimited() const noexcept;
+
     /// Whether the exchange ended whole and the connection can carry
     /// another one.
     [[nodiscard]] bool is_reusable() const noexcept;
--- a/libraries/http/src/client_stream.cpp
+++ b/libraries/http/src/client_stream.cpp
@@ -341,6 +341,11 @@
     return held_->handed_over;
 }
 
+bool client_stream::is_body_delimited() const noexcept
+{
+    return held_->parser && !held_->parser->need_eof();
+}
+
 bool client_stream::is_reusable() const noexcept
 {
     return held_->is_whole && !held_->is_tunnel && !held_->is_cancelled &&
--- a/services/entry/include/godwit/entry/upstream.hpp
+++ b/services/entry/include/godwit/entry/upstream.hpp
@@ -74,6 +74,10 @@
     boost::asio::awaitable<upstream_result<std::string>>
     read_all(core::time_point end);
 
+    /// Whether the response says where it ends, so that a response which ends
+    /// is known to be whole.
+    [[nodiscard]] bool is_response_delimited() const noexcept;
+
     /// Closes the connection, which makes the server drop the request.
     void cancel() noexcept;
 
--- a/services/entry/src/stream_call.cpp
+++ b/services/entry/src/stream_call.cpp
@@ -303,7 +303,7 @@
                 co_return;
             continue;
         }
-        if (chunk && event_splitter_.is_at_event_boundary()) {
+        if (chunk && is_whole()) {
             active_->release_connection();
             stop_migration();
             context_.health.record_success(active_->server().id);
@@ -323,7 +323,7 @@
             continue;
         if (is_caller_disconnected_)
             co_return;
-        if (!chunk && is_lost_run(chunk.error())) {
+        if (chunk || is_lost_run(chunk.error())) {
             record_loss_at(active_->server());
             record_version_response(
                 context_,
@@ -333,11 +333,19 @@
                 {});
         }
         context_.record_unreachable(active_->server().id);
-        interrupt(chunk ? "incomplete event" : chunk.error().cause.message());
+        interrupt(chunk ? "incomplete stream" : chunk.error().cause.message());
         co_return;
     }
 }
 
+// A server that crashes may end its connection as if the response was over, so
+// that a stream without a delimiter is whole only if it ends with an event.
+bool stream_call::is_whole() const
+{
+    return event_splitter_.is_at_event_boundary() &&
+           (timing_.events > 0 || active_->is_response_delimited());
+}
+
 asio::awaitable<bool> stream_call::relay_events(std::string bytes)
 {
     auto events = event_splitter_.push(bytes);
--- a/services/entry/src/upstream.cpp
+++ b/services/entry/src/upstream.cpp
@@ -145,6 +145,11 @@
     }
 }
 
+bool upstream::is_response_delimited() const noexcept
+{
+    return stream_ && stream_->is_body_delimited();
+}
+
 void upstream::cancel() noexcept
 {
     is_cancelled_ = true;
