lost_runs: the probe of a crashed server names the server

After a lost run the server is asked for its report, and what responds counts as alive. A server that starts at the address of the crashed one responds too: if neither tells its start, the crash was not counted, and requests that crash servers were sent to more of them.

Cause: the server was recognised by its address alone, of the same class as requests that are recognised by their content alone.

Change: the request for a report names the expected server, as every request to a server does, and 421 means that the server has ended.

--- a/services/entry/include/godwit/entry/wire_codec.hpp
+++ b/services/entry/include/godwit/entry/wire_codec.hpp
@@ -11,6 +11,7 @@
 #include <godwit/http/request.hpp>
 #include <godwit/http/response.hpp>
 #include <godwit/http/response_head.hpp>
+#include <godwit/placement/backend_server.hpp>
 
 #include <concepts>
 #include <memory>
@@ -29,7 +30,8 @@
     const copy_request& copy,
     const hold_request& hold,
     const http::response& response,
-    const std::string& handle)
+    const std::string& handle,
+    const placement::server_id& server)
 {
     // Reads the header fields of a caller's request.
     {
@@ -73,9 +75,9 @@
         Codec::write_hold_release(handle)
         } -> std::same_as<http::request>;
     // Asks a backend server for its report: whether it is draining, and the
-    // start of its process.
+    // start of its process. Another server at its address must not respond.
     {
-        Codec::write_report_request()
+        Codec::write_report_request(server)
         } -> std::same_as<http::request>;
     {
         Codec::read_report(response)
@@ -103,7 +105,7 @@
     http::request (*write_hold_request)(const hold_request&);
     hold_response (*read_hold_response)(const http::response&);
     http::request (*write_hold_release)(const std::string&);
-    http::request (*write_report_request)();
+    http::request (*write_report_request)(const placement::server_id&);
     core::result<server_report> (*read_report)(const http::response&);
     table_parser (*make_table_parser)(std::string_view);
 
--- a/services/entry/src/lost_runs.cpp
+++ b/services/entry/src/lost_runs.cpp
@@ -22,6 +22,8 @@
 
 // A server that does not respond within this time counts as crashed.
 constexpr core::duration probe_timeout = std::chrono::milliseconds(250);
+// Another server has the address (RFC 9110, section 15.5.20).
+constexpr unsigned misdirected_request_status = 421;
 
 using fingerprints = std::set<admission::request_fingerprint>;
 
@@ -73,11 +75,11 @@
         co_await context.connector.open_any_way(server.address, probe_timeout);
     if (!opened || !is_engine)
         co_return opened.has_value();
-    http::request outgoing = context.codec.write_report_request();
+    http::request outgoing = context.codec.write_report_request(server.id);
     const http::fetch_limits limits{.deadline = probe_timeout};
     const auto fetched = co_await http::fetch(
         *opened, server.address, std::move(outgoing), limits);
-    if (!fetched)
+    if (!fetched || fetched->status == misdirected_request_status)
         co_return false;
     const auto report = context.codec.read_report(*fetched);
     // Either start time may be unknown; only two known start times that differ
--- a/services/entry/src/report_poller.cpp
+++ b/services/entry/src/report_poller.cpp
@@ -71,7 +71,7 @@
 
 asio::awaitable<void> report_poller::poll(placement::backend_server server)
 {
-    http::request request = context_.codec.write_report_request();
+    http::request request = context_.codec.write_report_request(server.id);
     const http::fetch_limits limits{.deadline = report_timeout};
     const auto response = co_await http::fetch(
         *context_.connections, server.address, std::move(request), limits);
--- a/tests/entry/report_poller_test.cpp
+++ b/tests/entry/report_poller_test.cpp
@@ -23,7 +23,7 @@
 
 int polls = 0;
 
-http::request failing_request()
+http::request failing_request(const placement::server_id& /*server*/)
 {
     ++polls;
     throw std::runtime_error("a fault of the codec");
