--- a/meta/soak_parts/callers.py
+++ b/meta/soak_parts/callers.py
@@ -4,6 +4,7 @@
 import itertools
 
 from soak_parts import http11
+from soak_parts.protection import prompt_parts
 
 METHODS = {"plain": ("POST",), "again": ("GET", "POST"), "stream": ("POST",)}
 ANSWER_LIMIT = 12.0
@@ -125,6 +126,7 @@
             "Host": "soak.example",
             "X-Godwitworks-Attempt-Id": attempt,
             "X-Godwitworks-Token-Usage": f"50,{wanted}",
+            "X-Godwitworks-Prompt-Prefix": prompt_parts(attempt),
             "X-Godwitworks-Deadline-Ms": DEADLINE_MS,
             "Authorization": "Bearer k1", **framing}) + encoded
         if leaves == "sending":
--- a/meta/soak_parts/engine.py
+++ b/meta/soak_parts/engine.py
@@ -39,7 +39,8 @@
         self.relay = None
         self.left_at = self.served_at = self.began_again_at = None
         self.runs = {}
-        self.limit = self.crashing = None
+        self.limit = None
+        self.crashing = ()
         self.manner = manners.Manner(rng)
         self._before = None
 
@@ -90,8 +91,9 @@
         if self.limit:
             self.limit.arrived(attempt)
             signed |= self.limit.answers(attempt)
-        if self.crashing and body == self.crashing.body:
-            self.crashing.arrived(self, attempt)
+        for crashing in self.crashing:
+            if crashing.is_in(fields, body):
+                crashing.arrived(self, attempt)
         if target.startswith("/stream/"):
             await self._stream(attempt, signed, fields, resumed, writer)
             return
@@ -110,27 +112,35 @@
             self.ledger.resumed(attempt)
         self.ledger.streams[attempt] = run
         self.runs[attempt] = run
-        writer.write(http11.head("HTTP/1.1 200 OK", {
-            **signed, "Transfer-Encoding": "chunked"}))
+        # Without chunks the end of the connection ends the stream; one that
+        # is broken off is reset.
+        in_chunks = self.manner.style != "until_close"
+        framing = ({"Transfer-Encoding": "chunked"} if in_chunks
+                   else {"Connection": "close"})
+        writer.write(http11.head("HTTP/1.1 200 OK", {**signed, **framing}))
         while run.made < run.events:
             await asyncio.sleep(STEP_SECONDS)
             run.stopped = run.stopped or writer.transport.is_closing()
             if run.stopped:
                 http11.reset(writer)
                 return
-            await self._event(run, writer)
+            await self._event(run, in_chunks, writer)
         del self.runs[attempt]
-        await self._send(http11.chunk(b""), writer)
+        if in_chunks:
+            await self._send(http11.chunk(b""), writer)
+            return
+        writer.write_eof()
+        raise http11.Broken("until_close")
 
-    async def _event(self, run, writer):
+    async def _event(self, run, in_chunks, writer):
         rng = self.manner.rng
         if self._is_spoiled() and rng.random() < SPOILED_EVENT_SHARE:
             run.stopped = True
             writer.write(rng.choice(manners.SPOILED_CHUNKS))
             raise http11.Broken("spoiled")
         run.made += 1
-        await self._send(http11.chunk(
-            f"id: {run.made}\ndata: {run.attempt}\n\n".encode()), writer)
+        event = f"id: {run.made}\ndata: {run.attempt}\n\n".encode()
+        await self._send(http11.chunk(event) if in_chunks else event, writer)
 
     async def _send(self, data, writer):
         in_pieces = self.manner.style not in (manners.PLAIN, "spoiled")
--- a/meta/soak_parts/manners.py
+++ b/meta/soak_parts/manners.py
@@ -1,8 +1,4 @@
-"""The ways in which an engine frames, cuts, spoils or doubles an answer.
-
-A stream always has chunks: without a length, the end of its connection could
-not be told from a cut.
-"""
+"""The ways in which an engine frames, cuts, spoils or doubles an answer."""
 
 import asyncio
 
--- a/meta/soak_parts/protection.py
+++ b/meta/soak_parts/protection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import zlib
 
 from soak_parts import http11
 
@@ -10,39 +11,64 @@
 SETTLE_SECONDS = 3.0
 # Permitted runs of a request after it has crashed `CRASH_LIMIT` engines.
 CRASH_LIMIT = MAX_LATER_SENDS = 3
+# The same for a part of prompts, which other requests share.
+PART_CRASH_LIMIT = 5
+# The first part of every prompt, and the number of sessions that share others.
+FIRST_PART = "f1:30"
+SESSIONS = 12
 WINDOW_SECONDS = 4.0
 TOLERANCE_FACTOR = 1.5
 TOLERANCE_REQUESTS = 5
 PROPAGATION_SECONDS = 0.5
 
 
+def prompt_parts(attempt):
+    """The parts of a sound request's prompt: all share the first one, some the
+    second, none the last."""
+    number = zlib.crc32(attempt.encode())
+    return f"{FIRST_PART},5e{number % SESSIONS}:10,{number:x}:10"
+
+
 class CrashingRequest:
     """A repeatedly sent request that crashes the engines that run it."""
 
+    name = "crashing request"
+    tag = "x"  # Sets its attempts apart from those of others.
+    # Crashes after which no more than `MAX_LATER_SENDS` requests may follow.
+    crash_limit = CRASH_LIMIT
+
     def __init__(self, world):
         self.world = world
-        self.rng = world.random("crashing request")
+        self.rng = world.random(self.name)
         self.body = CRASHING_PREFIX + self.rng.randbytes(20)
         self.crashed_at = []
         self.later_sends = 0
 
+    def next_request(self, count):
+        """The body and the parts of the prompt of a request."""
+        return self.body, prompt_parts(f"x{count}")
+
+    def is_in(self, fields, body):
+        """Whether a request crashes the engine."""
+        return body == self.body
+
     async def send(self, end):
         """Sends the request until `end`, each time to a random host."""
         await asyncio.sleep(self.rng.uniform(0.2, 1.5))
         count = 0
         while self.world.clock() < end:
             count += 1
-            attempt = f"s{self.world.seed}x-{count}"
+            attempt = f"s{self.world.seed}{self.tag}-{count}"
             host = self.rng.choice(self.world.hosts)
-            await self._send_once(attempt, host)
+            await self._send_once(attempt, host, *self.next_request(count))
             await asyncio.sleep(self.rng.uniform(0.05, 0.6))
         self.world.ledger.check(
             "crashes few", self.later_sends <= MAX_LATER_SENDS,
-            f"sent {self.later_sends} times more after it had ended "
-            f"{len(self.crashed_at)} engines")
+            f"{self.name}: sent {self.later_sends} times more after it had "
+            f"ended {len(self.crashed_at)} engines")
 
-    async def _send_once(self, attempt, host):
-        self.world.ledger.sent[attempt] = self.body
+    async def _send_once(self, attempt, host, body, parts):
+        self.world.ledger.sent[attempt] = body
         self.world.ledger.hosts[attempt] = host
         try:
             reader, writer = await asyncio.wait_for(
@@ -54,9 +80,10 @@
                 "Host": "soak.example",
                 "X-Godwitworks-Attempt-Id": attempt,
                 "X-Godwitworks-Token-Usage": "50,20",
+                "X-Godwitworks-Prompt-Prefix": parts,
                 "X-Godwitworks-Deadline-Ms": 2000,
                 "Authorization": "Bearer k1",
-                "Content-Length": len(self.body)}) + self.body)
+                "Content-Length": len(body)}) + body)
             await asyncio.wait_for(reader.read(), 3)
         except (OSError, asyncio.TimeoutError):
             pass
@@ -67,8 +94,9 @@
         """Schedules the crash of an engine that received the request."""
         now = self.world.clock()
         host = self.world.ledger.hosts[attempt]
-        is_late = (len(self.crashed_at) >= CRASH_LIMIT and
-                   now - self.crashed_at[CRASH_LIMIT - 1] > SETTLE_SECONDS)
+        limit = self.crash_limit
+        is_late = (len(self.crashed_at) >= limit and
+                   now - self.crashed_at[limit - 1] > SETTLE_SECONDS)
         if is_late and host.calm_seconds() > SETTLE_SECONDS:
             self.later_sends += 1
         asyncio.get_running_loop().call_later(
@@ -80,6 +108,27 @@
             self.world.engine_crashes(engine, self.rng)
 
 
+class CrashingPart(CrashingRequest):
+    """Different requests that share a part of their prompts, which crashes the
+    engines that run them."""
+
+    name = "crashing part"
+    tag = "p"
+    crash_limit = PART_CRASH_LIMIT
+
+    def __init__(self, world):
+        super().__init__(world)
+        self.part = f"c0de{self.rng.randint(0, 1 << 32):x}"
+
+    def next_request(self, count):
+        parts = [FIRST_PART, f"{self.part}:20", f"ad{count % 4}:10"]
+        self.rng.shuffle(parts)
+        return self.rng.randbytes(20), ",".join([*parts, f"fff{count}:5"])
+
+    def is_in(self, fields, body):
+        return self.part in fields.get("x-godwitworks-prompt-prefix", "")
+
+
 class NamedLimit:
     """An engine that names a limit, and the requests that it receives."""
 
--- a/meta/soak_parts/world.py
+++ b/meta/soak_parts/world.py
@@ -15,7 +15,8 @@
 from soak_parts.faults import Faults
 from soak_parts.host import Host
 from soak_parts.ledger import Ledger
-from soak_parts.protection import CrashingRequest, NamedLimit
+from soak_parts.protection import (CrashingPart, CrashingRequest,
+                                   NamedLimit)
 from soak_parts.relay import Relay
 from soak_parts.restores import Restores
 from soak_parts.stand_ins import Store
@@ -45,7 +46,7 @@
         self.engines = {}
         self.relays = []
         self.version = 0
-        self.crashing = CrashingRequest(self)
+        self.crashing = (CrashingRequest(self), CrashingPart(self))
         self.limit = NamedLimit(self)
         self.is_over = False
         self._tasks = []
@@ -99,7 +100,8 @@
         tasks += [asyncio.create_task(prober.run()) for prober in probers]
         faults_end = end - RECOVERY_SECONDS
         await asyncio.gather(faults.inject(faults_end),
-                             self.crashing.send(faults_end),
+                             *(each.send(faults_end)
+                               for each in self.crashing),
                              self.limit.name(faults_end),
                              self.restores.run(faults_end),
                              self._suspend_hosts(faults_end))
