lost_runs: parts of prompts that completed just before a crash are sound

Parts that nearly all requests of a route share are cleared by their next completed run. Where responses are short none may complete between three crashes, and a part that stands behind the cause in its prompts would be refused in its place until a trial.

--- a/services/entry/include/godwit/entry/entry_context.hpp
+++ b/services/entry/include/godwit/entry/entry_context.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <godwit/admission/recent_prompts.hpp>
 #include <godwit/admission/request_quarantine.hpp>
 #include <godwit/entry/entry_settings.hpp>
 #include <godwit/entry/link_claims.hpp>
@@ -83,6 +84,7 @@
     std::map<placement::server_id, core::time_point> counted_losses;
     placement::placer placer;
     admission::request_quarantine quarantine;
+    admission::recent_prompts completed_prompts;
     std::map<placement::server_id, std::shared_ptr<crash_probe>> crash_probes;
     retry_budgets budgets;
     wait_queue queue;
--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -395,7 +395,7 @@
     [[nodiscard]] wire::crash_reports crash_reports_message() const;
     void handle_crash_reports(
         const core::host_name& host, const wire::crash_reports& message);
-    void clear_sustained_parts(wire::crash_reports& changes);
+    void clear_sound_parts(wire::crash_reports& changes);
     void
     reject_crash_reports(const core::host_name& host, const core::error& why);
     [[nodiscard]] std::vector<placement::server_work> valid_load(
--- a/services/entry/include/godwit/entry/lost_runs.hpp
+++ b/services/entry/include/godwit/entry/lost_runs.hpp
@@ -40,16 +40,17 @@
     run_progress progress);
 
 /// Clears the crashes recorded for the request and, if a response was
-/// generated, for the parts of its prompt, on this host and the others.
+/// generated, for the parts of its prompt, on this host and the others. The
+/// parts count as sound for some time.
 void record_completed_run(
     entry_context& context,
     const routed_call& call,
     completed_response response);
 
-/// Returns the parts of prompts that running streams of this host show not to
-/// crash servers.
+/// Returns the parts of prompts that running streams and recently completed
+/// runs of this host show not to crash servers.
 [[nodiscard]] std::set<admission::request_fingerprint>
-sustained_prompt_parts(const entry_context& context);
+sound_prompt_parts(const entry_context& context);
 
 /// Clears the crashes recorded for a request or a part on this host; `source`
 /// is the host or the store that knows of a run. Returns false if there were
--- a/services/entry/src/entry_process_crashes.cpp
+++ b/services/entry/src/entry_process_crashes.cpp
@@ -108,7 +108,7 @@
         if (entry::clear_crashes(context_, *request, host.value()))
             changes.completed.push_back(completed);
     }
-    clear_sustained_parts(changes);
+    clear_sound_parts(changes);
     if (!changes.reports.empty() || !changes.completed.empty())
         neighbours_->broadcast(changes);
     const auto link = neighbours_->link_to(host);
@@ -116,9 +116,9 @@
         link->send(corrections);
 }
 
-// Crashes of other hosts may be reported for parts of prompts that run on this
-// host without crashing servers.
-void entry_process::clear_sustained_parts(wire::crash_reports& changes)
+// Other hosts may report crashes under parts of prompts that run on this host
+// without crashing servers.
+void entry_process::clear_sound_parts(wire::crash_reports& changes)
 {
     const bool has_parts = std::any_of(
         changes.reports.begin(), changes.reports.end(), [](const auto& each) {
@@ -126,10 +126,10 @@
         });
     if (!has_parts)
         return;
-    const auto sustained = sustained_prompt_parts(context_);
+    const auto sound = sound_prompt_parts(context_);
     for (const wire::crash_report& report : changes.reports) {
         const admission::request_fingerprint request(report.request);
-        if (report.is_prompt_part() && sustained.contains(request) &&
+        if (report.is_prompt_part() && sound.contains(request) &&
             entry::clear_crashes(
                 context_, request, context_.settings.host.value()))
             changes.completed.push_back(report.request);
--- a/services/entry/src/lost_runs.cpp
+++ b/services/entry/src/lost_runs.cpp
@@ -32,17 +32,16 @@
 void record_crashes(entry_context& context, const crash_probe& probe)
 {
     const std::string& host = context.settings.host.value();
-    fingerprints sustained = sustained_prompt_parts(context);
-    sustained.insert(
-        probe.sustained_parts.begin(), probe.sustained_parts.end());
+    fingerprints sound = sound_prompt_parts(context);
+    sound.insert(probe.sustained_parts.begin(), probe.sustained_parts.end());
     wire::crash_reports message;
     std::vector<admission::request_fingerprint> changed;
     for (const admission::crash_report& report : probe.reports) {
-        const bool is_sustained =
-            report.is_prompt_part() && sustained.contains(report.request);
-        if (is_sustained && clear_crashes(context, report.request, host))
+        const bool is_sound =
+            report.is_prompt_part() && sound.contains(report.request);
+        if (is_sound && clear_crashes(context, report.request, host))
             message.completed.push_back(report.request.value());
-        if (is_sustained || !context.quarantine.add(report))
+        if (is_sound || !context.quarantine.add(report))
             continue;
         message.reports.push_back(to_wire(report, core::monotonic_now()));
         changed.push_back(report.request);
@@ -187,6 +186,11 @@
     const routed_call& call,
     completed_response response)
 {
+    if (response == completed_response::generated)
+        context.completed_prompts.add(
+            context.codec.read_shared_prompt_parts(
+                call.exchange.received().fields),
+            core::monotonic_now());
     if (!context.quarantine.is_tracking())
         return;
     std::vector<admission::request_fingerprint> completed{fingerprint_of(call)};
@@ -205,16 +209,19 @@
 }
 
 std::set<admission::request_fingerprint>
-sustained_prompt_parts(const entry_context& context)
+sound_prompt_parts(const entry_context& context)
 {
-    fingerprints sustained;
+    fingerprints sound;
+    for (const std::string& id :
+         context.completed_prompts.part_ids(core::monotonic_now()))
+        sound.insert(admission::fingerprint_of_prompt_part(id));
     for (const routed_call* call : context.streams.sustained_calls()) {
         auto parts = prompt_part_fingerprints(context, *call);
-        sustained.insert(
+        sound.insert(
             std::make_move_iterator(parts.begin()),
             std::make_move_iterator(parts.end()));
     }
-    return sustained;
+    return sound;
 }
 
 bool clear_crashes(
--- a/tests/lost_runs/crashing_prompt_parts_test.cpp
+++ b/tests/lost_runs/crashing_prompt_parts_test.cpp
@@ -57,6 +57,7 @@
     CPPUNIT_TEST(test_a_part_beside_the_crashing_one_does_not_hide_it);
     CPPUNIT_TEST(test_sound_requests_are_served_between_the_crashes);
     CPPUNIT_TEST(test_sound_requests_are_served_after_the_crashes);
+    CPPUNIT_TEST(test_a_part_that_completed_just_before_is_not_suspected);
     CPPUNIT_TEST(test_crashes_of_a_part_that_neighbours_report_count);
     CPPUNIT_TEST(test_a_part_of_a_stream_that_goes_on_is_cleared);
     CPPUNIT_TEST(test_parts_of_a_lost_stream_that_went_on_are_not_suspected);
@@ -196,6 +197,27 @@
         CPPUNIT_ASSERT_EQUAL(requests, served);
     }
 
+    // The part stands behind the crashing one, so that nothing else tells them
+    // apart.
+    void test_a_part_that_completed_just_before_is_not_suspected()
+    {
+        begin();
+        const auto before = call("/stream/", "f1:900");
+        CPPUNIT_ASSERT(before);
+        CPPUNIT_ASSERT_EQUAL(200U, before->status);
+        for (int count = 0; count < 3; ++count) {
+            [[maybe_unused]] const auto lost =
+                call("/stream/", "c0de:60,f1:900");
+            restart_servers();
+        }
+        const auto sound = call("/stream/", "f1:900");
+        CPPUNIT_ASSERT(sound);
+        CPPUNIT_ASSERT_EQUAL(200U, sound->status);
+        const auto refused = call("/stream/", "c0de:60,f2:900");
+        CPPUNIT_ASSERT(refused);
+        CPPUNIT_ASSERT_EQUAL(503U, refused->status);
+    }
+
     static std::optional<wire::message> no_table(const wire::pull& /*pull*/)
     {
         return std::nullopt;
