--- a/meta/soak_parts/faults.py
+++ b/meta/soak_parts/faults.py
@@ -104,7 +104,7 @@
 
     async def engine_spoils(self, rng, span):
         """Answers in another style for a while."""
-        engine = self.world.engines[rng.choice(sorted(self.world.engines))]
+        engine = await self.world.any_engine(rng)
         engine.manner.style = rng.choice(manners.STYLES)
         await asyncio.sleep(span)
         engine.manner.style = manners.PLAIN
@@ -112,8 +112,8 @@
     async def other_writer(self, rng, span):
         """Entries that name no replica, some of them under an engine's id."""
         world = self.world
-        name = rng.choice(sorted(world.engines))
-        engine = world.engines[name]
+        engine = await world.any_engine(rng)
+        name = engine.name
         good = {**entries.entry(engine, "ready"),
                 "address": f"127.0.0.1:{world.trap.port}"}
         keys = [f"w-{rng.randrange(1000)}" for _ in range(rng.randint(1, 6))]
--- a/meta/soak_parts/protection.py
+++ b/meta/soak_parts/protection.py
@@ -111,11 +111,7 @@
     async def name(self, end):
         """Makes a random engine name the limit until `end`."""
         await asyncio.sleep(self.rng.uniform(0.0, 1.0))
-        # All of them may have crashed at this moment.
-        while not self.world.engines:
-            await asyncio.sleep(0.05)
-        self.engine = self.rng.choice(
-            [each for _, each in sorted(self.world.engines.items())])
+        self.engine = await self.world.any_engine(self.rng)
         self.engine.limit = self
         await asyncio.sleep(max(end - self.world.clock(), 0))
         self.engine.limit = None
--- a/meta/soak_parts/world.py
+++ b/meta/soak_parts/world.py
@@ -198,6 +198,12 @@
         self.list_engine(engine, "ready")
         return engine
 
+    async def any_engine(self, rng):
+        """A random engine; waits while all of them have crashed."""
+        while not self.engines:
+            await asyncio.sleep(0.05)
+        return self.engines[rng.choice(sorted(self.engines))]
+
     def engine_crashes(self, engine, rng):
         """Stops an engine with all its runs and restarts it after a delay."""
         del self.engines[engine.name]
