--- a/tests/platform_adapter/codec_test.cpp
+++ b/tests/platform_adapter/codec_test.cpp
@@ -252,8 +252,8 @@
         CPPUNIT_ASSERT(
             (ids{"5c1e07a2", "91bd3f06"}) ==
             shared_prompt_parts("5c1e07a2:800, 91BD3F06:410,e4402b7d:250"));
-        CPPUNIT_ASSERT(ids() == shared_prompt_parts("5c1e07a2:800"));
-        CPPUNIT_ASSERT(ids() == request_codec::read_shared_prompt_parts({}));
+        CPPUNIT_ASSERT(shared_prompt_parts("5c1e07a2:800").empty());
+        CPPUNIT_ASSERT(request_codec::read_shared_prompt_parts({}).empty());
         // A repeated field is one list.
         http::header_fields fields;
         fields.add("X-Godwitworks-Prompt-Prefix", "a:1");
@@ -269,7 +269,7 @@
             ids{"a"} ==
             shared_prompt_parts(",:5,xyz:1,b,c:,d:-1,e:1x,a:1,f:1"));
         for (const char* empty : {"", ",", ",,,,", ":", ":,:"})
-            CPPUNIT_ASSERT(ids() == shared_prompt_parts(empty));
+            CPPUNIT_ASSERT(shared_prompt_parts(empty).empty());
         std::string many;
         for (int part = 0; part < 5000; ++part)
             many += "a:1,";
