--- a/meta/soak_parts/protection.py
+++ b/meta/soak_parts/protection.py
@@ -73,6 +73,9 @@
         if self.world.engines.get(engine.name) is engine:
             self.crashed_at.append(self.world.clock())
             self.world.engine_crashes(engine, self.rng)
+        else:
+            # It is leaving; a run that completed would clear the request.
+            engine.stop()
 
 
 class CrashingPart(CrashingRequest):
