entry: the use of the host's network link is measured and logged

Hosts cannot tell what their link carries, so that logs and metrics do not distinguish a saturated link from servers that are out of reach: both show as connections with no progress in time.

--- a/services/entry/include/godwit/entry/entry_context.hpp
+++ b/services/entry/include/godwit/entry/entry_context.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <godwit/admission/link_meter.hpp>
 #include <godwit/admission/recent_prompts.hpp>
 #include <godwit/admission/request_quarantine.hpp>
 #include <godwit/entry/entry_settings.hpp>
@@ -64,6 +65,9 @@
     /// an incomplete one.
     void record_unreachable(const placement::server_id& server);
 
+    /// Applies the capacity of the network link in `settings`.
+    void set_link_capacity();
+
     const boost::asio::any_io_executor executor;
     /// Changes only when the process reloads a changed settings file.
     entry_settings settings;
@@ -86,6 +90,7 @@
     admission::request_quarantine quarantine;
     admission::recent_prompts completed_prompts;
     std::map<placement::server_id, std::shared_ptr<crash_probe>> crash_probes;
+    admission::link_meter link; ///< What callers' requests use of it.
     retry_budgets budgets;
     wait_queue queue;
     stream_registry streams;
--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -252,6 +252,7 @@
     void tick();
     [[nodiscard]] core::result<void> listen_for_tunnels();
     [[nodiscard]] tunnel_verdict judge_tunnel(const http::endpoint& to) const;
+    void observe_link();
     void detect_stall();
     [[nodiscard]] bool is_refreshing();
     [[nodiscard]] bool may_have_stale_routes() const;
@@ -470,6 +471,7 @@
     bool is_change_broadcast_scheduled_ = false;
     bool has_servers_ = false;
     bool was_ready_ = false;
+    bool is_link_busy_ = false;
 };
 
 } // namespace godwit::entry
--- a/services/entry/include/godwit/entry/entry_settings.hpp
+++ b/services/entry/include/godwit/entry/entry_settings.hpp
@@ -32,6 +32,9 @@
     /// Addresses at which some other entry hosts may be found.
     std::vector<http::endpoint> seeds;
     std::size_t caller_connections = 3000;
+    /// Capacity of the host's network link in each direction, in Mbit/s; 0 if
+    /// it is not known.
+    double link_mbps = 0;
     /// Time from the stop signal until the process has to have ended.
     core::duration stop_grace = std::chrono::seconds(8);
     /// The share of a service's requests that may be retried.
@@ -48,8 +51,8 @@
     operator==(const entry_settings&, const entry_settings&) = default;
 
     /// Returns these settings with the values of `newer` for those that a
-    /// running process can change: seeds, regions, grace, retries and
-    /// the exposure of rollouts. Listeners, names and the log stay as they are
+    /// running process can change: seeds, regions, link, grace, retries
+    /// and the exposure of rollouts. Listeners, names and the log stay as they are
     /// until the next start.
     [[nodiscard]] entry_settings
     with_reloadable_settings(const entry_settings& newer) const;
--- a/services/entry/src/buffered_call.cpp
+++ b/services/entry/src/buffered_call.cpp
@@ -313,7 +313,9 @@
         co_await refuse(result.refusal.value_or(refusal_reason::answer_lost));
         co_return;
     }
-    metrics_.finished(core::outcome::completed, core::monotonic_now());
+    const core::time_point now = core::monotonic_now();
+    metrics_.finished(core::outcome::completed, now);
+    context_.link.record_sent(result.response->body.size(), now);
     // Writing fails if the caller has disconnected meanwhile; it needs no
     // response then.
     [[maybe_unused]] const auto sent =
--- a/services/entry/src/call_dispatcher.cpp
+++ b/services/entry/src/call_dispatcher.cpp
@@ -67,6 +67,7 @@
 {
     const core::time_point arrival_time = core::monotonic_now();
     const http::request& received = exchange.received();
+    context_.link.record_received(received.body.size(), arrival_time);
     request_metadata metadata =
         context_.codec.read_request_metadata(received.fields);
     if (context_.is_refreshing())
--- a/services/entry/src/entry_context.cpp
+++ b/services/entry/src/entry_context.cpp
@@ -56,6 +56,7 @@
       connections(http::connection_pool::create(executor, pool_limits())),
       metrics(telemetry::metrics::create())
 {
+    set_link_capacity();
     connections->set_opener(
         [this](http::endpoint server, core::duration timeout) {
             return connector.open(std::move(server), timeout);
@@ -67,6 +68,12 @@
     });
 }
 
+void entry_context::set_link_capacity()
+{
+    constexpr double bytes_per_megabit = 125'000;
+    link.set_capacity(settings.link_mbps * bytes_per_megabit);
+}
+
 void entry_context::record_unreachable(const placement::server_id& server)
 {
     health.record_unreachable(server, core::monotonic_now());
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -390,6 +390,7 @@
     advance_rollouts();
     context_.cold_servers.expire(core::monotonic_now());
     update_limit_share();
+    observe_link();
     context_.queue.wake_first();
     broadcast_changed_servers();
     log_further_server_changes();
--- a/services/entry/src/entry_process_operators.cpp
+++ b/services/entry/src/entry_process_operators.cpp
@@ -53,6 +53,9 @@
     set("godwit_requests_waiting",
         "Requests that wait for room at the backend servers.",
         static_cast<double>(context_.queue.size()));
+    set("godwit_link_use",
+        "Share of the host's network link that callers' requests use.",
+        context_.link.use(core::monotonic_now()));
     set("godwit_requests_suspected",
         "Requests under which backend servers crashed lately.",
         static_cast<double>(context_.quarantine.size()));
@@ -101,6 +104,7 @@
     state["rollouts"] = std::move(rollouts);
     state["streams"] = context_.streams.size();
     state["waiting"] = context_.queue.size();
+    state["link_use"] = context_.link.use(core::monotonic_now());
     state["connections"] = callers_->open_connections();
     return boost::json::serialize(state);
 }
--- a/services/entry/src/entry_process_reload.cpp
+++ b/services/entry/src/entry_process_reload.cpp
@@ -58,6 +58,7 @@
         return;
     context_.settings = applied;
     context_.budgets.update_settings(applied);
+    context_.set_link_capacity();
     context_.rollouts.set_max_exposure(applied.max_rollout_exposure);
     neighbours_->connect_seeds();
 }
--- a/services/entry/src/entry_settings.cpp
+++ b/services/entry/src/entry_settings.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr std::size_t max_seeds = 16;
+constexpr double max_link_mbps = 1e7;
 
 core::result<http::endpoint>
 read_endpoint(settings::reader& from, std::string_view key)
@@ -73,6 +74,7 @@
     entry_settings result = *this;
     result.seeds = newer.seeds;
     result.regions = newer.regions;
+    result.link_mbps = newer.link_mbps;
     result.stop_grace = newer.stop_grace;
     result.retry_share = newer.retry_share;
     result.retry_allowance = newer.retry_allowance;
@@ -114,6 +116,8 @@
     GODWIT_TRY(listen.finish(true));
     read.caller_connections = GODWIT_TRY(settings::read_count(
         source, "caller_connections", {1, 65536}, read.caller_connections));
+    read.link_mbps = GODWIT_TRY(
+        source.get_number("link_mbps", {0.0, max_link_mbps}, read.link_mbps));
     read.stop_grace =
         GODWIT_TRY(read_seconds(source, "stop_grace_s", read.stop_grace));
     auto retry = GODWIT_TRY(source.get_object("retry"));
--- a/services/entry/src/stream_call.cpp
+++ b/services/entry/src/stream_call.cpp
@@ -381,6 +381,7 @@
 asio::awaitable<bool> stream_call::write_to_caller(std::string ready)
 {
     const core::time_point started_at = core::monotonic_now();
+    context_.link.record_sent(ready.size(), started_at);
     const auto written = co_await call_->exchange.write_chunk(std::move(ready));
     if (!written)
         active_->cancel();
--- a/services/entry/src/upstream.cpp
+++ b/services/entry/src/upstream.cpp
@@ -89,6 +89,7 @@
     }
     sent_at_ = core::monotonic_now();
     record_request(context_, server_.id);
+    context_.link.record_sent(outgoing.body.size(), sent_at_);
     const auto sent =
         co_await stream_->send(std::move(outgoing), time_until(end));
     if (!sent)
@@ -123,6 +124,8 @@
     auto chunk = co_await stream_->read_some(time_until(end));
     if (!chunk)
         co_return tl::unexpected(to_failure(chunk.error()));
+    if (*chunk)
+        context_.link.record_received((*chunk)->size(), core::monotonic_now());
     co_return std::move(*chunk);
 }
 
