--- a/tests/partitions/partitioned_host_test.cpp
+++ b/tests/partitions/partitioned_host_test.cpp
@@ -2,15 +2,10 @@
 // backend servers, although a neighbour reaches them.
 
 #include "network_partition.hpp"
+#include "second_host.hpp"
 #include "stream_helpers.hpp"
 #include "testbed.hpp"
 
-#include <godwit/platform_adapter/request_codec.hpp>
-
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/post.hpp>
-#include <boost/asio/use_future.hpp>
-
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <atomic>
@@ -23,58 +18,11 @@
 namespace {
 
 using namespace godwit;
-using platform_adapter::platform_sources;
 using platform_adapter::test::fake_server;
+using platform_adapter::test::second_host;
 using platform_adapter::test::testbed;
 using test::partition_mode;
 
-/// A second entry host, linked to the one of the testbed and with its sources.
-class second_host
-{
-public:
-    explicit second_host(testbed& first)
-    {
-        entry::entry_settings settings =
-            platform_adapter::test::settings_on_free_ports();
-        settings.host = core::host_name("h2");
-        settings.seeds = {first.neighbours()};
-        auto process = entry::entry_process::create(
-            context_,
-            std::move(settings),
-            entry::codec_functions::of<platform_adapter::request_codec>());
-        CPPUNIT_ASSERT(process.has_value());
-        process_ = std::move(*process);
-        sources_ = std::make_unique<platform_sources>(
-            context_.get_executor(), first.store().address(), *process_);
-        process_->start();
-        sources_->start();
-        thread_ = std::thread([this] { context_.run(); });
-    }
-
-    ~second_host()
-    {
-        context_.stop();
-        thread_.join();
-    }
-
-    second_host(const second_host&) = delete;
-    second_host& operator=(const second_host&) = delete;
-
-    [[nodiscard]] bool is_ready()
-    {
-        return boost::asio::post(context_, boost::asio::use_future([this] {
-                                     return process_->is_ready();
-                                 }))
-            .get();
-    }
-
-private:
-    boost::asio::io_context context_{1};
-    std::unique_ptr<entry::entry_process> process_;
-    std::unique_ptr<platform_sources> sources_;
-    std::thread thread_;
-};
-
 class partitioned_host_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(partitioned_host_test);
@@ -128,13 +76,7 @@
         });
         testbed_.start();
         second_ = std::make_unique<second_host>(testbed_);
-        testbed::wait_until("a neighbour", [this] {
-            const bool is_known =
-                testbed_.run_on_host<bool>([](entry::entry_process& process) {
-                    return process.fleet_size() > 1;
-                });
-            return is_known && second_->is_ready();
-        });
+        second_->wait_until_linked(testbed_);
     }
 
     void lose_links()
