entry: load reports use a tenth of the network link at most

What callers saw: while most new connections went to one small host, its requests waited for seconds for servers, were refused or got no answer.

Cause: each new request at a host sends the host's whole load to every neighbour of its cell. Bytes grow with requests a second times servers in use times neighbours: a host with some 25 requests a second and 28 neighbours sent 14.2 MB of host_work in 10 s (neighbour_traffic), more than its link of 10 Mbit/s takes. What the requests themselves need is a fraction of that; connections to servers, answers, readiness and tables waited behind the reports.

Change: dissemination::report_pacer sends a report at once while a tenth of the link pays for it, else what changed meanwhile together, and one in a second whatever it costs. Sums of cells the same.

Ruled out: the processor (6% at the mean), tables, the requests' own bytes (link_use under .6 all the time).

load_report_traffic_test was red: 174,432 bytes for 1,994 requests in 3 s, 15,000 and a half allowed.

--- a/libraries/admission/include/godwit/admission/link_meter.hpp
+++ b/libraries/admission/include/godwit/admission/link_meter.hpp
@@ -25,6 +25,8 @@
         capacity_ = bytes_per_second;
     }
 
+    [[nodiscard]] double capacity() const noexcept { return capacity_; }
+
     void record_received(std::size_t bytes, core::time_point now);
     void record_sent(std::size_t bytes, core::time_point now);
 
--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -3,6 +3,7 @@
 #include <godwit/core/result.hpp>
 #include <godwit/core/timer.hpp>
 #include <godwit/dissemination/relayed_sources.hpp>
+#include <godwit/dissemination/report_pacer.hpp>
 #include <godwit/entry/call_dispatcher.hpp>
 #include <godwit/entry/cell_load_reporter.hpp>
 #include <godwit/entry/change_audience.hpp>
@@ -274,6 +275,7 @@
     void broadcast_load();
     void schedule_load_broadcast();
     void broadcast_cell_load();
+    [[nodiscard]] double load_report_rate() const;
     [[nodiscard]] std::vector<placement::server_work> significant_elsewhere(
         const std::vector<placement::server_work>& sums) const;
     [[nodiscard]] change_origin origin_of(std::string_view source) const;
@@ -441,6 +443,8 @@
     core::time_point source_positions_sent_at_{};
     wire::host_work last_sent_load_;
     core::time_point load_sent_at_{};
+    dissemination::report_pacer load_pacer_;
+    dissemination::report_pacer cell_load_pacer_;
     cell_load_reporter load_reporter_;        ///< To other cells in the zone.
     cell_load_reporter remote_load_reporter_; ///< To other zones.
     core::time_point cell_load_sent_at_{};
--- a/services/entry/include/godwit/entry/neighbour_links.hpp
+++ b/services/entry/include/godwit/entry/neighbour_links.hpp
@@ -79,8 +79,9 @@
     /// Sets the known hosts and closes the links to all other hosts.
     void set_hosts(const std::vector<known_host>& hosts);
 
-    /// Sends to those recipients whose links are open.
-    void broadcast(
+    /// Sends to those recipients whose links are open; returns the bytes of all
+    /// messages.
+    std::size_t broadcast(
         const wire::message& message, audience recipients = audience::all);
 
     /// Logs what was sent, if that is due.
--- a/services/entry/src/entry_process_load.cpp
+++ b/services/entry/src/entry_process_load.cpp
@@ -27,6 +27,11 @@
 // and its report that it reads the list after two.
 constexpr core::duration load_refresh_interval = std::chrono::milliseconds(500);
 constexpr core::duration idle_refresh_interval = std::chrono::seconds(1);
+// The share of the network link that the reports of this host's load, and those
+// of its cell's, may each use. A host with many requests would otherwise send
+// more bytes of reports than of responses, since each report goes to every
+// neighbour.
+constexpr double load_report_share = 0.1;
 
 bool differs_only_in_growth(
     const wire::host_work& left, const wire::host_work& right)
@@ -79,11 +84,19 @@
     if (differs_only_in_growth(message, last_sent_load_) &&
         now - load_sent_at_ < interval)
         return;
-    neighbours_->broadcast(message, audience::cell);
+    if (!load_pacer_.may_send(now))
+        return;
+    const std::size_t sent = neighbours_->broadcast(message, audience::cell);
+    load_pacer_.record_sent(sent, load_report_rate(), now);
     last_sent_load_ = std::move(message);
     load_sent_at_ = now;
 }
 
+double entry_process::load_report_rate() const
+{
+    return load_report_share * context_.link.capacity();
+}
+
 // Broadcasts the load sums of this cell. Hosts of other cells need no more than
 // these, and each receives them from its counterparts in this cell. A host
 // without recent reports from most of its cell would send sums that are too
@@ -105,19 +118,23 @@
     const bool is_due =
         now - cell_load_sent_at_ >=
         cell_load_reporter::report_interval(neighbours_->cell_count());
-    if (!is_due || neighbours_->cell().empty() ||
+    if (!is_due || !cell_load_pacer_.may_send(now) ||
+        neighbours_->cell().empty() ||
         2 * context_.ledger.active_neighbours(now) <
             neighbours_->cell_peers().size())
         return;
     cell_load_sent_at_ = now;
     const auto sums = context_.ledger.own_and_neighbours(now);
     const placement::host_group& cell = neighbours_->cell();
+    std::size_t sent = 0;
     if (const auto message = load_reporter_.next(cell, sums, now))
-        neighbours_->broadcast(*message, audience::zone_cells);
+        sent += neighbours_->broadcast(*message, audience::zone_cells);
     const auto message =
         remote_load_reporter_.next(cell, significant_elsewhere(sums), now);
     if (message)
-        neighbours_->broadcast(*message, audience::other_zones);
+        sent += neighbours_->broadcast(*message, audience::other_zones);
+    if (sent > 0)
+        cell_load_pacer_.record_sent(sent, load_report_rate(), now);
 }
 
 // Hosts of other zones need all load at their own zones' servers, and of the
--- a/services/entry/src/neighbour_links.cpp
+++ b/services/entry/src/neighbour_links.cpp
@@ -275,14 +275,18 @@
     return false;
 }
 
-void neighbour_links::broadcast(
-    const wire::message& message, audience recipients)
+std::size_t
+neighbour_links::broadcast(const wire::message& message, audience recipients)
 {
     std::optional<core::result<std::string>> encoded;
+    std::size_t recipients_reached = 0;
     for (const auto& link : links()) {
-        if (is_in_audience(*link, recipients))
-            link->send(message, encoded);
+        if (!is_in_audience(*link, recipients))
+            continue;
+        link->send(message, encoded);
+        ++recipients_reached;
     }
+    return encoded && *encoded ? recipients_reached * (*encoded)->size() : 0;
 }
 
 std::shared_ptr<wire::link>
