entry: a host with a saturated link hands new callers to other hosts

What callers saw: a host that had most new connections of a region stayed ready and took each of them, while what it had read waited for its link.

Cause: a host takes every connection that it is given, whatever its link carries; the long streams of a whole region need 1.65 MB/s, a link of 10 Mbit/s takes 1.25.

Change: from .6 of the link on, a host with more than twice the requests of its neighbours fails its readiness check, ends connections with their responses and closes new ones unread, until it uses less than .4. Callers may repeat what was not read at another host.

saturated_host_test was red: ready, and the call served at the host whose link is used up.

--- a/libraries/http/include/godwit/http/server.hpp
+++ b/libraries/http/include/godwit/http/server.hpp
@@ -49,6 +49,14 @@
     /// ones: callers move away before `stop_accepting`.
     void announce_close();
 
+    /// While set, closes new connections before anything is read from them,
+    /// and ends each connection with its next answer, so that callers move to
+    /// other hosts.
+    void set_shedding(bool sheds);
+
+    /// How many new connections were closed so.
+    [[nodiscard]] std::size_t shed_connections() const noexcept;
+
     /// Refuses new connections and closes idle ones. Requests that were sent
     /// before are served to their end; a connection that brought none yet
     /// has a second to do so.
--- a/libraries/http/src/server.cpp
+++ b/libraries/http/src/server.cpp
@@ -41,6 +41,16 @@
     state_->announce_close();
 }
 
+void server::set_shedding(bool sheds)
+{
+    state_->set_shedding(sheds);
+}
+
+std::size_t server::shed_connections() const noexcept
+{
+    return state_->shed_connections();
+}
+
 void server::stop_accepting()
 {
     state_->stop_accepting();
--- a/libraries/http/src/server_state.cpp
+++ b/libraries/http/src/server_state.cpp
@@ -89,6 +89,11 @@
 
 void server_state::admit(tcp::socket socket)
 {
+    // Nothing was read, so that the caller may repeat any request elsewhere.
+    if (sheds_connections_) {
+        ++shed_connections_;
+        return;
+    }
     const std::size_t open = open_connections_;
     const std::size_t limit = limits().connections;
     if (open >= limit + refusals_at_once)
--- a/libraries/http/src/server_state.hpp
+++ b/libraries/http/src/server_state.hpp
@@ -41,6 +41,13 @@
 
     void announce_close() noexcept { closes_connections_ = true; }
 
+    void set_shedding(bool sheds) noexcept { sheds_connections_ = sheds; }
+
+    [[nodiscard]] std::size_t shed_connections() const noexcept
+    {
+        return shed_connections_;
+    }
+
     /// The limits in force, which may change between two reads.
     [[nodiscard]] server_limits limits() const;
 
@@ -59,7 +66,7 @@
     /// Whether an answer should be the last one of its connection.
     [[nodiscard]] bool closes_connections() const noexcept
     {
-        return draining_ || closes_connections_;
+        return draining_ || closes_connections_ || sheds_connections_;
     }
 
     [[nodiscard]] std::size_t active_exchanges() const noexcept
@@ -99,6 +106,8 @@
     boost::asio::ip::tcp::acceptor acceptor_;
     std::atomic<bool> draining_ = false;
     std::atomic<bool> closes_connections_ = false;
+    std::atomic<bool> sheds_connections_ = false;
+    std::atomic<std::size_t> shed_connections_ = 0;
     std::atomic<std::size_t> active_exchanges_ = 0;
     std::atomic<std::size_t> open_connections_ = 0;
     mutable std::mutex mutex_; // Guards the limits and the register.
--- a/libraries/placement/include/godwit/placement/load_ledger.hpp
+++ b/libraries/placement/include/godwit/placement/load_ledger.hpp
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -92,6 +93,14 @@
     /// Whether any group of hosts has a report that has not expired.
     [[nodiscard]] bool has_group_reports(core::time_point now) const;
 
+    /// Returns the number of this host's requests at all servers.
+    [[nodiscard]] std::size_t own_requests() const;
+
+    /// Returns the mean number of requests of a neighbour whose report has not
+    /// expired; nothing if there is none.
+    [[nodiscard]] std::optional<double>
+    mean_neighbour_requests(core::time_point now) const;
+
     /// Returns the number of neighbours whose reports have not expired.
     [[nodiscard]] std::size_t active_neighbours(core::time_point now) const;
 
--- a/libraries/placement/src/load_ledger.cpp
+++ b/libraries/placement/src/load_ledger.cpp
@@ -22,6 +22,14 @@
         sums.erase(found);
 }
 
+std::size_t requests_in(const std::map<server_id, work_size>& work)
+{
+    std::size_t requests = 0;
+    for (const auto& [server, size] : work)
+        requests += size.requests;
+    return requests;
+}
+
 } // namespace
 
 void load_ledger::add(const server_id& server, const work_size& work)
@@ -191,6 +199,27 @@
     });
 }
 
+std::size_t load_ledger::own_requests() const
+{
+    return requests_in(own_);
+}
+
+std::optional<double>
+load_ledger::mean_neighbour_requests(core::time_point now) const
+{
+    std::size_t hosts = 0;
+    std::size_t requests = 0;
+    for (const auto& [host, report] : neighbours_) {
+        if (!report.is_fresh(now))
+            continue;
+        ++hosts;
+        requests += requests_in(report.work);
+    }
+    if (hosts == 0)
+        return std::nullopt;
+    return static_cast<double>(requests) / static_cast<double>(hosts);
+}
+
 std::size_t load_ledger::active_neighbours(core::time_point now) const
 {
     return static_cast<std::size_t>(std::count_if(
--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <godwit/admission/load_shedder.hpp>
 #include <godwit/core/result.hpp>
 #include <godwit/core/timer.hpp>
 #include <godwit/dissemination/relayed_sources.hpp>
@@ -253,7 +254,7 @@
     void tick();
     [[nodiscard]] core::result<void> listen_for_tunnels();
     [[nodiscard]] tunnel_verdict judge_tunnel(const http::endpoint& to) const;
-    void observe_link();
+    void shed_load();
     void detect_stall();
     [[nodiscard]] bool is_refreshing();
     [[nodiscard]] bool may_have_stale_routes() const;
@@ -416,6 +417,7 @@
     boost::asio::signal_set signals_;
     core::timer tick_timer_;
     core::timer stop_timer_;
+    admission::load_shedder shedder_;
     core::time_point started_at_{};
     core::time_point last_tick_at_{};
     source_refresh refresh_;
@@ -475,7 +477,6 @@
     bool is_change_broadcast_scheduled_ = false;
     bool has_servers_ = false;
     bool was_ready_ = false;
-    bool is_link_busy_ = false;
 };
 
 } // namespace godwit::entry
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -231,7 +231,8 @@
 
 bool entry_process::is_ready() const noexcept
 {
-    return context_.routes && has_servers_ && !context_.is_stopping;
+    return context_.routes && has_servers_ && !context_.is_stopping &&
+           shedder_.is_ready(core::monotonic_now());
 }
 
 void entry_process::apply_caller_limits(const routing::caller_limits& limits)
@@ -390,7 +391,7 @@
     advance_rollouts();
     context_.cold_servers.expire(core::monotonic_now());
     update_limit_share();
-    observe_link();
+    shed_load();
     context_.queue.wake_first();
     broadcast_changed_servers();
     log_further_server_changes();
--- /dev/null
+++ b/services/entry/src/entry_process_shedding.cpp
@@ -0,0 +1,42 @@
+#include <godwit/entry/entry_process.hpp>
+
+#include <godwit/telemetry/log.hpp>
+
+// Handing new callers to other hosts while this host's network link is
+// saturated.
+
+namespace godwit::entry {
+
+using telemetry::log_event;
+using telemetry::log_level;
+
+namespace {
+
+constexpr std::string_view component = "entry";
+
+} // namespace
+
+// A host that stops serves every connection that it is given until the load
+// balancer has noticed.
+void entry_process::shed_load()
+{
+    const core::time_point now = core::monotonic_now();
+    const admission::host_demand demand{
+        context_.link.use(now),
+        context_.ledger.own_requests(),
+        context_.ledger.mean_neighbour_requests(now)};
+    if (!shedder_.update(demand, now) || context_.is_stopping)
+        return;
+    callers_->set_shedding(shedder_.is_shedding());
+    log_event(
+        log_level::warning,
+        component,
+        shedder_.is_shedding() ? "shedding_begins" : "shedding_ends",
+        {{"link_use", demand.link_use},
+         {"requests", demand.requests},
+         {"requests_elsewhere", demand.requests_elsewhere.value_or(0)},
+         {"connections", callers_->open_connections()},
+         {"shed", callers_->shed_connections()}});
+}
+
+} // namespace godwit::entry
--- a/services/entry/src/entry_process_stop.cpp
+++ b/services/entry/src/entry_process_stop.cpp
@@ -51,6 +51,7 @@
 {
     context_.is_stopping = true;
     stop_started_at_ = core::monotonic_now();
+    callers_->set_shedding(false);
     callers_->announce_close();
     log_event(
         log_level::info,
