table_pull_test: callers at a host that lacks the newest table (red)

What callers saw: 404 for a route of a version acknowledged four seconds before, and requests held on beyond their timeouts.

A host that knows of a newer version and cannot have it within a second denies by the older one: 401 or 404, after which callers do not try again. The wait does not regard the caller's own time. The test that asserted 401 asserted the fault; its replacement asks for 503 with Retry-After, the second one for an answer within the caller's deadline.

--- a/tests/platform_adapter/table_pull_test.cpp
+++ b/tests/platform_adapter/table_pull_test.cpp
@@ -33,7 +33,8 @@
     CPPUNIT_TEST(test_one_neighbour_sends_the_table);
     CPPUNIT_TEST(test_another_neighbour_is_asked_when_one_does_not_respond);
     CPPUNIT_TEST(test_a_request_waits_for_an_announced_version);
-    CPPUNIT_TEST(test_a_request_is_refused_if_the_announced_version_is_missing);
+    CPPUNIT_TEST(test_a_host_without_the_announced_version_denies_no_caller);
+    CPPUNIT_TEST(test_a_caller_with_little_time_does_not_wait_for_a_version);
     CPPUNIT_TEST_SUITE_END();
 
     static std::optional<wire::message> full_table(const wire::pull& pull)
@@ -76,8 +77,8 @@
         CPPUNIT_ASSERT(receivers[0] != receivers[1]);
     }
 
-    static unsigned
-    status_after_announcement(fake_neighbours::pull_handler handler)
+    static http::response
+    call_after_announcement(fake_neighbours::pull_handler handler)
     {
         testbed tested;
         tested.start_without_store();
@@ -85,25 +86,46 @@
             neighbours, tested.neighbours(), std::move(handler));
         others.announce_table_version(2);
         std::this_thread::sleep_for(std::chrono::milliseconds(50));
-        return tested.call("POST", "/plain/", "k2").status;
+        return tested.call("POST", "/plain/", "k2");
     }
 
     void test_a_request_waits_for_an_announced_version()
     {
-        const unsigned status =
-            status_after_announcement([](const wire::pull& pull) {
+        const auto response =
+            call_after_announcement([](const wire::pull& pull) {
                 return wire::table_document{
                     pull.next_offset,
                     platform_adapter::test::table_text(2, "k2")};
             });
-        CPPUNIT_ASSERT_EQUAL(200U, status);
+        CPPUNIT_ASSERT_EQUAL(200U, response.status);
     }
 
-    void test_a_request_is_refused_if_the_announced_version_is_missing()
+    void test_a_host_without_the_announced_version_denies_no_caller()
     {
-        const unsigned status = status_after_announcement(
+        const auto response = call_after_announcement(
             [](const wire::pull&) { return std::nullopt; });
-        CPPUNIT_ASSERT_EQUAL(401U, status);
+        CPPUNIT_ASSERT_EQUAL(503U, response.status);
+        CPPUNIT_ASSERT(response.fields.find("Retry-After"));
+    }
+
+    // The caller of a request that waits for longer than its own deadline gets
+    // no response at all.
+    void test_a_caller_with_little_time_does_not_wait_for_a_version()
+    {
+        constexpr std::chrono::milliseconds deadline{400};
+        testbed tested;
+        tested.start_without_store();
+        fake_neighbours others(
+            neighbours, tested.neighbours(), [](const wire::pull&) {
+                return std::nullopt;
+            });
+        others.announce_table_version(2);
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        tested.set_deadline(deadline);
+        const auto sent_at = std::chrono::steady_clock::now();
+        const auto response = tested.call("POST", "/plain/", "k2");
+        CPPUNIT_ASSERT_EQUAL(503U, response.status);
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - sent_at < deadline);
     }
 };
 
--- a/tests/platform_adapter/testbed.cpp
+++ b/tests/platform_adapter/testbed.cpp
@@ -241,6 +241,9 @@
     request.fields.set("X-Godwitworks-Attempt-Id", attempt_id_);
     request.fields.set("X-Godwitworks-Token-Usage", token_usage_);
     request.fields.set("Authorization", "Bearer " + key);
+    if (deadline_)
+        request.fields.set(
+            "X-Godwitworks-Deadline-Ms", std::to_string(deadline_->count()));
     if (!prompt_parts_.empty())
         request.fields.set("X-Godwitworks-Prompt-Prefix", prompt_parts_);
     return request;
--- a/tests/platform_adapter/testbed.hpp
+++ b/tests/platform_adapter/testbed.hpp
@@ -63,6 +63,13 @@
     /// Sets the id of later requests; the default is "a1".
     void set_attempt_id(std::string id) { attempt_id_ = std::move(id); }
 
+    /// Sets the deadline that later requests name; they name none if this is
+    /// not called.
+    void set_deadline(std::chrono::milliseconds deadline)
+    {
+        deadline_ = deadline;
+    }
+
     /// Sets the parts of the prompt of later requests, as a list of "id:tokens"
     /// entries; they have none if this is not called.
     void set_prompt_parts(std::string parts)
@@ -173,6 +180,7 @@
     std::string token_usage_ = "100,50";
     std::string attempt_id_ = "a1";
     std::string prompt_parts_;
+    std::optional<std::chrono::milliseconds> deadline_;
 };
 
 } // namespace godwit::platform_adapter::test
