call_dispatcher: a table that is known to be outdated denies no caller

What callers saw: 404, which is final, for a route that an acknowledged version has, and requests held on beyond their time.

Cause: may_have_stale_routes only delayed the denial. After a second the older table decided all the same, whatever the caller's deadline, and the wait after a suspension came on top of it.

Change: what the table in force denies while a newer one is known to exist is refused with 503, routes_outdated, and Retry-After. Both waits together take a second at the most and half of the caller's time; a host that has not read its sources again after a suspension by then does not use what it knew.

--- a/services/entry/include/godwit/entry/call_dispatcher.hpp
+++ b/services/entry/include/godwit/entry/call_dispatcher.hpp
@@ -46,10 +46,17 @@
 
     [[nodiscard]] tl::expected<resolved_call, unrouted_call> resolve(
         const http::request& received, const request_metadata& metadata) const;
-    /// Waits while `is_outdated` returns that this host's route table may be
-    /// outdated, but only for a limited time.
+    /// Finds the route and the organisation of a request by a table that is as
+    /// new as can be had until `end`.
+    boost::asio::awaitable<tl::expected<resolved_call, unrouted_call>>
+    resolve_by_newest_table(
+        const http::request& received,
+        const request_metadata& metadata,
+        core::time_point end) const;
+    /// Waits until `end` at the most while `is_outdated` returns that this
+    /// host's route table may be outdated.
     boost::asio::awaitable<void>
-    wait_while(std::function<bool()> is_outdated) const;
+    wait_while(std::function<bool()> is_outdated, core::time_point end) const;
     /// Logs that no zone is in an allowed region, once for each version of the
     /// route table.
     void log_no_allowed_region(const resolved_call& found);
--- a/services/entry/include/godwit/entry/refusal.hpp
+++ b/services/entry/include/godwit/entry/refusal.hpp
@@ -14,6 +14,8 @@
 enum class refusal_reason
 {
     no_routes,       ///< 503: no version of the route table is known yet.
+    routes_outdated, ///< 503: the table in force denies the request, but a
+                     ///< newer version is known to exist.
     no_such_route,   ///< 404.
     unknown_key,     ///< 401.
     no_server,       ///< 503: no server offers the service now.
--- a/services/entry/src/call_dispatcher.cpp
+++ b/services/entry/src/call_dispatcher.cpp
@@ -19,12 +19,15 @@
 
 namespace {
 
-// Sent as Retry-After by a host that has just started and has no routes yet.
-constexpr core::duration startup_retry_after = std::chrono::milliseconds(300);
+// Sent as Retry-After by a host that lacks a route table, or its newest
+// version.
+constexpr core::duration table_retry_after = std::chrono::milliseconds(300);
 
 // How long a request may wait for a route table that this host lacks, and how
-// often the host checks for it.
+// often the host checks for it. A caller needs the rest of its time to repeat
+// the request.
 constexpr core::duration max_table_wait = std::chrono::seconds(1);
+constexpr int table_wait_divisor = 2;
 constexpr core::duration table_poll_interval = std::chrono::milliseconds(10);
 
 // Whether callers do not retry after a refusal with this reason.
@@ -34,6 +37,14 @@
            reason == refusal_reason::unknown_key;
 }
 
+core::duration longest_table_wait(const request_metadata& metadata)
+{
+    if (!metadata.time_left)
+        return max_table_wait;
+    return std::min<core::duration>(
+        max_table_wait, *metadata.time_left / table_wait_divisor);
+}
+
 std::string_view path_of(std::string_view target)
 {
     return target.substr(0, target.find('?'));
@@ -70,14 +81,8 @@
     context_.link.record_received(received.body.size(), arrival_time);
     request_metadata metadata =
         context_.codec.read_request_metadata(received.fields);
-    if (context_.is_refreshing())
-        co_await wait_while(context_.is_refreshing);
-    auto found = resolve(received, metadata);
-    if (!found && is_final(found.error().reason) &&
-        context_.may_have_stale_routes()) {
-        co_await wait_while(context_.may_have_stale_routes);
-        found = resolve(received, metadata);
-    }
+    auto found = co_await resolve_by_newest_table(
+        received, metadata, arrival_time + longest_table_wait(metadata));
     if (!found) {
         co_await refuse(exchange, metadata.attempt_id, found.error());
         co_return;
@@ -116,6 +121,34 @@
     co_await buffered->run();
 }
 
+// Callers do not repeat a request that is denied, so that none is denied by a
+// table which is known to be outdated.
+asio::awaitable<tl::expected<
+    call_dispatcher::resolved_call,
+    call_dispatcher::unrouted_call>>
+call_dispatcher::resolve_by_newest_table(
+    const http::request& received,
+    const request_metadata& metadata,
+    core::time_point end) const
+{
+    if (context_.is_refreshing()) {
+        co_await wait_while(context_.is_refreshing, end);
+        if (context_.is_refreshing())
+            co_return tl::unexpected(
+                unrouted_call{refusal_reason::routes_outdated, ""});
+    }
+    auto found = resolve(received, metadata);
+    if (found || !is_final(found.error().reason) ||
+        !context_.may_have_stale_routes())
+        co_return found;
+    co_await wait_while(context_.may_have_stale_routes, end);
+    found = resolve(received, metadata);
+    if (!found && is_final(found.error().reason) &&
+        context_.may_have_stale_routes())
+        found.error().reason = refusal_reason::routes_outdated;
+    co_return found;
+}
+
 tl::expected<call_dispatcher::resolved_call, call_dispatcher::unrouted_call>
 call_dispatcher::resolve(
     const http::request& received, const request_metadata& metadata) const
@@ -160,10 +193,9 @@
           found.organisation.value_or(core::organisation_name())}});
 }
 
-asio::awaitable<void>
-call_dispatcher::wait_while(std::function<bool()> is_outdated) const
+asio::awaitable<void> call_dispatcher::wait_while(
+    std::function<bool()> is_outdated, core::time_point end) const
 {
-    const core::time_point end = core::monotonic_now() + max_table_wait;
     while (is_outdated() && core::monotonic_now() < end)
         co_await async_sleep(context_.executor, table_poll_interval);
 }
@@ -189,10 +221,11 @@
              core::request_class_name(std::string(to_string(reason))),
              outcome_of(reason)})
         .Increment();
-    const bool may_retry = reason == refusal_reason::no_routes;
+    const bool may_retry = reason == refusal_reason::no_routes ||
+                           reason == refusal_reason::routes_outdated;
     http::response response = make_refusal_response(
         reason,
-        may_retry ? std::optional<core::duration>(startup_retry_after)
+        may_retry ? std::optional<core::duration>(table_retry_after)
                   : std::nullopt);
     [[maybe_unused]] const auto sent =
         co_await exchange.respond(std::move(response));
--- a/services/entry/src/refusal.cpp
+++ b/services/entry/src/refusal.cpp
@@ -31,6 +31,7 @@
     case refusal_reason::out_of_time:
         return gateway_timeout;
     case refusal_reason::no_routes:
+    case refusal_reason::routes_outdated:
     case refusal_reason::no_server:
     case refusal_reason::no_room:
     case refusal_reason::servers_refused:
@@ -70,6 +71,8 @@
     switch (reason) {
     case refusal_reason::no_routes:
         return "no_routes";
+    case refusal_reason::routes_outdated:
+        return "routes_outdated";
     case refusal_reason::no_such_route:
         return "no_such_route";
     case refusal_reason::unknown_key:
