load_shedder: a host is compared with all other hosts

A host that is alone in its zone has no neighbour in its cell, and never shed. Its requests are compared with the mean of all other hosts of the fleet, as far as their load is known.

--- a/libraries/admission/include/godwit/admission/load_shedder.hpp
+++ b/libraries/admission/include/godwit/admission/load_shedder.hpp
@@ -13,7 +13,7 @@
 {
     double link_use = 0; ///< Of the host's network link, as a share.
     std::size_t requests = 0;
-    /// Mean of the other hosts; empty if there are none.
+    /// Mean of the other hosts; empty if none can be reached.
     std::optional<double> requests_elsewhere;
 
     friend bool operator==(const host_demand&, const host_demand&) = default;
--- a/libraries/placement/include/godwit/placement/load_ledger.hpp
+++ b/libraries/placement/include/godwit/placement/load_ledger.hpp
@@ -8,7 +8,6 @@
 #include <chrono>
 #include <cstddef>
 #include <map>
-#include <optional>
 #include <set>
 #include <vector>
 
@@ -96,10 +95,8 @@
     /// Returns the number of this host's requests at all servers.
     [[nodiscard]] std::size_t own_requests() const;
 
-    /// Returns the mean number of requests of a neighbour whose report has not
-    /// expired; nothing if there is none.
-    [[nodiscard]] std::optional<double>
-    mean_neighbour_requests(core::time_point now) const;
+    /// Returns the known number of requests of all other hosts.
+    [[nodiscard]] std::size_t other_requests(core::time_point now) const;
 
     /// Returns the number of neighbours whose reports have not expired.
     [[nodiscard]] std::size_t active_neighbours(core::time_point now) const;
--- a/libraries/placement/src/load_ledger.cpp
+++ b/libraries/placement/src/load_ledger.cpp
@@ -204,20 +204,10 @@
     return requests_in(own_);
 }
 
-std::optional<double>
-load_ledger::mean_neighbour_requests(core::time_point now) const
+std::size_t load_ledger::other_requests(core::time_point now) const
 {
-    std::size_t hosts = 0;
-    std::size_t requests = 0;
-    for (const auto& [host, report] : neighbours_) {
-        if (!report.is_fresh(now))
-            continue;
-        ++hosts;
-        requests += requests_in(report.work);
-    }
-    if (hosts == 0)
-        return std::nullopt;
-    return static_cast<double>(requests) / static_cast<double>(hosts);
+    uncount_expired(now);
+    return requests_in(others_total_);
 }
 
 std::size_t load_ledger::active_neighbours(core::time_point now) const
--- a/services/entry/src/entry_process_shedding.cpp
+++ b/services/entry/src/entry_process_shedding.cpp
@@ -21,10 +21,12 @@
 void entry_process::shed_load()
 {
     const core::time_point now = core::monotonic_now();
-    const admission::host_demand demand{
-        context_.link.use(now),
-        context_.ledger.own_requests(),
-        context_.ledger.mean_neighbour_requests(now)};
+    admission::host_demand demand{
+        context_.link.use(now), context_.ledger.own_requests(), std::nullopt};
+    if (fleet_size_ > 1 && neighbours_->open_links() > 0)
+        demand.requests_elsewhere =
+            static_cast<double>(context_.ledger.other_requests(now)) /
+            static_cast<double>(fleet_size_ - 1);
     if (!shedder_.update(demand, now) || context_.is_stopping)
         return;
     callers_->set_shedding(shedder_.is_shedding());
