entry: a response that says that its server leaves ends new requests to it

What servers saw: requests of a host more than two seconds after it had passed on a response with Server-Leaving, while the store was away and the server list still said ready.

Cause: of a response's head only Server-Limit was read as a statement about the server. Leaving was learnt from the list and from reports alone.

Change: observe_response applies what responses to calls, streams, holds and reports say of their server. A server's own word that it leaves is final for its incarnation: no record of the list takes it back, and it is kept for ten minutes. Neighbours are told as of reports, and take it the same way. A 421 is from another server and says nothing; nor does a value other than 1.

--- a/libraries/placement/include/godwit/placement/server_directory.hpp
+++ b/libraries/placement/include/godwit/placement/server_directory.hpp
@@ -51,6 +51,11 @@
     static constexpr core::duration departed_retention =
         std::chrono::seconds(60);
 
+    /// The same for a server that said itself that it leaves: its record may
+    /// show it as ready for as long as the store is unavailable.
+    static constexpr core::duration announced_retention =
+        std::chrono::minutes(10);
+
     static constexpr core::duration departure_span = std::chrono::seconds(1);
     static constexpr core::duration departure_memory = std::chrono::seconds(15);
 
@@ -60,6 +65,11 @@
     /// marked as draining as well, so that it gets no new requests.
     directory_change update(const backend_server& server, core::time_point now);
 
+    /// Applies the server's own word that it leaves, which no record of the
+    /// same incarnation takes back.
+    directory_change announce_leaving(
+        const server_id& id, server_start start, core::time_point now);
+
     /// Notes that the store still lists the server: its record did not expire,
     /// or was restored unchanged. Has no effect on a draining server.
     void confirm(const server_id& id);
@@ -146,6 +156,7 @@
         std::optional<core::time_point> missing_since;
         std::optional<core::time_point> joined_at;
         core::time_point known_since;
+        bool has_announced_leaving = false; ///< By its own word.
     };
 
     /// The departures of one service.
--- a/libraries/placement/src/server_directory.cpp
+++ b/libraries/placement/src/server_directory.cpp
@@ -183,13 +183,29 @@
     return directory_change::restarted;
 }
 
+directory_change server_directory::announce_leaving(
+    const server_id& id, server_start start, core::time_point now)
+{
+    const auto found = servers_.find(id);
+    if (found == servers_.end() || start < found->second.server.start)
+        return directory_change::none;
+    entry& leaving = found->second;
+    if (std::exchange(leaving.has_announced_leaving, true))
+        return directory_change::none;
+    deadlines_.emplace(now + announced_retention, id);
+    return mark_draining(leaving, now);
+}
+
 directory_change
-server_directory::update(const backend_server& server, core::time_point now)
+server_directory::update(const backend_server& record, core::time_point now)
 {
-    const auto found = servers_.find(server.id);
+    const auto found = servers_.find(record.id);
     if (found == servers_.end())
-        return add(server, now);
+        return add(record, now);
     entry& known = found->second;
+    backend_server server = record;
+    if (known.has_announced_leaving && !is_restart(known.server, record))
+        server.state = server_state::draining;
     // Older records may arrive late, from a slower source of the server list.
     const std::strong_ordering age = compare_age(server, known.server);
     const bool is_older = age == std::strong_ordering::less;
@@ -264,8 +280,9 @@
         mark_draining(known, now);
         departed.push_back(id);
     }
-    const bool is_over =
-        known.left_at && now - *known.left_at >= departed_retention;
+    const core::duration retention =
+        known.has_announced_leaving ? announced_retention : departed_retention;
+    const bool is_over = known.left_at && now - *known.left_at >= retention;
     if (!is_over)
         return;
     with_start_ -= known.server.start.is_known() ? 1 : 0;
--- a/services/entry/include/godwit/entry/entry_context.hpp
+++ b/services/entry/include/godwit/entry/entry_context.hpp
@@ -129,6 +129,9 @@
     /// Called repeatedly while a rollout may be recorded as completed; set by
     /// the platform.
     std::function<void(const rollout::rollout_status&)> on_rollout_completable;
+    /// Called when a server's response says that the server leaves; set by the
+    /// process.
+    std::function<void(const placement::backend_server&)> on_server_leaving;
     /// Called when work was added at a server; set by the process.
     std::function<void()> on_work_added;
     /// Called when the host runs again after it was suspended; set by the
--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -260,6 +260,8 @@
     [[nodiscard]] bool may_have_stale_routes() const;
     void on_server_added(
         const placement::backend_server& server, std::string_view source);
+    void on_server_leaving(
+        const placement::backend_server& server, std::string_view source);
     void on_server_draining(
         const placement::server_id& server, std::string_view source);
     void on_server_restarted(
--- a/services/entry/include/godwit/entry/response_metadata.hpp
+++ b/services/entry/include/godwit/entry/response_metadata.hpp
@@ -13,6 +13,7 @@
     /// The server did not execute the request and never will.
     bool is_not_run = false;
     bool is_closing = false; ///< The server closes the connection after it.
+    bool is_leaving = false; ///< The server ends soon.
     /// Requests per second that the server accepts from all hosts together.
     std::optional<double> requests_per_second;
     bool has_invalid_limit = false; ///< The limit is malformed or repeated.
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -103,14 +103,7 @@
       readers_(context_.settings.host),
       list_comparison_(context_.settings.host),
       reports_(context_, [this](const placement::backend_server& server) {
-          placement::backend_server draining = server;
-          draining.state = placement::server_state::draining;
-          add_or_update_server(draining, "report");
-          neighbours_->broadcast(wire::server_sign{
-              core::server_address(server.address.to_string()),
-              wire::sign_kind::leaving,
-              0,
-              server.start.unix_ms});
+          on_server_leaving(server, "report");
       })
 {}
 
@@ -193,6 +186,10 @@
     context_.broadcast = [this](const wire::message& message) {
         neighbours_->broadcast(message);
     };
+    context_.on_server_leaving =
+        [this](const placement::backend_server& server) {
+            on_server_leaving(server, "response");
+        };
     context_.on_work_added = [this] {
         schedule_load_broadcast();
     };
--- a/services/entry/src/entry_process_neighbours.cpp
+++ b/services/entry/src/entry_process_neighbours.cpp
@@ -216,9 +216,10 @@
             !start.is_known() || start == server->start;
         if (!is_current_process)
             continue;
-        placement::backend_server draining = *server;
-        draining.state = placement::server_state::draining;
-        add_or_update_server(draining, host.value());
+        if (context_.directory.announce_leaving(
+                server->id, server->start, core::monotonic_now()) ==
+            placement::directory_change::left)
+            on_server_draining(server->id, host.value());
     }
 }
 
--- a/services/entry/src/entry_process_servers.cpp
+++ b/services/entry/src/entry_process_servers.cpp
@@ -137,6 +137,23 @@
         on_server_draining(server, source);
 }
 
+// Neighbours are told directly: the record of the server may change late, or
+// not at all while the store is unavailable.
+void entry_process::on_server_leaving(
+    const placement::backend_server& server, std::string_view source)
+{
+    const auto change = context_.directory.announce_leaving(
+        server.id, server.start, core::monotonic_now());
+    if (change != placement::directory_change::left)
+        return;
+    on_server_draining(server.id, source);
+    neighbours_->broadcast(wire::server_sign{
+        core::server_address(server.address.to_string()),
+        wire::sign_kind::leaving,
+        0,
+        server.start.unix_ms});
+}
+
 void entry_process::on_server_draining(
     const placement::server_id& server, std::string_view source)
 {
--- a/services/entry/src/report_poller.cpp
+++ b/services/entry/src/report_poller.cpp
@@ -1,5 +1,6 @@
 #include <godwit/entry/report_poller.hpp>
 
+#include <godwit/entry/server_responses.hpp>
 #include <godwit/entry/spawn.hpp>
 #include <godwit/http/fetch.hpp>
 #include <godwit/telemetry/log.hpp>
@@ -73,12 +74,14 @@
 {
     http::request request = context_.codec.write_report_request(server.id);
     const http::fetch_limits limits{.deadline = report_timeout};
+    const core::time_point sent_at = core::monotonic_now();
     const auto response = co_await http::fetch(
         *context_.connections, server.address, std::move(request), limits);
     // A server that does not respond may be cut off from this host alone; its
     // streams handle that themselves.
     if (!response)
         co_return;
+    observe_response(context_, server, *response, sent_at);
     const auto report = context_.codec.read_report(*response);
     if (!report) {
         telemetry::log_event(
--- a/services/entry/src/server_hold.cpp
+++ b/services/entry/src/server_hold.cpp
@@ -1,6 +1,7 @@
 #include <godwit/entry/server_hold.hpp>
 
 #include <godwit/entry/call_log.hpp>
+#include <godwit/entry/server_responses.hpp>
 #include <godwit/entry/spawn.hpp>
 #include <godwit/http/fetch.hpp>
 
@@ -37,12 +38,15 @@
     const core::duration remaining = call.deadline - core::monotonic_now();
     const http::fetch_limits limits{
         .deadline = std::min(response_timeout, remaining)};
+    const core::time_point sent_at = core::monotonic_now();
     const auto fetched = co_await http::fetch(
         *context.connections, server.address, std::move(outgoing), limits);
     hold_response response;
     response.status = hold_status::unreachable;
-    if (fetched)
+    if (fetched) {
+        observe_response(context, server, *fetched, sent_at);
         response = context.codec.read_hold_response(*fetched);
+    }
     if (response.status != hold_status::granted)
         log_hold_failed(
             call,
--- a/services/entry/src/upstream.cpp
+++ b/services/entry/src/upstream.cpp
@@ -1,6 +1,7 @@
 #include <godwit/entry/upstream.hpp>
 
 #include <godwit/entry/server_limit_exchange.hpp>
+#include <godwit/entry/server_responses.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -107,7 +108,8 @@
         const response_metadata response =
             context_.codec.read_response_metadata(head->fields);
         if (response.attempt_id.empty() || response.attempt_id == attempt_id) {
-            update_limit(context_, server_, response, sent_at_);
+            observe_response(
+                context_, server_, head->status, response, sent_at_);
             co_return std::move(*head);
         }
         const auto discarded = co_await read_all(end);
--- a/tests/platform_adapter/leaving_responses_test.cpp
+++ b/tests/platform_adapter/leaving_responses_test.cpp
@@ -1,6 +1,7 @@
 // Guards against requests to a backend server whose response said that it
 // leaves, while the server list still shows it as ready.
 
+#include "fake_neighbours.hpp"
 #include "stream_helpers.hpp"
 #include "testbed.hpp"
 
@@ -15,6 +16,7 @@
 namespace {
 
 using namespace godwit;
+using platform_adapter::test::fake_neighbours;
 using platform_adapter::test::fake_server;
 using platform_adapter::test::testbed;
 
@@ -25,6 +27,7 @@
     CPPUNIT_TEST(test_a_stream_ends_new_requests);
     CPPUNIT_TEST(test_a_later_record_does_not_bring_a_leaving_server_back);
     CPPUNIT_TEST(test_a_restarted_server_is_used_again);
+    CPPUNIT_TEST(test_neighbours_are_told);
     CPPUNIT_TEST(test_another_server_at_the_address_says_nothing);
     CPPUNIT_TEST(test_other_values_say_nothing);
     CPPUNIT_TEST_SUITE_END();
@@ -123,6 +126,20 @@
         CPPUNIT_ASSERT(requests_at_first_after_response("/plain/") > 0);
     }
 
+    void test_neighbours_are_told()
+    {
+        set_handlers(200, "1");
+        testbed_.start_without_store();
+        fake_neighbours others(2, testbed_.neighbours(), [](const wire::pull&) {
+            return std::nullopt;
+        });
+        testbed::wait_until("links", [&others] { return others.are_linked(); });
+        call_until_first_responds("/plain/");
+        testbed::wait_until("a notice", [&others] {
+            return others.received<wire::server_sign>().size() == 2;
+        });
+    }
+
     void test_another_server_at_the_address_says_nothing()
     {
         set_handlers(421, "1");
