entry: a server that asks for rest gets no requests of the host

What servers saw: a server that had turned a request away with 503 and Retry-After got five more of the same host within the three seconds.

Cause: Retry-After of a backend server was not read; a server that turned a request away was only preferred less, for .4 s.

Change: server_health keeps until when a server rests, apart from its failures, so that no record of the list ends it; a restart does. The placer passes over servers that rest, reports are not asked for and no tunnel is opened to them. A caller is refused at once with the time that is left if no other server may be used.

--- a/libraries/placement/include/godwit/placement/server_health.hpp
+++ b/libraries/placement/include/godwit/placement/server_health.hpp
@@ -32,6 +32,18 @@
     /// Records that the server had no capacity; it is avoided for a short time.
     void record_full(const server_id& server, core::time_point now);
 
+    /// Records that the server wants no requests of this host until then. What
+    /// it asked for before is not shortened.
+    void record_rest(
+        const server_id& server, core::time_point until, core::time_point now);
+
+    /// Returns how much longer the server wants no requests of this host.
+    [[nodiscard]] core::duration
+    rest_left(const server_id& server, core::time_point now) const;
+
+    /// Ends the rest of a server that restarted.
+    void end_rest(const server_id& server) { rests_.erase(server); }
+
     /// Whether other servers should be preferred.
     [[nodiscard]] bool
     is_avoided(const server_id& server, core::time_point now) const;
@@ -43,7 +55,8 @@
     /// The moving average of failed responses, 0 to 1.
     [[nodiscard]] double failure_rate(const server_id& server) const;
 
-    /// Removes all records of the server.
+    /// Removes all records of the server but its rest, which outlasts its
+    /// records in the server list.
     void forget(const server_id& server);
 
 private:
@@ -61,6 +74,7 @@
     };
 
     std::map<server_id, record> records_;
+    std::map<server_id, core::time_point> rests_; ///< When each of them ends.
 };
 
 } // namespace godwit::placement
--- a/libraries/placement/src/placer.cpp
+++ b/libraries/placement/src/placer.cpp
@@ -306,6 +306,10 @@
             continue;
         }
         has_candidate = true;
+        if (health_.rest_left(candidate->id, now) > core::duration::zero()) {
+            is_limited = true;
+            continue;
+        }
         // What an engine reports takes precedence over reports of other hosts.
         if (request.service->engine && (health_.is_full(candidate->id, now) ||
                                         is_joining(request, *candidate, now)))
--- a/libraries/placement/src/server_health.cpp
+++ b/libraries/placement/src/server_health.cpp
@@ -48,6 +48,26 @@
     return found != records_.end() && now < found->second.full_until;
 }
 
+void server_health::record_rest(
+    const server_id& server, core::time_point until, core::time_point now)
+{
+    std::erase_if(
+        rests_, [now](const auto& each) { return each.second <= now; });
+    if (until <= now)
+        return;
+    core::time_point& end = rests_[server];
+    end = std::max(end, until);
+}
+
+core::duration
+server_health::rest_left(const server_id& server, core::time_point now) const
+{
+    const auto found = rests_.find(server);
+    if (found == rests_.end())
+        return core::duration::zero();
+    return std::max(found->second - now, core::duration::zero());
+}
+
 bool server_health::is_avoided(
     const server_id& server, core::time_point now) const
 {
--- a/services/entry/src/buffered_call.cpp
+++ b/services/entry/src/buffered_call.cpp
@@ -131,8 +131,9 @@
             !context_.settings.regions.is_in(server->zone, allowed))
             continue;
         const core::duration wait = std::max(
-            context_.limits.wait_time(server->id, now),
-            context_.cold_servers.wait_time(server->id, now));
+            {context_.limits.wait_time(server->id, now),
+             context_.cold_servers.wait_time(server->id, now),
+             context_.health.rest_left(server->id, now)});
         shortest = std::min(shortest, wait);
     }
     return shortest;
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -171,9 +171,14 @@
 {
     if (context_.is_stopping || context_.connector.needs_detour(to))
         return tunnel_verdict::unavailable;
-    return context_.directory.find_at(to) == nullptr
-               ? tunnel_verdict::unknown_server
-               : tunnel_verdict::allowed;
+    const placement::backend_server* server = context_.directory.find_at(to);
+    if (server == nullptr)
+        return tunnel_verdict::unknown_server;
+    // To the server, what comes through a tunnel comes from this host.
+    const bool rests =
+        context_.health.rest_left(server->id, core::monotonic_now()) >
+        core::duration::zero();
+    return rests ? tunnel_verdict::unavailable : tunnel_verdict::allowed;
 }
 
 void entry_process::start()
