--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -3,6 +3,8 @@
 #include <godwit/telemetry/log.hpp>
 #include <godwit/telemetry/log_connection_fault.hpp>
 
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
 #include <chrono>
 #include <csignal>
@@ -191,9 +193,12 @@
     context_.broadcast = [this](const wire::message& message) {
         neighbours_->broadcast(message);
     };
+    // Streams react to a leaving server, and one of them may be reading the
+    // response.
     context_.on_server_leaving =
         [this](const placement::backend_server& server) {
-            on_server_leaving(server, "response");
+            asio::post(
+                io_, [this, server] { on_server_leaving(server, "response"); });
         };
     context_.on_work_added = [this] {
         schedule_load_broadcast();
--- a/services/entry/src/lost_runs.cpp
+++ b/services/entry/src/lost_runs.cpp
@@ -3,6 +3,7 @@
 #include <godwit/entry/call_log.hpp>
 #include <godwit/entry/call_messages.hpp>
 #include <godwit/entry/crash_report_conversion.hpp>
+#include <godwit/entry/server_responses.hpp>
 #include <godwit/entry/spawn.hpp>
 #include <godwit/http/client_stream.hpp>
 #include <godwit/http/fetch.hpp>
@@ -76,6 +77,7 @@
         co_return opened.has_value();
     http::request outgoing = context.codec.write_report_request(server.id);
     const http::fetch_limits limits{.deadline = probe_timeout};
+    const core::time_point sent_at = core::monotonic_now();
     const auto fetched = co_await http::fetch(
         *opened, server.address, std::move(outgoing), limits);
     if (!fetched || fetched->status == misdirected_request_status)
@@ -86,6 +88,8 @@
     const bool has_restarted = report && report->start.is_known() &&
                                server.start.is_known() &&
                                report->start != server.start;
+    if (!has_restarted)
+        observe_response(context, server, *fetched, sent_at);
     co_return !has_restarted;
 }
 
--- a/services/entry/src/migrator.cpp
+++ b/services/entry/src/migrator.cpp
@@ -4,6 +4,7 @@
 #include <godwit/entry/async_sleep.hpp>
 #include <godwit/entry/call_log.hpp>
 #include <godwit/entry/call_regions.hpp>
+#include <godwit/entry/server_responses.hpp>
 #include <godwit/entry/spawn.hpp>
 #include <godwit/http/fetch.hpp>
 #include <godwit/placement/zone_rebalancer.hpp>
@@ -351,8 +352,10 @@
         limits);
     copy_response response;
     response.status = copy_status::unreachable;
-    if (fetched)
+    if (fetched) {
+        observe_response(context_, source_->server(), *fetched, started_at);
         response = context_.codec.read_copy_response(*fetched);
+    }
     if (response.handle)
         handle_ = response.handle;
     log_migration(
