--- a/tests/entry/entry_settings_test.cpp
+++ b/tests/entry/entry_settings_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST_SUITE(entry_settings_test);
     CPPUNIT_TEST(test_a_rejected_file_leaks_no_memory);
     CPPUNIT_TEST(test_zones_name_their_regions);
+    CPPUNIT_TEST(test_the_link_has_a_capacity);
     CPPUNIT_TEST_SUITE_END();
 
     static bool is_refused(const std::string& text)
@@ -43,11 +44,11 @@
     }
 
     static core::result<entry::entry_settings>
-    read_with_zones(const std::string& zones)
+    read_with_zones(const std::string& zones, const std::string& more = "")
     {
         return entry::entry_settings::read(
             settings::reader::parse(
-                R"({"host":"h","zone":"a","zones":)" + zones +
+                R"({"host":"h","zone":"a","zones":)" + zones + more +
                 R"(,"listen":{"callers":"127.0.0.1:1",)"
                 R"("readiness":"127.0.0.1:2","operators":"127.0.0.1:3",)"
                 R"("neighbours":"127.0.0.1:4"}})")
@@ -66,6 +67,20 @@
         CPPUNIT_ASSERT(
             wrong.error().to_string().find("zones.a") != std::string::npos);
     }
+
+    void test_the_link_has_a_capacity()
+    {
+        const auto absent = read_with_zones("{}");
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.0, absent->link_mbps, 1e-9);
+        const auto named = read_with_zones("{}", R"(,"link_mbps":10.5)");
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(10.5, named->link_mbps, 1e-9);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(
+            10.5, absent->with_reloadable_settings(*named).link_mbps, 1e-9);
+        const auto negative = read_with_zones("{}", R"(,"link_mbps":-1)");
+        CPPUNIT_ASSERT(
+            negative.error().to_string().find("link_mbps") !=
+            std::string::npos);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(entry_settings_test);
