--- a/meta/soak_parts/engine.py
+++ b/meta/soak_parts/engine.py
@@ -40,6 +40,8 @@
         self.left_at = self.served_at = self.began_again_at = None
         self.runs = {}
         self.limit = None
+        self.states = None
+        self.says_leaving = False
         self.crashing = ()
         self.manner = manners.Manner(rng)
         self._before = None
@@ -86,6 +88,13 @@
         signed = {"X-Godwitworks-Attempt-Id": attempt,
                   "X-Godwitworks-Replica-Signature": self.name}
         resumed = "kv-from" in fields
+        if self.states:
+            refusal = self.states.arrived(self, attempt)
+            if refusal:
+                writer.write(http11.answer(
+                    503, b"", {**manners.NOT_RUN, **signed, **refusal}))
+                return
+            signed |= self.states.fields(self, attempt)
         self.served_at = self.clock()
         self.ledger.arrived(self, attempt, target, body, resumed)
         if self.limit:
--- a/meta/soak_parts/world.py
+++ b/meta/soak_parts/world.py
@@ -19,6 +19,7 @@
                                    NamedLimit)
 from soak_parts.relay import Relay
 from soak_parts.restores import Restores
+from soak_parts.server_states import ServerStates
 from soak_parts.stand_ins import Store
 
 # Without faults at the end: callers must be served again.
@@ -48,6 +49,7 @@
         self.version = 0
         self.crashing = (CrashingRequest(self), CrashingPart(self))
         self.limit = NamedLimit(self)
+        self.states = ServerStates(self)
         self.is_over = False
         self._tasks = []
 
@@ -103,6 +105,7 @@
                              *(each.send(faults_end)
                                for each in self.crashing),
                              self.limit.name(faults_end),
+                             self.states.run(faults_end),
                              self.restores.run(faults_end),
                              self._suspend_hosts(faults_end))
         await self.restores.run_last()
@@ -194,6 +197,7 @@
         relay.target = engine.port
         engine.relay = relay
         engine.crashing = self.crashing
+        engine.states = self.states
         self.engines[name] = engine
         self.list_engine(engine, "ready")
         return engine
