--- a/services/entry/src/entry_process_shedding.cpp
+++ b/services/entry/src/entry_process_shedding.cpp
@@ -21,8 +21,12 @@
 void entry_process::shed_load()
 {
     const core::time_point now = core::monotonic_now();
+    const double use = context_.link.use(now);
+    // The load of a large fleet is costly to sum up.
+    if (!shedder_.is_shedding() && use < admission::load_shedder::shedding_use)
+        return;
     admission::host_demand demand{
-        context_.link.use(now), context_.ledger.own_requests(), std::nullopt};
+        use, context_.ledger.own_requests(), std::nullopt};
     if (fleet_size_ > 1 && neighbours_->open_links() > 0)
         demand.requests_elsewhere =
             static_cast<double>(context_.ledger.other_requests(now)) /
