--- a/services/entry/include/godwit/entry/entry_settings.hpp
+++ b/services/entry/include/godwit/entry/entry_settings.hpp
@@ -52,8 +52,8 @@
 
     /// Returns these settings with the values of `newer` for those that a
     /// running process can change: seeds, regions, link, grace, retries
-    /// and the exposure of rollouts. Listeners, names and the log stay as they are
-    /// until the next start.
+    /// and the exposure of rollouts. Listeners, names and the log stay as they
+    /// are until the next start.
     [[nodiscard]] entry_settings
     with_reloadable_settings(const entry_settings& newer) const;
 
