server_health: a requested backoff has the usual term, and one place asks for it

Three places compared the time that is left with zero; they ask has_requested_backoff now.

Renamed log lines: backoff_requested, requested_backoff_refused.

--- a/libraries/placement/include/godwit/placement/server_directory.hpp
+++ b/libraries/placement/include/godwit/placement/server_directory.hpp
@@ -65,7 +65,7 @@
     /// marked as draining as well, so that it gets no new requests.
     directory_change update(const backend_server& server, core::time_point now);
 
-    /// Applies the server's own word that it leaves, which no record of the
+    /// Applies the server's own statement that it leaves, which no record of the
     /// same incarnation takes back.
     directory_change announce_leaving(
         const server_id& id, server_start start, core::time_point now);
@@ -156,7 +156,7 @@
         std::optional<core::time_point> missing_since;
         std::optional<core::time_point> joined_at;
         core::time_point known_since;
-        bool has_announced_leaving = false; ///< By its own word.
+        bool has_announced_leaving = false; ///< By the server itself.
     };
 
     /// The departures of one service.
--- a/libraries/placement/include/godwit/placement/server_health.hpp
+++ b/libraries/placement/include/godwit/placement/server_health.hpp
@@ -17,6 +17,9 @@
     static constexpr core::duration initial_backoff =
         std::chrono::milliseconds(500);
     static constexpr core::duration max_backoff = std::chrono::seconds(4);
+    /// A server whose value is wrong must not be out of use for long.
+    static constexpr core::duration max_requested_backoff =
+        std::chrono::minutes(1);
     /// The weight of the newest response in the failure rate.
     static constexpr double smoothing_factor = 0.2;
 
@@ -32,17 +35,27 @@
     /// Records that the server had no capacity; it is avoided for a short time.
     void record_full(const server_id& server, core::time_point now);
 
-    /// Records that the server wants no requests of this host until then. What
-    /// it asked for before is not shortened.
-    void record_rest(
-        const server_id& server, core::time_point until, core::time_point now);
+    /// Records that the server asked this host for a backoff, for
+    /// `max_requested_backoff` at the most. An earlier one is not shortened.
+    void record_requested_backoff(
+        const server_id& server, core::duration backoff, core::time_point now);
 
     /// Returns how much longer the server wants no requests of this host.
     [[nodiscard]] core::duration
-    rest_left(const server_id& server, core::time_point now) const;
+    requested_backoff_left(const server_id& server, core::time_point now) const;
 
-    /// Ends the rest of a server that restarted.
-    void end_rest(const server_id& server) { rests_.erase(server); }
+    /// Whether the server wants no requests of this host now.
+    [[nodiscard]] bool
+    has_requested_backoff(const server_id& server, core::time_point now) const
+    {
+        return requested_backoff_left(server, now) > core::duration::zero();
+    }
+
+    /// Ends the requested backoff of a server that restarted.
+    void end_requested_backoff(const server_id& server)
+    {
+        requested_backoffs_.erase(server);
+    }
 
     /// Whether other servers should be preferred.
     [[nodiscard]] bool
@@ -55,8 +68,8 @@
     /// The moving average of failed responses, 0 to 1.
     [[nodiscard]] double failure_rate(const server_id& server) const;
 
-    /// Removes all records of the server but its rest, which outlasts its
-    /// records in the server list.
+    /// Removes all records of the server but the backoff that it requested,
+    /// which outlasts its records in the server list.
     void forget(const server_id& server);
 
 private:
@@ -74,7 +87,8 @@
     };
 
     std::map<server_id, record> records_;
-    std::map<server_id, core::time_point> rests_; ///< When each of them ends.
+    /// When each of them ends.
+    std::map<server_id, core::time_point> requested_backoffs_;
 };
 
 } // namespace godwit::placement
--- a/libraries/placement/src/placer.cpp
+++ b/libraries/placement/src/placer.cpp
@@ -306,7 +306,7 @@
             continue;
         }
         has_candidate = true;
-        if (health_.rest_left(candidate->id, now) > core::duration::zero()) {
+        if (health_.has_requested_backoff(candidate->id, now)) {
             is_limited = true;
             continue;
         }
--- a/libraries/placement/src/server_health.cpp
+++ b/libraries/placement/src/server_health.cpp
@@ -48,22 +48,23 @@
     return found != records_.end() && now < found->second.full_until;
 }
 
-void server_health::record_rest(
-    const server_id& server, core::time_point until, core::time_point now)
+void server_health::record_requested_backoff(
+    const server_id& server, core::duration backoff, core::time_point now)
 {
-    std::erase_if(
-        rests_, [now](const auto& each) { return each.second <= now; });
-    if (until <= now)
+    std::erase_if(requested_backoffs_, [now](const auto& each) {
+        return each.second <= now;
+    });
+    if (backoff <= core::duration::zero())
         return;
-    core::time_point& end = rests_[server];
-    end = std::max(end, until);
+    core::time_point& end = requested_backoffs_[server];
+    end = std::max(end, now + std::min(backoff, max_requested_backoff));
 }
 
-core::duration
-server_health::rest_left(const server_id& server, core::time_point now) const
+core::duration server_health::requested_backoff_left(
+    const server_id& server, core::time_point now) const
 {
-    const auto found = rests_.find(server);
-    if (found == rests_.end())
+    const auto found = requested_backoffs_.find(server);
+    if (found == requested_backoffs_.end())
         return core::duration::zero();
     return std::max(found->second - now, core::duration::zero());
 }
--- a/meta/soak_parts/server_states.py
+++ b/meta/soak_parts/server_states.py
@@ -1,4 +1,4 @@
-"""Engines that say in their responses that they leave or want rest."""
+"""Engines that say in their responses that they leave or want a backoff."""
 
 import asyncio
 
@@ -7,26 +7,26 @@
 
 # A relay holds bytes up for two seconds at the most.
 HELD_UP_SECONDS = 2.2
-REST_SECONDS = 5.0
-MAX_REQUESTS_IN_REST = 2
-# How long an engine that leaves by its word alone serves on.
+BACKOFF_SECONDS = 5.0
+MAX_REQUESTS_IN_BACKOFF = 2
+# How long an engine that leaves by its responses alone serves on.
 NOTICE_SECONDS = 6.0
 LEAVING_SECONDS = 3.0
 # From the pause before a state to its end.
-LONGEST_SECONDS = 2.0 + max(NOTICE_SECONDS, 2.0 + REST_SECONDS)
+LONGEST_SECONDS = 2.0 + max(NOTICE_SECONDS, 2.0 + BACKOFF_SECONDS)
 
 
 class ServerStates:
-    """One engine at a time turns requests away and asks for rest, or says that
-    it leaves while its record says that it is ready."""
+    """One engine at a time turns requests away and asks for a backoff, or says
+    that it leaves while its record says that it is ready."""
 
     def __init__(self, world):
         self.world = world
         self.rng = world.random("server states")
-        self.resting = None
-        # When an engine first asked a host's process for rest, and how many
-        # requests came of it in that time.
-        self.rests = {}
+        self.backing_off = None
+        # When an engine first asked a host's process for a backoff, and how
+        # many requests came of it in that time.
+        self.backoffs = {}
         self.told = {}
 
     async def run(self, end):
@@ -34,14 +34,14 @@
         while self.world.clock() < end - LONGEST_SECONDS:
             await asyncio.sleep(self.rng.uniform(0.5, 2.0))
             if self.rng.random() < 0.5:
-                await self._ask_for_rest()
+                await self._ask_for_backoff()
             else:
                 await self._leave()
 
-    async def _ask_for_rest(self):
-        self.resting = await self.world.any_engine(self.rng)
+    async def _ask_for_backoff(self):
+        self.backing_off = await self.world.any_engine(self.rng)
         await asyncio.sleep(self.rng.uniform(0.5, 2.0))
-        self.resting = None
+        self.backing_off = None
 
     async def _leave(self):
         engines = self.world.engines
@@ -66,20 +66,20 @@
         told_at = self.told.get(key)
         if told_at is not None and is_calm:
             self.world.ledger.check(
-                "leaving by its word", now - told_at < LEAVING_SECONDS,
+                "leaving by its responses", now - told_at < LEAVING_SECONDS,
                 f"{attempt} at {engine.name} {now - told_at:.1f} s after")
-        since, requests = self.rests.get(key, (None, 0))
-        if since is not None and now - since < REST_SECONDS:
+        since, requests = self.backoffs.get(key, (None, 0))
+        if since is not None and now - since < BACKOFF_SECONDS:
             if now - since > HELD_UP_SECONDS and is_calm:
                 requests += 1
-                self.rests[key] = (since, requests)
+                self.backoffs[key] = (since, requests)
                 self.world.ledger.check(
-                    "rest", requests <= MAX_REQUESTS_IN_REST,
+                    "backoff", requests <= MAX_REQUESTS_IN_BACKOFF,
                     f"{attempt} is number {requests} at {engine.name}")
-        elif self.resting is engine:
-            self.rests[key] = (now, 0)
-        if self.resting is engine:
-            return {"Retry-After": REST_SECONDS}
+        elif self.backing_off is engine:
+            self.backoffs[key] = (now, 0)
+        if self.backing_off is engine:
+            return {"Retry-After": BACKOFF_SECONDS}
         return None
 
     def fields(self, engine, attempt):
--- a/services/entry/include/godwit/entry/response_metadata.hpp
+++ b/services/entry/include/godwit/entry/response_metadata.hpp
@@ -17,8 +17,8 @@
     bool is_closing = false; ///< The server closes the connection after it.
     bool is_leaving = false; ///< The server ends soon.
     /// How long the server wants no requests of this host.
-    std::optional<core::duration> rest;
-    bool has_invalid_rest = false; ///< The rest is malformed or repeated.
+    std::optional<core::duration> backoff;
+    bool has_invalid_backoff = false; ///< It is malformed or repeated.
     /// Requests per second that the server accepts from all hosts together.
     std::optional<double> requests_per_second;
     bool has_invalid_limit = false; ///< The limit is malformed or repeated.
--- a/services/entry/src/buffered_call.cpp
+++ b/services/entry/src/buffered_call.cpp
@@ -133,7 +133,7 @@
         const core::duration wait = std::max(
             {context_.limits.wait_time(server->id, now),
              context_.cold_servers.wait_time(server->id, now),
-             context_.health.rest_left(server->id, now)});
+             context_.health.requested_backoff_left(server->id, now)});
         shortest = std::min(shortest, wait);
     }
     return shortest;
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -177,10 +177,10 @@
     if (server == nullptr)
         return tunnel_verdict::unknown_server;
     // To the server, what comes through a tunnel comes from this host.
-    const bool rests =
-        context_.health.rest_left(server->id, core::monotonic_now()) >
-        core::duration::zero();
-    return rests ? tunnel_verdict::unavailable : tunnel_verdict::allowed;
+    return context_.health.has_requested_backoff(
+               server->id, core::monotonic_now())
+               ? tunnel_verdict::unavailable
+               : tunnel_verdict::allowed;
 }
 
 void entry_process::start()
--- a/services/entry/src/entry_process_servers.cpp
+++ b/services/entry/src/entry_process_servers.cpp
@@ -112,7 +112,7 @@
         {{"server", server}, {"source", source}});
     context_.connections->forget(address);
     context_.health.forget(server);
-    context_.health.end_rest(server);
+    context_.health.end_requested_backoff(server);
     forget_limit(server);
     context_.streams.notify_restarted(server);
 }
--- a/services/entry/src/report_poller.cpp
+++ b/services/entry/src/report_poller.cpp
@@ -56,10 +56,9 @@
 void report_poller::start_poll(const placement::server_id& id)
 {
     const placement::backend_server* server = context_.directory.find(id);
-    const bool rests = context_.health.rest_left(id, core::monotonic_now()) >
-                       core::duration::zero();
     const bool should_poll =
-        server != nullptr && !rests && context_.directory.is_usable(id);
+        server != nullptr && context_.directory.is_usable(id) &&
+        !context_.health.has_requested_backoff(id, core::monotonic_now());
     if (!should_poll || !pending_.insert(id).second)
         return;
     // However the poll ends, the server may be polled again.
--- a/services/entry/src/server_responses.cpp
+++ b/services/entry/src/server_responses.cpp
@@ -20,34 +20,33 @@
 
 constexpr std::string_view component = "entry";
 
-void update_rest(
+void update_requested_backoff(
     entry_context& context,
     const placement::backend_server& server,
     const response_metadata& metadata)
 {
-    if (metadata.has_invalid_rest) {
+    if (metadata.has_invalid_backoff) {
         log_event(
             log_level::warning,
             component,
-            "server_rest_refused",
+            "requested_backoff_refused",
             {{"server", server.id}});
         return;
     }
-    if (!metadata.rest)
+    if (!metadata.backoff)
         return;
     const core::time_point now = core::monotonic_now();
-    const bool is_news =
-        context.health.rest_left(server.id, now) == core::duration::zero();
-    context.health.record_rest(server.id, now + *metadata.rest, now);
-    if (is_news)
+    const bool is_known = context.health.has_requested_backoff(server.id, now);
+    context.health.record_requested_backoff(server.id, *metadata.backoff, now);
+    if (!is_known)
         log_event(
             log_level::info,
             component,
-            "server_rests",
+            "backoff_requested",
             {{"server", server.id},
-             {"rest_ms",
+             {"backoff_ms",
               std::chrono::duration_cast<std::chrono::milliseconds>(
-                  *metadata.rest)
+                  *metadata.backoff)
                   .count()}});
 }
 
@@ -64,7 +63,7 @@
         return;
     update_limit(context, server, metadata, sent_at);
     if (status == unavailable)
-        update_rest(context, server, metadata);
+        update_requested_backoff(context, server, metadata);
     if (metadata.is_leaving && context.on_server_leaving)
         context.on_server_leaving(server);
 }
@@ -77,7 +76,7 @@
 {
     const response_metadata metadata =
         context.codec.read_response_metadata(response.fields);
-    const bool says_state = metadata.is_leaving || metadata.rest;
+    const bool says_state = metadata.is_leaving || metadata.backoff;
     if (says_state)
         observe_response(context, server, response.status, metadata, sent_at);
 }
--- a/tests/server_responses/leaving_responses_test.cpp
+++ b/tests/server_responses/leaving_responses_test.cpp
@@ -2,6 +2,7 @@
 // leaves, while the server list still shows it as ready.
 
 #include "fake_neighbours.hpp"
+#include "numbered_calls.hpp"
 #include "stream_helpers.hpp"
 #include "testbed.hpp"
 
@@ -18,6 +19,7 @@
 using namespace godwit;
 using platform_adapter::test::fake_neighbours;
 using platform_adapter::test::fake_server;
+using platform_adapter::test::numbered_calls;
 using platform_adapter::test::testbed;
 
 class leaving_responses_test : public CppUnit::TestFixture
@@ -54,33 +56,21 @@
         });
     }
 
-    std::size_t count_at_first(const std::string& path)
+    /// Returns how many of some requests after a response of the first server
+    /// reach it.
+    std::size_t received_after_response(const std::string& path)
     {
-        return testbed_.first_server().count(path);
+        numbered_calls calls(testbed_, path);
+        calls.send_until_received();
+        return received_of_further(calls);
     }
 
-    void call(const std::string& path)
+    static std::size_t received_of_further(numbered_calls& calls)
     {
-        static unsigned number = 0;
-        testbed_.set_attempt_id("a" + std::to_string(++number));
-        (void)testbed_.call("POST", path);
-    }
-
-    void call_until_first_responds(const std::string& path)
-    {
-        testbed::wait_until("a response of the first server", [this, &path] {
-            call(path);
-            return count_at_first(path) > 0;
-        });
-    }
-
-    std::size_t requests_at_first_after_response(const std::string& path)
-    {
-        call_until_first_responds(path);
-        const std::size_t before = count_at_first(path);
+        const std::size_t before = calls.received();
         for (unsigned number = 0; number < further_calls; ++number)
-            call(path);
-        return count_at_first(path) - before;
+            (void)calls.send();
+        return calls.received() - before;
     }
 
     void test_a_response_ends_new_requests()
@@ -88,7 +78,7 @@
         set_handlers(200, "1");
         testbed_.start_without_store();
         CPPUNIT_ASSERT_EQUAL(
-            std::size_t{0}, requests_at_first_after_response("/plain/"));
+            std::size_t{0}, received_after_response("/plain/"));
     }
 
     void test_a_stream_ends_new_requests()
@@ -96,7 +86,7 @@
         set_handlers(200, "1");
         testbed_.start_without_store();
         CPPUNIT_ASSERT_EQUAL(
-            std::size_t{0}, requests_at_first_after_response("/stream/"));
+            std::size_t{0}, received_after_response("/stream/"));
     }
 
     void test_a_later_record_does_not_bring_a_leaving_server_back()
@@ -104,15 +94,13 @@
         constexpr unsigned later_sequence = 100;
         set_handlers(200, "1");
         testbed_.start();
-        call_until_first_responds("/plain/");
+        numbered_calls calls(testbed_, "/plain/");
+        calls.send_until_received();
         fake_server& first = testbed_.first_server();
         testbed_.store().put(
             "keyed.servers", first.id(), first.record("ready", later_sequence));
         std::this_thread::sleep_for(std::chrono::milliseconds(500));
-        const std::size_t before = count_at_first("/plain/");
-        for (unsigned number = 0; number < further_calls; ++number)
-            call("/plain/");
-        CPPUNIT_ASSERT_EQUAL(before, count_at_first("/plain/"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, received_of_further(calls));
     }
 
     void test_a_restarted_server_is_used_again()
@@ -120,10 +108,10 @@
         set_handlers(200, "1");
         testbed_.start();
         testbed_.restart(testbed_.first_server());
-        call_until_first_responds("/plain/");
+        numbered_calls(testbed_, "/plain/").send_until_received();
         is_leaving_ = false;
         testbed_.restart(testbed_.first_server());
-        CPPUNIT_ASSERT(requests_at_first_after_response("/plain/") > 0);
+        CPPUNIT_ASSERT(received_after_response("/plain/") > 0);
     }
 
     void test_neighbours_are_told()
@@ -134,7 +122,7 @@
             return std::nullopt;
         });
         testbed::wait_until("links", [&others] { return others.are_linked(); });
-        call_until_first_responds("/plain/");
+        numbered_calls(testbed_, "/plain/").send_until_received();
         testbed::wait_until("a notice", [&others] {
             return others.received<wire::server_sign>().size() == 2;
         });
@@ -144,7 +132,7 @@
     {
         set_handlers(421, "1");
         testbed_.start_without_store();
-        CPPUNIT_ASSERT(requests_at_first_after_response("/plain/") > 0);
+        CPPUNIT_ASSERT(received_after_response("/plain/") > 0);
     }
 
     void test_other_values_say_nothing()
--- a/tests/server_responses/resting_servers_test.cpp
+++ b/tests/server_responses/requested_backoff_test.cpp
@@ -1,6 +1,7 @@
 // Guards against requests to a backend server that turned a request away and
-// asked for rest with Retry-After.
+// asked for a backoff with Retry-After.
 
+#include "numbered_calls.hpp"
 #include "stream_helpers.hpp"
 #include "testbed.hpp"
 
@@ -8,6 +9,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <functional>
 #include <string>
 #include <thread>
 
@@ -15,22 +17,24 @@
 
 using namespace godwit;
 using platform_adapter::test::fake_server;
+using platform_adapter::test::numbered_calls;
 using platform_adapter::test::testbed;
 
-class resting_servers_test : public CppUnit::TestFixture
+class requested_backoff_test : public CppUnit::TestFixture
 {
-    CPPUNIT_TEST_SUITE(resting_servers_test);
-    CPPUNIT_TEST(test_a_server_that_rests_gets_no_requests);
-    CPPUNIT_TEST(test_a_server_is_used_again_after_its_rest);
-    CPPUNIT_TEST(test_callers_are_told_when_the_rest_of_all_servers_ends);
-    CPPUNIT_TEST(test_a_rest_outlasts_a_record_of_the_list);
-    CPPUNIT_TEST(test_a_restart_ends_the_rest);
-    CPPUNIT_TEST(test_invalid_values_are_no_rest);
+    CPPUNIT_TEST_SUITE(requested_backoff_test);
+    CPPUNIT_TEST(test_a_server_that_asked_for_a_backoff_gets_no_requests);
+    CPPUNIT_TEST(test_a_server_is_used_again_after_its_backoff);
+    CPPUNIT_TEST(test_callers_are_told_when_the_backoff_of_all_servers_ends);
+    CPPUNIT_TEST(test_a_backoff_outlasts_a_record_of_the_list);
+    CPPUNIT_TEST(test_a_restart_ends_the_backoff);
+    CPPUNIT_TEST(test_invalid_values_are_no_backoff);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr unsigned further_calls = 30;
 
     testbed testbed_;
+    numbered_calls calls_{testbed_, "/once/"};
     std::atomic<bool> is_overloaded_ = true;
 
     static boost::asio::awaitable<void>
@@ -62,92 +66,80 @@
         testbed_.start();
     }
 
-    http::response call()
+    /// Checks that a request is refused with the time that is left of a
+    /// backoff, without waiting.
+    static void check_refused_at_once(
+        const std::function<http::response()>& send, double backoff_seconds)
     {
-        static unsigned number = 0;
-        testbed_.set_attempt_id("a" + std::to_string(++number));
-        return testbed_.call("POST", "/once/");
-    }
-
-    std::size_t count_at_first()
-    {
-        return testbed_.first_server().count("/once/");
-    }
-
-    void call_until_first_responds()
-    {
-        const std::size_t before = count_at_first();
-        testbed::wait_until("a response of the first server", [this, before] {
-            (void)call();
-            return count_at_first() > before;
-        });
+        const auto began_at = std::chrono::steady_clock::now();
+        const auto refused = send();
+        CPPUNIT_ASSERT(
+            std::chrono::steady_clock::now() - began_at <
+            std::chrono::milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(503U, refused.status);
+        const auto retry_after = refused.fields.find("Retry-After");
+        CPPUNIT_ASSERT(retry_after);
+        const double seconds = std::stod(std::string(*retry_after));
+        CPPUNIT_ASSERT(
+            seconds > backoff_seconds - 1 && seconds <= backoff_seconds);
     }
 
     void call_further()
     {
         for (unsigned number = 0; number < further_calls; ++number) {
-            CPPUNIT_ASSERT_EQUAL(200U, call().status);
+            CPPUNIT_ASSERT_EQUAL(200U, calls_.send().status);
             std::this_thread::sleep_for(std::chrono::milliseconds(20));
         }
     }
 
-    void test_a_server_that_rests_gets_no_requests()
+    void test_a_server_that_asked_for_a_backoff_gets_no_requests()
     {
         start("3");
-        call_until_first_responds();
-        const std::size_t before = count_at_first();
+        calls_.send_until_received();
+        const std::size_t before = calls_.received();
         call_further();
-        CPPUNIT_ASSERT_EQUAL(before, count_at_first());
+        CPPUNIT_ASSERT_EQUAL(before, calls_.received());
     }
 
-    void test_a_server_is_used_again_after_its_rest()
+    void test_a_server_is_used_again_after_its_backoff()
     {
         start("0.6");
-        call_until_first_responds();
+        calls_.send_until_received();
         is_overloaded_ = false;
-        call_until_first_responds();
+        calls_.send_until_received();
     }
 
-    void test_callers_are_told_when_the_rest_of_all_servers_ends()
+    void test_callers_are_told_when_the_backoff_of_all_servers_ends()
     {
         set_handler(testbed_.first_server(), "5");
         testbed_.start_with_first_server();
-        (void)call();
-        const auto began_at = std::chrono::steady_clock::now();
-        const auto refused = call();
-        CPPUNIT_ASSERT(
-            std::chrono::steady_clock::now() - began_at <
-            std::chrono::milliseconds(100));
-        CPPUNIT_ASSERT_EQUAL(503U, refused.status);
-        const auto retry_after = refused.fields.find("Retry-After");
-        CPPUNIT_ASSERT(retry_after);
-        const double seconds = std::stod(std::string(*retry_after));
-        CPPUNIT_ASSERT(seconds > 4 && seconds <= 5);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count_at_first());
+        (void)calls_.send();
+        check_refused_at_once([this] { return calls_.send(); }, 5);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, calls_.received());
     }
 
-    void test_a_rest_outlasts_a_record_of_the_list()
+    void test_a_backoff_outlasts_a_record_of_the_list()
     {
         start("3");
-        call_until_first_responds();
+        calls_.send_until_received();
         testbed_.register_server(testbed_.first_server(), "draining");
         testbed_.register_server(testbed_.first_server(), "ready");
-        const std::size_t before = count_at_first();
+        const std::size_t before = calls_.received();
         call_further();
-        CPPUNIT_ASSERT_EQUAL(before, count_at_first());
+        CPPUNIT_ASSERT_EQUAL(before, calls_.received());
     }
 
-    void test_a_restart_ends_the_rest()
+    void test_a_restart_ends_the_backoff()
     {
         start("60");
         testbed_.restart(testbed_.first_server());
-        call_until_first_responds();
+        calls_.send_until_received();
         is_overloaded_ = false;
         testbed_.restart(testbed_.first_server());
-        call_until_first_responds();
+        calls_.send_until_received();
     }
 
-    void test_invalid_values_are_no_rest()
+    void test_invalid_values_are_no_backoff()
     {
         for (const std::string value :
              {"", "-1", "soon", "nan", "Wed, 21 Oct 2026 07:28:00 GMT"}) {
@@ -170,6 +162,6 @@
     }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(resting_servers_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(requested_backoff_test);
 
 } // namespace
