placement: announced departures, requested backoffs and sums of load have tests of their own

They were tested through an entry host only. An announcement is held against 200 random orders of 60 records, removals, expiries and restarts.

--- a/tests/placement/load_ledger_test.cpp
+++ b/tests/placement/load_ledger_test.cpp
@@ -63,6 +63,7 @@
     CPPUNIT_TEST_SUITE(load_ledger_test);
     CPPUNIT_TEST(test_running_totals_equal_the_sum_of_all_reports);
     CPPUNIT_TEST(test_changes_apply_to_an_expired_report);
+    CPPUNIT_TEST(test_requests_are_counted_here_and_elsewhere);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr int servers = 12;
@@ -152,6 +153,26 @@
         CPPUNIT_ASSERT(
             ledger.at(server(2), at_ms(3500)) == (work_size{1, 3000}));
     }
+
+    void test_requests_are_counted_here_and_elsewhere()
+    {
+        load_ledger ledger;
+        ledger.add(server_id("i-1"), {2, 100, 0});
+        ledger.add(server_id("i-2"), {1, 100, 0});
+        ledger.update_from_neighbour(
+            core::host_name("h2"), {{server_id("i-1"), {4, 0, 0}}}, at_ms(0));
+        ledger.update_from_group(
+            host_group("c2"),
+            report_extent::full,
+            {{server_id("i-3"), {5, 0, 0}}},
+            at_ms(1000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, ledger.own_requests());
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t{9}, ledger.other_requests(at_ms(1000)));
+        // The report of the neighbour has expired.
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t{5}, ledger.other_requests(at_ms(3500)));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(load_ledger_test);
--- a/tests/placement/placer_test.cpp
+++ b/tests/placement/placer_test.cpp
@@ -61,6 +61,7 @@
     CPPUNIT_TEST(test_a_slow_server_takes_runs_without_prefill);
     CPPUNIT_TEST(test_a_server_on_probation_gets_one_request_at_a_time);
     CPPUNIT_TEST(test_an_evacuated_zone_gets_nothing);
+    CPPUNIT_TEST(test_a_server_that_asked_for_a_backoff_gets_nothing);
     CPPUNIT_TEST(test_a_cold_server_gets_no_more_than_its_rate);
     CPPUNIT_TEST(test_migrations_do_not_wait_for_a_cold_server);
     CPPUNIT_TEST(test_room_for_a_wave_of_leaving_servers_is_kept);
@@ -642,6 +643,29 @@
         CPPUNIT_ASSERT(choose() != "i-3");
     }
 
+    void test_a_server_that_asked_for_a_backoff_gets_nothing()
+    {
+        health_.record_requested_backoff(
+            server_id("i-1"), std::chrono::seconds(3), at_ms(0));
+        for (int now = 0; now < 3000; now += 100)
+            CPPUNIT_ASSERT_EQUAL(std::string("i-2"), choose(now));
+        health_.record_requested_backoff(
+            server_id("i-2"), std::chrono::seconds(3), at_ms(0));
+        for (const placement_purpose purpose :
+             {placement_purpose::start,
+              placement_purpose::short_start,
+              placement_purpose::late_start,
+              placement_purpose::migration,
+              placement_purpose::rebalance}) {
+            request_.purpose = purpose;
+            CPPUNIT_ASSERT(
+                placement_failure::limited ==
+                placer_.choose(request_, at_ms(2999)).error());
+        }
+        request_.purpose = placement_purpose::start;
+        CPPUNIT_ASSERT(choose(3000) != "no room");
+    }
+
     void test_a_cold_server_gets_no_more_than_its_rate()
     {
         service_.engine.reset();
--- a/tests/placement/server_directory_test.cpp
+++ b/tests/placement/server_directory_test.cpp
@@ -1,5 +1,6 @@
 #include "samples.hpp"
 
+#include <godwit/core/random.hpp>
 #include <godwit/placement/server_directory.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -30,6 +31,9 @@
     CPPUNIT_TEST(test_a_restarted_server_that_drains_is_not_usable);
     CPPUNIT_TEST(test_a_restart_ends_the_grace_period);
     CPPUNIT_TEST(test_a_record_of_another_service_evicts_no_server);
+    CPPUNIT_TEST(test_a_former_incarnation_announces_nothing);
+    CPPUNIT_TEST(test_an_announcement_holds_until_a_restart);
+    CPPUNIT_TEST(test_an_announcement_outlasts_other_departures);
     CPPUNIT_TEST_SUITE_END();
 
     server_directory directory_;
@@ -255,6 +259,73 @@
         directory_.update(other, at_ms(10));
         CPPUNIT_ASSERT(directory_.is_usable(server_id("i-1")));
     }
+
+    void test_a_former_incarnation_announces_nothing()
+    {
+        directory_.update(with_start(2000, 1), at_ms(0));
+        CPPUNIT_ASSERT(
+            directory_.announce_leaving(
+                server_id("i-1"), server_start{1000}, at_ms(1)) ==
+            directory_change::none);
+        CPPUNIT_ASSERT(directory_.is_usable(server_id("i-1")));
+        CPPUNIT_ASSERT(
+            directory_.announce_leaving(
+                server_id("i-2"), server_start{2000}, at_ms(1)) ==
+            directory_change::none);
+    }
+
+    // Applies records, removals and expiries in random orders.
+    void test_an_announcement_holds_until_a_restart()
+    {
+        constexpr std::uint64_t runs = 200;
+        constexpr int steps = 60;
+        const server_id id("i-1");
+        for (std::uint64_t seed = 1; seed <= runs; ++seed) {
+            godwit::core::random random(seed);
+            server_directory directory;
+            std::uint64_t start_ms = 1000;
+            directory.update(with_start(start_ms, 1), at_ms(0));
+            bool has_announced = false;
+            for (int step = 1; step <= steps; ++step) {
+                const auto now = at_ms(step * 100);
+                const auto revision = static_cast<std::uint64_t>(step) + 1;
+                const double choice = random.unit();
+                if (choice < 0.1) {
+                    directory.announce_leaving(id, server_start{start_ms}, now);
+                    has_announced = true;
+                } else if (choice < 0.15) {
+                    start_ms += 1000;
+                    directory.update(with_start(start_ms, 1), now);
+                    has_announced = false;
+                } else if (choice < 0.5) {
+                    directory.update(with_start(start_ms, revision), now);
+                } else if (choice < 0.6) {
+                    directory.update(
+                        draining(with_start(start_ms, revision)), now);
+                } else if (choice < 0.7) {
+                    directory.remove(id, source_state::steady, now);
+                } else if (choice < 0.8) {
+                    directory.remove(id, source_state::recovering, now);
+                } else {
+                    directory.confirm(id);
+                    (void)directory.expire(now);
+                }
+                CPPUNIT_ASSERT(!has_announced || !directory.is_usable(id));
+            }
+        }
+    }
+
+    void test_an_announcement_outlasts_other_departures()
+    {
+        directory_.update(with_start(1000, 1), at_ms(0));
+        directory_.announce_leaving(
+            server_id("i-1"), server_start{1000}, at_ms(0));
+        CPPUNIT_ASSERT(directory_.expire(at_ms(60'000)).empty());
+        directory_.update(with_start(1000, 9), at_ms(60'000));
+        CPPUNIT_ASSERT(!directory_.is_usable(server_id("i-1")));
+        CPPUNIT_ASSERT(directory_.expire(at_ms(600'000)).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, directory_.size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(server_directory_test);
