capacity_search: a stream does not wait for servers that take nothing in time

What callers saw: while every server of a service wants a backoff, has no requests left of its limit or is cold beyond the longest wait, a call was refused at once and a stream waited to the end of its time, .5 s to some seconds, to be refused all the same.

Both ask shortest_limit_wait now; Retry-After is the time that is left. test_streams_do_not_wait_for_the_backoff_of_all_servers failed before (no response within 100 ms) and passes.

--- a/services/entry/include/godwit/entry/buffered_call.hpp
+++ b/services/entry/include/godwit/entry/buffered_call.hpp
@@ -38,8 +38,6 @@
     /// Whether the request is quarantined; `last` then holds what to respond
     /// with.
     [[nodiscard]] bool apply_quarantine(attempt_result& last);
-    [[nodiscard]] core::duration
-    shortest_limit_wait(core::time_point now) const;
     [[nodiscard]] bool may_retry(core::time_point now);
     [[nodiscard]] core::time_point attempt_end(core::time_point now);
     boost::asio::awaitable<std::optional<placement::backend_server>>
--- a/services/entry/include/godwit/entry/capacity_search.hpp
+++ b/services/entry/include/godwit/entry/capacity_search.hpp
@@ -56,10 +56,8 @@
         return final_failure_.value_or(refusal_reason::no_room);
     }
 
-    [[nodiscard]] const admission::wait_policy& policy() const noexcept
-    {
-        return wait_policy_;
-    }
+    /// Returns when a refused caller should send the request again.
+    [[nodiscard]] core::duration retry_after(core::time_point now) const;
 
 private:
     boost::asio::awaitable<std::optional<placement::placement_choice>>
@@ -70,6 +68,8 @@
     hold_capacity(placement::placement_choice choice);
     [[nodiscard]] placement::placement_request
     placement_request_in(admission::wait_stage stage) const;
+    [[nodiscard]] std::optional<refusal_reason> final_failure_of(
+        placement::placement_failure failure, core::time_point now);
 
     entry_context& context_;
     std::shared_ptr<const routed_call> call_;
@@ -79,6 +79,7 @@
     wait_queue::waiter* waiter_ = nullptr;
     bool is_stopped_ = false;
     std::optional<refusal_reason> final_failure_; ///< That no wait avoids.
+    core::duration limit_wait_{}; ///< Where the wait for servers is too long.
 };
 
 /// Whether the service's servers grant holds.
--- a/services/entry/src/buffered_call.cpp
+++ b/services/entry/src/buffered_call.cpp
@@ -3,6 +3,7 @@
 #include <godwit/entry/call_log.hpp>
 #include <godwit/entry/call_messages.hpp>
 #include <godwit/entry/call_regions.hpp>
+#include <godwit/entry/limit_wait.hpp>
 #include <godwit/entry/lost_runs.hpp>
 #include <godwit/entry/reservation.hpp>
 #include <godwit/entry/version_choice.hpp>
@@ -117,28 +118,6 @@
         active_->cancel();
 }
 
-// Returns the time until the first untried server accepts another request:
-// until then each is at its limit or cold.
-core::duration buffered_call::shortest_limit_wait(core::time_point now) const
-{
-    core::duration shortest = core::duration::max();
-    const routing::region_set allowed = allowed_regions_of(context_, call_);
-    for (const placement::backend_server* server :
-         context_.directory.usable(call_.service.name)) {
-        const bool is_tried =
-            std::find(tried_.begin(), tried_.end(), server->id) != tried_.end();
-        if (is_tried || context_.evacuations.is_evacuated(server->zone) ||
-            !context_.settings.regions.is_in(server->zone, allowed))
-            continue;
-        const core::duration wait = std::max(
-            {context_.limits.wait_time(server->id, now),
-             context_.cold_servers.wait_time(server->id, now),
-             context_.health.requested_backoff_left(server->id, now)});
-        shortest = std::min(shortest, wait);
-    }
-    return shortest;
-}
-
 asio::awaitable<std::optional<placement::backend_server>>
 buffered_call::choose_server()
 {
@@ -163,7 +142,7 @@
             co_return found->server;
         }
         if (found.error() == placement::placement_failure::limited) {
-            limit_wait_ = shortest_limit_wait(now);
+            limit_wait_ = shortest_limit_wait(context_, call_, tried_, now);
             if (now + limit_wait_ >= end)
                 co_return std::nullopt;
         }
--- a/services/entry/src/capacity_search.cpp
+++ b/services/entry/src/capacity_search.cpp
@@ -3,9 +3,11 @@
 #include <godwit/admission/make_placement_request.hpp>
 #include <godwit/entry/call_log.hpp>
 #include <godwit/entry/call_regions.hpp>
+#include <godwit/entry/limit_wait.hpp>
 #include <godwit/entry/server_hold.hpp>
 #include <godwit/entry/version_choice.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace godwit::entry {
@@ -23,23 +25,6 @@
     return admission::generation_size::create(*metadata.generation, 0);
 }
 
-// Returns the reason for a refusal that no wait will avoid.
-std::optional<refusal_reason>
-final_failure_of(placement::placement_failure failure)
-{
-    switch (failure) {
-    case placement::placement_failure::evacuated:
-        return refusal_reason::zones_evacuated;
-    case placement::placement_failure::outside_regions:
-        return refusal_reason::regions_without_server;
-    case placement::placement_failure::no_server:
-    case placement::placement_failure::no_room:
-    case placement::placement_failure::limited:
-        return std::nullopt;
-    }
-    return std::nullopt;
-}
-
 } // namespace
 
 bool supports_holds(const routed_call& call)
@@ -84,6 +69,35 @@
     co_return std::nullopt;
 }
 
+// Returns the reason for a refusal that no wait will avoid.
+std::optional<refusal_reason> capacity_search::final_failure_of(
+    placement::placement_failure failure, core::time_point now)
+{
+    switch (failure) {
+    case placement::placement_failure::evacuated:
+        return refusal_reason::zones_evacuated;
+    case placement::placement_failure::outside_regions:
+        return refusal_reason::regions_without_server;
+    case placement::placement_failure::limited: {
+        const core::duration wait =
+            shortest_limit_wait(context_, *call_, excluded_, now);
+        if (wait < wait_policy_.stage_end(wait_stage::late) - now)
+            return std::nullopt;
+        limit_wait_ = wait;
+        return refusal_reason::servers_limited;
+    }
+    case placement::placement_failure::no_server:
+    case placement::placement_failure::no_room:
+        return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+core::duration capacity_search::retry_after(core::time_point now) const
+{
+    return std::max(wait_policy_.retry_after(now), limit_wait_);
+}
+
 asio::awaitable<std::optional<placement::placement_choice>>
 capacity_search::choose_server()
 {
@@ -122,7 +136,7 @@
                 log_placed(*call_, *found, stage);
                 co_return std::move(*found);
             }
-            final_failure_ = final_failure_of(found.error());
+            final_failure_ = final_failure_of(found.error(), now);
             if (final_failure_)
                 co_return std::nullopt;
         }
--- a/services/entry/src/stream_call.cpp
+++ b/services/entry/src/stream_call.cpp
@@ -432,10 +432,7 @@
 asio::awaitable<void> stream_call::refuse(refusal_reason reason)
 {
     co_await refuse_call(
-        *call_,
-        metrics_,
-        reason,
-        search_.policy().retry_after(core::monotonic_now()));
+        *call_, metrics_, reason, search_.retry_after(core::monotonic_now()));
 }
 
 } // namespace godwit::entry
--- a/tests/server_responses/requested_backoff_test.cpp
+++ b/tests/server_responses/requested_backoff_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(test_a_server_that_asked_for_a_backoff_gets_no_requests);
     CPPUNIT_TEST(test_a_server_is_used_again_after_its_backoff);
     CPPUNIT_TEST(test_callers_are_told_when_the_backoff_of_all_servers_ends);
+    CPPUNIT_TEST(test_streams_do_not_wait_for_the_backoff_of_all_servers);
     CPPUNIT_TEST(test_a_backoff_outlasts_a_record_of_the_list);
     CPPUNIT_TEST(test_a_restart_ends_the_backoff);
     CPPUNIT_TEST(test_invalid_values_are_no_backoff);
@@ -118,6 +119,15 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, calls_.received());
     }
 
+    void test_streams_do_not_wait_for_the_backoff_of_all_servers()
+    {
+        set_handler(testbed_.first_server(), "30");
+        testbed_.start_with_first_server();
+        (void)calls_.send();
+        check_refused_at_once(
+            [this] { return testbed_.call("POST", "/stream/"); }, 30);
+    }
+
     void test_a_backoff_outlasts_a_record_of_the_list()
     {
         start("3");
