--- a/libraries/dissemination/include/godwit/dissemination/report_pacer.hpp
+++ b/libraries/dissemination/include/godwit/dissemination/report_pacer.hpp
@@ -29,8 +29,8 @@
 
 private:
     std::optional<core::time_point> sent_at_;
-    /// When the rate has paid for everything that was sent.
-    core::time_point paid_at_{};
+    /// From when on another report is within the rate.
+    core::time_point available_at_{};
 };
 
 } // namespace godwit::dissemination
--- a/libraries/dissemination/src/report_pacer.cpp
+++ b/libraries/dissemination/src/report_pacer.cpp
@@ -6,7 +6,7 @@
 
 bool report_pacer::may_send(core::time_point now) const
 {
-    return !sent_at_ || now >= paid_at_ || now - *sent_at_ >= max_wait;
+    return !sent_at_ || now >= available_at_ || now - *sent_at_ >= max_wait;
 }
 
 void report_pacer::record_sent(
@@ -14,16 +14,16 @@
 {
     sent_at_ = now;
     if (bytes_per_second <= 0) {
-        paid_at_ = now;
+        available_at_ = now;
         return;
     }
-    const std::chrono::duration<double> cost(
+    const std::chrono::duration<double> sending_time(
         static_cast<double>(bytes) / bytes_per_second);
-    // Longer debts than the longest wait would have no effect.
+    // A later time than after the longest wait would have no effect.
     const auto longest = std::chrono::duration<double>(max_wait);
-    paid_at_ =
-        std::max(paid_at_, now - burst) +
-        std::chrono::duration_cast<core::duration>(std::min(cost, longest));
+    available_at_ = std::max(available_at_, now - burst) +
+                    std::chrono::duration_cast<core::duration>(
+                        std::min(sending_time, longest));
 }
 
 } // namespace godwit::dissemination
