--- a/libraries/placement/include/godwit/placement/server_directory.hpp
+++ b/libraries/placement/include/godwit/placement/server_directory.hpp
@@ -65,8 +65,8 @@
     /// marked as draining as well, so that it gets no new requests.
     directory_change update(const backend_server& server, core::time_point now);
 
-    /// Applies the server's own statement that it leaves, which no record of the
-    /// same incarnation takes back.
+    /// Applies the server's own statement that it leaves, which no record of
+    /// the same incarnation takes back.
     directory_change announce_leaving(
         const server_id& id, server_start start, core::time_point now);
 
