--- a/services/entry/include/godwit/entry/entry_settings.hpp
+++ b/services/entry/include/godwit/entry/entry_settings.hpp
@@ -46,14 +46,19 @@
     /// The largest share of a service's requests until the deadline of a
     /// rollout that a bad version may get.
     double max_rollout_exposure = 0.05;
+    /// Whether hosts predict when a request would start, and refuse those that
+    /// would start too late.
+    bool predicts_starts = false;
+    /// Whether hosts agree on an order of the requests that wait for capacity.
+    bool shares_order = false;
 
     friend bool
     operator==(const entry_settings&, const entry_settings&) = default;
 
     /// Returns these settings with the values of `newer` for those that a
-    /// running process can change: seeds, regions, link, grace, retries
-    /// and the exposure of rollouts. Listeners, names and the log stay as they
-    /// are until the next start.
+    /// running process can change: seeds, regions, link, grace, retries,
+    /// the exposure of rollouts and admission. Listeners, names and the log
+    /// stay as they are until the next start.
     [[nodiscard]] entry_settings
     with_reloadable_settings(const entry_settings& newer) const;
 
--- a/services/entry/src/entry_settings.cpp
+++ b/services/entry/src/entry_settings.cpp
@@ -80,6 +80,8 @@
     result.retry_allowance = newer.retry_allowance;
     result.retry_window = newer.retry_window;
     result.max_rollout_exposure = newer.max_rollout_exposure;
+    result.predicts_starts = newer.predicts_starts;
+    result.shares_order = newer.shares_order;
     return result;
 }
 
@@ -130,6 +132,12 @@
     GODWIT_TRY(retry.finish(true));
     read.max_rollout_exposure = GODWIT_TRY(source.get_number(
         "max_rollout_exposure", {0.0, 1.0}, read.max_rollout_exposure));
+    auto admission = GODWIT_TRY(source.get_object("admission"));
+    read.predicts_starts = GODWIT_TRY(
+        admission.get_boolean("predicted_starts", read.predicts_starts));
+    read.shares_order =
+        GODWIT_TRY(admission.get_boolean("shared_order", read.shares_order));
+    GODWIT_TRY(admission.finish(true));
     return source.finish(std::move(read));
 }
 
--- a/tests/entry/entry_settings_test.cpp
+++ b/tests/entry/entry_settings_test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(test_a_rejected_file_leaks_no_memory);
     CPPUNIT_TEST(test_zones_name_their_regions);
     CPPUNIT_TEST(test_the_link_has_a_capacity);
+    CPPUNIT_TEST(test_admission_features_are_off_unless_named);
     CPPUNIT_TEST_SUITE_END();
 
     static bool is_refused(const std::string& text)
@@ -68,6 +69,27 @@
             wrong.error().to_string().find("zones.a") != std::string::npos);
     }
 
+    // Guards against a deployment that gets features which it did not ask for,
+    // and against a mistyped flag that is taken for "off".
+    void test_admission_features_are_off_unless_named()
+    {
+        const auto absent = read_with_zones("{}");
+        CPPUNIT_ASSERT(!absent->predicts_starts);
+        CPPUNIT_ASSERT(!absent->shares_order);
+        const auto named = read_with_zones(
+            "{}",
+            R"(,"admission":{"predicted_starts":true,"shared_order":true})");
+        CPPUNIT_ASSERT(named->predicts_starts);
+        CPPUNIT_ASSERT(named->shares_order);
+        const auto reloaded = absent->with_reloadable_settings(*named);
+        CPPUNIT_ASSERT(reloaded.predicts_starts && reloaded.shares_order);
+        const auto wrong =
+            read_with_zones("{}", R"(,"admission":{"shared_order":"yes"})");
+        CPPUNIT_ASSERT(
+            wrong.error().to_string().find("admission.shared_order") !=
+            std::string::npos);
+    }
+
     void test_the_link_has_a_capacity()
     {
         const auto absent = read_with_zones("{}");
