--- a/services/entry/src/stream_call.cpp
+++ b/services/entry/src/stream_call.cpp
@@ -279,9 +279,8 @@
     if (failure.fault == upstream_fault::unreachable)
         co_return;
     ++runs_;
-    if (start_new_run()) {
+    if (start_new_run())
         co_return;
-    }
     const bool is_late = failure.fault == upstream_fault::timed_out;
     co_await refuse(
         is_late ? refusal_reason::out_of_time : refusal_reason::answer_lost);
