--- a/services/entry/include/godwit/entry/entry_settings.hpp
+++ b/services/entry/include/godwit/entry/entry_settings.hpp
@@ -51,6 +51,9 @@
     bool predicts_starts = false;
     /// Whether hosts agree on an order of the requests that wait for capacity.
     bool shares_order = false;
+    /// Whether memory is planned by the output lengths and the engine speeds
+    /// that hosts observe.
+    bool learns_lengths = false;
 
     friend bool
     operator==(const entry_settings&, const entry_settings&) = default;
--- a/services/entry/src/entry_settings.cpp
+++ b/services/entry/src/entry_settings.cpp
@@ -82,6 +82,7 @@
     result.max_rollout_exposure = newer.max_rollout_exposure;
     result.predicts_starts = newer.predicts_starts;
     result.shares_order = newer.shares_order;
+    result.learns_lengths = newer.learns_lengths;
     return result;
 }
 
@@ -137,6 +138,8 @@
         admission.get_boolean("predicted_starts", read.predicts_starts));
     read.shares_order =
         GODWIT_TRY(admission.get_boolean("shared_order", read.shares_order));
+    read.learns_lengths = GODWIT_TRY(
+        admission.get_boolean("learned_lengths", read.learns_lengths));
     GODWIT_TRY(admission.finish(true));
     return source.finish(std::move(read));
 }
--- a/tests/entry/entry_settings_test.cpp
+++ b/tests/entry/entry_settings_test.cpp
@@ -76,11 +76,14 @@
         const auto absent = read_with_zones("{}");
         CPPUNIT_ASSERT(!absent->predicts_starts);
         CPPUNIT_ASSERT(!absent->shares_order);
+        CPPUNIT_ASSERT(!absent->learns_lengths);
         const auto named = read_with_zones(
             "{}",
-            R"(,"admission":{"predicted_starts":true,"shared_order":true})");
+            R"(,"admission":{"predicted_starts":true,"shared_order":true,)"
+            R"("learned_lengths":true})");
         CPPUNIT_ASSERT(named->predicts_starts);
         CPPUNIT_ASSERT(named->shares_order);
+        CPPUNIT_ASSERT(named->learns_lengths);
         const auto reloaded = absent->with_reloadable_settings(*named);
         CPPUNIT_ASSERT(reloaded.predicts_starts && reloaded.shares_order);
         const auto wrong =
