--- a/libraries/routing/include/godwit/routing/route.hpp
+++ b/libraries/routing/include/godwit/routing/route.hpp
@@ -29,7 +29,7 @@
     core::duration gap_objective = std::chrono::milliseconds(200);
     /// The maximum number of backend servers that may run a request.
     unsigned max_attempts = 1;
-    int priority = 0;                       ///< 0 is the most urgent.
+    int priority = 0; ///< 0 is the most urgent.
     /// Whether a stream that lost its server may go on in a new run at another
     /// one, after the last event that its caller received.
     bool is_resumable = false;
