--- a/services/entry/src/buffered_call.cpp
+++ b/services/entry/src/buffered_call.cpp
@@ -270,15 +270,17 @@
     // The cancelled attempt would have taken even longer.
     if (is_won_by_second)
         context_.hedging.record(call_.route.name, taken);
-    std::string winner = "none";
-    if (!result.is_failure)
-        winner = is_won_by_second ? "second" : "first";
     context_.metrics
         ->counter(
             "godwit_hedged_calls_total",
-            "Calls that got a second attempt while the first one ran.",
-            {{"winner", std::move(winner)}})
+            "Calls that got a second attempt while the first one ran.")
         .Increment();
+    if (is_won_by_second)
+        context_.metrics
+            ->counter(
+                "godwit_hedges_won_total",
+                "Second attempts whose response was the first one.")
+            .Increment();
 }
 
 asio::awaitable<std::optional<placement::backend_server>>
--- a/services/entry/src/load_statement_exchange.cpp
+++ b/services/entry/src/load_statement_exchange.cpp
@@ -75,9 +75,8 @@
 {
     context_.metrics
         ->counter(
-            "godwit_refused_load_statements_total",
-            "Load statements of servers and neighbours that are malformed.",
-            {{"from", "neighbour"}})
+            "godwit_refused_load_messages_total",
+            "Load statements in messages of neighbours that are malformed.")
         .Increment();
     if (malformed_from_.size() < max_logged_hosts &&
         malformed_from_.insert(host).second)
--- a/services/entry/src/server_responses.cpp
+++ b/services/entry/src/server_responses.cpp
@@ -33,8 +33,7 @@
     context.metrics
         ->counter(
             "godwit_refused_load_statements_total",
-            "Load statements of servers and neighbours that are malformed.",
-            {{"from", "server"}})
+            "Load statements of servers that are malformed.")
         .Increment();
     if (context.servers_with_invalid_load.insert(server).second)
         log_event(
