--- a/libraries/placement/src/load_statement.cpp
+++ b/libraries/placement/src/load_statement.cpp
@@ -67,7 +67,7 @@
     const load_statement& left, const load_statement& right) noexcept
 {
     const auto [fast, slow] =
-        std::minmax(left.slowdown_percent(), right.slowdown_percent());
+        std::minmax({left.slowdown_percent(), right.slowdown_percent()});
     return slow >= significant_slowdown_ratio * fast ||
            std::abs(rounds(left) - rounds(right)) >= significant_rounds;
 }
--- a/services/entry/include/godwit/entry/attempt_race.hpp
+++ b/services/entry/include/godwit/entry/attempt_race.hpp
@@ -69,6 +69,11 @@
         return result;
     }
 
+    [[nodiscard]] bool has_result() const noexcept
+    {
+        return !state_->results.empty();
+    }
+
     [[nodiscard]] std::size_t running() const noexcept
     {
         return state_->running;
--- a/services/entry/include/godwit/entry/buffered_call.hpp
+++ b/services/entry/include/godwit/entry/buffered_call.hpp
@@ -49,6 +49,14 @@
     /// returns the first usable result.
     boost::asio::awaitable<attempt_result>
     attempt_hedged(placement::backend_server server);
+    /// Takes the results of ended attempts into `best`; returns whether no
+    /// further one has to be waited for.
+    [[nodiscard]] static bool take_results(
+        attempt_race<attempt_result>& race,
+        std::optional<attempt_result>& best);
+    /// Returns whether a second attempt was started.
+    boost::asio::awaitable<bool> start_second_attempt(
+        attempt_race<attempt_result>& race, placement::server_id first);
     /// Returns the server of a second attempt; nothing if there is none that is
     /// not slow or the retry budget is spent.
     boost::asio::awaitable<std::optional<placement::backend_server>>
--- a/services/entry/src/buffered_call.cpp
+++ b/services/entry/src/buffered_call.cpp
@@ -227,32 +227,17 @@
     std::optional<attempt_result> best;
     bool may_hedge = true;
     bool is_hedged = false;
-    while (!is_caller_disconnected_) {
-        core::time_point now = core::monotonic_now();
+    while (!is_caller_disconnected_ && !take_results(race, best)) {
         co_await race.wait(
-            may_hedge ? timing.next_check(now) : core::time_point::max());
-        if (auto ended = race.take_result()) {
-            const bool is_usable = !ended->is_failure;
-            if (best)
-                replace_unless_worse(*best, std::move(*ended));
-            else
-                best = std::move(*ended);
-            if (is_usable)
-                break;
-            continue;
-        }
-        if (race.running() == 0)
-            break;
-        now = core::monotonic_now();
-        if (is_caller_disconnected_ || !may_hedge ||
-            !timing.is_due(runs_begun(), now))
+            may_hedge ? timing.next_check(core::monotonic_now())
+                      : core::time_point::max());
+        const bool is_due = may_hedge && !is_caller_disconnected_ &&
+                            !race.has_result() && active_.size() == 1 &&
+                            timing.is_due(runs_begun(), core::monotonic_now());
+        if (!is_due)
             continue;
         may_hedge = false;
-        if (const auto second = co_await choose_second_server()) {
-            log_call_hedged(call_, server.id, second->id);
-            start_attempt(race, *second);
-            is_hedged = true;
-        }
+        is_hedged = co_await start_second_attempt(race, server.id);
     }
     cancel_attempts();
     attempt_result result = std::move(best).value_or(attempt_result());
@@ -261,6 +246,33 @@
     co_return result;
 }
 
+// Returns whether the race is decided: one attempt won, or none is left.
+bool buffered_call::take_results(
+    attempt_race<attempt_result>& race, std::optional<attempt_result>& best)
+{
+    while (auto ended = race.take_result()) {
+        const bool has_won = !ended->is_failure;
+        if (best)
+            replace_unless_worse(*best, std::move(*ended));
+        else
+            best = std::move(*ended);
+        if (has_won)
+            return true;
+    }
+    return race.running() == 0;
+}
+
+asio::awaitable<bool> buffered_call::start_second_attempt(
+    attempt_race<attempt_result>& race, placement::server_id first)
+{
+    const auto second = co_await choose_second_server();
+    if (!second)
+        co_return false;
+    log_call_hedged(call_, first, second->id);
+    start_attempt(race, *second);
+    co_return true;
+}
+
 void buffered_call::record_hedged_call(
     const attempt_result& result,
     const placement::server_id& first,
--- a/tests/entry/load_statement_exchange_test.cpp
+++ b/tests/entry/load_statement_exchange_test.cpp
@@ -27,12 +27,23 @@
     CPPUNIT_TEST(test_statements_about_other_processes_are_ignored);
     CPPUNIT_TEST_SUITE_END();
 
+    static entry_settings host_settings()
+    {
+        const http::endpoint loopback =
+            http::endpoint::parse("127.0.0.1:0").value();
+        return entry_settings{
+            .host = core::host_name("h1"),
+            .zone = core::zone_name("east"),
+            .callers = loopback,
+            .readiness = loopback,
+            .operators = loopback,
+            .neighbours = loopback,
+            .seeds = {}};
+    }
+
     boost::asio::io_context io_;
     entry_context context_{
-        io_.get_executor(),
-        entry_settings{
-            .host = core::host_name("h1"), .zone = core::zone_name("east")},
-        codec_functions{}};
+        io_.get_executor(), host_settings(), codec_functions{}};
     load_statement_exchange exchange_{context_};
     core::time_point now_{std::chrono::hours(1)};
 
