tests: load statements of restarted servers, callers that pause

The replay also has callers that pause between requests, so that a swap is not always seen by a request under way.

--- a/tests/placement/placer_loads_test.cpp
+++ b/tests/placement/placer_loads_test.cpp
@@ -34,7 +34,8 @@
     bool states_load = true;
 };
 
-/// Two plain servers and callers that each send one request after the other.
+/// Two plain servers and callers that each send one request after the other,
+/// with a pause between them.
 class replay
 {
 public:
@@ -64,18 +65,20 @@
     double share_at(
         const std::function<bool(const std::string&, int)>& is_counted,
         std::size_t callers,
+        int pause_ms,
         int duration_ms)
     {
-        std::vector<std::optional<running>> calls(callers);
+        std::vector<caller> all(callers);
         std::size_t sent = 0;
         std::size_t counted = 0;
         for (int now = 0; now < duration_ms; ++now) {
-            for (auto& call : calls) {
+            for (auto& [call, next_ms] : all) {
                 if (call && call->end_ms <= now) {
                     finish(*call, now);
                     call.reset();
+                    next_ms = now + pause_ms;
                 }
-                if (call)
+                if (call || now < next_ms)
                     continue;
                 call = start(now);
                 ++sent;
@@ -95,6 +98,12 @@
         int end_ms = 0;
     };
 
+    struct caller
+    {
+        std::optional<running> call;
+        int next_ms = 0;
+    };
+
     static std::string name_of(int number)
     {
         return "i-" + std::to_string(number);
@@ -165,25 +174,31 @@
 
     static constexpr int seeds = 20;
     static constexpr std::array works_ms{15, 60};
+    // Without a pause, a request is always under way when the servers swap.
+    static constexpr std::array pauses_ms{0, 40};
     static constexpr int duration_ms = 20'000;
     static constexpr double slow_factor = 2.5;
 
-    // Runs each combination of seed, work and number of callers; returns the
-    // largest share.
+    // Runs each combination of seed, work, pause and number of callers; returns
+    // the largest share.
     static double largest_share(
         const std::function<void(replay&)>& prepare,
         const std::function<bool(const std::string&, int)>& is_counted)
     {
         double largest = 0;
+        const auto run = [&](int seed, int work_ms, int pause_ms) {
+            for (const std::size_t callers : {1U, 2U}) {
+                replay day(static_cast<std::uint64_t>(seed), work_ms);
+                prepare(day);
+                largest = std::max(
+                    largest,
+                    day.share_at(is_counted, callers, pause_ms, duration_ms));
+            }
+        };
         for (int seed = 1; seed <= seeds; ++seed) {
             for (const int work_ms : works_ms) {
-                for (const std::size_t callers : {1U, 2U}) {
-                    replay days(static_cast<std::uint64_t>(seed), work_ms);
-                    prepare(days);
-                    largest = std::max(
-                        largest,
-                        days.share_at(is_counted, callers, duration_ms));
-                }
+                for (const int pause_ms : pauses_ms)
+                    run(seed, work_ms, pause_ms);
             }
         }
         return largest;
@@ -254,7 +269,8 @@
                     return server == "i-1" && now >= 5000;
                 },
                 4,
-                20'000);
+                0,
+                duration_ms);
             CPPUNIT_ASSERT_MESSAGE(std::to_string(share), share >= 0.25);
         }
     }
--- a/tests/platform_adapter/reported_loads_test.cpp
+++ b/tests/platform_adapter/reported_loads_test.cpp
@@ -63,6 +63,14 @@
         testbed_.start_with_first_server();
     }
 
+    // Starts with a server whose record has a start time: without one, a later
+    // start does not show a restart.
+    void start_with_known_start(const std::string& load)
+    {
+        start_with_one_server(load);
+        testbed_.restart(testbed_.first_server());
+    }
+
     // Starts with a second host in the fleet.
     void start_with_neighbour(const std::string& load)
     {
@@ -105,7 +113,7 @@
 
     void test_responses_of_calls_and_streams_count()
     {
-        start_with_one_server("1,0,4,250");
+        start_with_known_start("1,0,4,250");
         call("/plain/");
         CPPUNIT_ASSERT(is_stated_slow());
         testbed_.restart(testbed_.first_server());
@@ -155,7 +163,7 @@
 
     void test_a_restart_ends_the_statement()
     {
-        start_with_one_server("1,0,4,250");
+        start_with_known_start("1,0,4,250");
         call("/plain/");
         CPPUNIT_ASSERT(is_stated_slow());
         testbed_.first_server().set_handler(answer_with_load("1,0,4,100"));
