wire: a message for observed output lengths

Hosts exchange weighted length histograms of routes and speeds of engines. admission: estimators of output lengths and engine speeds, which nothing uses yet.

--- a/libraries/admission/include/godwit/admission/wait_policy.hpp
+++ b/libraries/admission/include/godwit/admission/wait_policy.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <godwit/admission/engine_speeds.hpp>
 #include <godwit/core/time.hpp>
 
 #include <cstdint>
@@ -13,6 +14,8 @@
     core::time_point deadline;  ///< When its caller disconnects.
     core::duration objective{}; ///< Target time until its first event.
     int priority = 0;           ///< 0 is the most urgent.
+    /// The prefill rate of the service's busy engines.
+    double prefill_tokens_per_ms = engine_speeds::usual_prefill_tokens_per_ms;
 
     friend bool
     operator==(const wait_parameters&, const wait_parameters&) = default;
--- a/libraries/admission/src/generation_size.cpp
+++ b/libraries/admission/src/generation_size.cpp
@@ -25,12 +25,24 @@
 
 generation_size generation_size::create(
     const generation_parameters& parameters,
-    std::uint64_t written_tokens) noexcept
+    std::uint64_t written_tokens,
+    const std::optional<observed_lengths>& observed) noexcept
 {
-    return {parameters, written_tokens};
+    return {parameters, written_tokens, observed};
 }
 
-std::uint64_t generation_size::expected_output_tokens() const noexcept
+// A run that has exceeded its caller's estimate shows that the estimate was
+// wrong.
+bool generation_size::is_estimate_used() const noexcept
+{
+    if (!observed_)
+        return true;
+    return observed_->are_estimates_better &&
+           parameters_.expected_output_tokens &&
+           estimated_tokens() > written_tokens_;
+}
+
+std::uint64_t generation_size::estimated_tokens() const noexcept
 {
     const double estimate =
         parameters_.expected_output_tokens
@@ -40,15 +52,46 @@
         static_cast<std::uint64_t>(estimate), parameters_.max_output_tokens);
 }
 
+std::uint64_t generation_size::expected_output_tokens() const noexcept
+{
+    if (is_estimate_used())
+        return estimated_tokens();
+    return std::min<std::uint64_t>(
+        written_tokens_ + observed_->median_remaining_tokens,
+        parameters_.max_output_tokens);
+}
+
 std::uint64_t generation_size::remaining_tokens() const noexcept
 {
     const std::uint64_t expected = expected_output_tokens();
     return expected - std::min(expected, written_tokens_);
 }
 
+// Half of the runs exceed the median; those must not take the memory for long
+// either.
 bool generation_size::is_short() const noexcept
 {
-    return expected_output_tokens() <= max_short_output_tokens;
+    if (is_estimate_used())
+        return estimated_tokens() <= max_short_output_tokens;
+    return written_tokens_ + observed_->high_remaining_tokens <=
+           max_short_output_tokens;
+}
+
+// Counts what nearly all such runs write in the next two seconds: the memory of
+// a run that ends earlier is free then, but an engine without memory preempts a
+// run and has to prefill its prompt again.
+std::uint64_t generation_size::growth_tokens() const noexcept
+{
+    if (!observed_)
+        return std::clamp(
+            remaining_tokens(), min_growth_tokens, max_growth_tokens);
+    const std::uint64_t most =
+        parameters_.max_output_tokens -
+        std::min<std::uint64_t>(parameters_.max_output_tokens, written_tokens_);
+    const std::uint64_t remaining = is_estimate_used()
+                                        ? remaining_tokens()
+                                        : observed_->high_remaining_tokens;
+    return std::min({most, remaining, observed_->soon_tokens});
 }
 
 placement::work_size generation_size::work() const noexcept
@@ -63,9 +106,7 @@
 {
     placement::work_size work;
     work.requests = 1;
-    work.tokens =
-        parameters_.prompt_tokens + written_tokens_ +
-        std::clamp(remaining_tokens(), min_growth_tokens, max_growth_tokens);
+    work.tokens = parameters_.prompt_tokens + written_tokens_ + growth_tokens();
     return work;
 }
 
--- a/libraries/admission/src/wait_policy.cpp
+++ b/libraries/admission/src/wait_policy.cpp
@@ -19,10 +19,6 @@
 // prompts. All prompts at an engine share its prefill rate, so that each added
 // prompt delays the prompts that were started before.
 constexpr double prefill_share = 0.6;
-// Prefill rate of a busy engine. An engine prefills 14 tokens per millisecond,
-// but alternates with decoding steps of 7 ms for its running generations, which
-// take about as long as the prefill between them and so halve the rate.
-constexpr double prefill_tokens_per_ms = 7.0;
 // Capacity that becomes free goes to requests of any host that can start in
 // time: these try to get it at once, late requests only at this interval.
 constexpr core::duration late_attempt_interval = std::chrono::milliseconds(400);
@@ -100,7 +96,7 @@
             parameters_.objective);
     const double share = stage == wait_stage::timely ? prefill_share : 1.0;
     return static_cast<std::uint64_t>(
-        share * prefill_tokens_per_ms *
+        share * parameters_.prefill_tokens_per_ms *
         static_cast<double>(objective_ms.count()));
 }
 
--- a/libraries/wire/include/godwit/wire/message.hpp
+++ b/libraries/wire/include/godwit/wire/message.hpp
@@ -19,6 +19,7 @@
 #include <godwit/wire/heartbeat.hpp>
 #include <godwit/wire/hello.hpp>
 #include <godwit/wire/host_work.hpp>
+#include <godwit/wire/length_sums.hpp>
 #include <godwit/wire/link_claim.hpp>
 #include <godwit/wire/listed_servers.hpp>
 #include <godwit/wire/pull.hpp>
@@ -73,7 +74,8 @@
     server_list_offer,
     server_list_request,
     server_list_part,
-    source_positions>;
+    source_positions,
+    length_sums>;
 
 /// Returns the name of the message's type, for logs and metrics.
 [[nodiscard]] std::string_view name_of(const message& value) noexcept;
--- a/libraries/wire/src/frame_reader.hpp
+++ b/libraries/wire/src/frame_reader.hpp
@@ -73,6 +73,14 @@
         return {values->begin(), values->end()};
     }
 
+    [[nodiscard]] std::vector<float>
+    numbers(const flatbuffers::Vector<float>* values)
+    {
+        if (values == nullptr || !take(values->size() * sizeof(float)))
+            return {};
+        return {values->begin(), values->end()};
+    }
+
     /// Reads a nested table; a missing one gives a value-initialised result.
     template<class Value, class Table>
     [[nodiscard]] Value table(const Table* nested)
--- a/libraries/wire/src/godwit_generated.h
+++ b/libraries/wire/src/godwit_generated.h
@@ -161,6 +161,15 @@
 struct server_list_part;
 struct server_list_partBuilder;
 
+struct route_lengths;
+struct route_lengthsBuilder;
+
+struct service_speed;
+struct service_speedBuilder;
+
+struct length_sums;
+struct length_sumsBuilder;
+
 struct frame;
 struct frameBuilder;
 
@@ -488,11 +497,12 @@
   server_list_request = 32,
   server_list_part = 33,
   source_positions = 34,
+  length_sums = 35,
   MIN = NONE,
-  MAX = source_positions
+  MAX = length_sums
 };
 
-inline const payload (&EnumValuespayload())[35] {
+inline const payload (&EnumValuespayload())[36] {
   static const payload values[] = {
     payload::NONE,
     payload::hello,
@@ -528,13 +538,14 @@
     payload::server_list_offer,
     payload::server_list_request,
     payload::server_list_part,
-    payload::source_positions
+    payload::source_positions,
+    payload::length_sums
   };
   return values;
 }
 
 inline const char * const *EnumNamespayload() {
-  static const char * const names[36] = {
+  static const char * const names[37] = {
     "NONE",
     "hello",
     "heartbeat",
@@ -570,13 +581,14 @@
     "server_list_request",
     "server_list_part",
     "source_positions",
+    "length_sums",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamepayload(payload e) {
-  if (flatbuffers::IsOutRange(e, payload::NONE, payload::source_positions)) return "";
+  if (flatbuffers::IsOutRange(e, payload::NONE, payload::length_sums)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamespayload()[index];
 }
@@ -721,6 +733,10 @@
   static const payload enum_value = payload::source_positions;
 };
 
+template<> struct payloadTraits<godwit::wire::format::length_sums> {
+  static const payload enum_value = payload::length_sums;
+};
+
 bool Verifypayload(flatbuffers::Verifier &verifier, const void *obj, payload type);
 bool VerifypayloadVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<payload> *types);
 
@@ -4967,6 +4983,305 @@
       position);
 }
 
+struct route_lengths FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef route_lengthsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ROUTE = 4,
+    VT_ENDED = 6,
+    VT_PASSED = 8,
+    VT_COMPARED = 10,
+    VT_ESTIMATE_ERROR = 12,
+    VT_OBSERVED_ERROR = 14
+  };
+  const flatbuffers::String *route() const {
+    return GetPointer<const flatbuffers::String *>(VT_ROUTE);
+  }
+  const flatbuffers::Vector<float> *ended() const {
+    return GetPointer<const flatbuffers::Vector<float> *>(VT_ENDED);
+  }
+  const flatbuffers::Vector<float> *passed() const {
+    return GetPointer<const flatbuffers::Vector<float> *>(VT_PASSED);
+  }
+  float compared() const {
+    return GetField<float>(VT_COMPARED, 0.0f);
+  }
+  float estimate_error() const {
+    return GetField<float>(VT_ESTIMATE_ERROR, 0.0f);
+  }
+  float observed_error() const {
+    return GetField<float>(VT_OBSERVED_ERROR, 0.0f);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ROUTE) &&
+           verifier.VerifyString(route()) &&
+           VerifyOffset(verifier, VT_ENDED) &&
+           verifier.VerifyVector(ended()) &&
+           VerifyOffset(verifier, VT_PASSED) &&
+           verifier.VerifyVector(passed()) &&
+           VerifyField<float>(verifier, VT_COMPARED, 4) &&
+           VerifyField<float>(verifier, VT_ESTIMATE_ERROR, 4) &&
+           VerifyField<float>(verifier, VT_OBSERVED_ERROR, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct route_lengthsBuilder {
+  typedef route_lengths Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_route(flatbuffers::Offset<flatbuffers::String> route) {
+    fbb_.AddOffset(route_lengths::VT_ROUTE, route);
+  }
+  void add_ended(flatbuffers::Offset<flatbuffers::Vector<float>> ended) {
+    fbb_.AddOffset(route_lengths::VT_ENDED, ended);
+  }
+  void add_passed(flatbuffers::Offset<flatbuffers::Vector<float>> passed) {
+    fbb_.AddOffset(route_lengths::VT_PASSED, passed);
+  }
+  void add_compared(float compared) {
+    fbb_.AddElement<float>(route_lengths::VT_COMPARED, compared, 0.0f);
+  }
+  void add_estimate_error(float estimate_error) {
+    fbb_.AddElement<float>(route_lengths::VT_ESTIMATE_ERROR, estimate_error, 0.0f);
+  }
+  void add_observed_error(float observed_error) {
+    fbb_.AddElement<float>(route_lengths::VT_OBSERVED_ERROR, observed_error, 0.0f);
+  }
+  explicit route_lengthsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<route_lengths> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<route_lengths>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<route_lengths> Createroute_lengths(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> route = 0,
+    flatbuffers::Offset<flatbuffers::Vector<float>> ended = 0,
+    flatbuffers::Offset<flatbuffers::Vector<float>> passed = 0,
+    float compared = 0.0f,
+    float estimate_error = 0.0f,
+    float observed_error = 0.0f) {
+  route_lengthsBuilder builder_(_fbb);
+  builder_.add_observed_error(observed_error);
+  builder_.add_estimate_error(estimate_error);
+  builder_.add_compared(compared);
+  builder_.add_passed(passed);
+  builder_.add_ended(ended);
+  builder_.add_route(route);
+  return builder_.Finish();
+}
+
+struct route_lengths::Traits {
+  using type = route_lengths;
+  static auto constexpr Create = Createroute_lengths;
+};
+
+inline flatbuffers::Offset<route_lengths> Createroute_lengthsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *route = nullptr,
+    const std::vector<float> *ended = nullptr,
+    const std::vector<float> *passed = nullptr,
+    float compared = 0.0f,
+    float estimate_error = 0.0f,
+    float observed_error = 0.0f) {
+  auto route__ = route ? _fbb.CreateString(route) : 0;
+  auto ended__ = ended ? _fbb.CreateVector<float>(*ended) : 0;
+  auto passed__ = passed ? _fbb.CreateVector<float>(*passed) : 0;
+  return godwit::wire::format::Createroute_lengths(
+      _fbb,
+      route__,
+      ended__,
+      passed__,
+      compared,
+      estimate_error,
+      observed_error);
+}
+
+struct service_speed FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef service_speedBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_PREFILL_TOKENS_PER_MS = 6,
+    VT_PREFILLS = 8,
+    VT_STEP_MS = 10,
+    VT_STEPS = 12
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  float prefill_tokens_per_ms() const {
+    return GetField<float>(VT_PREFILL_TOKENS_PER_MS, 0.0f);
+  }
+  uint32_t prefills() const {
+    return GetField<uint32_t>(VT_PREFILLS, 0);
+  }
+  float step_ms() const {
+    return GetField<float>(VT_STEP_MS, 0.0f);
+  }
+  uint32_t steps() const {
+    return GetField<uint32_t>(VT_STEPS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyField<float>(verifier, VT_PREFILL_TOKENS_PER_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_PREFILLS, 4) &&
+           VerifyField<float>(verifier, VT_STEP_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_STEPS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct service_speedBuilder {
+  typedef service_speed Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(service_speed::VT_SERVICE, service);
+  }
+  void add_prefill_tokens_per_ms(float prefill_tokens_per_ms) {
+    fbb_.AddElement<float>(service_speed::VT_PREFILL_TOKENS_PER_MS, prefill_tokens_per_ms, 0.0f);
+  }
+  void add_prefills(uint32_t prefills) {
+    fbb_.AddElement<uint32_t>(service_speed::VT_PREFILLS, prefills, 0);
+  }
+  void add_step_ms(float step_ms) {
+    fbb_.AddElement<float>(service_speed::VT_STEP_MS, step_ms, 0.0f);
+  }
+  void add_steps(uint32_t steps) {
+    fbb_.AddElement<uint32_t>(service_speed::VT_STEPS, steps, 0);
+  }
+  explicit service_speedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<service_speed> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<service_speed>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<service_speed> Createservice_speed(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    float prefill_tokens_per_ms = 0.0f,
+    uint32_t prefills = 0,
+    float step_ms = 0.0f,
+    uint32_t steps = 0) {
+  service_speedBuilder builder_(_fbb);
+  builder_.add_steps(steps);
+  builder_.add_step_ms(step_ms);
+  builder_.add_prefills(prefills);
+  builder_.add_prefill_tokens_per_ms(prefill_tokens_per_ms);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+struct service_speed::Traits {
+  using type = service_speed;
+  static auto constexpr Create = Createservice_speed;
+};
+
+inline flatbuffers::Offset<service_speed> Createservice_speedDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    float prefill_tokens_per_ms = 0.0f,
+    uint32_t prefills = 0,
+    float step_ms = 0.0f,
+    uint32_t steps = 0) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  return godwit::wire::format::Createservice_speed(
+      _fbb,
+      service__,
+      prefill_tokens_per_ms,
+      prefills,
+      step_ms,
+      steps);
+}
+
+struct length_sums FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef length_sumsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ROUTES = 4,
+    VT_SPEEDS = 6
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::route_lengths>> *routes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::route_lengths>> *>(VT_ROUTES);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::service_speed>> *speeds() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::service_speed>> *>(VT_SPEEDS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ROUTES) &&
+           verifier.VerifyVector(routes()) &&
+           verifier.VerifyVectorOfTables(routes()) &&
+           VerifyOffset(verifier, VT_SPEEDS) &&
+           verifier.VerifyVector(speeds()) &&
+           verifier.VerifyVectorOfTables(speeds()) &&
+           verifier.EndTable();
+  }
+};
+
+struct length_sumsBuilder {
+  typedef length_sums Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_routes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::route_lengths>>> routes) {
+    fbb_.AddOffset(length_sums::VT_ROUTES, routes);
+  }
+  void add_speeds(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::service_speed>>> speeds) {
+    fbb_.AddOffset(length_sums::VT_SPEEDS, speeds);
+  }
+  explicit length_sumsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<length_sums> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<length_sums>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<length_sums> Createlength_sums(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::route_lengths>>> routes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::service_speed>>> speeds = 0) {
+  length_sumsBuilder builder_(_fbb);
+  builder_.add_speeds(speeds);
+  builder_.add_routes(routes);
+  return builder_.Finish();
+}
+
+struct length_sums::Traits {
+  using type = length_sums;
+  static auto constexpr Create = Createlength_sums;
+};
+
+inline flatbuffers::Offset<length_sums> Createlength_sumsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<godwit::wire::format::route_lengths>> *routes = nullptr,
+    const std::vector<flatbuffers::Offset<godwit::wire::format::service_speed>> *speeds = nullptr) {
+  auto routes__ = routes ? _fbb.CreateVector<flatbuffers::Offset<godwit::wire::format::route_lengths>>(*routes) : 0;
+  auto speeds__ = speeds ? _fbb.CreateVector<flatbuffers::Offset<godwit::wire::format::service_speed>>(*speeds) : 0;
+  return godwit::wire::format::Createlength_sums(
+      _fbb,
+      routes__,
+      speeds__);
+}
+
 struct frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef frameBuilder Builder;
   struct Traits;
@@ -5083,6 +5398,9 @@
   const godwit::wire::format::source_positions *payload_as_source_positions() const {
     return payload_type() == godwit::wire::format::payload::source_positions ? static_cast<const godwit::wire::format::source_positions *>(payload()) : nullptr;
   }
+  const godwit::wire::format::length_sums *payload_as_length_sums() const {
+    return payload_type() == godwit::wire::format::payload::length_sums ? static_cast<const godwit::wire::format::length_sums *>(payload()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_PAYLOAD_TYPE, 1) &&
@@ -5228,6 +5546,10 @@
   return payload_as_source_positions();
 }
 
+template<> inline const godwit::wire::format::length_sums *frame::payload_as<godwit::wire::format::length_sums>() const {
+  return payload_as_length_sums();
+}
+
 struct frameBuilder {
   typedef frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -5405,6 +5727,10 @@
       auto ptr = reinterpret_cast<const godwit::wire::format::source_positions *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case payload::length_sums: {
+      auto ptr = reinterpret_cast<const godwit::wire::format::length_sums *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/libraries/wire/src/message_reader.cpp
+++ b/libraries/wire/src/message_reader.cpp
@@ -431,4 +431,32 @@
         .hosts = position(table.hosts())};
 }
 
+route_lengths read(const format::route_lengths& table, frame_reader& reader)
+{
+    return route_lengths{
+        .route = reader.text(table.route()),
+        .ended = reader.numbers(table.ended()),
+        .passed = reader.numbers(table.passed()),
+        .compared = table.compared(),
+        .estimate_error = table.estimate_error(),
+        .observed_error = table.observed_error()};
+}
+
+service_speed read(const format::service_speed& table, frame_reader& reader)
+{
+    return service_speed{
+        .service = reader.text(table.service()),
+        .prefill_tokens_per_ms = table.prefill_tokens_per_ms(),
+        .prefills = table.prefills(),
+        .step_ms = table.step_ms(),
+        .steps = table.steps()};
+}
+
+length_sums read(const format::length_sums& table, frame_reader& reader)
+{
+    return length_sums{
+        .routes = reader.list<route_lengths>(table.routes()),
+        .speeds = reader.list<service_speed>(table.speeds())};
+}
+
 } // namespace godwit::wire
--- a/libraries/wire/src/message_reader.hpp
+++ b/libraries/wire/src/message_reader.hpp
@@ -73,4 +73,8 @@
 [[nodiscard]] source_positions
 read(const format::source_positions& table, frame_reader& reader);
 
+route_lengths read(const format::route_lengths& table, frame_reader& reader);
+service_speed read(const format::service_speed& table, frame_reader& reader);
+length_sums read(const format::length_sums& table, frame_reader& reader);
+
 } // namespace godwit::wire
--- a/libraries/wire/src/message_writer.cpp
+++ b/libraries/wire/src/message_writer.cpp
@@ -502,4 +502,36 @@
         out, tables, value.table_version, servers, value.server_digest, hosts);
 }
 
+flatbuffers::Offset<format::route_lengths>
+write(builder& out, const route_lengths& value)
+{
+    return format::Createroute_lengths(
+        out,
+        text(out, value.route),
+        out.CreateVector(value.ended),
+        out.CreateVector(value.passed),
+        value.compared,
+        value.estimate_error,
+        value.observed_error);
+}
+
+flatbuffers::Offset<format::service_speed>
+write(builder& out, const service_speed& value)
+{
+    return format::Createservice_speed(
+        out,
+        text(out, value.service),
+        value.prefill_tokens_per_ms,
+        value.prefills,
+        value.step_ms,
+        value.steps);
+}
+
+flatbuffers::Offset<format::length_sums>
+write(builder& out, const length_sums& value)
+{
+    return format::Createlength_sums(
+        out, list(out, value.routes), list(out, value.speeds));
+}
+
 } // namespace godwit::wire
--- a/libraries/wire/src/message_writer.hpp
+++ b/libraries/wire/src/message_writer.hpp
@@ -103,4 +103,11 @@
 [[nodiscard]] flatbuffers::Offset<format::source_positions>
 write(flatbuffers::FlatBufferBuilder& out, const source_positions& value);
 
+flatbuffers::Offset<format::route_lengths>
+write(flatbuffers::FlatBufferBuilder& out, const route_lengths& value);
+flatbuffers::Offset<format::service_speed>
+write(flatbuffers::FlatBufferBuilder& out, const service_speed& value);
+flatbuffers::Offset<format::length_sums>
+write(flatbuffers::FlatBufferBuilder& out, const length_sums& value);
+
 } // namespace godwit::wire
--- a/tests/wire/sample_messages.cpp
+++ b/tests/wire/sample_messages.cpp
@@ -121,7 +121,10 @@
             12,
             std::nullopt,
             0xfeedULL,
-            source_position{0, 1}}};
+            source_position{0, 1}},
+        length_sums{
+            {{"r", {0, 2.5F}, {9, 4.25F, 1}, 3, 120.5F, 80}},
+            {{"lm", 7.5F, 12, 9.25F, 60}}}};
 }
 
 } // namespace godwit::wire
