entry: memory is planned by observed output lengths

With constants, a run that exceeds its caller's estimate plans 50 tokens of growth whatever its route writes. Each host now records lengths and speeds in generation_statistics and exchanges them with its cell, if learns_lengths is set. Without the setting, sizes and messages are unchanged. replay: hosts of a simulated fleet can observe lengths.

--- a/libraries/replay/include/godwit/replay/fleet_config.hpp
+++ b/libraries/replay/include/godwit/replay/fleet_config.hpp
@@ -30,6 +30,8 @@
     /// Time until a host receives another host's load report.
     core::duration report_delay = std::chrono::milliseconds(2);
     std::uint64_t seed = 1;
+    /// Whether hosts observe output lengths and engine speeds.
+    bool learns_lengths = false;
 
     friend bool operator==(const fleet_config&, const fleet_config&) = default;
 };
--- a/libraries/replay/include/godwit/replay/fleet_replay.hpp
+++ b/libraries/replay/include/godwit/replay/fleet_replay.hpp
@@ -4,6 +4,7 @@
 #include <godwit/replay/fleet_config.hpp>
 #include <godwit/replay/generation_outcome.hpp>
 #include <godwit/replay/generation_request.hpp>
+#include <godwit/replay/replay_report.hpp>
 
 #include <vector>
 
@@ -16,4 +17,10 @@
     const std::vector<generation_request>& requests,
     core::time_point end);
 
+/// Does the same and also measures how much memory the engines used.
+[[nodiscard]] replay_report replay_fleet_with_usage(
+    const fleet_config& fleet,
+    const std::vector<generation_request>& requests,
+    core::time_point end);
+
 } // namespace godwit::replay
--- a/libraries/replay/include/godwit/replay/generation_request.hpp
+++ b/libraries/replay/include/godwit/replay/generation_request.hpp
@@ -17,7 +17,11 @@
     int priority = 0;                   ///< 0 is the most urgent.
     std::uint32_t prompt_tokens = 0;
     std::uint32_t output_tokens = 0;          ///< The actual output.
-    std::uint32_t expected_output_tokens = 0; ///< The caller's estimate.
+    /// The caller's estimate; 0 if there is none.
+    std::uint32_t expected_output_tokens = 0;
+    /// As stated by the caller; 0 stands for four times the actual output.
+    std::uint32_t max_output_tokens = 0;
+    std::size_t route = 0;
 
     friend bool
     operator==(const generation_request&, const generation_request&) = default;
--- a/libraries/replay/src/fleet_replay.cpp
+++ b/libraries/replay/src/fleet_replay.cpp
@@ -24,6 +24,9 @@
 // How often hosts report changes other than new work to each other.
 constexpr core::duration report_interval = std::chrono::milliseconds(100);
 
+// How often hosts report their observations to each other.
+constexpr core::duration observation_interval = std::chrono::seconds(1);
+
 core::zone_name zone_name_of(std::size_t zone)
 {
     return core::zone_name("zone-" + std::to_string(zone));
@@ -72,11 +75,14 @@
             hosts_.push_back(std::make_unique<simulated_host>(
                 zone_name_of(fleet.host_zones[host]),
                 service_,
-                fleet.seed * fleet.host_zones.size() + host));
+                fleet.seed * fleet.host_zones.size() + host,
+                fleet.learns_lengths));
     }
 
-    std::vector<generation_outcome> run(core::time_point end)
+    replay_report run(core::time_point end)
     {
+        std::uint64_t used_tokens = 0;
+        std::uint64_t steps = 0;
         for (core::time_point now{}; now < end; now += time_step) {
             join_engines(now);
             apply_slowdowns(now);
@@ -86,8 +92,15 @@
             detect_slow_servers(now);
             place_waiting(now);
             send_reports(now);
+            exchange_observations(now);
+            for (const simulated_engine& engine : engines_)
+                used_tokens += engine.used_tokens();
+            ++steps;
         }
-        return std::move(outcomes_);
+        return {
+            std::move(outcomes_),
+            static_cast<double>(used_tokens) /
+                static_cast<double>(std::max<std::uint64_t>(steps, 1))};
     }
 
 private:
@@ -155,6 +168,10 @@
             return;
         case engine_event::kind::ended:
             outcome.ended = event.at;
+            host.record_end(
+                event.generation,
+                requests_[event.generation].output_tokens,
+                event.at);
             host.remove(event.generation);
             has_changes_ = true;
             break;
@@ -178,6 +195,20 @@
             event.generation, progress.tokens, event.at);
     }
 
+    void exchange_observations(core::time_point now)
+    {
+        if (!fleet_.learns_lengths ||
+            now.time_since_epoch() % observation_interval != core::duration())
+            return;
+        for (std::size_t from = 0; from < hosts_.size(); ++from) {
+            for (std::size_t to = 0; to < hosts_.size(); ++to) {
+                if (from != to)
+                    hosts_[to]->observations().update_from_neighbour(
+                        host_name_of(from), hosts_[from]->observations(), now);
+            }
+        }
+    }
+
     void deliver_reports(core::time_point now)
     {
         for (; !reports_.empty() && reports_.front().received_at <= now;
@@ -280,6 +311,14 @@
     const fleet_config& fleet,
     const std::vector<generation_request>& requests,
     core::time_point end)
+{
+    return fleet_simulation(fleet, requests).run(end).outcomes;
+}
+
+replay_report replay_fleet_with_usage(
+    const fleet_config& fleet,
+    const std::vector<generation_request>& requests,
+    core::time_point end)
 {
     return fleet_simulation(fleet, requests).run(end);
 }
--- a/libraries/replay/src/simulated_host.cpp
+++ b/libraries/replay/src/simulated_host.cpp
@@ -8,20 +8,26 @@
 
 namespace {
 
-admission::generation_size
-size_of(const generation_request& request, std::uint64_t written_tokens)
+admission::generation_parameters
+parameters_of(const generation_request& request)
 {
-    return admission::generation_size::create(
-        {request.prompt_tokens,
-         4 * request.output_tokens,
-         request.expected_output_tokens},
-        written_tokens);
+    admission::generation_parameters parameters;
+    parameters.prompt_tokens = request.prompt_tokens;
+    parameters.max_output_tokens = request.max_output_tokens > 0
+                                       ? request.max_output_tokens
+                                       : 4 * request.output_tokens;
+    if (request.expected_output_tokens > 0)
+        parameters.expected_output_tokens = request.expected_output_tokens;
+    return parameters;
 }
 
 } // namespace
 
 simulated_host::simulated_host(
-    core::zone_name zone, const routing::service& service, std::uint64_t seed)
+    core::zone_name zone,
+    const routing::service& service,
+    std::uint64_t seed,
+    bool learns_lengths)
     : zone_(std::move(zone)), service_(service), cold_servers_(seed),
       placer_(
           directory_,
@@ -31,9 +37,24 @@
           limits_,
           cold_servers_,
           evacuations_,
-          seed)
+          seed),
+      learns_lengths_(learns_lengths)
 {}
 
+admission::generation_size simulated_host::size_of(
+    const generation_request& request,
+    std::uint64_t written_tokens,
+    core::time_point now) const
+{
+    std::optional<admission::observed_lengths> observed;
+    const auto found = observations_.lengths.find(request.route);
+    if (found != observations_.lengths.end())
+        observed = found->second.observe(
+            written_tokens, observations_.speeds.soon_tokens(now), now);
+    return admission::generation_size::create(
+        parameters_of(request), written_tokens, observed);
+}
+
 void simulated_host::add_server(
     const placement::backend_server& server, core::time_point now)
 {
@@ -49,7 +70,8 @@
         {now,
          now + request.caller_timeout,
          request.latency_objective,
-         request.priority});
+         request.priority,
+         observations_.speeds.prefill_tokens_per_ms(now)});
     waiting_.emplace(generation, waiting_generation{request, policy, now});
 }
 
@@ -69,12 +91,42 @@
         return;
     running_generation& running = found->second;
     running.gap_tracker.record_events(1, now);
+    observe_progress(running, written_tokens, now);
     placement::work_size work =
-        size_of(running.request, written_tokens).migrated_work();
+        size_of(running.request, written_tokens, now).migrated_work();
     work.gaps = running.gap_tracker.gaps();
     replace_work(running, work);
 }
 
+void simulated_host::observe_progress(
+    running_generation& running,
+    std::uint64_t written_tokens,
+    core::time_point now)
+{
+    if (!learns_lengths_)
+        return;
+    if (running.written_tokens == 0)
+        observations_.speeds.record_first_event(
+            running.unread_tokens, now - running.sent_at, now);
+    if (const auto gap_ms = running.gap_tracker.gaps().mean_ms())
+        observations_.speeds.record_step(
+            *gap_ms / service_.engine->tokens_per_event, now);
+    observations_.lengths[running.request.route].record_growth(
+        running.written_tokens, written_tokens, now);
+    running.written_tokens = written_tokens;
+}
+
+void simulated_host::record_end(
+    std::size_t generation, std::uint64_t output_tokens, core::time_point now)
+{
+    const auto found = running_.find(generation);
+    if (!learns_lengths_ || found == running_.end())
+        return;
+    const generation_request& request = found->second.request;
+    observations_.lengths[request.route].record_end(
+        parameters_of(request), output_tokens, now);
+}
+
 void simulated_host::detect_slow_servers(core::time_point now)
 {
     const auto observed =
@@ -120,7 +172,7 @@
     const auto stage = waiting.policy.stage(now);
     waiting.next_attempt = waiting.policy.next_attempt(stage, now);
     placement::placement_request request = admission::make_placement_request(
-        service_, size_of(waiting.request, 0), waiting.policy, stage);
+        service_, size_of(waiting.request, 0, now), waiting.policy, stage);
     request.preferred_zone = zone_;
     const auto choice = placer_.choose(request, now);
     if (!choice)
@@ -133,7 +185,12 @@
     running_.emplace(
         generation,
         running_generation{
-            waiting.request, choice->server.id, request.work, {}});
+            waiting.request,
+            choice->server.id,
+            request.work,
+            {},
+            now,
+            ledger_.at(choice->server.id, now).unread_tokens});
     return true;
 }
 
--- a/libraries/replay/src/simulated_host.hpp
+++ b/libraries/replay/src/simulated_host.hpp
@@ -12,6 +12,8 @@
 #include <godwit/replay/generation_request.hpp>
 #include <godwit/routing/service.hpp>
 
+#include "host_observations.hpp"
+
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -36,7 +38,8 @@
     simulated_host(
         core::zone_name zone,
         const routing::service& service,
-        std::uint64_t seed);
+        std::uint64_t seed,
+        bool learns_lengths);
 
     simulated_host(const simulated_host&) = delete;
     simulated_host& operator=(const simulated_host&) = delete;
@@ -56,6 +59,12 @@
         std::uint64_t written_tokens,
         core::time_point now);
 
+    /// Records that a generation ended by itself at this length.
+    void record_end(
+        std::size_t generation,
+        std::uint64_t output_tokens,
+        core::time_point now);
+
     void remove(std::size_t generation);
 
     void update_from_neighbour(
@@ -77,6 +86,8 @@
         return ledger_.own();
     }
 
+    [[nodiscard]] host_observations& observations() { return observations_; }
+
 private:
     struct waiting_generation
     {
@@ -91,6 +102,9 @@
         placement::server_id server;
         placement::work_size work;
         placement::event_gap_tracker gap_tracker;
+        core::time_point sent_at;
+        std::uint64_t unread_tokens = 0; ///< At the engine when it was sent.
+        std::uint64_t written_tokens = 0;
     };
 
     [[nodiscard]] std::vector<std::pair<int, std::size_t>>
@@ -100,6 +114,14 @@
         waiting_generation& waiting,
         core::time_point now,
         const send_function& send);
+    [[nodiscard]] admission::generation_size size_of(
+        const generation_request& request,
+        std::uint64_t written_tokens,
+        core::time_point now) const;
+    void observe_progress(
+        running_generation& running,
+        std::uint64_t written_tokens,
+        core::time_point now);
     void replace_work(running_generation& running, placement::work_size work);
 
     core::zone_name zone_;
@@ -112,6 +134,8 @@
     placement::cold_servers cold_servers_;
     placement::zone_evacuations evacuations_;
     placement::placer placer_;
+    const bool learns_lengths_;
+    host_observations observations_;
     std::map<std::size_t, waiting_generation> waiting_;
     std::map<std::size_t, running_generation> running_;
 };
--- a/services/entry/include/godwit/entry/entry_context.hpp
+++ b/services/entry/include/godwit/entry/entry_context.hpp
@@ -4,6 +4,7 @@
 #include <godwit/admission/recent_prompts.hpp>
 #include <godwit/admission/request_quarantine.hpp>
 #include <godwit/entry/entry_settings.hpp>
+#include <godwit/entry/generation_statistics.hpp>
 #include <godwit/entry/link_claims.hpp>
 #include <godwit/entry/retry_budgets.hpp>
 #include <godwit/entry/server_connector.hpp>
@@ -148,6 +149,7 @@
     server_connector connector;
     std::unique_ptr<http::connection_pool> connections;
     std::unique_ptr<telemetry::metrics> metrics;
+    generation_statistics statistics;
     bool is_stopping = false;
 };
 
--- a/services/entry/include/godwit/entry/stream_call.hpp
+++ b/services/entry/include/godwit/entry/stream_call.hpp
@@ -9,6 +9,7 @@
 #include <godwit/entry/refusal.hpp>
 #include <godwit/entry/reservation.hpp>
 #include <godwit/entry/routed_call.hpp>
+#include <godwit/entry/stream_observer.hpp>
 #include <godwit/entry/running_stream.hpp>
 #include <godwit/entry/upstream.hpp>
 #include <godwit/placement/event_gap_tracker.hpp>
@@ -98,6 +99,7 @@
     event_splitter event_splitter_;
     std::uint64_t last_event_ = 0;
     stream_timing timing_;
+    stream_observer observer_;
     placement::event_gap_tracker event_gaps_;
     core::time_point sent_at_{};
     std::optional<core::time_point> last_relayed_;
--- a/services/entry/src/capacity_search.cpp
+++ b/services/entry/src/capacity_search.cpp
@@ -3,6 +3,7 @@
 #include <godwit/admission/make_placement_request.hpp>
 #include <godwit/entry/call_log.hpp>
 #include <godwit/entry/call_regions.hpp>
+#include <godwit/entry/call_size.hpp>
 #include <godwit/entry/limit_wait.hpp>
 #include <godwit/entry/server_hold.hpp>
 #include <godwit/entry/version_choice.hpp>
@@ -15,18 +16,6 @@
 namespace asio = boost::asio;
 using admission::wait_stage;
 
-namespace {
-
-std::optional<admission::generation_size>
-size_of(const request_metadata& metadata)
-{
-    if (!metadata.generation)
-        return std::nullopt;
-    return admission::generation_size::create(*metadata.generation, 0);
-}
-
-} // namespace
-
 bool supports_holds(const routed_call& call)
 {
     return call.service.engine &&
@@ -40,8 +29,10 @@
           {call_->arrival_time,
            call_->deadline,
            call_->route.latency_objective,
-           call_->priority})),
-      size_(size_of(call_->metadata))
+           call_->priority,
+           context.statistics.prefill_tokens_per_ms(
+               call_->service.name, call_->arrival_time)})),
+      size_(size_of(context, *call_, 0, call_->arrival_time))
 {}
 
 void capacity_search::exclude(const placement::server_id& server)
--- a/services/entry/src/entry_process_neighbours.cpp
+++ b/services/entry/src/entry_process_neighbours.cpp
@@ -56,6 +56,11 @@
     const auto rollouts = context_.rollouts.all();
     if (!rollouts.empty())
         messages.emplace_back(to_wire(rollouts, core::monotonic_now()));
+    if (neighbours_->is_cell_peer(peer.host)) {
+        if (auto sums =
+                context_.statistics.initial_message(core::monotonic_now()))
+            messages.emplace_back(std::move(*sums));
+    }
     // A link to another cell begins with all load sums of this cell, because
     // later reports contain only the changes.
     if (!neighbours_->is_cell_peer(peer.host)) {
@@ -184,6 +189,9 @@
     else if (
         const auto* positions = std::get_if<wire::source_positions>(&message))
         handle_source_positions(peer.host, *positions);
+    else if (const auto* sums = std::get_if<wire::length_sums>(&message);
+             sums != nullptr && neighbours_->is_cell_peer(peer.host))
+        context_.statistics.handle(peer.host, *sums, core::monotonic_now());
 }
 
 void entry_process::handle_link_claim(
--- a/services/entry/src/stream_call.cpp
+++ b/services/entry/src/stream_call.cpp
@@ -34,7 +34,7 @@
     : context_(context),
       call_(std::make_shared<const routed_call>(std::move(call))),
       gate_(context), search_(context, call_),
-      rebalancer_(context.settings.zone),
+      rebalancer_(context.settings.zone), observer_(context, call_),
       metrics_(
           *context.metrics,
           call_->service.name,
@@ -149,6 +149,7 @@
     sent_at_ = core::monotonic_now();
     attach_to(std::make_shared<upstream>(
         context_, server, call_->route.latency_objective));
+    observer_.on_sent(server.id, sent_at_);
     http::request outgoing = request_for(server.id, std::nullopt);
     const std::string attempt_id = call_->metadata.attempt_id;
     auto head = co_await active_->send(
@@ -307,6 +308,7 @@
             active_->release_connection();
             stop_migration();
             context_.health.record_success(active_->server().id);
+            observer_.on_completed(core::monotonic_now());
             record_completed_run(
                 context_,
                 *call_,
@@ -367,6 +369,8 @@
     }
     event_gaps_.record_events(
         timing_.events - events_before, core::monotonic_now());
+    observer_.on_events(
+        timing_.events, event_gaps_.gaps(), core::monotonic_now());
     if (timing_.events > 0 && reserved_) {
         reserved_->on_prefill_done();
         reserved_->set_progress(migrated_work().tokens, event_gaps_.gaps());
--- a/services/entry/src/stream_call_migration.cpp
+++ b/services/entry/src/stream_call_migration.cpp
@@ -1,6 +1,7 @@
 #include <godwit/entry/stream_call.hpp>
 
 #include <godwit/entry/call_regions.hpp>
+#include <godwit/entry/call_size.hpp>
 #include <godwit/rollout/version_choice.hpp>
 
 #include <utility>
@@ -22,9 +23,11 @@
 
 admission::generation_size stream_call::size() const
 {
-    return admission::generation_size::create(
-        *call_->metadata.generation,
-        timing_.events * call_->service.engine->tokens_per_event);
+    return *size_of(
+        context_,
+        *call_,
+        timing_.events * call_->service.engine->tokens_per_event,
+        core::monotonic_now());
 }
 
 // A generation that migrates brings its KV cache along, so that no prompt has
