--- a/libraries/admission/include/godwit/admission/engine_speed_estimator.hpp
+++ b/libraries/admission/include/godwit/admission/engine_speed_estimator.hpp
@@ -67,7 +67,7 @@
 
     [[nodiscard]] double combined(
         const observed_median& own,
-        observed_median engine_speeds::* kind,
+        observed_median engine_speeds::*kind,
         core::duration window,
         core::time_point now) const;
 
--- a/libraries/admission/src/engine_speed_estimator.cpp
+++ b/libraries/admission/src/engine_speed_estimator.cpp
@@ -116,7 +116,7 @@
 // Returns 0 if too little is known.
 double engine_speed_estimator::combined(
     const observed_median& own,
-    observed_median engine_speeds::* kind,
+    observed_median engine_speeds::*kind,
     core::duration window,
     core::time_point now) const
 {
--- a/libraries/admission/src/generation_size.cpp
+++ b/libraries/admission/src/generation_size.cpp
@@ -17,6 +17,8 @@
 // estimate.
 constexpr std::uint64_t max_growth_tokens = 200;
 constexpr std::uint64_t min_growth_tokens = 50;
+// The part of its observed growth that a run holds on average meanwhile.
+constexpr double mean_growth_share = 0.5;
 // A generation of at most this many tokens frees its memory within half a
 // second, so that it delays no other request whenever it starts.
 constexpr std::uint64_t max_short_output_tokens = 64;
@@ -77,9 +79,9 @@
            max_short_output_tokens;
 }
 
-// Counts what nearly all such runs write in the next two seconds: the memory of
-// a run that ends earlier is free then, but an engine without memory preempts a
-// run and has to prefill its prompt again.
+// A run that grows steadily holds half of its growth on average over the time
+// until then. Counting all of it would leave memory unused, since some runs of
+// a batch end meanwhile and free more than the others add.
 std::uint64_t generation_size::growth_tokens() const noexcept
 {
     if (!observed_)
@@ -91,7 +93,9 @@
     const std::uint64_t remaining = is_estimate_used()
                                         ? remaining_tokens()
                                         : observed_->high_remaining_tokens;
-    return std::min({most, remaining, observed_->soon_tokens});
+    const auto mean_growth = static_cast<std::uint64_t>(
+        mean_growth_share * static_cast<double>(observed_->soon_tokens));
+    return std::min({most, remaining, mean_growth});
 }
 
 placement::work_size generation_size::work() const noexcept
--- a/libraries/replay/include/godwit/replay/generation_request.hpp
+++ b/libraries/replay/include/godwit/replay/generation_request.hpp
@@ -16,7 +16,7 @@
     core::duration caller_timeout{};    ///< Time until the caller disconnects.
     int priority = 0;                   ///< 0 is the most urgent.
     std::uint32_t prompt_tokens = 0;
-    std::uint32_t output_tokens = 0;          ///< The actual output.
+    std::uint32_t output_tokens = 0; ///< The actual output.
     /// The caller's estimate; 0 if there is none.
     std::uint32_t expected_output_tokens = 0;
     /// As stated by the caller; 0 stands for four times the actual output.
--- a/libraries/wire/include/godwit/wire/length_sums.hpp
+++ b/libraries/wire/include/godwit/wire/length_sums.hpp
@@ -16,7 +16,8 @@
     float estimate_error = 0;  ///< Sum of the errors of callers' estimates.
     float observed_error = 0;  ///< Sum of those of the observed median.
 
-    friend bool operator==(const route_lengths&, const route_lengths&) = default;
+    friend bool
+    operator==(const route_lengths&, const route_lengths&) = default;
 };
 
 /// Medians of the observed speeds of a service's engines.
@@ -28,7 +29,8 @@
     float step_ms = 0;
     std::uint32_t steps = 0; ///< Number of observations.
 
-    friend bool operator==(const service_speed&, const service_speed&) = default;
+    friend bool
+    operator==(const service_speed&, const service_speed&) = default;
 };
 
 /// What the sender itself has observed of generations.
--- a/services/entry/include/godwit/entry/generation_statistics.hpp
+++ b/services/entry/include/godwit/entry/generation_statistics.hpp
@@ -89,8 +89,8 @@
 
     /// Called on each tick with the route table in force, if any. Discards what
     /// is outdated, and returns the message for the cell if one is due.
-    [[nodiscard]] std::optional<wire::length_sums>
-    tick(const std::shared_ptr<const routing::route_table>& routes,
+    [[nodiscard]] std::optional<wire::length_sums> tick(
+        const std::shared_ptr<const routing::route_table>& routes,
         core::time_point now);
 
 private:
--- a/services/entry/include/godwit/entry/stream_call.hpp
+++ b/services/entry/include/godwit/entry/stream_call.hpp
@@ -9,8 +9,8 @@
 #include <godwit/entry/refusal.hpp>
 #include <godwit/entry/reservation.hpp>
 #include <godwit/entry/routed_call.hpp>
-#include <godwit/entry/stream_observer.hpp>
 #include <godwit/entry/running_stream.hpp>
+#include <godwit/entry/stream_observer.hpp>
 #include <godwit/entry/upstream.hpp>
 #include <godwit/placement/event_gap_tracker.hpp>
 #include <godwit/placement/zone_rebalancer.hpp>
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -414,8 +414,8 @@
     request_server_list();
     serve_server_lists();
     broadcast_source_positions();
-    if (const auto sums = context_.statistics.tick(
-            context_.routes, core::monotonic_now()))
+    if (const auto sums =
+            context_.statistics.tick(context_.routes, core::monotonic_now()))
         neighbours_->broadcast(*sums, audience::cell);
     neighbours_->log_traffic(core::monotonic_now());
     avoid_unresponsive_servers();
