--- a/services/entry/src/generation_statistics.cpp
+++ b/services/entry/src/generation_statistics.cpp
@@ -133,6 +133,11 @@
     if (lengths == nullptr)
         return;
     lengths->record_end(parameters, tokens, now);
+    metrics_
+        .counter(
+            "godwit_generations_observed_total",
+            "Generations whose output lengths were counted.")
+        .Increment();
     has_news_ = true;
 }
 
