--- a/services/entry/include/godwit/entry/generation_statistics.hpp
+++ b/services/entry/include/godwit/entry/generation_statistics.hpp
@@ -102,7 +102,7 @@
     void discard_outdated(core::time_point now);
     void retain(const std::shared_ptr<const routing::route_table>& routes);
     void reject(const core::host_name& host, const core::error& why);
-    void log_observations(core::time_point now);
+    void review(core::time_point now);
     [[nodiscard]] wire::length_sums own_sums(core::time_point now) const;
 
     const entry_settings& settings_;
@@ -116,7 +116,7 @@
     std::set<core::host_name> malformed_from_;
     std::optional<core::time_point> last_tick_at_;
     core::time_point sent_at_{};
-    core::time_point logged_at_{};
+    core::time_point reviewed_at_{};
     bool has_news_ = false; ///< Since the last message to the cell.
 };
 
--- a/services/entry/src/generation_statistics.cpp
+++ b/services/entry/src/generation_statistics.cpp
@@ -17,7 +17,7 @@
 // After a longer pause between two ticks the process was suspended, and what it
 // observed before is outdated. Ticks come every 50 ms.
 constexpr core::duration max_tick_gap = std::chrono::seconds(1);
-constexpr core::duration log_interval = std::chrono::seconds(10);
+constexpr core::duration review_interval = std::chrono::seconds(10);
 // Routes that one log line names.
 constexpr std::size_t max_logged_routes = 4;
 // Bounds the memory for names of neighbours that are gone.
@@ -245,12 +245,16 @@
     last_tick_at_ = now;
     if (routes != routes_)
         retain(routes);
-    log_observations(now);
+    if (settings_.learns_lengths && now - reviewed_at_ >= review_interval)
+        review(now);
     if (!has_news_ || now - sent_at_ < send_interval)
         return std::nullopt;
     has_news_ = false;
     sent_at_ = now;
-    return own_sums(now);
+    wire::length_sums message = own_sums(now);
+    if (message == wire::length_sums())
+        return std::nullopt;
+    return message;
 }
 
 void generation_statistics::discard_outdated(core::time_point now)
@@ -281,11 +285,13 @@
     });
 }
 
-void generation_statistics::log_observations(core::time_point now)
+// Makes room for other routes, and shows what is known.
+void generation_statistics::review(core::time_point now)
 {
-    if (!settings_.learns_lengths || now - logged_at_ < log_interval)
-        return;
-    logged_at_ = now;
+    reviewed_at_ = now;
+    std::erase_if(lengths_, [now](const auto& each) {
+        return each.second.is_forgotten(now);
+    });
     const std::string described = describe(lengths_, now);
     std::size_t learned = 0;
     for (const auto& [route, lengths] : lengths_) {
