--- a/tests/entry/generation_statistics_test.cpp
+++ b/tests/entry/generation_statistics_test.cpp
@@ -40,13 +40,25 @@
     return routing::route_table::create(std::move(content)).value();
 }
 
+entry_settings settings_with(bool learns_lengths)
+{
+    const auto any_port = http::endpoint::parse("127.0.0.1:0").value();
+    return entry_settings{
+        .host = core::host_name("h1"),
+        .zone = core::zone_name("east"),
+        .callers = any_port,
+        .readiness = any_port,
+        .operators = any_port,
+        .neighbours = any_port,
+        .seeds = {},
+        .learns_lengths = learns_lengths};
+}
+
 /// A host's statistics with what they depend on.
 struct host
 {
-    explicit host(bool learns_lengths)
-    {
-        settings.learns_lengths = learns_lengths;
-    }
+    explicit host(bool learns_lengths) : settings(settings_with(learns_lengths))
+    {}
 
     void record_runs(int count, core::time_point now)
     {
@@ -89,12 +101,12 @@
         [[maybe_unused]] const auto first =
             silent.statistics.tick(nullptr, at_ms(0));
         silent.record_runs(100, at_ms(0));
-        CPPUNIT_ASSERT(!silent.knows_lengths(at_ms(10)));
-        CPPUNIT_ASSERT(!silent.statistics.initial_message(at_ms(10)));
-        CPPUNIT_ASSERT(!silent.statistics.tick(nullptr, at_ms(50)));
+        CPPUNIT_ASSERT(!silent.knows_lengths(at_ms(200)));
+        CPPUNIT_ASSERT(!silent.statistics.initial_message(at_ms(200)));
+        CPPUNIT_ASSERT(!silent.statistics.tick(nullptr, at_ms(250)));
         CPPUNIT_ASSERT_EQUAL(
             admission::engine_speeds::usual_prefill_tokens_per_ms,
-            silent.statistics.prefill_tokens_per_ms(silent.service, at_ms(50)));
+            silent.statistics.prefill_tokens_per_ms(silent.service, at_ms(250)));
     }
 
     void test_messages_are_limited_to_one_a_second()
@@ -171,13 +183,13 @@
         [[maybe_unused]] auto sent =
             changed.statistics.tick(table_with("r"), at_ms(0));
         changed.record_runs(100, at_ms(0));
-        CPPUNIT_ASSERT(changed.knows_lengths(at_ms(10)));
-        sent = changed.statistics.tick(table_with("other"), at_ms(50));
-        CPPUNIT_ASSERT(!changed.knows_lengths(at_ms(60)));
+        CPPUNIT_ASSERT(changed.knows_lengths(at_ms(200)));
+        sent = changed.statistics.tick(table_with("other"), at_ms(250));
+        CPPUNIT_ASSERT(!changed.knows_lengths(at_ms(500)));
         // Runs that began before the change do not bring it back.
-        changed.record_runs(100, at_ms(60));
-        sent = changed.statistics.tick(table_with("r"), at_ms(100));
-        CPPUNIT_ASSERT(!changed.knows_lengths(at_ms(110)));
+        changed.record_runs(100, at_ms(500));
+        sent = changed.statistics.tick(table_with("r"), at_ms(600));
+        CPPUNIT_ASSERT(!changed.knows_lengths(at_ms(800)));
     }
 
     void test_malformed_sums_are_ignored()
