--- a/libraries/wire/src/codec.cpp
+++ b/libraries/wire/src/codec.cpp
@@ -129,6 +129,8 @@
         return read_payload(frame.payload_as_source_positions(), reader);
     case format::payload::load_statements:
         return read_payload(frame.payload_as_load_statements(), reader);
+    case format::payload::length_sums:
+        return read_payload(frame.payload_as_length_sums(), reader);
     case format::payload::NONE:
         break;
     }
--- a/libraries/wire/src/message_reader.hpp
+++ b/libraries/wire/src/message_reader.hpp
@@ -77,5 +77,8 @@
 read(const format::load_statement& table, frame_reader& reader);
 [[nodiscard]] load_statements
 read(const format::load_statements& table, frame_reader& reader);
+route_lengths read(const format::route_lengths& table, frame_reader& reader);
+service_speed read(const format::service_speed& table, frame_reader& reader);
+length_sums read(const format::length_sums& table, frame_reader& reader);
 
 } // namespace godwit::wire
