--- a/services/entry/include/godwit/entry/entry_settings.hpp
+++ b/services/entry/include/godwit/entry/entry_settings.hpp
@@ -46,11 +46,6 @@
     /// The largest share of a service's requests until the deadline of a
     /// rollout that a bad version may get.
     double max_rollout_exposure = 0.05;
-    /// Whether hosts predict when a request would start, and refuse those that
-    /// would start too late.
-    bool predicts_starts = false;
-    /// Whether hosts agree on an order of the requests that wait for capacity.
-    bool shares_order = false;
     /// Whether memory is planned by the output lengths and the engine speeds
     /// that hosts observe.
     bool learns_lengths = false;
--- a/services/entry/src/entry_settings.cpp
+++ b/services/entry/src/entry_settings.cpp
@@ -80,8 +80,6 @@
     result.retry_allowance = newer.retry_allowance;
     result.retry_window = newer.retry_window;
     result.max_rollout_exposure = newer.max_rollout_exposure;
-    result.predicts_starts = newer.predicts_starts;
-    result.shares_order = newer.shares_order;
     result.learns_lengths = newer.learns_lengths;
     return result;
 }
@@ -134,10 +132,6 @@
     read.max_rollout_exposure = GODWIT_TRY(source.get_number(
         "max_rollout_exposure", {0.0, 1.0}, read.max_rollout_exposure));
     auto admission = GODWIT_TRY(source.get_object("admission"));
-    read.predicts_starts = GODWIT_TRY(
-        admission.get_boolean("predicted_starts", read.predicts_starts));
-    read.shares_order =
-        GODWIT_TRY(admission.get_boolean("shared_order", read.shares_order));
     read.learns_lengths = GODWIT_TRY(
         admission.get_boolean("learned_lengths", read.learns_lengths));
     GODWIT_TRY(admission.finish(true));
