length_estimator: a new route is not forgotten with its first observations

The review of known routes used a total that is kept for 100 ms. A total calculated just before the first generation ended had no observations, so that the route was removed with all that was observed since: observed_lengths_test failed in 4 of 5 runs, with one message that named no route.

--- a/libraries/admission/src/length_estimator.cpp
+++ b/libraries/admission/src/length_estimator.cpp
@@ -2,6 +2,7 @@
 
 #include <godwit/admission/generation_size.hpp>
 
+#include <algorithm>
 #include <cmath>
 
 namespace godwit::admission {
@@ -112,9 +113,17 @@
         *middle, *high, soon_tokens, sums.are_estimates_better()};
 }
 
+// A calculated total may be older than the first observation.
 bool length_estimator::is_forgotten(core::time_point now) const
 {
-    return total(now).observations() < negligible_weight;
+    const auto is_negligible = [now](const dated_sums& known) {
+        return known.at(now).observations() < negligible_weight;
+    };
+    return is_negligible(own_) &&
+           std::all_of(
+               neighbours_.begin(), neighbours_.end(), [&](const auto& each) {
+                   return is_negligible(each.second);
+               });
 }
 
 } // namespace godwit::admission
