queueing: order of waiting requests over a cell of hosts

Which host's request gets capacity was left to chance, and an organisation with more requests got more capacity. Adds the decisions as a library without sockets or clocks: the order, the decayed work of organisations, the reports of a cell and the bounded delay of an outranked request, and the message waiting_heads.

--- /dev/null
+++ b/libraries/queueing/include/godwit/queueing/slot_yields.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <godwit/core/time.hpp>
+#include <godwit/placement/backend_server.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <map>
+
+namespace godwit::queueing {
+
+/// Bounds how long a host leaves a free slot of a server to the more urgent
+/// requests of other hosts.
+class slot_yields
+{
+public:
+    /// The longest delay in all for one slot.
+    static constexpr core::duration max_delay = std::chrono::milliseconds(200);
+    /// The delay for each request that goes first: the hosts with these
+    /// requests try at least at this interval.
+    static constexpr core::duration delay_per_request =
+        std::chrono::milliseconds(20);
+    /// The servers with slots left to others at a time; beyond, slots are
+    /// taken at once.
+    static constexpr std::size_t max_servers = 256;
+
+    /// Returns the time until the next attempt of a request that found a free
+    /// slot at the server and is outranked by so many requests of other hosts;
+    /// zero if it may take the slot.
+    [[nodiscard]] core::duration delay(
+        const placement::server_id& server,
+        std::size_t outranking,
+        core::time_point now);
+
+    /// Records that no server has a free slot.
+    void clear() { slots_.clear(); }
+
+private:
+    struct free_slot
+    {
+        core::time_point found_at;
+        core::time_point last_found_at;
+    };
+
+    std::map<placement::server_id, free_slot> slots_;
+};
+
+} // namespace godwit::queueing
--- /dev/null
+++ b/libraries/queueing/src/queue_order.cpp
@@ -0,0 +1,112 @@
+#include <godwit/queueing/queue_order.hpp>
+
+#include <godwit/queueing/queue_report.hpp>
+
+#include <algorithm>
+#include <cstddef>
+#include <tuple>
+
+namespace godwit::queueing {
+
+namespace {
+
+// Organisations whose use differs by less than a step are equal, so that small
+// differences do not outweigh which request has the least time left. Shares
+// may differ by a tenth; half of that leaves room for the age of reports.
+constexpr double levels_per_share = 20.0;
+constexpr int max_level = 100'000;
+
+// Where a request stands before the shares are compared. An aged request
+// counts as one that can start in time: the shares still decide between
+// organisations, or the oldest requests of an organisation with many would
+// take every slot.
+auto standing(const waiting_request& request, core::time_point now)
+{
+    const bool is_late =
+        !request.can_start_in_time(now) && !request.is_aged(now);
+    return std::tuple(request.priority, is_late);
+}
+
+// The order within an organisation.
+auto urgency(const waiting_request& request, core::time_point now)
+{
+    const bool is_aged = request.is_aged(now);
+    return std::tuple(
+        !is_aged,
+        is_aged ? request.arrival_time : request.latest_start,
+        request.arrival_time);
+}
+
+} // namespace
+
+queue_order queue_order::create(
+    const std::map<core::organisation_name, double>& used,
+    const std::set<core::organisation_name>& waiting,
+    core::time_point now)
+{
+    const auto used_by = [&used](const core::organisation_name& name) {
+        const auto found = used.find(name);
+        return found == used.end() ? 0.0 : found->second;
+    };
+    double total = 0;
+    for (const auto& organisation : waiting)
+        total += used_by(organisation);
+    std::map<core::organisation_name, int> levels;
+    if (total <= 0)
+        return {std::move(levels), now};
+    const double share = total / static_cast<double>(waiting.size());
+    for (const auto& organisation : waiting) {
+        const double level = levels_per_share * used_by(organisation) / share;
+        levels.emplace(
+            organisation, static_cast<int>(std::min<double>(level, max_level)));
+    }
+    return {std::move(levels), now};
+}
+
+int queue_order::share_level(const core::organisation_name& organisation) const
+{
+    const auto found = levels_.find(organisation);
+    return found == levels_.end() ? 0 : found->second;
+}
+
+bool queue_order::goes_before(
+    const waiting_request& left, const waiting_request& right) const
+{
+    const auto left_standing = standing(left, now_);
+    const auto right_standing = standing(right, now_);
+    if (left_standing != right_standing)
+        return left_standing < right_standing;
+    const int left_level = share_level(left.organisation);
+    const int right_level = share_level(right.organisation);
+    if (left_level != right_level)
+        return left_level < right_level;
+    return urgency(left, now_) < urgency(right, now_);
+}
+
+std::vector<waiting_request>
+queue_order::heads(std::vector<waiting_request> waiting) const
+{
+    std::stable_sort(
+        waiting.begin(),
+        waiting.end(),
+        [this](const waiting_request& left, const waiting_request& right) {
+            return goes_before(left, right);
+        });
+    std::map<core::service_name, std::size_t> counts;
+    std::vector<waiting_request> heads;
+    for (waiting_request& request : waiting) {
+        auto found = counts.find(request.service);
+        if (found == counts.end()) {
+            if (counts.size() == queue_report::max_services)
+                continue;
+            found = counts.emplace(request.service, 0).first;
+        }
+        if (found->second == queue_report::max_heads_per_service)
+            continue;
+        ++found->second;
+        heads.push_back(std::move(request));
+    }
+    return heads;
+}
+
+} // namespace godwit::queueing
--- /dev/null
+++ b/libraries/queueing/src/slot_yields.cpp
@@ -0,0 +1,41 @@
+#include <godwit/queueing/slot_yields.hpp>
+
+#include <algorithm>
+
+namespace godwit::queueing {
+
+namespace {
+
+// A waiting request looks for slots at least at each tick of its host, 50 ms.
+// A slot that it did not find for twice that time was taken meanwhile, and the
+// server's next free slot is another one.
+constexpr core::duration slot_lifetime = std::chrono::milliseconds(100);
+// The longest time until the request looks again.
+constexpr core::duration max_attempt_interval = std::chrono::milliseconds(50);
+
+} // namespace
+
+core::duration slot_yields::delay(
+    const placement::server_id& server,
+    std::size_t outranking,
+    core::time_point now)
+{
+    std::erase_if(slots_, [now](const auto& slot) {
+        return now - slot.second.last_found_at > slot_lifetime;
+    });
+    constexpr std::size_t max_steps = max_delay / delay_per_request;
+    const core::duration limit =
+        delay_per_request * std::min(outranking, max_steps);
+    if (slots_.size() >= max_servers && slots_.find(server) == slots_.end())
+        return core::duration::zero();
+    free_slot& slot =
+        slots_.try_emplace(server, free_slot{now, now}).first->second;
+    slot.last_found_at = now;
+    const core::duration remaining = slot.found_at + limit - now;
+    if (remaining > core::duration::zero())
+        return std::min(remaining, max_attempt_interval);
+    slots_.erase(server);
+    return core::duration::zero();
+}
+
+} // namespace godwit::queueing
--- a/libraries/wire/include/godwit/wire/message.hpp
+++ b/libraries/wire/include/godwit/wire/message.hpp
@@ -30,6 +30,7 @@
 #include <godwit/wire/source_positions.hpp>
 #include <godwit/wire/table_changes.hpp>
 #include <godwit/wire/table_document.hpp>
+#include <godwit/wire/waiting_heads.hpp>
 #include <godwit/wire/zone_evacuations.hpp>
 
 #include <string_view>
@@ -73,7 +74,8 @@
     server_list_offer,
     server_list_request,
     server_list_part,
-    source_positions>;
+    source_positions,
+    waiting_heads>;
 
 /// Returns the name of the message's type, for logs and metrics.
 [[nodiscard]] std::string_view name_of(const message& value) noexcept;
--- a/libraries/wire/src/codec.cpp
+++ b/libraries/wire/src/codec.cpp
@@ -127,6 +127,8 @@
         return read_payload(frame.payload_as_server_list_part(), reader);
     case format::payload::source_positions:
         return read_payload(frame.payload_as_source_positions(), reader);
+    case format::payload::waiting_heads:
+        return read_payload(frame.payload_as_waiting_heads(), reader);
     case format::payload::NONE:
         break;
     }
--- a/libraries/wire/src/godwit_generated.h
+++ b/libraries/wire/src/godwit_generated.h
@@ -161,6 +161,15 @@
 struct server_list_part;
 struct server_list_partBuilder;
 
+struct waiting_head;
+struct waiting_headBuilder;
+
+struct organisation_work;
+struct organisation_workBuilder;
+
+struct waiting_heads;
+struct waiting_headsBuilder;
+
 struct frame;
 struct frameBuilder;
 
@@ -488,11 +497,12 @@
   server_list_request = 32,
   server_list_part = 33,
   source_positions = 34,
+  waiting_heads = 35,
   MIN = NONE,
-  MAX = source_positions
+  MAX = waiting_heads
 };
 
-inline const payload (&EnumValuespayload())[35] {
+inline const payload (&EnumValuespayload())[36] {
   static const payload values[] = {
     payload::NONE,
     payload::hello,
@@ -528,13 +538,14 @@
     payload::server_list_offer,
     payload::server_list_request,
     payload::server_list_part,
-    payload::source_positions
+    payload::source_positions,
+    payload::waiting_heads
   };
   return values;
 }
 
 inline const char * const *EnumNamespayload() {
-  static const char * const names[36] = {
+  static const char * const names[37] = {
     "NONE",
     "hello",
     "heartbeat",
@@ -570,13 +581,14 @@
     "server_list_request",
     "server_list_part",
     "source_positions",
+    "waiting_heads",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamepayload(payload e) {
-  if (flatbuffers::IsOutRange(e, payload::NONE, payload::source_positions)) return "";
+  if (flatbuffers::IsOutRange(e, payload::NONE, payload::waiting_heads)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamespayload()[index];
 }
@@ -721,6 +733,10 @@
   static const payload enum_value = payload::source_positions;
 };
 
+template<> struct payloadTraits<godwit::wire::format::waiting_heads> {
+  static const payload enum_value = payload::waiting_heads;
+};
+
 bool Verifypayload(flatbuffers::Verifier &verifier, const void *obj, payload type);
 bool VerifypayloadVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<payload> *types);
 
@@ -4967,6 +4983,279 @@
       position);
 }
 
+struct waiting_head FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef waiting_headBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_ORGANISATION = 6,
+    VT_PRIORITY = 8,
+    VT_SLACK_MS = 10,
+    VT_WAITED_MS = 12,
+    VT_OBJECTIVE_MS = 14,
+    VT_TOKENS = 16
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *organisation() const {
+    return GetPointer<const flatbuffers::String *>(VT_ORGANISATION);
+  }
+  int32_t priority() const {
+    return GetField<int32_t>(VT_PRIORITY, 0);
+  }
+  int32_t slack_ms() const {
+    return GetField<int32_t>(VT_SLACK_MS, 0);
+  }
+  uint32_t waited_ms() const {
+    return GetField<uint32_t>(VT_WAITED_MS, 0);
+  }
+  uint32_t objective_ms() const {
+    return GetField<uint32_t>(VT_OBJECTIVE_MS, 0);
+  }
+  uint64_t tokens() const {
+    return GetField<uint64_t>(VT_TOKENS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_ORGANISATION) &&
+           verifier.VerifyString(organisation()) &&
+           VerifyField<int32_t>(verifier, VT_PRIORITY, 4) &&
+           VerifyField<int32_t>(verifier, VT_SLACK_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_WAITED_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_OBJECTIVE_MS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_TOKENS, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct waiting_headBuilder {
+  typedef waiting_head Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(waiting_head::VT_SERVICE, service);
+  }
+  void add_organisation(flatbuffers::Offset<flatbuffers::String> organisation) {
+    fbb_.AddOffset(waiting_head::VT_ORGANISATION, organisation);
+  }
+  void add_priority(int32_t priority) {
+    fbb_.AddElement<int32_t>(waiting_head::VT_PRIORITY, priority, 0);
+  }
+  void add_slack_ms(int32_t slack_ms) {
+    fbb_.AddElement<int32_t>(waiting_head::VT_SLACK_MS, slack_ms, 0);
+  }
+  void add_waited_ms(uint32_t waited_ms) {
+    fbb_.AddElement<uint32_t>(waiting_head::VT_WAITED_MS, waited_ms, 0);
+  }
+  void add_objective_ms(uint32_t objective_ms) {
+    fbb_.AddElement<uint32_t>(waiting_head::VT_OBJECTIVE_MS, objective_ms, 0);
+  }
+  void add_tokens(uint64_t tokens) {
+    fbb_.AddElement<uint64_t>(waiting_head::VT_TOKENS, tokens, 0);
+  }
+  explicit waiting_headBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<waiting_head> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<waiting_head>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<waiting_head> Createwaiting_head(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> organisation = 0,
+    int32_t priority = 0,
+    int32_t slack_ms = 0,
+    uint32_t waited_ms = 0,
+    uint32_t objective_ms = 0,
+    uint64_t tokens = 0) {
+  waiting_headBuilder builder_(_fbb);
+  builder_.add_tokens(tokens);
+  builder_.add_objective_ms(objective_ms);
+  builder_.add_waited_ms(waited_ms);
+  builder_.add_slack_ms(slack_ms);
+  builder_.add_priority(priority);
+  builder_.add_organisation(organisation);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+struct waiting_head::Traits {
+  using type = waiting_head;
+  static auto constexpr Create = Createwaiting_head;
+};
+
+inline flatbuffers::Offset<waiting_head> Createwaiting_headDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    const char *organisation = nullptr,
+    int32_t priority = 0,
+    int32_t slack_ms = 0,
+    uint32_t waited_ms = 0,
+    uint32_t objective_ms = 0,
+    uint64_t tokens = 0) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto organisation__ = organisation ? _fbb.CreateString(organisation) : 0;
+  return godwit::wire::format::Createwaiting_head(
+      _fbb,
+      service__,
+      organisation__,
+      priority,
+      slack_ms,
+      waited_ms,
+      objective_ms,
+      tokens);
+}
+
+struct organisation_work FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef organisation_workBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ORGANISATION = 4,
+    VT_WORK = 6
+  };
+  const flatbuffers::String *organisation() const {
+    return GetPointer<const flatbuffers::String *>(VT_ORGANISATION);
+  }
+  double work() const {
+    return GetField<double>(VT_WORK, 0.0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ORGANISATION) &&
+           verifier.VerifyString(organisation()) &&
+           VerifyField<double>(verifier, VT_WORK, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct organisation_workBuilder {
+  typedef organisation_work Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_organisation(flatbuffers::Offset<flatbuffers::String> organisation) {
+    fbb_.AddOffset(organisation_work::VT_ORGANISATION, organisation);
+  }
+  void add_work(double work) {
+    fbb_.AddElement<double>(organisation_work::VT_WORK, work, 0.0);
+  }
+  explicit organisation_workBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<organisation_work> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<organisation_work>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<organisation_work> Createorganisation_work(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> organisation = 0,
+    double work = 0.0) {
+  organisation_workBuilder builder_(_fbb);
+  builder_.add_work(work);
+  builder_.add_organisation(organisation);
+  return builder_.Finish();
+}
+
+struct organisation_work::Traits {
+  using type = organisation_work;
+  static auto constexpr Create = Createorganisation_work;
+};
+
+inline flatbuffers::Offset<organisation_work> Createorganisation_workDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *organisation = nullptr,
+    double work = 0.0) {
+  auto organisation__ = organisation ? _fbb.CreateString(organisation) : 0;
+  return godwit::wire::format::Createorganisation_work(
+      _fbb,
+      organisation__,
+      work);
+}
+
+struct waiting_heads FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef waiting_headsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_HEADS = 4,
+    VT_USED = 6
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::waiting_head>> *heads() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::waiting_head>> *>(VT_HEADS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::organisation_work>> *used() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::organisation_work>> *>(VT_USED);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_HEADS) &&
+           verifier.VerifyVector(heads()) &&
+           verifier.VerifyVectorOfTables(heads()) &&
+           VerifyOffset(verifier, VT_USED) &&
+           verifier.VerifyVector(used()) &&
+           verifier.VerifyVectorOfTables(used()) &&
+           verifier.EndTable();
+  }
+};
+
+struct waiting_headsBuilder {
+  typedef waiting_heads Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_heads(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::waiting_head>>> heads) {
+    fbb_.AddOffset(waiting_heads::VT_HEADS, heads);
+  }
+  void add_used(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::organisation_work>>> used) {
+    fbb_.AddOffset(waiting_heads::VT_USED, used);
+  }
+  explicit waiting_headsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<waiting_heads> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<waiting_heads>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<waiting_heads> Createwaiting_heads(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::waiting_head>>> heads = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::organisation_work>>> used = 0) {
+  waiting_headsBuilder builder_(_fbb);
+  builder_.add_used(used);
+  builder_.add_heads(heads);
+  return builder_.Finish();
+}
+
+struct waiting_heads::Traits {
+  using type = waiting_heads;
+  static auto constexpr Create = Createwaiting_heads;
+};
+
+inline flatbuffers::Offset<waiting_heads> Createwaiting_headsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<godwit::wire::format::waiting_head>> *heads = nullptr,
+    const std::vector<flatbuffers::Offset<godwit::wire::format::organisation_work>> *used = nullptr) {
+  auto heads__ = heads ? _fbb.CreateVector<flatbuffers::Offset<godwit::wire::format::waiting_head>>(*heads) : 0;
+  auto used__ = used ? _fbb.CreateVector<flatbuffers::Offset<godwit::wire::format::organisation_work>>(*used) : 0;
+  return godwit::wire::format::Createwaiting_heads(
+      _fbb,
+      heads__,
+      used__);
+}
+
 struct frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef frameBuilder Builder;
   struct Traits;
@@ -5083,6 +5372,9 @@
   const godwit::wire::format::source_positions *payload_as_source_positions() const {
     return payload_type() == godwit::wire::format::payload::source_positions ? static_cast<const godwit::wire::format::source_positions *>(payload()) : nullptr;
   }
+  const godwit::wire::format::waiting_heads *payload_as_waiting_heads() const {
+    return payload_type() == godwit::wire::format::payload::waiting_heads ? static_cast<const godwit::wire::format::waiting_heads *>(payload()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_PAYLOAD_TYPE, 1) &&
@@ -5228,6 +5520,10 @@
   return payload_as_source_positions();
 }
 
+template<> inline const godwit::wire::format::waiting_heads *frame::payload_as<godwit::wire::format::waiting_heads>() const {
+  return payload_as_waiting_heads();
+}
+
 struct frameBuilder {
   typedef frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -5405,6 +5701,10 @@
       auto ptr = reinterpret_cast<const godwit::wire::format::source_positions *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case payload::waiting_heads: {
+      auto ptr = reinterpret_cast<const godwit::wire::format::waiting_heads *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/libraries/wire/src/message_reader.cpp
+++ b/libraries/wire/src/message_reader.cpp
@@ -431,4 +431,33 @@
         .hosts = position(table.hosts())};
 }
 
+waiting_head read(const format::waiting_head& table, frame_reader& reader)
+{
+    return waiting_head{
+        .service = reader.identifier<core::service_name>(table.service()),
+        .organisation =
+            reader.identifier<core::organisation_name>(table.organisation()),
+        .priority = table.priority(),
+        .slack_ms = table.slack_ms(),
+        .waited_ms = table.waited_ms(),
+        .objective_ms = table.objective_ms(),
+        .tokens = table.tokens()};
+}
+
+organisation_work
+read(const format::organisation_work& table, frame_reader& reader)
+{
+    return organisation_work{
+        .organisation =
+            reader.identifier<core::organisation_name>(table.organisation()),
+        .work = table.work()};
+}
+
+waiting_heads read(const format::waiting_heads& table, frame_reader& reader)
+{
+    return waiting_heads{
+        .heads = reader.list<waiting_head>(table.heads()),
+        .used = reader.list<organisation_work>(table.used())};
+}
+
 } // namespace godwit::wire
--- a/libraries/wire/src/message_reader.hpp
+++ b/libraries/wire/src/message_reader.hpp
@@ -73,4 +73,11 @@
 [[nodiscard]] source_positions
 read(const format::source_positions& table, frame_reader& reader);
 
+[[nodiscard]] waiting_head
+read(const format::waiting_head& table, frame_reader& reader);
+[[nodiscard]] organisation_work
+read(const format::organisation_work& table, frame_reader& reader);
+[[nodiscard]] waiting_heads
+read(const format::waiting_heads& table, frame_reader& reader);
+
 } // namespace godwit::wire
--- a/libraries/wire/src/message_writer.cpp
+++ b/libraries/wire/src/message_writer.cpp
@@ -502,4 +502,33 @@
         out, tables, value.table_version, servers, value.server_digest, hosts);
 }
 
+flatbuffers::Offset<format::waiting_head>
+write(builder& out, const waiting_head& value)
+{
+    return format::Createwaiting_head(
+        out,
+        text(out, value.service),
+        text(out, value.organisation),
+        value.priority,
+        value.slack_ms,
+        value.waited_ms,
+        value.objective_ms,
+        value.tokens);
+}
+
+flatbuffers::Offset<format::organisation_work>
+write(builder& out, const organisation_work& value)
+{
+    return format::Createorganisation_work(
+        out, text(out, value.organisation), value.work);
+}
+
+flatbuffers::Offset<format::waiting_heads>
+write(builder& out, const waiting_heads& value)
+{
+    const auto heads = list(out, value.heads);
+    const auto used = list(out, value.used);
+    return format::Createwaiting_heads(out, heads, used);
+}
+
 } // namespace godwit::wire
--- a/libraries/wire/src/message_writer.hpp
+++ b/libraries/wire/src/message_writer.hpp
@@ -102,5 +102,11 @@
 
 [[nodiscard]] flatbuffers::Offset<format::source_positions>
 write(flatbuffers::FlatBufferBuilder& out, const source_positions& value);
+flatbuffers::Offset<format::waiting_head>
+write(flatbuffers::FlatBufferBuilder& out, const waiting_head& value);
+flatbuffers::Offset<format::organisation_work>
+write(flatbuffers::FlatBufferBuilder& out, const organisation_work& value);
+flatbuffers::Offset<format::waiting_heads>
+write(flatbuffers::FlatBufferBuilder& out, const waiting_heads& value);
 
 } // namespace godwit::wire
--- a/tests/wire/sample_messages.cpp
+++ b/tests/wire/sample_messages.cpp
@@ -121,7 +121,17 @@
             12,
             std::nullopt,
             0xfeedULL,
-            source_position{0, 1}}};
+            source_position{0, 1}},
+        waiting_heads{
+            {waiting_head{
+                core::service_name("lm"),
+                core::organisation_name("north"),
+                2,
+                -40,
+                1700,
+                1500,
+                3279}},
+            {organisation_work{core::organisation_name("north"), 5120.5}}}};
 }
 
 } // namespace godwit::wire
