--- a/services/entry/include/godwit/entry/capacity_search.hpp
+++ b/services/entry/include/godwit/entry/capacity_search.hpp
@@ -6,12 +6,14 @@
 #include <godwit/entry/refusal.hpp>
 #include <godwit/entry/reservation.hpp>
 #include <godwit/entry/routed_call.hpp>
+#include <godwit/entry/used_work.hpp>
 #include <godwit/entry/wait_queue.hpp>
 #include <godwit/placement/backend_server.hpp>
 #include <godwit/placement/work_size.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -68,6 +70,15 @@
     hold_capacity(placement::placement_choice choice);
     [[nodiscard]] placement::placement_request
     placement_request_in(admission::wait_stage stage) const;
+    /// Counts the found capacity as work that the organisation uses.
+    void record_use(std::uint64_t tokens);
+    [[nodiscard]] queueing::waiting_request waiting_request() const;
+    /// Returns how long free capacity at the server is left to requests of
+    /// other hosts.
+    [[nodiscard]] core::duration yield_time(
+        admission::wait_stage stage,
+        const placement::server_id& server,
+        core::time_point now);
     [[nodiscard]] std::optional<refusal_reason> final_failure_of(
         placement::placement_failure failure, core::time_point now);
 
@@ -77,6 +88,7 @@
     std::optional<admission::generation_size> size_;
     std::vector<placement::server_id> excluded_;
     wait_queue::waiter* waiter_ = nullptr;
+    std::optional<used_work> used_work_; ///< Of the capacity last found.
     bool is_stopped_ = false;
     std::optional<refusal_reason> final_failure_; ///< That no wait avoids.
     core::duration limit_wait_{}; ///< Where the wait for servers is too long.
--- a/services/entry/src/capacity_search.cpp
+++ b/services/entry/src/capacity_search.cpp
@@ -58,6 +58,7 @@
 
 asio::awaitable<std::optional<found_capacity>> capacity_search::next()
 {
+    used_work_.reset();
     while (!is_stopped_) {
         auto choice = co_await choose_server();
         if (!choice)
@@ -118,25 +119,58 @@
     return request;
 }
 
+queueing::waiting_request capacity_search::waiting_request() const
+{
+    return queueing::waiting_request{
+        call_->service.name,
+        call_->organisation.value_or(core::organisation_name()),
+        call_->priority,
+        placement_request_in(wait_stage::timely).work.tokens,
+        call_->arrival_time,
+        call_->route.latency_objective,
+        wait_policy_.stage_end(wait_stage::timely)};
+}
+
+// A request that would be refused now uses the capacity that it found.
+core::duration capacity_search::yield_time(
+    wait_stage stage, const placement::server_id& server, core::time_point now)
+{
+    const bool is_last_attempt =
+        stage == wait_stage::late && now >= wait_policy_.stage_end(stage);
+    if (is_last_attempt)
+        return core::duration::zero();
+    return context_.shared_order.delay(waiting_request(), server, now);
+}
+
 asio::awaitable<std::optional<placement::placement_choice>>
 capacity_search::choose_server_in_stage(wait_stage stage)
 {
     const core::time_point end = wait_policy_.stage_end(stage);
     std::optional<wait_queue::waiter> waiter;
     core::time_point next_attempt{};
+    const queueing::waiting_request request = waiting_request();
     bool may_try =
-        !context_.queue.has_waiter_ahead_of(wait_policy_.rank(stage));
+        !context_.queue.has_waiter_ahead_of(wait_policy_.rank(stage), request);
     while (!is_stopped_) {
         const core::time_point now = core::monotonic_now();
         if (may_try && now >= next_attempt) {
-            next_attempt = wait_policy_.next_attempt(stage, now);
+            next_attempt =
+                context_.shared_order.is_enabled()
+                    ? context_.shared_order.next_attempt(request, now)
+                    : wait_policy_.next_attempt(stage, now);
             auto found = choose_by_version(
                 context_, *call_, placement_request_in(stage), now);
-            if (found) {
+            const core::duration yield =
+                found ? yield_time(stage, found->server.id, now)
+                      : core::duration::zero();
+            if (found && yield == core::duration::zero()) {
                 log_placed(*call_, *found, stage);
                 co_return std::move(*found);
             }
-            final_failure_ = final_failure_of(found.error(), now);
+            if (found)
+                next_attempt = std::min(now + yield, end);
+            else
+                final_failure_ = final_failure_of(found.error(), now);
             if (final_failure_)
                 co_return std::nullopt;
         }
@@ -144,12 +178,16 @@
             co_return std::nullopt;
         if (!waiter)
             waiter.emplace(
-                context_.queue, context_.executor, wait_policy_.rank(stage));
+                context_.queue,
+                context_.executor,
+                wait_policy_.rank(stage),
+                request);
         waiter_ = &*waiter;
         co_await waiter->wait_turn(
             next_attempt > now ? std::min(end, next_attempt) : end);
         waiter_ = nullptr;
-        may_try = true;
+        may_try =
+            context_.queue.is_turn_of(*waiter) || core::monotonic_now() >= end;
     }
     co_return std::nullopt;
 }
@@ -168,8 +206,11 @@
         std::make_unique<reservation>(context_, choice.server.id, work),
         std::nullopt};
     // A hold would be one more request to a server that limits requests.
-    if (!supports_holds(*call_) || context_.limits.is_limited(choice.server.id))
+    if (!supports_holds(*call_) ||
+        context_.limits.is_limited(choice.server.id)) {
+        record_use(work.tokens);
         co_return found;
+    }
     hold_response response =
         co_await acquire_hold(context_, *call_, choice.server, work.tokens);
     found.hold = std::move(response.handle);
@@ -190,7 +231,16 @@
                          response.status == hold_status::failed;
     if (!is_sent)
         co_return std::nullopt;
+    record_use(work.tokens);
     co_return found;
 }
 
+void capacity_search::record_use(std::uint64_t tokens)
+{
+    used_work_.emplace(
+        context_.shared_order,
+        call_->organisation.value_or(core::organisation_name()),
+        tokens);
+}
+
 } // namespace godwit::entry
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -294,6 +294,7 @@
     // with free capacity would look full.
     if (!neighbours_->cell().empty())
         context_.ledger.retain_neighbours(neighbours_->cell_peers());
+    context_.shared_order.set_cell_peers(neighbours_->cell_peers());
     const auto is_unknown = [&hosts](const core::host_name& host) {
         return std::none_of(
             hosts.begin(), hosts.end(), [&host](const known_host& known) {
@@ -404,6 +405,9 @@
     log_further_server_changes();
     broadcast_load();
     broadcast_cell_load();
+    if (const auto waiting =
+            context_.shared_order.next_message(core::monotonic_now()))
+        neighbours_->broadcast(*waiting, audience::cell);
     request_table();
     serve_table_requests();
     readers_.observe(
--- a/services/entry/src/entry_process_neighbours.cpp
+++ b/services/entry/src/entry_process_neighbours.cpp
@@ -184,6 +184,10 @@
     else if (
         const auto* positions = std::get_if<wire::source_positions>(&message))
         handle_source_positions(peer.host, *positions);
+    else if (const auto* waiting = std::get_if<wire::waiting_heads>(&message);
+             waiting != nullptr && neighbours_->is_cell_peer(peer.host))
+        context_.shared_order.handle(
+            peer.host, *waiting, core::monotonic_now());
 }
 
 void entry_process::handle_link_claim(
