--- a/libraries/queueing/include/godwit/queueing/cell_queue.hpp
+++ b/libraries/queueing/include/godwit/queueing/cell_queue.hpp
@@ -78,8 +78,12 @@
         const placement::server_id& server,
         core::time_point now);
 
-    /// Records that no server has a free slot.
-    void record_no_slot() { yields_.clear(); }
+    /// Returns the time until the next attempt of a request that found no free
+    /// slot.
+    [[nodiscard]] core::duration attempt_interval(
+        const waiting_request& request,
+        const queue_order& order,
+        core::time_point now) const;
 
     /// Returns the requests that other hosts reported.
     [[nodiscard]] std::vector<waiting_head> heads(core::time_point now) const;
@@ -96,6 +100,12 @@
         }
     };
 
+    /// How many requests of other hosts are presumed to go before this one that
+    /// were not reported yet.
+    [[nodiscard]] std::size_t unreported(
+        const waiting_request& request,
+        const queue_order& order,
+        core::time_point now) const;
     [[nodiscard]] bool do_others_wait(core::time_point now) const;
     [[nodiscard]] bool is_due(bool waits, core::time_point now) const;
 
--- a/libraries/queueing/include/godwit/queueing/queue_order.hpp
+++ b/libraries/queueing/include/godwit/queueing/queue_order.hpp
@@ -28,6 +28,11 @@
     [[nodiscard]] bool goes_before(
         const waiting_request& left, const waiting_request& right) const;
 
+    /// Whether `left` goes first by so much that `right` leaves a free slot to
+    /// it at another host.
+    [[nodiscard]] bool
+    outranks(const waiting_request& left, const waiting_request& right) const;
+
     /// Returns the most urgent requests of each service, in order, within the
     /// bounds of a report.
     [[nodiscard]] std::vector<waiting_request>
@@ -38,6 +43,10 @@
     [[nodiscard]] int
     share_level(const core::organisation_name& organisation) const;
 
+    /// Whether the organisation used more than an equal share.
+    [[nodiscard]] bool
+    is_above_share(const core::organisation_name& organisation) const;
+
     friend bool operator==(const queue_order&, const queue_order&) = default;
 
 private:
--- a/libraries/queueing/include/godwit/queueing/slot_yields.hpp
+++ b/libraries/queueing/include/godwit/queueing/slot_yields.hpp
@@ -16,10 +16,19 @@
 public:
     /// The longest delay in all for one slot.
     static constexpr core::duration max_delay = std::chrono::milliseconds(200);
-    /// The delay for each request that goes first: the hosts with these
-    /// requests try at least at this interval.
+    /// The delay for each request that goes first, and the interval at which
+    /// the first one of all looks for free slots.
     static constexpr core::duration delay_per_request =
-        std::chrono::milliseconds(20);
+        std::chrono::milliseconds(5);
+    /// The longest time until a request looks again.
+    static constexpr core::duration max_attempt_interval =
+        std::chrono::milliseconds(50);
+
+    /// Returns the time until the next attempt of a request that found no free
+    /// slot and is outranked by so many requests of other hosts.
+    [[nodiscard]] static core::duration
+    attempt_interval(std::size_t outranking) noexcept;
+
     /// The servers with slots left to others at a time; beyond, slots are
     /// taken at once.
     static constexpr std::size_t max_servers = 256;
@@ -32,9 +41,6 @@
         std::size_t outranking,
         core::time_point now);
 
-    /// Records that no server has a free slot.
-    void clear() { slots_.clear(); }
-
 private:
     struct free_slot
     {
--- a/libraries/queueing/src/cell_queue.cpp
+++ b/libraries/queueing/src/cell_queue.cpp
@@ -109,20 +109,48 @@
             continue;
         for (const waiting_request& other : received.report.heads) {
             const bool goes_first = other.service == request.service &&
-                                    order.goes_before(other, request);
+                                    order.outranks(other, request);
             count += goes_first ? 1 : 0;
         }
     }
     return count;
 }
 
+// Reports are up to 150 ms old. A request that most others would go before
+// leaves a slot for two attempts of the most urgent ones, which may have come
+// since.
+std::size_t cell_queue::unreported(
+    const waiting_request& request,
+    const queue_order& order,
+    core::time_point now) const
+{
+    constexpr std::size_t likely_unreported = 2;
+    if (!do_others_wait(now))
+        return 0;
+    const bool is_less_urgent = request.priority > 0;
+    const bool has_more = order.is_above_share(request.organisation);
+    return (is_less_urgent ? likely_unreported : 0) +
+           (has_more ? likely_unreported : 0);
+}
+
 core::duration cell_queue::delay(
     const waiting_request& request,
     const queue_order& order,
     const placement::server_id& server,
     core::time_point now)
 {
-    return yields_.delay(server, outranking(request, order, now), now);
+    return yields_.delay(
+        server,
+        outranking(request, order, now) + unreported(request, order, now),
+        now);
+}
+
+core::duration cell_queue::attempt_interval(
+    const waiting_request& request,
+    const queue_order& order,
+    core::time_point now) const
+{
+    return slot_yields::attempt_interval(outranking(request, order, now));
 }
 
 std::vector<waiting_head> cell_queue::heads(core::time_point now) const
--- a/libraries/queueing/src/queue_order.cpp
+++ b/libraries/queueing/src/queue_order.cpp
@@ -3,6 +3,7 @@
 #include <godwit/queueing/queue_report.hpp>
 
 #include <algorithm>
+#include <chrono>
 #include <cstddef>
 #include <tuple>
 
@@ -16,6 +17,13 @@
 constexpr double levels_per_share = 20.0;
 constexpr int max_level = 100'000;
 
+// Differences that are too small for a request to leave a slot to another host:
+// of shares, in levels, and of the time left. They are half of what the order
+// may miss, a tenth of a share and 200 ms, because reports are up to 150 ms
+// old.
+constexpr int negligible_levels = 1;
+constexpr core::duration negligible_time = std::chrono::milliseconds(100);
+
 // Where a request stands before the shares are compared. An aged request
 // counts as one that can start in time: the shares still decide between
 // organisations, or the oldest requests of an organisation with many would
@@ -63,6 +71,12 @@
     return {std::move(levels), now};
 }
 
+bool queue_order::is_above_share(
+    const core::organisation_name& organisation) const
+{
+    return share_level(organisation) > levels_per_share;
+}
+
 int queue_order::share_level(const core::organisation_name& organisation) const
 {
     const auto found = levels_.find(organisation);
@@ -83,6 +97,25 @@
     return urgency(left, now_) < urgency(right, now_);
 }
 
+bool queue_order::outranks(
+    const waiting_request& left, const waiting_request& right) const
+{
+    const auto left_standing = standing(left, now_);
+    const auto right_standing = standing(right, now_);
+    if (left_standing != right_standing)
+        return left_standing < right_standing;
+    const int more_used =
+        share_level(right.organisation) - share_level(left.organisation);
+    if (more_used != 0)
+        return more_used > negligible_levels;
+    if (left.is_aged(now_) != right.is_aged(now_))
+        return left.is_aged(now_);
+    const core::duration earlier = left.is_aged(now_)
+                                       ? right.arrival_time - left.arrival_time
+                                       : right.latest_start - left.latest_start;
+    return earlier > negligible_time;
+}
+
 std::vector<waiting_request>
 queue_order::heads(std::vector<waiting_request> waiting) const
 {
--- a/libraries/queueing/src/slot_yields.cpp
+++ b/libraries/queueing/src/slot_yields.cpp
@@ -10,11 +10,16 @@
 // A slot that it did not find for twice that time was taken meanwhile, and the
 // server's next free slot is another one.
 constexpr core::duration slot_lifetime = std::chrono::milliseconds(100);
-// The longest time until the request looks again.
-constexpr core::duration max_attempt_interval = std::chrono::milliseconds(50);
-
 } // namespace
 
+// The others leave a slot to the first request only for a short time, so that
+// it has to look for slots more often than once a tick of its host.
+core::duration slot_yields::attempt_interval(std::size_t outranking) noexcept
+{
+    constexpr std::size_t max_steps = max_attempt_interval / delay_per_request;
+    return delay_per_request * std::min(outranking + 1, max_steps);
+}
+
 core::duration slot_yields::delay(
     const placement::server_id& server,
     std::size_t outranking,
--- a/services/entry/include/godwit/entry/shared_queue.hpp
+++ b/services/entry/include/godwit/entry/shared_queue.hpp
@@ -22,11 +22,6 @@
 class shared_queue
 {
 public:
-    /// Interval of the attempts of a request that goes before all others of
-    /// its service.
-    static constexpr core::duration first_attempt_interval =
-        std::chrono::milliseconds(10);
-
     /// Orders `queue`, which has to outlive this object, as do the others.
     shared_queue(
         const entry_settings& settings,
--- a/services/entry/src/shared_queue.cpp
+++ b/services/entry/src/shared_queue.cpp
@@ -79,13 +79,10 @@
     return delay;
 }
 
-// The other hosts leave a free slot to the first request only for a short time,
-// so that it has to look for slots more often than once a tick.
 core::time_point shared_queue::next_attempt(
     const queueing::waiting_request& request, core::time_point now)
 {
-    const bool is_first = cell_.outranking(request, order(now), now) == 0;
-    return is_first ? now + first_attempt_interval : now;
+    return now + cell_.attempt_interval(request, order(now), now);
 }
 
 void shared_queue::begin_run(
--- a/tests/queueing/cell_replay.hpp
+++ b/tests/queueing/cell_replay.hpp
@@ -27,6 +27,7 @@
 struct replay_settings
 {
     std::size_t hosts = 6;
+    std::size_t slots_per_host = 8;
     /// Demand relative to the capacity.
     double load = 3;
     /// How many times the requests of another organisation the first one has.
@@ -60,7 +61,7 @@
 inline constexpr std::size_t organisations = 24;
 inline constexpr std::size_t slots_per_server = 24;
 
-/// Runs the decisions of a fleet's hosts in virtual time for twelve seconds, in
+/// Runs the decisions of a fleet's hosts in virtual time for sixteen seconds, in
 /// cells of at most 25 hosts whose messages take 3 ms. Each server grants its
 /// slots itself.
 [[nodiscard]] replay_result run_replay(const replay_settings& settings);
