--- a/libraries/queueing/include/godwit/queueing/cell_queue.hpp
+++ b/libraries/queueing/include/godwit/queueing/cell_queue.hpp
@@ -83,7 +83,7 @@
     [[nodiscard]] core::duration attempt_interval(
         const waiting_request& request,
         const queue_order& order,
-        core::time_point now) const;
+        core::time_point now);
 
     /// Returns the requests that other hosts reported.
     [[nodiscard]] std::vector<waiting_head> heads(core::time_point now) const;
--- a/libraries/queueing/include/godwit/queueing/queue_order.hpp
+++ b/libraries/queueing/include/godwit/queueing/queue_order.hpp
@@ -38,8 +38,8 @@
     [[nodiscard]] std::vector<waiting_request>
     heads(std::vector<waiting_request> waiting) const;
 
-    /// Returns how much work the organisation used: steps of a twentieth of
-    /// an equal share.
+    /// Returns how much work the organisation used: 0 below an equal share, 1
+    /// about as much, and one more for each tenth of a share.
     [[nodiscard]] int
     share_level(const core::organisation_name& organisation) const;
 
--- a/libraries/queueing/include/godwit/queueing/slot_yields.hpp
+++ b/libraries/queueing/include/godwit/queueing/slot_yields.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <godwit/core/identifiers.hpp>
 #include <godwit/core/time.hpp>
 #include <godwit/placement/backend_server.hpp>
 
@@ -29,26 +30,35 @@
     [[nodiscard]] static core::duration
     attempt_interval(std::size_t outranking) noexcept;
 
-    /// The servers with slots left to others at a time; beyond, slots are
+    /// The services with slots left to others at a time; beyond, slots are
     /// taken at once.
-    static constexpr std::size_t max_servers = 256;
+    static constexpr std::size_t max_services = 64;
 
     /// Returns the time until the next attempt of a request that found a free
     /// slot at the server and is outranked by so many requests of other hosts;
     /// zero if it may take the slot.
     [[nodiscard]] core::duration delay(
+        const core::service_name& service,
         const placement::server_id& server,
         std::size_t outranking,
         core::time_point now);
 
+    /// Records that no server of the service has a free slot.
+    void record_no_slot(const core::service_name& service)
+    {
+        slots_.erase(service);
+    }
+
 private:
     struct free_slot
     {
+        placement::server_id server;
         core::time_point found_at;
         core::time_point last_found_at;
     };
 
-    std::map<placement::server_id, free_slot> slots_;
+    /// The slot that was found last.
+    std::map<core::service_name, free_slot> slots_;
 };
 
 } // namespace godwit::queueing
--- a/libraries/queueing/src/cell_queue.cpp
+++ b/libraries/queueing/src/cell_queue.cpp
@@ -140,6 +140,7 @@
     core::time_point now)
 {
     return yields_.delay(
+        request.service,
         server,
         outranking(request, order, now) + unreported(request, order, now),
         now);
@@ -148,8 +149,9 @@
 core::duration cell_queue::attempt_interval(
     const waiting_request& request,
     const queue_order& order,
-    core::time_point now) const
+    core::time_point now)
 {
+    yields_.record_no_slot(request.service);
     return slot_yields::attempt_interval(outranking(request, order, now));
 }
 
--- a/libraries/queueing/src/queue_order.cpp
+++ b/libraries/queueing/src/queue_order.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <cstddef>
 #include <tuple>
 
@@ -11,19 +12,26 @@
 
 namespace {
 
-// Organisations whose use differs by less than a step are equal, so that small
-// differences do not outweigh which request has the least time left. Shares
-// may differ by a tenth; half of that leaves room for the age of reports.
-constexpr double levels_per_share = 20.0;
+// Levels are a tenth of a share wide, and the second one is centred on an equal
+// share: with smaller ones, each start and the age of the reports would change
+// the order between organisations that used the same. Below the second level an
+// organisation is below its share, however far.
+constexpr double levels_per_share = 10.0;
+constexpr double first_level_end = 0.95;
+constexpr int equal_share_level = 1;
 constexpr int max_level = 100'000;
-
-// Differences that are too small for a request to leave a slot to another host:
-// of shares, in levels, and of the time left. They are half of what the order
-// may miss, a tenth of a share and 200 ms, because reports are up to 150 ms
-// old.
-constexpr int negligible_levels = 1;
+// Differences of the time left that are too small for a request to leave a slot
+// to another host: half of the 200 ms that the order may miss, because reports
+// are up to 150 ms old.
 constexpr core::duration negligible_time = std::chrono::milliseconds(100);
 
+int level_of(double use_of_share)
+{
+    const double levels = levels_per_share * (use_of_share - first_level_end);
+    return static_cast<int>(
+        std::clamp(std::floor(levels) + 1.0, 0.0, double{max_level}));
+}
+
 // Where a request stands before the shares are compared. An aged request
 // counts as one that can start in time: the shares still decide between
 // organisations, or the oldest requests of an organisation with many would
@@ -64,9 +72,7 @@
         return {std::move(levels), now};
     const double share = total / static_cast<double>(waiting.size());
     for (const auto& organisation : waiting) {
-        const double level = levels_per_share * used_by(organisation) / share;
-        levels.emplace(
-            organisation, static_cast<int>(std::min<double>(level, max_level)));
+        levels.emplace(organisation, level_of(used_by(organisation) / share));
     }
     return {std::move(levels), now};
 }
@@ -74,7 +80,7 @@
 bool queue_order::is_above_share(
     const core::organisation_name& organisation) const
 {
-    return share_level(organisation) > levels_per_share;
+    return share_level(organisation) > equal_share_level;
 }
 
 int queue_order::share_level(const core::organisation_name& organisation) const
@@ -107,7 +113,7 @@
     const int more_used =
         share_level(right.organisation) - share_level(left.organisation);
     if (more_used != 0)
-        return more_used > negligible_levels;
+        return more_used > 0;
     if (left.is_aged(now_) != right.is_aged(now_))
         return left.is_aged(now_);
     const core::duration earlier = left.is_aged(now_)
--- a/libraries/queueing/src/slot_yields.cpp
+++ b/libraries/queueing/src/slot_yields.cpp
@@ -21,25 +21,29 @@
 }
 
 core::duration slot_yields::delay(
+    const core::service_name& service,
     const placement::server_id& server,
     std::size_t outranking,
     core::time_point now)
 {
-    std::erase_if(slots_, [now](const auto& slot) {
-        return now - slot.second.last_found_at > slot_lifetime;
+    std::erase_if(slots_, [now](const auto& each) {
+        return now - each.second.last_found_at > slot_lifetime;
     });
     constexpr std::size_t max_steps = max_delay / delay_per_request;
     const core::duration limit =
         delay_per_request * std::min(outranking, max_steps);
-    if (slots_.size() >= max_servers && slots_.find(server) == slots_.end())
+    const bool is_new = slots_.find(service) == slots_.end();
+    if (is_new && slots_.size() >= max_services)
         return core::duration::zero();
-    free_slot& slot =
-        slots_.try_emplace(server, free_slot{now, now}).first->second;
+    free_slot& slot = slots_[service];
+    // Another server's slot is found once this one's was taken.
+    if (is_new || slot.server != server)
+        slot = free_slot{server, now, now};
     slot.last_found_at = now;
     const core::duration remaining = slot.found_at + limit - now;
     if (remaining > core::duration::zero())
         return std::min(remaining, max_attempt_interval);
-    slots_.erase(server);
+    slots_.erase(service);
     return core::duration::zero();
 }
 
--- a/services/entry/src/capacity_search.cpp
+++ b/services/entry/src/capacity_search.cpp
@@ -154,10 +154,7 @@
     while (!is_stopped_) {
         const core::time_point now = core::monotonic_now();
         if (may_try && now >= next_attempt) {
-            next_attempt =
-                context_.shared_order.is_enabled()
-                    ? context_.shared_order.next_attempt(request, now)
-                    : wait_policy_.next_attempt(stage, now);
+            next_attempt = wait_policy_.next_attempt(stage, now);
             auto found = choose_by_version(
                 context_, *call_, placement_request_in(stage), now);
             const core::duration yield =
@@ -171,6 +168,8 @@
                 next_attempt = std::min(now + yield, end);
             else
                 final_failure_ = final_failure_of(found.error(), now);
+            if (!found && context_.shared_order.is_enabled())
+                next_attempt = context_.shared_order.next_attempt(request, now);
             if (final_failure_)
                 co_return std::nullopt;
         }
