entry: a request at the end of its wait makes its last attempt

With the shared order, the next attempt could lie after the end of the wait, so that a request was refused without a last look for capacity.

--- a/services/entry/src/capacity_search.cpp
+++ b/services/entry/src/capacity_search.cpp
@@ -169,7 +169,8 @@
             else
                 final_failure_ = final_failure_of(found.error(), now);
             if (!found && context_.shared_order.is_enabled())
-                next_attempt = context_.shared_order.next_attempt(request, now);
+                next_attempt = std::min(
+                    context_.shared_order.next_attempt(request, now), end);
             if (final_failure_)
                 co_return std::nullopt;
         }
--- a/tests/queueing/cell_replay.hpp
+++ b/tests/queueing/cell_replay.hpp
@@ -61,9 +61,9 @@
 inline constexpr std::size_t organisations = 24;
 inline constexpr std::size_t slots_per_server = 24;
 
-/// Runs the decisions of a fleet's hosts in virtual time for sixteen seconds, in
-/// cells of at most 25 hosts whose messages take 3 ms. Each server grants its
-/// slots itself.
+/// Runs the decisions of a fleet's hosts in virtual time for sixteen seconds,
+/// in cells of at most 25 hosts whose messages take 3 ms. Each server grants
+/// its slots itself.
 [[nodiscard]] replay_result run_replay(const replay_settings& settings);
 
 } // namespace godwit::queueing::test
