--- /dev/null
+++ b/libraries/admission/include/godwit/admission/start_estimate.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <godwit/admission/service_queue.hpp>
+#include <godwit/core/time.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+
+namespace godwit::admission {
+
+/// A place in the queue of a service.
+struct queue_position
+{
+    int order = 0;
+    core::duration waited{}; ///< In this order, so far.
+    /// Announced retries that will arrive and go first.
+    std::size_t retries_ahead = 0;
+
+    friend bool
+    operator==(const queue_position&, const queue_position&) = default;
+};
+
+/// When streams of one service start in one cell, from its recent starts.
+class start_estimate
+{
+public:
+    /// Fewer starts in two seconds say too little about the rate: its relative
+    /// error would be more than a third.
+    static constexpr std::uint64_t min_starts = 8;
+    /// Returned where no capacity is left for a position.
+    static constexpr core::duration max_wait = std::chrono::seconds(60);
+
+    /// Returns nothing if there are too few observations.
+    [[nodiscard]] static std::optional<start_estimate>
+    create(service_queue cell);
+
+    /// Returns the time until a stream at `position` starts.
+    [[nodiscard]] core::duration wait(const queue_position& position) const;
+
+    /// Returns the time in which so many streams start.
+    [[nodiscard]] core::duration time_for(double streams) const;
+
+private:
+    start_estimate(service_queue cell, const work_amount& started);
+
+    [[nodiscard]] double amount(const work_amount& work) const;
+    [[nodiscard]] double work_ahead(const queue_position& position) const;
+    [[nodiscard]] double rate_of_arrivals_before(int order) const;
+
+    service_queue cell_;
+    work_amount started_;
+    double rate_; ///< Amount that starts per second.
+};
+
+} // namespace godwit::admission
--- a/libraries/admission/include/godwit/admission/wait_policy.hpp
+++ b/libraries/admission/include/godwit/admission/wait_policy.hpp
@@ -42,6 +42,10 @@
 class wait_policy
 {
 public:
+    /// Added to the priority of late requests, so that they come after all
+    /// timely ones in the queue.
+    static constexpr int late_rank_offset = 1000;
+
     [[nodiscard]] static wait_policy create(const wait_parameters& parameters);
 
     [[nodiscard]] wait_stage stage(core::time_point now) const;
--- a/libraries/admission/src/wait_policy.cpp
+++ b/libraries/admission/src/wait_policy.cpp
@@ -26,9 +26,6 @@
 // Capacity that becomes free goes to requests of any host that can start in
 // time: these try to get it at once, late requests only at this interval.
 constexpr core::duration late_attempt_interval = std::chrono::milliseconds(400);
-// Offset that is added to the priority of late requests, so that they come
-// after all timely ones in the queue.
-constexpr int late_rank_offset = 1000;
 // Shortest time to retry after, for a stream that is rejected at once.
 constexpr core::duration min_retry_after = std::chrono::milliseconds(700);
 
--- a/libraries/wire/include/godwit/wire/message.hpp
+++ b/libraries/wire/include/godwit/wire/message.hpp
@@ -22,6 +22,7 @@
 #include <godwit/wire/link_claim.hpp>
 #include <godwit/wire/listed_servers.hpp>
 #include <godwit/wire/pull.hpp>
+#include <godwit/wire/queue_sums.hpp>
 #include <godwit/wire/records.hpp>
 #include <godwit/wire/rollout_reports.hpp>
 #include <godwit/wire/server_limits.hpp>
@@ -73,7 +74,8 @@
     server_list_offer,
     server_list_request,
     server_list_part,
-    source_positions>;
+    source_positions,
+    queue_sums>;
 
 /// Returns the name of the message's type, for logs and metrics.
 [[nodiscard]] std::string_view name_of(const message& value) noexcept;
--- a/libraries/wire/src/codec.cpp
+++ b/libraries/wire/src/codec.cpp
@@ -127,6 +127,8 @@
         return read_payload(frame.payload_as_server_list_part(), reader);
     case format::payload::source_positions:
         return read_payload(frame.payload_as_source_positions(), reader);
+    case format::payload::queue_sums:
+        return read_payload(frame.payload_as_queue_sums(), reader);
     case format::payload::NONE:
         break;
     }
--- a/libraries/wire/src/godwit_generated.h
+++ b/libraries/wire/src/godwit_generated.h
@@ -161,6 +161,21 @@
 struct server_list_part;
 struct server_list_partBuilder;
 
+struct queued_work;
+struct queued_workBuilder;
+
+struct queue_order_sum;
+struct queue_order_sumBuilder;
+
+struct announced_retry;
+struct announced_retryBuilder;
+
+struct queue_sum;
+struct queue_sumBuilder;
+
+struct queue_sums;
+struct queue_sumsBuilder;
+
 struct frame;
 struct frameBuilder;
 
@@ -488,11 +503,12 @@
   server_list_request = 32,
   server_list_part = 33,
   source_positions = 34,
+  queue_sums = 35,
   MIN = NONE,
-  MAX = source_positions
+  MAX = queue_sums
 };
 
-inline const payload (&EnumValuespayload())[35] {
+inline const payload (&EnumValuespayload())[36] {
   static const payload values[] = {
     payload::NONE,
     payload::hello,
@@ -528,13 +544,14 @@
     payload::server_list_offer,
     payload::server_list_request,
     payload::server_list_part,
-    payload::source_positions
+    payload::source_positions,
+    payload::queue_sums
   };
   return values;
 }
 
 inline const char * const *EnumNamespayload() {
-  static const char * const names[36] = {
+  static const char * const names[37] = {
     "NONE",
     "hello",
     "heartbeat",
@@ -570,13 +587,14 @@
     "server_list_request",
     "server_list_part",
     "source_positions",
+    "queue_sums",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamepayload(payload e) {
-  if (flatbuffers::IsOutRange(e, payload::NONE, payload::source_positions)) return "";
+  if (flatbuffers::IsOutRange(e, payload::NONE, payload::queue_sums)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamespayload()[index];
 }
@@ -721,6 +739,10 @@
   static const payload enum_value = payload::source_positions;
 };
 
+template<> struct payloadTraits<godwit::wire::format::queue_sums> {
+  static const payload enum_value = payload::queue_sums;
+};
+
 bool Verifypayload(flatbuffers::Verifier &verifier, const void *obj, payload type);
 bool VerifypayloadVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<payload> *types);
 
@@ -4967,6 +4989,357 @@
       position);
 }
 
+struct queued_work FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef queued_workBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REQUESTS = 4,
+    VT_TOKENS = 6
+  };
+  uint64_t requests() const {
+    return GetField<uint64_t>(VT_REQUESTS, 0);
+  }
+  uint64_t tokens() const {
+    return GetField<uint64_t>(VT_TOKENS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_REQUESTS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_TOKENS, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct queued_workBuilder {
+  typedef queued_work Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_requests(uint64_t requests) {
+    fbb_.AddElement<uint64_t>(queued_work::VT_REQUESTS, requests, 0);
+  }
+  void add_tokens(uint64_t tokens) {
+    fbb_.AddElement<uint64_t>(queued_work::VT_TOKENS, tokens, 0);
+  }
+  explicit queued_workBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<queued_work> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<queued_work>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<queued_work> Createqueued_work(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t requests = 0,
+    uint64_t tokens = 0) {
+  queued_workBuilder builder_(_fbb);
+  builder_.add_tokens(tokens);
+  builder_.add_requests(requests);
+  return builder_.Finish();
+}
+
+struct queued_work::Traits {
+  using type = queued_work;
+  static auto constexpr Create = Createqueued_work;
+};
+
+struct queue_order_sum FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef queue_order_sumBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ORDER = 4,
+    VT_WAITING = 6,
+    VT_ARRIVED = 8,
+    VT_STARTED = 10
+  };
+  int32_t order() const {
+    return GetField<int32_t>(VT_ORDER, 0);
+  }
+  const godwit::wire::format::queued_work *waiting() const {
+    return GetPointer<const godwit::wire::format::queued_work *>(VT_WAITING);
+  }
+  const godwit::wire::format::queued_work *arrived() const {
+    return GetPointer<const godwit::wire::format::queued_work *>(VT_ARRIVED);
+  }
+  const godwit::wire::format::queued_work *started() const {
+    return GetPointer<const godwit::wire::format::queued_work *>(VT_STARTED);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<int32_t>(verifier, VT_ORDER, 4) &&
+           VerifyOffset(verifier, VT_WAITING) &&
+           verifier.VerifyTable(waiting()) &&
+           VerifyOffset(verifier, VT_ARRIVED) &&
+           verifier.VerifyTable(arrived()) &&
+           VerifyOffset(verifier, VT_STARTED) &&
+           verifier.VerifyTable(started()) &&
+           verifier.EndTable();
+  }
+};
+
+struct queue_order_sumBuilder {
+  typedef queue_order_sum Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_order(int32_t order) {
+    fbb_.AddElement<int32_t>(queue_order_sum::VT_ORDER, order, 0);
+  }
+  void add_waiting(flatbuffers::Offset<godwit::wire::format::queued_work> waiting) {
+    fbb_.AddOffset(queue_order_sum::VT_WAITING, waiting);
+  }
+  void add_arrived(flatbuffers::Offset<godwit::wire::format::queued_work> arrived) {
+    fbb_.AddOffset(queue_order_sum::VT_ARRIVED, arrived);
+  }
+  void add_started(flatbuffers::Offset<godwit::wire::format::queued_work> started) {
+    fbb_.AddOffset(queue_order_sum::VT_STARTED, started);
+  }
+  explicit queue_order_sumBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<queue_order_sum> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<queue_order_sum>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<queue_order_sum> Createqueue_order_sum(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    int32_t order = 0,
+    flatbuffers::Offset<godwit::wire::format::queued_work> waiting = 0,
+    flatbuffers::Offset<godwit::wire::format::queued_work> arrived = 0,
+    flatbuffers::Offset<godwit::wire::format::queued_work> started = 0) {
+  queue_order_sumBuilder builder_(_fbb);
+  builder_.add_started(started);
+  builder_.add_arrived(arrived);
+  builder_.add_waiting(waiting);
+  builder_.add_order(order);
+  return builder_.Finish();
+}
+
+struct queue_order_sum::Traits {
+  using type = queue_order_sum;
+  static auto constexpr Create = Createqueue_order_sum;
+};
+
+struct announced_retry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef announced_retryBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_FINGERPRINT = 4,
+    VT_DUE_MS = 6
+  };
+  const flatbuffers::String *fingerprint() const {
+    return GetPointer<const flatbuffers::String *>(VT_FINGERPRINT);
+  }
+  uint32_t due_ms() const {
+    return GetField<uint32_t>(VT_DUE_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_FINGERPRINT) &&
+           verifier.VerifyString(fingerprint()) &&
+           VerifyField<uint32_t>(verifier, VT_DUE_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct announced_retryBuilder {
+  typedef announced_retry Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_fingerprint(flatbuffers::Offset<flatbuffers::String> fingerprint) {
+    fbb_.AddOffset(announced_retry::VT_FINGERPRINT, fingerprint);
+  }
+  void add_due_ms(uint32_t due_ms) {
+    fbb_.AddElement<uint32_t>(announced_retry::VT_DUE_MS, due_ms, 0);
+  }
+  explicit announced_retryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<announced_retry> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<announced_retry>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<announced_retry> Createannounced_retry(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> fingerprint = 0,
+    uint32_t due_ms = 0) {
+  announced_retryBuilder builder_(_fbb);
+  builder_.add_due_ms(due_ms);
+  builder_.add_fingerprint(fingerprint);
+  return builder_.Finish();
+}
+
+struct announced_retry::Traits {
+  using type = announced_retry;
+  static auto constexpr Create = Createannounced_retry;
+};
+
+inline flatbuffers::Offset<announced_retry> Createannounced_retryDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *fingerprint = nullptr,
+    uint32_t due_ms = 0) {
+  auto fingerprint__ = fingerprint ? _fbb.CreateString(fingerprint) : 0;
+  return godwit::wire::format::Createannounced_retry(
+      _fbb,
+      fingerprint__,
+      due_ms);
+}
+
+struct queue_sum FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef queue_sumBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_ORDERS = 6,
+    VT_RETRIES = 8
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::queue_order_sum>> *orders() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::queue_order_sum>> *>(VT_ORDERS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::announced_retry>> *retries() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::announced_retry>> *>(VT_RETRIES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_ORDERS) &&
+           verifier.VerifyVector(orders()) &&
+           verifier.VerifyVectorOfTables(orders()) &&
+           VerifyOffset(verifier, VT_RETRIES) &&
+           verifier.VerifyVector(retries()) &&
+           verifier.VerifyVectorOfTables(retries()) &&
+           verifier.EndTable();
+  }
+};
+
+struct queue_sumBuilder {
+  typedef queue_sum Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(queue_sum::VT_SERVICE, service);
+  }
+  void add_orders(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::queue_order_sum>>> orders) {
+    fbb_.AddOffset(queue_sum::VT_ORDERS, orders);
+  }
+  void add_retries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::announced_retry>>> retries) {
+    fbb_.AddOffset(queue_sum::VT_RETRIES, retries);
+  }
+  explicit queue_sumBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<queue_sum> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<queue_sum>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<queue_sum> Createqueue_sum(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::queue_order_sum>>> orders = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::announced_retry>>> retries = 0) {
+  queue_sumBuilder builder_(_fbb);
+  builder_.add_retries(retries);
+  builder_.add_orders(orders);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+struct queue_sum::Traits {
+  using type = queue_sum;
+  static auto constexpr Create = Createqueue_sum;
+};
+
+inline flatbuffers::Offset<queue_sum> Createqueue_sumDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    const std::vector<flatbuffers::Offset<godwit::wire::format::queue_order_sum>> *orders = nullptr,
+    const std::vector<flatbuffers::Offset<godwit::wire::format::announced_retry>> *retries = nullptr) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto orders__ = orders ? _fbb.CreateVector<flatbuffers::Offset<godwit::wire::format::queue_order_sum>>(*orders) : 0;
+  auto retries__ = retries ? _fbb.CreateVector<flatbuffers::Offset<godwit::wire::format::announced_retry>>(*retries) : 0;
+  return godwit::wire::format::Createqueue_sum(
+      _fbb,
+      service__,
+      orders__,
+      retries__);
+}
+
+struct queue_sums FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef queue_sumsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SUMS = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::queue_sum>> *sums() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::queue_sum>> *>(VT_SUMS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SUMS) &&
+           verifier.VerifyVector(sums()) &&
+           verifier.VerifyVectorOfTables(sums()) &&
+           verifier.EndTable();
+  }
+};
+
+struct queue_sumsBuilder {
+  typedef queue_sums Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_sums(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::queue_sum>>> sums) {
+    fbb_.AddOffset(queue_sums::VT_SUMS, sums);
+  }
+  explicit queue_sumsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<queue_sums> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<queue_sums>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<queue_sums> Createqueue_sums(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::queue_sum>>> sums = 0) {
+  queue_sumsBuilder builder_(_fbb);
+  builder_.add_sums(sums);
+  return builder_.Finish();
+}
+
+struct queue_sums::Traits {
+  using type = queue_sums;
+  static auto constexpr Create = Createqueue_sums;
+};
+
+inline flatbuffers::Offset<queue_sums> Createqueue_sumsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<godwit::wire::format::queue_sum>> *sums = nullptr) {
+  auto sums__ = sums ? _fbb.CreateVector<flatbuffers::Offset<godwit::wire::format::queue_sum>>(*sums) : 0;
+  return godwit::wire::format::Createqueue_sums(
+      _fbb,
+      sums__);
+}
+
 struct frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef frameBuilder Builder;
   struct Traits;
@@ -5083,6 +5456,9 @@
   const godwit::wire::format::source_positions *payload_as_source_positions() const {
     return payload_type() == godwit::wire::format::payload::source_positions ? static_cast<const godwit::wire::format::source_positions *>(payload()) : nullptr;
   }
+  const godwit::wire::format::queue_sums *payload_as_queue_sums() const {
+    return payload_type() == godwit::wire::format::payload::queue_sums ? static_cast<const godwit::wire::format::queue_sums *>(payload()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_PAYLOAD_TYPE, 1) &&
@@ -5228,6 +5604,10 @@
   return payload_as_source_positions();
 }
 
+template<> inline const godwit::wire::format::queue_sums *frame::payload_as<godwit::wire::format::queue_sums>() const {
+  return payload_as_queue_sums();
+}
+
 struct frameBuilder {
   typedef frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -5405,6 +5785,10 @@
       auto ptr = reinterpret_cast<const godwit::wire::format::source_positions *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case payload::queue_sums: {
+      auto ptr = reinterpret_cast<const godwit::wire::format::queue_sums *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/libraries/wire/src/message.cpp
+++ b/libraries/wire/src/message.cpp
@@ -42,7 +42,8 @@
             "server_list_offer",
             "server_list_request",
             "server_list_part",
-            "source_positions"};
+            "source_positions",
+            "queue_sums"};
     return names.at(value.index());
 }
 
--- a/libraries/wire/src/message_reader.cpp
+++ b/libraries/wire/src/message_reader.cpp
@@ -431,4 +431,38 @@
         .hosts = position(table.hosts())};
 }
 
+queued_work read(const format::queued_work& table, frame_reader& /*reader*/)
+{
+    return queued_work{.requests = table.requests(), .tokens = table.tokens()};
+}
+
+queue_order_sum read(const format::queue_order_sum& table, frame_reader& reader)
+{
+    return queue_order_sum{
+        .order = table.order(),
+        .waiting = reader.table<queued_work>(table.waiting()),
+        .arrived = reader.table<queued_work>(table.arrived()),
+        .started = reader.table<queued_work>(table.started())};
+}
+
+announced_retry read(const format::announced_retry& table, frame_reader& reader)
+{
+    return announced_retry{
+        .fingerprint = reader.text(table.fingerprint()),
+        .due_ms = table.due_ms()};
+}
+
+queue_sum read(const format::queue_sum& table, frame_reader& reader)
+{
+    return queue_sum{
+        .service = reader.identifier<core::service_name>(table.service()),
+        .orders = reader.list<queue_order_sum>(table.orders()),
+        .retries = reader.list<announced_retry>(table.retries())};
+}
+
+queue_sums read(const format::queue_sums& table, frame_reader& reader)
+{
+    return queue_sums{.sums = reader.list<queue_sum>(table.sums())};
+}
+
 } // namespace godwit::wire
--- a/libraries/wire/src/message_reader.hpp
+++ b/libraries/wire/src/message_reader.hpp
@@ -73,4 +73,19 @@
 [[nodiscard]] source_positions
 read(const format::source_positions& table, frame_reader& reader);
 
+[[nodiscard]] queued_work
+read(const format::queued_work& table, frame_reader& reader);
+
+[[nodiscard]] queue_order_sum
+read(const format::queue_order_sum& table, frame_reader& reader);
+
+[[nodiscard]] announced_retry
+read(const format::announced_retry& table, frame_reader& reader);
+
+[[nodiscard]] queue_sum
+read(const format::queue_sum& table, frame_reader& reader);
+
+[[nodiscard]] queue_sums
+read(const format::queue_sums& table, frame_reader& reader);
+
 } // namespace godwit::wire
--- a/libraries/wire/src/message_writer.cpp
+++ b/libraries/wire/src/message_writer.cpp
@@ -502,4 +502,42 @@
         out, tables, value.table_version, servers, value.server_digest, hosts);
 }
 
+flatbuffers::Offset<format::queued_work>
+write(builder& out, const queued_work& value)
+{
+    return format::Createqueued_work(out, value.requests, value.tokens);
+}
+
+flatbuffers::Offset<format::queue_order_sum>
+write(builder& out, const queue_order_sum& value)
+{
+    const auto waiting = write(out, value.waiting);
+    const auto arrived = write(out, value.arrived);
+    const auto started = write(out, value.started);
+    return format::Createqueue_order_sum(
+        out, value.order, waiting, arrived, started);
+}
+
+flatbuffers::Offset<format::announced_retry>
+write(builder& out, const announced_retry& value)
+{
+    return format::Createannounced_retry(
+        out, text(out, value.fingerprint), value.due_ms);
+}
+
+flatbuffers::Offset<format::queue_sum>
+write(builder& out, const queue_sum& value)
+{
+    const auto service = text(out, value.service);
+    const auto orders = list(out, value.orders);
+    const auto retries = list(out, value.retries);
+    return format::Createqueue_sum(out, service, orders, retries);
+}
+
+flatbuffers::Offset<format::queue_sums>
+write(builder& out, const queue_sums& value)
+{
+    return format::Createqueue_sums(out, list(out, value.sums));
+}
+
 } // namespace godwit::wire
--- a/libraries/wire/src/message_writer.hpp
+++ b/libraries/wire/src/message_writer.hpp
@@ -103,4 +103,19 @@
 [[nodiscard]] flatbuffers::Offset<format::source_positions>
 write(flatbuffers::FlatBufferBuilder& out, const source_positions& value);
 
+[[nodiscard]] flatbuffers::Offset<format::queued_work>
+write(flatbuffers::FlatBufferBuilder& out, const queued_work& value);
+
+[[nodiscard]] flatbuffers::Offset<format::queue_order_sum>
+write(flatbuffers::FlatBufferBuilder& out, const queue_order_sum& value);
+
+[[nodiscard]] flatbuffers::Offset<format::announced_retry>
+write(flatbuffers::FlatBufferBuilder& out, const announced_retry& value);
+
+[[nodiscard]] flatbuffers::Offset<format::queue_sum>
+write(flatbuffers::FlatBufferBuilder& out, const queue_sum& value);
+
+[[nodiscard]] flatbuffers::Offset<format::queue_sums>
+write(flatbuffers::FlatBufferBuilder& out, const queue_sums& value);
+
 } // namespace godwit::wire
--- a/services/entry/include/godwit/entry/capacity_search.hpp
+++ b/services/entry/include/godwit/entry/capacity_search.hpp
@@ -3,6 +3,7 @@
 #include <godwit/admission/generation_size.hpp>
 #include <godwit/admission/wait_policy.hpp>
 #include <godwit/entry/entry_context.hpp>
+#include <godwit/entry/forecast_stream.hpp>
 #include <godwit/entry/refusal.hpp>
 #include <godwit/entry/reservation.hpp>
 #include <godwit/entry/routed_call.hpp>
@@ -66,6 +67,12 @@
     choose_server_in_stage(admission::wait_stage stage);
     boost::asio::awaitable<std::optional<found_capacity>>
     hold_capacity(placement::placement_choice choice);
+    boost::asio::awaitable<bool>
+    wait_for_turn(wait_queue::waiter& waiter, core::time_point until);
+    [[nodiscard]] queue_place place_in_queue() const;
+    [[nodiscard]] core::time_point stage_end(admission::wait_stage stage) const;
+    [[nodiscard]] bool
+    would_start_too_late(admission::wait_stage stage, core::time_point now);
     [[nodiscard]] placement::placement_request
     placement_request_in(admission::wait_stage stage) const;
     [[nodiscard]] std::optional<refusal_reason> final_failure_of(
@@ -80,6 +87,10 @@
     bool is_stopped_ = false;
     std::optional<refusal_reason> final_failure_; ///< That no wait avoids.
     core::duration limit_wait_{}; ///< Where the wait for servers is too long.
+    /// Set if starts are predicted.
+    std::unique_ptr<forecast_stream> forecast_;
+    /// Set if the predicted start is too late.
+    std::optional<core::duration> predicted_retry_after_;
 };
 
 /// Whether the service's servers grant holds.
--- a/services/entry/include/godwit/entry/entry_context.hpp
+++ b/services/entry/include/godwit/entry/entry_context.hpp
@@ -7,6 +7,7 @@
 #include <godwit/entry/link_claims.hpp>
 #include <godwit/entry/retry_budgets.hpp>
 #include <godwit/entry/server_connector.hpp>
+#include <godwit/entry/start_forecast.hpp>
 #include <godwit/entry/stream_registry.hpp>
 #include <godwit/entry/wait_queue.hpp>
 #include <godwit/entry/wire_codec.hpp>
@@ -148,6 +149,7 @@
     server_connector connector;
     std::unique_ptr<http::connection_pool> connections;
     std::unique_ptr<telemetry::metrics> metrics;
+    start_forecast forecast; ///< Used only if `settings.predicts_starts`.
     bool is_stopping = false;
 };
 
--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -276,6 +276,7 @@
         const routing::service& service, core::time_point now);
     void poll_reports();
     void broadcast_load();
+    void broadcast_queue_sums();
     void schedule_load_broadcast();
     void broadcast_cell_load();
     [[nodiscard]] double load_report_rate() const;
--- a/services/entry/include/godwit/entry/refusal.hpp
+++ b/services/entry/include/godwit/entry/refusal.hpp
@@ -20,6 +20,7 @@
     unknown_key,     ///< 401.
     no_server,       ///< 503: no server offers the service now.
     no_room,         ///< 503: every server is full.
+    no_room_in_time, ///< 503: it would start after its caller left.
     servers_refused, ///< 503: the servers reported that they did not run it.
     servers_limited, ///< 503: the servers' request limits are used up.
     zones_evacuated, ///< 503: every server is in an evacuated zone.
--- a/services/entry/include/godwit/entry/wait_queue.hpp
+++ b/services/entry/include/godwit/entry/wait_queue.hpp
@@ -9,14 +9,24 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <utility>
+#include <tuple>
 
 namespace godwit::entry {
 
+/// The place of a request among others of its priority.
+enum class queue_place
+{
+    first,
+    by_age,
+};
+
 /// Requests that wait for capacity at the backend servers, ordered by priority
 /// and then by age, oldest first. Used on one executor.
 class wait_queue
 {
+    /// Priority, place and age.
+    using waiter_key = std::tuple<int, queue_place, std::uint64_t>;
+
 public:
     /// One waiting request; leaves the queue on destruction.
     class waiter
@@ -25,14 +35,16 @@
         waiter(
             wait_queue& queue,
             const boost::asio::any_io_executor& executor,
-            int priority);
+            int priority,
+            queue_place place = queue_place::by_age);
         ~waiter();
 
         waiter(const waiter&) = delete;
         waiter& operator=(const waiter&) = delete;
 
-        /// Waits until it is this request's turn, or until `end`.
-        boost::asio::awaitable<void> wait_turn(core::time_point end);
+        /// Waits until it is this request's turn, or until `end`. Returns
+        /// whether it is its turn.
+        boost::asio::awaitable<bool> wait_turn(core::time_point end);
 
         /// Ends the wait at once.
         void cancel();
@@ -41,7 +53,7 @@
         friend class wait_queue;
 
         wait_queue& queue_;
-        std::pair<int, std::uint64_t> key_;
+        waiter_key key_;
         core::timer timer_;
     };
 
@@ -55,7 +67,7 @@
     [[nodiscard]] bool has_waiter_ahead_of(int priority) const noexcept;
 
 private:
-    std::map<std::pair<int, std::uint64_t>, waiter*> waiters_;
+    std::map<waiter_key, waiter*> waiters_;
     std::uint64_t next_sequence_ = 0;
 };
 
--- a/services/entry/src/capacity_search.cpp
+++ b/services/entry/src/capacity_search.cpp
@@ -42,7 +42,11 @@
            call_->route.latency_objective,
            call_->priority})),
       size_(size_of(call_->metadata))
-{}
+{
+    if (context_.settings.predicts_starts && call_->service.engine)
+        forecast_ = std::make_unique<forecast_stream>(
+            context_, call_, wait_policy_, size_);
+}
 
 void capacity_search::exclude(const placement::server_id& server)
 {
@@ -60,11 +64,17 @@
 {
     while (!is_stopped_) {
         auto choice = co_await choose_server();
-        if (!choice)
+        if (!choice) {
+            if (forecast_)
+                forecast_->stop_waiting();
             co_return std::nullopt;
+        }
         auto found = co_await hold_capacity(std::move(*choice));
-        if (found)
+        if (found) {
+            if (forecast_)
+                forecast_->set_started(core::monotonic_now());
             co_return found;
+        }
     }
     co_return std::nullopt;
 }
@@ -81,7 +91,7 @@
     case placement::placement_failure::limited: {
         const core::duration wait =
             shortest_limit_wait(context_, *call_, excluded_, now);
-        if (wait < wait_policy_.stage_end(wait_stage::late) - now)
+        if (wait < stage_end(wait_stage::late) - now)
             return std::nullopt;
         limit_wait_ = wait;
         return refusal_reason::servers_limited;
@@ -95,9 +105,58 @@
 
 core::duration capacity_search::retry_after(core::time_point now) const
 {
+    if (predicted_retry_after_)
+        return *predicted_retry_after_;
     return std::max(wait_policy_.retry_after(now), limit_wait_);
 }
 
+// Where starts are predicted, a stream that would not start is refused early,
+// so that the others may wait as long as their callers stay.
+core::time_point capacity_search::stage_end(wait_stage stage) const
+{
+    const core::time_point end = wait_policy_.stage_end(stage);
+    if (!forecast_ || stage == wait_stage::timely)
+        return end;
+    return std::max(end, forecast_->latest_start());
+}
+
+queue_place capacity_search::place_in_queue() const
+{
+    const bool is_announced =
+        forecast_ && forecast_->retry() == admission::retry_kind::announced;
+    return is_announced ? queue_place::first : queue_place::by_age;
+}
+
+// A stream that has not been tried because others wait, perhaps for other
+// servers, is not refused if there is a server for it.
+bool capacity_search::would_start_too_late(
+    wait_stage stage, core::time_point now)
+{
+    if (!forecast_ || !forecast_->is_too_late(stage, now))
+        return false;
+    if (choose_by_version(context_, *call_, placement_request_in(stage), now))
+        return false;
+    predicted_retry_after_ = forecast_->announce_retry(now);
+    final_failure_ = refusal_reason::no_room_in_time;
+    return true;
+}
+
+// Returns whether the stream may try to get a server: it is its turn, or
+// `until` has come. With predictions it also wakes for the next one.
+asio::awaitable<bool> capacity_search::wait_for_turn(
+    wait_queue::waiter& waiter, core::time_point until)
+{
+    const core::time_point end =
+        forecast_ ? std::min(
+                        until,
+                        core::monotonic_now() + forecast_stream::check_interval)
+                  : until;
+    waiter_ = &waiter;
+    const bool is_turn = co_await waiter.wait_turn(end);
+    waiter_ = nullptr;
+    co_return is_turn || core::monotonic_now() >= until || !forecast_;
+}
+
 asio::awaitable<std::optional<placement::placement_choice>>
 capacity_search::choose_server()
 {
@@ -121,7 +180,7 @@
 asio::awaitable<std::optional<placement::placement_choice>>
 capacity_search::choose_server_in_stage(wait_stage stage)
 {
-    const core::time_point end = wait_policy_.stage_end(stage);
+    const core::time_point end = stage_end(stage);
     std::optional<wait_queue::waiter> waiter;
     core::time_point next_attempt{};
     bool may_try =
@@ -140,16 +199,18 @@
             if (final_failure_)
                 co_return std::nullopt;
         }
-        if (now >= end)
+        if (now >= end || would_start_too_late(stage, now))
             co_return std::nullopt;
+        if (forecast_)
+            forecast_->set_waiting(stage, now);
         if (!waiter)
             waiter.emplace(
-                context_.queue, context_.executor, wait_policy_.rank(stage));
-        waiter_ = &*waiter;
-        co_await waiter->wait_turn(
-            next_attempt > now ? std::min(end, next_attempt) : end);
-        waiter_ = nullptr;
-        may_try = true;
+                context_.queue,
+                context_.executor,
+                wait_policy_.rank(stage),
+                place_in_queue());
+        may_try = co_await wait_for_turn(
+            *waiter, next_attempt > now ? std::min(end, next_attempt) : end);
     }
     co_return std::nullopt;
 }
--- a/services/entry/src/entry_context.cpp
+++ b/services/entry/src/entry_context.cpp
@@ -54,7 +54,8 @@
                              settings.regions,
                              core::stable_hash(settings.host.value())),
       connections(http::connection_pool::create(executor, pool_limits())),
-      metrics(telemetry::metrics::create())
+      metrics(telemetry::metrics::create()),
+      forecast(core::stable_hash(settings.host.value()), *metrics)
 {
     set_link_capacity();
     connections->set_opener(
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -404,6 +404,7 @@
     log_further_server_changes();
     broadcast_load();
     broadcast_cell_load();
+    broadcast_queue_sums();
     request_table();
     serve_table_requests();
     readers_.observe(
--- a/services/entry/src/entry_process_load.cpp
+++ b/services/entry/src/entry_process_load.cpp
@@ -92,6 +92,14 @@
     load_sent_at_ = now;
 }
 
+void entry_process::broadcast_queue_sums()
+{
+    if (!context_.settings.predicts_starts)
+        return;
+    if (const auto message = context_.forecast.next(core::monotonic_now()))
+        neighbours_->broadcast(*message, audience::cell);
+}
+
 double entry_process::load_report_rate() const
 {
     return load_report_share * context_.link.capacity();
--- a/services/entry/src/entry_process_neighbours.cpp
+++ b/services/entry/src/entry_process_neighbours.cpp
@@ -184,6 +184,12 @@
     else if (
         const auto* positions = std::get_if<wire::source_positions>(&message))
         handle_source_positions(peer.host, *positions);
+    else if (const auto* sums = std::get_if<wire::queue_sums>(&message)) {
+        const bool is_used = context_.settings.predicts_starts &&
+                             neighbours_->is_cell_peer(peer.host);
+        if (is_used)
+            context_.forecast.handle(peer.host, *sums, core::monotonic_now());
+    }
 }
 
 void entry_process::handle_link_claim(
--- a/services/entry/src/refusal.cpp
+++ b/services/entry/src/refusal.cpp
@@ -34,6 +34,7 @@
     case refusal_reason::routes_outdated:
     case refusal_reason::no_server:
     case refusal_reason::no_room:
+    case refusal_reason::no_room_in_time:
     case refusal_reason::servers_refused:
     case refusal_reason::servers_limited:
     case refusal_reason::zones_evacuated:
@@ -81,6 +82,8 @@
         return "no_server";
     case refusal_reason::no_room:
         return "no_room";
+    case refusal_reason::no_room_in_time:
+        return "no_room_in_time";
     case refusal_reason::servers_refused:
         return "servers_refused";
     case refusal_reason::servers_limited:
--- a/services/entry/src/wait_queue.cpp
+++ b/services/entry/src/wait_queue.cpp
@@ -10,8 +10,12 @@
 namespace asio = boost::asio;
 
 wait_queue::waiter::waiter(
-    wait_queue& queue, const asio::any_io_executor& executor, int priority)
-    : queue_(queue), key_(priority, queue.next_sequence_++), timer_(executor)
+    wait_queue& queue,
+    const asio::any_io_executor& executor,
+    int priority,
+    queue_place place)
+    : queue_(queue), key_(priority, place, queue.next_sequence_++),
+      timer_(executor)
 {
     queue_.waiters_.emplace(key_, this);
 }
@@ -23,7 +27,7 @@
     queue_.wake_first();
 }
 
-asio::awaitable<void> wait_queue::waiter::wait_turn(core::time_point end)
+asio::awaitable<bool> wait_queue::waiter::wait_turn(core::time_point end)
 {
     const core::duration remaining =
         std::max(end - core::monotonic_now(), core::duration::zero());
@@ -31,6 +35,7 @@
     boost::system::error_code error;
     co_await timer_.async_wait(
         asio::redirect_error(asio::use_awaitable, error));
+    co_return error == asio::error::operation_aborted;
 }
 
 void wait_queue::waiter::cancel()
@@ -46,7 +51,8 @@
 
 bool wait_queue::has_waiter_ahead_of(int priority) const noexcept
 {
-    return !waiters_.empty() && waiters_.begin()->first.first <= priority;
+    return !waiters_.empty() &&
+           std::get<0>(waiters_.begin()->first) <= priority;
 }
 
 } // namespace godwit::entry
--- a/tests/wire/sample_messages.cpp
+++ b/tests/wire/sample_messages.cpp
@@ -121,7 +121,11 @@
             12,
             std::nullopt,
             0xfeedULL,
-            source_position{0, 1}}};
+            source_position{0, 1}},
+        queue_sums{
+            {{core::service_name("lm"),
+              {{1002, {3, 9000}, {0, 0}, {2, 6200}}},
+              {{"0a1b", 1250}}}}}};
 }
 
 } // namespace godwit::wire
