--- a/libraries/admission/include/godwit/admission/start_estimate.hpp
+++ b/libraries/admission/include/godwit/admission/start_estimate.hpp
@@ -4,7 +4,6 @@
 #include <godwit/core/time.hpp>
 
 #include <chrono>
-#include <cstddef>
 #include <cstdint>
 #include <optional>
 
@@ -16,7 +15,7 @@
     int order = 0;
     core::duration waited{}; ///< In this order, so far.
     /// Announced retries that will arrive and go first.
-    std::size_t retries_ahead = 0;
+    work_amount retries_ahead;
 
     friend bool
     operator==(const queue_position&, const queue_position&) = default;
@@ -46,8 +45,10 @@
     start_estimate(service_queue cell, const work_amount& started);
 
     [[nodiscard]] double amount(const work_amount& work) const;
-    [[nodiscard]] double work_ahead(const queue_position& position) const;
-    [[nodiscard]] double rate_of_arrivals_before(int order) const;
+    [[nodiscard]] double seconds_of_lower_orders(int order) const;
+    [[nodiscard]] double
+    work_of_same_rank(const queue_position& position) const;
+    [[nodiscard]] double rate_left_for(int order) const;
 
     service_queue cell_;
     work_amount started_;
--- a/libraries/admission/include/godwit/admission/start_predictor.hpp
+++ b/libraries/admission/include/godwit/admission/start_predictor.hpp
@@ -22,6 +22,7 @@
     int timely_rank = 0;
     int late_rank = 0; ///< Once it cannot start in time.
     retry_kind retry = retry_kind::none;
+    bool is_new = true; ///< It was not kept before.
     core::duration waited{};      ///< At its present rank.
     core::duration timely_left{}; ///< Not above zero if it is late.
     core::duration stay_left{};   ///< Until its caller needs it to start.
@@ -49,9 +50,8 @@
 public:
     static constexpr core::duration min_retry_after =
         std::chrono::milliseconds(300);
-    /// Overload bursts last some seconds. Where no capacity can be foreseen,
-    /// callers retry after this time.
-    static constexpr core::duration max_retry_after = std::chrono::seconds(10);
+    /// Callers with more time than this have none of the deadlines known.
+    static constexpr core::duration max_retry_after = std::chrono::seconds(30);
 
     /// Streams of this host.
     [[nodiscard]] queue_recorder& own() noexcept { return own_; }
--- a/libraries/admission/src/announced_retries.cpp
+++ b/libraries/admission/src/announced_retries.cpp
@@ -1,20 +1,15 @@
 #include <godwit/admission/announced_retries.hpp>
 
-#include <algorithm>
-
 namespace godwit::admission {
 
 bool announced_retries::announce(
-    const request_fingerprint& request,
-    const core::service_name& service,
-    core::time_point due,
-    core::time_point now)
+    const announced_retry& retry, core::time_point now)
 {
-    if (!retries_.contains(request) && retries_.size() >= max_retries)
+    if (!retries_.contains(retry.request) && retries_.size() >= max_retries)
         expire(now);
-    if (!retries_.contains(request) && retries_.size() >= max_retries)
+    if (!retries_.contains(retry.request) && retries_.size() >= max_retries)
         return false;
-    retries_.insert_or_assign(request, retry{service, due});
+    retries_.insert_or_assign(retry.request, retry);
     return true;
 }
 
@@ -31,17 +26,20 @@
     return now <= due + grace;
 }
 
-std::size_t announced_retries::count_until(
+work_amount announced_retries::work_until(
     const core::service_name& service,
+    int order,
     core::time_point until,
     core::time_point now) const
 {
-    const auto count =
-        std::count_if(retries_.begin(), retries_.end(), [&](const auto& each) {
-            return each.second.service == service && each.second.due > now &&
-                   each.second.due <= until;
-        });
-    return static_cast<std::size_t>(count);
+    work_amount work;
+    for (const auto& [request, each] : retries_) {
+        const bool is_ahead = each.service == service && each.order <= order &&
+                              each.due > now && each.due <= until;
+        if (is_ahead)
+            work += {1, each.tokens};
+    }
+    return work;
 }
 
 void announced_retries::expire(core::time_point now)
--- a/libraries/admission/src/start_estimate.cpp
+++ b/libraries/admission/src/start_estimate.cpp
@@ -10,9 +10,14 @@
 
 namespace {
 
-// Where arrivals that go first leave less than this share of the start rate,
-// the rest is within the error of both rates.
-constexpr double min_rate_left = 0.05;
+// A smaller share of the start rate is within the error of the rates.
+constexpr double min_rate_left = 0.02;
+
+// The order of announced retries of the same rank.
+int first_order_of_rank(int order)
+{
+    return is_announced_order(order) ? order : order - 1;
+}
 
 double seconds(core::duration time)
 {
@@ -51,46 +56,66 @@
         started_.tokens > 0 ? work.tokens : work.requests);
 }
 
+// Streams of lower orders may take all capacity.
+double start_estimate::seconds_of_lower_orders(int order) const
+{
+    double ahead = 0;
+    for (const auto& [before, each] : cell_) {
+        if (before < first_order_of_rank(order))
+            ahead += amount(each.waiting);
+    }
+    return ahead / rate_;
+}
+
 // Streams of the same order start in the order of their arrival. Those that
 // arrived later are known only by their rate.
-double start_estimate::work_ahead(const queue_position& position) const
+double start_estimate::work_of_same_rank(const queue_position& position) const
 {
-    double ahead = static_cast<double>(position.retries_ahead) *
-                   amount(started_) / static_cast<double>(started_.requests);
+    double ahead = amount(position.retries_ahead);
     for (const auto& [order, each] : cell_) {
-        if (order < position.order)
-            ahead += amount(each.waiting);
-        if (order != position.order)
+        if (order < first_order_of_rank(position.order) ||
+            order > position.order)
             continue;
-        const double newer = amount(each.arrived) * seconds(position.waited) /
-                             seconds(work_window::length);
+        const double newer =
+            order == position.order
+                ? amount(each.arrived) * seconds(position.waited) /
+                      seconds(work_window::length)
+                : 0;
         ahead += std::max(amount(each.waiting) - newer, 0.0);
     }
     return ahead;
 }
 
-// Announced retries are counted by their due times, and late streams on their
-// arrival.
-double start_estimate::rate_of_arrivals_before(int order) const
+// What lower orders leave is what the other streams got. Late streams may get
+// nothing until there is more capacity than timely ones arrive for: announced
+// retries are not counted there, because their due times are known, nor late
+// streams, because they were counted on their arrival.
+double start_estimate::rate_left_for(int order) const
 {
+    double started = 0;
     double arrived = 0;
-    for (const auto& [before, each] : cell_) {
-        if (before < order && !is_announced_order(before) &&
-            !is_late_order(before))
+    for (const auto& [other, each] : cell_) {
+        if (other >= first_order_of_rank(order))
+            started += amount(each.started);
+        else if (!is_announced_order(other) && !is_late_order(other))
             arrived += amount(each.arrived);
     }
-    return arrived / seconds(work_window::length);
+    const double left = started / seconds(work_window::length);
+    if (!is_late_order(order))
+        return left;
+    return std::max(left, rate_ - arrived / seconds(work_window::length));
 }
 
 core::duration start_estimate::wait(const queue_position& position) const
 {
-    const double ahead = work_ahead(position);
-    if (ahead <= 0)
+    const double lower = seconds_of_lower_orders(position.order);
+    const double same = work_of_same_rank(position);
+    if (lower + same <= 0)
         return core::duration::zero();
-    const double left = rate_ - rate_of_arrivals_before(position.order);
+    const double left = rate_left_for(position.order);
     if (left <= rate_ * min_rate_left)
         return max_wait;
-    return bounded(ahead / left);
+    return bounded(lower + same / left);
 }
 
 core::duration start_estimate::time_for(double streams) const
--- a/libraries/admission/src/start_predictor.cpp
+++ b/libraries/admission/src/start_predictor.cpp
@@ -43,6 +43,8 @@
 
 } // namespace
 
+// A new stream that would turn late, and then start too late, is refused at
+// once. One that was kept goes before newer ones until it turns late.
 start_decision start_predictor::decide(
     const waiting_stream& stream, core::time_point now, double jitter) const
 {
@@ -54,7 +56,9 @@
     const double certain = 1 - correction_of(stream.service).margin();
     if (is_timely(stream)) {
         decision.wait = wait_at(*estimate, stream, stream.timely_rank, now);
-        if (scaled(*decision.wait, certain) <= stream.timely_left)
+        const core::duration limit =
+            stream.is_new ? stream.timely_left : stream.stay_left;
+        if (scaled(*decision.wait, certain) <= limit)
             return decision;
     }
     decision.wait = wait_at(*estimate, stream, stream.late_rank, now);
@@ -75,13 +79,13 @@
     queue_position position{
         queue_order_of(rank, stream.retry),
         rank == present_rank(stream) ? stream.waited : core::duration::zero(),
-        0};
+        {}};
     const core::duration without = scaled(estimate.wait(position), factor);
     if (stream.retry == retry_kind::announced ||
         without <= core::duration::zero())
         return std::min(without, start_estimate::max_wait);
-    position.retries_ahead =
-        retries_.count_until(stream.service, now + without, now);
+    position.retries_ahead = retries_.work_until(
+        stream.service, position.order, now + without, now);
     return std::min(
         scaled(estimate.wait(position), factor), start_estimate::max_wait);
 }
@@ -93,10 +97,14 @@
     core::time_point now,
     double jitter) const
 {
-    const core::duration wait = estimate.wait(
-        {queue_order_of(stream.timely_rank, retry_kind::none),
-         {},
-         retries_.count_until(stream.service, core::time_point::max(), now)});
+    const int order = queue_order_of(stream.timely_rank, retry_kind::none);
+    const core::duration wait = scaled(
+        estimate.wait(
+            {order,
+             {},
+             retries_.work_until(
+                 stream.service, order, core::time_point::max(), now)}),
+        correction_of(stream.service).factor());
     const core::duration spread =
         std::clamp(estimate.time_for(spread_streams), min_spread, max_spread);
     return std::clamp(
--- a/libraries/admission/src/wait_correction.cpp
+++ b/libraries/admission/src/wait_correction.cpp
@@ -8,13 +8,13 @@
 
 namespace {
 
-// Weight of one observation: about the last twenty count.
-constexpr double weight = 0.05;
+// Weight of one observation: about the last thirty count.
+constexpr double weight = 0.03;
 // Waits below this depend on when a server reports its end rather than on the
 // queue, so that they say nothing about the start rate.
 constexpr core::duration min_wait = std::chrono::milliseconds(100);
 // One stream cannot change the factor by more than a few percent.
-constexpr double max_ratio = 4;
+constexpr double max_ratio = 2;
 
 } // namespace
 
--- a/libraries/wire/include/godwit/wire/queue_sums.hpp
+++ b/libraries/wire/include/godwit/wire/queue_sums.hpp
@@ -34,6 +34,8 @@
 struct announced_retry
 {
     std::string fingerprint;
+    std::int32_t order = 0; ///< Its place in the queue order when it retries.
+    std::uint64_t tokens = 0;
     std::uint32_t due_ms = 0; ///< Until then, from the sending of the message.
 
     friend bool
--- a/libraries/wire/src/godwit_generated.h
+++ b/libraries/wire/src/godwit_generated.h
@@ -5131,11 +5131,19 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_FINGERPRINT = 4,
-    VT_DUE_MS = 6
+    VT_ORDER = 6,
+    VT_TOKENS = 8,
+    VT_DUE_MS = 10
   };
   const flatbuffers::String *fingerprint() const {
     return GetPointer<const flatbuffers::String *>(VT_FINGERPRINT);
   }
+  int32_t order() const {
+    return GetField<int32_t>(VT_ORDER, 0);
+  }
+  uint64_t tokens() const {
+    return GetField<uint64_t>(VT_TOKENS, 0);
+  }
   uint32_t due_ms() const {
     return GetField<uint32_t>(VT_DUE_MS, 0);
   }
@@ -5143,6 +5151,8 @@
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_FINGERPRINT) &&
            verifier.VerifyString(fingerprint()) &&
+           VerifyField<int32_t>(verifier, VT_ORDER, 4) &&
+           VerifyField<uint64_t>(verifier, VT_TOKENS, 8) &&
            VerifyField<uint32_t>(verifier, VT_DUE_MS, 4) &&
            verifier.EndTable();
   }
@@ -5155,6 +5165,12 @@
   void add_fingerprint(flatbuffers::Offset<flatbuffers::String> fingerprint) {
     fbb_.AddOffset(announced_retry::VT_FINGERPRINT, fingerprint);
   }
+  void add_order(int32_t order) {
+    fbb_.AddElement<int32_t>(announced_retry::VT_ORDER, order, 0);
+  }
+  void add_tokens(uint64_t tokens) {
+    fbb_.AddElement<uint64_t>(announced_retry::VT_TOKENS, tokens, 0);
+  }
   void add_due_ms(uint32_t due_ms) {
     fbb_.AddElement<uint32_t>(announced_retry::VT_DUE_MS, due_ms, 0);
   }
@@ -5172,9 +5188,13 @@
 inline flatbuffers::Offset<announced_retry> Createannounced_retry(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> fingerprint = 0,
+    int32_t order = 0,
+    uint64_t tokens = 0,
     uint32_t due_ms = 0) {
   announced_retryBuilder builder_(_fbb);
+  builder_.add_tokens(tokens);
   builder_.add_due_ms(due_ms);
+  builder_.add_order(order);
   builder_.add_fingerprint(fingerprint);
   return builder_.Finish();
 }
@@ -5187,11 +5207,15 @@
 inline flatbuffers::Offset<announced_retry> Createannounced_retryDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *fingerprint = nullptr,
+    int32_t order = 0,
+    uint64_t tokens = 0,
     uint32_t due_ms = 0) {
   auto fingerprint__ = fingerprint ? _fbb.CreateString(fingerprint) : 0;
   return godwit::wire::format::Createannounced_retry(
       _fbb,
       fingerprint__,
+      order,
+      tokens,
       due_ms);
 }
 
--- a/libraries/wire/src/message_reader.cpp
+++ b/libraries/wire/src/message_reader.cpp
@@ -449,6 +449,8 @@
 {
     return announced_retry{
         .fingerprint = reader.text(table.fingerprint()),
+        .order = table.order(),
+        .tokens = table.tokens(),
         .due_ms = table.due_ms()};
 }
 
--- a/libraries/wire/src/message_writer.cpp
+++ b/libraries/wire/src/message_writer.cpp
@@ -522,7 +522,11 @@
 write(builder& out, const announced_retry& value)
 {
     return format::Createannounced_retry(
-        out, text(out, value.fingerprint), value.due_ms);
+        out,
+        text(out, value.fingerprint),
+        value.order,
+        value.tokens,
+        value.due_ms);
 }
 
 flatbuffers::Offset<format::queue_sum>
--- a/services/entry/include/godwit/entry/start_forecast.hpp
+++ b/services/entry/include/godwit/entry/start_forecast.hpp
@@ -40,7 +40,7 @@
 
     /// Records that the caller of a refused request is told to retry at
     /// `retry.due`.
-    void announce(const retry_announcement& retry, core::time_point now);
+    void announce(const admission::announced_retry& retry, core::time_point now);
 
     /// Returns the next message to the cell, if one is due.
     [[nodiscard]] std::optional<wire::queue_sums> next(core::time_point now);
@@ -57,7 +57,7 @@
     admission::start_predictor predictor_;
     core::random random_;
     telemetry::metrics& metrics_;
-    std::vector<retry_announcement> unsent_retries_;
+    std::vector<admission::announced_retry> unsent_retries_;
     core::time_point sent_at_{};
     bool was_idle_ = true;
     /// Hosts whose invalid sums were logged.
--- a/services/entry/src/forecast_stream.cpp
+++ b/services/entry/src/forecast_stream.cpp
@@ -79,6 +79,7 @@
          policy_.rank(wait_stage::timely),
          policy_.rank(wait_stage::late),
          retry_,
+         !waiting_in_,
          waiting_in_ ? now - stage_since_ : core::duration::zero(),
          timely_left,
          latest_start_ - now},
@@ -94,7 +95,13 @@
     const core::duration told = rounded_up(decision_.retry_after.value_or(
         admission::start_predictor::min_retry_after));
     context_.forecast.announce(
-        {fingerprint_of(*call_), call_->service.name, now + told}, now);
+        {fingerprint_of(*call_),
+         call_->service.name,
+         admission::queue_order_of(
+             policy_.rank(wait_stage::timely), admission::retry_kind::announced),
+         work_.tokens,
+         now + told},
+        now);
     log_refusal(told, now);
     return told;
 }
--- a/services/entry/src/queue_sums_conversion.cpp
+++ b/services/entry/src/queue_sums_conversion.cpp
@@ -6,6 +6,8 @@
 #include <godwit/entry/wire_age.hpp>
 
 #include <chrono>
+#include <map>
+#include <utility>
 
 namespace godwit::entry {
 
@@ -41,6 +43,8 @@
 bool is_valid(const wire::announced_retry& retry)
 {
     return retry.fingerprint.size() == fingerprint_digits &&
+           admission::is_valid_order(retry.order) &&
+           retry.tokens <= max_tokens &&
            std::chrono::milliseconds(retry.due_ms) <=
                admission::start_predictor::max_retry_after;
 }
@@ -70,7 +74,7 @@
 
 wire::queue_sums to_wire(
     const admission::host_queues& queues,
-    const std::vector<retry_announcement>& retries,
+    const std::vector<admission::announced_retry>& retries,
     core::time_point now)
 {
     std::map<core::service_name, wire::queue_sum> sums;
@@ -82,9 +86,12 @@
                  to_wire(each.arrived),
                  to_wire(each.started)});
     }
-    for (const retry_announcement& each : retries)
+    for (const admission::announced_retry& each : retries)
         sums[each.service].retries.push_back(
-            {each.request.value(), wire_age_ms(each.due - now)});
+            {each.request.value(),
+             each.order,
+             each.tokens,
+             wire_age_ms(each.due - now)});
     wire::queue_sums message;
     for (auto& [service, sum] : sums) {
         sum.service = service;
@@ -116,6 +123,8 @@
             received.retries.push_back(
                 {admission::request_fingerprint(retry.fingerprint),
                  sum.service,
+                 retry.order,
+                 retry.tokens,
                  now + std::chrono::milliseconds(retry.due_ms)});
         }
     }
--- a/services/entry/src/start_forecast.cpp
+++ b/services/entry/src/start_forecast.cpp
@@ -20,10 +20,9 @@
 }
 
 void start_forecast::announce(
-    const retry_announcement& retry, core::time_point now)
+    const admission::announced_retry& retry, core::time_point now)
 {
-    if (predictor_.retries().announce(
-            retry.request, retry.service, retry.due, now) &&
+    if (predictor_.retries().announce(retry, now) &&
         unsent_retries_.size() < admission::announced_retries::max_retries)
         unsent_retries_.push_back(retry);
 }
@@ -51,9 +50,8 @@
     if (received.invalid > 0)
         record_invalid(host, received.invalid);
     predictor_.neighbours().update(host, std::move(received.queues), now);
-    for (const retry_announcement& each : received.retries)
-        predictor_.retries().announce(
-            each.request, each.service, each.due, now);
+    for (const admission::announced_retry& each : received.retries)
+        predictor_.retries().announce(each, now);
 }
 
 void start_forecast::record_invalid(
--- a/tests/wire/sample_messages.cpp
+++ b/tests/wire/sample_messages.cpp
@@ -125,7 +125,7 @@
         queue_sums{
             {{core::service_name("lm"),
               {{1002, {3, 9000}, {0, 0}, {2, 6200}}},
-              {{"0a1b", 1250}}}}}};
+              {{"0a1b", 4, 3000, 1250}}}}}};
 }
 
 } // namespace godwit::wire
