--- a/libraries/admission/include/godwit/admission/start_estimate.hpp
+++ b/libraries/admission/include/godwit/admission/start_estimate.hpp
@@ -15,6 +15,8 @@
     int timely_order = 0; ///< Where the stream is, or was, while timely.
     int order = 0;
     core::duration waited{}; ///< In this order, so far.
+    /// Work per second that will arrive and go first.
+    double overtaking = 0;
     /// Announced retries that will arrive and go first.
     work_amount retries_ahead;
 
@@ -42,6 +44,10 @@
     /// Whether more work arrives than starts.
     [[nodiscard]] bool is_overloaded() const;
 
+    /// Returns the work per second that arrives at the rank of `timely_order`
+    /// and below it, in time.
+    [[nodiscard]] double arrivals_from(int timely_order) const;
+
     /// Returns the work that starts per second: tokens, or requests if no
     /// tokens are known.
     [[nodiscard]] double rate() const noexcept { return rate_; }
@@ -55,7 +61,7 @@
     [[nodiscard]] double amount(const work_amount& work) const;
     [[nodiscard]] double seconds_of_lower_ranks(int timely_order) const;
     [[nodiscard]] double work_ahead(const queue_position& position) const;
-    [[nodiscard]] double rate_left_for(int timely_order) const;
+    [[nodiscard]] double rate_left_for(const queue_position& position) const;
 
     service_queue cell_;
     work_amount started_;
--- a/libraries/admission/include/godwit/admission/start_predictor.hpp
+++ b/libraries/admission/include/godwit/admission/start_predictor.hpp
@@ -22,7 +22,7 @@
     int timely_rank = 0;
     int late_rank = 0; ///< Once it cannot start in time.
     retry_kind retry = retry_kind::none;
-    bool is_new = true; ///< It was not kept before.
+    bool is_new = true;           ///< It was not kept before.
     core::duration waited{};      ///< At its present rank.
     core::duration timely_left{}; ///< Not above zero if it is late.
     core::duration stay_left{};   ///< Until its caller needs it to start.
@@ -100,8 +100,8 @@
         core::time_point now,
         double jitter) const;
 
-    [[nodiscard]] std::optional<start_estimate> estimate_for(
-        const core::service_name& service, core::time_point now) const;
+    [[nodiscard]] std::optional<start_estimate>
+    estimate_for(const core::service_name& service, core::time_point now) const;
     [[nodiscard]] double time_factor(
         const core::service_name& service,
         const start_estimate& estimate,
@@ -109,6 +109,12 @@
     [[nodiscard]] core::duration overload_left(
         const core::service_name& service, core::time_point now) const;
     void observe(core::time_point now);
+    void observe_arrivals(
+        const core::service_name& service,
+        const service_queue& own,
+        const start_estimate& estimate);
+    [[nodiscard]] double
+    overtaking(const core::service_name& service, int timely_order) const;
 
     /// The highest start rate of the last seconds, which decays.
     struct held_rate
@@ -125,6 +131,9 @@
     std::map<core::service_name, wait_correction> corrections_;
     std::map<core::service_name, core::time_point> overloaded_since_;
     std::map<core::service_name, held_rate> rates_;
+    /// Work per second that arrives without overload, by the timely order from
+    /// which it is counted.
+    std::map<core::service_name, std::map<int, double>> usual_arrivals_;
 };
 
 } // namespace godwit::admission
--- a/libraries/admission/src/start_estimate.cpp
+++ b/libraries/admission/src/start_estimate.cpp
@@ -14,6 +14,9 @@
 // others have ended. A rank that got nothing in the window is assumed to get
 // at least so many streams in the next.
 constexpr double min_streams_left = 2;
+// Work that goes first leaves at least this share of a rate: less is within the
+// error of both.
+constexpr double min_share_left = 0.1;
 
 // The order of announced retries of the same rank.
 int first_order_of_rank(int order)
@@ -78,34 +81,46 @@
         if (order < first_order_of_rank(position.timely_order) ||
             order > position.order)
             continue;
-        const double newer =
-            order == position.order
-                ? amount(each.arrived) * seconds(position.waited) /
-                      seconds(work_window::length)
-                : 0;
+        const double newer = order == position.order
+                                 ? amount(each.arrived) *
+                                       seconds(position.waited) /
+                                       seconds(work_window::length)
+                                 : 0;
         ahead += std::max(amount(each.waiting) - newer, 0.0);
     }
     return ahead;
 }
 
 // What more urgent ranks leave is what the other streams got.
-double start_estimate::rate_left_for(int timely_order) const
+double start_estimate::rate_left_for(const queue_position& position) const
 {
     const double least = min_streams_left * amount(started_) /
-                     static_cast<double>(started_.requests);
+                         static_cast<double>(started_.requests);
     double others = 0;
     for (const auto& [order, each] : cell_) {
-        if (order >= first_order_of_rank(timely_order))
+        if (order >= first_order_of_rank(position.timely_order))
             others += amount(each.started);
     }
-    return std::max(least, others) / seconds(work_window::length);
+    const double left = std::max(least, others) / seconds(work_window::length);
+    return std::max(left - position.overtaking, left * min_share_left);
 }
 
 core::duration start_estimate::wait(const queue_position& position) const
 {
     return bounded(
         seconds_of_lower_ranks(position.timely_order) +
-        work_ahead(position) / rate_left_for(position.timely_order));
+        work_ahead(position) / rate_left_for(position));
+}
+
+double start_estimate::arrivals_from(int timely_order) const
+{
+    double arrived = 0;
+    for (const auto& [order, each] : cell_) {
+        if (order >= first_order_of_rank(timely_order) &&
+            !is_announced_order(order) && !is_late_order(order))
+            arrived += amount(each.arrived);
+    }
+    return arrived / seconds(work_window::length);
 }
 
 bool start_estimate::is_overloaded() const
--- a/libraries/admission/src/start_predictor.cpp
+++ b/libraries/admission/src/start_predictor.cpp
@@ -15,7 +15,11 @@
 constexpr core::duration max_spread = std::chrono::seconds(1);
 
 // After so long, half of a start rate that is not observed any more counts.
-constexpr std::chrono::duration<double> rate_half_life = std::chrono::seconds(3);
+constexpr std::chrono::duration<double> rate_half_life =
+    std::chrono::seconds(3);
+
+// Arrivals are observed each 100 ms: about the last five seconds count.
+constexpr double arrivals_weight = 0.02;
 
 core::duration scaled(core::duration time, double factor)
 {
@@ -59,9 +63,10 @@
     const double certain = 1 - correction_of(stream.service).margin();
     if (is_timely(stream)) {
         decision.wait = wait_at(*estimate, stream, stream.timely_rank, now);
-        const core::duration limit =
-            stream.is_new ? stream.timely_left : stream.stay_left;
-        if (scaled(*decision.wait, certain) <= limit)
+        const bool is_kept =
+            stream.is_new ? *decision.wait <= stream.timely_left
+                          : scaled(*decision.wait, certain) <= stream.stay_left;
+        if (is_kept)
             return decision;
     }
     decision.wait = wait_at(*estimate, stream, stream.late_rank, now) +
@@ -84,13 +89,18 @@
         queue_order_of(stream.timely_rank, stream.retry),
         queue_order_of(rank, stream.retry),
         rank == present_rank(stream) ? stream.waited : core::duration::zero(),
+        stream.is_new && rank == stream.late_rank
+            ? overtaking(
+                  stream.service,
+                  queue_order_of(stream.timely_rank, retry_kind::none))
+            : 0,
         {}};
     const core::duration without = scaled(estimate.wait(position), factor);
     if (stream.retry == retry_kind::announced ||
         without <= core::duration::zero())
         return std::min(without, start_estimate::max_wait);
-    position.retries_ahead = retries_.work_until(
-        stream.service, position.order, now + without, now);
+    position.retries_ahead =
+        retries_.work_until(stream.service, position.order, now + without, now);
     return std::min(
         scaled(estimate.wait(position), factor), start_estimate::max_wait);
 }
@@ -108,6 +118,7 @@
             {order,
              order,
              {},
+             0,
              retries_.work_until(
                  stream.service, order, core::time_point::max(), now)}),
         time_factor(stream.service, estimate, now));
@@ -160,11 +171,41 @@
             rates_[service] = {estimate->rate(), now};
         if (!estimate || !estimate->is_overloaded())
             overloaded_since_.erase(service);
-        else
+        if (estimate && !overloaded_since_.contains(service) &&
+            !estimate->is_overloaded())
+            observe_arrivals(service, queue, *estimate);
+        if (estimate && estimate->is_overloaded())
             overloaded_since_.try_emplace(service, now);
     }
 }
 
+void start_predictor::observe_arrivals(
+    const core::service_name& service,
+    const service_queue& own,
+    const start_estimate& estimate)
+{
+    auto& usual = usual_arrivals_[service];
+    for (const auto& [order, each] : own) {
+        if (is_late_order(order) || is_announced_order(order) ||
+            (usual.size() >= max_queue_orders && !usual.contains(order)))
+            continue;
+        const double observed = estimate.arrivals_from(order);
+        const auto [known, is_new] = usual.try_emplace(order, observed);
+        known->second += arrivals_weight * (observed - known->second);
+    }
+}
+
+// Timely streams go before late ones, also after the overload.
+double start_predictor::overtaking(
+    const core::service_name& service, int timely_order) const
+{
+    const auto usual = usual_arrivals_.find(service);
+    if (usual == usual_arrivals_.end())
+        return 0;
+    const auto found = usual->second.find(timely_order);
+    return found == usual->second.end() ? 0 : found->second;
+}
+
 std::optional<start_estimate> start_predictor::estimate_for(
     const core::service_name& service, core::time_point now) const
 {
@@ -201,6 +242,7 @@
     };
     std::erase_if(overloaded_since_, is_unused);
     std::erase_if(rates_, is_unused);
+    std::erase_if(usual_arrivals_, is_unused);
     observe(now);
 }
 
--- a/tests/admission/overload_replay.hpp
+++ b/tests/admission/overload_replay.hpp
@@ -54,6 +54,8 @@
     std::size_t told_retries = 0; ///< Callers that retried when told.
     std::size_t told_retries_served = 0;
 
+    replay_result& operator+=(const replay_result& more);
+
     [[nodiscard]] std::string to_string() const;
 };
 
