--- a/tests/admission/start_predictor_test.cpp
+++ b/tests/admission/start_predictor_test.cpp
@@ -3,6 +3,7 @@
 
 #include <godwit/admission/caller_stay.hpp>
 #include <godwit/admission/start_predictor.hpp>
+#include <godwit/admission/wait_policy.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -16,9 +17,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-core::time_point at_ms(int milliseconds)
+core::time_point at_ms(int count)
 {
-    return core::time_point(std::chrono::milliseconds(milliseconds));
+    return core::time_point(std::chrono::milliseconds(count));
 }
 
 const core::service_name lm("lm");
