--- a/services/entry/src/forecast_stream.cpp
+++ b/services/entry/src/forecast_stream.cpp
@@ -98,7 +98,8 @@
         {fingerprint_of(*call_),
          call_->service.name,
          admission::queue_order_of(
-             policy_.rank(wait_stage::timely), admission::retry_kind::announced),
+             policy_.rank(wait_stage::timely),
+             admission::retry_kind::announced),
          work_.tokens,
          now + told},
         now);
