--- a/libraries/admission/src/start_predictor.cpp
+++ b/libraries/admission/src/start_predictor.cpp
@@ -69,8 +69,9 @@
         if (is_kept)
             return decision;
     }
-    decision.wait = wait_at(*estimate, stream, stream.late_rank, now) +
-                    overload_left(stream.service, now);
+    decision.wait = wait_at(*estimate, stream, stream.late_rank, now);
+    if (decision.wait > core::duration::zero())
+        *decision.wait += overload_left(stream.service, now);
     if (scaled(*decision.wait, certain) <= stream.stay_left)
         return decision;
     decision.retry_after = retry_time(*estimate, stream, now, jitter);
--- a/services/entry/src/capacity_search.cpp
+++ b/services/entry/src/capacity_search.cpp
@@ -198,6 +198,14 @@
             final_failure_ = final_failure_of(found.error(), now);
             if (final_failure_)
                 co_return std::nullopt;
+        } else if (forecast_ && !waiter) {
+            // A stream behind others is refused at once, too, if no wait helps.
+            const auto found = choose_by_version(
+                context_, *call_, placement_request_in(stage), now);
+            if (!found)
+                final_failure_ = final_failure_of(found.error(), now);
+            if (final_failure_)
+                co_return std::nullopt;
         }
         if (now >= end || would_start_too_late(stage, now))
             co_return std::nullopt;
--- a/tests/admission/start_predictor_test.cpp
+++ b/tests/admission/start_predictor_test.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(test_few_starts_predict_nothing);
     CPPUNIT_TEST(test_the_wait_is_the_queue_by_the_start_rate);
     CPPUNIT_TEST(test_nobody_is_refused_without_others_ahead);
+    CPPUNIT_TEST(test_the_first_late_stream_is_kept);
     CPPUNIT_TEST(test_a_neighbour_counts_for_one_second);
     CPPUNIT_TEST(test_a_retry_is_claimed_once_and_not_early);
     CPPUNIT_TEST(test_announced_retries_are_bounded);
@@ -104,6 +105,32 @@
         CPPUNIT_ASSERT(!decision.retry_after);
     }
 
+    // Also a late one, in an overload that has lasted longer than callers stay.
+    void test_the_first_late_stream_is_kept()
+    {
+        for (int ms = 0; ms <= 20000; ms += 100) {
+            for (int number = 0; number < 3; ++number)
+                predictor_.own().record_arrival(lm, order, stream, at_ms(ms));
+            predictor_.own().record_start(lm, order, stream, at_ms(ms));
+            add_waiting(1);
+            predictor_.expire(at_ms(ms));
+            predictor_.own().remove_waiting(lm, order, stream);
+        }
+        const start_decision decision = predictor_.decide(
+            {lm,
+             2,
+             2 + wait_policy::late_rank_offset,
+             retry_kind::none,
+             false,
+             {},
+             {},
+             seconds(10)},
+            at_ms(20000),
+            0);
+        CPPUNIT_ASSERT(decision.wait == core::duration());
+        CPPUNIT_ASSERT(!decision.retry_after);
+    }
+
     void test_a_neighbour_counts_for_one_second()
     {
         record_starts(20);
