--- a/services/entry/include/godwit/entry/start_forecast.hpp
+++ b/services/entry/include/godwit/entry/start_forecast.hpp
@@ -40,7 +40,8 @@
 
     /// Records that the caller of a refused request is told to retry at
     /// `retry.due`.
-    void announce(const admission::announced_retry& retry, core::time_point now);
+    void
+    announce(const admission::announced_retry& retry, core::time_point now);
 
     /// Returns the next message to the cell, if one is due.
     [[nodiscard]] std::optional<wire::queue_sums> next(core::time_point now);
