--- a/services/entry/src/capacity_search.cpp
+++ b/services/entry/src/capacity_search.cpp
@@ -41,7 +41,8 @@
         {now,
          call_->deadline,
          call_->route.latency_objective,
-         call_->priority});
+         call_->priority,
+         context_.statistics.prefill_tokens_per_ms(call_->service.name, now)});
     final_failure_.reset();
 }
 
--- a/tests/entry/generation_statistics_test.cpp
+++ b/tests/entry/generation_statistics_test.cpp
@@ -106,7 +106,8 @@
         CPPUNIT_ASSERT(!silent.statistics.tick(nullptr, at_ms(250)));
         CPPUNIT_ASSERT_EQUAL(
             admission::engine_speeds::usual_prefill_tokens_per_ms,
-            silent.statistics.prefill_tokens_per_ms(silent.service, at_ms(250)));
+            silent.statistics.prefill_tokens_per_ms(
+                silent.service, at_ms(250)));
     }
 
     void test_messages_are_limited_to_one_a_second()
