--- a/libraries/wire/include/godwit/wire/message.hpp
+++ b/libraries/wire/include/godwit/wire/message.hpp
@@ -31,6 +31,7 @@
 #include <godwit/wire/source_positions.hpp>
 #include <godwit/wire/table_changes.hpp>
 #include <godwit/wire/table_document.hpp>
+#include <godwit/wire/waiting_heads.hpp>
 #include <godwit/wire/zone_evacuations.hpp>
 
 #include <string_view>
@@ -75,7 +76,8 @@
     server_list_request,
     server_list_part,
     source_positions,
-    load_statements>;
+    load_statements,
+    waiting_heads>;
 
 /// Returns the name of the message's type, for logs and metrics.
 [[nodiscard]] std::string_view name_of(const message& value) noexcept;
--- a/libraries/wire/src/message.cpp
+++ b/libraries/wire/src/message.cpp
@@ -43,7 +43,8 @@
             "server_list_request",
             "server_list_part",
             "source_positions",
-            "load_statements"};
+            "load_statements",
+            "waiting_heads"};
     return names.at(value.index());
 }
 
--- a/libraries/wire/src/message_reader.hpp
+++ b/libraries/wire/src/message_reader.hpp
@@ -77,5 +77,11 @@
 read(const format::load_statement& table, frame_reader& reader);
 [[nodiscard]] load_statements
 read(const format::load_statements& table, frame_reader& reader);
+[[nodiscard]] waiting_head
+read(const format::waiting_head& table, frame_reader& reader);
+[[nodiscard]] organisation_work
+read(const format::organisation_work& table, frame_reader& reader);
+[[nodiscard]] waiting_heads
+read(const format::waiting_heads& table, frame_reader& reader);
 
 } // namespace godwit::wire
--- a/tests/wire/sample_messages.cpp
+++ b/tests/wire/sample_messages.cpp
@@ -122,7 +122,17 @@
             std::nullopt,
             0xfeedULL,
             source_position{0, 1}},
-        load_statements{{{"i-1", 1700000000000, 6, 10, 6, 250, 3, 40}}}};
+        load_statements{{{"i-1", 1700000000000, 6, 10, 6, 250, 3, 40}}},
+        waiting_heads{
+            {waiting_head{
+                core::service_name("lm"),
+                core::organisation_name("north"),
+                2,
+                -40,
+                1700,
+                1500,
+                3279}},
+            {organisation_work{core::organisation_name("north"), 5120.5}}}};
 }
 
 } // namespace godwit::wire
