--- a/libraries/wire/src/message.cpp
+++ b/libraries/wire/src/message.cpp
@@ -44,7 +44,8 @@
             "server_list_part",
             "source_positions",
             "load_statements",
-            "waiting_heads"};
+            "waiting_heads",
+            "length_sums"};
     return names.at(value.index());
 }
 
--- a/libraries/wire/src/message_reader.hpp
+++ b/libraries/wire/src/message_reader.hpp
@@ -83,5 +83,8 @@
 read(const format::organisation_work& table, frame_reader& reader);
 [[nodiscard]] waiting_heads
 read(const format::waiting_heads& table, frame_reader& reader);
+route_lengths read(const format::route_lengths& table, frame_reader& reader);
+service_speed read(const format::service_speed& table, frame_reader& reader);
+length_sums read(const format::length_sums& table, frame_reader& reader);
 
 } // namespace godwit::wire
--- a/libraries/wire/src/message_writer.hpp
+++ b/libraries/wire/src/message_writer.hpp
@@ -114,4 +114,11 @@
 [[nodiscard]] flatbuffers::Offset<format::load_statements>
 write(flatbuffers::FlatBufferBuilder& out, const load_statements& value);
 
+flatbuffers::Offset<format::route_lengths>
+write(flatbuffers::FlatBufferBuilder& out, const route_lengths& value);
+flatbuffers::Offset<format::service_speed>
+write(flatbuffers::FlatBufferBuilder& out, const service_speed& value);
+flatbuffers::Offset<format::length_sums>
+write(flatbuffers::FlatBufferBuilder& out, const length_sums& value);
+
 } // namespace godwit::wire
--- a/services/entry/include/godwit/entry/entry_context.hpp
+++ b/services/entry/include/godwit/entry/entry_context.hpp
@@ -5,6 +5,7 @@
 #include <godwit/admission/recent_prompts.hpp>
 #include <godwit/admission/request_quarantine.hpp>
 #include <godwit/entry/entry_settings.hpp>
+#include <godwit/entry/generation_statistics.hpp>
 #include <godwit/entry/link_claims.hpp>
 #include <godwit/entry/retry_budgets.hpp>
 #include <godwit/entry/server_connector.hpp>
@@ -156,6 +157,7 @@
     std::unique_ptr<http::connection_pool> connections;
     std::unique_ptr<telemetry::metrics> metrics;
     shared_queue shared_order; ///< Of the requests in `queue`.
+    generation_statistics statistics;
     bool is_stopping = false;
 };
 
--- a/services/entry/src/entry_context.cpp
+++ b/services/entry/src/entry_context.cpp
@@ -56,7 +56,7 @@
                              core::stable_hash(settings.host.value())),
       connections(http::connection_pool::create(executor, pool_limits())),
       metrics(telemetry::metrics::create()),
-      shared_order(settings, queue, *metrics)
+      shared_order(settings, queue, *metrics), statistics(settings, *metrics)
 {
     set_link_capacity();
     connections->set_opener(
--- a/tests/wire/sample_messages.cpp
+++ b/tests/wire/sample_messages.cpp
@@ -132,7 +132,10 @@
                 1700,
                 1500,
                 3279}},
-            {organisation_work{core::organisation_name("north"), 5120.5}}}};
+            {organisation_work{core::organisation_name("north"), 5120.5}}},
+        length_sums{
+            {{"r", {0, 2.5F}, {9, 4.25F, 1}, 3, 120.5F, 80}},
+            {{"lm", 7.5F, 12, 9.25F, 60}}}};
 }
 
 } // namespace godwit::wire
