observed_lengths_test: servers send whole events

The default response of the fake servers is not an event stream, so that every stream of this test was interrupted. The checks are unchanged.

--- a/tests/platform_adapter/observed_lengths_test.cpp
+++ b/tests/platform_adapter/observed_lengths_test.cpp
@@ -2,6 +2,7 @@
 // have observed, and against messages about them where that is not enabled.
 
 #include "fake_neighbours.hpp"
+#include "stream_helpers.hpp"
 #include "testbed.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -36,8 +37,15 @@
         return std::nullopt;
     }
 
+    static boost::asio::awaitable<void> respond(http::exchange& exchange)
+    {
+        return platform_adapter::test::respond_with_event(exchange);
+    }
+
     void start(bool learns_lengths)
     {
+        testbed_.first_server().set_handler(&respond);
+        testbed_.second_server().set_handler(&respond);
         testbed_.start();
         testbed_.store().put("keyed.hosts", "n0", "127.0.0.1:1/east");
         testbed::wait_until("the other host", [this] {
