--- a/review/parts/client.py
+++ b/review/parts/client.py
@@ -17,7 +17,8 @@
         self._reader = self._writer = None
         self.answers = {}
 
-    async def _connect(self):
+    async def connect(self):
+        """Opens a connection unless one is kept."""
         if self._writer is None or self._writer.transport.is_closing():
             self._reader, self._writer = await asyncio.open_connection(
                 "127.0.0.1", self._host.callers)
@@ -29,22 +30,30 @@
 
     async def stream(self, path, prompt, output):
         """Status of one request, 0 if its connection ended without one."""
+        await self.connect()
+        return await self.receive(self.send(path, prompt, output))
+
+    def send(self, path, prompt, output):
+        """Sends one request on the open connection; its Attempt-Id."""
         attempt = secrets.token_hex(8)
         body = b'{"prompt":"..."}'
-        await self._connect()
-        self._record.line(f"client sends {attempt} to {self._host.name}")
+        self._writer.write(http11.head(f"POST {path} HTTP/1.1", {
+            "Host": CLIENT_HOST, "X-Godwitworks-Attempt-Id": attempt,
+            "X-Godwitworks-Model": "m",
+            "X-Godwitworks-Token-Usage": f"{prompt},{output}",
+            "X-Godwitworks-Prompt-Prefix":
+                f"5c1e07a2:80,{attempt}:{prompt - 80}",
+            "X-Godwitworks-Deadline-Ms": self._deadline_ms,
+            "Authorization": f"Bearer {KEY}",
+            "Content-Length": len(body)}) + body)
+        self._record.line(f"client sent {attempt} to {self._host.name}")
+        return attempt
+
+    async def receive(self, attempt):
+        """Status of the answer, 0 if the connection ended without one."""
         status = 0
         with contextlib.suppress(
                 http11.Broken, OSError, asyncio.TimeoutError):
-            self._writer.write(http11.head(f"POST {path} HTTP/1.1", {
-                "Host": CLIENT_HOST, "X-Godwitworks-Attempt-Id": attempt,
-                "X-Godwitworks-Model": "m",
-                "X-Godwitworks-Token-Usage": f"{prompt},{output}",
-                "X-Godwitworks-Prompt-Prefix":
-                    f"5c1e07a2:80,{attempt}:{prompt - 80}",
-                "X-Godwitworks-Deadline-Ms": self._deadline_ms,
-                "Authorization": f"Bearer {KEY}",
-                "Content-Length": len(body)}) + body)
             line, fields = await asyncio.wait_for(
                 http11.read_head(self._reader), self._deadline_ms / 1000)
             answer = await asyncio.wait_for(
--- a/review/parts/deployment.py
+++ b/review/parts/deployment.py
@@ -230,6 +230,9 @@
 
     async def guarded():
         deployment = Deployment(record)
+        # Whoever ends the script ends its processes, too.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel)
         try:
             return await asyncio.wait_for(
                 play(deployment, record, has_trouble), 100)
@@ -238,7 +241,8 @@
 
     try:
         broken = asyncio.run(guarded())
-    except (CouldNotRun, OSError, asyncio.TimeoutError) as why:
+    except (CouldNotRun, OSError, asyncio.TimeoutError,
+            asyncio.CancelledError) as why:
         record.line(f"could not run: {why!r}")
         print(f"could not run: {why!r}")
         return 2
