entry: log what a stop cuts, and how far it had got

Requests register while they are served, and the end of the process logs `cut_by_stop` with request, progress and age for each, up to 100 lines.

--- a/services/entry/include/godwit/entry/buffered_call.hpp
+++ b/services/entry/include/godwit/entry/buffered_call.hpp
@@ -6,6 +6,7 @@
 #include <godwit/entry/refusal.hpp>
 #include <godwit/entry/routed_call.hpp>
 #include <godwit/entry/running_attempt.hpp>
+#include <godwit/entry/running_call.hpp>
 #include <godwit/entry/upstream.hpp>
 #include <godwit/telemetry/request_metrics.hpp>
 
@@ -19,13 +20,18 @@
 
 /// Serves a request whose response is delivered in one piece: sends it, retries
 /// it where that is allowed and can help, and delivers one response.
-class buffered_call : public std::enable_shared_from_this<buffered_call>
+class buffered_call : public running_call,
+                      public std::enable_shared_from_this<buffered_call>
 {
 public:
     buffered_call(entry_context& context, routed_call call);
 
     boost::asio::awaitable<void> run();
 
+    [[nodiscard]] const routed_call& call() const override { return call_; }
+
+    [[nodiscard]] call_progress progress() const override;
+
 private:
     /// The outcome of one attempt.
     struct attempt_result
--- a/services/entry/include/godwit/entry/call_log.hpp
+++ b/services/entry/include/godwit/entry/call_log.hpp
@@ -6,6 +6,7 @@
 #include <godwit/core/time.hpp>
 #include <godwit/entry/refusal.hpp>
 #include <godwit/entry/routed_call.hpp>
+#include <godwit/entry/running_call.hpp>
 #include <godwit/http/request.hpp>
 #include <godwit/placement/backend_server.hpp>
 #include <godwit/placement/placer.hpp>
@@ -112,6 +113,9 @@
 void log_caller_disconnected(
     const routed_call& call, std::string_view server, std::uint64_t last_event);
 
+/// Logs that the host ends before the response was delivered.
+void log_cut_by_shutdown(const routed_call& call, call_progress progress);
+
 /// The position of an event in its stream.
 enum class event_position
 {
--- a/services/entry/include/godwit/entry/entry_context.hpp
+++ b/services/entry/include/godwit/entry/entry_context.hpp
@@ -4,6 +4,7 @@
 #include <godwit/admission/link_meter.hpp>
 #include <godwit/admission/recent_prompts.hpp>
 #include <godwit/admission/request_quarantine.hpp>
+#include <godwit/entry/call_registry.hpp>
 #include <godwit/entry/entry_settings.hpp>
 #include <godwit/entry/generation_statistics.hpp>
 #include <godwit/entry/link_claims.hpp>
@@ -100,6 +101,7 @@
     admission::link_meter link; ///< What callers' requests use of it.
     retry_budgets budgets;
     wait_queue queue;
+    call_registry calls;
     stream_registry streams;
     /// Claims of other hosts to the network links of backend servers, which
     /// migrations copy over; not about the links between neighbour hosts.
--- a/services/entry/include/godwit/entry/stream_call.hpp
+++ b/services/entry/include/godwit/entry/stream_call.hpp
@@ -10,6 +10,7 @@
 #include <godwit/entry/refusal.hpp>
 #include <godwit/entry/reservation.hpp>
 #include <godwit/entry/routed_call.hpp>
+#include <godwit/entry/running_call.hpp>
 #include <godwit/entry/running_stream.hpp>
 #include <godwit/entry/stream_observer.hpp>
 #include <godwit/entry/upstream.hpp>
@@ -31,7 +32,8 @@
 /// the same generation resumes at another server. It runs at most once, unless
 /// its route is resumable: then a new run may go on after the last event that
 /// the caller received.
-class stream_call : public running_stream,
+class stream_call : public running_call,
+                    public running_stream,
                     public std::enable_shared_from_this<stream_call>
 {
 public:
@@ -43,6 +45,10 @@
 
     boost::asio::awaitable<void> run();
 
+    [[nodiscard]] const routed_call& call() const override { return *call_; }
+
+    [[nodiscard]] call_progress progress() const override;
+
     void on_server_draining() override;
 
     void on_server_restarted() override;
@@ -134,6 +140,7 @@
     std::optional<http::response> failure_response_;
     refusal_reason search_failure_ = refusal_reason::no_room;
     bool is_registered_ = false;
+    bool is_waiting_ = true; ///< No server has the request.
     telemetry::request_metrics metrics_;
     bool is_caller_disconnected_ = false;
 };
--- a/services/entry/src/buffered_call.cpp
+++ b/services/entry/src/buffered_call.cpp
@@ -63,6 +63,7 @@
         if (const auto self = weak.lock())
             self->on_caller_disconnected();
     });
+    const call_registry::registration registered(context_.calls, *this);
     context_.budgets.record_first_attempt(
         call_.service.name, call_.arrival_time);
     attempt_result last;
@@ -90,6 +91,13 @@
     is_delivered_ = true;
 }
 
+call_progress buffered_call::progress() const
+{
+    if (call_.exchange.is_answered())
+        return call_progress::answering;
+    return runs_begun() > 0 ? call_progress::sent : call_progress::waiting;
+}
+
 // A refusal adds nothing to what is already known, and a response that has
 // arrived is delivered whatever a retry brings.
 void buffered_call::replace_unless_worse(
--- a/services/entry/src/call_log.cpp
+++ b/services/entry/src/call_log.cpp
@@ -266,6 +266,18 @@
          {"age_ms", milliseconds(now - call.arrival_time)}});
 }
 
+void log_cut_by_shutdown(const routed_call& call, call_progress progress)
+{
+    telemetry::log_event(
+        telemetry::log_level::warning,
+        component,
+        "cut_by_stop",
+        {{"request", call.metadata.attempt_id},
+         {"route", call.route.name},
+         {"progress", to_string(progress)},
+         {"age_ms", milliseconds(core::monotonic_now() - call.arrival_time)}});
+}
+
 void log_late_event(
     const routed_call& call,
     const placement::backend_server& server,
--- a/services/entry/src/entry_process_stop.cpp
+++ b/services/entry/src/entry_process_stop.cpp
@@ -76,6 +76,7 @@
             "end",
             {{"requests_cut", callers_->active_exchanges()},
              {"tunnels_cut", tunnels_->open_tunnels()}});
+        context_.calls.log_unanswered();
         io_.stop();
         return;
     }
--- a/services/entry/src/stream_call.cpp
+++ b/services/entry/src/stream_call.cpp
@@ -57,12 +57,20 @@
         if (const auto self = weak.lock())
             self->on_caller_disconnected();
     });
+    const call_registry::registration registered(context_.calls, *this);
     context_.budgets.record_first_attempt(
         call_->service.name, call_->arrival_time);
     co_await start();
     detach_from_server();
 }
 
+call_progress stream_call::progress() const
+{
+    if (call_->exchange.is_answered())
+        return call_progress::answering;
+    return is_waiting_ ? call_progress::waiting : call_progress::sent;
+}
+
 void stream_call::on_caller_disconnected()
 {
     metrics_.finished(core::outcome::interrupted, core::monotonic_now());
@@ -135,6 +143,7 @@
 asio::awaitable<std::optional<placement::backend_server>>
 stream_call::find_server()
 {
+    is_waiting_ = true;
     while (!is_caller_disconnected_) {
         if (gate_.refuses(*call_)) {
             search_failure_ = refusal_reason::quarantined;
@@ -184,6 +193,7 @@
 asio::awaitable<std::optional<http::response_head>>
 stream_call::send_to(placement::backend_server server)
 {
+    is_waiting_ = false;
     sent_at_ = core::monotonic_now();
     attach_to(std::make_shared<upstream>(
         context_, server, call_->route.latency_objective));
