entry: a stopping host answers whatever it has read before it ends

They may not repeat such a request.

Cause. check_stop ended the process 0.35 s before the end of the grace whatever was unanswered.

What is still being read is rejected with 503. - A host that notices its end late answers, too, before it ends.

A stream whose response has begun is still cut at the end, as no other answer is left for it.

--- a/libraries/http/include/godwit/http/server.hpp
+++ b/libraries/http/include/godwit/http/server.hpp
@@ -62,6 +62,9 @@
     /// has a second to do so.
     void stop_accepting();
 
+    /// Rejects each request that is still being read, with `stopping`.
+    void reject_unread();
+
     /// How many requests are being read or handled.
     [[nodiscard]] std::size_t active_exchanges() const noexcept;
 
--- a/libraries/http/src/connection.cpp
+++ b/libraries/http/src/connection.cpp
@@ -112,6 +112,18 @@
     });
 }
 
+// The receiving side alone is closed: the rejection still has to be sent.
+void connection::stop_reading()
+{
+    asio::post(executor_, [kept = shared_from_this()] {
+        if (!kept->is_reading_ || kept->is_reading_stopped_)
+            return;
+        kept->is_reading_stopped_ = true;
+        error_code ignored;
+        kept->socket_.shutdown(tcp::socket::shutdown_receive, ignored);
+    });
+}
+
 // A caller that has just connected is about to send.
 void connection::close_unless_used_soon()
 {
--- a/libraries/http/src/connection.hpp
+++ b/libraries/http/src/connection.hpp
@@ -31,8 +31,8 @@
 };
 
 /// One caller's connection: reads requests one after another and runs the
-/// handler for each. Everything but `start`, `close` and `close_if_idle`
-/// happens on its strand.
+/// handler for each. Everything but `start`, `close`, `close_if_idle` and
+/// `stop_reading` happens on its strand.
 class connection : public std::enable_shared_from_this<connection>
 {
 public:
@@ -47,6 +47,8 @@
     void start(admission verdict);
     void close();
     void close_if_idle();
+    /// Rejects the request that is being read, if there is one.
+    void stop_reading();
 
     // What an exchange asks for.
     [[nodiscard]] const std::string& peer() const noexcept { return peer_; }
@@ -124,6 +126,8 @@
     std::string peer_;
     boost::beast::flat_buffer buffer_;
     bool is_idle_ = false;
+    bool is_reading_ = false;
+    bool is_reading_stopped_ = false;
     bool has_served_ = false;
     bool keeps_alive_ = true;
     bool takes_chunks_ = true;
--- a/libraries/http/src/connection_request.cpp
+++ b/libraries/http/src/connection_request.cpp
@@ -44,9 +44,15 @@
         static_cast<std::uint32_t>(server_->limits().header_bytes));
     parser.body_limit(server_->limits().body_bytes);
 
+    is_reading_ = true;
     std::optional<rejection_reason> refused = co_await read_head(parser);
     if (!refused)
         refused = co_await read_body(parser);
+    is_reading_ = false;
+    // Also when the rest came after all: the receiving side is closed, and
+    // would look like a caller that left.
+    if (is_reading_stopped_)
+        refused = rejection_reason::stopping;
     if (refused) {
         co_await reject(*refused);
         co_return std::nullopt;
--- a/libraries/http/src/rejection.cpp
+++ b/libraries/http/src/rejection.cpp
@@ -19,6 +19,8 @@
         return "slow_body";
     case rejection_reason::too_many_connections:
         return "too_many_connections";
+    case rejection_reason::stopping:
+        return "stopping";
     case rejection_reason::handler_failed:
         return "handler_failed";
     }
@@ -66,6 +68,12 @@
             503,
             "this server has as many connections as it takes",
             "come back later, or use another entry host"};
+    case rejection_reason::stopping:
+        return {
+            reason,
+            503,
+            "this server ends before it could read the whole request",
+            "send the request again, to another entry host"};
     case rejection_reason::handler_failed:
         return {
             reason,
--- a/libraries/http/src/server.cpp
+++ b/libraries/http/src/server.cpp
@@ -56,6 +56,11 @@
     state_->stop_accepting();
 }
 
+void server::reject_unread()
+{
+    state_->reject_unread();
+}
+
 std::size_t server::active_exchanges() const noexcept
 {
     return state_->active_exchanges();
--- a/libraries/http/src/server_state.cpp
+++ b/libraries/http/src/server_state.cpp
@@ -176,6 +176,12 @@
         open->close_if_idle();
 }
 
+void server_state::reject_unread()
+{
+    for (const auto& open : connections())
+        open->stop_reading();
+}
+
 void server_state::close()
 {
     draining_ = true;
--- a/libraries/http/src/server_state.hpp
+++ b/libraries/http/src/server_state.hpp
@@ -35,6 +35,7 @@
     void start();
 
     void stop_accepting();
+    void reject_unread();
     void close();
 
     void set_limits(const server_limits& limits);
--- a/services/entry/include/godwit/entry/buffered_call.hpp
+++ b/services/entry/include/godwit/entry/buffered_call.hpp
@@ -32,6 +32,10 @@
 
     [[nodiscard]] call_progress progress() const override;
 
+    void on_shutdown() override {}
+
+    void on_response_due() override;
+
 private:
     /// The outcome of one attempt.
     struct attempt_result
@@ -47,6 +51,9 @@
     /// Whether the request is quarantined; `last` then holds what to respond
     /// with.
     [[nodiscard]] bool apply_quarantine(attempt_result& last);
+    /// Whether the host ends too soon for another attempt; `last` then holds
+    /// what to respond with.
+    [[nodiscard]] bool apply_shutdown(attempt_result& last) const;
     [[nodiscard]] bool may_retry(core::time_point now);
     [[nodiscard]] core::time_point attempt_end(core::time_point now);
     boost::asio::awaitable<std::optional<placement::backend_server>>
@@ -106,6 +113,8 @@
     bool are_regions_empty_ = false;
     bool is_caller_disconnected_ = false;
     bool is_delivered_ = false;
+    /// Whether the host is about to end and the caller has no response.
+    bool is_response_due_ = false;
 };
 
 } // namespace godwit::entry
--- a/services/entry/include/godwit/entry/call_registry.hpp
+++ b/services/entry/include/godwit/entry/call_registry.hpp
@@ -30,11 +30,23 @@
 
     [[nodiscard]] std::size_t size() const noexcept { return calls_.size(); }
 
+    /// Notifies each call that the host is told to stop.
+    void notify_shutdown();
+
+    /// Notifies each call that it has to respond now.
+    void notify_response_due();
+
     /// Logs each call whose response is not delivered, up to a number of lines,
     /// as the host ends.
     void log_unanswered() const;
 
 private:
+    /// Returns a copy, since notified calls may change the registry.
+    [[nodiscard]] std::vector<running_call*> calls() const
+    {
+        return {calls_.begin(), calls_.end()};
+    }
+
     std::set<running_call*> calls_;
 };
 
--- a/services/entry/include/godwit/entry/capacity_search.hpp
+++ b/services/entry/include/godwit/entry/capacity_search.hpp
@@ -53,6 +53,12 @@
     /// Ends the search because the caller disconnected.
     void stop();
 
+    /// Called when the host is told to stop.
+    void on_shutdown();
+
+    /// Ends the search because the host ends.
+    void stop_for_shutdown();
+
     /// Returns why the last search failed.
     [[nodiscard]] refusal_reason failure() const noexcept
     {
@@ -71,6 +77,10 @@
     hold_capacity(placement::placement_choice choice);
     [[nodiscard]] placement::placement_request
     placement_request_in(admission::wait_stage stage) const;
+    /// Returns until when the request may wait in the stage on a host that is
+    /// stopping; on others, the greatest time.
+    [[nodiscard]] core::time_point
+    shutdown_end(admission::wait_stage stage) const;
     [[nodiscard]] std::optional<refusal_reason> final_failure_of(
         placement::placement_failure failure, core::time_point now);
 
--- a/services/entry/include/godwit/entry/entry_context.hpp
+++ b/services/entry/include/godwit/entry/entry_context.hpp
@@ -4,6 +4,7 @@
 #include <godwit/admission/link_meter.hpp>
 #include <godwit/admission/recent_prompts.hpp>
 #include <godwit/admission/request_quarantine.hpp>
+#include <godwit/admission/shutdown_schedule.hpp>
 #include <godwit/entry/call_registry.hpp>
 #include <godwit/entry/entry_settings.hpp>
 #include <godwit/entry/generation_statistics.hpp>
@@ -35,6 +36,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string_view>
 #include <vector>
@@ -69,6 +71,11 @@
     /// an incomplete one.
     void record_unreachable(const placement::server_id& server);
 
+    [[nodiscard]] bool is_stopping() const noexcept
+    {
+        return shutdown.has_value();
+    }
+
     /// Applies the capacity of the network link in `settings`.
     void set_link_capacity();
 
@@ -158,7 +165,8 @@
     std::unique_ptr<http::connection_pool> connections;
     std::unique_ptr<telemetry::metrics> metrics;
     generation_statistics statistics;
-    bool is_stopping = false;
+    /// Set when the host is told to stop.
+    std::optional<admission::shutdown_schedule> shutdown;
 };
 
 } // namespace godwit::entry
--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -252,6 +252,8 @@
     void apply_settings(const entry_settings& read);
     void begin_stop();
     void check_stop();
+    void respond_to_all(core::time_point now);
+    void end();
     void tick();
     [[nodiscard]] core::result<void> listen_for_tunnels();
     [[nodiscard]] tunnel_verdict judge_tunnel(const http::endpoint& to) const;
@@ -426,7 +428,8 @@
     core::time_point last_tick_at_{};
     source_refresh refresh_;
     bool has_received_version_ = false; ///< Of the route table, from any host.
-    core::time_point stop_started_at_{};
+    /// When the last responses were ordered; the epoch before that.
+    core::time_point responding_since_{};
     std::unique_ptr<neighbour_links> neighbours_;
     std::unique_ptr<tunnel_server> tunnels_;
     settings_reader read_settings_;
--- a/services/entry/include/godwit/entry/refusal.hpp
+++ b/services/entry/include/godwit/entry/refusal.hpp
@@ -28,6 +28,7 @@
     no_allowed_region,
     regions_without_server, ///< 503: no server is in an allowed region now.
     quarantined,            ///< 503: the request crashes servers that run it.
+    host_stopping,          ///< 503: this host ends before it could answer.
     answer_lost,            ///< 502: a server may have run it.
     answer_spoiled,         ///< 502: a server's response cannot be trusted.
     out_of_time,            ///< 504: a server may have run it.
--- a/services/entry/include/godwit/entry/running_call.hpp
+++ b/services/entry/include/godwit/entry/running_call.hpp
@@ -25,6 +25,14 @@
 
     [[nodiscard]] virtual call_progress progress() const = 0;
 
+    /// Called when the host is told to stop: a request that waits may be better
+    /// off at another host.
+    virtual void on_shutdown() = 0;
+
+    /// Called when the host is about to end: a request without a response gets
+    /// one now.
+    virtual void on_response_due() = 0;
+
 protected:
     running_call() = default;
     running_call(const running_call&) = default;
--- a/services/entry/include/godwit/entry/stream_call.hpp
+++ b/services/entry/include/godwit/entry/stream_call.hpp
@@ -49,6 +49,10 @@
 
     [[nodiscard]] call_progress progress() const override;
 
+    void on_shutdown() override { search_.on_shutdown(); }
+
+    void on_response_due() override;
+
     void on_server_draining() override;
 
     void on_server_restarted() override;
@@ -143,6 +147,8 @@
     bool is_waiting_ = true; ///< No server has the request.
     telemetry::request_metrics metrics_;
     bool is_caller_disconnected_ = false;
+    /// Whether the host is about to end and the caller has no response.
+    bool is_response_due_ = false;
 };
 
 } // namespace godwit::entry
--- a/services/entry/src/buffered_call.cpp
+++ b/services/entry/src/buffered_call.cpp
@@ -69,7 +69,8 @@
     attempt_result last;
     last.refusal = refusal_reason::no_server;
     last.may_have_run = false;
-    while (!is_caller_disconnected_ && !apply_quarantine(last)) {
+    while (!is_caller_disconnected_ && !apply_quarantine(last) &&
+           !apply_shutdown(last)) {
         const auto server = co_await choose_server();
         if (is_caller_disconnected_)
             co_return;
@@ -79,7 +80,7 @@
             last.refusal = refusal_reason::zones_evacuated;
         if (!server && are_regions_empty_ && !last.may_have_run)
             last.refusal = refusal_reason::regions_without_server;
-        if (!server || apply_quarantine(last))
+        if (!server || apply_quarantine(last) || apply_shutdown(last))
             break;
         replace_unless_worse(last, co_await attempt_hedged(*server));
         if (is_caller_disconnected_)
@@ -120,6 +121,31 @@
     return true;
 }
 
+// Callers get what is known now: a response of a server, or that none came.
+bool buffered_call::apply_shutdown(attempt_result& last) const
+{
+    const admission::planned_run run{
+        .objective = call_.route.latency_objective};
+    const bool has_time = !context_.shutdown || context_.shutdown->may_begin(
+                                                    run, core::monotonic_now());
+    if (has_time)
+        return false;
+    if (!last.may_have_run)
+        last.refusal = refusal_reason::host_stopping;
+    return true;
+}
+
+void buffered_call::on_response_due()
+{
+    if (is_response_due_ || is_caller_disconnected_ || is_delivered_ ||
+        call_.exchange.is_answered())
+        return;
+    is_response_due_ = true;
+    if (waiter_ != nullptr)
+        waiter_->cancel();
+    cancel_attempts();
+}
+
 void buffered_call::on_caller_disconnected()
 {
     // A cancelled attempt may keep this object for a moment longer.
@@ -151,7 +177,7 @@
         call_.route.latency_objective * max_wait_share);
     const core::time_point end =
         std::min(call_.arrival_time + max_wait, call_.deadline);
-    while (!is_caller_disconnected_) {
+    while (!is_caller_disconnected_ && !is_response_due_) {
         const core::time_point now = core::monotonic_now();
         restrict_to_allowed_regions(context_, call_, request);
         const auto found = choose_by_version(context_, call_, request, now);
@@ -325,6 +351,8 @@
 buffered_call::attempt(std::shared_ptr<running_attempt> running)
 {
     attempt_result result;
+    result.may_have_run = false;
+    result.refusal = refusal_reason::no_server;
     if (!running->is_cancelled())
         result = co_await send_and_judge(running);
     std::erase(active_, running);
@@ -355,8 +383,13 @@
         body = co_await exchange->read_all(end);
     const core::time_point now = core::monotonic_now();
     // A connection that this host closed says nothing about the server.
-    if (running->is_cancelled())
+    if (running->is_cancelled()) {
+        result.may_have_run =
+            head || head.error().fault != upstream_fault::unreachable;
+        result.refusal = result.may_have_run ? refusal_reason::answer_lost
+                                             : refusal_reason::no_server;
         co_return result;
+    }
     if (!head || !body) {
         const upstream_failure failure = head ? body.error() : head.error();
         log_send_failed(
--- a/services/entry/src/call_dispatcher.cpp
+++ b/services/entry/src/call_dispatcher.cpp
@@ -196,7 +196,11 @@
 asio::awaitable<void> call_dispatcher::wait_while(
     std::function<bool()> is_outdated, core::time_point end) const
 {
-    while (is_outdated() && core::monotonic_now() < end)
+    const auto must_respond = [this](core::time_point now) {
+        return context_.shutdown && now >= context_.shutdown->response_end();
+    };
+    while (is_outdated() && core::monotonic_now() < end &&
+           !must_respond(core::monotonic_now()))
         co_await async_sleep(context_.executor, table_poll_interval);
 }
 
--- a/services/entry/src/call_messages.cpp
+++ b/services/entry/src/call_messages.cpp
@@ -1,5 +1,6 @@
 #include <godwit/entry/call_messages.hpp>
 
+#include <godwit/admission/shutdown_schedule.hpp>
 #include <godwit/entry/call_log.hpp>
 
 #include <algorithm>
@@ -62,6 +63,9 @@
     metrics.finished(outcome_of(reason), now);
     const bool may_retry = outcome_of(reason) == core::outcome::not_run &&
                            reason != refusal_reason::quarantined;
+    // The next request of the caller reaches a host that goes on.
+    if (reason == refusal_reason::host_stopping)
+        retry_after = admission::shutdown_retry_after;
     http::response response = make_refusal_response(
         reason,
         may_retry ? std::optional<core::duration>(retry_after) : std::nullopt);
--- a/services/entry/src/call_registry.cpp
+++ b/services/entry/src/call_registry.cpp
@@ -36,6 +36,18 @@
     registry_.calls_.erase(&call_);
 }
 
+void call_registry::notify_shutdown()
+{
+    for (running_call* each : calls())
+        each->on_shutdown();
+}
+
+void call_registry::notify_response_due()
+{
+    for (running_call* each : calls())
+        each->on_response_due();
+}
+
 void call_registry::log_unanswered() const
 {
     std::size_t logged = 0;
--- a/services/entry/src/capacity_search.cpp
+++ b/services/entry/src/capacity_search.cpp
@@ -58,6 +58,35 @@
         waiter_->cancel();
 }
 
+void capacity_search::on_shutdown()
+{
+    if (waiter_ != nullptr)
+        waiter_->cancel();
+}
+
+void capacity_search::stop_for_shutdown()
+{
+    final_failure_ = refusal_reason::host_stopping;
+    stop();
+}
+
+// A run that would be cut at the end of the host is not begun. Nor does a
+// request wait here beyond the time in which it could start as intended: at
+// another host it can go on waiting, and its run can go on after that.
+core::time_point
+capacity_search::shutdown_end(admission::wait_stage stage) const
+{
+    if (!context_.shutdown)
+        return core::time_point::max();
+    if (stage != wait_stage::timely)
+        return core::time_point::min();
+    admission::planned_run run{
+        .objective = call_->route.latency_objective, .is_stream = true};
+    if (size_)
+        run.output_tokens = size_->expected_output_tokens();
+    return context_.shutdown->latest_begin(run);
+}
+
 asio::awaitable<std::optional<found_capacity>> capacity_search::next()
 {
     while (!is_stopped_) {
@@ -123,13 +152,19 @@
 asio::awaitable<std::optional<placement::placement_choice>>
 capacity_search::choose_server_in_stage(wait_stage stage)
 {
-    const core::time_point end = wait_policy_.stage_end(stage);
+    const core::time_point stage_end = wait_policy_.stage_end(stage);
     std::optional<wait_queue::waiter> waiter;
     core::time_point next_attempt{};
     bool may_try =
         !context_.queue.has_waiter_ahead_of(wait_policy_.rank(stage));
     while (!is_stopped_) {
         const core::time_point now = core::monotonic_now();
+        // The shutdown may begin during the wait.
+        const core::time_point shutdown_limit = shutdown_end(stage);
+        if (now > shutdown_limit) {
+            final_failure_ = refusal_reason::host_stopping;
+            co_return std::nullopt;
+        }
         if (may_try && now >= next_attempt) {
             next_attempt = wait_policy_.next_attempt(stage, now);
             auto found = choose_by_version(
@@ -142,14 +177,16 @@
             if (final_failure_)
                 co_return std::nullopt;
         }
-        if (now >= end)
+        if (now >= stage_end)
             co_return std::nullopt;
         if (!waiter)
             waiter.emplace(
                 context_.queue, context_.executor, wait_policy_.rank(stage));
         waiter_ = &*waiter;
-        co_await waiter->wait_turn(
-            next_attempt > now ? std::min(end, next_attempt) : end);
+        core::time_point end = std::min(stage_end, shutdown_limit);
+        if (next_attempt > now)
+            end = std::min(end, next_attempt);
+        co_await waiter->wait_turn(end);
         waiter_ = nullptr;
         may_try = true;
     }
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -171,7 +171,7 @@
 
 tunnel_verdict entry_process::judge_tunnel(const http::endpoint& to) const
 {
-    if (context_.is_stopping || context_.connector.needs_detour(to))
+    if (context_.is_stopping() || context_.connector.needs_detour(to))
         return tunnel_verdict::unavailable;
     const placement::backend_server* server = context_.directory.find_at(to);
     if (server == nullptr)
@@ -238,7 +238,7 @@
 
 bool entry_process::is_ready() const noexcept
 {
-    return context_.routes && has_servers_ && !context_.is_stopping &&
+    return context_.routes && has_servers_ && !context_.is_stopping() &&
            shedder_.is_ready(core::monotonic_now());
 }
 
--- a/services/entry/src/entry_process_operators.cpp
+++ b/services/entry/src/entry_process_operators.cpp
@@ -84,7 +84,7 @@
     boost::json::object state;
     state["host"] = context_.settings.host.value();
     state["ready"] = is_ready();
-    state["stopping"] = context_.is_stopping;
+    state["stopping"] = context_.is_stopping();
     state["table_version"] = context_.routes ? context_.routes->version() : 0;
     state["servers"] = context_.directory.size();
     boost::json::array evacuated;
--- a/services/entry/src/entry_process_shedding.cpp
+++ b/services/entry/src/entry_process_shedding.cpp
@@ -31,7 +31,7 @@
         demand.requests_elsewhere =
             static_cast<double>(context_.ledger.other_requests(now)) /
             static_cast<double>(fleet_size_ - 1);
-    if (!shedder_.update(demand, now) || context_.is_stopping)
+    if (!shedder_.update(demand, now) || context_.is_stopping())
         return;
     callers_->set_shedding(shedder_.is_shedding());
     log_event(
--- a/services/entry/src/entry_process_stop.cpp
+++ b/services/entry/src/entry_process_stop.cpp
@@ -1,5 +1,6 @@
 #include <godwit/entry/entry_process.hpp>
 
+#include <godwit/admission/shutdown_schedule.hpp>
 #include <godwit/telemetry/log.hpp>
 
 #include <chrono>
@@ -13,14 +14,10 @@
 namespace {
 
 constexpr std::string_view component = "entry";
-// Time after the stop signal during which new connections are accepted. A load
-// balancer probes once a second and removes a host after two failures; until
-// then new connections arrive.
-constexpr core::duration accept_duration_after_stop =
-    std::chrono::milliseconds(2600);
-// The part of the grace period that is left for closing sockets and ending.
-constexpr core::duration exit_margin = std::chrono::milliseconds(350);
 constexpr core::duration stop_check_interval = std::chrono::milliseconds(50);
+// Time for the last responses to be written on a host that notices the end of
+// its shutdown late, because it was suspended or had no processor time.
+constexpr core::duration min_response_time = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -39,7 +36,7 @@
     log_event(log_level::info, component, "signal", {{"number", number}});
     if (number == SIGHUP)
         reload();
-    if (number == SIGHUP || context_.is_stopping)
+    if (number == SIGHUP || context_.is_stopping())
         return;
     begin_stop();
 }
@@ -49,8 +46,8 @@
 // balancer has noticed, and running requests are served to their end.
 void entry_process::begin_stop()
 {
-    context_.is_stopping = true;
-    stop_started_at_ = core::monotonic_now();
+    context_.shutdown = admission::shutdown_schedule::create(
+        core::monotonic_now(), context_.settings.stop_grace);
     callers_->set_shedding(false);
     callers_->announce_close();
     log_event(
@@ -58,26 +55,25 @@
         component,
         "stop",
         {{"requests", callers_->active_exchanges()}});
+    context_.calls.notify_shutdown();
     check_stop();
 }
 
 void entry_process::check_stop()
 {
-    const core::duration since = core::monotonic_now() - stop_started_at_;
-    if (since >= accept_duration_after_stop)
+    const core::time_point now = core::monotonic_now();
+    const admission::shutdown_schedule& schedule = *context_.shutdown;
+    if (now >= schedule.accept_end())
         callers_->stop_accepting();
-    const bool is_idle = since >= accept_duration_after_stop &&
+    if (now >= schedule.response_end())
+        respond_to_all(now);
+    const bool is_idle = now >= schedule.accept_end() &&
                          callers_->open_connections() == 0 &&
                          tunnels_->open_tunnels() == 0;
-    if (is_idle || since >= context_.settings.stop_grace - exit_margin) {
-        log_event(
-            log_level::info,
-            component,
-            "end",
-            {{"requests_cut", callers_->active_exchanges()},
-             {"tunnels_cut", tunnels_->open_tunnels()}});
-        context_.calls.log_unanswered();
-        io_.stop();
+    const bool is_over =
+        now >= schedule.end() && now - responding_since_ >= min_response_time;
+    if (is_idle || is_over) {
+        end();
         return;
     }
     stop_timer_.expires_after(stop_check_interval);
@@ -87,4 +83,26 @@
     });
 }
 
+// Whatever was read gets a response before the process ends, also what is still
+// being read.
+void entry_process::respond_to_all(core::time_point now)
+{
+    if (responding_since_ == core::time_point())
+        responding_since_ = now;
+    context_.calls.notify_response_due();
+    callers_->reject_unread();
+}
+
+void entry_process::end()
+{
+    log_event(
+        log_level::info,
+        component,
+        "end",
+        {{"requests_cut", callers_->active_exchanges()},
+         {"tunnels_cut", tunnels_->open_tunnels()}});
+    context_.calls.log_unanswered();
+    io_.stop();
+}
+
 } // namespace godwit::entry
--- a/services/entry/src/hedge_timing.cpp
+++ b/services/entry/src/hedge_timing.cpp
@@ -30,7 +30,7 @@
 
 bool hedge_timing::is_due(unsigned runs, core::time_point now) const
 {
-    if (context_.is_stopping || now >= call_.deadline)
+    if (context_.is_stopping() || now >= call_.deadline)
         return false;
     return context_.hedging.should_hedge(
         call_.route.name,
--- a/services/entry/src/refusal.cpp
+++ b/services/entry/src/refusal.cpp
@@ -1,5 +1,7 @@
 #include <godwit/entry/refusal.hpp>
 
+#include <godwit/admission/shutdown_schedule.hpp>
+
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
@@ -40,6 +42,7 @@
     case refusal_reason::no_allowed_region:
     case refusal_reason::regions_without_server:
     case refusal_reason::quarantined:
+    case refusal_reason::host_stopping:
         return unavailable;
     }
     return unavailable;
@@ -93,6 +96,8 @@
         return "regions_without_server";
     case refusal_reason::quarantined:
         return "quarantined";
+    case refusal_reason::host_stopping:
+        return "host_stopping";
     case refusal_reason::answer_lost:
         return "answer_lost";
     case refusal_reason::answer_spoiled:
@@ -138,6 +143,9 @@
     http::response response =
         problem(http::to_string(rejection.reason), core::to_string(outcome));
     response.status = rejection.status;
+    if (rejection.reason == http::rejection_reason::stopping)
+        response.fields.set(
+            "Retry-After", format_seconds(admission::shutdown_retry_after));
     return response;
 }
 
--- a/services/entry/src/stream_call.cpp
+++ b/services/entry/src/stream_call.cpp
@@ -85,6 +85,21 @@
         active_->cancel();
 }
 
+// Once its response has begun, only the end of the connection tells the caller
+// that the stream is not whole.
+void stream_call::on_response_due()
+{
+    if (is_response_due_ || is_caller_disconnected_ ||
+        call_->exchange.is_answered())
+        return;
+    is_response_due_ = true;
+    search_.stop_for_shutdown();
+    if (migration_)
+        migration_->stop();
+    if (active_)
+        active_->cancel();
+}
+
 http::request stream_call::request_for(
     const placement::server_id& server,
     std::optional<resume_point> resume_from) const
@@ -286,6 +301,13 @@
 {
     if (is_caller_disconnected_)
         co_return;
+    // The connection that this host closed says nothing about the server.
+    if (is_response_due_) {
+        if (failure.fault != upstream_fault::unreachable)
+            ++runs_;
+        co_await respond_unserved(refusal_reason::host_stopping);
+        co_return;
+    }
     record_send_failure(failure);
     if (failure.fault == upstream_fault::unreachable)
         co_return;
@@ -310,7 +332,7 @@
             head.status,
             context_.codec.response_fields(head.fields),
             std::move(*body)};
-    } else if (is_lost_run(body.error()))
+    } else if (is_lost_run(body.error()) && !is_response_due_)
         record_loss_at(server);
     // A client error is about the request, so that each server repeats it.
     const bool may_differ_elsewhere =
--- a/services/entry/src/stream_call_migration.cpp
+++ b/services/entry/src/stream_call_migration.cpp
@@ -4,6 +4,7 @@
 #include <godwit/entry/call_size.hpp>
 #include <godwit/rollout/version_choice.hpp>
 
+#include <algorithm>
 #include <utility>
 
 // How a running stream resumes at another server.
@@ -148,10 +149,12 @@
 asio::awaitable<std::optional<http::response_head>>
 stream_call::resume_elsewhere()
 {
-    if (!migration_)
+    if (!migration_ || is_response_due_)
         co_return std::nullopt;
     migration_->on_stream_broken();
-    const core::time_point end = core::monotonic_now() + source_stop_timeout;
+    core::time_point end = core::monotonic_now() + source_stop_timeout;
+    if (context_.shutdown)
+        end = std::min(end, context_.shutdown->response_end());
     const auto migrated = co_await migration_->outcome(end);
     if (!migrated || is_caller_disconnected_ || gate_.refuses(*call_))
         co_return std::nullopt;
--- a/services/entry/src/stream_call_resumption.cpp
+++ b/services/entry/src/stream_call_resumption.cpp
@@ -28,7 +28,7 @@
          .runs = runs_,
          .max_runs = call_->route.max_attempts,
          .deadline = call_->deadline,
-         .is_host_stopping = context_.is_stopping},
+         .is_host_stopping = context_.is_stopping()},
         now);
     if (verdict == admission::resumption_verdict::not_resumable)
         return false;
