client_stream: at most 16 interim heads before a response

A server in trouble may send bytes without end in a head. One that repeats "HTTP/1.1 100 Continue" kept the request, and the processor of the host, until the request's deadline: read_head takes interim heads in a loop, each of which is valid and within the limit of a head. Header fields, a status line and bytes of no protocol without end were refused before, by that limit or by the parser.

A seventeenth interim head now fails the exchange as no HTTP response; the connection is closed and the request counts as perhaps run.

--- a/libraries/http/src/client_stream.cpp
+++ b/libraries/http/src/client_stream.cpp
@@ -36,6 +36,9 @@
 constexpr std::uint32_t head_limit = 64 * 1024;
 constexpr unsigned first_status = 100;
 constexpr unsigned first_final_status = 200;
+// More than any server has a use for; each more would be read until the
+// deadline.
+constexpr unsigned max_interim_heads = 16;
 constexpr unsigned tunnel_opened_status = 200;
 constexpr unsigned server_unreachable_status = 502;
 constexpr std::size_t read_size = std::size_t{16} * 1024;
@@ -256,7 +259,11 @@
     const deadline guard(executor, held.socket, timeout, expiry_action::close);
     error_code failure;
     bool is_interim = true;
-    while (!failure && is_interim) {
+    for (unsigned heads = 0; !failure && is_interim; ++heads) {
+        if (heads > max_interim_heads) {
+            failure = beast_http::error::bad_status;
+            break;
+        }
         held.parser.emplace();
         held.parser->header_limit(head_limit);
         held.parser->body_limit(body_limit);
