entry: one bound on the bodies of responses that are collected

A server in trouble may send a body without end. Each whole call, each failure of a stream and each response to another request was collected up to 16 MiB for itself, and nothing bounded their sum: 24 calls at once took 202 MiB (a body without a length, with one, or in chunks) to 400 MiB (a failure, a response to another request), on machines that end a process at 110 MB, with all requests that it has.

Hypotheses: a body that is kept twice while it grows, bodies that outlive their exchange, or the missing sum. Doubling explains a factor of two; the memory grew with the number of calls, so the sum is the cause.

- admission::byte_budget bounds what all of them hold to 16 MiB, what one could have before.
While it is used up, a body may still grow to its equal share, so that large bodies do not keep small ones from their bytes; the others fail as spoiled (502).
- A response to another request is read and not kept, 1 MiB at the most.

--- a/meta/entry_endless_test.py
+++ b/meta/entry_endless_test.py
@@ -1,7 +1,7 @@
-"""A host survives servers that send bytes without end, in a head.
+"""A host survives servers that send bytes without end, in a head or a body.
 
-Without a bound on what is read, such a server keeps the processor of the host
-busy until the deadline.
+Without a bound on what is read, such a server fills the memory of the host,
+whose process is ended for it, or keeps its processor busy until the deadline.
 """
 
 import argparse
@@ -32,6 +32,7 @@
 LONGEST_SECONDS = 12.0
 BLOCK = 64 * 1024
 
+CHUNKED = "HTTP/1.1 200 OK\r\n{signed}Transfer-Encoding: chunked\r\n\r\n"
 # What each kind of server sends first, and what it repeats.
 HEADS = {
     "interim heads": ("", b"HTTP/1.1 100 Continue\r\n\r\n"),
@@ -39,6 +40,20 @@
     "a status line": ("HTTP/1.1 200 ", b"reason "),
     "no protocol": ("", b"\x00\xff\x17garbage"),
 }
+BODIES = {
+    "a body to the end of the connection":
+        ("HTTP/1.1 200 OK\r\n{signed}\r\n", b"abcdefgh"),
+    "a body with a length":
+        ("HTTP/1.1 200 OK\r\n{signed}Content-Length: 60000000\r\n\r\n",
+         b"abcdefgh"),
+    "chunks": (CHUNKED, http11.chunk(b"abcdefgh" * 512)),
+    "a chunk's extension": (CHUNKED + "4;", b"extension"),
+    "a trailer": (CHUNKED + "0\r\n", b"X-Field: value\r\n"),
+    "a failure": ("HTTP/1.1 500 X\r\n{signed}\r\n", b"abcdefgh"),
+    "an answer to another request":
+        ("HTTP/1.1 200 OK\r\nX-Godwitworks-Attempt-Id: other\r\n\r\n",
+         b"abcdefgh"),
+}
 
 
 class Endless:
@@ -97,6 +112,11 @@
             with self.subTest(name):
                 asyncio.run(self.play(Endless(prefix, repeated)))
 
+    def test_bodies(self):
+        for name, (prefix, repeated) in BODIES.items():
+            with self.subTest(name):
+                asyncio.run(self.play(Endless(prefix, repeated)))
+
     async def play(self, endless):
         world = World(argparse.Namespace(
             hosts=1, engines=2, callers=0, logs=None,
--- a/services/entry/include/godwit/entry/upstream.hpp
+++ b/services/entry/include/godwit/entry/upstream.hpp
@@ -88,6 +88,9 @@
     boost::asio::awaitable<upstream_result<void>> connect(core::time_point end);
     boost::asio::awaitable<upstream_result<http::response_head>>
     read_matching_head(std::string attempt_id, core::time_point end);
+    /// Reads the body of a stray response to its end, without keeping it.
+    boost::asio::awaitable<upstream_result<void>>
+    discard_body(core::time_point end);
 
     entry_context& context_;
     placement::backend_server server_;
--- a/services/entry/src/entry_context.cpp
+++ b/services/entry/src/entry_context.cpp
@@ -9,6 +9,10 @@
 
 namespace {
 
+// The largest body, and all together: a small host has some 100 MB, and a body
+// takes its size twice while it grows.
+constexpr std::size_t max_collected_bytes = std::size_t{16} * 1024 * 1024;
+
 http::connection_pool_limits pool_limits()
 {
     http::connection_pool_limits limits;
@@ -48,6 +52,7 @@
           evacuations,
           core::stable_hash(settings.host.value()),
           &loads),
+      collected_bodies(admission::byte_budget::create(max_collected_bytes)),
       budgets(settings), connector(
                              executor,
                              directory,
--- a/services/entry/src/upstream.cpp
+++ b/services/entry/src/upstream.cpp
@@ -18,7 +18,8 @@
 constexpr int max_stray_responses = 3;
 // A connection attempt may use up half of the latency objective.
 constexpr int connect_timeout_divisor = 2;
-constexpr std::size_t max_body_bytes = std::size_t{16} * 1024 * 1024;
+// A longer stray response costs more than a new connection.
+constexpr std::size_t max_stray_bytes = std::size_t{1024} * 1024;
 
 core::duration time_until(core::time_point end)
 {
@@ -112,7 +113,7 @@
                 context_, server_, head->status, response, sent_at_);
             co_return std::move(*head);
         }
-        const auto discarded = co_await read_all(end);
+        const auto discarded = co_await discard_body(end);
         if (!discarded)
             co_return tl::unexpected(discarded.error());
     }
@@ -131,22 +132,42 @@
     co_return std::move(*chunk);
 }
 
+asio::awaitable<upstream_result<void>>
+upstream::discard_body(core::time_point end)
+{
+    std::size_t discarded = 0;
+    while (discarded <= max_stray_bytes) {
+        const auto chunk = co_await read_some(end);
+        if (!chunk)
+            co_return tl::unexpected(chunk.error());
+        if (!chunk->has_value())
+            co_return upstream_result<void>();
+        discarded += (*chunk)->size();
+    }
+    co_return tl::unexpected(invalid_response(
+        server_.address.to_string() +
+        " sent a response to another request of "
+        "more than " +
+        std::to_string(max_stray_bytes) + " bytes"));
+}
+
 asio::awaitable<upstream_result<std::string>>
 upstream::read_all(core::time_point end)
 {
     std::string body;
+    admission::byte_budget::lease memory(context_.collected_bodies);
     while (true) {
         auto chunk = co_await read_some(end);
         if (!chunk)
             co_return tl::unexpected(chunk.error());
         if (!chunk->has_value())
             co_return body;
-        body += **chunk;
-        if (body.size() > max_body_bytes)
+        if (!memory.try_grow((*chunk)->size()))
             co_return tl::unexpected(invalid_response(
-                "the response of " + server_.address.to_string() +
-                " is larger than " + std::to_string(max_body_bytes) +
-                " bytes"));
+                "there is no memory for the response of " +
+                server_.address.to_string() + ", of more than " +
+                std::to_string(body.size()) + " bytes"));
+        body += **chunk;
     }
 }
 
