--- a/libraries/admission/include/godwit/admission/shutdown_schedule.hpp
+++ b/libraries/admission/include/godwit/admission/shutdown_schedule.hpp
@@ -12,10 +12,10 @@
 struct planned_run
 {
     core::duration objective{}; ///< Target time until its first byte.
-    /// Nothing for a response that is delivered in one piece.
+    /// Nothing if it is not known, or does not matter for the time it takes.
     std::optional<std::uint64_t> output_tokens{};
-    /// Whether its response is a stream, which cannot be answered otherwise
-    /// once it has begun.
+    /// Whether its response is a stream, after whose first byte an error can no
+    /// longer be sent.
     bool is_stream = false;
 
     friend bool operator==(const planned_run&, const planned_run&) = default;
--- a/libraries/admission/src/shutdown_schedule.cpp
+++ b/libraries/admission/src/shutdown_schedule.cpp
@@ -42,9 +42,9 @@
         end};
 }
 
-// A stream that was cut has no other answer, and its caller is excused from
-// waiting only while connections still arrive: of a stream of unknown length,
-// nothing says that it ends in time.
+// A stream that is cut gets no other response, and of one whose length is
+// unknown nothing says that it ends in time. It begins only while connections
+// are accepted; after that, callers reach hosts that go on.
 core::time_point
 shutdown_schedule::latest_begin(const planned_run& run) const noexcept
 {
