call_registry: a registration may outlive the registry

Cause: the tests' host destroys its parts before the requests that are still suspended on its io_context; since the registry came, a request takes itself out of it at its end, and wrote into a freed set. The program itself leaves by _Exit and destroys none of it.

Registrations now share the set with the registry.

test_other_values_say_nothing, twelve at a time: 36 of 60 runs failed before, 0 of 120 after. call_registry_test passes, also under valgrind.

--- a/services/entry/include/godwit/entry/call_registry.hpp
+++ b/services/entry/include/godwit/entry/call_registry.hpp
@@ -3,6 +3,7 @@
 #include <godwit/entry/running_call.hpp>
 
 #include <cstddef>
+#include <memory>
 #include <set>
 #include <vector>
 
@@ -13,7 +14,8 @@
 class call_registry
 {
 public:
-    /// Keeps a call registered while it exists. Keeps references to both.
+    /// Keeps a call registered while it exists. May outlive the registry, but
+    /// not the call.
     class registration
     {
     public:
@@ -24,11 +26,11 @@
         registration& operator=(const registration&) = delete;
 
     private:
-        call_registry& registry_;
+        std::shared_ptr<std::set<running_call*>> calls_;
         running_call& call_;
     };
 
-    [[nodiscard]] std::size_t size() const noexcept { return calls_.size(); }
+    [[nodiscard]] std::size_t size() const noexcept { return calls_->size(); }
 
     /// Notifies each call that the host is told to stop.
     void notify_shutdown();
@@ -44,10 +46,12 @@
     /// Returns a copy, since notified calls may change the registry.
     [[nodiscard]] std::vector<running_call*> calls() const
     {
-        return {calls_.begin(), calls_.end()};
+        return {calls_->begin(), calls_->end()};
     }
 
-    std::set<running_call*> calls_;
+    /// Shared, as requests that a stop cut are destroyed after their host.
+    std::shared_ptr<std::set<running_call*>> calls_ =
+        std::make_shared<std::set<running_call*>>();
 };
 
 } // namespace godwit::entry
--- a/services/entry/src/call_registry.cpp
+++ b/services/entry/src/call_registry.cpp
@@ -26,14 +26,14 @@
 
 call_registry::registration::registration(
     call_registry& registry, running_call& call)
-    : registry_(registry), call_(call)
+    : calls_(registry.calls_), call_(call)
 {
-    registry_.calls_.insert(&call_);
+    calls_->insert(&call_);
 }
 
 call_registry::registration::~registration()
 {
-    registry_.calls_.erase(&call_);
+    calls_->erase(&call_);
 }
 
 void call_registry::notify_shutdown()
@@ -51,7 +51,7 @@
 void call_registry::log_unanswered() const
 {
     std::size_t logged = 0;
-    for (const running_call* each : calls_) {
+    for (const running_call* each : *calls_) {
         if (logged++ == max_logged_calls)
             return;
         log_cut_by_shutdown(each->call(), each->progress());
