--- a/meta/soak_parts/host.py
+++ b/meta/soak_parts/host.py
@@ -96,7 +96,8 @@
 class Host:
     """Starts, signals and watches one godwit-entry."""
 
-    def __init__(self, name, program, folder, store, seeds, watcher):
+    def __init__(self, name, program, folder, store, seeds, watcher,
+                 more_settings=None):
         self.name = name
         self.program = program
         (self.callers, self.readiness, self.operators,
@@ -109,6 +110,7 @@
         self.log_file = folder / f"{name}.log"
         self.log = open(self.log_file, "ab")
         self._seeds = seeds
+        self._more_settings = more_settings or {}
         self._watcher = watcher
         self._pauses = 0
         self._paused_at = self._paused_seconds = 0.0
@@ -122,7 +124,7 @@
         seeds = self._seeds if seeds is None else seeds
         entry = {"host": self.name, "zone": "east", "listen": listen,
                  "seeds": [f"127.0.0.1:{port}" for port in seeds],
-                 "stop_grace_s": grace}
+                 "stop_grace_s": grace, **self._more_settings}
         if retry:
             entry["retry"] = retry
         self.settings.write_text(json.dumps({
