http: connections and requests draw on one account

Callers saw a host that was ended for its memory, and 503 while silent connections held every place. Cause: each connection, head and body had a bound, their number times it had none; a body took the memory that its client announced; what the kernel received for a connection grew to megabytes while nobody read it, and so did what it sent.

Every connection is now a holder of the account: it takes before its buffer or its body grows, by what has arrived, and gives back after each request. A request for which there is no room gets 503 no_room, or too_many_connections, with Retry-After 1, not run. The kernel's buffers are 16 KiB and 64 KiB. At the limit of connections the one that had no request for longest gives way. Attempts share the bytes of a body, and a response is written without a copy.

Tests that join or search a request's body ask for its text.

--- a/fakes/engine/engine_shell.cpp
+++ b/fakes/engine/engine_shell.cpp
@@ -166,7 +166,8 @@
 asio::awaitable<void> engine_shell::complete(http::exchange& current)
 {
     boost::system::error_code failure;
-    const json::value parsed = json::parse(current.received().body, failure);
+    const json::value parsed =
+        json::parse(current.received().body.text(), failure);
     if (failure || !parsed.is_object()) {
         core::error bad = bad_body("a JSON object");
         co_await answer_error(current, 400, std::move(bad));
@@ -331,7 +332,8 @@
         co_return;
     }
     boost::system::error_code failure;
-    const json::value parsed = json::parse(current.received().body, failure);
+    const json::value parsed =
+        json::parse(current.received().body.text(), failure);
     const std::string action =
         !failure && parsed.is_object()
             ? text_at(parsed.get_object(), "action").value_or("")
--- a/fakes/platform/platform_shell.cpp
+++ b/fakes/platform/platform_shell.cpp
@@ -207,7 +207,7 @@
         co_return;
     }
     boost::system::error_code failure;
-    json::value parsed = json::parse(received.body, failure);
+    json::value parsed = json::parse(received.body.text(), failure);
     if (received.method != "PUT" || failure || !parsed.is_object()) {
         core::error bad(
             core::error_kind::invalid_input,
--- a/fakes/service/service_shell.cpp
+++ b/fakes/service/service_shell.cpp
@@ -77,7 +77,7 @@
     body["method"] = received.method;
     body["path"] = received.target;
     body["key"] = key;
-    body["echo"] = received.body;
+    body["echo"] = received.body.text();
     if (received.method != "GET") {
         const auto known = rule_ == deduplication::by_key
                                ? ledger_.first_effect(key)
--- a/fakes/support/src/answers.cpp
+++ b/fakes/support/src/answers.cpp
@@ -37,7 +37,7 @@
 {
     core::result<void> set;
     if (current.received().method == "POST")
-        set = switches.set(current.received().body);
+        set = switches.set(current.received().body.text());
     if (!set) {
         co_await answer_error(current, 400, set.error());
         co_return;
--- a/libraries/http/include/godwit/http/client_stream.hpp
+++ b/libraries/http/include/godwit/http/client_stream.hpp
@@ -5,6 +5,7 @@
 #include <godwit/http/endpoint.hpp>
 #include <godwit/http/request.hpp>
 #include <godwit/http/response_head.hpp>
+#include <godwit/http/socket_buffers.hpp>
 #include <godwit/http/tunnel_error.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -28,8 +29,9 @@
 public:
     /// A stream that is not connected yet; `executor` is a strand, or one
     /// of a context with a single thread.
-    [[nodiscard]] static client_stream
-    create(const boost::asio::any_io_executor& executor);
+    [[nodiscard]] static client_stream create(
+        const boost::asio::any_io_executor& executor,
+        const socket_buffers& buffers = {});
 
     client_stream(client_stream&&) noexcept;
     client_stream& operator=(client_stream&&) noexcept;
--- a/libraries/http/include/godwit/http/exchange.hpp
+++ b/libraries/http/include/godwit/http/exchange.hpp
@@ -4,6 +4,7 @@
 #include <godwit/http/header_fields.hpp>
 #include <godwit/http/request.hpp>
 #include <godwit/http/response.hpp>
+#include <godwit/memory/client_account.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -39,6 +40,10 @@
     /// The executor on which the handler runs; the methods are called there.
     [[nodiscard]] boost::asio::any_io_executor executor() const;
 
+    /// Adds what the answer holds to the part of this connection, until the
+    /// caller has taken the answer.
+    void hold(memory::client_account::holder answer);
+
     /// Sends a whole answer.
     boost::asio::awaitable<core::result<void>> respond(response answer);
 
--- a/libraries/http/include/godwit/http/listen.hpp
+++ b/libraries/http/include/godwit/http/listen.hpp
@@ -2,6 +2,7 @@
 
 #include <godwit/core/result.hpp>
 #include <godwit/http/endpoint.hpp>
+#include <godwit/http/socket_buffers.hpp>
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -11,8 +12,11 @@
 [[nodiscard]] boost::asio::ip::tcp::endpoint to_tcp(const endpoint& address);
 
 /// Binds the acceptor to the address and listens. Port 0 lets the operating
-/// system choose. Returns the address in use. Fails with `unavailable`.
-[[nodiscard]] core::result<endpoint>
-listen(boost::asio::ip::tcp::acceptor& acceptor, const endpoint& address);
+/// system choose. Accepted connections have `buffers`. Returns the address in
+/// use. Fails with `unavailable`.
+[[nodiscard]] core::result<endpoint> listen(
+    boost::asio::ip::tcp::acceptor& acceptor,
+    const endpoint& address,
+    const socket_buffers& buffers = {});
 
 } // namespace godwit::http
--- a/libraries/http/include/godwit/http/rejection.hpp
+++ b/libraries/http/include/godwit/http/rejection.hpp
@@ -15,6 +15,7 @@
     slow_header,          ///< 408.
     slow_body,            ///< 408.
     too_many_connections, ///< 503.
+    no_room,              ///< 503: other requests hold the server's memory.
     stopping,             ///< 503: the server ends before the request is read.
     handler_failed,       ///< 500: a fault of the program.
 };
--- a/libraries/http/include/godwit/http/request.hpp
+++ b/libraries/http/include/godwit/http/request.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <godwit/http/header_fields.hpp>
+#include <godwit/http/shared_body.hpp>
 
 #include <string>
 
@@ -13,7 +14,7 @@
     std::string method = "GET";
     std::string target = "/"; ///< Path and query in origin form.
     header_fields fields;
-    std::string body;
+    shared_body body;
 
     friend bool operator==(const request&, const request&) = default;
 };
--- a/libraries/http/include/godwit/http/server_settings.hpp
+++ b/libraries/http/include/godwit/http/server_settings.hpp
@@ -4,8 +4,10 @@
 #include <godwit/http/rejection.hpp>
 #include <godwit/http/response.hpp>
 #include <godwit/http/server_limits.hpp>
+#include <godwit/memory/client_account.hpp>
 
 #include <functional>
+#include <memory>
 #include <string_view>
 
 namespace godwit::http {
@@ -21,6 +23,10 @@
 using fault_observer =
     std::function<void(std::string_view peer, std::string_view fault)>;
 
+/// What the connections of a server without an account may hold together.
+inline constexpr std::size_t default_account_bytes =
+    std::size_t{256} * 1024 * 1024;
+
 /// Where and how a server listens.
 struct server_settings
 {
@@ -28,6 +34,9 @@
     server_limits limits;
     rejection_responder on_rejection; ///< Plain text when empty.
     fault_observer on_fault = {};     ///< Nobody is told when empty.
+    /// What the connections draw on. If null, the server has an account of its
+    /// own with `default_account_bytes`, and descriptors without a bound.
+    std::shared_ptr<memory::client_account> account = {};
 };
 
 } // namespace godwit::http
--- a/libraries/http/src/client_stream.cpp
+++ b/libraries/http/src/client_stream.cpp
@@ -3,6 +3,7 @@
 #include <godwit/http/keepalive.hpp>
 #include <godwit/http/listen.hpp>
 
+#include "arriving_body.hpp"
 #include "deadline.hpp"
 #include "message_head.hpp"
 
@@ -10,11 +11,10 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/buffers_suffix.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <sys/socket.h>
 
@@ -31,7 +31,7 @@
 
 namespace {
 
-using response_parser = beast_http::response_parser<beast_http::string_body>;
+using response_parser = beast_http::response_parser<arriving_body>;
 
 constexpr std::uint32_t head_limit = 64 * 1024;
 constexpr unsigned first_status = 100;
@@ -43,9 +43,8 @@
 constexpr unsigned server_unreachable_status = 502;
 constexpr std::size_t read_size = std::size_t{16} * 1024;
 constexpr std::size_t buffer_limit = std::size_t{128} * 1024;
-// Of one answer, a stream's chunks added up. The parser reserves memory for
-// the length that a head claims; this is eight times the largest page that is
-// read and more than ten times the longest generation.
+// Of one answer, a stream's chunks added up: eight times the largest page that
+// is read and more than ten times the longest generation.
 constexpr std::uint64_t body_limit = std::uint64_t{64} * 1024 * 1024;
 
 client_error failed(
@@ -89,8 +88,9 @@
 
 struct client_stream::implementation
 {
-    explicit implementation(const asio::any_io_executor& executor)
-        : socket(executor), buffer(buffer_limit)
+    implementation(
+        const asio::any_io_executor& executor, const socket_buffers& sizes)
+        : socket(executor), buffer(buffer_limit), buffers(sizes)
     {}
 
     /// Parses what the buffer holds. Beast's own read would wait for more
@@ -112,8 +112,32 @@
         parser->put_eof(failure);
     }
 
+    /// Reads the head piece by piece: Beast's own read would take memory for
+    /// more than is there.
+    asio::awaitable<void> read_header(error_code& failure)
+    {
+        while (!failure) {
+            parse(failure);
+            if (failure || parser->is_header_done())
+                co_return;
+            if (buffer.size() + read_size > buffer_limit) {
+                failure = beast_http::error::buffer_overflow;
+                co_return;
+            }
+            const auto space = buffer.prepare(read_size);
+            const std::size_t count = co_await socket.async_read_some(
+                space, asio::redirect_error(asio::use_awaitable, failure));
+            buffer.commit(count);
+            if (failure == asio::error::eof)
+                failure = parser->got_some()
+                              ? beast_http::error::partial_message
+                              : beast_http::error::end_of_stream;
+        }
+    }
+
     tcp::socket socket;
     boost::beast::flat_buffer buffer;
+    socket_buffers buffers;
     std::optional<response_parser> parser;
     std::string server = "no server";
     bytes_handed_over handed_over = bytes_handed_over::none;
@@ -132,9 +156,10 @@
 client_stream& client_stream::operator=(client_stream&&) noexcept = default;
 client_stream::~client_stream() = default;
 
-client_stream client_stream::create(const asio::any_io_executor& executor)
+client_stream client_stream::create(
+    const asio::any_io_executor& executor, const socket_buffers& buffers)
 {
-    return client_stream(std::make_unique<implementation>(executor));
+    return client_stream(std::make_unique<implementation>(executor, buffers));
 }
 
 asio::awaitable<client_result<void>>
@@ -149,6 +174,8 @@
         failure = asio::error::operation_aborted;
     else
         held.socket.open(address.protocol(), failure);
+    if (!failure)
+        held.buffers.apply_to(held.socket);
     const deadline guard(executor, held.socket, timeout, expiry_action::close);
     if (!failure)
         co_await held.socket.async_connect(
@@ -234,17 +261,17 @@
     ++held.requests_sent;
     held.parser.reset();
     const auto executor = co_await asio::this_coro::executor;
-    std::string bytes = format_request_head(outgoing, held.server);
-    bytes += outgoing.body;
+    const std::string head = format_request_head(outgoing, held.server);
+    const std::array<asio::const_buffer, 2> parts{
+        asio::buffer(head), asio::buffer(outgoing.body.text())};
+    boost::beast::buffers_suffix rest(parts);
     const deadline guard(executor, held.socket, timeout, expiry_action::close);
-    std::size_t done = 0;
     error_code failure;
     // Piece by piece, so that the count is exact when one fails.
-    while (!failure && done < bytes.size()) {
-        const auto rest = asio::buffer(bytes) + done;
+    while (!failure && asio::buffer_size(rest) > 0) {
         const std::size_t count = co_await held.socket.async_write_some(
             rest, asio::redirect_error(asio::use_awaitable, failure));
-        done += count;
+        rest.consume(count);
         if (count > 0)
             held.handed_over = bytes_handed_over::some;
     }
@@ -272,11 +299,7 @@
         held.parser->body_limit(body_limit);
         // The answer to HEAD names the length of a body that does not come.
         held.parser->skip(held.asked_head);
-        co_await beast_http::async_read_header(
-            held.socket,
-            held.buffer,
-            *held.parser,
-            asio::redirect_error(asio::use_awaitable, failure));
+        co_await held.read_header(failure);
         const unsigned status = held.parser->get().result_int();
         // Passed on, it would look like an interim answer (RFC 9110, 15).
         if (!failure && status < first_status)
--- a/libraries/http/src/connection.cpp
+++ b/libraries/http/src/connection.cpp
@@ -59,10 +59,16 @@
 
 } // namespace
 
-connection::connection(tcp::socket socket, std::shared_ptr<server_state> server)
+connection::connection(
+    tcp::socket socket,
+    std::shared_ptr<server_state> server,
+    memory::client_account::holder held,
+    admission verdict)
     : socket_(std::move(socket)), executor_(socket_.get_executor()),
-      server_(std::move(server)), peer_(describe_peer(socket_)),
+      server_(std::move(server)), verdict_(verdict),
+      peer_(describe_peer(socket_)),
       buffer_(server_->limits().header_bytes + read_size),
+      held_(std::move(held)),
       caller_gone_signal_(executor_, core::timer::time_point::max()),
       watch_ended_signal_(executor_, core::timer::time_point::max())
 {}
@@ -71,24 +77,32 @@
 connection::~connection()
 {
     close_socket();
-    server_->remove(*this);
+    server_->remove(*this, verdict_);
 }
 
-void connection::start(admission verdict)
+void connection::start()
 {
+    held_.on_eviction([weak = weak_from_this()] {
+        auto kept = weak.lock();
+        if (!kept)
+            return;
+        // The last reference must not end here, under the account's lock.
+        const auto executor = kept->executor_;
+        asio::post(executor, [kept = std::move(kept)] { kept->evict(); });
+    });
     asio::co_spawn(
         executor_,
-        [kept = shared_from_this(), verdict]() -> asio::awaitable<void> {
-            co_await kept->run_guarded(verdict);
+        [kept = shared_from_this()]() -> asio::awaitable<void> {
+            co_await kept->run_guarded();
         },
         asio::detached);
 }
 
 // What goes wrong with one caller's bytes costs that caller only.
-asio::awaitable<void> connection::run_guarded(admission verdict)
+asio::awaitable<void> connection::run_guarded()
 {
     try {
-        co_await run(verdict);
+        co_await run();
     } catch (const std::exception& fault) {
         server_->report_fault(peer_, fault.what());
     }
@@ -148,12 +162,12 @@
     socket_.close(ignored);
 }
 
-asio::awaitable<void> connection::run(admission verdict)
+asio::awaitable<void> connection::run()
 {
     error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
     socket_.non_blocking(true, ignored);
-    if (verdict == admission::refused) {
+    if (verdict_ == admission::refused) {
         co_await reject(rejection_reason::too_many_connections);
         close_socket();
         co_return;
@@ -167,8 +181,11 @@
         std::optional<request> received = co_await read_request();
         if (!received)
             break;
+        set_activity(memory::activity::serving);
         co_await serve(std::move(*received));
         has_served_ = true;
+        release_request();
+        set_activity(memory::activity::idle);
     }
     close_socket();
 }
--- a/libraries/http/src/connection.hpp
+++ b/libraries/http/src/connection.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "arriving_body.hpp"
 #include "deadline.hpp"
 #include "message_head.hpp"
 
@@ -7,17 +8,20 @@
 #include <godwit/core/timer.hpp>
 #include <godwit/http/exchange.hpp>
 #include <godwit/http/rejection.hpp>
+#include <godwit/http/socket_buffers.hpp>
+#include <godwit/memory/client_account.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace godwit::http {
 
@@ -36,15 +40,27 @@
 class connection : public std::enable_shared_from_this<connection>
 {
 public:
+    /// How much is read at once.
+    static constexpr std::size_t read_size = std::size_t{8} * 1024;
+    /// The kernel's buffers of each connection.
+    static constexpr socket_buffers kernel_buffers{
+        std::size_t{16} * 1024, std::size_t{64} * 1024};
+    /// What a connection holds for as long as it is open: what the kernel may
+    /// receive, and one read.
+    static constexpr memory::amounts fixed_amounts{
+        kernel_buffers.receive_bytes + read_size, 1};
+
     connection(
         boost::asio::ip::tcp::socket socket,
-        std::shared_ptr<server_state> server);
+        std::shared_ptr<server_state> server,
+        memory::client_account::holder held,
+        admission verdict);
     ~connection();
 
     connection(const connection&) = delete;
     connection& operator=(const connection&) = delete;
 
-    void start(admission verdict);
+    void start();
     void close();
     void close_if_idle();
     /// Rejects the request that is being read, if there is one.
@@ -58,6 +74,7 @@
         return executor_;
     }
 
+    void hold(memory::client_account::holder answer);
     boost::asio::awaitable<core::result<void>> respond(response answer);
     boost::asio::awaitable<core::result<void>>
     start_stream(unsigned status, header_fields fields);
@@ -82,11 +99,7 @@
     void on_caller_gone(std::function<void()> notify);
 
 private:
-    using request_parser =
-        boost::beast::http::request_parser<boost::beast::http::string_body>;
-
-    /// How much is read at once.
-    static constexpr std::size_t read_size = std::size_t{8} * 1024;
+    using request_parser = boost::beast::http::request_parser<arriving_body>;
 
     enum class answer_phase
     {
@@ -95,16 +108,26 @@
         finished,
     };
 
-    boost::asio::awaitable<void> run_guarded(admission verdict);
-    boost::asio::awaitable<void> run(admission verdict);
+    boost::asio::awaitable<void> run_guarded();
+    boost::asio::awaitable<void> run();
     boost::asio::awaitable<bool> wait_for_first_byte();
     boost::asio::awaitable<bool> wait_until_readable();
     [[nodiscard]] core::duration idle_patience() const;
     boost::asio::awaitable<std::optional<request>> read_request();
     boost::asio::awaitable<std::optional<rejection_reason>>
+    read_whole(request_parser& parser);
+    [[nodiscard]] request take_request(request_parser& parser);
+    boost::asio::awaitable<std::optional<rejection_reason>>
     read_head(request_parser& parser);
     boost::asio::awaitable<std::optional<rejection_reason>>
     read_body(request_parser& parser);
+    boost::asio::awaitable<boost::system::error_code>
+    read_body_bytes(request_parser& parser);
+    /// Waits for bytes and adds them to the buffer. Returns why none came.
+    boost::asio::awaitable<boost::system::error_code> read_more();
+    /// Takes memory for the next read and for a body with the bytes read.
+    boost::asio::awaitable<bool> make_buffer_room();
+    boost::asio::awaitable<bool> make_body_room(std::string& body);
     boost::asio::awaitable<void> reject(rejection_reason reason);
     boost::asio::awaitable<void> discard_rest();
     boost::asio::awaitable<void> serve(request received);
@@ -112,7 +135,22 @@
     boost::asio::awaitable<void> watch_caller_guarded();
     boost::asio::awaitable<void> watch_caller();
     boost::asio::awaitable<void> stop_watching();
-    boost::asio::awaitable<core::result<void>> write_all(std::string bytes);
+    boost::asio::awaitable<core::result<void>>
+    write_all(std::string_view head, std::string_view body = {});
+    boost::asio::awaitable<boost::system::error_code>
+    write_slowly(std::string_view head, std::string_view body);
+    void set_activity(memory::activity doing);
+    /// Records that the caller took or sent `bytes`.
+    void record_progress(std::size_t bytes);
+    /// Gives back all but what the connection holds without a request.
+    void release_request();
+    /// What the buffer holds beyond one read if it grows to `capacity`.
+    [[nodiscard]] static std::size_t buffer_excess(std::size_t capacity);
+    [[nodiscard]] std::size_t next_read_size() const;
+    [[nodiscard]] std::size_t next_buffer_capacity() const;
+    [[nodiscard]] std::size_t unsent_bytes();
+    /// Makes room for others, as the account has decided.
+    void evict();
     [[nodiscard]] core::result<void> check_turn(answer_phase needed);
     [[nodiscard]] bool take_early_bytes();
     [[nodiscard]] bool has_unread_bytes() const;
@@ -124,8 +162,15 @@
     boost::asio::ip::tcp::socket socket_;
     boost::asio::any_io_executor executor_;
     std::shared_ptr<server_state> server_;
+    admission verdict_;
     std::string peer_;
     boost::beast::flat_buffer buffer_;
+    memory::client_account::holder held_;
+    memory::activity doing_ = memory::activity::idle;
+    core::time_point doing_since_{};
+    std::size_t progress_ = 0;    ///< Bytes since `doing_since_`.
+    std::size_t answer_held_ = 0; ///< Of `held_`, for the answer.
+    bool is_evicted_ = false;
     bool is_idle_ = false;
     bool is_reading_ = false;
     bool is_reading_stopped_ = false;
--- a/libraries/http/src/connection_answer.cpp
+++ b/libraries/http/src/connection_answer.cpp
@@ -5,8 +5,10 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_suffix.hpp>
 
+#include <algorithm>
+#include <array>
 #include <utility>
 
 // Writing answers: whole ones and streams, each in its turn.
@@ -59,11 +61,13 @@
     body_framing framing;
     framing.content_length = answer.body.size();
     framing.keeps_connection = keeps_alive_;
-    std::string bytes =
+    const std::string head =
         format_response_head(answer.status, answer.fields, framing);
-    if (!omits_body_)
-        bytes += answer.body;
-    core::result<void> sent = co_await write_all(std::move(bytes));
+    // It is there already, whether or not there is room for it.
+    if (answer.body.size() > read_size && answer.body.size() > answer_held_)
+        held_.take_existing({answer.body.size() - answer_held_, 0});
+    core::result<void> sent = co_await write_all(
+        head, omits_body_ ? std::string_view() : answer.body);
     if (sent)
         phase_ = answer_phase::finished;
     co_return sent;
@@ -84,8 +88,8 @@
     framing.keeps_connection = keeps_alive_;
     if (!takes_chunks_)
         reset_at_close(true);
-    std::string bytes = format_response_head(status, fields, framing);
-    co_return co_await write_all(std::move(bytes));
+    const std::string head = format_response_head(status, fields, framing);
+    co_return co_await write_all(head);
 }
 
 asio::awaitable<core::result<void>> connection::write_chunk(std::string data)
@@ -95,8 +99,9 @@
         co_return in_turn;
     if (data.empty() || omits_body_)
         co_return core::result<void>();
-    std::string bytes = takes_chunks_ ? format_chunk(data) : std::move(data);
-    co_return co_await write_all(std::move(bytes));
+    const std::string bytes =
+        takes_chunks_ ? format_chunk(data) : std::move(data);
+    co_return co_await write_all(bytes);
 }
 
 asio::awaitable<core::result<void>> connection::finish_stream()
@@ -105,10 +110,8 @@
     if (!in_turn)
         co_return in_turn;
     core::result<void> sent;
-    if (takes_chunks_ && !omits_body_) {
-        std::string bytes(last_chunk);
-        sent = co_await write_all(std::move(bytes));
-    }
+    if (takes_chunks_ && !omits_body_)
+        sent = co_await write_all(last_chunk);
     if (!takes_chunks_)
         reset_at_close(false);
     if (sent)
@@ -116,23 +119,29 @@
     co_return sent;
 }
 
-asio::awaitable<core::result<void>> connection::write_all(std::string bytes)
+asio::awaitable<core::result<void>>
+connection::write_all(std::string_view head, std::string_view body)
 {
-    const deadline guard(
-        executor_,
-        socket_,
-        server_->limits().write_timeout,
-        expiry_action::close);
+    // Most writes fit into the kernel's buffer.
     error_code failure;
-    const auto view = asio::buffer(bytes);
-    co_await asio::async_write(
-        socket_, view, asio::redirect_error(asio::use_awaitable, failure));
+    const std::array<asio::const_buffer, 2> bytes{
+        asio::buffer(head), asio::buffer(body)};
+    std::size_t done = socket_.write_some(bytes, failure);
+    if (failure == asio::error::would_block)
+        failure = {};
+    bool has_expired = false;
+    if (!failure && done < head.size() + body.size()) {
+        const std::size_t from_head = std::min(done, head.size());
+        head.remove_prefix(from_head);
+        body.remove_prefix(done - from_head);
+        failure = co_await write_slowly(head, body);
+        has_expired = failure == asio::error::timed_out;
+    }
     if (!failure)
         co_return core::result<void>();
-    const bool expired = guard.has_expired();
     close_socket();
     caller_left(failure);
-    if (expired)
+    if (has_expired)
         co_return core::fail(
             core::error_kind::timeout,
             "the caller " + peer_ + " took no bytes within the write timeout",
@@ -143,4 +152,32 @@
         "drop the exchange; the caller may connect again");
 }
 
+asio::awaitable<error_code>
+connection::write_slowly(std::string_view head, std::string_view body)
+{
+    const memory::activity before = doing_;
+    if (before != memory::activity::closing)
+        set_activity(memory::activity::sending);
+    const deadline guard(
+        executor_,
+        socket_,
+        server_->limits().write_timeout,
+        expiry_action::close);
+    const std::array<asio::const_buffer, 2> bytes{
+        asio::buffer(head), asio::buffer(body)};
+    boost::beast::buffers_suffix rest(bytes);
+    error_code failure;
+    while (!failure && asio::buffer_size(rest) > 0) {
+        const std::size_t count = co_await socket_.async_write_some(
+            rest, asio::redirect_error(asio::use_awaitable, failure));
+        rest.consume(count);
+        record_progress(count);
+    }
+    if (before != memory::activity::closing)
+        set_activity(before);
+    if (failure && guard.has_expired())
+        co_return asio::error::timed_out;
+    co_return failure;
+}
+
 } // namespace godwit::http
--- a/libraries/http/src/connection_watch.cpp
+++ b/libraries/http/src/connection_watch.cpp
@@ -51,10 +51,18 @@
 // the end of the connection is not noticed before they are read.
 bool connection::take_early_bytes()
 {
-    if (buffer_.max_size() - buffer_.size() < read_size)
+    if (buffer_.size() == buffer_.max_size())
+        return false;
+    const std::size_t excess = buffer_excess(next_buffer_capacity());
+    const std::size_t held = buffer_excess(buffer_.capacity());
+    const bool has_room =
+        excess <= held ||
+        held_.try_take({excess - held, 0}, core::monotonic_now()) ==
+            memory::grant::granted;
+    if (!has_room)
         return false;
     error_code failure;
-    const auto space = buffer_.prepare(read_size);
+    const auto space = buffer_.prepare(next_read_size());
     const std::size_t count = socket_.read_some(space, failure);
     buffer_.commit(count);
     if (!failure || failure == asio::error::would_block)
--- a/libraries/http/src/exchange.cpp
+++ b/libraries/http/src/exchange.cpp
@@ -22,6 +22,11 @@
     return owner_.executor();
 }
 
+void exchange::hold(memory::client_account::holder answer)
+{
+    owner_.hold(std::move(answer));
+}
+
 asio::awaitable<core::result<void>> exchange::respond(response answer)
 {
     return owner_.respond(std::move(answer));
--- a/libraries/http/src/listen.cpp
+++ b/libraries/http/src/listen.cpp
@@ -12,13 +12,18 @@
     return {asio::ip::make_address(address.address()), address.port()};
 }
 
-core::result<endpoint> listen(tcp::acceptor& acceptor, const endpoint& address)
+core::result<endpoint> listen(
+    tcp::acceptor& acceptor,
+    const endpoint& address,
+    const socket_buffers& buffers)
 {
     const tcp::endpoint wanted = to_tcp(address);
     boost::system::error_code failure;
     acceptor.open(wanted.protocol(), failure);
     if (!failure)
         acceptor.set_option(tcp::acceptor::reuse_address(true), failure);
+    if (!failure)
+        buffers.apply_to(acceptor);
     if (!failure)
         acceptor.bind(wanted, failure);
     if (!failure)
--- a/libraries/http/src/rejection.cpp
+++ b/libraries/http/src/rejection.cpp
@@ -19,6 +19,8 @@
         return "slow_body";
     case rejection_reason::too_many_connections:
         return "too_many_connections";
+    case rejection_reason::no_room:
+        return "no_room";
     case rejection_reason::stopping:
         return "stopping";
     case rejection_reason::handler_failed:
@@ -68,6 +70,12 @@
             503,
             "this server has as many connections as it takes",
             "come back later, or use another entry host"};
+    case rejection_reason::no_room:
+        return {
+            reason,
+            503,
+            "this server has no memory for the request now",
+            "send the request again later, or to another entry host"};
     case rejection_reason::stopping:
         return {
             reason,
--- a/libraries/http/src/request_rules.hpp
+++ b/libraries/http/src/request_rules.hpp
@@ -1,17 +1,17 @@
 #pragma once
 
+#include "arriving_body.hpp"
+
 #include <godwit/http/rejection.hpp>
 
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <boost/system/error_code.hpp>
 
 #include <optional>
 
 namespace godwit::http {
 
-using parsed_request =
-    boost::beast::http::request<boost::beast::http::string_body>;
+using parsed_request = boost::beast::http::request<arriving_body>;
 
 /// Rules of RFC 9112 for a request's head that the parser does not enforce.
 [[nodiscard]] bool breaks_framing_rules(const parsed_request& head);
--- a/libraries/http/src/server_state.cpp
+++ b/libraries/http/src/server_state.cpp
@@ -4,6 +4,7 @@
 
 #include <godwit/core/timer.hpp>
 #include <godwit/http/listen.hpp>
+#include <godwit/http/take_room.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -14,6 +15,7 @@
 
 #include <chrono>
 #include <exception>
+#include <limits>
 #include <utility>
 #include <vector>
 
@@ -28,10 +30,22 @@
 // repeats at once would otherwise spin.
 constexpr std::chrono::milliseconds accept_pause{50};
 
+// How often a connection asks whether those have ended that were told to make
+// room for it.
+constexpr std::chrono::milliseconds place_interval{2};
+
 // Connections beyond the limit that may be told so at one time; the ones
 // after these are closed without a word.
 constexpr std::size_t refusals_at_once = 64;
 
+std::shared_ptr<memory::client_account> default_account()
+{
+    memory::account_limits limits;
+    limits.total = {
+        default_account_bytes, std::numeric_limits<std::size_t>::max()};
+    return memory::client_account::create(limits);
+}
+
 } // namespace
 
 server_state::server_state(
@@ -39,12 +53,15 @@
     server_settings settings,
     exchange_handler handler)
     : context_(context), settings_(std::move(settings)),
-      handler_(std::move(handler)), acceptor_(asio::make_strand(context))
+      handler_(std::move(handler)),
+      account_(settings_.account ? settings_.account : default_account()),
+      acceptor_(asio::make_strand(context))
 {}
 
 core::result<void> server_state::listen()
 {
-    settings_.address = GODWIT_TRY(http::listen(acceptor_, settings_.address));
+    settings_.address = GODWIT_TRY(
+        http::listen(acceptor_, settings_.address, connection::kernel_buffers));
     return {};
 }
 
@@ -66,7 +83,7 @@
         co_await acceptor_.async_accept(
             socket, asio::redirect_error(asio::use_awaitable, failure));
         if (!failure) {
-            admit_guarded(std::move(socket));
+            co_await admit_guarded(std::move(socket));
             continue;
         }
         if (!acceptor_.is_open())
@@ -78,45 +95,74 @@
 }
 
 // A connection that cannot be taken must not end the accepting of others.
-void server_state::admit_guarded(tcp::socket socket)
+asio::awaitable<void> server_state::admit_guarded(tcp::socket socket)
 {
     try {
-        admit(std::move(socket));
+        // Nothing was read, so that the caller may repeat any request
+        // elsewhere.
+        if (sheds_connections_) {
+            ++shed_connections_;
+            co_return;
+        }
+        auto held = account_->open(memory::activity::idle);
+        const admission verdict = co_await find_place(held);
+        admit(std::move(socket), std::move(held), verdict);
     } catch (const std::exception& fault) {
         report_fault("acceptor", fault.what());
     }
 }
 
-void server_state::admit(tcp::socket socket)
+asio::awaitable<admission>
+server_state::find_place(memory::client_account::holder& held)
+{
+    const core::time_point end = core::monotonic_now() + room_timeout;
+    memory::grant answer = try_find_place(held);
+    while (answer == memory::grant::pending && core::monotonic_now() < end) {
+        core::timer pause(acceptor_.get_executor(), place_interval);
+        boost::system::error_code ignored;
+        co_await pause.async_wait(
+            asio::redirect_error(asio::use_awaitable, ignored));
+        answer = try_find_place(held);
+    }
+    co_return answer == memory::grant::granted ? admission::accepted
+                                               : admission::refused;
+}
+
+memory::grant server_state::try_find_place(memory::client_account::holder& held)
 {
-    // Nothing was read, so that the caller may repeat any request elsewhere.
-    if (sheds_connections_) {
-        ++shed_connections_;
-        return;
+    const core::time_point now = core::monotonic_now();
+    if (open_connections_ < limits().connections)
+        return held.try_take(connection::fixed_amounts, now);
+    return held.make_room({0, 1}, now);
+}
+
+void server_state::admit(
+    tcp::socket socket, memory::client_account::holder held, admission verdict)
+{
+    if (verdict == admission::refused) {
+        if (refused_connections_ >= refusals_at_once)
+            return;
+        ++refused_connections_;
     }
-    const std::size_t open = open_connections_;
-    const std::size_t limit = limits().connections;
-    if (open >= limit + refusals_at_once)
-        return;
     ++open_connections_;
-    const auto admitted =
-        std::make_shared<connection>(std::move(socket), shared_from_this());
+    const auto admitted = std::make_shared<connection>(
+        std::move(socket), shared_from_this(), std::move(held), verdict);
     {
         const std::lock_guard lock(mutex_);
         connections_.emplace(admitted.get(), admitted);
     }
-    const admission verdict =
-        open >= limit ? admission::refused : admission::accepted;
-    admitted->start(verdict);
+    admitted->start();
 }
 
-void server_state::remove(const connection& ended)
+void server_state::remove(const connection& ended, admission verdict)
 {
     {
         const std::lock_guard lock(mutex_);
         connections_.erase(&ended);
     }
     --open_connections_;
+    if (verdict == admission::refused)
+        --refused_connections_;
 }
 
 // Closing the acceptor would reset the connections that the operating system
@@ -128,8 +174,14 @@
     while (!failure) {
         tcp::socket socket(asio::make_strand(context_));
         acceptor_.accept(socket, failure);
-        if (!failure)
-            admit(std::move(socket));
+        if (failure)
+            break;
+        auto held = account_->open(memory::activity::idle);
+        const bool has_place = try_find_place(held) == memory::grant::granted;
+        admit(
+            std::move(socket),
+            std::move(held),
+            has_place ? admission::accepted : admission::refused);
     }
 }
 
--- a/libraries/http/src/server_state.hpp
+++ b/libraries/http/src/server_state.hpp
@@ -18,6 +18,8 @@
 
 class connection;
 
+enum class admission;
+
 /// What the connections of one server share. The counts and the register
 /// may be used on any thread.
 class server_state : public std::enable_shared_from_this<server_state>
@@ -57,6 +59,11 @@
         return settings_;
     }
 
+    [[nodiscard]] memory::client_account& account() const noexcept
+    {
+        return *account_;
+    }
+
     [[nodiscard]] const exchange_handler& handler() const noexcept
     {
         return handler_;
@@ -84,7 +91,7 @@
 
     void exchange_ended() noexcept { --active_exchanges_; }
 
-    void remove(const connection& ended);
+    void remove(const connection& ended, admission verdict);
 
     /// The answer to a rejection in the shape that the settings choose.
     [[nodiscard]] response answer_to(const rejection& refused) const;
@@ -94,8 +101,16 @@
 
 private:
     boost::asio::awaitable<void> accept_loop();
-    void admit_guarded(boost::asio::ip::tcp::socket socket);
-    void admit(boost::asio::ip::tcp::socket socket);
+    boost::asio::awaitable<void>
+    admit_guarded(boost::asio::ip::tcp::socket socket);
+    boost::asio::awaitable<admission>
+    find_place(memory::client_account::holder& held);
+    [[nodiscard]] memory::grant
+    try_find_place(memory::client_account::holder& held);
+    void admit(
+        boost::asio::ip::tcp::socket socket,
+        memory::client_account::holder held,
+        admission verdict);
     void close_acceptor();
     void accept_waiting();
     [[nodiscard]] std::vector<std::shared_ptr<connection>> connections();
@@ -103,6 +118,7 @@
     boost::asio::io_context& context_;
     server_settings settings_;
     exchange_handler handler_;
+    std::shared_ptr<memory::client_account> account_;
     // The acceptor belongs to a strand of its own.
     boost::asio::ip::tcp::acceptor acceptor_;
     std::atomic<bool> draining_ = false;
@@ -111,6 +127,7 @@
     std::atomic<std::size_t> shed_connections_ = 0;
     std::atomic<std::size_t> active_exchanges_ = 0;
     std::atomic<std::size_t> open_connections_ = 0;
+    std::atomic<std::size_t> refused_connections_ = 0; ///< That are open.
     mutable std::mutex mutex_; // Guards the limits and the register.
     std::unordered_map<const connection*, std::weak_ptr<connection>>
         connections_;
--- a/services/entry/include/godwit/entry/entry_context.hpp
+++ b/services/entry/include/godwit/entry/entry_context.hpp
@@ -16,6 +16,7 @@
 #include <godwit/entry/wait_queue.hpp>
 #include <godwit/entry/wire_codec.hpp>
 #include <godwit/http/connection_pool.hpp>
+#include <godwit/memory/client_account.hpp>
 #include <godwit/placement/cold_servers.hpp>
 #include <godwit/placement/copy_queue.hpp>
 #include <godwit/placement/load_ledger.hpp>
@@ -107,6 +108,8 @@
     admission::recent_prompts completed_prompts;
     std::map<placement::server_id, std::shared_ptr<crash_probe>> crash_probes;
     admission::link_meter link; ///< What callers' requests use of it.
+    /// What clients make this host hold.
+    const std::shared_ptr<memory::client_account> account;
     /// The bodies of responses that are collected before they are delivered.
     admission::byte_budget collected_bodies;
     retry_budgets budgets;
--- a/services/entry/include/godwit/entry/entry_settings.hpp
+++ b/services/entry/include/godwit/entry/entry_settings.hpp
@@ -32,6 +32,12 @@
     /// Addresses at which some other entry hosts may be found.
     std::vector<http::endpoint> seeds;
     std::size_t caller_connections = 3000;
+    /// What the process may use, in megabytes of 10^6 bytes. Half of it is for
+    /// what clients make the host hold.
+    std::size_t memory_mb = 88;
+    /// How many descriptors the process may open. Three quarters of them are
+    /// for clients.
+    std::size_t descriptors = 4096;
     /// Capacity of the host's network link in each direction, in Mbit/s; 0 if
     /// it is not known.
     double link_mbps = 0;
--- a/services/entry/include/godwit/entry/refusal.hpp
+++ b/services/entry/include/godwit/entry/refusal.hpp
@@ -4,6 +4,7 @@
 #include <godwit/core/time.hpp>
 #include <godwit/http/rejection.hpp>
 #include <godwit/http/response.hpp>
+#include <godwit/memory/account_limits.hpp>
 
 #include <optional>
 #include <string_view>
@@ -20,6 +21,7 @@
     unknown_key,     ///< 401.
     no_server,       ///< 503: no server offers the service now.
     no_room,         ///< 503: every server is full.
+    no_memory,       ///< 503: this host holds too much for other requests.
     servers_refused, ///< 503: the servers reported that they did not run it.
     servers_limited, ///< 503: the servers' request limits are used up.
     zones_evacuated, ///< 503: every server is in an evacuated zone.
@@ -34,6 +36,11 @@
     out_of_time,            ///< 504: a server may have run it.
 };
 
+/// Sent as Retry-After by a host without memory. By then, clients that neither
+/// send nor read have lost their place.
+inline constexpr core::duration room_retry_after =
+    memory::account_limits().stall_time;
+
 /// The name of `reason` as it appears in logs and responses.
 [[nodiscard]] std::string_view to_string(refusal_reason reason) noexcept;
 
--- a/services/entry/src/call_messages.cpp
+++ b/services/entry/src/call_messages.cpp
@@ -34,7 +34,7 @@
          received.method,
          received.fields.find("Host").value_or(""),
          received.target,
-         received.body});
+         received.body.text()});
 }
 
 std::vector<admission::request_fingerprint>
--- a/services/entry/src/entry_context.cpp
+++ b/services/entry/src/entry_context.cpp
@@ -13,6 +13,14 @@
 // takes its size twice while it grows.
 constexpr std::size_t max_collected_bytes = std::size_t{16} * 1024 * 1024;
 
+std::shared_ptr<memory::client_account>
+make_account(const entry_settings& settings)
+{
+    constexpr std::size_t megabyte = 1'000'000;
+    return memory::client_account::create(memory::account_limits::for_process(
+        settings.memory_mb * megabyte, settings.descriptors));
+}
+
 http::connection_pool_limits pool_limits()
 {
     http::connection_pool_limits limits;
@@ -52,6 +60,7 @@
           evacuations,
           core::stable_hash(settings.host.value()),
           &loads),
+      account(make_account(settings)),
       collected_bodies(admission::byte_budget::create(max_collected_bytes)),
       budgets(settings), connector(
                              executor,
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -48,8 +48,7 @@
 // The limits in the route table are set by its operator; a buffer of this size
 // for each connection is the most that fits into the memory of a small host.
 constexpr std::size_t max_header_bytes = std::size_t{256} * 1024;
-// Memory for a body is allocated at its start, as much as its caller announces:
-// more than the host has would end the process.
+// More than any host has memory for.
 constexpr std::size_t max_body_bytes = std::size_t{64} * 1024 * 1024;
 
 http::server_limits
@@ -64,6 +63,21 @@
     return clamped;
 }
 
+void log_eviction(const memory::eviction& ended)
+{
+    log_event(
+        log_level::info,
+        component,
+        "client_evicted",
+        {{"activity", memory::to_string(ended.evicted.doing)},
+         {"held_bytes", ended.evicted.held.bytes},
+         {"waited_ms",
+          std::chrono::duration_cast<std::chrono::milliseconds>(ended.waited)
+              .count()},
+         {"used_bytes", ended.used.bytes},
+         {"used_descriptors", ended.used.descriptors}});
+}
+
 http::response reject(const http::rejection& why)
 {
     log_event(
@@ -111,12 +125,14 @@
 
 core::result<void> entry_process::listen()
 {
+    context_.account->observe(&log_eviction);
     http::server_settings callers{
         .address = context_.settings.callers,
         .limits = clamp_limits(
             routing::caller_limits(), context_.settings.caller_connections),
         .on_rejection = &reject,
-        .on_fault = &log_connection_fault};
+        .on_fault = &log_connection_fault,
+        .account = context_.account};
     callers_ = GODWIT_TRY(http::server::create(
         io_,
         std::move(callers),
--- a/services/entry/src/entry_process_operators.cpp
+++ b/services/entry/src/entry_process_operators.cpp
@@ -53,6 +53,19 @@
     set("godwit_requests_waiting",
         "Requests that wait for room at the backend servers.",
         static_cast<double>(context_.queue.size()));
+    const memory::amounts held = context_.account->used();
+    set("godwit_client_memory_bytes",
+        "Memory that clients make this host hold.",
+        static_cast<double>(held.bytes));
+    set("godwit_client_descriptors",
+        "Descriptors that clients make this host hold.",
+        static_cast<double>(held.descriptors));
+    set("godwit_clients_evicted",
+        "Connections that were closed or refused to make room for others.",
+        static_cast<double>(context_.account->evictions()));
+    set("godwit_clients_without_room",
+        "Requests for memory or descriptors for which there was no room.",
+        static_cast<double>(context_.account->refusals()));
     set("godwit_link_use",
         "Share of the host's network link that callers' requests use.",
         context_.link.use(core::monotonic_now()));
--- a/services/entry/src/entry_settings.cpp
+++ b/services/entry/src/entry_settings.cpp
@@ -117,6 +117,10 @@
     GODWIT_TRY(listen.finish(true));
     read.caller_connections = GODWIT_TRY(settings::read_count(
         source, "caller_connections", {1, 65536}, read.caller_connections));
+    read.memory_mb = GODWIT_TRY(settings::read_count(
+        source, "memory_mb", {32, 1'000'000}, read.memory_mb));
+    read.descriptors = GODWIT_TRY(settings::read_count(
+        source, "descriptors", {256, 10'000'000}, read.descriptors));
     read.link_mbps = GODWIT_TRY(
         source.get_number("link_mbps", {0.0, max_link_mbps}, read.link_mbps));
     read.stop_grace =
--- a/services/entry/src/refusal.cpp
+++ b/services/entry/src/refusal.cpp
@@ -36,6 +36,7 @@
     case refusal_reason::routes_outdated:
     case refusal_reason::no_server:
     case refusal_reason::no_room:
+    case refusal_reason::no_memory:
     case refusal_reason::servers_refused:
     case refusal_reason::servers_limited:
     case refusal_reason::zones_evacuated:
@@ -84,6 +85,8 @@
         return "no_server";
     case refusal_reason::no_room:
         return "no_room";
+    case refusal_reason::no_memory:
+        return "no_memory";
     case refusal_reason::servers_refused:
         return "servers_refused";
     case refusal_reason::servers_limited:
@@ -146,6 +149,9 @@
     if (rejection.reason == http::rejection_reason::stopping)
         response.fields.set(
             "Retry-After", format_seconds(admission::shutdown_retry_after));
+    if (rejection.reason == http::rejection_reason::no_room ||
+        rejection.reason == http::rejection_reason::too_many_connections)
+        response.fields.set("Retry-After", format_seconds(room_retry_after));
     return response;
 }
 
--- a/services/proxy/caller_request_reader.cpp
+++ b/services/proxy/caller_request_reader.cpp
@@ -330,7 +330,7 @@
     request.organisation = GODWIT_TRY(read_organisation(received, catalogue_));
     request.key = GODWIT_TRY(read_key(received));
     request.fingerprint = claims::request_fingerprint::of(
-        received.method, received.target, received.body);
+        received.method, received.target, received.body.text());
     request.repeat = GODWIT_TRY(read_repeatability(received));
     request = is_completion
                   ? GODWIT_TRY(read_completion(received, std::move(request)))
