entry: attempts, responses and tunnels draw on the account

A caller got a host that ran out of memory, or an attempt that failed for want of a descriptor and counted against the server. Cause: collected responses had a bound of their own, which ended when they were complete and so did not count while a slow reader took them; exchanges with servers, the kernel's buffers to them and tunnels had none.

Each attempt is a holder: 56 KiB and a descriptor before it connects, then its response as that arrives, which passes to the caller's connection until the caller has taken it. Holds, moves and reports take what they need without a question: they settle runs. A tunnel without room is refused with 503, after which its host asks another neighbour. The kernel's receive buffers to servers are 32 KiB.

The account replaces byte_budget, whose sum could grow beyond its limit by 16 KiB for each holder.

--- a/services/entry/include/godwit/entry/buffered_call.hpp
+++ b/services/entry/include/godwit/entry/buffered_call.hpp
@@ -42,6 +42,7 @@
     {
         placement::server_id server; ///< Empty if nothing was sent.
         std::optional<http::response> response;
+        memory::client_account::holder held;   ///< By the response.
         std::optional<refusal_reason> refusal; ///< Set if there is no response.
         bool may_have_run = true;
         /// The response is delivered only if no other server has a better one.
@@ -111,6 +112,8 @@
     bool are_zones_evacuated_ = false;
     /// Whether no server is in a region that the request may use.
     bool are_regions_empty_ = false;
+    /// Whether this host has no memory for an attempt.
+    bool is_host_exhausted_ = false;
     bool is_caller_disconnected_ = false;
     bool is_delivered_ = false;
     /// Whether the host is about to end and the caller has no response.
--- a/services/entry/include/godwit/entry/entry_context.hpp
+++ b/services/entry/include/godwit/entry/entry_context.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <godwit/admission/byte_budget.hpp>
 #include <godwit/admission/hedging_policy.hpp>
 #include <godwit/admission/link_meter.hpp>
 #include <godwit/admission/recent_prompts.hpp>
@@ -108,10 +107,9 @@
     admission::recent_prompts completed_prompts;
     std::map<placement::server_id, std::shared_ptr<crash_probe>> crash_probes;
     admission::link_meter link; ///< What callers' requests use of it.
-    /// What clients make this host hold.
+    /// What clients make this host hold: their connections, requests,
+    /// responses and tunnels.
     const std::shared_ptr<memory::client_account> account;
-    /// The bodies of responses that are collected before they are delivered.
-    admission::byte_budget collected_bodies;
     retry_budgets budgets;
     wait_queue queue;
     call_registry calls;
--- a/services/entry/include/godwit/entry/event_splitter.hpp
+++ b/services/entry/include/godwit/entry/event_splitter.hpp
@@ -31,6 +31,12 @@
         return pending_.empty();
     }
 
+    /// The bytes of the incomplete event.
+    [[nodiscard]] std::size_t pending_bytes() const noexcept
+    {
+        return pending_.size();
+    }
+
 private:
     std::string pending_;
 };
--- a/services/entry/include/godwit/entry/server_connector.hpp
+++ b/services/entry/include/godwit/entry/server_connector.hpp
@@ -5,6 +5,7 @@
 #include <godwit/core/time.hpp>
 #include <godwit/http/client_stream.hpp>
 #include <godwit/http/endpoint.hpp>
+#include <godwit/http/socket_buffers.hpp>
 #include <godwit/placement/server_directory.hpp>
 #include <godwit/placement/server_reachability.hpp>
 #include <godwit/placement/tunnel_proxy_selector.hpp>
@@ -13,6 +14,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -26,6 +28,10 @@
 class server_connector
 {
 public:
+    /// The kernel's buffers of each connection.
+    static constexpr http::socket_buffers kernel_buffers{
+        std::size_t{32} * 1024, 0};
+
     server_connector(
         const boost::asio::any_io_executor& executor,
         const placement::server_directory& directory,
--- a/services/entry/include/godwit/entry/stream_call.hpp
+++ b/services/entry/include/godwit/entry/stream_call.hpp
@@ -154,6 +154,7 @@
     unsigned runs_ = 0; ///< Runs that a server may have begun.
     /// A server's own failure response, for a caller who gets no better one.
     std::optional<http::response> failure_response_;
+    memory::client_account::holder failure_held_; ///< By that response.
     refusal_reason search_failure_ = refusal_reason::no_room;
     bool is_registered_ = false;
     bool is_waiting_ = true; ///< No server has the request.
--- a/services/entry/include/godwit/entry/tunnel_server.hpp
+++ b/services/entry/include/godwit/entry/tunnel_server.hpp
@@ -2,6 +2,7 @@
 
 #include <godwit/core/result.hpp>
 #include <godwit/http/endpoint.hpp>
+#include <godwit/memory/client_account.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 
@@ -32,12 +33,13 @@
         std::function<void(const http::endpoint& server)> on_unreachable;
     };
 
-    /// Binds and listens; port 0 lets the operating system choose. Fails with
-    /// `unavailable`.
+    /// Binds and listens; port 0 lets the operating system choose. Tunnels draw
+    /// on `account`. Fails with `unavailable`.
     [[nodiscard]] static core::result<std::unique_ptr<tunnel_server>> create(
         const boost::asio::any_io_executor& executor,
         const http::endpoint& address,
-        handlers callbacks);
+        handlers callbacks,
+        std::shared_ptr<memory::client_account> account);
 
     tunnel_server(const tunnel_server&) = delete;
     tunnel_server& operator=(const tunnel_server&) = delete;
--- a/services/entry/include/godwit/entry/upstream.hpp
+++ b/services/entry/include/godwit/entry/upstream.hpp
@@ -7,6 +7,7 @@
 #include <godwit/http/client_stream.hpp>
 #include <godwit/http/request.hpp>
 #include <godwit/http/response_head.hpp>
+#include <godwit/memory/client_account.hpp>
 #include <godwit/placement/backend_server.hpp>
 
 #include <boost/asio/awaitable.hpp>
@@ -34,6 +35,9 @@
 {
     upstream_fault fault = upstream_fault::lost;
     core::error cause;
+    /// Whether this host has no memory or descriptor for the exchange, which
+    /// says nothing about the server. The request was not sent.
+    bool is_host_exhausted = false;
 };
 
 template<class Value>
@@ -97,6 +101,13 @@
     /// runs. `end` is when the server has to have responded.
     boost::asio::awaitable<bool> is_response_whole(core::time_point end);
 
+    /// Takes memory for `bytes` of the response that the caller has not got
+    /// yet. Returns whether there is room.
+    boost::asio::awaitable<bool> hold(std::size_t bytes);
+
+    /// Returns what the response holds, for as long as it is not delivered.
+    [[nodiscard]] memory::client_account::holder take_held();
+
     /// Closes the connection, which makes the server drop the request.
     void cancel() noexcept;
 
@@ -104,6 +115,8 @@
     void release_connection();
 
 private:
+    boost::asio::awaitable<bool> take_exchange_room(core::time_point end);
+    void give_back_exchange_room();
     boost::asio::awaitable<upstream_result<void>> connect(core::time_point end);
     boost::asio::awaitable<upstream_result<http::response_head>>
     send_and_read_head(http::request outgoing, core::time_point end);
@@ -118,6 +131,8 @@
     placement::backend_server server_;
     core::duration connect_timeout_;
     std::optional<http::client_stream> stream_;
+    memory::client_account::holder held_;
+    memory::amounts exchange_room_; ///< Of `held_`, for the connection.
     core::time_point sent_at_{};
     awaited_response awaited_ = awaited_response::to_control_request();
     bool may_follow_unnamed_ = true;
--- a/services/entry/src/buffered_call.cpp
+++ b/services/entry/src/buffered_call.cpp
@@ -390,6 +390,12 @@
                                              : refusal_reason::no_server;
         co_return result;
     }
+    if (!head && head.error().is_host_exhausted) {
+        is_host_exhausted_ = true;
+        result.may_have_run = false;
+        result.refusal = refusal_reason::no_memory;
+        co_return result;
+    }
     if (!head || !body) {
         const upstream_failure failure = head ? body.error() : head.error();
         log_send_failed(
@@ -458,12 +464,14 @@
         head->status,
         context_.codec.response_fields(head->fields),
         std::move(*body)};
+    result.held = exchange->take_held();
     co_return result;
 }
 
 bool buffered_call::may_retry(core::time_point now)
 {
-    if (now >= call_.deadline || refusals_ >= max_refusals)
+    if (now >= call_.deadline || refusals_ >= max_refusals ||
+        is_host_exhausted_)
         return false;
     if (runs_ > 0 &&
         (call_.route.retries != routing::retry_semantics::idempotent ||
@@ -485,6 +493,7 @@
     const core::time_point now = core::monotonic_now();
     metrics_.finished(core::outcome::completed, now);
     context_.link.record_sent(result.response->body.size(), now);
+    call_.exchange.hold(std::move(result.held));
     // Writing fails if the caller has disconnected meanwhile; it needs no
     // response then.
     [[maybe_unused]] const auto sent =
@@ -493,8 +502,10 @@
 
 asio::awaitable<void> buffered_call::refuse(refusal_reason reason)
 {
+    const core::duration shortest =
+        reason == refusal_reason::no_memory ? room_retry_after : retry_after;
     co_await refuse_call(
-        call_, metrics_, reason, std::max(retry_after, limit_wait_));
+        call_, metrics_, reason, std::max(shortest, limit_wait_));
 }
 
 } // namespace godwit::entry
--- a/services/entry/src/entry_context.cpp
+++ b/services/entry/src/entry_context.cpp
@@ -9,10 +9,6 @@
 
 namespace {
 
-// The largest body, and all together: a small host has some 100 MB, and a body
-// takes its size twice while it grows.
-constexpr std::size_t max_collected_bytes = std::size_t{16} * 1024 * 1024;
-
 std::shared_ptr<memory::client_account>
 make_account(const entry_settings& settings)
 {
@@ -60,14 +56,13 @@
           evacuations,
           core::stable_hash(settings.host.value()),
           &loads),
-      account(make_account(settings)),
-      collected_bodies(admission::byte_budget::create(max_collected_bytes)),
-      budgets(settings), connector(
-                             executor,
-                             directory,
-                             settings.zone,
-                             settings.regions,
-                             core::stable_hash(settings.host.value())),
+      account(make_account(settings)), budgets(settings),
+      connector(
+          executor,
+          directory,
+          settings.zone,
+          settings.regions,
+          core::stable_hash(settings.host.value())),
       connections(http::connection_pool::create(executor, pool_limits())),
       metrics(telemetry::metrics::create()), statistics(settings, *metrics)
 {
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -178,7 +178,8 @@
             },
             [this](const http::endpoint& server) {
                 context_.connector.record_connect_failure(server);
-            }}));
+            }},
+        context_.account));
     neighbours_->set_tunnel_address(tunnels_->address());
     context_.connector.set_proxies(
         [this] { return neighbours_->tunnel_proxies(); });
--- a/services/entry/src/server_connector.cpp
+++ b/services/entry/src/server_connector.cpp
@@ -87,7 +87,7 @@
 asio::awaitable<client_result<client_stream>>
 server_connector::open_directly(http::endpoint server, core::duration timeout)
 {
-    client_stream stream = client_stream::create(executor_);
+    client_stream stream = client_stream::create(executor_, kernel_buffers);
     const auto connected = co_await stream.connect(server, timeout);
     if (!connected) {
         record_connect_failure(server);
@@ -108,7 +108,7 @@
         const auto proxy = choose_proxy(server);
         if (!proxy)
             break;
-        client_stream stream = client_stream::create(executor_);
+        client_stream stream = client_stream::create(executor_, kernel_buffers);
         const auto connected = co_await stream.connect_through(
             proxy->address, server, left / proxy_timeout_divisor);
         if (connected)
@@ -187,7 +187,7 @@
             executor_,
             "detour_probe",
             [this, server]() -> asio::awaitable<void> {
-                auto stream = client_stream::create(executor_);
+                auto stream = client_stream::create(executor_, kernel_buffers);
                 const auto connected =
                     co_await stream.connect(server, probe_timeout);
                 if (connected)
--- a/services/entry/src/stream_call.cpp
+++ b/services/entry/src/stream_call.cpp
@@ -190,6 +190,7 @@
 {
     if (failure_response_) {
         metrics_.finished(core::outcome::completed, core::monotonic_now());
+        call_->exchange.hold(std::move(failure_held_));
         [[maybe_unused]] const auto sent =
             co_await call_->exchange.respond(std::move(*failure_response_));
         co_return;
@@ -283,6 +284,10 @@
 {
     const placement::backend_server server = active_->server();
     log_send_failed(*call_, server, "no_head", failure.cause.message());
+    if (failure.is_host_exhausted) {
+        exclude_server(server);
+        return;
+    }
     if (failure.fault != upstream_fault::unreachable)
         record_version_response(
             context_,
@@ -309,6 +314,10 @@
         co_return;
     }
     record_send_failure(failure);
+    if (failure.is_host_exhausted) {
+        co_await respond_unserved(refusal_reason::no_memory);
+        co_return;
+    }
     if (failure.fault == upstream_fault::unreachable)
         co_return;
     ++runs_;
@@ -332,6 +341,7 @@
             head.status,
             context_.codec.response_fields(head.fields),
             std::move(*body)};
+        failure_held_ = active_->take_held();
     } else if (is_lost_run(body.error()) && !is_response_due_)
         record_loss_at(server);
     // A client error is about the request, so that each server repeats it.
@@ -458,6 +468,12 @@
         interrupt(events.error().message());
         co_return false;
     }
+    const bool has_room =
+        co_await active_->hold(event_splitter_.pending_bytes());
+    if (!has_room) {
+        interrupt("there is no memory for an event");
+        co_return false;
+    }
     events_in_response_ += events->size();
     std::string ready;
     const std::uint64_t events_before = timing_.events;
@@ -546,8 +562,11 @@
 
 asio::awaitable<void> stream_call::refuse(refusal_reason reason)
 {
-    co_await refuse_call(
-        *call_, metrics_, reason, search_.retry_after(core::monotonic_now()));
+    const core::duration retry_after =
+        reason == refusal_reason::no_memory
+            ? room_retry_after
+            : search_.retry_after(core::monotonic_now());
+    co_await refuse_call(*call_, metrics_, reason, retry_after);
 }
 
 } // namespace godwit::entry
--- a/services/entry/src/tunnel_server.cpp
+++ b/services/entry/src/tunnel_server.cpp
@@ -33,6 +33,10 @@
 constexpr std::string_view component = "tunnels";
 constexpr std::size_t max_tunnels = 400;
 constexpr std::size_t buffer_bytes = std::size_t{8} * 1024;
+constexpr http::socket_buffers kernel_buffers{std::size_t{32} * 1024, 0};
+// Of a tunnel's two connections.
+constexpr memory::amounts tunnel_amounts{
+    2 * (kernel_buffers.receive_bytes + buffer_bytes), 2};
 constexpr core::duration head_timeout = std::chrono::seconds(2);
 constexpr core::duration connect_timeout = std::chrono::milliseconds(400);
 constexpr core::duration accept_retry_delay = std::chrono::milliseconds(100);
@@ -46,8 +50,9 @@
 /// Both connections of a tunnel.
 struct tunnel
 {
-    explicit tunnel(tcp::socket accepted)
-        : host(std::move(accepted)), server(host.get_executor())
+    tunnel(tcp::socket accepted, memory::client_account& account)
+        : held(account.open(memory::activity::serving)),
+          host(std::move(accepted)), server(host.get_executor())
     {}
 
     void close()
@@ -57,6 +62,7 @@
         server.close(ignored);
     }
 
+    memory::client_account::holder held;
     tcp::socket host; ///< To the entry host that opened the tunnel.
     tcp::socket server;
 };
@@ -128,15 +134,18 @@
 class tunnel_server::state : public std::enable_shared_from_this<state>
 {
 public:
-    state(const asio::any_io_executor& executor, handlers callbacks)
+    state(
+        const asio::any_io_executor& executor,
+        handlers callbacks,
+        std::shared_ptr<memory::client_account> account)
         : executor_(executor), listener_(executor),
-          handlers_(std::move(callbacks)),
+          handlers_(std::move(callbacks)), account_(std::move(account)),
           address_(http::endpoint::parse("0.0.0.0:0").value())
     {}
 
     core::result<void> listen(const http::endpoint& address)
     {
-        address_ = GODWIT_TRY(http::listen(listener_, address));
+        address_ = GODWIT_TRY(http::listen(listener_, address, kernel_buffers));
         return {};
     }
 
@@ -176,7 +185,7 @@
             if (failure && listener_.is_open())
                 co_await async_sleep(executor_, accept_retry_delay);
             if (!failure)
-                serve(std::make_shared<tunnel>(std::move(accepted)));
+                serve(std::make_shared<tunnel>(std::move(accepted), *account_));
         }
     }
 
@@ -230,15 +239,17 @@
             co_await http::read_connect_target(accepted->host, head_timeout);
         if (!server)
             co_return bad_request;
-        const tunnel_verdict verdict = open_tunnels_ > max_tunnels
-                                           ? tunnel_verdict::unavailable
-                                           : handlers_.judge(*server);
+        const tunnel_verdict verdict = has_room(*accepted)
+                                           ? handlers_.judge(*server)
+                                           : tunnel_verdict::unavailable;
         if (verdict == tunnel_verdict::unavailable)
             co_return unavailable;
         if (verdict == tunnel_verdict::unknown_server) {
             log_refused(*server, "the address is not one of a backend server");
             co_return forbidden;
         }
+        accepted->server.open(http::to_tcp(*server).protocol(), failure);
+        kernel_buffers.apply_to(accepted->server);
         const connect_deadline timeout(accepted, connect_timeout);
         co_await accepted->server.async_connect(
             http::to_tcp(*server),
@@ -254,6 +265,13 @@
         co_return bad_gateway;
     }
 
+    [[nodiscard]] bool has_room(tunnel& accepted) const
+    {
+        return open_tunnels_ <= max_tunnels &&
+               accepted.held.try_take(tunnel_amounts, core::monotonic_now()) ==
+                   memory::grant::granted;
+    }
+
     static void
     log_refused(const http::endpoint& server, std::string_view cause)
     {
@@ -267,6 +285,7 @@
     asio::any_io_executor executor_;
     tcp::acceptor listener_;
     handlers handlers_;
+    std::shared_ptr<memory::client_account> account_;
     http::endpoint address_;
     std::size_t open_tunnels_ = 0;
 };
@@ -274,9 +293,11 @@
 core::result<std::unique_ptr<tunnel_server>> tunnel_server::create(
     const asio::any_io_executor& executor,
     const http::endpoint& address,
-    handlers callbacks)
+    handlers callbacks,
+    std::shared_ptr<memory::client_account> account)
 {
-    auto shared = std::make_shared<state>(executor, std::move(callbacks));
+    auto shared = std::make_shared<state>(
+        executor, std::move(callbacks), std::move(account));
     const auto listening = shared->listen(address);
     if (!listening)
         return tl::unexpected(listening.error());
--- a/services/entry/src/upstream.cpp
+++ b/services/entry/src/upstream.cpp
@@ -4,6 +4,8 @@
 #include <godwit/entry/server_limit_exchange.hpp>
 #include <godwit/entry/server_probe.hpp>
 #include <godwit/entry/server_responses.hpp>
+#include <godwit/http/growing_body.hpp>
+#include <godwit/http/take_room.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -29,6 +31,11 @@
 // To skip more costs more than a new connection.
 constexpr std::size_t max_foreign_bytes = std::size_t{1024} * 1024;
 
+// Reading and parsing a response, beside the kernel's buffer.
+constexpr std::size_t exchange_bytes = std::size_t{24} * 1024;
+constexpr memory::amounts exchange_amounts{
+    server_connector::kernel_buffers.receive_bytes + exchange_bytes, 1};
+
 core::duration time_until(core::time_point end)
 {
     return std::max(
@@ -66,11 +73,62 @@
       connect_timeout_(std::clamp(
           objective / connect_timeout_divisor,
           min_connect_timeout,
-          max_connect_timeout))
+          max_connect_timeout)),
+      held_(context.account->open(memory::activity::serving))
 {}
 
+// A control request takes little, and what it settles, like the end of a run,
+// can't wait for room.
+asio::awaitable<bool> upstream::take_exchange_room(core::time_point end)
+{
+    const core::time_point latest =
+        std::min(end, core::monotonic_now() + http::room_timeout);
+    bool has_room = true;
+    if (awaited_.is_control_request())
+        held_.take_existing(exchange_amounts);
+    else
+        has_room = co_await http::take_room(held_, exchange_amounts, latest);
+    if (has_room)
+        exchange_room_ = exchange_amounts;
+    co_return has_room;
+}
+
+void upstream::give_back_exchange_room()
+{
+    held_.give_back(std::exchange(exchange_room_, memory::amounts()));
+}
+
+asio::awaitable<bool> upstream::hold(std::size_t bytes)
+{
+    const std::size_t wanted = exchange_room_.bytes + bytes;
+    const std::size_t held = held_.held().bytes;
+    if (wanted > held)
+        co_return co_await http::take_room(
+            held_,
+            {wanted - held, 0},
+            core::monotonic_now() + http::room_timeout);
+    held_.give_back({held - wanted, 0});
+    co_return true;
+}
+
+memory::client_account::holder upstream::take_held()
+{
+    give_back_exchange_room();
+    return std::exchange(
+        held_, context_.account->open(memory::activity::serving));
+}
+
 asio::awaitable<upstream_result<void>> upstream::connect(core::time_point end)
 {
+    const bool has_room = co_await take_exchange_room(end);
+    if (!has_room)
+        co_return tl::unexpected(upstream_failure{
+            upstream_fault::unreachable,
+            core::error(
+                core::error_kind::exhausted,
+                "this host has no memory for a further exchange",
+                "send the request again later, or to another entry host"),
+            true});
     http::connection_pool& kept = *context_.connections;
     stream_ = may_follow_unnamed_ ? kept.take(server_.address)
                                   : kept.take_after_named(server_.address);
@@ -215,7 +273,6 @@
 upstream::read_all(core::time_point end)
 {
     std::string body;
-    admission::byte_budget::lease memory(context_.collected_bodies);
     while (true) {
         auto chunk = co_await read_some(end);
         if (!chunk)
@@ -230,11 +287,17 @@
                     "check that the server is running and can be reached")});
         if (!chunk->has_value())
             co_return body;
-        if (!memory.try_grow((*chunk)->size()))
+        const std::size_t capacity = http::grown_capacity(
+            body.capacity(), body.size() + (*chunk)->size());
+        const bool has_room =
+            capacity <= context_.account->limits().largest_body_bytes() &&
+            co_await hold(capacity);
+        if (!has_room)
             co_return tl::unexpected(invalid_response(
                 "there is no memory for the response of " +
                 server_.address.to_string() + ", of more than " +
                 std::to_string(body.size()) + " bytes"));
+        http::grow_to(body, capacity);
         body += **chunk;
     }
 }
@@ -295,6 +358,7 @@
             awaited_.attempt_id().empty() ? http::response_naming::unnamed
                                           : http::response_naming::named);
     stream_.reset();
+    give_back_exchange_room();
 }
 
 } // namespace godwit::entry
--- a/tests/lost_runs/undelimited_responses_test.cpp
+++ b/tests/lost_runs/undelimited_responses_test.cpp
@@ -5,8 +5,8 @@
 #include "stream_helpers.hpp"
 #include "testbed.hpp"
 
-#include <godwit/admission/byte_budget.hpp>
 #include <godwit/http/fetch.hpp>
+#include <godwit/memory/client_account.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -360,11 +360,13 @@
     void test_a_last_copy_needs_no_memory_of_whole_bodies()
     {
         constexpr std::size_t most = std::size_t{1} << 20U;
-        std::optional<admission::byte_budget::lease> taken;
+        std::optional<memory::client_account::holder> taken;
         testbed_.run_on_host<bool>([&taken](entry::entry_process& process) {
-            taken.emplace(process.context().collected_bodies);
+            taken.emplace(
+                process.context().account->open(memory::activity::serving));
             for (std::size_t size = most; size > 0;)
-                if (!taken->try_grow(size))
+                if (taken->try_take({size, 0}, core::monotonic_now()) !=
+                    memory::grant::granted)
                     size /= 2;
             return true;
         });
