proxy: callers' and peers' connections draw on one account

godwit-proxy had a bound for each connection and body of callers and of other hosts, and none for their sum. Both listeners draw on one account now, derived from its settings memory_mb and descriptors, and log who had to make room as godwit-entry does. No crowd was played against it.

--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -1,6 +1,7 @@
 #include <godwit/entry/entry_process.hpp>
 
 #include <godwit/telemetry/log.hpp>
+#include <godwit/telemetry/log_client_eviction.hpp>
 #include <godwit/telemetry/log_connection_fault.hpp>
 
 #include <boost/asio/post.hpp>
@@ -63,21 +64,6 @@
     return clamped;
 }
 
-void log_eviction(const memory::eviction& ended)
-{
-    log_event(
-        log_level::info,
-        component,
-        "client_evicted",
-        {{"activity", memory::to_string(ended.evicted.doing)},
-         {"held_bytes", ended.evicted.held.bytes},
-         {"waited_ms",
-          std::chrono::duration_cast<std::chrono::milliseconds>(ended.waited)
-              .count()},
-         {"used_bytes", ended.used.bytes},
-         {"used_descriptors", ended.used.descriptors}});
-}
-
 http::response reject(const http::rejection& why)
 {
     log_event(
@@ -125,7 +111,7 @@
 
 core::result<void> entry_process::listen()
 {
-    context_.account->observe(&log_eviction);
+    context_.account->observe(&telemetry::log_client_eviction);
     http::server_settings callers{
         .address = context_.settings.callers,
         .limits = clamp_limits(
--- a/services/proxy/proxy_process.cpp
+++ b/services/proxy/proxy_process.cpp
@@ -5,6 +5,7 @@
 #include <godwit/core/hash.hpp>
 #include <godwit/http/endpoint.hpp>
 #include <godwit/telemetry/log.hpp>
+#include <godwit/telemetry/log_client_eviction.hpp>
 #include <godwit/telemetry/log_connection_fault.hpp>
 #include <godwit/wire/protocol.hpp>
 
@@ -42,6 +43,17 @@
     return http::endpoint::parse(address.to_string());
 }
 
+std::shared_ptr<memory::client_account>
+make_account(const proxy_settings& settings)
+{
+    constexpr std::size_t megabyte = 1'000'000;
+    auto account =
+        memory::client_account::create(memory::account_limits::for_process(
+            settings.memory_mb * megabyte, settings.descriptors));
+    account->observe(&telemetry::log_client_eviction);
+    return account;
+}
+
 } // namespace
 
 core::result<std::unique_ptr<proxy_process>>
@@ -73,7 +85,7 @@
     : settings_(std::move(settings)), incarnation_(new_incarnation()),
       keys_(std::move(keys)), explanations_(std::move(explanations)),
       answers_(std::move(answers)), metrics_(telemetry::metrics::create()),
-      control_context_(1),
+      account_(make_account(settings_)), control_context_(1),
       traffic_context_(static_cast<int>(settings_.traffic_threads)),
       registry_(settings_.callers.in_flight)
 {}
@@ -114,7 +126,8 @@
         GODWIT_TRY(endpoint_of(settings_.peers_address)),
         {},
         {},
-        &telemetry::log_connection_fault};
+        &telemetry::log_connection_fault,
+        account_};
     peers_ = GODWIT_TRY(http::server::create(
         traffic_context_, std::move(peers), [this](http::exchange& with) {
             return peers_service_->serve(with);
@@ -155,7 +168,8 @@
         [this](const http::rejection& why) {
             return callers_service_->refuse(why);
         },
-        &telemetry::log_connection_fault};
+        &telemetry::log_connection_fault,
+        account_};
     callers_ = GODWIT_TRY(http::server::create(
         traffic_context_, std::move(callers), [this](http::exchange& with) {
             return callers_service_->serve(with);
--- a/services/proxy/proxy_process.hpp
+++ b/services/proxy/proxy_process.hpp
@@ -20,6 +20,7 @@
 #include <godwit/core/identifiers.hpp>
 #include <godwit/core/result.hpp>
 #include <godwit/http/server.hpp>
+#include <godwit/memory/client_account.hpp>
 #include <godwit/request/token_keyring.hpp>
 #include <godwit/settings/exit_code.hpp>
 #include <godwit/telemetry/metrics.hpp>
@@ -67,6 +68,7 @@
     std::unique_ptr<explain_log> explanations_;
     std::unique_ptr<answer_store> answers_;
     std::unique_ptr<telemetry::metrics> metrics_;
+    std::shared_ptr<memory::client_account> account_;
     process_state state_;
     snapshot_cell snapshots_;
     token_ledger ledger_;
--- a/services/proxy/proxy_settings.cpp
+++ b/services/proxy/proxy_settings.cpp
@@ -225,6 +225,10 @@
     read.traffic_threads = GODWIT_TRY(
         read_count(file, "traffic_threads", {1, 64}, read.traffic_threads));
     read.http_limits = GODWIT_TRY(read_http_limits(file));
+    read.memory_mb = GODWIT_TRY(
+        read_count(file, "memory_mb", {32, 1'000'000}, read.memory_mb));
+    read.descriptors = GODWIT_TRY(
+        read_count(file, "descriptors", {256, 10'000'000}, read.descriptors));
     read.callers = GODWIT_TRY(read_callers(file));
     read.http_limits.write_timeout = read.callers.slow_limit;
     read.backend = GODWIT_TRY(read_backend(file));
--- a/services/proxy/proxy_settings.hpp
+++ b/services/proxy/proxy_settings.hpp
@@ -45,6 +45,12 @@
     /// Threads that serve traffic, beside the one for control state.
     std::size_t traffic_threads = 2;
     http::server_limits http_limits;
+    /// What the process may use, in megabytes of 10^6 bytes. Half of it is for
+    /// what callers and other hosts make it hold.
+    std::size_t memory_mb = 512;
+    /// How many descriptors the process may open. Three quarters of them are
+    /// for callers and other hosts.
+    std::size_t descriptors = 16384;
     caller_settings callers;
     backend_settings backend;
     request::life_settings life;
