memory: a connection that has sent nothing waits since it was accepted

A new connection counted as idle since the epoch until its first request had ended, so that the newest connection made room before those that had been idle for longest. open() takes the time now; the new test told the newer holder to end before. The fields of a head count, too, twice its size: as received and as passed on.

--- a/libraries/http/src/connection.hpp
+++ b/libraries/http/src/connection.hpp
@@ -127,6 +127,8 @@
     boost::asio::awaitable<boost::system::error_code> read_more();
     /// Takes memory for the next read and for a body with the bytes read.
     boost::asio::awaitable<bool> make_buffer_room();
+    /// Takes memory for the fields of a head of so many bytes.
+    boost::asio::awaitable<bool> make_head_room(std::size_t bytes);
     boost::asio::awaitable<bool> make_body_room(std::string& body);
     boost::asio::awaitable<void> reject(rejection_reason reason);
     boost::asio::awaitable<void> discard_rest();
--- a/libraries/http/src/connection_request.cpp
+++ b/libraries/http/src/connection_request.cpp
@@ -33,6 +33,10 @@
 // reset the connection and lose the answer on its way.
 constexpr std::chrono::seconds discard_time{1};
 constexpr std::size_t discard_bytes = std::size_t{4} * 1024 * 1024;
+// A head is held as it was received and as it is passed on.
+constexpr std::size_t head_copies = 2;
+// Smaller ones have room in what each connection holds.
+constexpr std::size_t small_head_bytes = std::size_t{2} * 1024;
 constexpr std::string_view continue_head = "HTTP/1.1 100 Continue\r\n\r\n";
 
 } // namespace
@@ -102,11 +106,15 @@
         socket_,
         server_->limits().header_timeout,
         expiry_action::stop_receiving);
+    std::size_t head_bytes = 0;
     error_code failure = beast_http::error::need_more;
     while (failure == beast_http::error::need_more) {
         failure = {};
+        std::size_t parsed = 0;
         if (buffer_.size() > 0)
-            buffer_.consume(parser.put(buffer_.data(), failure));
+            parsed = parser.put(buffer_.data(), failure);
+        buffer_.consume(parsed);
+        head_bytes += parsed;
         const bool is_refused =
             failure && failure != beast_http::error::need_more;
         if (parser.is_header_done() || is_refused)
@@ -115,6 +123,11 @@
         if (!failure)
             failure = beast_http::error::need_more;
     }
+    if (!failure) {
+        const bool has_room = co_await make_head_room(head_bytes);
+        if (!has_room)
+            failure = asio::error::no_memory;
+    }
     // Also when the rest came after all: the receiving side is closed, and
     // would look like a caller that left.
     if (guard.has_expired())
@@ -218,6 +231,15 @@
     co_return has_room && !is_evicted_;
 }
 
+asio::awaitable<bool> connection::make_head_room(std::size_t bytes)
+{
+    if (bytes <= small_head_bytes)
+        co_return true;
+    const bool has_room = co_await take_room(
+        held_, {head_copies * bytes, 0}, core::monotonic_now() + room_timeout);
+    co_return has_room && !is_evicted_;
+}
+
 asio::awaitable<bool> connection::make_body_room(std::string& body)
 {
     const std::size_t before = body.capacity();
--- a/libraries/http/src/server_state.cpp
+++ b/libraries/http/src/server_state.cpp
@@ -104,7 +104,8 @@
             ++shed_connections_;
             co_return;
         }
-        auto held = account_->open(memory::activity::idle);
+        auto held =
+            account_->open(memory::activity::idle, core::monotonic_now());
         const admission verdict = co_await find_place(held);
         admit(std::move(socket), std::move(held), verdict);
     } catch (const std::exception& fault) {
@@ -176,7 +177,8 @@
         acceptor_.accept(socket, failure);
         if (failure)
             break;
-        auto held = account_->open(memory::activity::idle);
+        auto held =
+            account_->open(memory::activity::idle, core::monotonic_now());
         const bool has_place = try_find_place(held) == memory::grant::granted;
         admit(
             std::move(socket),
--- a/libraries/memory/include/godwit/memory/client_account.hpp
+++ b/libraries/memory/include/godwit/memory/client_account.hpp
@@ -55,8 +55,9 @@
     client_account(const client_account&) = delete;
     client_account& operator=(const client_account&) = delete;
 
-    /// Returns a holder of nothing, which is never told to end.
-    [[nodiscard]] holder open(activity doing);
+    /// Returns a holder of nothing that does this since `now`. It is not told
+    /// to end before `on_eviction`.
+    [[nodiscard]] holder open(activity doing, core::time_point now);
 
     /// Sets what is told of each eviction, under the account's lock.
     void observe(eviction_observer observer);
--- a/libraries/memory/src/client_account.cpp
+++ b/libraries/memory/src/client_account.cpp
@@ -12,13 +12,15 @@
     return std::shared_ptr<client_account>(new client_account(limits));
 }
 
-client_account::holder client_account::open(activity doing)
+client_account::holder
+client_account::open(activity doing, core::time_point now)
 {
     const std::lock_guard lock(mutex_);
     const std::uint64_t id = ++last_id_;
     entry opened;
     opened.what.id = id;
     opened.what.doing = doing;
+    opened.what.since = now;
     entries_.emplace(id, std::move(opened));
     return {shared_from_this(), id};
 }
--- a/services/entry/src/tunnel_server.cpp
+++ b/services/entry/src/tunnel_server.cpp
@@ -51,7 +51,7 @@
 struct tunnel
 {
     tunnel(tcp::socket accepted, memory::client_account& account)
-        : held(account.open(memory::activity::serving)),
+        : held(account.open(memory::activity::serving, core::monotonic_now())),
           host(std::move(accepted)), server(host.get_executor())
     {}
 
--- a/services/entry/src/upstream.cpp
+++ b/services/entry/src/upstream.cpp
@@ -74,7 +74,8 @@
           objective / connect_timeout_divisor,
           min_connect_timeout,
           max_connect_timeout)),
-      held_(context.account->open(memory::activity::serving))
+      held_(context.account->open(
+          memory::activity::serving, core::monotonic_now()))
 {}
 
 // A control request takes little, and what it settles, like the end of a run,
@@ -115,7 +116,9 @@
 {
     give_back_exchange_room();
     return std::exchange(
-        held_, context_.account->open(memory::activity::serving));
+        held_,
+        context_.account->open(
+            memory::activity::serving, core::monotonic_now()));
 }
 
 asio::awaitable<upstream_result<void>> upstream::connect(core::time_point end)
--- a/tests/lost_runs/undelimited_responses_test.cpp
+++ b/tests/lost_runs/undelimited_responses_test.cpp
@@ -362,8 +362,8 @@
         constexpr std::size_t most = std::size_t{1} << 20U;
         std::optional<memory::client_account::holder> taken;
         testbed_.run_on_host<bool>([&taken](entry::entry_process& process) {
-            taken.emplace(
-                process.context().account->open(memory::activity::serving));
+            taken.emplace(process.context().account->open(
+                memory::activity::serving, core::monotonic_now()));
             for (std::size_t size = most; size > 0;)
                 if (taken->try_take({size, 0}, core::monotonic_now()) !=
                     memory::grant::granted)
--- a/tests/memory/client_account_test.cpp
+++ b/tests/memory/client_account_test.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(grants_nothing_before_it_came_back);
     CPPUNIT_TEST(tells_no_more_holders_to_end_than_needed);
     CPPUNIT_TEST(tells_a_holder_again_that_went_on);
+    CPPUNIT_TEST(a_new_holder_waits_since_it_was_opened);
     CPPUNIT_TEST(moves_what_another_holder_has);
     CPPUNIT_TEST(many_stalled_bodies_leave_room_for_others);
     CPPUNIT_TEST(slow_readers_leave_room_for_others);
@@ -58,9 +59,8 @@
     client& add_client(activity doing, amounts holds)
     {
         client& added = clients_.emplace_back();
-        added.held = account_->open(doing);
+        added.held = account_->open(doing, now_);
         added.held->on_eviction([&added] { added.is_told = true; });
-        added.held->set_activity(doing, now_);
         CPPUNIT_ASSERT(added.held->try_take(holds, now_) == grant::granted);
         return added;
     }
@@ -95,7 +95,7 @@
         std::deque<client_account::holder> holders;
         std::size_t granted = 0;
         for (int count = 0; count < 400; ++count) {
-            holders.push_back(account_->open(activity::serving));
+            holders.push_back(account_->open(activity::serving, now_));
             if (holders.back().try_take({32 * kib, 0}, now_) == grant::granted)
                 ++granted;
         }
@@ -106,7 +106,7 @@
 
     void gives_back_what_came_free()
     {
-        auto one = account_->open(activity::serving);
+        auto one = account_->open(activity::serving, now_);
         CPPUNIT_ASSERT(one.try_take({7 * mib, 1}, now_) == grant::granted);
         CPPUNIT_ASSERT(one.try_resize(2 * mib, now_) == grant::granted);
         CPPUNIT_ASSERT(account_->used() == (amounts{2 * mib, 1}));
@@ -121,10 +121,10 @@
 
     void keeps_a_reserve_for_small_holders()
     {
-        auto large = account_->open(activity::serving);
+        auto large = account_->open(activity::serving, now_);
         CPPUNIT_ASSERT(large.try_take({8 * mib, 0}, now_) == grant::refused);
         CPPUNIT_ASSERT(large.try_take({7 * mib, 0}, now_) == grant::granted);
-        auto small = account_->open(activity::receiving);
+        auto small = account_->open(activity::receiving, now_);
         CPPUNIT_ASSERT(small.try_take({64 * kib, 0}, now_) == grant::granted);
         CPPUNIT_ASSERT(small.try_take({1, 0}, now_) == grant::refused);
     }
@@ -133,7 +133,7 @@
     {
         client& stalled = add_client(activity::receiving, {7 * mib, 1});
         now_ += seconds(2);
-        auto next = account_->open(activity::receiving);
+        auto next = account_->open(activity::receiving, now_);
         CPPUNIT_ASSERT(next.try_take({mib, 0}, now_) == grant::pending);
         CPPUNIT_ASSERT(stalled.is_told);
         CPPUNIT_ASSERT(next.try_take({mib, 0}, now_) == grant::pending);
@@ -146,7 +146,7 @@
         for (int count = 0; count < 7; ++count)
             add_client(activity::receiving, {mib, 1});
         now_ += seconds(2);
-        auto next = account_->open(activity::receiving);
+        auto next = account_->open(activity::receiving, now_);
         for (int asked = 0; asked < 5; ++asked)
             CPPUNIT_ASSERT(
                 next.try_take({100 * kib, 0}, now_) == grant::pending);
@@ -156,7 +156,7 @@
     void tells_a_holder_again_that_went_on()
     {
         client& kept = add_client(activity::idle, {7 * mib, 1});
-        auto next = account_->open(activity::receiving);
+        auto next = account_->open(activity::receiving, now_);
         CPPUNIT_ASSERT(next.try_take({mib, 0}, now_) == grant::pending);
         CPPUNIT_ASSERT(std::exchange(kept.is_told, false));
         // Its next request came in the meantime.
@@ -166,11 +166,24 @@
         CPPUNIT_ASSERT(kept.is_told);
     }
 
+    // A connection that has sent nothing yet is not the one that waits for
+    // longest.
+    void a_new_holder_waits_since_it_was_opened()
+    {
+        client& older = add_client(activity::idle, {4 * mib, 1});
+        now_ += seconds(1);
+        client& newer = add_client(activity::idle, {3 * mib, 1});
+        auto next = account_->open(activity::receiving, now_);
+        CPPUNIT_ASSERT(next.try_take({mib, 0}, now_) == grant::pending);
+        CPPUNIT_ASSERT(older.is_told);
+        CPPUNIT_ASSERT(!newer.is_told);
+    }
+
     void moves_what_another_holder_has()
     {
-        auto attempt = account_->open(activity::serving);
+        auto attempt = account_->open(activity::serving, now_);
         CPPUNIT_ASSERT(attempt.try_take({mib, 1}, now_) == grant::granted);
-        auto connection = account_->open(activity::serving);
+        auto connection = account_->open(activity::serving, now_);
         CPPUNIT_ASSERT(connection.try_take({kib, 1}, now_) == grant::granted);
         connection.absorb(std::move(attempt));
         CPPUNIT_ASSERT(connection.held() == (amounts{mib + kib, 2}));
@@ -193,11 +206,11 @@
             now_ += milliseconds(100);
         }
         CPPUNIT_ASSERT(account_->used().bytes <= 8 * mib);
-        auto ordinary = account_->open(activity::receiving);
+        auto ordinary = account_->open(activity::receiving, now_);
         CPPUNIT_ASSERT(
             ordinary.try_take({64 * kib, 1}, now_) == grant::granted);
         now_ += seconds(2);
-        auto large = account_->open(activity::receiving);
+        auto large = account_->open(activity::receiving, now_);
         for (std::size_t sent = 0; sent < 4 * mib; sent += block)
             CPPUNIT_ASSERT(take(large, block) == grant::granted);
     }
@@ -206,7 +219,7 @@
     {
         for (int count = 0; count < 7; ++count)
             add_client(activity::sending, {mib, 2});
-        auto next = account_->open(activity::serving);
+        auto next = account_->open(activity::serving, now_);
         CPPUNIT_ASSERT(take(next, mib) == grant::refused);
         now_ += seconds(1);
         CPPUNIT_ASSERT(take(next, mib) == grant::granted);
@@ -219,7 +232,7 @@
             add_client(activity::idle, {24 * kib, 1});
             now_ += milliseconds(1);
         }
-        auto next = account_->open(activity::idle);
+        auto next = account_->open(activity::idle, now_);
         CPPUNIT_ASSERT(next.try_take({24 * kib, 1}, now_) == grant::pending);
         CPPUNIT_ASSERT(clients_.front().is_told);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, end_those_that_were_told());
--- a/tests/platform_adapter/host_memory_test.cpp
+++ b/tests/platform_adapter/host_memory_test.cpp
@@ -68,7 +68,8 @@
             const std::size_t share = account.limits().small_bytes;
             while (account.used().bytes + left < total) {
                 const std::size_t free = total - left - account.used().bytes;
-                taken_.push_back(account.open(memory::activity::serving));
+                taken_.push_back(account.open(
+                    memory::activity::serving, core::monotonic_now()));
                 taken_.back().take_existing({std::min(share, free), 0});
             }
             return true;
