--- a/libraries/memory/include/godwit/memory/client_account.hpp
+++ b/libraries/memory/include/godwit/memory/client_account.hpp
@@ -111,7 +111,8 @@
 };
 
 /// The part of an account that one client's connection, or one piece of work
-/// for it, has; given back when it is destroyed.
+/// for it, has; given back when it is destroyed. One that was moved from has
+/// nothing and may only give back.
 class client_account::holder
 {
 public:
--- a/libraries/memory/src/client_account.cpp
+++ b/libraries/memory/src/client_account.cpp
@@ -218,7 +218,8 @@
 
 void client_account::holder::give_back(amounts less)
 {
-    account_->give_back(id_, less);
+    if (account_)
+        account_->give_back(id_, less);
 }
 
 grant client_account::holder::try_resize(
@@ -244,7 +245,7 @@
 
 amounts client_account::holder::held() const
 {
-    return account_->held(id_);
+    return account_ ? account_->held(id_) : amounts();
 }
 
 } // namespace godwit::memory
--- a/services/entry/include/godwit/entry/upstream.hpp
+++ b/services/entry/include/godwit/entry/upstream.hpp
@@ -53,6 +53,10 @@
     static constexpr core::duration min_connect_timeout =
         std::chrono::milliseconds(80);
 
+    /// An incomplete event of at most this size has room in what each exchange
+    /// takes.
+    static constexpr std::size_t free_event_bytes = std::size_t{8} * 1024;
+
     /// `objective` is the request's latency objective. It bounds the connect
     /// timeout, since a connection attempt that uses it up leaves no time for
     /// another server.
@@ -105,7 +109,8 @@
     /// yet. Returns whether there is room.
     boost::asio::awaitable<bool> hold(std::size_t bytes);
 
-    /// Returns what the response holds, for as long as it is not delivered.
+    /// Returns what the response holds, for as long as it is not delivered. The
+    /// exchange is over then.
     [[nodiscard]] memory::client_account::holder take_held();
 
     /// Closes the connection, which makes the server drop the request.
--- a/services/entry/src/stream_call.cpp
+++ b/services/entry/src/stream_call.cpp
@@ -468,9 +468,9 @@
         interrupt(events.error().message());
         co_return false;
     }
-    const bool has_room =
-        co_await active_->hold(event_splitter_.pending_bytes());
-    if (!has_room) {
+    const std::size_t pending = event_splitter_.pending_bytes();
+    if (pending > upstream::free_event_bytes &&
+        !co_await active_->hold(pending)) {
         interrupt("there is no memory for an event");
         co_return false;
     }
--- a/services/entry/src/upstream.cpp
+++ b/services/entry/src/upstream.cpp
@@ -115,10 +115,7 @@
 memory::client_account::holder upstream::take_held()
 {
     give_back_exchange_room();
-    return std::exchange(
-        held_,
-        context_.account->open(
-            memory::activity::serving, core::monotonic_now()));
+    return std::move(held_);
 }
 
 asio::awaitable<upstream_result<void>> upstream::connect(core::time_point end)
