memory: a refused connection keeps its answer when others need room

One that was refused for want of room holds nothing of the account, so that to close it frees nothing; each further shortage closed it before its 503 had been sent. Such holders are passed over; the new test had the first of two chosen.

--- a/libraries/memory/src/choose_evictions.cpp
+++ b/libraries/memory/src/choose_evictions.cpp
@@ -73,7 +73,7 @@
 {
     std::vector<candidate> candidates;
     for (const holding& one : holdings) {
-        if (one.id == requester.id)
+        if (one.id == requester.id || one.held == amounts())
             continue;
         if (const auto order = rank_of(one, requester, limits, now))
             candidates.push_back({*order, one});
--- a/tests/memory/choose_evictions_test.cpp
+++ b/tests/memory/choose_evictions_test.cpp
@@ -10,6 +10,7 @@
 using godwit::core::duration;
 using godwit::core::time_point;
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 namespace {
 
@@ -28,6 +29,7 @@
     CPPUNIT_TEST(spares_bodies_that_arrive_and_are_smaller);
     CPPUNIT_TEST(a_new_connection_ends_no_request_that_arrives);
     CPPUNIT_TEST(spares_responses_that_are_taken);
+    CPPUNIT_TEST(spares_those_that_hold_nothing);
     CPPUNIT_TEST(counts_descriptors_on_their_own);
     CPPUNIT_TEST_SUITE_END();
 
@@ -117,6 +119,14 @@
         CPPUNIT_ASSERT(choose({kib, 0}).empty());
     }
 
+    // A connection that was refused for want of room still gets its answer.
+    void spares_those_that_hold_nothing()
+    {
+        holdings_.push_back({1, activity::closing, now_ - seconds(1), {}});
+        add(2, activity::idle, milliseconds(0));
+        CPPUNIT_ASSERT(choose({kib, 0}) == ids{2});
+    }
+
     void counts_descriptors_on_their_own()
     {
         holdings_.push_back(
