entry: a stream gives back what a large event held

Once an event above 8 KiB was complete, the attempt kept its memory until the next one as large. Found by reading; the account was too high, never too low.

--- a/services/entry/include/godwit/entry/stream_call.hpp
+++ b/services/entry/include/godwit/entry/stream_call.hpp
@@ -21,6 +21,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -127,6 +128,9 @@
     void record_loss_at(const placement::backend_server& server);
     void release_unused_hold(const placement::backend_server& server);
     void record_event_gap();
+    /// The bytes of an event that is not whole, if each exchange has no room
+    /// for them.
+    [[nodiscard]] std::size_t large_event_bytes() const noexcept;
     boost::asio::awaitable<bool> write_to_caller(std::string ready);
     void on_caller_disconnected();
     void interrupt(std::string_view cause);
@@ -141,6 +145,7 @@
     std::shared_ptr<migrator> migration_;
     placement::zone_rebalancer rebalancer_;
     event_splitter event_splitter_;
+    std::size_t held_event_bytes_ = 0; ///< By `active_`.
     admission::event_sequence sequence_;
     stream_timing timing_;
     stream_observer observer_;
--- a/services/entry/src/stream_call.cpp
+++ b/services/entry/src/stream_call.cpp
@@ -468,8 +468,8 @@
         interrupt(events.error().message());
         co_return false;
     }
-    const std::size_t pending = event_splitter_.pending_bytes();
-    if (pending > upstream::free_event_bytes &&
+    const std::size_t pending = large_event_bytes();
+    if (pending != std::exchange(held_event_bytes_, pending) &&
         !co_await active_->hold(pending)) {
         interrupt("there is no memory for an event");
         co_return false;
@@ -509,6 +509,12 @@
     co_return co_await write_to_caller(std::move(ready));
 }
 
+std::size_t stream_call::large_event_bytes() const noexcept
+{
+    const std::size_t pending = event_splitter_.pending_bytes();
+    return pending > upstream::free_event_bytes ? pending : 0;
+}
+
 asio::awaitable<bool> stream_call::write_to_caller(std::string ready)
 {
     const core::time_point started_at = core::monotonic_now();
