memory: a slow reader that goes on keeps nobody waiting

A client that took bytes between the decision to end it and its turn stays, but counted as ending until its response was done. Others then waited for room that did not come, and were refused without a look at who else could end. Found by reading; the new test got pending where it gets refused now.

--- a/libraries/memory/src/client_account.cpp
+++ b/libraries/memory/src/client_account.cpp
@@ -149,7 +149,8 @@
 {
     const std::lock_guard lock(mutex_);
     entry& changed = entries_.at(id);
-    if (changed.what.doing != doing)
+    // A connection whose client takes bytes again does not end for others.
+    if (changed.what.doing != doing || doing == activity::sending)
         changed.is_evicted = false;
     changed.what.doing = doing;
     changed.what.since = now;
--- a/tests/memory/client_account_test.cpp
+++ b/tests/memory/client_account_test.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(grants_nothing_before_it_came_back);
     CPPUNIT_TEST(tells_no_more_holders_to_end_than_needed);
     CPPUNIT_TEST(tells_a_holder_again_that_went_on);
+    CPPUNIT_TEST(a_slow_reader_that_goes_on_keeps_nobody_waiting);
     CPPUNIT_TEST(a_new_holder_waits_since_it_was_opened);
     CPPUNIT_TEST(moves_what_another_holder_has);
     CPPUNIT_TEST(many_stalled_bodies_leave_room_for_others);
@@ -166,6 +167,19 @@
         CPPUNIT_ASSERT(kept.is_told);
     }
 
+    // One that took bytes after it was told to end stays, so that what it holds
+    // does not come free.
+    void a_slow_reader_that_goes_on_keeps_nobody_waiting()
+    {
+        client& reader = add_client(activity::sending, {7 * mib, 1});
+        now_ += seconds(1);
+        auto next = account_->open(activity::serving, now_);
+        CPPUNIT_ASSERT(next.try_take({mib, 0}, now_) == grant::pending);
+        CPPUNIT_ASSERT(reader.is_told);
+        reader.held->set_activity(activity::sending, now_);
+        CPPUNIT_ASSERT(next.try_take({mib, 0}, now_) == grant::refused);
+    }
+
     // A connection that has sent nothing yet is not the one that waits for
     // longest.
     void a_new_holder_waits_since_it_was_opened()
