--- a/libraries/memory/include/godwit/memory/account_limits.hpp
+++ b/libraries/memory/include/godwit/memory/account_limits.hpp
@@ -18,8 +18,8 @@
     std::size_t reserved_bytes = 0;
     /// A holder with at most this many bytes is small.
     std::size_t small_bytes = std::size_t{64} * 1024;
-    /// A client that has sent or taken no byte for as long may lose its place
-    /// to another one. Also how long a client that is refused has to wait for
+    /// A client that has made no progress for as long may lose its place to
+    /// another one. Also how long a client that is refused has to wait for
     /// room.
     core::duration stall_time = std::chrono::seconds(1);
 
--- a/libraries/memory/include/godwit/memory/holding.hpp
+++ b/libraries/memory/include/godwit/memory/holding.hpp
@@ -25,8 +25,7 @@
 {
     std::uint64_t id = 0;
     activity doing = activity::idle;
-    /// When its client last sent a byte of the request, took all of the
-    /// response before, or ended a request.
+    /// When its activity began or its client last made progress with it.
     core::time_point since{};
     amounts held;
 
--- a/libraries/memory/src/choose_evictions.cpp
+++ b/libraries/memory/src/choose_evictions.cpp
@@ -13,7 +13,7 @@
     refused,        ///< Nothing; the refusal is on its way.
     stalled_sender, ///< A request that has not run and has stopped arriving.
     idle,           ///< A connection without a request.
-    slow_reader,    ///< A response that its client has stopped taking.
+    slow_reader,    ///< A response that its client hardly takes.
     larger_sender,  ///< A request that has not run, larger than the requester.
 };
 
