--- a/review/parts-2/client.py
+++ b/review/parts-2/client.py
@@ -70,6 +70,7 @@
 
     async def run(self):
         host, port = self.address.rsplit(":", 1)
+        writer = None
         try:
             reader, writer = await asyncio.wait_for(
                 asyncio.open_connection(host, int(port), limit=1 << 20), 1
@@ -112,3 +113,6 @@
                     self.ids.append((time.monotonic(), number))
         except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError) as e:
             self.failure = type(e).__name__
+        finally:
+            if writer:
+                writer.close()
