--- a/review/parts-2/entry.py
+++ b/review/parts-2/entry.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import random
 import re
 import shlex
 import signal
@@ -10,16 +11,26 @@
 import tomllib
 
 
+# Below the ports that the kernel gives to outgoing connections, which could
+# take one of these before its host listens.
+PORTS = range(12000, 32000)
+chosen_ports = set()
+
+
 def free_ports(count, host="127.0.0.1"):
-    """Returns ports that are free now; all are held while they are chosen."""
-    held = []
-    for _ in range(count):
-        one = socket.socket()
-        one.bind((host, 0))
-        held.append(one)
-    ports = [one.getsockname()[1] for one in held]
-    for one in held:
-        one.close()
+    """Returns ports that nobody listens on and that weren't returned before."""
+    ports = []
+    while len(ports) < count:
+        port = random.choice(PORTS)
+        if port in chosen_ports:
+            continue
+        with socket.socket() as one:
+            try:
+                one.bind((host, port))
+            except OSError:
+                continue
+        chosen_ports.add(port)
+        ports.append(port)
     return ports
 
 
--- a/review/parts-2/scene.py
+++ b/review/parts-2/scene.py
@@ -13,6 +13,7 @@
 from store import Store
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+# The zones of the site krajevnik-gaz, each with its region.
 ZONES = {"bezigrad": "ljubljana", "vic": "ljubljana", "moste": "ljubljana"}
 SITE_HOST = "register.example"
 KEY = "key-of-tenant-a"
@@ -77,6 +78,7 @@
         self.replicas, self.entries, self.tasks = [], [], []
         self.answers = []  # (entry, path, attempt, sent, status, answered)
         self.versions = 0
+        self.zones = ZONES
         self.note(f"TROUBLE={1 if self.trouble else 0}")
 
     def now(self):
@@ -116,13 +118,15 @@
         return at
 
     async def start_entries(self, zones, seeds=3):
-        for number, zone in enumerate(zones, 1):
-            name = f"front-{zone}-{number}"
-            self.entries.append(
-                Entry(self.root, self.temporary.name, name, zone, ZONES)
-            )
+        added = []
+        for zone in zones:
+            in_zone = [e for e in self.entries if e.zone == zone]
+            name = f"front-{zone}-{len(in_zone) + 1}"
+            one = Entry(self.root, self.temporary.name, name, zone, self.zones)
+            self.entries.append(one)
+            added.append(one)
         addresses = [e.address(e.control) for e in self.entries[:seeds]]
-        for one in self.entries:
+        for one in added:
             one.write_settings(self.store.address, addresses)
             await one.start()
             self.note(f"{one.name} started")
