entry: a host relies only on readers that say that they serve it

Cause: in fleets of ten and more, a host left the list of servers to the reader of its cell by its own copy of the list of hosts. The reader, whose copy was older by up to 5 s, did not count the new host among its cell and sent it nothing, although their link was open.

Change: a load report now says whether its sender serves the recipient, that is, sends it each change of the list that it reads. Only such readers are relied on. A reader goes on telling hosts that left its cell for the time in which the list of hosts spreads, and passes on to hosts that joined or left what it hears from its cell.

--- a/libraries/wire/src/godwit_generated.h
+++ b/libraries/wire/src/godwit_generated.h
@@ -3247,7 +3247,8 @@
     VT_WORK = 4,
     VT_READS_LIST = 6,
     VT_READER = 8,
-    VT_READER_AGE_MS = 10
+    VT_READER_AGE_MS = 10,
+    VT_SERVES_RECIPIENT = 14
   };
   const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::server_work>> *work() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::server_work>> *>(VT_WORK);
@@ -3261,6 +3262,9 @@
   uint32_t reader_age_ms() const {
     return GetField<uint32_t>(VT_READER_AGE_MS, 0);
   }
+  bool serves_recipient() const {
+    return GetField<uint8_t>(VT_SERVES_RECIPIENT, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_WORK) &&
@@ -3270,6 +3274,7 @@
            VerifyOffset(verifier, VT_READER) &&
            verifier.VerifyString(reader()) &&
            VerifyField<uint32_t>(verifier, VT_READER_AGE_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_SERVES_RECIPIENT, 1) &&
            verifier.EndTable();
   }
 };
@@ -3290,6 +3295,9 @@
   void add_reader_age_ms(uint32_t reader_age_ms) {
     fbb_.AddElement<uint32_t>(host_work::VT_READER_AGE_MS, reader_age_ms, 0);
   }
+  void add_serves_recipient(bool serves_recipient) {
+    fbb_.AddElement<uint8_t>(host_work::VT_SERVES_RECIPIENT, static_cast<uint8_t>(serves_recipient), 0);
+  }
   explicit host_workBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3306,11 +3314,13 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<godwit::wire::format::server_work>>> work = 0,
     bool reads_list = false,
     flatbuffers::Offset<flatbuffers::String> reader = 0,
-    uint32_t reader_age_ms = 0) {
+    uint32_t reader_age_ms = 0,
+    bool serves_recipient = false) {
   host_workBuilder builder_(_fbb);
   builder_.add_reader_age_ms(reader_age_ms);
   builder_.add_reader(reader);
   builder_.add_work(work);
+  builder_.add_serves_recipient(serves_recipient);
   builder_.add_reads_list(reads_list);
   return builder_.Finish();
 }
@@ -3325,7 +3335,8 @@
     const std::vector<flatbuffers::Offset<godwit::wire::format::server_work>> *work = nullptr,
     bool reads_list = false,
     const char *reader = nullptr,
-    uint32_t reader_age_ms = 0) {
+    uint32_t reader_age_ms = 0,
+    bool serves_recipient = false) {
   auto work__ = work ? _fbb.CreateVector<flatbuffers::Offset<godwit::wire::format::server_work>>(*work) : 0;
   auto reader__ = reader ? _fbb.CreateString(reader) : 0;
   return godwit::wire::format::Createhost_work(
@@ -3333,7 +3344,8 @@
       work__,
       reads_list,
       reader__,
-      reader_age_ms);
+      reader_age_ms,
+      serves_recipient);
 }
 
 struct cell_work FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/libraries/wire/src/message_reader.cpp
+++ b/libraries/wire/src/message_reader.cpp
@@ -252,7 +252,8 @@
         .work = reader.list<server_work>(table.work()),
         .reads_list = table.reads_list(),
         .reader = reader.text(table.reader()),
-        .reader_age_ms = table.reader_age_ms()};
+        .reader_age_ms = table.reader_age_ms(),
+        .serves_recipient = table.serves_recipient()};
 }
 
 link_claim read(const format::link_claim& table, frame_reader& reader)
--- a/libraries/wire/src/message_writer.cpp
+++ b/libraries/wire/src/message_writer.cpp
@@ -310,7 +310,8 @@
         list(out, value.work),
         value.reads_list,
         out.CreateString(value.reader),
-        value.reader_age_ms);
+        value.reader_age_ms,
+        value.serves_recipient);
 }
 
 flatbuffers::Offset<format::link_claim>
--- a/services/entry/include/godwit/entry/change_audience.hpp
+++ b/services/entry/include/godwit/entry/change_audience.hpp
@@ -15,8 +15,16 @@
     other_cell, ///< From a host of another cell.
 };
 
+/// What a host reads of the list of servers.
+enum class reader_role : std::uint8_t
+{
+    none,
+    reader,  ///< It reads the list for its cell.
+    primary, ///< It reads the list for the fleet.
+};
+
 /// Returns the hosts to which this host passes on the change, if any.
 [[nodiscard]] std::optional<audience>
-change_audience(change_origin origin, bool is_primary_reader) noexcept;
+change_audience(change_origin origin, reader_role role) noexcept;
 
 } // namespace godwit::entry
--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -34,6 +34,7 @@
 #include <boost/asio/signal_set.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -285,6 +286,7 @@
     [[nodiscard]] double load_report_rate() const;
     [[nodiscard]] std::vector<placement::server_work> significant_elsewhere(
         const std::vector<placement::server_work>& sums) const;
+    [[nodiscard]] reader_role own_reader_role() const;
     [[nodiscard]] change_origin origin_of(std::string_view source) const;
     void queue_server_change(
         const placement::server_id& server, std::string_view source);
@@ -297,6 +299,9 @@
         const core::host_name& host, const wire::server_list_offer& offer);
     void offer_server_list();
     [[nodiscard]] std::size_t permanent_readers_in_cell() const;
+    /// Returns how many hosts of this host's cell read the list of servers.
+    [[nodiscard]] std::size_t list_readers_in_cell() const;
+    void on_neighbour_lost(const core::host_name& host);
     [[nodiscard]] dissemination::known_contents known_contents() const;
     [[nodiscard]] std::optional<dissemination::source_position>
     server_list_position() const;
@@ -462,10 +467,8 @@
     report_poller reports_;
     core::time_point polled_at_{};
     server_list_outage outage_;
-    /// Servers whose changes were not sent yet: to all neighbours, and to this
-    /// host's cell.
-    std::set<placement::server_id> unsent_servers_;
-    std::set<placement::server_id> unsent_to_cell_;
+    /// Servers whose changes were not sent yet, by recipients.
+    std::map<audience, std::set<placement::server_id>> unsent_servers_;
     std::size_t server_changes_ = 0; ///< In this tick.
     core::time_point slow_servers_checked_at_{};
     std::set<core::host_name> invalid_gaps_from_; ///< Hosts that were logged.
--- a/services/entry/include/godwit/entry/neighbour_links.hpp
+++ b/services/entry/include/godwit/entry/neighbour_links.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <godwit/core/result.hpp>
+#include <godwit/core/time.hpp>
 #include <godwit/entry/entry_settings.hpp>
 #include <godwit/entry/neighbour_selection.hpp>
 #include <godwit/entry/neighbour_traffic.hpp>
@@ -11,6 +12,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -31,13 +33,20 @@
     /// was received.
     std::function<void(const std::shared_ptr<wire::link>&, wire::message)>
         on_message;
+    /// Called when the last link to a neighbour closed.
+    std::function<void(const core::host_name&)> on_lost = {};
 };
 
 /// The recipients of a broadcast.
 enum class audience
 {
     all,
-    cell,        ///< The hosts of this host's cell.
+    cell, ///< The hosts of this host's cell.
+    /// The hosts of this host's cell and those that left it a moment ago, which
+    /// may rely on this host until they know of another cell.
+    served_hosts,
+    /// Those of the former that joined or left the cell a moment ago.
+    settling_hosts,
     other_cells, ///< The hosts of other cells.
     zone_cells,  ///< The hosts of other cells in this host's zone.
     other_zones, ///< The hosts of other availability zones.
@@ -73,6 +82,11 @@
     /// Starts to accept links and to connect to the settings' seeds.
     void start();
 
+    /// Time in which all hosts learn of a change of the list of hosts. Until
+    /// then, hosts that join or leave a cell may be unknown to some of its
+    /// hosts.
+    static constexpr core::duration settling_time = std::chrono::seconds(15);
+
     /// Connects to those of the settings' seeds that are not linked yet.
     void connect_seeds();
 
@@ -130,6 +144,8 @@
     [[nodiscard]] wire::link_handlers link_callbacks();
     void connect(const http::endpoint& address);
     void update_cell(const std::vector<host_cell>& cells);
+    void update_settling(const std::set<core::host_name>& former_peers);
+    [[nodiscard]] bool is_settling(const core::host_name& host) const;
     [[nodiscard]] std::vector<std::shared_ptr<wire::link>> links() const;
     [[nodiscard]] bool
     is_in_audience(const wire::link& link, audience recipients) const;
@@ -143,6 +159,8 @@
     std::map<http::endpoint, std::shared_ptr<wire::connector>> connectors_;
     placement::host_group cell_;
     std::set<core::host_name> cell_peers_;
+    /// Until when hosts that joined or left the cell are settling.
+    std::map<core::host_name, core::time_point> settling_until_;
     std::size_t cell_count_ = 0;
     neighbour_traffic traffic_;
 };
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -148,6 +148,9 @@
                 const std::shared_ptr<wire::link>& from,
                 wire::message message) {
                 handle_message(from, std::move(message));
+            },
+            [this](const core::host_name& host) {
+                on_neighbour_lost(host);
             }}));
     return listen_for_tunnels();
 }
@@ -274,7 +277,7 @@
 void entry_process::announce_list_read()
 {
     const core::time_point now = core::monotonic_now();
-    if (!readers_.has_reader(neighbours_->cell_peers(), now))
+    if (readers_.serving(neighbours_->cell_peers(), now) == 0)
         readers_.record_own_read(now);
 }
 
@@ -420,6 +423,7 @@
     serve_table_requests();
     readers_.observe(
         neighbours_->cell_peers(),
+        list_readers_in_cell(),
         is_awaiting_neighbours(),
         core::monotonic_now());
     offer_server_list();
--- a/services/entry/src/entry_process_load.cpp
+++ b/services/entry/src/entry_process_load.cpp
@@ -81,11 +81,14 @@
     const bool is_idle = message.work.empty() && !message.reads_list;
     const core::duration interval =
         is_idle ? idle_refresh_interval : load_refresh_interval;
+    // Hosts that rely on this host's reads have to know at once that they end.
     if (differs_only_in_growth(message, last_sent_load_) &&
+        message.reads_list == last_sent_load_.reads_list &&
         now - load_sent_at_ < interval)
         return;
     if (!load_pacer_.may_send(now))
         return;
+    message.serves_recipient = message.reads_list;
     const std::size_t sent = neighbours_->broadcast(message, audience::cell);
     load_pacer_.record_sent(sent, load_report_rate(), now);
     last_sent_load_ = std::move(message);
--- a/services/entry/src/entry_process_neighbours.cpp
+++ b/services/entry/src/entry_process_neighbours.cpp
@@ -34,6 +34,14 @@
 constexpr core::duration min_neighbour_wait = std::chrono::milliseconds(2500);
 constexpr core::duration neighbour_wait_spread = std::chrono::seconds(3);
 
+reader_statement statement_in(const wire::host_work& message)
+{
+    if (!message.reads_list)
+        return reader_statement::none;
+    return message.serves_recipient ? reader_statement::serves
+                                    : reader_statement::reads;
+}
+
 } // namespace
 
 std::vector<wire::message>
@@ -45,7 +53,10 @@
             wire::catalogue_position{context_.routes->version(), 0});
     if (has_servers_)
         messages.emplace_back(server_list_offer());
-    messages.emplace_back(load_message());
+    wire::host_work load = load_message();
+    load.serves_recipient =
+        load.reads_list && neighbours_->is_cell_peer(peer.host);
+    messages.emplace_back(std::move(load));
     if (!context_.quarantine.empty())
         messages.emplace_back(crash_reports_message());
     if (!context_.limits.empty())
@@ -94,11 +105,17 @@
     const placement::server_id& server, std::string_view source)
 {
     const auto recipients =
-        change_audience(origin_of(source), is_primary_list_reader());
-    if (recipients == audience::all)
-        unsent_servers_.insert(server);
-    else if (recipients == audience::cell)
-        unsent_to_cell_.insert(server);
+        change_audience(origin_of(source), own_reader_role());
+    if (recipients)
+        unsent_servers_[*recipients].insert(server);
+}
+
+reader_role entry_process::own_reader_role() const
+{
+    if (is_primary_list_reader())
+        return reader_role::primary;
+    return readers_.is_reader(core::monotonic_now()) ? reader_role::reader
+                                                     : reader_role::none;
 }
 
 change_origin entry_process::origin_of(std::string_view source) const
@@ -135,13 +152,8 @@
 
 void entry_process::broadcast_changed_servers()
 {
-    if (!unsent_servers_.empty())
-        neighbours_->broadcast(
-            servers_message(std::exchange(unsent_servers_, {})));
-    if (!unsent_to_cell_.empty())
-        neighbours_->broadcast(
-            servers_message(std::exchange(unsent_to_cell_, {})),
-            audience::cell);
+    for (const auto& [recipients, servers] : std::exchange(unsent_servers_, {}))
+        neighbours_->broadcast(servers_message(servers), recipients);
 }
 
 void entry_process::handle_message(
@@ -324,16 +336,22 @@
 {
     if (is_awaiting_neighbours())
         return true;
-    return is_large_fleet() &&
-           readers_.may_rely_on(
-               neighbours_->cell_peers(), core::monotonic_now());
+    return is_large_fleet() && readers_.may_rely_on(
+                                   neighbours_->cell_peers(),
+                                   list_readers_in_cell(),
+                                   core::monotonic_now());
+}
+
+void entry_process::on_neighbour_lost(const core::host_name& host)
+{
+    readers_.forget(host);
 }
 
 void entry_process::update_list_readers(
     const core::host_name& host, const wire::host_work& message)
 {
     const core::time_point now = core::monotonic_now();
-    readers_.record_report(host, message.reads_list, now);
+    readers_.record_report(host, statement_in(message), now);
     const core::host_name reader(message.reader);
     if (!reader.empty() && reader != host)
         readers_.record_indirect_report(
--- a/services/entry/src/entry_process_sources.cpp
+++ b/services/entry/src/entry_process_sources.cpp
@@ -30,6 +30,11 @@
     return std::max<std::size_t>(neighbours_->cell_count(), 1);
 }
 
+std::size_t entry_process::list_readers_in_cell() const
+{
+    return 1;
+}
+
 std::size_t entry_process::permanent_readers_in_cell() const
 {
     return dissemination::permanent_readers_of(cell_count());
--- a/services/entry/src/neighbour_links.cpp
+++ b/services/entry/src/neighbour_links.cpp
@@ -4,7 +4,9 @@
 #include <godwit/http/listen.hpp>
 #include <godwit/telemetry/log.hpp>
 
+#include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <random>
 #include <set>
 #include <utility>
@@ -107,7 +109,7 @@
     handlers.on_message = [this](const auto& link, wire::message message) {
         handlers_.on_message(link, std::move(message));
     };
-    handlers.on_close = [](const auto& link, const core::error& why) {
+    handlers.on_close = [this](const auto& link, const core::error& why) {
         if (!link->peer())
             return;
         log_event(
@@ -115,6 +117,8 @@
             component,
             "neighbour_lost",
             {{"neighbour", link->peer()->host}, {"cause", why.message()}});
+        if (handlers_.on_lost && !link_to(link->peer()->host))
+            handlers_.on_lost(link->peer()->host);
     };
     handlers.on_sent =
         [this](
@@ -198,8 +202,12 @@
 // Until this host is listed itself, it treats all hosts as its cell.
 void neighbour_links::update_cell(const std::vector<host_cell>& cells)
 {
+    std::set<core::host_name> former_peers = std::exchange(cell_peers_, {});
+    if (cell_.empty()) {
+        for (const auto& link : links())
+            former_peers.insert(link->peer()->host);
+    }
     cell_ = placement::host_group();
-    cell_peers_.clear();
     cell_count_ = cells.size();
     for (const host_cell& each : cells) {
         std::set<core::host_name> names;
@@ -210,6 +218,32 @@
         cell_ = each.name;
         cell_peers_ = std::move(names);
     }
+    update_settling(former_peers);
+}
+
+void neighbour_links::update_settling(
+    const std::set<core::host_name>& former_peers)
+{
+    const core::time_point now = core::monotonic_now();
+    std::erase_if(settling_until_, [now](const auto& each) {
+        return each.second <= now;
+    });
+    std::vector<core::host_name> changed;
+    std::set_symmetric_difference(
+        former_peers.begin(),
+        former_peers.end(),
+        cell_peers_.begin(),
+        cell_peers_.end(),
+        std::back_inserter(changed));
+    for (const core::host_name& host : changed)
+        settling_until_[host] = now + settling_time;
+}
+
+bool neighbour_links::is_settling(const core::host_name& host) const
+{
+    const auto found = settling_until_.find(host);
+    return found != settling_until_.end() &&
+           core::monotonic_now() < found->second;
 }
 
 bool neighbour_links::is_cell_peer(const core::host_name& host) const
@@ -265,6 +299,10 @@
         return true;
     case audience::cell:
         return is_in_cell;
+    case audience::served_hosts:
+        return is_in_cell || is_settling(link.peer()->host);
+    case audience::settling_hosts:
+        return is_settling(link.peer()->host);
     case audience::other_cells:
         return !is_in_cell;
     case audience::zone_cells:
--- a/tests/entry/change_audience_test.cpp
+++ b/tests/entry/change_audience_test.cpp
@@ -67,13 +67,15 @@
         while (!informed.empty()) {
             const auto [host, origin] = informed.front();
             informed.pop_front();
-            const auto recipients =
-                change_audience(origin, origin == change_origin::own);
+            const auto recipients = change_audience(
+                origin,
+                origin == change_origin::own ? reader_role::primary
+                                             : reader_role::none);
             if (!recipients)
                 continue;
             for (const core::host_name& other : neighbours_.at(host)) {
                 const bool is_peer = cell_of_.at(other) == cell_of_.at(host);
-                if (*recipients == audience::cell && !is_peer)
+                if (*recipients == audience::served_hosts && !is_peer)
                     continue;
                 ++messages;
                 if (reached.insert(other).second)
@@ -114,8 +116,14 @@
     void test_a_reader_of_a_cell_reaches_its_cell()
     {
         CPPUNIT_ASSERT(
-            change_audience(change_origin::own, false) == audience::cell);
-        CPPUNIT_ASSERT(!change_audience(change_origin::own_cell, true));
+            change_audience(change_origin::own, reader_role::reader) ==
+            audience::served_hosts);
+        CPPUNIT_ASSERT(
+            !change_audience(change_origin::own_cell, reader_role::none));
+        // A peer of the cell does not send to hosts that it does not know yet.
+        CPPUNIT_ASSERT(
+            change_audience(change_origin::own_cell, reader_role::reader) ==
+            audience::settling_hosts);
     }
 };
 
--- a/tests/platform_adapter/fake_neighbours.cpp
+++ b/tests/platform_adapter/fake_neighbours.cpp
@@ -15,13 +15,16 @@
 namespace asio = boost::asio;
 
 fake_neighbours::fake_neighbours(
-    std::size_t count, const http::endpoint& host, pull_handler handler)
+    std::size_t count,
+    const http::endpoint& host,
+    pull_handler handler,
+    const std::string& name_prefix)
     : work_(asio::make_work_guard(io_)), pull_handler_(std::move(handler))
 {
     const asio::ip::tcp::endpoint address(
         asio::ip::make_address(host.address()), host.port());
     for (std::size_t at = 0; at < count; ++at)
-        connect("n" + std::to_string(at), address);
+        connect(name_prefix + std::to_string(at), address);
     thread_ = std::thread([this] { io_.run(); });
 }
 
--- a/tests/platform_adapter/fake_neighbours.hpp
+++ b/tests/platform_adapter/fake_neighbours.hpp
@@ -21,7 +21,7 @@
 
 namespace godwit::platform_adapter::test {
 
-/// Entry hosts "n0", "n1", ... that are linked to the one under test and run on
+/// Entry hosts "n0", "n1", ... or with another prefix, that are linked to the one under test and run on
 /// their own thread. All members are thread-safe.
 class fake_neighbours
 {
@@ -32,7 +32,10 @@
 
     /// Connects `count` neighbours to `host`.
     fake_neighbours(
-        std::size_t count, const http::endpoint& host, pull_handler handler);
+        std::size_t count,
+        const http::endpoint& host,
+        pull_handler handler,
+        const std::string& name_prefix = "n");
     ~fake_neighbours();
 
     fake_neighbours(const fake_neighbours&) = delete;
