platform: open reads are given up by what other calls learnt

Cause: a read of the route table that the store holds open for 10 s lost its response in the outage and was waited for until 11.5 s after its start. The reads of the server list had noticed the outage 4 s earlier, but followers did not tell each other, and a host that has just started is not the primary reader, whose reads are short.

Change: once a call is answered after calls failed, each open read that began before it is made again from its position, and pauses after failures end. A read is also given up when it is longer than the policy in force allows, or when another host brought a change that it did not bring within 0.5 s.

--- a/services/entry/include/godwit/entry/entry_context.hpp
+++ b/services/entry/include/godwit/entry/entry_context.hpp
@@ -5,6 +5,7 @@
 #include <godwit/admission/recent_prompts.hpp>
 #include <godwit/admission/request_quarantine.hpp>
 #include <godwit/admission/shutdown_schedule.hpp>
+#include <godwit/dissemination/source_position.hpp>
 #include <godwit/entry/call_registry.hpp>
 #include <godwit/entry/entry_settings.hpp>
 #include <godwit/entry/generation_statistics.hpp>
@@ -158,6 +159,9 @@
     /// platform, which then reads the route table, the server list and the
     /// host records again.
     std::function<void()> on_resumed;
+    /// Called when another host brought a change of this topic; set by the
+    /// platform.
+    std::function<void(dissemination::source_topic)> on_relayed_change;
     /// Whether the host resumed after a suspension and has not read the route
     /// table and the server list again since; false after
     /// `source_refresh::max_duration`; set by the process.
--- a/services/entry/src/entry_process_neighbours.cpp
+++ b/services/entry/src/entry_process_neighbours.cpp
@@ -104,8 +104,10 @@
 void entry_process::queue_server_change(
     const placement::server_id& server, std::string_view source)
 {
-    const auto recipients =
-        change_audience(origin_of(source), own_reader_role());
+    const change_origin origin = origin_of(source);
+    if (origin != change_origin::own && context_.on_relayed_change)
+        context_.on_relayed_change(dissemination::source_topic::servers);
+    const auto recipients = change_audience(origin, own_reader_role());
     if (recipients)
         unsent_servers_[*recipients].insert(server);
 }
--- a/services/entry/src/entry_process_tables.cpp
+++ b/services/entry/src/entry_process_tables.cpp
@@ -89,6 +89,9 @@
          {"bytes", table.text.size()},
          {"routes", content.routes.size()},
          {"organisations", content.organisations.size()}});
+    if (origin_of(table.source) != change_origin::own &&
+        context_.on_relayed_change)
+        context_.on_relayed_change(dissemination::source_topic::tables);
     context_.routes = routes;
     context_.streams.notify_routes_changed();
     table_fetches_.set_own_version(version, core::monotonic_now());
--- a/tests/platform_adapter/topic_follower_test.cpp
+++ b/tests/platform_adapter/topic_follower_test.cpp
@@ -9,6 +9,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <chrono>
+#include <functional>
+#include <optional>
 #include <set>
 #include <stdexcept>
 #include <string>
@@ -28,6 +30,11 @@
     CPPUNIT_TEST(test_it_does_not_read_again_what_was_relayed);
     CPPUNIT_TEST(test_a_relayed_position_that_the_store_lost_is_not_used);
     CPPUNIT_TEST(test_a_resync_reads_what_was_relayed);
+    CPPUNIT_TEST(test_a_read_whose_response_may_be_lost_is_repeated);
+    CPPUNIT_TEST(test_a_read_that_is_longer_than_allowed_now_is_repeated);
+    CPPUNIT_TEST(test_a_read_that_missed_a_relayed_change_is_repeated);
+    CPPUNIT_TEST(test_an_open_read_is_left_alone);
+    CPPUNIT_TEST(test_a_pause_after_failures_ends_when_the_store_responds);
     CPPUNIT_TEST_SUITE_END();
 
     static void fail_once(bool& has_failed)
@@ -262,6 +269,131 @@
         run_for(io, 3500);
         CPPUNIT_ASSERT(reads > 0);
     }
+
+    /// A follower whose open read the store never answers, although the topic
+    /// has a new record.
+    struct silent_topic
+    {
+        boost::asio::io_context io{1};
+        test::fake_store store{io};
+        store_client client{io.get_executor(), store.address()};
+        core::duration long_poll_timeout = std::chrono::seconds(10);
+        std::set<std::string> seen;
+        std::optional<topic_follower> follower;
+
+        silent_topic()
+        {
+            store.put("t", "first", "1");
+            topic_poll_policy policy;
+            policy.long_poll_timeout = [this] {
+                return long_poll_timeout;
+            };
+            policy.max_retry_delay = [] {
+                return std::chrono::seconds(10);
+            };
+            topic_handlers handlers;
+            handlers.on_snapshot =
+                [this](const std::vector<keyed_record>& records) {
+                    for (const keyed_record& record : records)
+                        seen.insert(record.key);
+                };
+            handlers.on_record = [this](const keyed_record& record) {
+                seen.insert(record.key);
+            };
+            follower.emplace(io.get_executor(), client, "t", policy, handlers);
+            follower->start();
+            run_until([this] { return seen.contains("first"); });
+            run_for(std::chrono::milliseconds(100));
+            store.drop_open_reads();
+            store.put("t", "second", "2");
+            run_for(std::chrono::milliseconds(100));
+        }
+
+        void run_for(std::chrono::milliseconds span)
+        {
+            const auto end = std::chrono::steady_clock::now() + span;
+            while (std::chrono::steady_clock::now() < end)
+                io.run_one_for(std::chrono::milliseconds(10));
+        }
+
+        bool run_until(const std::function<bool()>& condition)
+        {
+            const auto end =
+                std::chrono::steady_clock::now() + std::chrono::seconds(5);
+            while (!condition() && std::chrono::steady_clock::now() < end)
+                io.run_one_for(std::chrono::milliseconds(10));
+            return condition();
+        }
+
+        bool sees_second()
+        {
+            return run_until([this] { return seen.contains("second"); });
+        }
+    };
+
+    void test_a_read_whose_response_may_be_lost_is_repeated()
+    {
+        silent_topic topic;
+        topic.follower->handle_loss(core::monotonic_now());
+        CPPUNIT_ASSERT(topic.sees_second());
+    }
+
+    void test_a_read_that_is_longer_than_allowed_now_is_repeated()
+    {
+        silent_topic topic;
+        topic.long_poll_timeout = std::chrono::milliseconds(100);
+        CPPUNIT_ASSERT(topic.run_until([&topic] {
+            topic.follower->check_read();
+            return topic.seen.contains("second");
+        }));
+    }
+
+    void test_a_read_that_missed_a_relayed_change_is_repeated()
+    {
+        silent_topic topic;
+        topic.follower->record_relayed_change();
+        CPPUNIT_ASSERT(topic.run_until([&topic] {
+            topic.follower->check_read();
+            return topic.seen.contains("second");
+        }));
+    }
+
+    // Each call to the store has a cost.
+    void test_an_open_read_is_left_alone()
+    {
+        silent_topic topic;
+        const auto began_before = core::monotonic_now();
+        topic.follower->handle_loss(began_before);
+        CPPUNIT_ASSERT(topic.sees_second());
+        topic.run_for(std::chrono::milliseconds(200));
+        const unsigned calls = topic.store.calls();
+        topic.follower->handle_loss(began_before);
+        topic.follower->check_read();
+        topic.run_for(std::chrono::milliseconds(200));
+        CPPUNIT_ASSERT_EQUAL(calls, topic.store.calls());
+    }
+
+    void test_a_pause_after_failures_ends_when_the_store_responds()
+    {
+        silent_topic topic;
+        topic.follower->handle_loss(core::monotonic_now());
+        CPPUNIT_ASSERT(topic.sees_second());
+        constexpr unsigned unavailable = 503;
+        topic.store.set_status(unavailable);
+        topic.store.put("t", "third", "3");
+        topic.long_poll_timeout = std::chrono::milliseconds(100);
+        topic.follower->handle_loss(core::monotonic_now());
+        // The pauses are 0.2, 0.4, 0.8, 1.6 and 3.2 seconds.
+        topic.run_for(std::chrono::milliseconds(3500));
+        topic.store.set_status(0);
+        const auto responds_at = std::chrono::steady_clock::now();
+        topic.follower->handle_loss(core::monotonic_now());
+        CPPUNIT_ASSERT(
+            topic.run_until([&topic] { return topic.seen.contains("third"); }));
+        CPPUNIT_ASSERT(
+            std::chrono::steady_clock::now() - responds_at <
+            std::chrono::seconds(1));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(topic_follower_test);
