entry: no cell depends on one reader of the server list

Cause: each cell had one reader, whose end showed by the age of its reports, after 2 s and more. The readers of other cells had read the change within 0.5 s and told their own cells only; the primary reader, which tells all, was the one that had stopped.

Any reader tells other cells what it read 0.25 s later unless the primary reader or another cell has told of it by then, so that nothing is sent twice while the primary reader works.

--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -23,6 +23,7 @@
 #include <godwit/entry/table_request_queue.hpp>
 #include <godwit/entry/tunnel_server.hpp>
 #include <godwit/entry/wire_codec.hpp>
+#include <godwit/entry/withheld_changes.hpp>
 #include <godwit/http/server.hpp>
 #include <godwit/placement/server_directory.hpp>
 #include <godwit/placement/server_list_comparison.hpp>
@@ -160,6 +161,10 @@
     /// any reader will do.
     [[nodiscard]] bool may_rely_on_other_readers() const;
 
+    /// Returns whether this host is the first by name of its cell that reads
+    /// the server list, in a fleet that is too large for each host to read it.
+    [[nodiscard]] bool is_first_list_reader_of_cell() const;
+
     /// Returns whether this host may rely on other hosts of its cell to read
     /// the route table, whose versions reach this host as announcements.
     [[nodiscard]] bool may_rely_on_table_readers();
@@ -292,6 +297,8 @@
         const placement::server_id& server, std::string_view source);
     void schedule_change_broadcast();
     void broadcast_changed_servers();
+    void broadcast_withheld_changes();
+    [[nodiscard]] bool tells_other_cells(const core::host_name& host) const;
     [[nodiscard]] wire::listed_servers
     servers_message(const std::set<placement::server_id>& ids) const;
     [[nodiscard]] wire::server_list_offer server_list_offer() const;
@@ -469,7 +476,8 @@
     server_list_outage outage_;
     /// Servers whose changes were not sent yet, by recipients.
     std::map<audience, std::set<placement::server_id>> unsent_servers_;
-    std::size_t server_changes_ = 0; ///< In this tick.
+    withheld_changes withheld_changes_; ///< From other cells.
+    std::size_t server_changes_ = 0;    ///< In this tick.
     core::time_point slow_servers_checked_at_{};
     std::set<core::host_name> invalid_gaps_from_; ///< Hosts that were logged.
     /// Hosts whose malformed crash reports were logged.
--- a/services/entry/src/entry_process.cpp
+++ b/services/entry/src/entry_process.cpp
@@ -415,6 +415,7 @@
     shed_load();
     context_.queue.wake_first();
     broadcast_changed_servers();
+    broadcast_withheld_changes();
     log_further_server_changes();
     broadcast_load();
     broadcast_cell_load();
--- a/services/entry/src/entry_process_neighbours.cpp
+++ b/services/entry/src/entry_process_neighbours.cpp
@@ -110,6 +110,26 @@
     const auto recipients = change_audience(origin, own_reader_role());
     if (recipients)
         unsent_servers_[*recipients].insert(server);
+    const bool is_own_and_withheld =
+        origin == change_origin::own && recipients == audience::served_hosts;
+    if (is_own_and_withheld)
+        withheld_changes_.add(server, core::monotonic_now());
+}
+
+void entry_process::broadcast_withheld_changes()
+{
+    const auto due = withheld_changes_.take_due(core::monotonic_now());
+    if (!due.empty())
+        neighbours_->broadcast(servers_message(due), audience::other_cells);
+}
+
+// The primary reader and the readers of other cells send what they read to all
+// cells, the other readers of this host's cell only to this cell.
+bool entry_process::tells_other_cells(const core::host_name& host) const
+{
+    const auto primary = readers_.first_other_reader(core::monotonic_now());
+    const bool is_primary = primary && primary->first == host;
+    return is_primary || !neighbours_->is_cell_peer(host);
 }
 
 reader_role entry_process::own_reader_role() const
@@ -264,14 +284,19 @@
 void entry_process::handle_servers(
     const core::host_name& host, const wire::listed_servers& message)
 {
+    const bool is_known_to_others = tells_other_cells(host);
     for (const wire::listed_server& listed : message.servers) {
         const auto address = http::endpoint::parse(listed.address.value());
         if (!address)
             continue;
         const bool is_draining = listed.state != wire::server_state::live;
+        const placement::server_id id(listed.id);
+        if (is_known_to_others &&
+            context_.directory.is_usable(id) != is_draining)
+            withheld_changes_.remove(id);
         add_or_update_server(
             placement::backend_server{
-                placement::server_id(listed.id),
+                id,
                 listed.service,
                 *address,
                 listed.zone,
@@ -334,6 +359,13 @@
     return core::monotonic_now() - started_at_ < wait;
 }
 
+bool entry_process::is_first_list_reader_of_cell() const
+{
+    const core::time_point now = core::monotonic_now();
+    return is_large_fleet() && readers_.is_reader(now) &&
+           readers_.serving_earlier(neighbours_->cell_peers(), now) == 0;
+}
+
 bool entry_process::may_rely_on_other_readers() const
 {
     if (is_awaiting_neighbours())
--- a/tests/platform_adapter/list_readers_test.cpp
+++ b/tests/platform_adapter/list_readers_test.cpp
@@ -55,6 +55,8 @@
     CPPUNIT_TEST(test_a_host_that_joins_the_cell_is_told_what_its_peers_sent);
     CPPUNIT_TEST(test_a_host_rests_while_readers_serve_it);
     CPPUNIT_TEST(test_a_reader_whose_link_closed_is_not_relied_on);
+    CPPUNIT_TEST(test_a_cell_does_not_depend_on_one_reader);
+    CPPUNIT_TEST(test_other_cells_are_told_when_the_primary_reader_is_silent);
     CPPUNIT_TEST_SUITE_END();
 
     /// The shortest time in which a server that leaves must get no more
@@ -75,28 +77,29 @@
             2, testbed_.neighbours(), &no_table, "a");
     }
 
-    void list_host(const std::string& name)
+    void list_host(const std::string& name, const std::string& zone = "east")
     {
-        testbed_.store().put("keyed.hosts", name, "127.0.0.1:1/east");
+        testbed_.store().put("keyed.hosts", name, "127.0.0.1:1/" + zone);
     }
 
+    // A large fleet reads the list of hosts each five seconds.
     void wait_for_fleet(std::size_t size)
     {
-        testbed::wait_until("the fleet", [this, size] {
+        CPPUNIT_ASSERT(becomes_true(milliseconds(10000), [this, size] {
             return testbed_.run_on_host<bool>(
                 [size](entry::entry_process& process) {
                     return process.fleet_size() == size;
                 });
-        });
+        }));
     }
 
-    // A fleet of 13 hosts, all in one cell.
-    void list_fleet()
+    // A fleet of 13 hosts, all in one cell unless "a1" is in another zone.
+    void list_fleet(const std::string& last_zone = "east")
     {
         for (int number = 0; number < 10; ++number)
             list_host("other" + std::to_string(number));
         list_host("a0");
-        list_host("a1");
+        list_host("a1", last_zone);
         wait_for_fleet(13);
     }
 
@@ -255,6 +258,38 @@
         CPPUNIT_ASSERT(becomes_true(
             milliseconds(700), [this] { return !relies_on_others(); }));
     }
+
+    // The reader goes on stating that it serves while its read of the store
+    // hangs.
+    void test_a_cell_does_not_depend_on_one_reader()
+    {
+        testbed_.start();
+        const auto readers = link_readers();
+        list_fleet();
+        const repeater reports(
+            [&readers] { readers->send_from(0, serving_report()); });
+        std::this_thread::sleep_for(milliseconds(3500));
+        drain_first_server();
+        CPPUNIT_ASSERT(becomes_true(drain_bound, [this] {
+            return !is_usable(testbed_.first_server().id());
+        }));
+    }
+
+    // "a0" is the primary reader, and "a1" is in another cell. The links open
+    // when the cells are known, so that "a1" never was in the cell.
+    void test_other_cells_are_told_when_the_primary_reader_is_silent()
+    {
+        testbed_.start();
+        list_fleet("west");
+        const auto readers = link_readers();
+        const repeater reports(
+            [&readers] { readers->send_from(0, report(true)); });
+        std::this_thread::sleep_for(milliseconds(500));
+        drain_first_server();
+        CPPUNIT_ASSERT(becomes_true(drain_bound, [this, &readers] {
+            return was_told(*readers, testbed_.first_server().id());
+        }));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(list_readers_test);
