http: a status above 599 is no answer

A server in trouble may answer with a status that is none of HTTP.

Cause: the reader of heads checked the lower end of the statuses only. It now refuses whatever is outside 100 to 599, so that the caller gets 502.

--- a/libraries/http/src/client_stream.cpp
+++ b/libraries/http/src/client_stream.cpp
@@ -36,6 +36,7 @@
 constexpr std::uint32_t head_limit = 64 * 1024;
 constexpr unsigned first_status = 100;
 constexpr unsigned first_final_status = 200;
+constexpr unsigned last_status = 599;
 // More than any server has a use for; each more would be read until the
 // deadline.
 constexpr unsigned max_interim_heads = 16;
@@ -301,8 +302,9 @@
         held.parser->skip(held.asked_head);
         co_await held.read_header(failure);
         const unsigned status = held.parser->get().result_int();
-        // Passed on, it would look like an interim answer (RFC 9110, 15).
-        if (!failure && status < first_status)
+        // Such a status is of no class (RFC 9110, section 15). A caller may
+        // take one below the first for that of an interim answer.
+        if (!failure && (status < first_status || status > last_status))
             failure = beast_http::error::bad_status;
         is_interim = !failure && status < first_final_status;
     }
--- a/tests/http/pieces_test.cpp
+++ b/tests/http/pieces_test.cpp
@@ -163,12 +163,16 @@
         CPPUNIT_ASSERT(!answer.has_value());
     }
 
-    // A caller that got such a status took it for an interim one and waited.
+    // A caller that got such a status took it for an interim one and waited, or
+    // for an answer.
     void test_answer_with_a_status_that_is_none()
     {
-        const auto answer =
-            fetched_whole({"HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\nab"});
-        CPPUNIT_ASSERT(!answer.has_value());
+        for (const std::string status :
+             {"000", "001", "099", "600", "999", "1000", "20", "-20", "2x0"}) {
+            const auto answer = fetched_whole(
+                {"HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\nab"});
+            CPPUNIT_ASSERT_MESSAGE(status, !answer.has_value());
+        }
     }
 
     void test_answer_byte_by_byte()
