entry: what a stable source drops has left, also after an outage

Cause: a host took removed entries for expired ones until 4 s after it had noticed that the store is back, and used their servers for 2 s more.

Change: the recovery ends 2 s after the host reached the store, and no later than 3 s after the last failed read began, since the store may have been back from then on. A failed call's duration counts as part of the pause after it.

--- a/services/entry/include/godwit/entry/entry_process.hpp
+++ b/services/entry/include/godwit/entry/entry_process.hpp
@@ -97,6 +97,12 @@
     /// reports that are no newer than what was read are ignored.
     void set_server_list_current(bool is_current);
 
+    /// Records that a read of the server list that began at `began_at` failed.
+    void record_failed_list_read(core::time_point began_at)
+    {
+        outage_.record_failed_read(began_at);
+    }
+
     /// Records that the server list was read from the store just now.
     void record_list_read();
 
--- a/services/entry/include/godwit/entry/server_list_outage.hpp
+++ b/services/entry/include/godwit/entry/server_list_outage.hpp
@@ -26,12 +26,27 @@
     static constexpr core::duration recovery_detection_skew =
         std::chrono::milliseconds(800);
     /// Time after the source's recovery during which entries that expired in
-    /// the outage may still be reported as dropped.
-    static constexpr core::duration recovery_period = std::chrono::seconds(4);
+    /// the outage may still be reported as dropped: live servers are listed
+    /// again within two seconds.
+    static constexpr core::duration recovery_period = std::chrono::seconds(2);
+    /// Time after the end of an outage from which on an entry that the source
+    /// drops belongs to a server that leaves.
+    static constexpr core::duration stability_time = std::chrono::seconds(3);
+    /// Shortest recovery, in which this host applies the list as it was read
+    /// when the source recovered.
+    static constexpr core::duration min_recovery_period =
+        std::chrono::milliseconds(100);
 
     /// Sets whether this host can read the list.
     void set_current(bool is_current, core::time_point now);
 
+    /// Records that a read that began at `began_at` failed: the outage lasted
+    /// at least until then.
+    void record_failed_read(core::time_point began_at)
+    {
+        failed_read_began_at_ = began_at;
+    }
+
     /// Records that the source restarted from an older copy of the list;
     /// servers whose entries are missing from it register again.
     void record_restore(core::time_point now);
@@ -45,11 +60,15 @@
     [[nodiscard]] placement::source_state state_at(core::time_point now) const;
 
 private:
+    [[nodiscard]] core::time_point
+    end_of_recovery(core::time_point recovered_at) const;
+
     bool is_current_ = false;
     std::optional<core::time_point> lost_at_;
     /// The first report during the outage which proves that other hosts were
     /// served.
     std::optional<core::time_point> others_served_since_;
+    std::optional<core::time_point> failed_read_began_at_; ///< The latest one.
     core::time_point recovering_until_{};
 };
 
--- a/services/entry/src/server_list_outage.cpp
+++ b/services/entry/src/server_list_outage.cpp
@@ -1,5 +1,7 @@
 #include <godwit/entry/server_list_outage.hpp>
 
+#include <algorithm>
+
 namespace godwit::entry {
 
 void server_list_outage::set_current(bool is_current, core::time_point now)
@@ -16,7 +18,22 @@
         others_served_since_ &&
         *others_served_since_ + recovery_detection_skew <= now;
     if (lost_at_ && !others_were_served)
-        recovering_until_ = now + recovery_period;
+        recovering_until_ = end_of_recovery(now);
+}
+
+// The source may have recovered at any time since the last read that failed
+// began. Live servers are listed again within a recovery period, and what is
+// dropped after the stability time was dropped because its server leaves.
+core::time_point
+server_list_outage::end_of_recovery(core::time_point recovered_at) const
+{
+    const core::time_point latest = recovered_at + recovery_period;
+    if (!failed_read_began_at_)
+        return latest;
+    return std::clamp(
+        *failed_read_began_at_ + stability_time,
+        recovered_at + min_recovery_period,
+        latest);
 }
 
 void server_list_outage::record_restore(core::time_point now)
