entry: no stream is moved to a server that leaves

Cause: a migration asked before each copy and before it sent the request whether the zone and the region of the destination allowed it, but not whether the destination was still usable; a copy waits up to 2.3 s for its link.

Change: the destination has to be usable before each copy, after the wait for the link, and before the run is stopped for the last one. A run goes on where its memory is only while that server is usable or left less than 1 s ago.

--- a/libraries/placement/include/godwit/placement/server_directory.hpp
+++ b/libraries/placement/include/godwit/placement/server_directory.hpp
@@ -56,6 +56,11 @@
     static constexpr core::duration announced_retention =
         std::chrono::minutes(10);
 
+    /// Time after a server left in which a run may still go on there. A leaving
+    /// server gets requests for two seconds, some of which pass before its
+    /// record is read.
+    static constexpr core::duration resume_grace = std::chrono::seconds(1);
+
     static constexpr core::duration departure_span = std::chrono::seconds(1);
     static constexpr core::duration departure_memory = std::chrono::seconds(15);
 
@@ -95,6 +100,11 @@
     /// Whether the server is known and not draining.
     [[nodiscard]] bool is_usable(const server_id& id) const;
 
+    /// Whether a run whose KV cache is at this process of the server may go on
+    /// there: it is usable or left a moment ago.
+    [[nodiscard]] bool
+    may_resume_at(const backend_server& server, core::time_point now) const;
+
     /// When this host first saw the server drain.
     [[nodiscard]] std::optional<core::time_point>
     left_at(const server_id& id) const;
--- a/libraries/placement/src/server_directory.cpp
+++ b/libraries/placement/src/server_directory.cpp
@@ -301,6 +301,16 @@
     return found != servers_.end() && !found->second.left_at;
 }
 
+bool server_directory::may_resume_at(
+    const backend_server& server, core::time_point now) const
+{
+    const auto found = servers_.find(server.id);
+    if (found == servers_.end() || found->second.server.start != server.start)
+        return false;
+    const auto& left_at = found->second.left_at;
+    return !left_at || now - *left_at < resume_grace;
+}
+
 std::optional<core::time_point>
 server_directory::left_at(const server_id& id) const
 {
--- a/services/entry/src/migrator.cpp
+++ b/services/entry/src/migrator.cpp
@@ -264,7 +264,8 @@
 
 bool migrator::may_copy_to_destination() const
 {
-    return !context_.evacuations.is_evacuated(destination_->zone) &&
+    return context_.directory.is_usable(destination_->id) &&
+           !context_.evacuations.is_evacuated(destination_->zone) &&
            may_process_in(context_, *call_, destination_->zone);
 }
 
@@ -272,16 +273,16 @@
 {
     int failures = 0;
     for (int copies = 0; copies < max_pre_copies && !is_stopped_;) {
-        if (!may_copy_to_destination()) {
-            excluded_.push_back(destination_->id);
-            co_return pre_copy_result::no_capacity;
-        }
         // The first copy is long, so it must not start on links that other
         // hosts have claimed. The later, short copies claim the links for
         // this migration.
         if (copies == 0)
             co_await wait_for_links();
-        else
+        if (!may_copy_to_destination()) {
+            excluded_.push_back(destination_->id);
+            co_return pre_copy_result::no_capacity;
+        }
+        if (copies > 0)
             claim_links(link_claim_duration);
         const core::time_point started_at = core::monotonic_now();
         const copy_response response = co_await copy(copy_phase::pre_copy);
@@ -342,6 +343,8 @@
         const core::zone_name& zone = source_->server().zone;
         const bool may_stay =
             context_.evacuations.may_resume(zone, core::monotonic_now()) &&
+            context_.directory.may_resume_at(
+                source_->server(), core::monotonic_now()) &&
             may_process_in(context_, *call_, zone);
         migrated_ = migrated_run{source_->server(), *response.handle};
         if (!may_stay && pre_copied_)
--- a/services/entry/src/stream_call_migration.cpp
+++ b/services/entry/src/stream_call_migration.cpp
@@ -172,6 +172,10 @@
     const core::zone_name& zone = migrated->destination.zone;
     if (!context_.evacuations.may_resume(zone, core::monotonic_now()))
         co_return std::nullopt;
+    // Likewise, the destination may have left.
+    if (!context_.directory.may_resume_at(
+            migrated->destination, core::monotonic_now()))
+        co_return std::nullopt;
     // Likewise, the region may have been withdrawn.
     if (!may_process_in(context_, *call_, zone))
         co_return std::nullopt;
--- a/tests/placement/server_directory_test.cpp
+++ b/tests/placement/server_directory_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(test_a_server_that_registers_again_stays);
     CPPUNIT_TEST(test_a_new_server_replaces_the_one_at_its_address);
     CPPUNIT_TEST(test_departed_servers_are_forgotten);
+    CPPUNIT_TEST(test_a_run_may_go_on_where_it_is_for_a_moment);
     CPPUNIT_TEST(test_servers_of_the_initial_list_did_not_join);
     CPPUNIT_TEST(test_a_restarted_server_replaces_its_former_incarnation);
     CPPUNIT_TEST(test_a_server_may_restart_while_it_drains);
@@ -128,6 +129,23 @@
         CPPUNIT_ASSERT(directory_.is_usable(server_id("i-2")));
     }
 
+    // A run whose KV cache is at a leaving server reached it at any later time.
+    void test_a_run_may_go_on_where_it_is_for_a_moment()
+    {
+        const auto server = sample_server(1);
+        CPPUNIT_ASSERT(!directory_.may_resume_at(server, at_ms(0)));
+        directory_.update(server, at_ms(0));
+        CPPUNIT_ASSERT(directory_.may_resume_at(server, at_ms(60000)));
+        directory_.update(draining(server), at_ms(60000));
+        CPPUNIT_ASSERT(directory_.may_resume_at(server, at_ms(60999)));
+        CPPUNIT_ASSERT(!directory_.may_resume_at(server, at_ms(61000)));
+        auto restarted = server;
+        restarted.start = server_start{1};
+        directory_.update(restarted, at_ms(62000));
+        CPPUNIT_ASSERT(!directory_.may_resume_at(server, at_ms(62000)));
+        CPPUNIT_ASSERT(directory_.may_resume_at(restarted, at_ms(62000)));
+    }
+
     void test_departed_servers_are_forgotten()
     {
         directory_.update(sample_server(1), at_ms(0));
--- a/tests/platform_adapter/migration_test.cpp
+++ b/tests/platform_adapter/migration_test.cpp
@@ -114,6 +114,7 @@
     CPPUNIT_TEST(test_a_returning_stream_survives_the_draining_of_its_server);
     CPPUNIT_TEST(test_a_return_continues_as_migration_when_the_server_drains);
     CPPUNIT_TEST(test_a_stream_stays_when_its_home_zone_refuses_it);
+    CPPUNIT_TEST(test_a_run_does_not_migrate_to_a_server_that_leaves);
     CPPUNIT_TEST(test_a_run_does_not_migrate_into_an_evacuated_zone);
     CPPUNIT_TEST(test_a_stopped_run_does_not_resume_in_an_evacuated_zone);
     CPPUNIT_TEST(test_a_run_leaves_a_region_that_is_withdrawn);
@@ -314,6 +315,29 @@
             std::size_t{1}, testbed_.first_server().count("/stream/"));
     }
 
+    // The destination leaves while the first copy is on its way there. The run
+    // stays where it is, as there is no other server.
+    void test_a_run_does_not_migrate_to_a_server_that_leaves()
+    {
+        migrating_server source;
+        migrating_server destination;
+        source.slow_copies = 1;
+        source.slow_copy_ms = 1000;
+        source.on_running_copy = [this](int number) {
+            fake_server& leaving = testbed_.second_server();
+            if (number == 1)
+                testbed_.store().put(
+                    "keyed.servers",
+                    leaving.id(),
+                    leaving.record("draining", 100));
+        };
+        migrate_while_streaming(source, destination);
+        CPPUNIT_ASSERT_EQUAL(200U, response_.status);
+        CPPUNIT_ASSERT_EQUAL(events_until(source.sent), response_.body);
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t{0}, testbed_.second_server().count("/stream/"));
+    }
+
     // The copies are refused until the source is known to drain.
     void test_a_returning_stream_survives_the_draining_of_its_server()
     {
