--- a/libraries/wire/include/godwit/wire/host_work.hpp
+++ b/libraries/wire/include/godwit/wire/host_work.hpp
@@ -31,8 +31,8 @@
     /// its report; empty if none is known.
     std::string reader;
     std::uint32_t reader_age_ms = 0;
-    /// Whether the sender sends the recipient each change of the list of servers
-    /// that it reads.
+    /// Whether the sender sends the recipient each change of the list of
+    /// servers that it reads.
     bool serves_recipient = false;
 
     friend bool operator==(const host_work&, const host_work&) = default;
--- a/tests/platform_adapter/fake_neighbours.hpp
+++ b/tests/platform_adapter/fake_neighbours.hpp
@@ -21,8 +21,8 @@
 
 namespace godwit::platform_adapter::test {
 
-/// Entry hosts "n0", "n1", ... or with another prefix, that are linked to the one under test and run on
-/// their own thread. All members are thread-safe.
+/// Entry hosts "n0", "n1", ... or with another prefix, that are linked to the
+/// one under test and run on their own thread. All members are thread-safe.
 class fake_neighbours
 {
 public:
