--- a/services/entry/src/entry_process_sources.cpp
+++ b/services/entry/src/entry_process_sources.cpp
@@ -16,9 +16,6 @@
 
 // Interval between two reports of a host that reads.
 constexpr core::duration report_interval = std::chrono::seconds(1);
-// Number of cells up to which each has two readers of the server list. With
-// more cells, each call of the second ones would be made by dozens of hosts.
-constexpr std::size_t max_cells_with_two_readers = 8;
 
 } // namespace
 
@@ -33,12 +30,12 @@
     return std::max<std::size_t>(neighbours_->cell_count(), 1);
 }
 
-// The hosts of a cell must not depend on one reader, which may stop at any
-// moment and shows that only by its silence. Where zones have several cells,
-// the readers of the other cells stand in for it.
+// A fleet must not depend on one reader, which may stop at any moment and shows
+// that only by its silence. The readers of other cells stand in for a cell's
+// own one; a fleet with one cell has two readers.
 std::size_t entry_process::list_readers_in_cell() const
 {
-    return cell_count() <= max_cells_with_two_readers ? 2 : 1;
+    return cell_count() == 1 ? 2 : 1;
 }
 
 std::size_t entry_process::permanent_readers_in_cell() const
