platform: a call that is one too many shows no recovery of the store

The client took 429 for an answer that shows that the store is back, so that a 429 after a 503 gave up the open reads and ended the pauses of all followers, whose next calls are rejected and priced as well.

--- a/tests/restored_store/topic_follower_test.cpp
+++ b/tests/restored_store/topic_follower_test.cpp
@@ -8,7 +8,11 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+
 #include <chrono>
+#include <exception>
 #include <functional>
 #include <optional>
 #include <set>
@@ -35,6 +39,7 @@
     CPPUNIT_TEST(test_a_read_that_missed_a_relayed_change_is_repeated);
     CPPUNIT_TEST(test_an_open_read_is_left_alone);
     CPPUNIT_TEST(test_a_pause_after_failures_ends_when_the_store_responds);
+    CPPUNIT_TEST(test_a_call_that_is_one_too_many_shows_no_recovery);
     CPPUNIT_TEST_SUITE_END();
 
     static void fail_once(bool& has_failed)
@@ -394,6 +399,36 @@
             std::chrono::steady_clock::now() - responds_at <
             std::chrono::seconds(1));
     }
+
+    // Such a response would end the pauses of all followers, whose calls the
+    // store rejects as well.
+    void test_a_call_that_is_one_too_many_shows_no_recovery()
+    {
+        boost::asio::io_context io{1};
+        test::fake_store store(io);
+        store_client client(io.get_executor(), store.address());
+        unsigned losses = 0;
+        client.set_loss_handler([&losses](core::time_point) { ++losses; });
+        const auto call_with_status = [&](unsigned status) {
+            store.set_status(status);
+            bool is_done = false;
+            boost::asio::co_spawn(
+                io,
+                client.newest("t"),
+                [&is_done](const std::exception_ptr&, const auto&) {
+                    is_done = true;
+                });
+            while (!is_done)
+                io.run_one();
+            return losses;
+        };
+        constexpr unsigned unavailable = 503;
+        constexpr unsigned too_many_requests = 429;
+        CPPUNIT_ASSERT_EQUAL(0U, call_with_status(unavailable));
+        CPPUNIT_ASSERT_EQUAL(0U, call_with_status(too_many_requests));
+        CPPUNIT_ASSERT_EQUAL(0U, call_with_status(unavailable));
+        CPPUNIT_ASSERT_EQUAL(1U, call_with_status(0));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(topic_follower_test);
